--- /dev/null
+++ b/core/tsupdate/update_test.go
@@ -0,0 +1,62 @@
+package tsupdate_test
+
+import (
+	"testing"
+
+	"turmericshed"
+	"turmericshed/core/tsupdate"
+
+	"gotest.tools/v3/assert"
+)
+
+// appendOnce is idempotent: it writes x unless the value has it.
+func appendOnce(cur turmericshed.Item) ([]byte, error) {
+	if string(cur.Value) == "x" {
+		return nil, nil
+	}
+	return []byte("x"), nil
+}
+
+func handle(t *testing.T, u *tsupdate.Update, wantRead bool, r tsupdate.Reply) {
+	t.Helper()
+	assert.Equal(t, u.Step().Read, wantRead)
+	u.Handle(r)
+}
+
+func TestUpdate(t *testing.T) {
+	unknown := turmericshed.NewError(turmericshed.KindStoreUnknown, "no answer")
+	conflict := turmericshed.NewError(turmericshed.KindConflict, "version")
+	t.Run("lost answer of a write that took effect", func(t *testing.T) {
+		u := tsupdate.New("k", appendOnce)
+		handle(t, u, true, tsupdate.Reply{})
+		handle(t, u, false, tsupdate.Reply{Err: unknown})
+		handle(t, u, true, tsupdate.Reply{Item: turmericshed.Item{Value: []byte("x"), Version: 1}})
+		item, err := u.Result()
+		assert.NilError(t, err)
+		assert.Equal(t, item.Version, turmericshed.Version(1))
+	})
+	t.Run("write that lands after the read-back", func(t *testing.T) {
+		u := tsupdate.New("k", appendOnce)
+		handle(t, u, true, tsupdate.Reply{})
+		handle(t, u, false, tsupdate.Reply{Err: unknown})
+		handle(t, u, true, tsupdate.Reply{})
+		handle(t, u, false, tsupdate.Reply{Err: conflict})
+		handle(t, u, true, tsupdate.Reply{Item: turmericshed.Item{Value: []byte("x"), Version: 1}})
+		_, err := u.Result()
+		assert.NilError(t, err)
+	})
+	t.Run("giving up after an ambiguous write stays unknown", func(t *testing.T) {
+		u := tsupdate.New("k", appendOnce)
+		handle(t, u, true, tsupdate.Reply{})
+		handle(t, u, false, tsupdate.Reply{Err: unknown})
+		handle(t, u, true, tsupdate.Reply{Err: turmericshed.NewError(turmericshed.KindStoreUnavailable, "down")})
+		_, err := u.Result()
+		assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindStoreUnknown)
+	})
+	t.Run("a stale cache costs a conflict only", func(t *testing.T) {
+		u := tsupdate.NewFrom(turmericshed.Item{Key: "k", Version: 1}, appendOnce)
+		handle(t, u, false, tsupdate.Reply{Err: conflict})
+		handle(t, u, true, tsupdate.Reply{Item: turmericshed.Item{Version: 7}})
+		assert.Equal(t, u.Step().Write.Want, turmericshed.Version(7))
+	})
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,207 @@
+package turmericshed
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Outcome tells a caller whether its request had an effect.
+type Outcome string
+
+// The outcomes.
+const (
+	// OutcomeNotRun means that nothing was sent to a backend server.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = "unknown"
+	// OutcomeRan means that the request ran, in whole or in part.
+	OutcomeRan Outcome = "ran"
+)
+
+// Kind is the closed list of error kinds.
+type Kind int
+
+// The error kinds. Their answers stand in the table below.
+const (
+	KindNone Kind = iota
+	KindBadRequest
+	KindTooLarge
+	KindUnauthenticated
+	KindForbidden
+	KindUnknownProfile
+	KindNotFound
+	KindConflict
+	KindKeyReused
+	KindBudgetExhausted
+	KindBudgetUnavailable
+	KindRateLimited
+	KindOverloaded
+	KindDeadline
+	KindNoBackend
+	KindStoreUnavailable
+	KindStoreUnknown
+	KindQuarantined
+	KindDraining
+	KindCanceled
+	KindBackendRefused
+	KindCallUnknown
+	KindStreamBroken
+	KindInternal
+	kindEnd
+)
+
+// KindInfo is the answer that a kind maps to.
+type KindInfo struct {
+	// Name is the snake-case name used in answers, logs and metrics.
+	Name string
+	// Status is the HTTP status code.
+	Status int
+	// Outcome is what the caller is told about its request.
+	Outcome Outcome
+	// Retryable is true when the same request may succeed later.
+	Retryable bool
+	// RetryAfter is the default advice; zero gives none.
+	RetryAfter time.Duration
+}
+
+// kindTable maps each kind to its answer. It is the only such place.
+var kindTable = [kindEnd]KindInfo{
+	KindNone:              {Name: "none", Status: http.StatusOK, Outcome: OutcomeRan},
+	KindBadRequest:        {Name: "bad_request", Status: http.StatusBadRequest, Outcome: OutcomeNotRun},
+	KindTooLarge:          {Name: "too_large", Status: http.StatusRequestEntityTooLarge, Outcome: OutcomeNotRun},
+	KindUnauthenticated:   {Name: "unauthenticated", Status: http.StatusUnauthorized, Outcome: OutcomeNotRun},
+	KindForbidden:         {Name: "forbidden", Status: http.StatusForbidden, Outcome: OutcomeNotRun},
+	KindUnknownProfile:    {Name: "unknown_profile", Status: http.StatusNotFound, Outcome: OutcomeNotRun},
+	KindNotFound:          {Name: "not_found", Status: http.StatusNotFound, Outcome: OutcomeNotRun},
+	KindConflict:          {Name: "conflict", Status: http.StatusConflict, Outcome: OutcomeNotRun},
+	KindKeyReused:         {Name: "key_reused", Status: http.StatusUnprocessableEntity, Outcome: OutcomeNotRun},
+	KindBudgetExhausted:   {Name: "budget_exhausted", Status: http.StatusPaymentRequired, Outcome: OutcomeNotRun},
+	KindBudgetUnavailable: {Name: "budget_unavailable", Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Retryable: true, RetryAfter: 5 * time.Second},
+	KindRateLimited:       {Name: "rate_limited", Status: http.StatusTooManyRequests, Outcome: OutcomeNotRun, Retryable: true, RetryAfter: time.Second},
+	KindOverloaded:        {Name: "overloaded", Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Retryable: true, RetryAfter: 2 * time.Second},
+	KindDeadline:          {Name: "deadline", Status: http.StatusGatewayTimeout, Outcome: OutcomeNotRun, Retryable: true},
+	KindNoBackend:         {Name: "no_backend", Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Retryable: true, RetryAfter: 2 * time.Second},
+	KindStoreUnavailable:  {Name: "store_unavailable", Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Retryable: true, RetryAfter: 5 * time.Second},
+	KindStoreUnknown:      {Name: "store_unknown", Status: http.StatusServiceUnavailable, Outcome: OutcomeUnknown, Retryable: true, RetryAfter: 5 * time.Second},
+	KindQuarantined:       {Name: "quarantined", Status: http.StatusUnprocessableEntity, Outcome: OutcomeNotRun},
+	KindDraining:          {Name: "draining", Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Retryable: true, RetryAfter: time.Second},
+	KindCanceled:          {Name: "canceled", Status: 499, Outcome: OutcomeNotRun},
+	KindBackendRefused:    {Name: "backend_refused", Status: http.StatusBadGateway, Outcome: OutcomeNotRun, Retryable: true, RetryAfter: time.Second},
+	KindCallUnknown:       {Name: "call_unknown", Status: http.StatusBadGateway, Outcome: OutcomeUnknown},
+	KindStreamBroken:      {Name: "stream_broken", Status: http.StatusBadGateway, Outcome: OutcomeRan, Retryable: true},
+	KindInternal:          {Name: "internal", Status: http.StatusInternalServerError, Outcome: OutcomeUnknown},
+}
+
+// Kinds returns every kind that an error may have.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, int(kindEnd)-1)
+	for k := KindNone + 1; k < kindEnd; k++ {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// Info returns the answer for the kind.
+func (k Kind) Info() KindInfo {
+	if k < 0 || k >= kindEnd {
+		k = KindInternal
+	}
+	return kindTable[k]
+}
+
+// String returns the kind's snake-case name.
+func (k Kind) String() string { return k.Info().Name }
+
+type errorKey int
+
+const (
+	kindKey errorKey = iota + 1
+	retryAfterKey
+	outcomeKey
+)
+
+// NewError returns an error of the given kind. The message is shown to the
+// caller, so it holds nothing of other client accounts.
+func NewError(kind Kind, format string, args ...any) error {
+	return merry.Wrap(fmt.Errorf(format, args...), merry.WithValue(kindKey, kind), merry.NoCaptureStack())
+}
+
+// WrapError gives err a kind and a message in front; nil stays nil.
+func WrapError(kind Kind, err error, format string, args ...any) error {
+	if err == nil {
+		return nil
+	}
+	msg := fmt.Sprintf(format, args...)
+	return merry.Wrap(err, merry.PrependMessage(msg), merry.WithValue(kindKey, kind), merry.NoCaptureStack())
+}
+
+// WithRetryAfter adds advice on when to ask again.
+func WithRetryAfter(err error, d time.Duration) error {
+	return merry.Wrap(err, merry.WithValue(retryAfterKey, d), merry.NoCaptureStack())
+}
+
+// WithOutcome replaces the outcome of the error's kind, where a stage knows
+// more than the table: a deadline that passed after dispatch is unknown.
+func WithOutcome(err error, o Outcome) error {
+	return merry.Wrap(err, merry.WithValue(outcomeKey, o), merry.NoCaptureStack())
+}
+
+// KindOf returns the kind of err: KindNone for nil, KindInternal where no
+// kind was given.
+func KindOf(err error) Kind {
+	if err == nil {
+		return KindNone
+	}
+	if k, ok := merry.Value(err, kindKey).(Kind); ok {
+		return k
+	}
+	return KindInternal
+}
+
+// RetryAfterOf returns the advice carried by err, else that of its kind.
+func RetryAfterOf(err error) time.Duration {
+	if d, ok := merry.Value(err, retryAfterKey).(time.Duration); ok {
+		return d
+	}
+	return KindOf(err).Info().RetryAfter
+}
+
+// OutcomeOf returns the outcome carried by err, else that of its kind.
+func OutcomeOf(err error) Outcome {
+	if o, ok := merry.Value(err, outcomeKey).(Outcome); ok {
+		return o
+	}
+	return KindOf(err).Info().Outcome
+}
+
+// InvariantError reports a promise that would have been broken. The
+// operation that found it does not take effect.
+type InvariantError struct {
+	Name   string
+	Detail string
+}
+
+// Error describes the broken invariant.
+func (e *InvariantError) Error() string { return "invariant " + e.Name + ": " + e.Detail }
+
+// Assert panics with an *InvariantError unless ok. The panic ends the
+// request or the supervised controller, never the fleet.
+func Assert(ok bool, name, format string, args ...any) {
+	if !ok {
+		panic(&InvariantError{Name: name, Detail: fmt.Sprintf(format, args...)})
+	}
+}
+
+// AsInvariant returns the invariant error in a recovered value, if any.
+func AsInvariant(recovered any) (*InvariantError, bool) {
+	err, ok := recovered.(error)
+	if !ok {
+		return nil, false
+	}
+	var inv *InvariantError
+	return inv, errors.As(err, &inv)
+}
--- /dev/null
+++ b/io/tscommand/commands.go
@@ -0,0 +1,83 @@
+// Package tscommand is the command line: one table of subcommands, one file
+// of options, and a file for each subcommand.
+//
+// # Usage
+//
+//	os.Exit(tscommand.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
+//
+// Every flag has an environment variable, TURMERICSHED_ followed by the flag
+// in upper case with underscores; a flag wins over its variable.
+package tscommand
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+
+	"turmericshed"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitSetting = 2
+)
+
+// command is one subcommand.
+type command struct {
+	name string
+	// help is one line for the overview.
+	help string
+	run  func(ctx context.Context, args []string, out, errOut io.Writer) error
+}
+
+// commands returns the table of subcommands in the order of the overview.
+func commands() []command {
+	return []command{
+		{"entry", "serve callers as one entry VM", runEntry},
+	}
+}
+
+// Main runs the subcommand named by args[0] and returns the exit code.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	if len(args) == 0 {
+		usage(errOut)
+		return exitSetting
+	}
+	if args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+		usage(out)
+		return exitOK
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return exitCode(c.run(ctx, args[1:], out, errOut), errOut)
+		}
+	}
+	_, _ = fmt.Fprintf(errOut, "turmericshed: unknown command %q: see turmericshed -h\n", args[0])
+	return exitSetting
+}
+
+// exitCode prints err in one line and maps it to the process's exit code.
+func exitCode(err error, errOut io.Writer) int {
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	_, _ = fmt.Fprintf(errOut, "turmericshed: %v\n", err)
+	var setting *SettingError
+	if errors.As(err, &setting) || turmericshed.KindOf(err) == turmericshed.KindBadRequest {
+		return exitSetting
+	}
+	return exitFailed
+}
+
+func usage(w io.Writer) {
+	_, _ = fmt.Fprintln(w, "turmericshed routes requests under prepaid token budgets.")
+	_, _ = fmt.Fprintln(w, "\nusage: turmericshed <command> [flags]     (<command> -h lists its flags)")
+	_, _ = fmt.Fprintln(w)
+	for _, c := range commands() {
+		_, _ = fmt.Fprintf(w, "  %-12s %s\n", c.name, c.help)
+	}
+}
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,80 @@
+package turmericshed
+
+import (
+	"context"
+	"time"
+)
+
+// MaxValueBytes is the largest value that the platform's service holds.
+const MaxValueBytes = 1 << 20
+
+// LeaseID names a lease of the platform's key-value service; empty is none.
+type LeaseID string
+
+// Item is a key with its value as last read. Version 0 means absent.
+type Item struct {
+	Key     string
+	Value   []byte
+	Version Version
+}
+
+// Write is a compare-and-swap on one key.
+type Write struct {
+	Key string
+	// Want is the version that the key must have; 0 for absent.
+	Want Version
+	// Value is ignored when Delete is set.
+	Value  []byte
+	Delete bool
+	// Lease, when set, deletes the key when the lease lapses.
+	Lease LeaseID
+}
+
+// WatchEvent is a change of a key. A gap in the stream is told by Reset:
+// the watcher must list again.
+type WatchEvent struct {
+	Item
+	Deleted bool
+	Reset   bool
+}
+
+// Watcher delivers changes until it is closed or fails.
+type Watcher interface {
+	// Next blocks until a change or an error.
+	Next(ctx context.Context) (WatchEvent, error)
+	Close() error
+}
+
+// Store is the platform's key-value service. Errors have one of these kinds:
+// KindConflict (the version differed; not applied), KindStoreUnavailable
+// (certainly not applied), KindStoreUnknown (may have been applied, or may
+// still be).
+type Store interface {
+	// Get returns the item; an absent key has Version 0 and no error.
+	Get(ctx context.Context, key string) (Item, error)
+	// List returns up to limit items with the prefix, in key order, after
+	// the given key. It counts as one read.
+	List(ctx context.Context, prefix, after string, limit int) ([]Item, error)
+	// CompareAndSwap applies w and returns the new version.
+	CompareAndSwap(ctx context.Context, w Write) (Version, error)
+	// Grant makes a lease with the given time to live.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews a lease; KindNotFound once it lapsed.
+	KeepAlive(ctx context.Context, id LeaseID) error
+	// Watch delivers changes under prefix with versions above after.
+	Watch(ctx context.Context, prefix string, after Version) (Watcher, error)
+}
+
+// Directory is the platform's lagging list of live and leaving VMs.
+type Directory interface {
+	// Snapshot returns the list as the platform saw it at AsOf.
+	Snapshot(ctx context.Context) (DirectorySnapshot, error)
+}
+
+// DirectorySnapshot is one reading of the platform's list. It may be stale
+// or empty; nobody is declared gone because of it alone.
+type DirectorySnapshot struct {
+	AsOf    time.Time       `json:"as_of"`
+	Entries []EntryVM       `json:"entry_vms"`
+	Servers []BackendServer `json:"backend_servers"`
+}
