--- /dev/null
+++ b/core/tsboard/board.go
@@ -0,0 +1,53 @@
+// Package tsboard is the blackboard of one process: typed cells, each written
+// by one controller and read by any. Controllers don't call each other; they
+// post here and react to changes.
+//
+// # Usage
+//
+//	var b tsboard.Board
+//	b.Servers.Write(servers)            // the membership controller
+//	servers, changed := b.Servers.Watch() // the routing controller
+//	select {
+//	case <-changed:
+//	case <-ctx.Done():
+//	}
+package tsboard
+
+import (
+	"time"
+
+	"turmericshed"
+)
+
+// Member is an entry VM with what this process believes about it.
+type Member struct {
+	turmericshed.EntryVM
+	State turmericshed.MemberState
+	// Since is when the belief last changed.
+	Since time.Time
+}
+
+// StoreHealth tells how the platform's key-value service answers.
+type StoreHealth struct {
+	Up bool
+	// Since is when Up last changed.
+	Since time.Time
+}
+
+// Board is the blackboard. The zero value is ready to use.
+type Board struct {
+	// Directory is the platform's last list. Writer: the directory reader.
+	Directory Cell[turmericshed.DirectorySnapshot]
+	// Members are the known entry VMs. Writer: the membership controller.
+	Members Cell[[]Member]
+	// Servers are the known backend servers, leaving ones marked. Writer:
+	// the directory reader; marks by whoever sees the first sign.
+	Servers Cell[[]turmericshed.BackendServer]
+	// Loads are the newest load reports. Writer: the load reader; reports
+	// heard from peers are merged by age.
+	Loads Cell[map[turmericshed.ServerID]turmericshed.LoadReport]
+	// Store is the health of the platform's service. Writer: its client.
+	Store Cell[StoreHealth]
+	// Draining is true from the start of a graceful stop. Writer: entry.
+	Draining Cell[bool]
+}
