Stand-in platform: key-value store, list of VMs, fault switches

Cause: every part needs the platform's semantics in tests, from one goroutine with a fake clock as well as from many. Change: standin/tsplatform.Store (compare-and-swap with store-wide revisions, leases, watches read from one bounded log with Reset on gaps, counted and limited calls, outage, delay, lost answers, held writes, cuts both ways and one way) and Directory (set lag, expiry by heartbeat). Result: go test ./standin/tsplatform passes. Applying held writes without the version check turns 'a held write never lands over a newer one' red.

--- /dev/null
+++ b/standin/tsplatform/caller.go
@@ -0,0 +1,187 @@
+package tsplatform
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"turmericshed"
+)
+
+// Caller is the store as one caller sees it.
+type Caller struct {
+	store *Store
+	name  string
+}
+
+// Get returns the item; it counts as one read.
+func (c Caller) Get(ctx context.Context, key string) (turmericshed.Item, error) {
+	var it turmericshed.Item
+	err := c.read(ctx, key, func(s *Store) int {
+		it = s.itemLocked(key)
+		return len(it.Value)
+	})
+	return it, err
+}
+
+// List returns up to limit items; it counts as one read.
+func (c Caller) List(ctx context.Context, prefix, after string, limit int) ([]turmericshed.Item, error) {
+	var items []turmericshed.Item
+	err := c.read(ctx, prefix, func(s *Store) int {
+		items = s.listLocked(prefix, after, limit)
+		n := 0
+		for _, it := range items {
+			n += len(it.Value)
+		}
+		return n
+	})
+	return items, err
+}
+
+// CompareAndSwap applies w; it counts as one write.
+func (c Caller) CompareAndSwap(ctx context.Context, w turmericshed.Write) (turmericshed.Version, error) {
+	if w.Key == "" {
+		return 0, turmericshed.NewError(turmericshed.KindBadRequest, "a write needs a key")
+	}
+	if len(w.Value) > turmericshed.MaxValueBytes {
+		return 0, turmericshed.NewError(turmericshed.KindTooLarge, "value of %d bytes: at most %d", len(w.Value), turmericshed.MaxValueBytes)
+	}
+	w.Value = slices.Clone(w.Value)
+	var v turmericshed.Version
+	err := c.write(ctx, w.Key, len(w.Value), &w, func(s *Store) error {
+		var err error
+		v, err = s.applyLocked(w)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	return v, nil
+}
+
+// Grant makes a lease; it counts as one write.
+func (c Caller) Grant(ctx context.Context, ttl time.Duration) (turmericshed.LeaseID, error) {
+	if ttl <= 0 {
+		return "", turmericshed.NewError(turmericshed.KindBadRequest, "bad time to live %v: want above 0", ttl)
+	}
+	var id turmericshed.LeaseID
+	err := c.write(ctx, leaseGroup, 0, nil, func(s *Store) error {
+		id = s.grantLocked(ttl)
+		return nil
+	})
+	if err != nil {
+		return "", err
+	}
+	return id, nil
+}
+
+// KeepAlive renews a lease; it counts as one write.
+func (c Caller) KeepAlive(ctx context.Context, id turmericshed.LeaseID) error {
+	return c.write(ctx, leaseGroup, 0, nil, func(s *Store) error {
+		l, ok := s.leases[id]
+		if !ok {
+			return turmericshed.NewError(turmericshed.KindNotFound, "lease %s lapsed", id)
+		}
+		l.expires = s.opts.Now().Add(l.ttl)
+		return nil
+	})
+}
+
+// Watch delivers changes with versions above after; it counts as one waiting
+// watch until it is closed.
+func (c Caller) Watch(ctx context.Context, prefix string, after turmericshed.Version) (turmericshed.Watcher, error) {
+	return c.WatchNow(ctx, prefix, after)
+}
+
+// read runs f as one read.
+func (c Caller) read(ctx context.Context, key string, f func(s *Store) int) error {
+	s := c.store
+	if err := s.delay(ctx); err != nil {
+		return turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "read %s", key)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tickLocked()
+	if err := s.refuseLocked(c.name); err != nil {
+		return err
+	}
+	if !s.reads.take(s.opts.Now()) {
+		s.count.Limited++
+		return turmericshed.NewError(turmericshed.KindStoreUnavailable, "too many reads")
+	}
+	g := s.count.group(key)
+	s.count.Reads++
+	g.Reads++
+	if slices.Contains(s.faults.CutAnswers, c.name) {
+		return errCut()
+	}
+	n := int64(f(s))
+	s.count.BytesRead += n
+	g.BytesRead += n
+	return nil
+}
+
+// write runs f as one write. When the answer is lost, f has taken effect or
+// w is held; w is nil for writes that cannot be held.
+func (c Caller) write(ctx context.Context, key string, size int, w *turmericshed.Write, f func(s *Store) error) error {
+	s := c.store
+	if err := s.delay(ctx); err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if refused := s.refuseLocked(c.name); refused != nil {
+			return refused
+		}
+		if w == nil {
+			return turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "write %s", key)
+		}
+		s.held = append(s.held, heldWrite{write: *w, due: s.opts.Now().Add(time.Duration(s.faults.Delay))})
+		return turmericshed.WrapError(turmericshed.KindStoreUnknown, err, "write %s", key)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tickLocked()
+	if err := s.refuseLocked(c.name); err != nil {
+		return err
+	}
+	if !s.writes.take(s.opts.Now()) {
+		s.count.Limited++
+		return turmericshed.NewError(turmericshed.KindStoreUnavailable, "too many writes")
+	}
+	s.countWriteLocked(key, size)
+	if w != nil && s.holdLocked(*w) {
+		return turmericshed.NewError(turmericshed.KindStoreUnknown, "write %s: no answer", key)
+	}
+	err := f(s)
+	if s.loseLocked(c.name, key, err == nil) {
+		return turmericshed.NewError(turmericshed.KindStoreUnknown, "write %s: no answer", key)
+	}
+	return err
+}
+
+func (s *Store) countWriteLocked(key string, size int) {
+	g := s.count.group(key)
+	s.count.Writes++
+	g.Writes++
+	s.count.BytesWritten += int64(size)
+	g.BytesWritten += int64(size)
+}
+
+// delay waits as long as the fault says.
+func (s *Store) delay(ctx context.Context) error {
+	s.mu.Lock()
+	d := time.Duration(s.faults.Delay)
+	s.mu.Unlock()
+	if err := ctx.Err(); err != nil || d <= 0 {
+		return err
+	}
+	return s.opts.Sleep(ctx, d)
+}
+
+// groupOf returns the first path element of a key, such as "budgets/".
+func groupOf(key string) string {
+	if i := strings.IndexByte(key, '/'); i >= 0 {
+		return key[:i+1]
+	}
+	return key
+}
--- /dev/null
+++ b/standin/tsplatform/count.go
@@ -0,0 +1,88 @@
+package tsplatform
+
+import (
+	"maps"
+	"math"
+	"time"
+)
+
+// leaseGroup is the group under which calls on leases are counted.
+const leaseGroup = "lease"
+
+// Calls counts calls and payload bytes.
+type Calls struct {
+	Reads        int64 `json:"reads"`
+	Writes       int64 `json:"writes"`
+	BytesRead    int64 `json:"bytes_read"`
+	BytesWritten int64 `json:"bytes_written"`
+}
+
+// Counts is the store's account of calls.
+type Counts struct {
+	Calls
+	// Watches counts the watches opened, WaitingWatches those open now.
+	Watches        int64 `json:"watches"`
+	WaitingWatches int64 `json:"waiting_watches"`
+	// Limited counts calls refused by the rate limits, Failed those refused
+	// by a fault.
+	Limited int64 `json:"limited"`
+	Failed  int64 `json:"failed"`
+	// Groups counts by the first path element of the key.
+	Groups map[string]Calls `json:"groups"`
+
+	groups map[string]*Calls
+}
+
+func (c *Counts) group(key string) *Calls {
+	if c.groups == nil {
+		c.groups = map[string]*Calls{}
+	}
+	name := groupOf(key)
+	g, ok := c.groups[name]
+	if !ok {
+		g = &Calls{}
+		c.groups[name] = g
+	}
+	return g
+}
+
+// Counts returns the account of calls so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.count
+	out.Groups = maps.Collect(func(yield func(string, Calls) bool) {
+		for name, g := range s.count.groups {
+			if !yield(name, *g) {
+				return
+			}
+		}
+	})
+	out.groups = nil
+	return out
+}
+
+// bucket is a token bucket holding at most one second's calls.
+type bucket struct {
+	rate   float64
+	level  float64
+	filled time.Time
+}
+
+func (b *bucket) take(now time.Time) bool {
+	if b.rate <= 0 {
+		return true
+	}
+	burst := math.Max(b.rate, 1)
+	if b.filled.IsZero() {
+		b.level = burst
+	} else if d := now.Sub(b.filled); d > 0 {
+		b.level = math.Min(burst, b.level+d.Seconds()*b.rate)
+	}
+	b.filled = now
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
--- /dev/null
+++ b/standin/tsplatform/directory.go
@@ -0,0 +1,166 @@
+package tsplatform
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"turmericshed"
+)
+
+// DirectoryOptions sets up a Directory.
+type DirectoryOptions struct {
+	// Now reads the clock; nil means time.Now.
+	Now func() time.Time
+	// Lag is how old each reading is.
+	Lag time.Duration
+	// Expiry removes a VM that sent no heartbeat for so long; 0 keeps it.
+	Expiry time.Duration
+}
+
+// DirectoryFaults are the failures that the list shows from now on.
+type DirectoryFaults struct {
+	// Outage refuses readings.
+	Outage bool `json:"outage,omitempty"`
+	// Empty shows no VMs at all.
+	Empty bool `json:"empty,omitempty"`
+	// Lag replaces the set lag when it is above 0.
+	Lag turmericshed.Duration `json:"lag,omitempty"`
+}
+
+// Directory is the platform's lagging list of VMs.
+type Directory struct {
+	opts   DirectoryOptions
+	mu     sync.Mutex
+	faults DirectoryFaults
+	vms    map[string]*vm
+	reads  int64
+}
+
+// vm is one listed VM with the times that decide whether a reading shows it.
+type vm struct {
+	entry   *turmericshed.EntryVM
+	server  *turmericshed.BackendServer
+	added   time.Time
+	beat    time.Time
+	leaving time.Time
+	removed time.Time
+}
+
+// NewDirectory returns an empty list.
+func NewDirectory(o DirectoryOptions) *Directory {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Directory{opts: o, vms: map[string]*vm{}}
+}
+
+var _ turmericshed.Directory = (*Directory)(nil)
+
+// AddEntry lists an entry VM, or counts as its heartbeat.
+func (d *Directory) AddEntry(e turmericshed.EntryVM) {
+	d.add("entry/"+string(e.Incarnation), &vm{entry: &e})
+}
+
+// AddServer lists a backend server, or counts as its heartbeat.
+func (d *Directory) AddServer(s turmericshed.BackendServer) {
+	d.add("server/"+string(s.ID), &vm{server: &s})
+}
+
+func (d *Directory) add(key string, v *vm) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.opts.Now()
+	if old, ok := d.vms[key]; ok && old.removed.IsZero() && !d.expired(old, now) {
+		old.beat = now
+		return
+	}
+	v.added, v.beat = now, now
+	d.vms[key] = v
+}
+
+// RemoveEntry takes an entry VM off the list.
+func (d *Directory) RemoveEntry(in turmericshed.Incarnation) { d.remove("entry/" + string(in)) }
+
+// RemoveServer takes a backend server off the list.
+func (d *Directory) RemoveServer(id turmericshed.ServerID) { d.remove("server/" + string(id)) }
+
+func (d *Directory) remove(key string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if v, ok := d.vms[key]; ok && v.removed.IsZero() {
+		v.removed = d.opts.Now()
+	}
+}
+
+// LeaveServer marks a backend server as leaving.
+func (d *Directory) LeaveServer(id turmericshed.ServerID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if v, ok := d.vms["server/"+string(id)]; ok && v.leaving.IsZero() {
+		v.leaving = d.opts.Now()
+	}
+}
+
+// SetFaults replaces the faults.
+func (d *Directory) SetFaults(f DirectoryFaults) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.faults = f
+}
+
+// Reads returns the number of readings so far.
+func (d *Directory) Reads() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reads
+}
+
+// Snapshot returns the list as it was one lag ago.
+func (d *Directory) Snapshot(context.Context) (turmericshed.DirectorySnapshot, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reads++
+	if d.faults.Outage {
+		return turmericshed.DirectorySnapshot{}, turmericshed.NewError(turmericshed.KindStoreUnavailable, "the platform's list doesn't answer")
+	}
+	lag := d.opts.Lag
+	if d.faults.Lag > 0 {
+		lag = time.Duration(d.faults.Lag)
+	}
+	snap := turmericshed.DirectorySnapshot{AsOf: d.opts.Now().Add(-lag)}
+	for key, v := range d.vms {
+		if !v.removed.IsZero() && d.opts.Now().Sub(v.removed) > max(lag, d.opts.Lag) {
+			delete(d.vms, key)
+			continue
+		}
+		if !d.faults.Empty {
+			d.show(&snap, v)
+		}
+	}
+	slices.SortFunc(snap.Entries, func(a, b turmericshed.EntryVM) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	slices.SortFunc(snap.Servers, func(a, b turmericshed.BackendServer) int { return cmp.Compare(a.ID, b.ID) })
+	return snap, nil
+}
+
+// show adds v when the platform saw it at snap.AsOf.
+func (d *Directory) show(snap *turmericshed.DirectorySnapshot, v *vm) {
+	at := snap.AsOf
+	gone := !v.removed.IsZero() && !v.removed.After(at)
+	if v.added.After(at) || gone || d.expired(v, at) {
+		return
+	}
+	if v.entry != nil {
+		snap.Entries = append(snap.Entries, *v.entry)
+		return
+	}
+	s := *v.server
+	s.Leaving = s.Leaving || (!v.leaving.IsZero() && !v.leaving.After(at))
+	snap.Servers = append(snap.Servers, s)
+}
+
+func (d *Directory) expired(v *vm, at time.Time) bool {
+	return d.opts.Expiry > 0 && at.Sub(v.beat) >= d.opts.Expiry
+}
--- /dev/null
+++ b/standin/tsplatform/watch.go
@@ -0,0 +1,99 @@
+package tsplatform
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"turmericshed"
+)
+
+// Watcher reads the changes under one prefix.
+type Watcher struct {
+	store  *Store
+	caller string
+	prefix string
+	after  turmericshed.Version
+	closed bool
+}
+
+var _ turmericshed.Watcher = (*Watcher)(nil)
+
+// WatchNow is Watch with the concrete type, which also offers TryNext.
+func (c Caller) WatchNow(_ context.Context, prefix string, after turmericshed.Version) (*Watcher, error) {
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tickLocked()
+	if err := s.refuseLocked(c.name); err != nil {
+		return nil, err
+	}
+	s.count.Watches++
+	s.count.WaitingWatches++
+	return &Watcher{store: s, caller: c.name, prefix: prefix, after: after}, nil
+}
+
+// Next blocks until a change under the prefix or an error.
+func (w *Watcher) Next(ctx context.Context) (turmericshed.WatchEvent, error) {
+	for {
+		ev, ok, changed, err := w.poll()
+		if err != nil || ok {
+			return ev, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return turmericshed.WatchEvent{}, turmericshed.WrapError(turmericshed.KindStoreUnavailable, ctx.Err(), "watch %s", w.prefix)
+		}
+	}
+}
+
+// TryNext returns the next change when there is one.
+func (w *Watcher) TryNext() (ev turmericshed.WatchEvent, ok bool, err error) {
+	ev, ok, _, err = w.poll()
+	return ev, ok, err
+}
+
+func (w *Watcher) poll() (turmericshed.WatchEvent, bool, <-chan struct{}, error) {
+	s := w.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tickLocked()
+	cut := s.faults.Outage || slices.Contains(s.faults.Cut, w.caller) || slices.Contains(s.faults.CutAnswers, w.caller)
+	if w.closed || cut {
+		w.closeLocked()
+		return turmericshed.WatchEvent{}, false, nil, turmericshed.NewError(turmericshed.KindStoreUnavailable, "watch %s ended", w.prefix)
+	}
+	// The log holds the revisions s.rev-len(s.log)+1 to s.rev.
+	oldest := s.rev - turmericshed.Version(len(s.log)) + 1
+	if w.after > s.rev || w.after+1 < oldest {
+		w.after = s.rev
+		return turmericshed.WatchEvent{Item: turmericshed.Item{Version: s.rev}, Reset: true}, true, nil, nil
+	}
+	for w.after < s.rev {
+		ev := s.log[w.after+1-oldest]
+		w.after++
+		if strings.HasPrefix(ev.Key, w.prefix) {
+			ev.Value = slices.Clone(ev.Value)
+			return ev, true, nil, nil
+		}
+	}
+	return turmericshed.WatchEvent{}, false, s.changed, nil
+}
+
+// Close ends the watch and wakes a waiting Next.
+func (w *Watcher) Close() error {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	w.closeLocked()
+	return nil
+}
+
+func (w *Watcher) closeLocked() {
+	if w.closed {
+		return
+	}
+	w.closed = true
+	w.store.count.WaitingWatches--
+	w.store.wakeLocked()
+}
