--- /dev/null
+++ b/io/tspeer/server.go
@@ -0,0 +1,59 @@
+package tspeer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+
+	"turmericshed"
+)
+
+// Server serves the connect-go services of one entry VM to its peers.
+type Server struct {
+	cfg Config
+	mux *http.ServeMux
+}
+
+// NewServer returns a server with nothing mounted.
+func NewServer(cfg Config) *Server {
+	return &Server{cfg: cfg, mux: http.NewServeMux()}
+}
+
+// Mount adds a service; its arguments are what connect-go's constructors of
+// handlers return.
+func (s *Server) Mount(path string, h http.Handler) { s.mux.Handle(path, h) }
+
+// Serve answers calls on ln until ctx ends, then lets calls in flight finish
+// for a short time. It closes ln.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	srv := &http.Server{
+		Handler:           s.mux,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         new(http.Protocols),
+	}
+	if s.cfg.TLS != nil {
+		srv.Protocols.SetHTTP2(true)
+		tlsConfig := s.cfg.TLS.Clone()
+		tlsConfig.NextProtos = []string{"h2"}
+		ln = tls.NewListener(ln, tlsConfig)
+	} else {
+		srv.Protocols.SetUnencryptedHTTP2(true)
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(ln) }()
+	select {
+	case err := <-failed:
+		return turmericshed.WrapError(turmericshed.KindInternal, err, "peer server")
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := srv.Shutdown(stop); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		_ = srv.Close()
+	}
+	return ctx.Err()
+}
