--- a/standin/tsplatform/fault.go
+++ b/standin/tsplatform/fault.go
@@ -136,3 +136,10 @@
 	s.faults.LoseAnswers--
 	return true
 }
+
+// reachable returns an error when the caller's calls don't arrive.
+func (s *Store) reachable(caller string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refuseLocked(caller)
+}
--- /dev/null
+++ b/standin/tsplatform/server.go
@@ -0,0 +1,232 @@
+package tsplatform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"turmericshed"
+	wire "turmericshed/io/tsplatform"
+)
+
+const (
+	// tickInterval is how often leases lapse and held writes land.
+	tickInterval = 50 * time.Millisecond
+	// keepAliveInterval is the longest silence on a watch.
+	keepAliveInterval = 5 * time.Second
+	// maxBodyBytes bounds a request: a value in base 64 with its frame.
+	maxBodyBytes = 2 * turmericshed.MaxValueBytes
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+)
+
+// The paths of the control interface.
+const (
+	PathFaults          = "/control/faults"
+	PathDirectoryFaults = "/control/vms-faults"
+	PathLand            = "/control/land"
+	PathCounts          = "/control/counts"
+)
+
+// Server serves a Store and a Directory over HTTP. A call that Faults leave
+// without an answer ends with its connection closed.
+type Server struct {
+	store *Store
+	dir   *Directory
+	mux   *http.ServeMux
+}
+
+// NewServer returns a server; Serve runs it.
+func NewServer(s *Store, d *Directory) *Server {
+	srv := &Server{store: s, dir: d, mux: http.NewServeMux()}
+	m := srv.mux
+	m.HandleFunc("POST "+wire.PathGet, handle(srv.get))
+	m.HandleFunc("POST "+wire.PathList, handle(srv.list))
+	m.HandleFunc("POST "+wire.PathSwap, handle(srv.swap))
+	m.HandleFunc("POST "+wire.PathGrant, handle(srv.grant))
+	m.HandleFunc("POST "+wire.PathKeepAlive, handle(srv.keepAlive))
+	m.HandleFunc("GET "+wire.PathWatch, srv.watch)
+	m.HandleFunc("GET "+wire.PathDirectory, handle(srv.snapshot))
+	m.HandleFunc("POST "+wire.PathEntries, handle(srv.addEntry))
+	m.HandleFunc("POST "+wire.PathServers, handle(srv.addServer))
+	m.HandleFunc("DELETE "+wire.PathEntries+"/{id}", srv.change(func(id string) { d.RemoveEntry(turmericshed.Incarnation(id)) }))
+	m.HandleFunc("DELETE "+wire.PathServers+"/{id}", srv.change(func(id string) { d.RemoveServer(turmericshed.ServerID(id)) }))
+	m.HandleFunc("POST "+wire.PathServers+"/{id}/leave", srv.change(func(id string) { d.LeaveServer(turmericshed.ServerID(id)) }))
+	m.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Faults()) })
+	m.HandleFunc("PUT "+PathFaults, handle(func(_ context.Context, _ Caller, f Faults) (Faults, error) {
+		s.SetFaults(f)
+		return f, nil
+	}))
+	m.HandleFunc("PUT "+PathDirectoryFaults, handle(func(_ context.Context, _ Caller, f DirectoryFaults) (DirectoryFaults, error) {
+		d.SetFaults(f)
+		return f, nil
+	}))
+	m.HandleFunc("POST "+PathLand, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, struct {
+			Landed int `json:"landed"`
+		}{s.LandHeld()})
+	})
+	m.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counts()) })
+	return srv
+}
+
+// ServeHTTP answers one call. It adds the store to the request for handle.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx := context.WithValue(r.Context(), callerKey{}, s.store.As(r.Header.Get(wire.CallerHeader)))
+	s.mux.ServeHTTP(w, r.WithContext(ctx))
+}
+
+// Serve answers calls on ln until ctx ends, and closes ln.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	h := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
+	defer stop()
+	go func() {
+		t := time.NewTicker(tickInterval)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				s.store.Tick()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	if err := h.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return ctx.Err()
+}
+
+type callerKey struct{}
+
+// handle decodes the body, runs f and encodes its answer.
+func handle[In, Out any](f func(ctx context.Context, c Caller, in In) (Out, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		body := http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		if r.Method != http.MethodGet {
+			if err := json.NewDecoder(body).Decode(&in); err != nil {
+				writeError(w, turmericshed.WrapError(turmericshed.KindBadRequest, err, "bad body"))
+				return
+			}
+		}
+		caller, _ := r.Context().Value(callerKey{}).(Caller)
+		out, err := f(r.Context(), caller, in)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, out)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// writeError answers with the error's kind, or with nothing at all where the
+// answer is lost.
+func writeError(w http.ResponseWriter, err error) {
+	kind := turmericshed.KindOf(err)
+	if kind == turmericshed.KindStoreUnknown {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(kind.Info().Status)
+	_ = json.NewEncoder(w).Encode(wire.ErrorAnswer{Kind: kind.String(), Message: err.Error()})
+}
+
+func (s *Server) get(ctx context.Context, c Caller, in wire.GetRequest) (wire.Item, error) {
+	it, err := c.Get(ctx, in.Key)
+	return wire.FromItem(it), err
+}
+
+func (s *Server) list(ctx context.Context, c Caller, in wire.ListRequest) (wire.ListAnswer, error) {
+	items, err := c.List(ctx, in.Prefix, in.After, in.Limit)
+	a := wire.ListAnswer{Items: make([]wire.Item, 0, len(items))}
+	for _, it := range items {
+		a.Items = append(a.Items, wire.FromItem(it))
+	}
+	return a, err
+}
+
+func (s *Server) swap(ctx context.Context, c Caller, in wire.SwapRequest) (wire.SwapAnswer, error) {
+	v, err := c.CompareAndSwap(ctx, turmericshed.Write(in))
+	return wire.SwapAnswer{Version: v}, err
+}
+
+func (s *Server) grant(ctx context.Context, c Caller, in wire.LeaseRequest) (wire.LeaseAnswer, error) {
+	id, err := c.Grant(ctx, time.Duration(in.TTL))
+	return wire.LeaseAnswer{Lease: id}, err
+}
+
+func (s *Server) keepAlive(ctx context.Context, c Caller, in wire.LeaseRequest) (struct{}, error) {
+	return struct{}{}, c.KeepAlive(ctx, in.Lease)
+}
+
+func (s *Server) snapshot(ctx context.Context, c Caller, _ struct{}) (turmericshed.DirectorySnapshot, error) {
+	if err := s.store.reachable(c.name); err != nil {
+		return turmericshed.DirectorySnapshot{}, err
+	}
+	return s.dir.Snapshot(ctx)
+}
+
+func (s *Server) addEntry(_ context.Context, _ Caller, in turmericshed.EntryVM) (struct{}, error) {
+	s.dir.AddEntry(in)
+	return struct{}{}, nil
+}
+
+func (s *Server) addServer(_ context.Context, _ Caller, in turmericshed.BackendServer) (struct{}, error) {
+	s.dir.AddServer(in)
+	return struct{}{}, nil
+}
+
+func (s *Server) change(f func(id string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f(r.PathValue("id"))
+		writeJSON(w, struct{}{})
+	}
+}
+
+// watch streams changes as lines of JSON.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		writeError(w, turmericshed.WrapError(turmericshed.KindBadRequest, err, "bad after"))
+		return
+	}
+	caller, _ := r.Context().Value(callerKey{}).(Caller)
+	watch, err := caller.WatchNow(r.Context(), r.URL.Query().Get("prefix"), turmericshed.Version(after))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	defer func() { _ = watch.Close() }()
+	flush := http.NewResponseController(w)
+	enc := json.NewEncoder(w)
+	for {
+		if flush.Flush() != nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), keepAliveInterval)
+		ev, err := watch.Next(ctx)
+		idle := ctx.Err() != nil && r.Context().Err() == nil
+		cancel()
+		switch {
+		case err == nil:
+			err = enc.Encode(wire.WatchLine{Item: wire.FromItem(ev.Item), Deleted: ev.Deleted, Reset: ev.Reset})
+		case idle:
+			err = enc.Encode(wire.WatchLine{})
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
