Claims: runtime with batched commits and soft slot owners

Change: io/tscalls implements turmericshed.Claims: a commit loop a slot, owners by rendezvous hashing with fall-back to own writes, waiting for and asking the runner, background outcomes, drain with hand-on, resolver. Conclusion: thin version for wiring; send calls to plain services under tsclaim.ServiceKey(account, key) and look them up under the same.

--- /dev/null
+++ b/io/tscalls/archive.go
@@ -0,0 +1,248 @@
+package tscalls
+
+import (
+	"context"
+	"errors"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+	"turmericshed/core/tsupdate"
+)
+
+// cachedSegments bounds the closed segments kept decoded for each slot.
+const cachedSegments = 4
+
+// archive is a slot's sealed claims as this process last read them. It is
+// used by one goroutine at a time.
+type archive struct {
+	store turmericshed.Store
+	slot  int
+
+	tailSeq   int
+	tailItem  turmericshed.Item
+	tail      tsclaim.Segment
+	tailBytes int
+	buckets   map[int]*bucketCopy
+	segments  *lru.Cache[int, tsclaim.Segment]
+}
+
+type bucketCopy struct {
+	item   turmericshed.Item
+	bucket tsclaim.Bucket
+}
+
+func newArchive(store turmericshed.Store, slot int) *archive {
+	segments, err := lru.New[int, tsclaim.Segment](cachedSegments)
+	turmericshed.Assert(err == nil, "cache_size_valid", "%v", err)
+	return &archive{store: store, slot: slot, tailSeq: -1, buckets: map[int]*bucketCopy{}, segments: segments}
+}
+
+// cover reads what is needed so that the copies hold every claim that was
+// sealed up to the given head.
+func (a *archive) cover(ctx context.Context, h *tsclaim.Head) error {
+	if a.tailSeq != h.Tail || len(a.tail.Entries) < h.TailEntries {
+		if err := a.readTail(ctx, h.Tail, h.TailEntries); err != nil {
+			return err
+		}
+	}
+	live := map[int]bool{}
+	for _, ref := range h.Buckets {
+		live[ref.Seq] = true
+		b, ok := a.buckets[ref.Seq]
+		if ok && b.bucket.Entries() >= ref.Entries {
+			continue
+		}
+		if err := a.readBucket(ctx, ref.Seq, ref.Entries); err != nil {
+			return err
+		}
+	}
+	for seq := range a.buckets {
+		if !live[seq] && seq < h.NextBucket {
+			delete(a.buckets, seq)
+		}
+	}
+	return nil
+}
+
+func (a *archive) readTail(ctx context.Context, seq, want int) error {
+	a.tailSeq = -1
+	a.tail, a.tailBytes = tsclaim.Segment{}, 0
+	a.tailItem = turmericshed.Item{Key: tsclaim.SegmentKey(a.slot, seq)}
+	if want > 0 {
+		item, err := a.store.Get(ctx, a.tailItem.Key)
+		if err != nil {
+			return err
+		}
+		if err := a.setTail(item); err != nil {
+			return err
+		}
+		if len(a.tail.Entries) < want {
+			// Closed and deleted since the head was read.
+			return errMoved
+		}
+	}
+	a.tailSeq = seq
+	return nil
+}
+
+func (a *archive) setTail(item turmericshed.Item) error {
+	var s tsclaim.Segment
+	if err := tsclaim.Decode(item.Value, &s); err != nil {
+		return err
+	}
+	a.tailItem, a.tail, a.tailBytes = item, s, len(item.Value)
+	return nil
+}
+
+func (a *archive) readBucket(ctx context.Context, seq, want int) error {
+	item, err := a.store.Get(ctx, tsclaim.BucketKey(a.slot, seq))
+	if err != nil {
+		return err
+	}
+	b := &bucketCopy{item: item}
+	if err := tsclaim.Decode(item.Value, &b.bucket); err != nil {
+		return err
+	}
+	if b.bucket.Entries() < want {
+		return errMoved
+	}
+	a.buckets[seq] = b
+	return nil
+}
+
+// find returns the sealed entry of a call. The copies must cover the head.
+func (a *archive) find(ctx context.Context, h *tsclaim.Head, id tsclaim.ID) (tsclaim.Entry, bool, error) {
+	if e, ok := a.tail.Entries[id]; ok {
+		return e, true, nil
+	}
+	for _, ref := range h.Buckets {
+		for _, s := range a.buckets[ref.Seq].bucket.Segments {
+			if !s.Filter.MayHave(id) {
+				continue
+			}
+			seg, err := a.segment(ctx, s)
+			if err != nil {
+				return tsclaim.Entry{}, false, err
+			}
+			if e, ok := seg.Entries[id]; ok {
+				return e, true, nil
+			}
+		}
+	}
+	return tsclaim.Entry{}, false, nil
+}
+
+// segment reads a closed segment.
+func (a *archive) segment(ctx context.Context, ref tsclaim.SegmentRef) (tsclaim.Segment, error) {
+	if s, ok := a.segments.Get(ref.Seq); ok && len(s.Entries) >= ref.Entries {
+		return s, nil
+	}
+	item, err := a.store.Get(ctx, tsclaim.SegmentKey(a.slot, ref.Seq))
+	if err != nil {
+		return tsclaim.Segment{}, err
+	}
+	var s tsclaim.Segment
+	if err := tsclaim.Decode(item.Value, &s); err != nil {
+		return s, err
+	}
+	if len(s.Entries) < ref.Entries {
+		return s, errMoved
+	}
+	a.segments.Add(ref.Seq, s)
+	return s, nil
+}
+
+// seal joins entries to the tail segment and returns how many it then has.
+// The head must drop the entries only afterwards.
+func (a *archive) seal(ctx context.Context, h *tsclaim.Head, entries map[tsclaim.ID]tsclaim.Entry) (int, error) {
+	if len(entries) == 0 {
+		return len(a.tail.Entries), nil
+	}
+	u := tsupdate.NewFrom(a.tailItem, func(cur turmericshed.Item) ([]byte, error) {
+		var s tsclaim.Segment
+		if err := tsclaim.Decode(cur.Value, &s); err != nil {
+			return nil, err
+		}
+		if !s.Add(entries) {
+			return nil, nil
+		}
+		return tsclaim.Encode(s)
+	})
+	item, err := tsupdate.Run(ctx, a.store, u)
+	if err != nil {
+		a.tailSeq = -1
+		return 0, err
+	}
+	if err := a.setTail(item); err != nil {
+		return 0, err
+	}
+	a.tailSeq = h.Tail
+	return len(a.tail.Entries), nil
+}
+
+// closeTail puts a reference to the tail into its bucket. The head must name
+// the next tail only afterwards.
+func (a *archive) closeTail(ctx context.Context, h *tsclaim.Head) (bucket, entries int, err error) {
+	last := 0
+	if n := len(h.Buckets); n > 0 {
+		last = len(a.buckets[h.Buckets[n-1].Seq].bucket.Segments)
+	}
+	bucket = h.NextSeal(last)
+	from := turmericshed.Item{Key: tsclaim.BucketKey(a.slot, bucket)}
+	if b, ok := a.buckets[bucket]; ok {
+		from = b.item
+	}
+	u := tsupdate.NewFrom(from, func(cur turmericshed.Item) ([]byte, error) {
+		var b tsclaim.Bucket
+		if err := tsclaim.Decode(cur.Value, &b); err != nil {
+			return nil, err
+		}
+		if !b.Close(h.Tail, a.tail) {
+			return nil, nil
+		}
+		return tsclaim.Encode(b)
+	})
+	item, err := tsupdate.Run(ctx, a.store, u)
+	if err != nil {
+		delete(a.buckets, bucket)
+		return 0, 0, err
+	}
+	b := &bucketCopy{item: item}
+	if err := tsclaim.Decode(item.Value, &b.bucket); err != nil {
+		return 0, 0, err
+	}
+	a.buckets[bucket] = b
+	return bucket, b.bucket.Entries(), nil
+}
+
+// deleteBuckets deletes expired buckets with their segments and answers. What
+// cannot be deleted now is left behind; nothing refers to it any more.
+func (a *archive) deleteBuckets(ctx context.Context, refs []tsclaim.BucketRef) {
+	for _, ref := range refs {
+		if b, ok := a.buckets[ref.Seq]; ok {
+			for _, s := range b.bucket.Segments {
+				for _, key := range s.Answers {
+					a.delete(ctx, key)
+				}
+				a.delete(ctx, tsclaim.SegmentKey(a.slot, s.Seq))
+			}
+		}
+		a.delete(ctx, tsclaim.BucketKey(a.slot, ref.Seq))
+		delete(a.buckets, ref.Seq)
+	}
+}
+
+func (a *archive) delete(ctx context.Context, key string) {
+	for range 2 {
+		item, err := a.store.Get(ctx, key)
+		if err != nil || item.Version == 0 {
+			return
+		}
+		_, err = a.store.CompareAndSwap(ctx, turmericshed.Write{Key: key, Want: item.Version, Delete: true})
+		if err == nil || errors.Is(err, context.Canceled) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/tscalls/fleet_test.go
@@ -0,0 +1,235 @@
+package tscalls
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+	"turmericshed/standin/tsplatform"
+)
+
+// fleet is a few entry VMs in one process, before one service and one store.
+type fleet struct {
+	t       *testing.T
+	store   *tsplatform.Store
+	service *service
+	vms     []*vm
+}
+
+// vm is one entry VM. It implements Members and Peers for its Calls.
+type vm struct {
+	fleet *fleet
+	self  turmericshed.EntryVM
+	calls *Calls
+	path  string
+	serve http.Handler
+	// gone VMs answer nobody; cut ones are not reachable but not gone.
+	gone, cut bool
+}
+
+// service runs calls and counts them by key.
+type service struct {
+	mu      sync.Mutex
+	runs    map[string]int
+	answers map[string]turmericshed.Answer
+	// refuse and lose set how the next calls end.
+	refuse, lose bool
+}
+
+func (s *service) do(key string, body []byte) (turmericshed.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuse {
+		return turmericshed.Answer{}, turmericshed.NewError(turmericshed.KindBackendRefused, "refused")
+	}
+	s.runs[key]++
+	a := turmericshed.Answer{Status: http.StatusOK, Body: fmt.Appendf(body, " run %d", s.runs[key])}
+	s.answers[key] = a
+	if s.lose {
+		return turmericshed.Answer{}, turmericshed.NewError(turmericshed.KindCallUnknown, "answer lost")
+	}
+	return a, nil
+}
+
+func (s *service) lookup(_ context.Context, _, key string) (turmericshed.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.answers[key]
+	if !ok {
+		return a, turmericshed.NewError(turmericshed.KindNotFound, "no such job")
+	}
+	return a, nil
+}
+
+func newFleet(t *testing.T, n int, change func(cfg *Config)) *fleet {
+	f := &fleet{t: t, store: tsplatform.NewStore(tsplatform.Options{}), service: &service{runs: map[string]int{}, answers: map[string]turmericshed.Answer{}}}
+	for range n {
+		f.add(change)
+	}
+	return f
+}
+
+func (f *fleet) add(change func(cfg *Config)) *vm {
+	i := len(f.vms)
+	v := &vm{fleet: f, self: turmericshed.EntryVM{
+		Name: fmt.Sprintf("vm-%d", i), Incarnation: turmericshed.Incarnation(fmt.Sprintf("in-%d", i)),
+		PeerAddr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 1),
+	}}
+	cfg := Config{Self: v.self, Store: f.store.As(v.self.Name), Members: v, Peers: v, Lookup: f.service.lookup}
+	if change != nil {
+		change(&cfg)
+	}
+	v.calls = New(cfg)
+	v.path, v.serve = v.calls.Handler()
+	f.vms = append(f.vms, v)
+	return v
+}
+
+func (v *vm) Self() turmericshed.EntryVM { return v.self }
+
+func (v *vm) Reachable() []turmericshed.EntryVM {
+	var out []turmericshed.EntryVM
+	for _, o := range v.fleet.vms {
+		if o != v && !o.gone && !o.cut && !v.cut {
+			out = append(out, o.self)
+		}
+	}
+	return out
+}
+
+func (v *vm) State(in turmericshed.Incarnation) turmericshed.MemberState {
+	for _, o := range v.fleet.vms {
+		if o.self.Incarnation == in && o.gone {
+			return turmericshed.MemberGone
+		}
+	}
+	return turmericshed.MemberUnknown
+}
+
+func (v *vm) Client(addr netip.AddrPort) (connect.HTTPClient, string) {
+	return link{from: v, to: addr}, "http://" + addr.String()
+}
+
+// link carries calls to a peer by calling its handler.
+type link struct {
+	from *vm
+	to   netip.AddrPort
+}
+
+func (l link) Do(r *http.Request) (*http.Response, error) {
+	for _, o := range l.from.fleet.vms {
+		if o.self.PeerAddr != l.to || o.gone || o.cut || l.from.cut {
+			continue
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return nil, err
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		w := httptest.NewRecorder()
+		o.serve.ServeHTTP(w, r)
+		return w.Result(), nil
+	}
+	return nil, errors.New("no route")
+}
+
+func call(key string) turmericshed.Call {
+	return turmericshed.Call{Account: "corner-1", Profile: "bookings", Service: "bookings", Key: key, Digest: "digest-a", Request: "req"}
+}
+
+// place does what an entry VM does with a call, and returns the answer.
+func (v *vm) place(ctx context.Context, c turmericshed.Call) (turmericshed.Answer, error) {
+	d, err := v.calls.Claim(ctx, c)
+	if err != nil {
+		return turmericshed.Answer{}, err
+	}
+	switch d.Verdict {
+	case turmericshed.ClaimReplay:
+		return d.Answer, nil
+	case turmericshed.ClaimUnknown:
+		return turmericshed.Answer{}, turmericshed.NewError(turmericshed.KindCallUnknown, "may have run")
+	}
+	if err := v.calls.Dispatch(d.Claim); err != nil {
+		return turmericshed.Answer{}, err
+	}
+	return v.send(ctx, c, d.Claim)
+}
+
+// send sends a dispatched call and settles its claim.
+func (v *vm) send(ctx context.Context, c turmericshed.Call, claim turmericshed.ClaimID) (turmericshed.Answer, error) {
+	a, err := v.fleet.service.do(tsclaim.ServiceKey(c.Account, c.Key), []byte(c.Key))
+	switch turmericshed.KindOf(err) {
+	case turmericshed.KindNone:
+		go func() { _ = v.calls.Complete(context.WithoutCancel(ctx), claim, a) }()
+		return a, nil
+	case turmericshed.KindBackendRefused:
+		_ = v.calls.Abandon(ctx, claim)
+		return a, err
+	default:
+		_ = v.calls.Doubt(ctx, claim, err.Error())
+		return a, err
+	}
+}
+
+func (f *fleet) runs(key string) int {
+	f.service.mu.Lock()
+	defer f.service.mu.Unlock()
+	return f.service.runs[tsclaim.ServiceKey("corner-1", key)]
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// run gives f a fleet under fake time and lets background work end.
+func run(t *testing.T, name string, n int, f func(t *testing.T, f *fleet)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f(t, newFleet(t, n, nil))
+			time.Sleep(5 * time.Minute)
+		})
+	})
+}
+
+// assertRuns checks how often the service ran a call.
+func (f *fleet) assertRuns(key string, want int) {
+	f.t.Helper()
+	assert.Equal(f.t, f.runs(key), want, "runs of call %s", key)
+}
+
+// assertReplayed checks that every VM answers with the first run.
+func (f *fleet) assertReplayed(key string) {
+	f.t.Helper()
+	for _, v := range f.vms {
+		if v.gone {
+			continue
+		}
+		a, err := v.place(within(f.t, time.Second), call(key))
+		assert.NilError(f.t, err)
+		assert.Equal(f.t, string(a.Body), key+" run 1")
+	}
+	f.assertRuns(key, 1)
+}
+
+// assertRefused checks that the error has the kind and outcome.
+func assertRefused(t *testing.T, err error, kind turmericshed.Kind, outcome turmericshed.Outcome) {
+	t.Helper()
+	assert.Equal(t, turmericshed.KindOf(err), kind, "%v", err)
+	assert.Equal(t, turmericshed.OutcomeOf(err), outcome, "%v", err)
+}
--- /dev/null
+++ b/io/tscalls/peers.go
@@ -0,0 +1,132 @@
+package tscalls
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+	"turmericshed/io/tspeerapi"
+)
+
+// peerHandler answers the calls of other entry VMs.
+type peerHandler struct{ c *Calls }
+
+var _ tspeerapi.ClaimServiceHandler = peerHandler{}
+
+// Handler returns the path and handler to mount on the server for peers.
+func (c *Calls) Handler() (string, http.Handler) {
+	return tspeerapi.NewClaimServiceHandler(peerHandler{c: c})
+}
+
+func (c *Calls) client(m turmericshed.EntryVM) tspeerapi.ClaimServiceClient {
+	h, url := c.cfg.Peers.Client(m.PeerAddr)
+	return tspeerapi.NewClaimServiceClient(h, url)
+}
+
+// Commit commits an operation of a peer with those of others.
+func (p peerHandler) Commit(ctx context.Context, req *connect.Request[tspeerapi.CommitRequest]) (*connect.Response[tspeerapi.CommitResponse], error) {
+	var op tsclaim.Op
+	if err := tsclaim.Decode(req.Msg.GetOperation(), &op); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	res := p.c.writers[op.ID.Slot()].submit(ctx, op)
+	resp := &tspeerapi.CommitResponse{Found: res.Found, Changed: res.Changed}
+	if res.Err != nil {
+		resp.Kind, resp.Message = turmericshed.KindOf(res.Err).String(), res.Err.Error()
+	}
+	entry, err := json.Marshal(res.Entry)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	resp.Entry = entry
+	return connect.NewResponse(resp), nil
+}
+
+// Outcome tells a peer how a call of this process stands.
+func (p peerHandler) Outcome(ctx context.Context, req *connect.Request[tspeerapi.OutcomeRequest]) (*connect.Response[tspeerapi.OutcomeResponse], error) {
+	c, m := p.c, req.Msg
+	if m.GetRunner() != string(c.cfg.Self.Incarnation) {
+		return nil, connect.NewError(connect.CodeNotFound, turmericshed.NewError(turmericshed.KindNotFound, "another incarnation"))
+	}
+	claim := turmericshed.ClaimID(m.GetClaim())
+	c.mu.Lock()
+	rec, ok := c.byClaim[claim]
+	c.mu.Unlock()
+	if !ok {
+		// A claim of this incarnation without a record is never dispatched.
+		c.commit(ctx, tsclaim.Op{Kind: tsclaim.OpAbandon, ID: tsclaim.ID(m.GetCall()), Claim: claim, Entry: tsclaim.Entry{Reason: "not held by its runner"}})
+		return outcome(tspeerapi.OutcomeResponse_STATUS_RELEASED, nil)
+	}
+	t := time.NewTimer(min(time.Duration(m.GetWaitMilliseconds())*time.Millisecond, outcomeWait))
+	defer t.Stop()
+	select {
+	case <-rec.ended:
+	case <-t.C:
+		return outcome(tspeerapi.OutcomeResponse_STATUS_RUNNING, nil)
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeCanceled, ctx.Err())
+	}
+	c.mu.Lock()
+	how, answer := rec.end, rec.answer
+	c.mu.Unlock()
+	switch how {
+	case endAnswered:
+		return outcome(tspeerapi.OutcomeResponse_STATUS_ANSWERED, &answer)
+	case endDoubted:
+		return outcome(tspeerapi.OutcomeResponse_STATUS_DOUBTED, nil)
+	default:
+		return outcome(tspeerapi.OutcomeResponse_STATUS_RELEASED, nil)
+	}
+}
+
+func outcome(s tspeerapi.OutcomeResponse_Status, a *turmericshed.Answer) (*connect.Response[tspeerapi.OutcomeResponse], error) {
+	resp := &tspeerapi.OutcomeResponse{Status: s}
+	if a != nil {
+		body, err := json.Marshal(a)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		resp.Answer = body
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// HandOn takes over the outcomes that a stopping process could not write.
+func (p peerHandler) HandOn(_ context.Context, req *connect.Request[tspeerapi.HandOnRequest]) (*connect.Response[tspeerapi.HandOnResponse], error) {
+	for _, body := range req.Msg.GetOperations() {
+		var op tsclaim.Op
+		if err := tsclaim.Decode(body, &op); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		p.c.adopt(op)
+	}
+	return connect.NewResponse(&tspeerapi.HandOnResponse{}), nil
+}
+
+// adopt writes an outcome of another process until it succeeds.
+func (c *Calls) adopt(op tsclaim.Op) {
+	rec := &record{claim: op.Claim, op: op, outcome: op, ended: make(chan struct{}), written: make(chan struct{})}
+	if op.Entry.Answer != nil {
+		rec.answer, rec.end = *op.Entry.Answer, endAnswered
+	} else {
+		rec.end = endDoubted
+	}
+	rec.phase = phaseEnded
+	close(rec.ended)
+	c.mu.Lock()
+	if _, ok := c.byClaim[op.Claim]; ok {
+		c.mu.Unlock()
+		return
+	}
+	c.byClaim[op.Claim] = rec
+	if _, ok := c.byCall[op.ID]; !ok {
+		c.byCall[op.ID] = rec
+	}
+	c.mu.Unlock()
+	c.settle(rec, op)
+}
--- /dev/null
+++ b/io/tscalls/record.go
@@ -0,0 +1,271 @@
+package tscalls
+
+import (
+	"context"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+)
+
+// phase is how far this process has come with a claim of its own.
+type phase int
+
+const (
+	// phaseClaiming: the claim is being written.
+	phaseClaiming phase = iota
+	// phaseHeld: the claim stands, nothing was sent.
+	phaseHeld
+	// phaseDispatched: the call may have been sent.
+	phaseDispatched
+	// phaseEnded: nothing will be sent under the claim any more.
+	phaseEnded
+)
+
+// end is how a claim of this process ended.
+type end int
+
+const (
+	// endReleased: not held, or abandoned.
+	endReleased end = iota + 1
+	endAnswered
+	endDoubted
+)
+
+// record is a claim of this process. It is kept from before the claim is
+// written until its outcome is. A claim of this incarnation without a record
+// is therefore never dispatched.
+type record struct {
+	claim    turmericshed.ClaimID
+	op       tsclaim.Op
+	deadline time.Time
+
+	// The fields below are guarded by Calls.mu.
+	phase  phase
+	end    end
+	answer turmericshed.Answer
+	// outcome is the operation that writes the end; handed is set once a
+	// peer has taken it over.
+	outcome tsclaim.Op
+	handed  bool
+	// ended is closed when end is set, written when the record is removed.
+	ended   chan struct{}
+	written chan struct{}
+}
+
+// begin returns the record of the call in this process, making one where
+// there is none; mine tells which.
+func (c *Calls) begin(ctx context.Context, call turmericshed.Call) (rec *record, mine bool, err error) {
+	if ctx.Err() != nil {
+		return nil, false, deadlineError(ctx)
+	}
+	claim := turmericshed.ClaimID(turmericshed.NewID("claim-"))
+	op := tsclaim.ClaimOp(call, claim, c.cfg.Self.Incarnation)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if prev, ok := c.byCall[op.ID]; ok {
+		if prev.op.Entry.Digest != op.Entry.Digest {
+			return nil, false, turmericshed.NewError(turmericshed.KindKeyReused, "idempotency key was used with another body")
+		}
+		return prev, false, nil
+	}
+	if c.draining {
+		return nil, false, turmericshed.NewError(turmericshed.KindDraining, "entry VM is stopping")
+	}
+	rec = &record{claim: claim, op: op, ended: make(chan struct{}), written: make(chan struct{})}
+	rec.deadline, _ = ctx.Deadline()
+	c.byClaim[claim], c.byCall[op.ID] = rec, rec
+	return rec, true, nil
+}
+
+// hold marks a claim as standing, unless it was given up meanwhile.
+func (c *Calls) hold(rec *record) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rec.phase != phaseClaiming {
+		return false
+	}
+	rec.phase = phaseHeld
+	return true
+}
+
+// Dispatch must return nil immediately before the call is sent. It fails once
+// the claim was given up or its deadline has passed; nothing may be sent then.
+// Errors: KindConflict, KindDeadline, both not run.
+func (c *Calls) Dispatch(id turmericshed.ClaimID) error {
+	c.mu.Lock()
+	rec, ok := c.byClaim[id]
+	if !ok || rec.phase != phaseHeld && rec.phase != phaseDispatched {
+		c.mu.Unlock()
+		return turmericshed.NewError(turmericshed.KindConflict, "claim %s is not held", id)
+	}
+	if !rec.deadline.IsZero() && !time.Now().Round(0).Before(rec.deadline.Round(0)) {
+		// Compared by the wall clock, which also runs while a VM is paused.
+		never := rec.phase == phaseHeld
+		c.mu.Unlock()
+		if never {
+			c.giveUp(rec, "deadline passed before dispatch")
+		}
+		return turmericshed.NewError(turmericshed.KindDeadline, "deadline passed before the call was sent")
+	}
+	rec.phase = phaseDispatched
+	c.mu.Unlock()
+	c.record(turmericshed.EventDispatched, rec, "")
+	return nil
+}
+
+// finish bars the claim and sets how it ended, once. It reports whether it
+// was the first to do so.
+func (c *Calls) finish(rec *record, a turmericshed.Answer, how end) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if rec.phase == phaseEnded {
+		return false
+	}
+	rec.phase, rec.end, rec.answer = phaseEnded, how, a
+	close(rec.ended)
+	return true
+}
+
+// forget removes the record, once its outcome is written.
+func (c *Calls) forget(rec *record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byClaim[rec.claim] != rec {
+		return
+	}
+	delete(c.byClaim, rec.claim)
+	delete(c.byCall, rec.op.ID)
+	close(rec.written)
+}
+
+// drop ends and removes a claim that does not stand.
+func (c *Calls) drop(rec *record, a turmericshed.Answer, how end) {
+	c.finish(rec, a, how)
+	c.forget(rec)
+}
+
+// giveUp bars a claim whose call was not sent and abandons it in the
+// background.
+func (c *Calls) giveUp(rec *record, reason string) {
+	if c.finish(rec, turmericshed.Answer{}, endReleased) {
+		c.settle(rec, tsclaim.Op{Kind: tsclaim.OpAbandon, NeverSent: true, Entry: tsclaim.Entry{Reason: reason}})
+	}
+}
+
+// Complete keeps the whole answer. It returns once the answer is written or
+// ctx ends; writing goes on until it succeeds, and retries are answered from
+// memory meanwhile.
+func (c *Calls) Complete(ctx context.Context, id turmericshed.ClaimID, a turmericshed.Answer) error {
+	rec, err := c.held(id)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	dispatched := rec.phase == phaseDispatched
+	c.mu.Unlock()
+	turmericshed.Assert(dispatched, "answer_of_dispatched_call", "claim %s has an answer and was not dispatched", id)
+	if !c.finish(rec, a, endAnswered) {
+		return turmericshed.NewError(turmericshed.KindConflict, "claim %s has ended", id)
+	}
+	return c.wait(ctx, c.settle(rec, tsclaim.Op{Kind: tsclaim.OpComplete, Entry: tsclaim.Entry{Answer: &a}}))
+}
+
+// Abandon gives up a claim whose call was certainly not sent, so that a retry
+// may run it.
+func (c *Calls) Abandon(ctx context.Context, id turmericshed.ClaimID) error {
+	rec, err := c.held(id)
+	if err != nil {
+		return err
+	}
+	if !c.finish(rec, turmericshed.Answer{}, endReleased) {
+		return nil
+	}
+	return c.wait(ctx, c.settle(rec, tsclaim.Op{Kind: tsclaim.OpAbandon, NeverSent: true, Entry: tsclaim.Entry{Reason: "not sent"}}))
+}
+
+// Doubt marks a claim whose call may have run and has no answer.
+func (c *Calls) Doubt(ctx context.Context, id turmericshed.ClaimID, reason string) error {
+	rec, err := c.held(id)
+	if err != nil {
+		return err
+	}
+	if !c.finish(rec, turmericshed.Answer{}, endDoubted) {
+		return nil
+	}
+	return c.wait(ctx, c.settle(rec, tsclaim.Op{Kind: tsclaim.OpDoubt, Entry: tsclaim.Entry{Reason: reason}}))
+}
+
+func (c *Calls) held(id turmericshed.ClaimID) (*record, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rec, ok := c.byClaim[id]
+	if !ok {
+		return nil, turmericshed.NewError(turmericshed.KindConflict, "claim %s is not held", id)
+	}
+	return rec, nil
+}
+
+// settle writes the outcome of an ended claim in the background, then forgets
+// the record. An answer or a doubt is retried until it is written. Giving up
+// needs no such care: a claim without a record is never dispatched.
+func (c *Calls) settle(rec *record, op tsclaim.Op) <-chan struct{} {
+	op.ID, op.Claim = rec.op.ID, rec.claim
+	c.mu.Lock()
+	rec.outcome = op
+	c.mu.Unlock()
+	c.background.Add(1)
+	go func() {
+		defer c.background.Done()
+		defer c.forget(rec)
+		ctx := context.Background()
+		if op.Kind == tsclaim.OpAbandon {
+			bounded, cancel := context.WithTimeout(ctx, abandonFor)
+			defer cancel()
+			ctx = bounded
+		}
+		retry(ctx, func() bool { return c.writeOutcome(ctx, rec, op) || c.handedOn(rec) })
+	}()
+	return rec.written
+}
+
+// handedOn reports whether a peer has taken the outcome over.
+func (c *Calls) handedOn(rec *record) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return rec.handed
+}
+
+// writeOutcome commits op and reports whether that is final.
+func (c *Calls) writeOutcome(ctx context.Context, rec *record, op tsclaim.Op) bool {
+	res := c.commitOutcome(ctx, op)
+	switch turmericshed.KindOf(res.Err) {
+	case turmericshed.KindNone:
+	case turmericshed.KindConflict, turmericshed.KindNotFound:
+		if op.Kind != tsclaim.OpAbandon {
+			c.record(turmericshed.EventClaimResolved, rec, "outcome met another: "+res.Err.Error())
+		}
+		return true
+	default:
+		return false
+	}
+	names := map[tsclaim.OpKind]turmericshed.EventName{
+		tsclaim.OpComplete: turmericshed.EventClaimCompleted,
+		tsclaim.OpAbandon:  turmericshed.EventClaimAbandoned,
+		tsclaim.OpDoubt:    turmericshed.EventClaimInDoubt,
+	}
+	if res.Changed {
+		c.record(names[op.Kind], rec, op.Entry.Reason)
+	}
+	return true
+}
+
+// wait waits for an outcome to be written, within ctx.
+func (c *Calls) wait(ctx context.Context, written <-chan struct{}) error {
+	select {
+	case <-written:
+		return nil
+	case <-ctx.Done():
+		return turmericshed.NewError(turmericshed.KindStoreUnknown, "outcome not written yet")
+	}
+}
