Stand-in engine and services, clients io/tsbackend

Cause: the end-to-end path needs backend servers that count what truly ran. Change: tsnode runs a stand-in at one address (announces itself, leaves, crashes, comes back as a new server with its own ID; calls that name another server are refused). tsengine: continuous batching, priorities, resume, cancel, bar, tokenize, prefix cache, late load, gappy cache events, books, output faults. tsservice: calls that run each time they are asked, look-ups by key, faults, books by key and by body. tsbackend: clients whose error kinds say whether a call may have run. Result: go test -race -count=3 ./standin/... passes. net/http repeats calls with an Idempotency-Key by itself: with a body that it can read again, TestNoRepeat counts 4 runs of 2 bookings; the client hides the body's type. Doc: a prompt of the stand-in counts ceil(bytes/4)+4 a message, +3.

--- /dev/null
+++ b/io/tsbackend/client.go
@@ -0,0 +1,180 @@
+// Package tsbackend is the client of backend servers: model engines and plain
+// services.
+//
+// A call whose connection could not be made certainly did not run
+// (KindNoBackend), and so for a call that the server refused
+// (KindBackendRefused; [IsLeaving] tells a server that is going away). After
+// a connection was made, a call without a whole answer may have run
+// (KindStreamBroken, KindCallUnknown). No call is ever sent twice: the
+// transport's own repetition of calls with an idempotency key is barred.
+//
+// # Usage
+//
+//	e := tsbackend.NewEngine(tsbackend.Options{})
+//	stream, err := e.Generate(ctx, server, request)
+//	for {
+//		f, err := stream.Next() // f.Stream and f.Seq as the engine sent them
+//	}
+package tsbackend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"turmericshed"
+)
+
+const (
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = 2 * time.Second
+	// maxIdleConns bounds the idle connections to one server.
+	maxIdleConns = 64
+	// maxAnswerBytes bounds a whole answer.
+	maxAnswerBytes = 8 << 20
+	// maxErrorBytes bounds the body of a refusal.
+	maxErrorBytes = 64 << 10
+)
+
+// ErrLeaving is wrapped by the error of a server that is going away.
+var ErrLeaving = errors.New("the server is leaving")
+
+// IsLeaving reports whether the server refused because it is going away.
+func IsLeaving(err error) bool { return errors.Is(err, ErrLeaving) }
+
+// Options sets up the clients.
+type Options struct {
+	// Dial opens connections; nil means a net.Dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// client makes calls to backend servers.
+type client struct{ http *http.Client }
+
+func newClient(o Options) client {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	t := &http.Transport{DialContext: o.Dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
+	return client{http: &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Close drops the idle connections.
+func (c client) Close() { c.http.CloseIdleConnections() }
+
+// outgoing is one call.
+type outgoing struct {
+	method string
+	server turmericshed.BackendServer
+	path   string
+	query  string
+	header http.Header
+	body   []byte
+	// unknown is the kind of a call that got no whole answer.
+	unknown turmericshed.Kind
+}
+
+// once hides the reader's type, so that net/http can't send the body again.
+type once struct{ io.Reader }
+
+// send makes the call and returns the answer's header.
+func (c client) send(ctx context.Context, o outgoing) (*http.Response, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	u := url.URL{Scheme: "http", Host: o.server.Addr.String(), Path: o.path, RawQuery: o.query}
+	req, err := http.NewRequestWithContext(ctx, o.method, u.String(), once{bytes.NewReader(o.body)})
+	if err != nil {
+		return nil, turmericshed.WrapError(turmericshed.KindBadRequest, err, "make the call")
+	}
+	if o.header != nil {
+		req.Header = o.header
+	}
+	req.ContentLength = int64(len(o.body))
+	req.Header.Set(HeaderServer, string(o.server.ID))
+	resp, err := c.http.Do(req)
+	switch {
+	case err == nil:
+		return resp, nil
+	case !connected.Load():
+		return nil, turmericshed.WrapError(turmericshed.KindNoBackend, err, "no connection to %s", o.server.ID)
+	default:
+		return nil, turmericshed.WrapError(o.unknown, err, "no answer from %s", o.server.ID)
+	}
+}
+
+// call makes a call and decodes its whole answer.
+func (c client) call(ctx context.Context, o outgoing, out any) error {
+	resp, err := c.send(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp, o)
+	}
+	b, err := readWhole(resp.Body)
+	if err == nil {
+		err = json.Unmarshal(b, out)
+	}
+	return turmericshed.WrapError(o.unknown, err, "answer of %s", o.server.ID)
+}
+
+// readWhole reads a bounded body to its end.
+func readWhole(r io.Reader) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
+	if err == nil && len(b) > maxAnswerBytes {
+		return nil, turmericshed.NewError(turmericshed.KindTooLarge, "more than %d bytes", maxAnswerBytes)
+	}
+	return b, err
+}
+
+// refusal turns an answer that isn't 200 into an error. An answer without a
+// known code says nothing about whether the call ran.
+func refusal(resp *http.Response, o outgoing) error {
+	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	detail, ok := DecodeRefusal(b)
+	if !ok {
+		return turmericshed.NewError(o.unknown, "%s answered %d", o.server.ID, resp.StatusCode)
+	}
+	return refusalError(o, detail)
+}
+
+// DecodeRefusal reads the body of a refusal; ok is false when it isn't one.
+func DecodeRefusal(b []byte) (ErrorDetail, bool) {
+	var a ErrorAnswer
+	if json.Unmarshal(b, &a) != nil || a.Error.Code == "" {
+		return ErrorDetail{}, false
+	}
+	return a.Error, true
+}
+
+func refusalError(o outgoing, d ErrorDetail) error {
+	id := o.server.ID
+	switch d.Code {
+	case CodeLeaving:
+		return turmericshed.WrapError(turmericshed.KindBackendRefused, ErrLeaving, "%s", id)
+	case CodeBusy, CodeBarred:
+		return turmericshed.NewError(turmericshed.KindBackendRefused, "%s: %s", id, d.Message)
+	case CodeOther:
+		return turmericshed.NewError(turmericshed.KindNoBackend, "%s was replaced", id)
+	case CodeInvalid:
+		return turmericshed.NewError(turmericshed.KindBadRequest, "%s: %s", id, d.Message)
+	case CodeNotFound:
+		return turmericshed.NewError(turmericshed.KindNotFound, "%s: %s", id, d.Message)
+	default:
+		return turmericshed.NewError(o.unknown, "%s: %s", id, d.Message)
+	}
+}
--- /dev/null
+++ b/io/tsbackend/service.go
@@ -0,0 +1,64 @@
+package tsbackend
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"turmericshed"
+)
+
+// HeaderRefused marks a refusal by a plain service: the call certainly did
+// not run. Without it every answer is the service's own and is passed on.
+const HeaderRefused = "Call-Refused"
+
+// Service is the client of plain services.
+type Service struct{ client }
+
+var (
+	_ turmericshed.Service    = (*Service)(nil)
+	_ turmericshed.LoadReader = (*Service)(nil)
+)
+
+// NewService returns a client of plain services.
+func NewService(o Options) *Service { return &Service{client: newClient(o)} }
+
+// Do sends the call once. Errors: KindNoBackend and KindBackendRefused
+// (certainly not run), KindCallUnknown (may have run).
+func (c *Service) Do(ctx context.Context, s turmericshed.BackendServer, r turmericshed.ServiceRequest) (turmericshed.Answer, error) {
+	h := http.Header{}
+	if r.ContentType != "" {
+		h.Set("Content-Type", r.ContentType)
+	}
+	if r.Key != "" {
+		h.Set(HeaderKey, r.Key)
+	}
+	path, query := r.Path, ""
+	if u, err := url.Parse(r.Path); err == nil {
+		path, query = u.Path, u.RawQuery
+	}
+	return c.answer(ctx, outgoing{method: r.Method, server: s, path: path, query: query, header: h, body: r.Body, unknown: turmericshed.KindCallUnknown})
+}
+
+// Lookup asks whether the call with the key ran. Errors: KindNotFound (it had
+// not run when the service answered), KindNoBackend, KindCallUnknown.
+func (c *Service) Lookup(ctx context.Context, s turmericshed.BackendServer, key string) (turmericshed.Answer, error) {
+	q := url.Values{"key": {key}}.Encode()
+	return c.answer(ctx, outgoing{method: http.MethodGet, server: s, path: PathCalls, query: q, unknown: turmericshed.KindCallUnknown})
+}
+
+func (c *Service) answer(ctx context.Context, o outgoing) (turmericshed.Answer, error) {
+	resp, err := c.send(ctx, o)
+	if err != nil {
+		return turmericshed.Answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get(HeaderRefused) != "" {
+		return turmericshed.Answer{}, refusal(resp, o)
+	}
+	b, err := readWhole(resp.Body)
+	if err != nil {
+		return turmericshed.Answer{}, turmericshed.WrapError(o.unknown, err, "answer of %s", o.server.ID)
+	}
+	return turmericshed.Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: b}, nil
+}
--- /dev/null
+++ b/standin/tsengine/cache.go
@@ -0,0 +1,112 @@
+package tsengine
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"turmericshed"
+	"turmericshed/io/tsbackend"
+)
+
+const (
+	// maxPrefixes bounds the entries of the prefix cache.
+	maxPrefixes = 1 << 16
+	// maxCacheEvents bounds the events kept for readers.
+	maxCacheEvents = 4096
+	// cacheEventGap is the interval at which one event is lost.
+	cacheEventGap = 7
+)
+
+// prefixCache holds the beginnings of prompts, message by message, in limited
+// memory. The least recently used goes first.
+type prefixCache struct {
+	lru    *simplelru.LRU[uint64, turmericshed.Tokens]
+	limit  turmericshed.Tokens
+	used   turmericshed.Tokens
+	seq    uint64
+	events []cacheEvent
+}
+
+type cacheEvent struct {
+	at time.Time
+	tsbackend.CacheEvent
+}
+
+func newPrefixCache(limit turmericshed.Tokens) *prefixCache {
+	lru, err := simplelru.NewLRU[uint64, turmericshed.Tokens](maxPrefixes, nil)
+	turmericshed.Assert(err == nil, "prefix_cache", "%v", err)
+	return &prefixCache{lru: lru, limit: limit}
+}
+
+// prefixes returns a hash and the prompt tokens of each beginning.
+func prefixes(messages []turmericshed.Message) (hashes []uint64, sizes []turmericshed.Tokens) {
+	d := xxhash.New()
+	for i, m := range messages {
+		_, _ = d.WriteString(m.Role + "\x00" + m.Content + "\x00")
+		hashes = append(hashes, d.Sum64())
+		sizes = append(sizes, CountTokens(messages[:i+1]))
+	}
+	return hashes, sizes
+}
+
+// use returns the prompt tokens that needn't be computed, and keeps the
+// prompt's beginnings.
+func (c *prefixCache) use(now time.Time, messages []turmericshed.Message) turmericshed.Tokens {
+	hashes, sizes := prefixes(messages)
+	var hit turmericshed.Tokens
+	for i, h := range hashes {
+		if _, ok := c.lru.Get(h); ok {
+			hit = sizes[i]
+			continue
+		}
+		own := sizes[i]
+		if i > 0 {
+			own -= sizes[i-1]
+		}
+		c.add(now, h, own)
+	}
+	return hit
+}
+
+func (c *prefixCache) add(now time.Time, h uint64, size turmericshed.Tokens) {
+	if size > c.limit {
+		return
+	}
+	for c.used+size > c.limit {
+		old, n, ok := c.lru.RemoveOldest()
+		if !ok {
+			break
+		}
+		c.used -= n
+		c.record(now, tsbackend.CacheEvent{Prefix: old, Tokens: n, Evicted: true})
+	}
+	c.lru.Add(h, size)
+	c.used += size
+	c.record(now, tsbackend.CacheEvent{Prefix: h, Tokens: size})
+}
+
+// record keeps an event for readers; some are lost.
+func (c *prefixCache) record(now time.Time, e tsbackend.CacheEvent) {
+	c.seq++
+	if c.seq%cacheEventGap == 0 {
+		return
+	}
+	e.Seq = c.seq
+	c.events = append(c.events, cacheEvent{at: now, CacheEvent: e})
+	if over := len(c.events) - maxCacheEvents; over > 0 {
+		c.events = append(c.events[:0:0], c.events[over:]...)
+	}
+}
+
+// since returns the events after seq that happened by the given time.
+func (c *prefixCache) since(seq uint64, by time.Time) []tsbackend.CacheEvent {
+	events := []tsbackend.CacheEvent{}
+	for _, e := range c.events {
+		if e.Seq > seq && !e.at.After(by) {
+			events = append(events, e.CacheEvent)
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/standin/tsservice/service.go
@@ -0,0 +1,302 @@
+// Package tsservice stands in for a plain service: bookings and orders that
+// run each time they are asked, also for a key that ran before, and counts
+// how often each idempotency key ran. Look-ups may be repeated.
+//
+// POST to any path is a call; GET /calls?key=K looks a call up; any other GET
+// (stock, job status) is a repeatable look-up.
+//
+// # Usage
+//
+//	books := tsservice.NewBooks()
+//	s, err := tsservice.Listen(tsservice.Options{Node: node, Books: books})
+//	if err != nil { ... }
+//	go s.Serve(ctx)
+//	s.ChangeFaults(func(f *tsservice.Faults) { f.LoseAnswers = 1 })
+//	runs := books.Runs()
+package tsservice
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"turmericshed"
+	"turmericshed/io/tsbackend"
+	"turmericshed/standin/tsnode"
+)
+
+const (
+	// maxBodyBytes bounds a request.
+	maxBodyBytes = 4 << 20
+	// defaultSlots is the number of calls that run at once.
+	defaultSlots = 32
+	// stockLevels is the number of stock levels that look-ups show.
+	stockLevels = 50
+)
+
+// The paths of the control interface.
+const (
+	PathFaults = "/control/faults"
+	PathBooks  = "/control/books"
+	PathLeave  = "/control/leave"
+	PathCrash  = "/control/crash"
+)
+
+// Faults are the failures that the service shows from now on. The counts are
+// numbers of next calls that show the fault once each.
+type Faults struct {
+	// Delay goes before each call and look-up.
+	Delay turmericshed.Duration `json:"delay,omitempty"`
+	// Refuse answers that the server is busy.
+	Refuse bool `json:"refuse,omitempty"`
+	// LoseAnswers runs the call and closes the connection.
+	LoseAnswers int `json:"lose_answers,omitempty"`
+	// CrashBefore crashes before the call runs, CrashAfter after it ran.
+	CrashBefore int `json:"crash_before,omitempty"`
+	CrashAfter  int `json:"crash_after,omitempty"`
+	// HoldRuns closes the connection and runs the call after HoldFor.
+	HoldRuns int                   `json:"hold_runs,omitempty"`
+	HoldFor  turmericshed.Duration `json:"hold_for,omitempty"`
+	// CrashMarker crashes the server when a body holds it.
+	CrashMarker string `json:"crash_marker,omitempty"`
+}
+
+// Options sets up a Service.
+type Options struct {
+	Node tsnode.Options
+	// Books are shared by the servers of one service; nil means own books.
+	Books *Books
+	// RunTime is how long a call runs.
+	RunTime time.Duration
+	// LoadLag is how old load reports are.
+	LoadLag time.Duration
+}
+
+// Service is one server of a plain service and its replacements.
+type Service struct {
+	*tsnode.Node
+	opts    Options
+	mu      sync.Mutex
+	faults  Faults
+	running atomic.Int64
+}
+
+// Listen binds the server's address; Serve runs it.
+func Listen(o Options) (*Service, error) {
+	if o.Books == nil {
+		o.Books = NewBooks()
+	}
+	o.Node.Server.Work = turmericshed.WorkService
+	if o.Node.Server.Slots <= 0 {
+		o.Node.Server.Slots = defaultSlots
+	}
+	s := &Service{opts: o}
+	n, err := tsnode.Listen(o.Node, func(server turmericshed.BackendServer) tsnode.App { return newApp(s, server) })
+	if err != nil {
+		return nil, err
+	}
+	s.Node = n
+	return s, nil
+}
+
+// Books returns the books that the server writes.
+func (s *Service) Books() *Books { return s.opts.Books }
+
+// Faults returns the faults in force.
+func (s *Service) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// ChangeFaults changes the faults in place.
+func (s *Service) ChangeFaults(change func(f *Faults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
+// take uses up one count of a fault.
+func (s *Service) take(count func(f *Faults) *int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := count(&s.faults)
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+// BookAnswer answers PathBooks.
+type BookAnswer struct {
+	Runs       map[string]int `json:"runs"`
+	RunsByBody map[string]int `json:"runs_by_body"`
+}
+
+// app is the server's program from start to crash.
+type app struct {
+	*http.ServeMux
+	service *Service
+}
+
+// Run does nothing: calls do all the work.
+func (a *app) Run(ctx context.Context) { <-ctx.Done() }
+
+func newApp(s *Service, server turmericshed.BackendServer) *app {
+	a := &app{ServeMux: http.NewServeMux(), service: s}
+	a.HandleFunc("POST /", a.call)
+	a.HandleFunc("GET /", a.lookup)
+	a.HandleFunc("GET "+tsbackend.PathCalls, a.lookupKey)
+	a.HandleFunc("GET "+tsbackend.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+		tsnode.WriteJSON(w, turmericshed.LoadReport{
+			Server: server.ID, At: time.Now().Add(-s.opts.LoadLag), Running: int(s.running.Load()), Leaving: s.Leaving(),
+		})
+	})
+	a.HandleFunc("GET "+PathBooks, func(w http.ResponseWriter, _ *http.Request) {
+		tsnode.WriteJSON(w, BookAnswer{Runs: s.Books().Runs(), RunsByBody: s.Books().RunsByBody()})
+	})
+	a.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) { tsnode.WriteJSON(w, s.Faults()) })
+	a.HandleFunc("PUT "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&f); err != nil {
+			tsnode.Refuse(w, http.StatusBadRequest, tsbackend.CodeInvalid, err.Error())
+			return
+		}
+		s.ChangeFaults(func(to *Faults) { *to = f })
+		tsnode.WriteJSON(w, f)
+	})
+	a.HandleFunc("POST "+PathLeave, func(w http.ResponseWriter, r *http.Request) {
+		s.Leave(r.Context())
+		tsnode.WriteJSON(w, struct{}{})
+	})
+	a.HandleFunc("POST "+PathCrash, func(http.ResponseWriter, *http.Request) { a.crash() })
+	return a
+}
+
+func (a *app) crash() {
+	a.service.Crash()
+	panic(http.ErrAbortHandler)
+}
+
+// call carries out a booking or an order.
+func (a *app) call(w http.ResponseWriter, r *http.Request) {
+	s := a.service
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		tsnode.Refuse(w, http.StatusBadRequest, tsbackend.CodeInvalid, "bad body")
+		return
+	}
+	f := s.Faults()
+	if !a.admit(w, r, f) {
+		return
+	}
+	if f.CrashMarker != "" && bytes.Contains(body, []byte(f.CrashMarker)) {
+		a.crash()
+	}
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	key := r.Header.Get(tsbackend.HeaderKey)
+	run := func() turmericshed.Answer {
+		return s.Books().run(key, DigestOf(body), func(n int) turmericshed.Answer { return newJob(n, r.URL.Path, key, body) })
+	}
+	if s.take(func(f *Faults) *int { return &f.CrashBefore }) {
+		a.crash()
+	}
+	if s.take(func(f *Faults) *int { return &f.HoldRuns }) {
+		time.AfterFunc(time.Duration(f.HoldFor), func() { run() })
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(s.opts.RunTime)
+	answer := run()
+	if s.take(func(f *Faults) *int { return &f.CrashAfter }) {
+		a.crash()
+	}
+	if s.take(func(f *Faults) *int { return &f.LoseAnswers }) {
+		panic(http.ErrAbortHandler)
+	}
+	write(w, answer)
+}
+
+// admit waits out the delay and refuses when the faults say so.
+func (a *app) admit(w http.ResponseWriter, r *http.Request, f Faults) bool {
+	if f.Delay > 0 {
+		t := time.NewTimer(time.Duration(f.Delay))
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	switch {
+	case a.service.Leaving() && r.Method == http.MethodPost:
+		tsnode.Refuse(w, http.StatusServiceUnavailable, tsbackend.CodeLeaving, "leaving")
+		return false
+	case f.Refuse:
+		tsnode.Refuse(w, http.StatusServiceUnavailable, tsbackend.CodeBusy, "refusing")
+		return false
+	default:
+		return true
+	}
+}
+
+// lookup answers a repeatable look-up.
+func (a *app) lookup(w http.ResponseWriter, r *http.Request) {
+	if !a.admit(w, r, a.service.Faults()) {
+		return
+	}
+	sum := sha256.Sum256([]byte(r.URL.Path))
+	tsnode.WriteJSON(w, struct {
+		Path  string `json:"path"`
+		Level int    `json:"level"`
+	}{r.URL.Path, int(sum[0]) % stockLevels})
+}
+
+// lookupKey tells whether a call ran.
+func (a *app) lookupKey(w http.ResponseWriter, r *http.Request) {
+	if !a.admit(w, r, a.service.Faults()) {
+		return
+	}
+	answer, ok := a.service.Books().lookup(r.URL.Query().Get("key"))
+	if !ok {
+		tsnode.Refuse(w, http.StatusNotFound, tsbackend.CodeNotFound, "no call ran with this key")
+		return
+	}
+	write(w, answer)
+}
+
+func write(w http.ResponseWriter, a turmericshed.Answer) {
+	w.Header().Set("Content-Type", a.ContentType)
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+// Job is the answer to a call. Digest is of the call's body, so that a caller
+// can tell whose answer it got.
+type Job struct {
+	Job    string `json:"job"`
+	Path   string `json:"path"`
+	Key    string `json:"key"`
+	Digest string `json:"digest"`
+}
+
+// DigestOf returns the digest that the answer to a body holds.
+func DigestOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+func newJob(n int, path, key string, body []byte) turmericshed.Answer {
+	b, err := json.Marshal(Job{Job: fmt.Sprintf("job-%d", n), Path: path, Key: key, Digest: DigestOf(body)})
+	turmericshed.Assert(err == nil, "job_encoding", "%v", err)
+	return turmericshed.Answer{Status: http.StatusCreated, ContentType: "application/json", Body: b}
+}
