--- /dev/null
+++ b/io/tsentry/answer.go
@@ -0,0 +1,63 @@
+package tsentry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"turmericshed"
+)
+
+// errorBody is the JSON form of every refusal and failure.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Kind    string               `json:"kind"`
+	Outcome turmericshed.Outcome `json:"outcome"`
+	Message string               `json:"message"`
+	// RetryAfter is a duration such as 2s; absent where it does not help.
+	RetryAfter string                 `json:"retry_after,omitempty"`
+	RequestID  turmericshed.RequestID `json:"request_id"`
+}
+
+// describe derives an answer from the error's kind. Internal messages stay
+// in the logs.
+func describe(id turmericshed.RequestID, err error) (int, errorBody) {
+	info := turmericshed.KindOf(err).Info()
+	d := errorDetail{
+		Kind:      info.Name,
+		Outcome:   turmericshed.OutcomeOf(err),
+		Message:   err.Error(),
+		RequestID: id,
+	}
+	if turmericshed.KindOf(err) == turmericshed.KindInternal {
+		d.Message = "internal error"
+	}
+	if wait := turmericshed.RetryAfterOf(err); wait > 0 {
+		d.RetryAfter = wait.String()
+	}
+	return info.Status, errorBody{Error: d}
+}
+
+// refuse writes the answer for err.
+func (e *Entry) refuse(w http.ResponseWriter, req request, err error) {
+	status, body := describe(req.id, err)
+	e.deps.Recorder.Record(turmericshed.Event{
+		Name: turmericshed.EventRequestRefused, Request: req.id, Profile: req.profile.Name,
+		Account: req.account, Reason: body.Error.Kind + ": " + err.Error(),
+	})
+	w.Header().Set(headerOutcome, string(body.Error.Outcome))
+	if wait := turmericshed.RetryAfterOf(err); wait > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+	}
+	writeJSON(w, status, body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/io/tsentry/call.go
@@ -0,0 +1,208 @@
+package tsentry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"turmericshed"
+)
+
+// Bounds on plain service calls.
+const (
+	servicePathPrefix = "/services/"
+	// callGrace is how long a dispatched call may go on after its caller's
+	// deadline, so that its answer is kept for a retry.
+	callGrace = 30 * time.Second
+)
+
+// serveCall answers /services/<service>/<path>.
+func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
+	req, err := e.prepare(w, r)
+	if err != nil {
+		e.refuse(w, req, err)
+		return
+	}
+	service, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicePathPrefix), "/")
+	if service == "" || !req.profile.AllowsService(service) {
+		e.refuse(w, req, turmericshed.NewError(turmericshed.KindForbidden, "the profile does not allow service %q", service))
+		return
+	}
+	call := turmericshed.ServiceRequest{
+		Method: r.Method, Path: r.URL.RequestURI(), ContentType: r.Header.Get("Content-Type"), Body: req.body,
+	}
+	answer, err := e.call(r.Context(), req, service, call)
+	if err != nil {
+		e.refuse(w, req, err)
+		return
+	}
+	if answer.ContentType != "" {
+		w.Header().Set("Content-Type", answer.ContentType)
+	}
+	w.Header().Set(headerOutcome, string(turmericshed.OutcomeRan))
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+	e.deps.Recorder.Record(turmericshed.Event{
+		Name: turmericshed.EventRequestAnswered, Request: req.id, Profile: req.profile.Name, Account: req.account,
+	})
+}
+
+// call admits the call and runs it, by claim unless it may be repeated.
+func (e *Entry) call(ctx context.Context, req request, service string, call turmericshed.ServiceRequest) (turmericshed.Answer, error) {
+	ctx, cancel := req.until(ctx)
+	defer cancel()
+	repeatable := call.Method == http.MethodGet || call.Method == http.MethodHead
+	if !repeatable && req.key == "" {
+		return turmericshed.Answer{}, turmericshed.NewError(turmericshed.KindBadRequest,
+			"header %s is missing: a call that may not be repeated needs one", headerIdempotencyKey)
+	}
+	release, err := e.deps.Admission.Admit(ctx, turmericshed.AdmitRequest{
+		Account: req.account, Limit: req.limit, Work: turmericshed.WorkService,
+		Priority: req.profile.Priority, Cost: 1, Deadline: req.deadline,
+	})
+	if err != nil {
+		return turmericshed.Answer{}, err
+	}
+	defer release()
+	e.deps.Retries.Sent(time.Now())
+	c := &serviceCall{e: e, req: req, call: call, route: turmericshed.RouteRequest{Work: turmericshed.WorkService, Service: service}}
+	c.bill = newBill(e.deps.Recorder, req)
+	if repeatable {
+		defer c.bill.end()
+		return c.runRepeatable(ctx)
+	}
+	return c.runClaimed(ctx)
+}
+
+// serviceCall is one plain service call on its way.
+type serviceCall struct {
+	e     *Entry
+	req   request
+	call  turmericshed.ServiceRequest
+	route turmericshed.RouteRequest
+	bill  *bill
+}
+
+// runRepeatable tries servers until one answers, within the retry budget.
+func (c *serviceCall) runRepeatable(ctx context.Context) (turmericshed.Answer, error) {
+	res, err := c.e.deps.Budgets.Reserve(ctx, c.req.profile, c.req.id, c.req.profile.CallCost)
+	if err != nil {
+		return turmericshed.Answer{}, err
+	}
+	c.bill.started()
+	mayHaveRun := false
+	for n := 1; ; n++ {
+		answer, err := c.dispatch(ctx, nil)
+		mayHaveRun = mayHaveRun || !notSent(err)
+		if err == nil {
+			c.e.settle(res, c.bill, res.Amount)
+			return answer, nil
+		}
+		if n >= maxAttempts || ctx.Err() != nil || !c.e.deps.Retries.Allow(time.Now()) || backOff(ctx, n) != nil {
+			c.e.settle(res, c.bill, 0)
+			return turmericshed.Answer{}, truthful(err, mayHaveRun)
+		}
+	}
+}
+
+// runClaimed runs a call that may not be repeated, under a durable claim.
+func (c *serviceCall) runClaimed(ctx context.Context) (turmericshed.Answer, error) {
+	claims := c.e.deps.Claims
+	d, err := claims.Claim(ctx, turmericshed.Call{
+		Account: c.req.account, Profile: c.req.profile.Name, Service: c.route.Service,
+		Key: c.req.key, Digest: c.req.digest, Request: c.req.id,
+	})
+	if err != nil {
+		return turmericshed.Answer{}, err
+	}
+	switch d.Verdict {
+	case turmericshed.ClaimReplay:
+		return d.Answer, nil
+	case turmericshed.ClaimUnknown:
+		return turmericshed.Answer{}, turmericshed.NewError(turmericshed.KindCallUnknown, "an earlier attempt may have run")
+	}
+	c.call.Key = string(d.Claim)
+	// From here on the caller's hanging up must not lose the outcome.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.req.deadline.Add(callGrace))
+	defer cancel()
+	return c.runHeld(ctx, d.Claim)
+}
+
+// runHeld dispatches under a claim that this process holds and writes the
+// outcome to the claim: completed, abandoned or in doubt.
+func (c *serviceCall) runHeld(ctx context.Context, id turmericshed.ClaimID) (turmericshed.Answer, error) {
+	claims := c.e.deps.Claims
+	defer c.bill.end()
+	res, err := c.e.deps.Budgets.Reserve(ctx, c.req.profile, c.req.id, c.req.profile.CallCost)
+	if err != nil {
+		return turmericshed.Answer{}, joinAbandon(err, claims.Abandon(ctx, id))
+	}
+	c.bill.started()
+	answer, err := c.dispatchClaimed(ctx, id)
+	if err == nil {
+		c.e.settle(res, c.bill, res.Amount)
+		_ = claims.Complete(ctx, id, answer)
+		return answer, nil
+	}
+	if notSent(err) {
+		c.e.settle(res, c.bill, 0)
+		return turmericshed.Answer{}, joinAbandon(err, claims.Abandon(ctx, id))
+	}
+	c.e.settle(res, c.bill, res.Amount)
+	_ = claims.Doubt(ctx, id, err.Error())
+	return turmericshed.Answer{}, err
+}
+
+// joinAbandon keeps a refusal truthful whether or not the claim could be
+// given up: the call was not sent, and will not be.
+func joinAbandon(err, abandonErr error) error {
+	if abandonErr == nil {
+		return err
+	}
+	return turmericshed.WithRetryAfter(err, turmericshed.KindStoreUnavailable.Info().RetryAfter)
+}
+
+// dispatchClaimed tries servers while each certainly did not run the call.
+func (c *serviceCall) dispatchClaimed(ctx context.Context, id turmericshed.ClaimID) (turmericshed.Answer, error) {
+	for n := 1; ; n++ {
+		answer, err := c.dispatch(ctx, func() error { return c.e.deps.Claims.Dispatch(id) })
+		if err == nil || !notSent(err) || n >= maxAttempts || !c.e.deps.Retries.Allow(time.Now()) {
+			return answer, err
+		}
+		if backOff(ctx, n) != nil {
+			return answer, err
+		}
+	}
+}
+
+// dispatch sends the call to one server. The guard, if any, must pass right
+// before sending.
+func (c *serviceCall) dispatch(ctx context.Context, guard func() error) (turmericshed.Answer, error) {
+	server, err := c.e.deps.Router.Pick(time.Now(), c.route)
+	if err != nil {
+		return turmericshed.Answer{}, err
+	}
+	c.e.deps.Recorder.Record(turmericshed.Event{
+		Name: turmericshed.EventDispatched, Request: c.req.id, Profile: c.req.profile.Name, Server: server.ID,
+		Claim: turmericshed.ClaimID(c.call.Key),
+	})
+	began := time.Now()
+	c.e.deps.Quarantine.Started(began, c.req.digest, server.ID)
+	var answer turmericshed.Answer
+	if guard != nil {
+		err = guard()
+	}
+	if err == nil {
+		answer, err = c.e.deps.Service.Do(ctx, server, c.call)
+	}
+	crashed := turmericshed.KindOf(err) == turmericshed.KindCallUnknown && ctx.Err() == nil
+	c.e.deps.Quarantine.Ended(time.Now(), c.req.digest, server.ID, crashed)
+	c.e.deps.Router.Done(time.Now(), server.ID, c.route, turmericshed.DispatchResult{
+		Err: err, FirstByte: time.Since(began), Elapsed: time.Since(began),
+	})
+	if err != nil {
+		c.route.Excluded = append(c.route.Excluded, server.ID)
+	}
+	return answer, err
+}
--- /dev/null
+++ b/io/tsentry/chat.go
@@ -0,0 +1,237 @@
+package tsentry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+
+	"turmericshed"
+)
+
+// Bounds on generation requests.
+const (
+	defaultMaxTokens = 512
+	maxMaxTokens     = 32768
+	maxMessages      = 512
+	// templateTokens bounds what the engine's chat template adds for each
+	// message, and once for the whole prompt.
+	templateTokens = 16
+	// prefixBytes is how much of the prompt's beginning decides prefix
+	// affinity.
+	prefixBytes = 256
+	// streamWriteTimeout is how long a caller may leave one write unread.
+	streamWriteTimeout = 30 * time.Second
+)
+
+// chatRequest is the published form of a chat completion request; fields that
+// the fleet does not know are refused by engines, not here.
+type chatRequest struct {
+	Model     turmericshed.Model     `json:"model"`
+	Messages  []turmericshed.Message `json:"messages"`
+	MaxTokens *turmericshed.Tokens   `json:"max_tokens"`
+	Stream    bool                   `json:"stream"`
+}
+
+// chatChunk and chatAnswer are the published forms of answers.
+type chatChunk struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created"`
+	Model   turmericshed.Model `json:"model"`
+	Choices []chatChoice       `json:"choices"`
+	Usage   *chatUsage         `json:"usage,omitempty"`
+}
+
+type chatChoice struct {
+	Index        int          `json:"index"`
+	Delta        *chatMessage `json:"delta,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type chatUsage struct {
+	turmericshed.Usage
+	Total turmericshed.Tokens `json:"total_tokens"`
+}
+
+// parseChat decodes and checks a request body.
+func parseChat(body []byte, p turmericshed.Profile) (chatRequest, error) {
+	var c chatRequest
+	if !utf8.Valid(body) {
+		return c, turmericshed.NewError(turmericshed.KindBadRequest, "body is not UTF-8")
+	}
+	if err := json.Unmarshal(body, &c); err != nil {
+		return c, turmericshed.NewError(turmericshed.KindBadRequest, "body is not a chat completion request: %v", err)
+	}
+	if p.Work != turmericshed.WorkAssistant {
+		return c, turmericshed.NewError(turmericshed.KindForbidden, "the profile does not serve chat completions")
+	}
+	if c.Model == "" {
+		c.Model = p.Model
+	}
+	if c.Model == "" || (p.Model != "" && c.Model != p.Model) {
+		return c, turmericshed.NewError(turmericshed.KindBadRequest, "model: the profile serves %q", p.Model)
+	}
+	if len(c.Messages) == 0 || len(c.Messages) > maxMessages {
+		return c, turmericshed.NewError(turmericshed.KindBadRequest, "messages: want 1 to %d", maxMessages)
+	}
+	for i, m := range c.Messages {
+		if m.Role == "" {
+			return c, turmericshed.NewError(turmericshed.KindBadRequest, "messages[%d].role is missing", i)
+		}
+	}
+	if c.MaxTokens == nil {
+		n := turmericshed.Tokens(defaultMaxTokens)
+		c.MaxTokens = &n
+	}
+	if *c.MaxTokens < 1 || *c.MaxTokens > maxMaxTokens {
+		return c, turmericshed.NewError(turmericshed.KindBadRequest, "max_tokens: want 1 to %d", maxMaxTokens)
+	}
+	return c, nil
+}
+
+// promptBound is an upper bound of the prompt's tokens: a token stands for at
+// least one byte.
+func promptBound(messages []turmericshed.Message) turmericshed.Tokens {
+	n := turmericshed.Tokens(templateTokens)
+	for _, m := range messages {
+		n += turmericshed.Tokens(len(m.Role)+len(m.Content)) + templateTokens
+	}
+	return n
+}
+
+// prefixHash hashes the beginning of the prompt for prefix affinity.
+func prefixHash(model turmericshed.Model, messages []turmericshed.Message) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(model))
+	left := prefixBytes
+	for _, m := range messages {
+		s := m.Content[:min(left, len(m.Content))]
+		_, _ = h.WriteString(s)
+		if left -= len(s); left == 0 {
+			break
+		}
+	}
+	return h.Sum64()
+}
+
+// serveChat answers POST /v1/chat/completions.
+func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
+	req, err := e.prepare(w, r)
+	if err != nil {
+		e.refuse(w, req, err)
+		return
+	}
+	chat, err := parseChat(req.body, req.profile)
+	if err != nil {
+		e.refuse(w, req, err)
+		return
+	}
+	a, joined, err := e.runs.begin(req)
+	if err != nil {
+		e.refuse(w, req, err)
+		return
+	}
+	defer e.runs.leave(a)
+	if !joined {
+		go e.generate(a, req, chat)
+	}
+	if chat.Stream {
+		e.writeStream(w, r, req, chat, a)
+		return
+	}
+	e.writeWhole(w, r, req, chat, a)
+}
+
+// writeWhole answers in one body once the generation has ended.
+func (e *Entry) writeWhole(w http.ResponseWriter, r *http.Request, req request, chat chatRequest, a *answer) {
+	if err := a.wait(r.Context()); err != nil {
+		e.refuse(w, req, err)
+		return
+	}
+	text, end := a.whole()
+	out := e.chunk(a, chat, "chat.completion")
+	out.Choices = []chatChoice{{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: &end.Finish}}
+	out.Usage = &chatUsage{Usage: end.Usage, Total: end.Usage.Total()}
+	writeJSON(w, http.StatusOK, out)
+	e.answered(req, a)
+}
+
+// writeStream relays frames as server-sent events. A failure after the first
+// event ends the stream with an error event and without the end mark.
+func (e *Entry) writeStream(w http.ResponseWriter, r *http.Request, req request, chat chatRequest, a *answer) {
+	rc := http.NewResponseController(w)
+	for next := 0; ; {
+		frames, err := a.next(r.Context(), next)
+		if err != nil && next == 0 {
+			e.refuse(w, req, err)
+			return
+		}
+		_ = rc.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
+		if err != nil {
+			_, body := describe(req.id, err)
+			writeEvent(w, body)
+			_ = rc.Flush()
+			return
+		}
+		if next == 0 {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set("Cache-Control", "no-store")
+		}
+		next += len(frames)
+		for _, f := range frames {
+			e.writeFrame(w, chat, a, f)
+		}
+		if rc.Flush() != nil {
+			return
+		}
+		if frames[len(frames)-1].End {
+			e.answered(req, a)
+			return
+		}
+	}
+}
+
+func (e *Entry) writeFrame(w http.ResponseWriter, chat chatRequest, a *answer, f turmericshed.Frame) {
+	out := e.chunk(a, chat, "chat.completion.chunk")
+	out.Choices = []chatChoice{{Delta: &chatMessage{Content: f.Text}}}
+	if f.End {
+		out.Choices[0].FinishReason = &f.Finish
+		out.Usage = &chatUsage{Usage: f.Usage, Total: f.Usage.Total()}
+	}
+	writeEvent(w, out)
+	if f.End {
+		_, _ = w.Write([]byte("data: [DONE]\n\n"))
+	}
+}
+
+func (e *Entry) chunk(a *answer, chat chatRequest, object string) chatChunk {
+	return chatChunk{ID: string(a.request), Object: object, Created: a.started.Unix(), Model: chat.Model}
+}
+
+// writeEvent writes one server-sent event.
+func writeEvent(w http.ResponseWriter, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return
+	}
+	_, _ = w.Write([]byte("data: "))
+	_, _ = w.Write(b)
+	_, _ = w.Write([]byte("\n\n"))
+}
+
+// answered records that the caller got its whole answer.
+func (e *Entry) answered(req request, a *answer) {
+	e.deps.Recorder.Record(turmericshed.Event{
+		Name: turmericshed.EventRequestAnswered, Request: req.id, Profile: req.profile.Name,
+		Account: req.account, Reason: "generation " + string(a.request),
+	})
+}
--- /dev/null
+++ b/io/tsentry/entry_test.go
@@ -0,0 +1,465 @@
+package tsentry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/io/tsentry"
+)
+
+const (
+	testKey = "ts.shop.secret"
+)
+
+// fakes stand at every interface that an entry VM works with.
+type fakes struct {
+	turmericshed.Store
+	mu       sync.Mutex
+	events   []turmericshed.Event
+	reserved turmericshed.Tokens
+	settled  turmericshed.Tokens
+	open     map[string]turmericshed.Tokens
+	canceled int
+	sent     int
+	// script is what each dispatch to the engine delivers in turn.
+	script [][]turmericshed.Frame
+	// genErr, resumeErr and doErr are returned in turn by the clients.
+	genErr    []error
+	resumeErr error
+	doErr     []error
+	claimed   map[string]turmericshed.Answer
+	abandoned int
+	doubted   int
+	usage     turmericshed.Usage
+}
+
+func (f *fakes) Record(e turmericshed.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, e)
+}
+
+func (f *fakes) count(name turmericshed.EventName) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.events {
+		if e.Name == name {
+			n++
+		}
+	}
+	return n
+}
+
+type fakeStore struct {
+	turmericshed.Store
+	accounts map[string][]byte
+}
+
+func (s fakeStore) Get(_ context.Context, key string) (turmericshed.Item, error) {
+	v, ok := s.accounts[key]
+	if !ok {
+		return turmericshed.Item{Key: key}, nil
+	}
+	return turmericshed.Item{Key: key, Value: v, Version: 1}, nil
+}
+
+type fakeProfiles map[turmericshed.ProfileName]turmericshed.Profile
+
+func (p fakeProfiles) Get(_ context.Context, name turmericshed.ProfileName) (turmericshed.Profile, time.Duration, error) {
+	v, ok := p[name]
+	if !ok {
+		return v, 0, turmericshed.NewError(turmericshed.KindUnknownProfile, "no profile of that name")
+	}
+	return v, 0, nil
+}
+
+type fakeBudgets struct{ *fakes }
+
+func (b fakeBudgets) Reserve(_ context.Context, p turmericshed.Profile, r turmericshed.RequestID, n turmericshed.Tokens) (turmericshed.Reservation, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.reserved+n > p.Prepaid {
+		return turmericshed.Reservation{}, turmericshed.NewError(turmericshed.KindBudgetExhausted, "budget is spent")
+	}
+	b.reserved += n
+	res := turmericshed.Reservation{ID: turmericshed.NewID("res-"), Request: r, Amount: n}
+	b.open[res.ID] = n
+	return res, nil
+}
+
+func (b fakeBudgets) Settle(res turmericshed.Reservation, used turmericshed.Tokens) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	turmericshed.Assert(b.open[res.ID] == res.Amount && used <= res.Amount, "settled_once", "%s", res.ID)
+	delete(b.open, res.ID)
+	b.settled += used
+}
+func (b fakeBudgets) Suspend(turmericshed.Reservation) {}
+func (b fakeBudgets) Drain(context.Context) error      { return nil }
+
+type fakeClaims struct{ *fakes }
+
+func (c fakeClaims) Claim(_ context.Context, call turmericshed.Call) (turmericshed.ClaimDecision, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a, ok := c.claimed[call.Key]; ok {
+		return turmericshed.ClaimDecision{Verdict: turmericshed.ClaimReplay, Answer: a}, nil
+	}
+	return turmericshed.ClaimDecision{Verdict: turmericshed.ClaimRun, Claim: turmericshed.ClaimID(call.Key)}, nil
+}
+func (c fakeClaims) Dispatch(turmericshed.ClaimID) error { return nil }
+func (c fakeClaims) Complete(_ context.Context, id turmericshed.ClaimID, a turmericshed.Answer) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.claimed[string(id)] = a
+	return nil
+}
+
+func (c fakeClaims) Abandon(context.Context, turmericshed.ClaimID) error {
+	c.abandoned++
+	return nil
+}
+
+func (c fakeClaims) Doubt(context.Context, turmericshed.ClaimID, string) error {
+	c.doubted++
+	return nil
+}
+func (c fakeClaims) Drain(context.Context) error { return nil }
+
+type fakeRouter struct{ turmericshed.Router }
+
+func (fakeRouter) Pick(_ time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
+	return turmericshed.BackendServer{ID: turmericshed.ServerID(fmt.Sprint("s", len(r.Excluded)))}, nil
+}
+
+func (fakeRouter) Done(time.Time, turmericshed.ServerID, turmericshed.RouteRequest, turmericshed.DispatchResult) {
+}
+
+type fakeGate struct{}
+
+func (fakeGate) Admit(context.Context, turmericshed.AdmitRequest) (func(), error) {
+	return func() {}, nil
+}
+
+func (fakeGate) Check(time.Time, turmericshed.Digest) error                        { return nil }
+func (fakeGate) Started(time.Time, turmericshed.Digest, turmericshed.ServerID)     {}
+func (fakeGate) Ended(time.Time, turmericshed.Digest, turmericshed.ServerID, bool) {}
+func (fakeGate) Sent(time.Time)                                                    {}
+func (fakeGate) Allow(time.Time) bool                                              { return true }
+
+type fakeEngine struct {
+	turmericshed.Engine
+	*fakes
+}
+
+func (g fakeEngine) Generate(_ context.Context, _ turmericshed.BackendServer, r turmericshed.GenerateRequest) (turmericshed.TokenStream, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sent++
+	if len(g.genErr) > 0 {
+		err := g.genErr[0]
+		g.genErr = g.genErr[1:]
+		if err != nil {
+			return nil, err
+		}
+	}
+	return g.nextScript(r.Stream), nil
+}
+
+func (g fakeEngine) Resume(_ context.Context, _ turmericshed.BackendServer, id turmericshed.StreamID, _ int) (turmericshed.TokenStream, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.resumeErr != nil {
+		return nil, g.resumeErr
+	}
+	return g.nextScript(id), nil
+}
+
+func (g fakeEngine) nextScript(id turmericshed.StreamID) *fakeStream {
+	s := &fakeStream{}
+	if len(g.script) > 0 {
+		s.frames = g.script[0]
+		g.script = g.script[1:]
+	}
+	for i := range s.frames {
+		if s.frames[i].Stream == "" {
+			s.frames[i].Stream = id
+		}
+	}
+	return s
+}
+
+func (g fakeEngine) Cancel(context.Context, turmericshed.BackendServer, turmericshed.StreamID) (turmericshed.Usage, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.canceled++
+	return g.usage, nil
+}
+
+type fakeStream struct{ frames []turmericshed.Frame }
+
+func (s *fakeStream) Next() (turmericshed.Frame, error) {
+	if len(s.frames) == 0 {
+		return turmericshed.Frame{}, turmericshed.NewError(turmericshed.KindStreamBroken, "connection ended")
+	}
+	f := s.frames[0]
+	s.frames = s.frames[1:]
+	return f, nil
+}
+func (s *fakeStream) Close() error { return nil }
+
+type fakeService struct {
+	turmericshed.Service
+	*fakes
+}
+
+func (s fakeService) Do(context.Context, turmericshed.BackendServer, turmericshed.ServiceRequest) (turmericshed.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+	if len(s.doErr) > 0 {
+		err := s.doErr[0]
+		s.doErr = s.doErr[1:]
+		return turmericshed.Answer{}, err
+	}
+	return turmericshed.Answer{Status: http.StatusOK, Body: []byte(`{"job":1}`)}, nil
+}
+
+// rig is an entry VM's handler over fakes.
+type rig struct {
+	*fakes
+	h http.Handler
+}
+
+func newRig(t *testing.T, prepaid turmericshed.Tokens) *rig {
+	t.Helper()
+	f := &fakes{open: map[string]turmericshed.Tokens{}, claimed: map[string]turmericshed.Answer{}}
+	account, err := json.Marshal(turmericshed.Account{ID: "shop", KeyHashes: []string{tsentry.HashKey(testKey)}})
+	assert.NilError(t, err)
+	limits := []turmericshed.AccountLimit{{Account: "shop"}}
+	e, err := tsentry.New(tsentry.Config{DefaultDeadline: 5 * time.Second}, tsentry.Deps{
+		Board: &tsboard.Board{}, Store: fakeStore{accounts: map[string][]byte{"accounts/shop": account}},
+		Profiles: fakeProfiles{
+			"assist": {Name: "assist", Work: turmericshed.WorkAssistant, Model: "m", Prepaid: prepaid, Accounts: limits},
+			"book":   {Name: "book", Work: turmericshed.WorkService, Services: []string{"bookings"}, Prepaid: prepaid, CallCost: 1, Accounts: limits},
+			"other":  {Name: "other", Work: turmericshed.WorkAssistant, Prepaid: prepaid},
+		},
+		Budgets: fakeBudgets{f}, Claims: fakeClaims{f}, Router: fakeRouter{}, Admission: fakeGate{},
+		Quarantine: fakeGate{}, Retries: fakeGate{}, Engine: fakeEngine{fakes: f}, Service: fakeService{fakes: f},
+		Recorder: f, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	assert.NilError(t, err)
+	return &rig{fakes: f, h: e.Handler()}
+}
+
+func (r *rig) do(method, path, profile, body string, headers ...string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set("Turmericshed-Profile", profile)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	r.h.ServeHTTP(w, req)
+	return w
+}
+
+func (r *rig) chat(body string, headers ...string) *httptest.ResponseRecorder {
+	return r.do(http.MethodPost, "/v1/chat/completions", "assist", body, headers...)
+}
+
+// assertRefused checks the answer against the table of error kinds.
+func assertRefused(t *testing.T, w *httptest.ResponseRecorder, kind turmericshed.Kind, outcome turmericshed.Outcome) {
+	t.Helper()
+	var body struct {
+		Error struct {
+			Kind, Outcome, Message string
+			RequestID              string `json:"request_id"`
+		}
+	}
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &body), w.Body.String())
+	assert.Equal(t, body.Error.Kind, kind.String(), body.Error.Message)
+	assert.Equal(t, body.Error.Outcome, string(outcome))
+	assert.Equal(t, w.Code, kind.Info().Status)
+}
+
+// assertCharged checks that nothing stays reserved and what was charged.
+func (r *rig) assertCharged(t *testing.T, want turmericshed.Tokens) {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	assert.Equal(t, len(r.open), 0)
+	assert.Equal(t, r.settled, want)
+}
+
+const goodChat = `{"messages":[{"role":"user","content":"hi"}],"max_tokens":8}`
+
+func wholeScript() []turmericshed.Frame {
+	return []turmericshed.Frame{
+		{Seq: 0, Text: "to", Tokens: 1},
+		{Seq: 1, Text: "day", Tokens: 1},
+		{Seq: 2, End: true, Finish: "stop", Usage: turmericshed.Usage{Prompt: 3, Completion: 2}},
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	not := turmericshed.OutcomeNotRun
+	chat := func(body string, headers ...string) func(*rig) *httptest.ResponseRecorder {
+		return func(r *rig) *httptest.ResponseRecorder { return r.chat(body, headers...) }
+	}
+	cases := []struct {
+		name string
+		do   func(r *rig) *httptest.ResponseRecorder
+		want turmericshed.Kind
+	}{
+		{"truncated", chat(goodChat[:20]), turmericshed.KindBadRequest},
+		{"not utf-8", chat("{\"messages\":[{\"role\":\"user\",\"content\":\"\xff\"}]}"), turmericshed.KindBadRequest},
+		{"negative max_tokens", chat(`{"messages":[{"role":"user","content":"hi"}],"max_tokens":-1}`), turmericshed.KindBadRequest},
+		{"absurd max_tokens", chat(`{"messages":[{"role":"user","content":"hi"}],"max_tokens":900000000000}`), turmericshed.KindBadRequest},
+		{"max_tokens above the type", chat(`{"messages":[{"role":"user","content":"hi"}],"max_tokens":9e99}`), turmericshed.KindBadRequest},
+		{"no messages", chat(`{}`), turmericshed.KindBadRequest},
+		{"other model", chat(`{"model":"x","messages":[{"role":"user","content":"hi"}]}`), turmericshed.KindBadRequest},
+		{"oversized", chat(strings.Repeat("x", 2<<20)), turmericshed.KindTooLarge},
+		{"wrong key", chat(goodChat, "Authorization", "Bearer ts.shop.wrong"), turmericshed.KindUnauthenticated},
+		{"unknown account", chat(goodChat, "Authorization", "Bearer ts.nobody.x"), turmericshed.KindUnauthenticated},
+		{"no key", chat(goodChat, "Authorization", ""), turmericshed.KindUnauthenticated},
+		{"bad deadline", chat(goodChat, "Turmericshed-Deadline", "-3s"), turmericshed.KindBadRequest},
+		{"long idempotency key", chat(goodChat, "Idempotency-Key", strings.Repeat("k", 300)), turmericshed.KindBadRequest},
+		{"unknown profile", chat(goodChat, "Turmericshed-Profile", "nope"), turmericshed.KindUnknownProfile},
+		{"account outside the profile", chat(goodChat, "Turmericshed-Profile", "other"), turmericshed.KindForbidden},
+		{"booking without a key", func(r *rig) *httptest.ResponseRecorder {
+			return r.do(http.MethodPost, "/services/bookings/jobs", "book", "{}")
+		}, turmericshed.KindBadRequest},
+		{"service outside the profile", func(r *rig) *httptest.ResponseRecorder {
+			return r.do(http.MethodGet, "/services/payroll/x", "book", "")
+		}, turmericshed.KindForbidden},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, 1000)
+			assertRefused(t, c.do(r), c.want, not)
+			r.assertCharged(t, 0)
+			assert.Equal(t, r.sent, 0)
+		})
+	}
+}
+
+func TestGeneration(t *testing.T) {
+	t.Run("whole answer is charged its usage and billed once", func(t *testing.T) {
+		r := newRig(t, 1000)
+		r.script = [][]turmericshed.Frame{wholeScript()}
+		w := r.chat(goodChat)
+		assert.Equal(t, w.Code, http.StatusOK, w.Body.String())
+		assert.Assert(t, strings.Contains(w.Body.String(), `"content":"today"`))
+		r.assertCharged(t, 5)
+		assert.Equal(t, r.count(turmericshed.EventRequestBilled), 1)
+	})
+	t.Run("crossed and doubled frames are dropped", func(t *testing.T) {
+		r := newRig(t, 1000)
+		s := wholeScript()
+		r.script = [][]turmericshed.Frame{{s[0], {Stream: "another", Seq: 1, Text: "XX"}, s[0], s[1], s[2]}}
+		w := r.chat(goodChat)
+		assert.Assert(t, strings.Contains(w.Body.String(), `"content":"today"`), w.Body.String())
+		assert.Equal(t, r.count(turmericshed.EventFrameDropped), 2)
+	})
+	t.Run("a missing frame is never a shorter answer", func(t *testing.T) {
+		r := newRig(t, 1000)
+		r.resumeErr = turmericshed.NewError(turmericshed.KindNotFound, "gone")
+		s := wholeScript()
+		r.script = [][]turmericshed.Frame{{s[0], s[2]}}
+		assertRefused(t, r.chat(goodChat), turmericshed.KindStreamBroken, turmericshed.OutcomeRan)
+	})
+	t.Run("a broken stream resumes after the last whole frame", func(t *testing.T) {
+		r := newRig(t, 1000)
+		s := wholeScript()
+		r.script = [][]turmericshed.Frame{{s[0]}, {s[1], s[2]}}
+		w := r.chat(goodChat)
+		assert.Assert(t, strings.Contains(w.Body.String(), `"content":"today"`), w.Body.String())
+		r.assertCharged(t, 5)
+		assert.Equal(t, r.sent, 1)
+	})
+	t.Run("a broken stream ends with an error event and no end mark", func(t *testing.T) {
+		r := newRig(t, 1000)
+		r.resumeErr = turmericshed.NewError(turmericshed.KindNotFound, "gone")
+		r.script = [][]turmericshed.Frame{wholeScript()[:1]}
+		w := r.chat(`{"stream":true,` + goodChat[1:])
+		assert.Assert(t, strings.Contains(w.Body.String(), `"kind":"stream_broken"`))
+		assert.Assert(t, !strings.Contains(w.Body.String(), "[DONE]"))
+		assert.Equal(t, len(r.open), 1, "stays charged until the engine confirmed a cancel")
+		assert.Equal(t, r.count(turmericshed.EventRequestBilled), 0)
+	})
+	t.Run("a server that refused is passed over", func(t *testing.T) {
+		r := newRig(t, 1000)
+		r.genErr = []error{turmericshed.NewError(turmericshed.KindBackendRefused, "leaving")}
+		r.script = [][]turmericshed.Frame{wholeScript()}
+		assert.Equal(t, r.chat(goodChat).Code, http.StatusOK)
+		r.assertCharged(t, 5)
+		assert.Equal(t, r.sent, 2)
+	})
+	t.Run("a refusal after a lost attempt does not say not_run", func(t *testing.T) {
+		r := newRig(t, 200)
+		broken := turmericshed.NewError(turmericshed.KindStreamBroken, "no answer")
+		refused := turmericshed.NewError(turmericshed.KindNoBackend, "no connection")
+		r.genErr = []error{broken, refused, refused}
+		assertRefused(t, r.chat(goodChat), turmericshed.KindNoBackend, turmericshed.OutcomeUnknown)
+	})
+	t.Run("an exhausted budget refuses before dispatch", func(t *testing.T) {
+		r := newRig(t, 5)
+		assertRefused(t, r.chat(goodChat), turmericshed.KindBudgetExhausted, turmericshed.OutcomeNotRun)
+		assert.Equal(t, r.sent, 0)
+	})
+	t.Run("a retry joins and is billed once", func(t *testing.T) {
+		r := newRig(t, 1000)
+		r.script = [][]turmericshed.Frame{wholeScript()}
+		first := r.chat(goodChat, "Idempotency-Key", "k1")
+		second := r.chat(goodChat, "Idempotency-Key", "k1")
+		assert.Equal(t, first.Body.String(), second.Body.String())
+		assert.Equal(t, r.sent, 1)
+		assert.Equal(t, r.count(turmericshed.EventRequestBilled), 1)
+		other := strings.Replace(goodChat, "hi", "ho", 1)
+		assertRefused(t, r.chat(other, "Idempotency-Key", "k1"), turmericshed.KindKeyReused, turmericshed.OutcomeNotRun)
+	})
+}
+
+func TestClaimedCall(t *testing.T) {
+	book := func(r *rig) *httptest.ResponseRecorder {
+		return r.do(http.MethodPost, "/services/bookings/jobs", "book", `{"frame":7}`, "Idempotency-Key", "b1")
+	}
+	t.Run("a retry replays the answer and costs nothing", func(t *testing.T) {
+		r := newRig(t, 10)
+		assert.Equal(t, book(r).Code, http.StatusOK)
+		assert.Equal(t, book(r).Body.String(), `{"job":1}`)
+		assert.Equal(t, r.sent, 1)
+		r.assertCharged(t, 1)
+	})
+	t.Run("a lost answer is unknown and never sent again", func(t *testing.T) {
+		r := newRig(t, 10)
+		r.doErr = []error{turmericshed.NewError(turmericshed.KindCallUnknown, "no answer")}
+		assertRefused(t, book(r), turmericshed.KindCallUnknown, turmericshed.OutcomeUnknown)
+		assert.Equal(t, r.sent, 1)
+		assert.Equal(t, r.doubted, 1)
+		r.assertCharged(t, 1)
+	})
+	t.Run("a call that was not sent gives its claim up", func(t *testing.T) {
+		r := newRig(t, 10)
+		refused := turmericshed.NewError(turmericshed.KindNoBackend, "no connection")
+		r.doErr = []error{refused, refused, refused}
+		assertRefused(t, book(r), turmericshed.KindNoBackend, turmericshed.OutcomeNotRun)
+		assert.Equal(t, r.abandoned, 1)
+		r.assertCharged(t, 0)
+	})
+}
--- /dev/null
+++ b/io/tsentry/generate.go
@@ -0,0 +1,281 @@
+package tsentry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"turmericshed"
+)
+
+// Bounds on attempts.
+const (
+	maxAttempts    = 3
+	maxResumes     = 2
+	retryBaseDelay = 10 * time.Millisecond
+	retryMaxDelay  = 500 * time.Millisecond
+)
+
+// attempt is one dispatch of a generation to a model engine.
+type attempt struct {
+	server turmericshed.BackendServer
+	stream turmericshed.StreamID
+	res    turmericshed.Reservation
+	route  turmericshed.RouteRequest
+	began  time.Time
+	first  time.Duration
+	tokens turmericshed.Tokens
+	// connected is true once the engine accepted the request.
+	connected bool
+	// crashed is true when the engine went away with the request running.
+	crashed bool
+	// usage is set once the engine has reported it.
+	usage *turmericshed.Usage
+	bill  *bill
+}
+
+// generate runs a generation to its end and settles what it cost. It never
+// waits for callers.
+func (e *Entry) generate(a *answer, req request, chat chatRequest) {
+	defer a.cancel()
+	b := newBill(e.deps.Recorder, req)
+	defer b.end()
+	defer e.recoverInto(a)
+	release, err := e.deps.Admission.Admit(a.ctx, turmericshed.AdmitRequest{
+		Account: req.account, Limit: req.limit, Work: turmericshed.WorkAssistant,
+		Priority: req.profile.Priority, Cost: *chat.MaxTokens, Deadline: req.deadline,
+	})
+	if err != nil {
+		a.fail(err)
+		return
+	}
+	defer release()
+	e.deps.Retries.Sent(time.Now())
+	if err := e.attempts(a, req, chat, b); err != nil {
+		a.fail(err)
+	}
+}
+
+// recoverInto turns a panic into the answer's failure.
+func (e *Entry) recoverInto(a *answer) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	e.recordPanic(v, a.request)
+	a.fail(turmericshed.NewError(turmericshed.KindInternal, "panic: %v", v))
+}
+
+// attempts dispatches until the answer is whole, and retries only while no
+// frame has reached the answer. It returns nil once the answer is whole.
+func (e *Entry) attempts(a *answer, req request, chat chatRequest, b *bill) error {
+	route := turmericshed.RouteRequest{
+		Work: turmericshed.WorkAssistant, Model: chat.Model,
+		Prefix: prefixHash(chat.Model, chat.Messages), Cost: *chat.MaxTokens,
+	}
+	worst := promptBound(chat.Messages) + *chat.MaxTokens
+	mayHaveRun := false
+	for n := 1; ; n++ {
+		at, err := e.prepareAttempt(a, req, route, worst, b)
+		if err != nil {
+			return truthful(err, mayHaveRun)
+		}
+		err = e.runAttempt(a, req, chat, at)
+		e.endAttempt(at, err)
+		mayHaveRun = mayHaveRun || !notSent(err)
+		if err == nil || !e.mayRetry(a, n, err) {
+			return truthful(err, mayHaveRun)
+		}
+		route.Excluded = append(route.Excluded, at.server.ID)
+		e.deps.Recorder.Record(turmericshed.Event{
+			Name: turmericshed.EventRequestRetried, Request: a.request, Server: at.server.ID, Reason: err.Error(),
+		})
+		if err := backOff(a.ctx, n); err != nil {
+			return truthful(err, mayHaveRun)
+		}
+	}
+}
+
+// truthful corrects an outcome of not_run where an attempt was sent.
+func truthful(err error, mayHaveRun bool) error {
+	if mayHaveRun && err != nil && turmericshed.OutcomeOf(err) == turmericshed.OutcomeNotRun {
+		return turmericshed.WithOutcome(err, turmericshed.OutcomeUnknown)
+	}
+	return err
+}
+
+// prepareAttempt reserves the worst case and picks a server.
+func (e *Entry) prepareAttempt(a *answer, req request, route turmericshed.RouteRequest, worst turmericshed.Tokens, b *bill) (*attempt, error) {
+	if err := e.deps.Quarantine.Check(time.Now(), req.digest); err != nil {
+		return nil, err
+	}
+	res, err := e.deps.Budgets.Reserve(a.ctx, req.profile, a.request, worst)
+	if err != nil {
+		return nil, err
+	}
+	server, err := e.deps.Router.Pick(time.Now(), route)
+	if err != nil {
+		e.deps.Budgets.Settle(res, 0)
+		return nil, err
+	}
+	b.started()
+	return &attempt{
+		server: server, stream: turmericshed.StreamID(turmericshed.NewID("stream-")),
+		res: res, route: route, began: time.Now(), bill: b,
+	}, nil
+}
+
+// runAttempt dispatches once and relays the frames into the answer.
+func (e *Entry) runAttempt(a *answer, req request, chat chatRequest, at *attempt) error {
+	e.deps.Quarantine.Started(at.began, req.digest, at.server.ID)
+	defer func() { e.deps.Quarantine.Ended(time.Now(), req.digest, at.server.ID, at.crashed) }()
+	e.deps.Recorder.Record(turmericshed.Event{
+		Name: turmericshed.EventDispatched, Request: a.request, Profile: req.profile.Name,
+		Server: at.server.ID, Lot: at.res.Lot, Tokens: at.res.Amount, Reason: string(at.stream),
+	})
+	ts, err := e.deps.Engine.Generate(a.ctx, at.server, turmericshed.GenerateRequest{
+		Stream: at.stream, Model: chat.Model, Messages: chat.Messages,
+		MaxTokens: *chat.MaxTokens, Priority: req.profile.Priority, Deadline: req.deadline,
+	})
+	if err != nil {
+		return err
+	}
+	at.connected = true
+	for n := 0; ; n++ {
+		err = e.relay(a, at, ts)
+		_ = ts.Close()
+		if err == nil || n == maxResumes || a.ctx.Err() != nil || turmericshed.KindOf(err) != turmericshed.KindStreamBroken {
+			return err
+		}
+		if ts, err = e.resume(a, at, n, err); err != nil {
+			return err
+		}
+	}
+}
+
+// resume reopens a broken stream at the engine after the last whole frame.
+func (e *Entry) resume(a *answer, at *attempt, n int, broken error) (turmericshed.TokenStream, error) {
+	e.deps.Recorder.Record(turmericshed.Event{
+		Name: turmericshed.EventStreamBroken, Request: a.request, Server: at.server.ID, Reason: broken.Error(),
+	})
+	if err := backOff(a.ctx, n+1); err != nil {
+		return nil, err
+	}
+	ts, err := e.deps.Engine.Resume(a.ctx, at.server, at.stream, a.size())
+	if err != nil {
+		at.crashed = turmericshed.KindOf(err) == turmericshed.KindNoBackend
+		return nil, broken
+	}
+	e.deps.Recorder.Record(turmericshed.Event{
+		Name: turmericshed.EventStreamResumed, Request: a.request, Server: at.server.ID,
+	})
+	return ts, nil
+}
+
+// relay moves frames into the answer until the end frame. Frames of another
+// stream and frames seen before are dropped; a gap breaks the stream.
+func (e *Entry) relay(a *answer, at *attempt, ts turmericshed.TokenStream) error {
+	for {
+		f, err := ts.Next()
+		if errors.Is(err, io.EOF) {
+			return turmericshed.NewError(turmericshed.KindStreamBroken, "the stream ended without its end frame")
+		}
+		if err != nil {
+			return err
+		}
+		want := a.size()
+		if f.Stream != at.stream || f.Seq < want {
+			e.deps.Recorder.Record(turmericshed.Event{
+				Name: turmericshed.EventFrameDropped, Request: a.request, Server: at.server.ID, Reason: string(f.Stream),
+			})
+			continue
+		}
+		if f.Seq > want {
+			return turmericshed.NewError(turmericshed.KindStreamBroken, "a frame is missing")
+		}
+		if at.first == 0 {
+			at.first = time.Since(at.began)
+		}
+		at.tokens += f.Tokens
+		if f.End {
+			u := f.Usage
+			at.usage = &u
+		}
+		if err := a.append(f); err != nil {
+			return err
+		}
+		if f.End {
+			return nil
+		}
+	}
+}
+
+// endAttempt reports the attempt to the router and settles its cost, now if
+// it is known, else once the engine has confirmed a cancel.
+func (e *Entry) endAttempt(at *attempt, err error) {
+	e.deps.Router.Done(time.Now(), at.server.ID, at.route, turmericshed.DispatchResult{
+		Err: err, FirstByte: at.first, Elapsed: time.Since(at.began), Tokens: at.tokens,
+	})
+	switch {
+	case at.usage != nil:
+		e.settle(at.res, at.bill, at.usage.Total())
+	case !at.connected && notSent(err):
+		e.settle(at.res, at.bill, 0)
+	default:
+		e.deps.Budgets.Suspend(at.res)
+		e.unsettled.add(at)
+	}
+}
+
+// settle replaces a reservation by its cost. An engine that reports more than
+// the worst case is charged the worst case and the breach is recorded.
+func (e *Entry) settle(res turmericshed.Reservation, b *bill, used turmericshed.Tokens) {
+	if used > res.Amount {
+		e.deps.Recorder.Record(turmericshed.Event{
+			Name: turmericshed.EventInvariantBroken, Request: res.Request, Profile: res.Profile,
+			Tokens: used - res.Amount, Reason: "usage above the worst case",
+		})
+		used = res.Amount
+	}
+	e.deps.Budgets.Settle(res, used)
+	b.settled(used)
+}
+
+// notSent reports whether the engine certainly did not run the request.
+func notSent(err error) bool {
+	k := turmericshed.KindOf(err)
+	return k == turmericshed.KindNoBackend || k == turmericshed.KindBackendRefused
+}
+
+// mayRetry reports whether another attempt is allowed after err.
+func (e *Entry) mayRetry(a *answer, n int, err error) bool {
+	if a.size() > 0 || n >= maxAttempts || a.ctx.Err() != nil {
+		return false
+	}
+	k := turmericshed.KindOf(err)
+	retryable := notSent(err) || k == turmericshed.KindStreamBroken
+	return retryable && e.deps.Retries.Allow(time.Now())
+}
+
+// backOff waits a jittered, growing time before attempt n+1.
+func backOff(ctx context.Context, n int) error {
+	d := min(retryBaseDelay<<n, retryMaxDelay)
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ended(ctx)
+	}
+}
+
+// ended describes why a request's context is done.
+func ended(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return turmericshed.WrapError(turmericshed.KindDeadline, ctx.Err(), "deadline passed")
+	}
+	return turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "caller went away")
+}
--- /dev/null
+++ b/io/tsentry/request.go
@@ -0,0 +1,141 @@
+package tsentry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"turmericshed"
+)
+
+// Headers of callers' requests and of answers.
+const (
+	headerProfile        = "Turmericshed-Profile"
+	headerDeadline       = "Turmericshed-Deadline"
+	headerRequestID      = "Turmericshed-Request-Id"
+	headerOutcome        = "Turmericshed-Outcome"
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
+// Limits on what a caller may send.
+const (
+	maxBodyBytes      = 1 << 20
+	maxHeaderBytes    = 16 << 10
+	maxKeyBytes       = 256
+	bodyReadTimeout   = 15 * time.Second
+	headerReadTimeout = 5 * time.Second
+	maxDeadline       = 15 * time.Minute
+)
+
+// request is one authenticated request under a profile.
+type request struct {
+	id       turmericshed.RequestID
+	account  turmericshed.AccountID
+	profile  turmericshed.Profile
+	limit    turmericshed.AccountLimit
+	key      string
+	deadline time.Time
+	body     []byte
+	digest   turmericshed.Digest
+}
+
+// prepare authenticates the caller, finds its profile and reads the body.
+func (e *Entry) prepare(w http.ResponseWriter, r *http.Request) (request, error) {
+	req := request{id: turmericshed.RequestID(turmericshed.NewID("req-"))}
+	w.Header().Set(headerRequestID, string(req.id))
+	account, err := e.accounts.authenticate(r.Context(), r.Header.Get("Authorization"))
+	if err != nil {
+		return req, err
+	}
+	req.account = account
+	if err := e.findProfile(r, &req); err != nil {
+		return req, err
+	}
+	if err := readHeaders(r, e.cfg.DefaultDeadline, &req); err != nil {
+		return req, err
+	}
+	if err := readBody(w, r, &req); err != nil {
+		return req, err
+	}
+	return req, e.deps.Quarantine.Check(time.Now(), req.digest)
+}
+
+func (e *Entry) findProfile(r *http.Request, req *request) error {
+	name := turmericshed.ProfileName(r.Header.Get(headerProfile))
+	if name == "" {
+		return turmericshed.NewError(turmericshed.KindBadRequest, "header %s is missing", headerProfile)
+	}
+	p, _, err := e.deps.Profiles.Get(r.Context(), name)
+	if err != nil {
+		return err
+	}
+	if p.Closed {
+		return turmericshed.NewError(turmericshed.KindUnknownProfile, "profile is closed")
+	}
+	limit, ok := p.Limit(req.account)
+	if !ok {
+		return turmericshed.NewError(turmericshed.KindForbidden, "account is not covered by the profile")
+	}
+	req.profile, req.limit = p, limit
+	return nil
+}
+
+func readHeaders(r *http.Request, defaultDeadline time.Duration, req *request) error {
+	wait := defaultDeadline
+	if s := r.Header.Get(headerDeadline); s != "" {
+		d, err := time.ParseDuration(s)
+		if err != nil || d <= 0 || d > maxDeadline {
+			return turmericshed.NewError(turmericshed.KindBadRequest,
+				"header %s: want a duration above 0 and at most %s", headerDeadline, maxDeadline)
+		}
+		wait = d
+	}
+	req.deadline = time.Now().Add(wait)
+	req.key = r.Header.Get(headerIdempotencyKey)
+	if len(req.key) > maxKeyBytes || !utf8.ValidString(req.key) {
+		return turmericshed.NewError(turmericshed.KindBadRequest,
+			"header %s: want at most %d bytes of UTF-8", headerIdempotencyKey, maxKeyBytes)
+	}
+	return nil
+}
+
+// readBody reads the whole body within its limits of size and time.
+func readBody(w http.ResponseWriter, r *http.Request, req *request) error {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return turmericshed.NewError(turmericshed.KindTooLarge, "body is over %d bytes", maxBodyBytes)
+		}
+		return turmericshed.NewError(turmericshed.KindBadRequest, "body could not be read whole")
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	req.body = body
+	h := sha256.New()
+	_, _ = io.WriteString(h, r.Method+" "+r.URL.Path+"\n")
+	_, _ = h.Write(body)
+	req.digest = turmericshed.Digest(hex.EncodeToString(h.Sum(nil)))
+	return nil
+}
+
+// until bounds ctx by the request's deadline.
+func (req request) until(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(ctx, req.deadline)
+}
+
+// bearer returns the token of an Authorization header.
+func bearer(header string) (string, bool) {
+	scheme, token, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return "", false
+	}
+	return token, true
+}
