Retries join a generation that runs at another entry VM of the failure domain

Cause: the balancer sends a retry anywhere; running it twice costs tokens twice. Everything is a hint: without an answer in 250 ms the request runs as one of its own. Conclusion: one extra call inside the failure domain, only for requests with an idempotency key.

--- a/io/tsentry/chat.go
+++ b/io/tsentry/chat.go
@@ -141,7 +141,11 @@
 		return
 	}
 	defer e.runs.leave(a)
-	if !joined {
+	switch {
+	case joined:
+	case req.key != "":
+		go e.generateKeyed(a, req, chat)
+	default:
 		go e.generate(a, req, chat)
 	}
 	if chat.Stream {
--- a/io/tsentry/entry.go
+++ b/io/tsentry/entry.go
@@ -31,6 +31,8 @@
 type Deps struct {
 	Board      *tsboard.Board
 	Store      turmericshed.Store
+	Members    turmericshed.Members
+	Peers      Peers
 	Profiles   turmericshed.Profiles
 	Budgets    turmericshed.Budgets
 	Claims     turmericshed.Claims
@@ -56,6 +58,7 @@
 	accounts  *accounts
 	runs      *runs
 	unsettled *unsettled
+	registry  *registry
 	ready     atomic.Bool
 	stopRuns  context.CancelFunc
 }
@@ -68,7 +71,8 @@
 	}
 	base, stop := context.WithCancel(context.Background())
 	return &Entry{
-		cfg: cfg, deps: deps, accounts: acc, runs: newRuns(base), unsettled: newUnsettled(), stopRuns: stop,
+		cfg: cfg, deps: deps, accounts: acc, runs: newRuns(base), unsettled: newUnsettled(),
+		registry: newRegistry(), stopRuns: stop,
 	}, nil
 }
 
--- a/io/tsentry/entry_test.go
+++ b/io/tsentry/entry_test.go
@@ -149,6 +149,11 @@
 func (fakeRouter) Done(time.Time, turmericshed.ServerID, turmericshed.RouteRequest, turmericshed.DispatchResult) {
 }
 
+type fakeMembers struct{ turmericshed.Members }
+
+func (fakeMembers) Self() turmericshed.EntryVM        { return turmericshed.EntryVM{Incarnation: "inc-1"} }
+func (fakeMembers) Reachable() []turmericshed.EntryVM { return nil }
+
 type fakeGate struct{}
 
 func (fakeGate) Admit(context.Context, turmericshed.AdmitRequest) (func(), error) {
@@ -252,7 +257,7 @@
 	assert.NilError(t, err)
 	limits := []turmericshed.AccountLimit{{Account: "shop"}}
 	e, err := tsentry.New(tsentry.Config{DefaultDeadline: 5 * time.Second}, tsentry.Deps{
-		Board: &tsboard.Board{}, Store: fakeStore{accounts: map[string][]byte{"accounts/shop": account}},
+		Board: &tsboard.Board{}, Members: fakeMembers{}, Store: fakeStore{accounts: map[string][]byte{"accounts/shop": account}},
 		Profiles: fakeProfiles{
 			"assist": {Name: "assist", Work: turmericshed.WorkAssistant, Model: "m", Prepaid: prepaid, Accounts: limits},
 			"book":   {Name: "book", Work: turmericshed.WorkService, Services: []string{"bookings"}, Prepaid: prepaid, CallCost: 1, Accounts: limits},
--- a/io/tsentry/generate.go
+++ b/io/tsentry/generate.go
@@ -121,10 +121,14 @@
 		return nil, err
 	}
 	b.started()
-	return &attempt{
+	at := &attempt{
 		server: server, stream: turmericshed.StreamID(turmericshed.NewID("stream-")),
 		res: res, route: route, began: time.Now(), bill: b,
-	}, nil
+	}
+	if req.key != "" {
+		go e.announce(a.ctx, req, at)
+	}
+	return at, nil
 }
 
 // runAttempt dispatches once and relays the frames into the answer.
--- /dev/null
+++ b/io/tsentry/join.go
@@ -0,0 +1,241 @@
+package tsentry
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"turmericshed"
+	"turmericshed/io/tspeerapi"
+)
+
+// announceTimeout bounds the one call to a key's soft owner; without an
+// answer the request runs as one of its own.
+const announceTimeout = 250 * time.Millisecond
+
+// Peers opens connections to other entry VMs.
+type Peers interface {
+	Client(addr netip.AddrPort) (connect.HTTPClient, string)
+}
+
+// ownerOf returns the soft owner of a key among the entry VMs of this failure
+// domain, by rendezvous hashing.
+func (e *Entry) ownerOf(k runKey) turmericshed.EntryVM {
+	self := e.deps.Members.Self()
+	best, top := self, ownerScore(k, self)
+	for _, m := range e.deps.Members.Reachable() {
+		if m.FailureDomain != self.FailureDomain {
+			continue
+		}
+		if s := ownerScore(k, m); s > top {
+			best, top = m, s
+		}
+	}
+	return best
+}
+
+func ownerScore(k runKey, m turmericshed.EntryVM) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(k.account) + "\x00" + k.key + "\x00" + string(m.Incarnation))
+	return h.Sum64()
+}
+
+// announce tells the soft owner where req runs and returns the generation
+// that another entry VM runs for it, if any.
+func (e *Entry) announce(ctx context.Context, req request, at *attempt) (generation, bool) {
+	g := generation{runner: e.deps.Members.Self(), digest: req.digest, id: req.id}
+	if at != nil {
+		g.stream, g.server = at.stream, at.server
+	}
+	k := runKey{req.account, req.key}
+	owner := e.ownerOf(k)
+	if owner.Incarnation == g.runner.Incarnation {
+		return e.registry.announce(k, g)
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	res, err := e.streamClient(owner.PeerAddr).Announce(ctx, connect.NewRequest(&tspeerapi.AnnounceRequest{
+		Key: streamKey(req), Generation: toWire(g),
+	}))
+	if err != nil || !res.Msg.GetFound() {
+		return generation{}, false
+	}
+	return fromWire(res.Msg.GetGeneration(), res.Msg.GetDigest()), true
+}
+
+func (e *Entry) streamClient(addr netip.AddrPort) tspeerapi.StreamServiceClient {
+	client, url := e.deps.Peers.Client(addr)
+	return tspeerapi.NewStreamServiceClient(client, url)
+}
+
+// generateKeyed joins a generation that runs elsewhere in the failure domain,
+// resumes one whose runner is gone, and else runs the request here.
+func (e *Entry) generateKeyed(a *answer, req request, chat chatRequest) {
+	g, found := e.announce(a.ctx, req, nil)
+	if !found {
+		e.generate(a, req, chat)
+		return
+	}
+	if g.digest != req.digest {
+		a.fail(turmericshed.NewError(turmericshed.KindKeyReused, "the idempotency key came with another body"))
+		a.cancel()
+		return
+	}
+	err := e.follow(a, req, g)
+	if err == nil {
+		a.cancel()
+		return
+	}
+	if a.size() > 0 {
+		a.fail(err)
+		a.cancel()
+		return
+	}
+	e.generate(a, req, chat)
+}
+
+// follow relays a generation from its runner, and from the engine once the
+// runner can't be reached. Its tokens are charged to the runner's lot: a
+// runner that died has left its whole lot charged.
+func (e *Entry) follow(a *answer, req request, g generation) error {
+	err := e.joinRunner(a, req, g)
+	if err == nil || a.ctx.Err() != nil || g.stream == "" {
+		return err
+	}
+	if code := connect.CodeOf(err); code == connect.CodeNotFound {
+		return err
+	}
+	at := &attempt{server: g.server, stream: g.stream, began: time.Now()}
+	ts, err := e.deps.Engine.Resume(a.ctx, at.server, at.stream, a.size())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = ts.Close() }()
+	e.deps.Recorder.Record(turmericshed.Event{
+		Name: turmericshed.EventStreamResumed, Request: a.request, Server: at.server.ID,
+		Reason: "for request " + string(g.id) + " of incarnation " + string(g.runner.Incarnation),
+	})
+	return e.relay(a, at, ts)
+}
+
+// joinRunner relays frames from the entry VM that runs the generation.
+func (e *Entry) joinRunner(a *answer, req request, g generation) error {
+	stream, err := e.streamClient(g.runner.PeerAddr).Join(a.ctx, connect.NewRequest(&tspeerapi.JoinRequest{
+		Key: streamKey(req), From: int32(a.size()), //nolint:gosec // bounded by max_tokens
+	}))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	return e.relay(a, &attempt{stream: g.stream, began: time.Now()}, &joinedStream{in: stream, id: g.stream})
+}
+
+// joinedStream is a TokenStream over a peer's Join.
+type joinedStream struct {
+	in *connect.ServerStreamForClient[tspeerapi.JoinFrame]
+	id turmericshed.StreamID
+}
+
+// Next returns the next frame from the peer.
+func (s *joinedStream) Next() (turmericshed.Frame, error) {
+	if !s.in.Receive() {
+		if err := s.in.Err(); err != nil {
+			return turmericshed.Frame{}, err
+		}
+		return turmericshed.Frame{}, turmericshed.NewError(turmericshed.KindStreamBroken, "the peer ended the stream")
+	}
+	m := s.in.Msg()
+	return turmericshed.Frame{
+		Stream: s.id, Seq: int(m.GetSeq()), Text: m.GetText(), Tokens: turmericshed.Tokens(m.GetTokens()),
+		End: m.GetEnd(), Finish: m.GetFinish(), Usage: turmericshed.Usage{
+			Prompt: turmericshed.Tokens(m.GetPromptTokens()), Completion: turmericshed.Tokens(m.GetCompletionTokens()),
+		},
+	}, nil
+}
+
+// Close ends the call.
+func (s *joinedStream) Close() error { return s.in.Close() }
+
+// StreamHandler serves StreamService to other entry VMs.
+type StreamHandler struct{ e *Entry }
+
+var _ tspeerapi.StreamServiceHandler = (*StreamHandler)(nil)
+
+// StreamHandler returns the handler to mount on the peer server.
+func (e *Entry) StreamHandler() *StreamHandler { return &StreamHandler{e} }
+
+// Announce enters a generation in the owner's table. A generation whose
+// runner is gone is returned once, for its stream to be resumed.
+func (h *StreamHandler) Announce(_ context.Context, r *connect.Request[tspeerapi.AnnounceRequest]) (*connect.Response[tspeerapi.AnnounceResponse], error) {
+	k := runKey{turmericshed.AccountID(r.Msg.GetKey().GetAccount()), r.Msg.GetKey().GetKey()}
+	g := fromWire(r.Msg.GetGeneration(), r.Msg.GetKey().GetDigest())
+	held, found := h.e.registry.announce(k, g)
+	if !found {
+		return connect.NewResponse(&tspeerapi.AnnounceResponse{}), nil
+	}
+	if h.e.deps.Members.State(held.runner.Incarnation) == turmericshed.MemberGone && held.digest == g.digest {
+		g.stream, g.server = held.stream, held.server
+		h.e.registry.replace(k, g)
+	}
+	return connect.NewResponse(&tspeerapi.AnnounceResponse{
+		Found: true, Generation: toWire(held), Digest: string(held.digest),
+	}), nil
+}
+
+// Join relays the frames of a generation that runs here.
+func (h *StreamHandler) Join(ctx context.Context, r *connect.Request[tspeerapi.JoinRequest], out *connect.ServerStream[tspeerapi.JoinFrame]) error {
+	k := r.Msg.GetKey()
+	a, ok := h.e.runs.find(runKey{turmericshed.AccountID(k.GetAccount()), k.GetKey()}, turmericshed.Digest(k.GetDigest()))
+	if !ok {
+		return connect.NewError(connect.CodeNotFound, turmericshed.NewError(turmericshed.KindNotFound, "no such generation"))
+	}
+	defer h.e.runs.leave(a)
+	for next := int(r.Msg.GetFrom()); ; {
+		frames, err := a.next(ctx, next)
+		if err != nil {
+			return connect.NewError(connect.CodeAborted, err)
+		}
+		next += len(frames)
+		for _, f := range frames {
+			if err := out.Send(frameToWire(f)); err != nil {
+				return err
+			}
+		}
+		if frames[len(frames)-1].End {
+			return nil
+		}
+	}
+}
+
+func streamKey(req request) *tspeerapi.StreamKey {
+	return &tspeerapi.StreamKey{Account: string(req.account), Key: req.key, Digest: string(req.digest)}
+}
+
+func toWire(g generation) *tspeerapi.Generation {
+	return &tspeerapi.Generation{
+		Incarnation: string(g.runner.Incarnation), PeerAddr: g.runner.PeerAddr.String(), RequestId: string(g.id),
+		StreamId: string(g.stream), ServerId: string(g.server.ID), ServerAddr: g.server.Addr.String(),
+	}
+}
+
+// fromWire reads a generation; an address that is not valid stays zero.
+func fromWire(m *tspeerapi.Generation, digest string) generation {
+	peer, _ := netip.ParseAddrPort(m.GetPeerAddr())
+	server, _ := netip.ParseAddrPort(m.GetServerAddr())
+	return generation{
+		runner: turmericshed.EntryVM{Incarnation: turmericshed.Incarnation(m.GetIncarnation()), PeerAddr: peer},
+		digest: turmericshed.Digest(digest), id: turmericshed.RequestID(m.GetRequestId()),
+		stream: turmericshed.StreamID(m.GetStreamId()),
+		server: turmericshed.BackendServer{ID: turmericshed.ServerID(m.GetServerId()), Addr: server, Work: turmericshed.WorkAssistant},
+	}
+}
+
+func frameToWire(f turmericshed.Frame) *tspeerapi.JoinFrame {
+	return &tspeerapi.JoinFrame{
+		Seq: int32(f.Seq), Text: f.Text, Tokens: int64(f.Tokens), End: f.End, Finish: f.Finish, //nolint:gosec // bounded by max_tokens
+		PromptTokens: int64(f.Usage.Prompt), CompletionTokens: int64(f.Usage.Completion),
+	}
+}
--- /dev/null
+++ b/io/tsentry/registry.go
@@ -0,0 +1,58 @@
+package tsentry
+
+import (
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/expirable"
+
+	"turmericshed"
+)
+
+// Announced generations held by the soft owner of their keys.
+const (
+	registrySize = 16384
+	// registryAge is how long a generation can be found after its last
+	// announcement.
+	registryAge = 5 * time.Minute
+)
+
+// generation tells where a keyed request runs.
+type generation struct {
+	runner turmericshed.EntryVM
+	digest turmericshed.Digest
+	id     turmericshed.RequestID
+	stream turmericshed.StreamID
+	server turmericshed.BackendServer
+}
+
+// registry is the soft owner's table of announced generations. Losing it
+// costs a second run of an ordinary request, never a wrong answer.
+type registry struct {
+	mu    sync.Mutex
+	table *lru.LRU[runKey, generation]
+}
+
+func newRegistry() *registry {
+	return &registry{table: lru.NewLRU[runKey, generation](registrySize, nil, registryAge)}
+}
+
+// announce enters g unless another runner's generation of the key is there,
+// which it then returns. A generation that was dispatched always enters.
+func (r *registry) announce(k runKey, g generation) (generation, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held, ok := r.table.Get(k)
+	if ok && g.stream == "" && (held.runner.Incarnation != g.runner.Incarnation || held.digest != g.digest) {
+		return held, true
+	}
+	r.table.Add(k, g)
+	return generation{}, false
+}
+
+// replace enters g in place of a generation whose runner is gone.
+func (r *registry) replace(k runKey, g generation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.table.Add(k, g)
+}
--- a/io/tsentry/stream.go
+++ b/io/tsentry/stream.go
@@ -174,6 +174,18 @@
 	return a, false, nil
 }
 
+// find joins the generation of a key and body, if it is here and not failed.
+func (r *runs) find(k runKey, digest turmericshed.Digest) (*answer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a, ok := r.open[k]
+	if !ok || a.digest != digest || a.failed() {
+		return nil, false
+	}
+	a.join()
+	return a, true
+}
+
 func newAnswer(base context.Context, req request) *answer {
 	ctx, cancel := context.WithDeadline(base, req.deadline)
 	return &answer{
