Subcommand standin: platform, engine, service

Cause: the stand-ins run as processes of their own, by hand and in tests. Change: standin with its three subcommands, settings checked at start.

--- a/io/tscommand/commands.go
+++ b/io/tscommand/commands.go
@@ -38,6 +38,7 @@
 func commands() []command {
 	return []command{
 		{"entry", "serve callers as one entry VM", runEntry},
+		{"standin", "stand in for the platform, an engine or a service", runStandin},
 	}
 }
 
--- /dev/null
+++ b/io/tscommand/subcommand.go
@@ -0,0 +1,32 @@
+package tscommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// dispatch runs one of a command's own subcommands.
+func dispatch(ctx context.Context, name string, subs []command, args []string, out, errOut io.Writer) error {
+	names := make([]string, 0, len(subs))
+	for _, s := range subs {
+		names = append(names, s.name)
+	}
+	if len(args) == 0 {
+		return &SettingError{Setting: name, Want: "one of " + strings.Join(names, ", ")}
+	}
+	if args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+		_, _ = fmt.Fprintf(out, "usage: turmericshed %s <command> [flags]     (<command> -h lists its flags)\n\n", name)
+		for _, s := range subs {
+			_, _ = fmt.Fprintf(out, "  %-12s %s\n", s.name, s.help)
+		}
+		return nil
+	}
+	for _, s := range subs {
+		if s.name == args[0] {
+			return s.run(ctx, args[1:], out, errOut)
+		}
+	}
+	return &SettingError{Setting: name, Value: args[0], Want: "one of " + strings.Join(names, ", ")}
+}
