Dedupe of ordinary requests

Cause: a retry must join the running stream and be billed once, and a slow reader must be bounded in memory without slowing others. Change: core/tsdedupe, a pure table of streams with bounded replay buffers.

--- /dev/null
+++ b/core/tsdedupe/table.go
@@ -0,0 +1,206 @@
+// Package tsdedupe joins retries of ordinary requests to the stream that
+// already runs for them, inside one entry VM.
+//
+// A stream is identified by client account and request key, and bound to a
+// digest of the body. Its frames are kept in a bounded buffer from which any
+// number of readers take them at their own pace. A reader that fell behind the
+// buffer does not hold up the others: it is told so, and the stream can be
+// resumed for it at the engine. The cost of a stream is billed once, by
+// whoever calls Bill first.
+//
+// # Usage
+//
+//	s, joined, err := table.Join(now, account, key, digest)
+//	if !joined { // run the request and feed the stream
+//		s.Append(frame) // or s.Fail(err)
+//		if s.Bill() { ... }
+//	}
+//	f, state := s.Read(pos) // any reader; pos counts from 0
+//
+// The package is pure; callers serialize access and wake the readers.
+package tsdedupe
+
+import (
+	"time"
+
+	"turmericshed"
+)
+
+const (
+	// maxBufferBytes bounds the text kept for one stream.
+	maxBufferBytes = 256 << 10
+	// frameOverhead is counted for each frame besides its text.
+	frameOverhead = 128
+	// keepEnded is how long an ended stream can still be joined.
+	keepEnded = 2 * time.Minute
+	// evictInterval is the least time between two searches for old streams.
+	evictInterval = time.Second
+	// maxStreams bounds the ended streams kept by a table.
+	maxStreams = 4096
+)
+
+// Key identifies a request.
+type Key struct {
+	Account turmericshed.AccountID
+	Request string
+}
+
+// Table holds the streams of one entry VM.
+type Table struct {
+	streams map[Key]*Stream
+	evicted time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{streams: map[Key]*Stream{}} }
+
+// Len returns the number of streams in the table.
+func (t *Table) Len() int { return len(t.streams) }
+
+// Join returns the stream of the request, making it where there is none;
+// joined tells which. A stream that failed before its first frame is made
+// anew. Errors: KindKeyReused.
+func (t *Table) Join(now time.Time, account turmericshed.AccountID, key string, d turmericshed.Digest) (s *Stream, joined bool, err error) {
+	t.evict(now)
+	k := Key{Account: account, Request: key}
+	s, ok := t.streams[k]
+	if ok && s.digest != d {
+		return nil, false, turmericshed.NewError(turmericshed.KindKeyReused, "request key was used with another body")
+	}
+	if ok && !s.retryable() {
+		return s, true, nil
+	}
+	s = &Stream{digest: d}
+	t.streams[k] = s
+	return s, false, nil
+}
+
+// evict removes streams that ended long ago, and any ended ones when the
+// table is full.
+func (t *Table) evict(now time.Time) {
+	if len(t.streams) < maxStreams && now.Sub(t.evicted) < evictInterval {
+		return
+	}
+	t.evicted = now
+	for k, s := range t.streams {
+		if s.Ended() && !s.endedAt.IsZero() && now.Sub(s.endedAt) > keepEnded {
+			delete(t.streams, k)
+		}
+	}
+	for k, s := range t.streams {
+		if len(t.streams) < maxStreams {
+			return
+		}
+		if s.Ended() {
+			delete(t.streams, k)
+		}
+	}
+}
+
+// ReadState tells what a reader finds at its position.
+type ReadState int
+
+// The read states.
+const (
+	// ReadFrame: the frame is returned.
+	ReadFrame ReadState = iota + 1
+	// ReadWait: the frame has not come yet.
+	ReadWait
+	// ReadBehind: the frame is no longer in the buffer; resume at the engine.
+	ReadBehind
+	// ReadFailed: the stream failed before the frame, see Err.
+	ReadFailed
+	// ReadEnd: every frame has been read.
+	ReadEnd
+)
+
+// Stream is one running or ended generation.
+type Stream struct {
+	// ID and Server are set by whoever runs the stream, so that it can be
+	// resumed; empty before dispatch.
+	ID     turmericshed.StreamID
+	Server turmericshed.BackendServer
+
+	digest  turmericshed.Digest
+	frames  []turmericshed.Frame
+	base    int
+	bytes   int
+	whole   bool
+	err     error
+	billed  bool
+	endedAt time.Time
+}
+
+// Append adds the next frame, which must have passed its check. The oldest
+// frames leave the buffer when it is full.
+func (s *Stream) Append(now time.Time, f turmericshed.Frame) {
+	turmericshed.Assert(f.Seq == s.Len() && !s.Ended(), "frames_in_order",
+		"stream %s: frame %d after %d", f.Stream, f.Seq, s.Len())
+	s.frames = append(s.frames, f)
+	s.bytes += size(f)
+	for s.bytes > maxBufferBytes && len(s.frames) > 1 {
+		s.bytes -= size(s.frames[0])
+		s.frames[0] = turmericshed.Frame{}
+		s.frames = s.frames[1:]
+		s.base++
+	}
+	if f.End {
+		s.whole, s.endedAt = true, now
+	}
+}
+
+func size(f turmericshed.Frame) int { return len(f.Text) + frameOverhead }
+
+// Fail ends the stream with an error.
+func (s *Stream) Fail(now time.Time, err error) {
+	if !s.Ended() {
+		s.err, s.endedAt = err, now
+	}
+}
+
+// Len returns the number of frames appended so far.
+func (s *Stream) Len() int { return s.base + len(s.frames) }
+
+// Bytes returns the size of the buffer.
+func (s *Stream) Bytes() int { return s.bytes }
+
+// Ended reports whether the stream is whole or failed.
+func (s *Stream) Ended() bool { return s.whole || s.err != nil }
+
+// Err returns why the stream failed.
+func (s *Stream) Err() error { return s.err }
+
+// retryable reports whether the request may be run anew under its key:
+// nothing was sent to a backend server, or no frame came and it was not run.
+func (s *Stream) retryable() bool {
+	return s.err != nil && s.Len() == 0 && turmericshed.OutcomeOf(s.err) == turmericshed.OutcomeNotRun
+}
+
+// Read returns the frame at a position.
+func (s *Stream) Read(pos int) (turmericshed.Frame, ReadState) {
+	switch {
+	case pos < s.base:
+		return turmericshed.Frame{}, ReadBehind
+	case pos < s.Len():
+		return s.frames[pos-s.base], ReadFrame
+	case s.whole:
+		return turmericshed.Frame{}, ReadEnd
+	case s.err != nil:
+		return turmericshed.Frame{}, ReadFailed
+	default:
+		return turmericshed.Frame{}, ReadWait
+	}
+}
+
+// Bill returns true once in the life of the stream: to the caller that must
+// write the record of its cost.
+func (s *Stream) Bill() bool {
+	first := !s.billed
+	s.billed = true
+	return first
+}
+
+// AssertBilled keeps the promise that an ended request is billed.
+func (s *Stream) AssertBilled() {
+	turmericshed.Assert(s.billed || !s.Ended() || s.retryable(), "billed_once", "stream %s ended and was not billed", s.ID)
+}
