Retries at two entry VMs: tests over two processes' handlers

Cause: joining was untested between processes; calls went out under the claim's id, which look-ups don't use. Change: a pair of entry VMs over loopback in the tests; calls carry tsclaim.ServiceKey. Conclusion: a retry at another entry VM of the failure domain is served from the running generation and billed once.

--- a/io/tsentry/call.go
+++ b/io/tsentry/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"turmericshed"
+	"turmericshed/core/tsclaim"
 )
 
 // Bounds on plain service calls.
@@ -109,10 +110,11 @@
 // runClaimed runs a call that may not be repeated, under a durable claim.
 func (c *serviceCall) runClaimed(ctx context.Context) (turmericshed.Answer, error) {
 	claims := c.e.deps.Claims
-	d, err := claims.Claim(ctx, turmericshed.Call{
+	held := turmericshed.Call{
 		Account: c.req.account, Profile: c.req.profile.Name, Service: c.route.Service,
 		Key: c.req.key, Digest: c.req.digest, Request: c.req.id,
-	})
+	}
+	d, err := claims.Claim(ctx, held)
 	if err != nil {
 		return turmericshed.Answer{}, err
 	}
@@ -122,7 +124,7 @@
 	case turmericshed.ClaimUnknown:
 		return turmericshed.Answer{}, turmericshed.NewError(turmericshed.KindCallUnknown, "an earlier attempt may have run")
 	}
-	c.call.Key = string(d.Claim)
+	c.call.Key = tsclaim.ServiceKey(c.req.account, c.req.key)
 	// From here on the caller's hanging up must not lose the outcome.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.req.deadline.Add(callGrace))
 	defer cancel()
@@ -185,7 +187,7 @@
 	}
 	c.e.deps.Recorder.Record(turmericshed.Event{
 		Name: turmericshed.EventDispatched, Request: c.req.id, Profile: c.req.profile.Name, Server: server.ID,
-		Claim: turmericshed.ClaimID(c.call.Key),
+		Reason: c.call.Key,
 	})
 	began := time.Now()
 	c.e.deps.Quarantine.Started(began, c.req.digest, server.ID)
--- a/io/tsentry/entry_test.go
+++ b/io/tsentry/entry_test.go
@@ -8,11 +8,13 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
@@ -149,10 +151,23 @@
 func (fakeRouter) Done(time.Time, turmericshed.ServerID, turmericshed.RouteRequest, turmericshed.DispatchResult) {
 }
 
-type fakeMembers struct{ turmericshed.Members }
+// fakeMembers are the entry VMs of a test; the first one is self.
+type fakeMembers struct {
+	turmericshed.Members
+	all []turmericshed.EntryVM
+}
+
+func (m *fakeMembers) Self() turmericshed.EntryVM        { return m.all[0] }
+func (m *fakeMembers) Reachable() []turmericshed.EntryVM { return m.all[1:] }
+func (m *fakeMembers) State(turmericshed.Incarnation) turmericshed.MemberState {
+	return turmericshed.MemberAlive
+}
 
-func (fakeMembers) Self() turmericshed.EntryVM        { return turmericshed.EntryVM{Incarnation: "inc-1"} }
-func (fakeMembers) Reachable() []turmericshed.EntryVM { return nil }
+type fakePeers struct{}
+
+func (fakePeers) Client(addr netip.AddrPort) (connect.HTTPClient, string) {
+	return http.DefaultClient, "http://" + addr.String()
+}
 
 type fakeGate struct{}
 
@@ -247,7 +262,9 @@
 // rig is an entry VM's handler over fakes.
 type rig struct {
 	*fakes
-	h http.Handler
+	h       http.Handler
+	entry   *tsentry.Entry
+	members *fakeMembers
 }
 
 func newRig(t *testing.T, prepaid turmericshed.Tokens) *rig {
@@ -255,9 +272,10 @@
 	f := &fakes{open: map[string]turmericshed.Tokens{}, claimed: map[string]turmericshed.Answer{}}
 	account, err := json.Marshal(turmericshed.Account{ID: "shop", KeyHashes: []string{tsentry.HashKey(testKey)}})
 	assert.NilError(t, err)
+	members := &fakeMembers{all: []turmericshed.EntryVM{{Incarnation: "inc-1"}}}
 	limits := []turmericshed.AccountLimit{{Account: "shop"}}
 	e, err := tsentry.New(tsentry.Config{DefaultDeadline: 5 * time.Second}, tsentry.Deps{
-		Board: &tsboard.Board{}, Members: fakeMembers{}, Store: fakeStore{accounts: map[string][]byte{"accounts/shop": account}},
+		Board: &tsboard.Board{}, Members: members, Peers: fakePeers{}, Store: fakeStore{accounts: map[string][]byte{"accounts/shop": account}},
 		Profiles: fakeProfiles{
 			"assist": {Name: "assist", Work: turmericshed.WorkAssistant, Model: "m", Prepaid: prepaid, Accounts: limits},
 			"book":   {Name: "book", Work: turmericshed.WorkService, Services: []string{"bookings"}, Prepaid: prepaid, CallCost: 1, Accounts: limits},
@@ -268,7 +286,7 @@
 		Recorder: f, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	assert.NilError(t, err)
-	return &rig{fakes: f, h: e.Handler()}
+	return &rig{fakes: f, h: e.Handler(), entry: e, members: members}
 }
 
 func (r *rig) do(method, path, profile, body string, headers ...string) *httptest.ResponseRecorder {
--- /dev/null
+++ b/io/tsentry/join_test.go
@@ -0,0 +1,68 @@
+package tsentry_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/io/tspeerapi"
+)
+
+// newPair returns two entry VMs of one failure domain that reach each other.
+func newPair(t *testing.T) (first, second *rig, stop []func()) {
+	t.Helper()
+	rigs := []*rig{newRig(t, 1000), newRig(t, 1000)}
+	vms := make([]turmericshed.EntryVM, len(rigs))
+	for i, r := range rigs {
+		mux := http.NewServeMux()
+		mux.Handle(tspeerapi.NewStreamServiceHandler(r.entry.StreamHandler()))
+		srv := httptest.NewServer(mux)
+		t.Cleanup(srv.Close)
+		stop = append(stop, srv.Close)
+		vms[i] = turmericshed.EntryVM{
+			Incarnation: turmericshed.Incarnation(fmt.Sprint("inc-", i)), FailureDomain: "a",
+			PeerAddr: netip.MustParseAddrPort(srv.Listener.Addr().String()),
+		}
+	}
+	rigs[0].members.all = []turmericshed.EntryVM{vms[0], vms[1]}
+	rigs[1].members.all = []turmericshed.EntryVM{vms[1], vms[0]}
+	return rigs[0], rigs[1], stop
+}
+
+func TestRetryAtAnotherEntryVM(t *testing.T) {
+	for _, key := range []string{"k1", "k2", "k3", "k4"} {
+		t.Run("joins the generation, key "+key, func(t *testing.T) {
+			first, second, _ := newPair(t)
+			first.script = [][]turmericshed.Frame{wholeScript()}
+			a := first.chat(goodChat, "Idempotency-Key", key)
+			b := second.chat(goodChat, "Idempotency-Key", key)
+			assert.Equal(t, a.Code, http.StatusOK, a.Body.String())
+			assert.Equal(t, b.Code, http.StatusOK, b.Body.String())
+			assert.Equal(t, second.sent, 0)
+			second.assertCharged(t, 0)
+			assert.Equal(t, first.count(turmericshed.EventRequestBilled)+second.count(turmericshed.EventRequestBilled), 1)
+		})
+	}
+	t.Run("runs by itself when nobody answers", func(t *testing.T) {
+		first, second, stop := newPair(t)
+		first.script = [][]turmericshed.Frame{wholeScript()}
+		second.script = [][]turmericshed.Frame{wholeScript()}
+		assert.Equal(t, first.chat(goodChat, "Idempotency-Key", "k").Code, http.StatusOK)
+		stop[0]()
+		stop[1]()
+		assert.Equal(t, second.chat(goodChat, "Idempotency-Key", "k").Code, http.StatusOK)
+		second.assertCharged(t, 5)
+	})
+	t.Run("a key with another body is refused there too", func(t *testing.T) {
+		first, second, _ := newPair(t)
+		first.script = [][]turmericshed.Frame{wholeScript()}
+		assert.Equal(t, first.chat(goodChat, "Idempotency-Key", "k").Code, http.StatusOK)
+		w := second.chat(`{"messages":[{"role":"user","content":"other"}]}`, "Idempotency-Key", "k")
+		assertRefused(t, w, turmericshed.KindKeyReused, turmericshed.OutcomeNotRun)
+	})
+}
