Load: open-loop arrivals, callers' own books, subcommand load

Cause: the promises are counted by callers and backend servers, not by the code under test. Taking the comparison of the text out turns 'a part shown as whole' red.

--- a/io/tscommand/commands.go
+++ b/io/tscommand/commands.go
@@ -39,6 +39,7 @@
 	return []command{
 		{"entry", "serve callers as one entry VM", runEntry},
 		{"standin", "stand in for the platform, an engine or a service", runStandin},
+		{"load", "send open-loop load and keep the callers' books", runLoad},
 	}
 }
 
--- /dev/null
+++ b/load/tsload/caller.go
@@ -0,0 +1,227 @@
+package tsload
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"turmericshed"
+	"turmericshed/standin/tsengine"
+	"turmericshed/standin/tsservice"
+)
+
+// Headers of requests to entry VMs.
+const (
+	headerProfile   = "Turmericshed-Profile"
+	headerDeadline  = "Turmericshed-Deadline"
+	headerRequestID = "Turmericshed-Request-Id"
+	headerKey       = "Idempotency-Key"
+)
+
+// deadlineGrace is how much longer than the deadline told to the fleet a
+// caller waits for the refusal.
+const deadlineGrace = 2 * time.Second
+
+// attempt is what one attempt came to.
+type attempt struct {
+	whole   bool
+	outcome turmericshed.Outcome
+	kind    string
+	message string
+	retry   bool
+	after   time.Duration
+	request turmericshed.RequestID
+	usage   turmericshed.Usage
+	first   time.Time
+	text    string
+	body    []byte
+}
+
+// kindNoConnection is recorded for an attempt that reached no entry VM.
+const kindNoConnection = "no_connection"
+
+// request sends a planned request until it has a result.
+func (l *Load) request(ctx context.Context, p Planned) Record {
+	began := time.Now()
+	r := Record{N: p.N, Work: p.Work, Profile: p.Profile.Name, Account: p.Account.ID, Key: p.Key, Started: p.At}
+	if p.Work == WorkCall {
+		r.BodyDigest = tsservice.DigestOf([]byte(p.Body))
+	}
+	worst := ResultRefused
+	for n := 0; ; n++ {
+		a := l.attempt(ctx, p, n)
+		r.Attempts++
+		if a.request != "" {
+			r.Requests = append(r.Requests, a.request)
+		}
+		r.Kind, r.Message = a.kind, a.message
+		if a.whole {
+			r.Result, r.Usage = ResultAnswered, a.usage
+			r.Latency = time.Since(began)
+			if !a.first.IsZero() {
+				r.FirstToken = a.first.Sub(began)
+			}
+			verify(p, a, &r)
+			return r
+		}
+		switch a.outcome {
+		case turmericshed.OutcomeRan:
+			worst = ResultFailed
+		case turmericshed.OutcomeUnknown:
+			worst = ResultUnknown
+		case turmericshed.OutcomeNotRun:
+		}
+		if !a.retry || r.Attempts >= l.o.Attempts || !l.backOff(ctx, n, a.after) {
+			r.Result, r.Latency = worst, time.Since(began)
+			return r
+		}
+	}
+}
+
+// backOff waits before the next attempt, at least as long as advised.
+func (l *Load) backOff(ctx context.Context, n int, advised time.Duration) bool {
+	d := min(l.o.Backoff<<min(n, 20), l.o.MaxBackoff)
+	d = d/2 + time.Duration(rand.Int64N(int64(d/2)+1))
+	return wait(ctx, max(d, min(advised, l.o.MaxBackoff)))
+}
+
+// attempt sends the request once.
+func (l *Load) attempt(ctx context.Context, p Planned, n int) attempt {
+	ctx, cancel := context.WithTimeout(ctx, l.o.Deadline+deadlineGrace)
+	defer cancel()
+	body := p.Body
+	if p.Work == WorkGeneration {
+		body = chatBody(p)
+	}
+	u := "http://" + l.entry(p, n).String() + p.Path
+	// The reader's type is hidden so that net/http doesn't repeat the call.
+	req, err := http.NewRequestWithContext(ctx, p.Method, u, struct{ io.Reader }{strings.NewReader(body)})
+	if err != nil {
+		return attempt{outcome: turmericshed.OutcomeNotRun, kind: "bad_request", message: err.Error()}
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Authorization", "Bearer "+p.Account.Key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerProfile, string(p.Profile.Name))
+	req.Header.Set(headerDeadline, l.o.Deadline.String())
+	if p.Key != "" {
+		req.Header.Set(headerKey, p.Key)
+	}
+	resp, err := l.http.Do(req)
+	if err != nil {
+		return broken(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var a attempt
+	switch {
+	case resp.StatusCode >= http.StatusBadRequest:
+		a = refused(resp)
+	case p.Work == WorkGeneration:
+		a = readStream(resp.Body)
+	default:
+		a = readAnswer(resp)
+	}
+	a.request = turmericshed.RequestID(resp.Header.Get(headerRequestID))
+	return a
+}
+
+func chatBody(p Planned) string {
+	b, err := json.Marshal(struct {
+		Model     turmericshed.Model     `json:"model"`
+		Messages  []turmericshed.Message `json:"messages"`
+		MaxTokens turmericshed.Tokens    `json:"max_tokens"`
+		Stream    bool                   `json:"stream"`
+	}{p.Profile.Model, p.Messages, p.Profile.MaxTokens, true})
+	turmericshed.Assert(err == nil, "chat_encoding", "%v", err)
+	return string(b)
+}
+
+// broken classifies a failure without any answer.
+func broken(err error) attempt {
+	a := attempt{outcome: turmericshed.OutcomeUnknown, kind: "no_answer", message: err.Error(), retry: true}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		a.outcome, a.kind = turmericshed.OutcomeNotRun, kindNoConnection
+	}
+	return a
+}
+
+// errorAnswer is the form of refusals.
+type errorAnswer struct {
+	Error *struct {
+		Kind       string               `json:"kind"`
+		Outcome    turmericshed.Outcome `json:"outcome"`
+		Message    string               `json:"message"`
+		RetryAfter string               `json:"retry_after"`
+	} `json:"error"`
+}
+
+// retryableKinds maps the names of kinds to whether trying again may help. A
+// caller without a whole answer also tries again after an unknown outcome:
+// the idempotency key makes that harmless.
+func retryable(kind string, o turmericshed.Outcome) bool {
+	for _, k := range turmericshed.Kinds() {
+		if k.String() == kind {
+			return k.Info().Retryable || o == turmericshed.OutcomeUnknown
+		}
+	}
+	return o == turmericshed.OutcomeUnknown
+}
+
+func (e errorAnswer) attempt() attempt {
+	after, _ := time.ParseDuration(e.Error.RetryAfter)
+	return attempt{
+		outcome: e.Error.Outcome, kind: e.Error.Kind, message: e.Error.Message,
+		retry: retryable(e.Error.Kind, e.Error.Outcome), after: after,
+	}
+}
+
+// refused reads the body of an answer that is an error.
+func refused(resp *http.Response) attempt {
+	var e errorAnswer
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxEventBytes)).Decode(&e)
+	if err != nil || e.Error == nil {
+		return attempt{outcome: turmericshed.OutcomeUnknown, kind: "bad_answer", message: resp.Status, retry: true}
+	}
+	return e.attempt()
+}
+
+// readAnswer reads the whole answer to a call or look-up.
+func readAnswer(resp *http.Response) attempt {
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return attempt{outcome: turmericshed.OutcomeUnknown, kind: "no_answer", message: err.Error(), retry: true}
+	}
+	return attempt{whole: true, outcome: turmericshed.OutcomeRan, body: b}
+}
+
+// verify checks that an answer is whole and the request's own.
+func verify(p Planned, a attempt, r *Record) {
+	switch p.Work {
+	case WorkGeneration:
+		text, usage := tsengine.Expect(p.Messages, p.Profile.MaxTokens)
+		own, _, _ := strings.Cut(text, ".")
+		for _, token := range strings.Fields(a.text) {
+			if !strings.HasPrefix(token, own+".") {
+				r.Foreign = true
+			}
+		}
+		r.Partial = a.text != text || a.usage != usage
+	case WorkCall:
+		var j tsservice.Job
+		r.Partial = json.Unmarshal(a.body, &j) != nil
+		r.Job, r.Foreign = j.Job, !r.Partial && j.Digest != r.BodyDigest
+	case WorkLookup:
+		var v struct {
+			Path string `json:"path"`
+		}
+		r.Partial = json.Unmarshal(a.body, &v) != nil
+		r.Foreign = !r.Partial && v.Path != p.Path
+	}
+}
--- /dev/null
+++ b/load/tsload/load.go
@@ -0,0 +1,180 @@
+// Package tsload sends open-loop load to entry VMs and keeps the callers'
+// books: what every request was told, and whether each answer was whole and
+// its own.
+//
+// Arrivals are a Poisson process, accounts follow Zipf's law, and the same
+// seed plans the same requests. A request is tried again with the same
+// idempotency key, at any entry VM, as the platform's balancer would send it.
+// Answers are checked against what the stand-in engine and services must
+// answer.
+//
+// # Usage
+//
+//	l, err := tsload.New(tsload.Options{Entries: addrs, Profiles: profiles, Rate: 50, Duration: time.Minute, Seed: 1})
+//	if err != nil { ... }
+//	l.Run(ctx)
+//	fmt.Println(l.Book().Summary())
+package tsload
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	// defaultDeadline is how long a caller waits for one attempt.
+	defaultDeadline = 30 * time.Second
+	// defaultMaxInFlight bounds the requests under way.
+	defaultMaxInFlight = 10000
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = 2 * time.Second
+)
+
+// Options sets up a Load.
+type Options struct {
+	// Name begins every idempotency key, so that runs don't share keys.
+	Name     string
+	Entries  []netip.AddrPort
+	Profiles []Profile
+	// Rate is the mean number of arrivals a second.
+	Rate float64
+	// Duration is how long requests arrive.
+	Duration time.Duration
+	Seed     uint64
+	// ZipfExponent is above 0; 0 means 1.
+	ZipfExponent float64
+	// Attempts bounds the attempts of a request; 0 means 6.
+	Attempts int
+	// Backoff is the first wait between attempts, doubled each time and
+	// jittered; 0 means 100 ms.
+	Backoff time.Duration
+	// MaxBackoff bounds the wait; 0 means 2 s.
+	MaxBackoff time.Duration
+	// Deadline is told to the fleet with each attempt; 0 means 30 s.
+	Deadline    time.Duration
+	MaxInFlight int
+	// Dial opens connections; nil means a net.Dialer.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+func (o *Options) defaults() error {
+	if len(o.Entries) == 0 || o.Rate <= 0 || o.Duration <= 0 || len(o.Profiles) == 0 {
+		return badField("want entry VMs, profiles, a rate above 0 and a duration above 0")
+	}
+	for _, p := range o.Profiles {
+		if err := p.check(); err != nil {
+			return err
+		}
+	}
+	if o.Name == "" {
+		o.Name = "load"
+	}
+	if o.ZipfExponent <= 0 {
+		o.ZipfExponent = 1
+	}
+	if o.Attempts <= 0 {
+		o.Attempts = 6
+	}
+	if o.Backoff <= 0 {
+		o.Backoff = 100 * time.Millisecond
+	}
+	if o.MaxBackoff <= 0 {
+		o.MaxBackoff = 2 * time.Second
+	}
+	if o.Deadline <= 0 {
+		o.Deadline = defaultDeadline
+	}
+	if o.MaxInFlight <= 0 {
+		o.MaxInFlight = defaultMaxInFlight
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return nil
+}
+
+// Load is one run.
+type Load struct {
+	o    Options
+	book *Book
+	http *http.Client
+	mu   sync.Mutex
+	to   []netip.AddrPort
+}
+
+// New checks the options. Errors: KindBadRequest.
+func New(o Options) (*Load, error) {
+	if err := o.defaults(); err != nil {
+		return nil, err
+	}
+	t := &http.Transport{DialContext: o.Dial, MaxIdleConnsPerHost: 256, DisableCompression: true}
+	return &Load{
+		o: o, book: NewBook(), to: o.Entries,
+		http: &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
+	}, nil
+}
+
+// Book returns the callers' books, also while the run goes on.
+func (l *Load) Book() *Book { return l.book }
+
+// SetEntries replaces the entry VMs that attempts go to, as the balancer does
+// when a VM is replaced.
+func (l *Load) SetEntries(to []netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.to = append([]netip.AddrPort(nil), to...)
+}
+
+// entry returns the entry VM of the n-th attempt.
+func (l *Load) entry(p Planned, n int) netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.to[(p.Entry+uint64(n))%uint64(len(l.to))]
+}
+
+// Run sends requests until the duration is over or ctx ends, and returns when
+// the last one has its result. A request under way at the end of ctx ends as
+// unknown.
+func (l *Load) Run(ctx context.Context) {
+	defer l.http.CloseIdleConnections()
+	p := newPlan(l.o)
+	start := time.Now()
+	slots := make(chan struct{}, l.o.MaxInFlight)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		r := p.next()
+		if r.At >= l.o.Duration || !wait(ctx, time.Until(start.Add(r.At))) {
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			l.book.drop()
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			l.book.add(l.request(ctx, r))
+		})
+	}
+}
+
+// wait pauses for d and returns false when ctx ends.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/load/tsload/plan.go
@@ -0,0 +1,158 @@
+package tsload
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"turmericshed"
+)
+
+// Work is the kind of one planned request.
+type Work string
+
+// The kinds of planned requests.
+const (
+	WorkGeneration Work = "generation"
+	// WorkCall may not be repeated and has an idempotency key.
+	WorkCall Work = "call"
+	// WorkLookup may be repeated.
+	WorkLookup Work = "lookup"
+)
+
+// Account is a client account with its key.
+type Account struct {
+	ID  turmericshed.AccountID `json:"id"`
+	Key string                 `json:"key"`
+}
+
+// Profile is one source of requests. Its first account is the busiest.
+type Profile struct {
+	Name     turmericshed.ProfileName `json:"name"`
+	Accounts []Account                `json:"accounts"`
+	// Share is the profile's part of all arrivals, relative to the others'.
+	Share float64 `json:"share"`
+	// Model makes the profile's requests generations.
+	Model     turmericshed.Model  `json:"model,omitempty"`
+	MaxTokens turmericshed.Tokens `json:"max_tokens,omitempty"`
+	// PromptBytes is the length of the part of the prompt that the
+	// profile's requests have in common.
+	PromptBytes int `json:"prompt_bytes,omitempty"`
+	// Service makes the profile's requests calls and look-ups.
+	Service     string  `json:"service,omitempty"`
+	LookupShare float64 `json:"lookup_share,omitempty"`
+}
+
+// check names the first field that is missing or out of range.
+func (p Profile) check() error {
+	switch {
+	case p.Name == "":
+		return badField("profile without a name")
+	case len(p.Accounts) == 0:
+		return badField("profile %s has no accounts", p.Name)
+	case p.Share < 0 || p.LookupShare < 0 || p.LookupShare > 1:
+		return badField("profile %s: want share 0 or more, lookup_share 0 to 1", p.Name)
+	case (p.Model == "") == (p.Service == ""):
+		return badField("profile %s: want either a model or a service", p.Name)
+	case p.Model != "" && p.MaxTokens < 1:
+		return badField("profile %s: want max_tokens above 0", p.Name)
+	default:
+		return nil
+	}
+}
+
+func badField(format string, args ...any) error {
+	return turmericshed.NewError(turmericshed.KindBadRequest, format, args...)
+}
+
+// Planned is one request before it is sent.
+type Planned struct {
+	N int
+	// At is when the request arrives, from the start of the run.
+	At      time.Duration
+	Work    Work
+	Profile Profile
+	Account Account
+	// Key is the idempotency key of all attempts; empty for look-ups.
+	Key      string
+	Method   string
+	Path     string
+	Body     string
+	Messages []turmericshed.Message
+	Entry    uint64
+}
+
+// plan makes the same requests for the same seed and options.
+type plan struct {
+	o        Options
+	rnd      *rand.Rand
+	profiles []float64
+	accounts [][]float64
+	commons  []string
+	at       time.Duration
+	n        int
+}
+
+func newPlan(o Options) *plan {
+	p := &plan{o: o, rnd: rand.New(rand.NewPCG(o.Seed, 0))}
+	for _, pr := range o.Profiles {
+		p.profiles = append(p.profiles, pr.Share)
+		ranks := make([]float64, len(pr.Accounts))
+		for i := range ranks {
+			ranks[i] = math.Pow(float64(i+1), -o.ZipfExponent)
+		}
+		p.accounts = append(p.accounts, ranks)
+		p.commons = append(p.commons, common(pr))
+	}
+	return p
+}
+
+// common returns the beginning that the prompts of a profile share.
+func common(p Profile) string {
+	text := fmt.Sprintf("You answer for %s. ", p.Name)
+	return strings.Repeat(text, 1+p.PromptBytes/len(text))[:max(p.PromptBytes, 1)]
+}
+
+// pick returns an index with probability in proportion to its weight.
+func pick(rnd *rand.Rand, weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	x := rnd.Float64() * sum
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// next returns the next arrival of a Poisson process.
+func (p *plan) next() Planned {
+	p.at += time.Duration(p.rnd.ExpFloat64() / p.o.Rate * float64(time.Second))
+	p.n++
+	i := pick(p.rnd, p.profiles)
+	pr := p.o.Profiles[i]
+	r := Planned{N: p.n, At: p.at, Profile: pr, Account: pr.Accounts[pick(p.rnd, p.accounts[i])], Entry: p.rnd.Uint64()}
+	name := fmt.Sprintf("%s-%d-%d", p.o.Name, p.o.Seed, p.n)
+	switch {
+	case pr.Model != "":
+		r.Work, r.Method, r.Path, r.Key = WorkGeneration, http.MethodPost, "/v1/chat/completions", name
+		r.Messages = []turmericshed.Message{
+			{Role: "system", Content: p.commons[i]},
+			{Role: "user", Content: fmt.Sprintf("Request %s of %s", name, r.Account.ID)},
+		}
+	case p.rnd.Float64() < pr.LookupShare:
+		r.Work, r.Method = WorkLookup, http.MethodGet
+		r.Path = fmt.Sprintf("/services/%s/status/%d", pr.Service, p.rnd.IntN(1000))
+	default:
+		r.Work, r.Method, r.Key = WorkCall, http.MethodPost, name
+		r.Path = "/services/" + pr.Service + "/jobs"
+		r.Body = fmt.Sprintf(`{"name":%q,"account":%q}`, name, r.Account.ID)
+	}
+	return r
+}
--- /dev/null
+++ b/load/tsload/stream.go
@@ -0,0 +1,67 @@
+package tsload
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"turmericshed"
+)
+
+// maxEventBytes bounds one server-sent event.
+const maxEventBytes = 1 << 20
+
+// chunk is one event of a streamed answer in the OpenAI form.
+type chunk struct {
+	errorAnswer
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Finish string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage turmericshed.Usage `json:"usage"`
+}
+
+// readStream reads a streamed answer. It is whole only with the mark of the
+// end; a stream that breaks off has run in part.
+func readStream(r io.Reader) attempt {
+	a := attempt{outcome: turmericshed.OutcomeRan, kind: "stream_ended_early", retry: true}
+	var text strings.Builder
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxEventBytes)
+	for sc.Scan() {
+		data, ok := bytes.CutPrefix(sc.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			a.whole, a.kind, a.text = true, "", text.String()
+			return a
+		}
+		var c chunk
+		if err := json.Unmarshal(data, &c); err != nil {
+			a.kind, a.message = "bad_event", err.Error()
+			return a
+		}
+		if c.Error != nil {
+			return c.attempt()
+		}
+		if a.first.IsZero() {
+			a.first = time.Now()
+		}
+		for _, choice := range c.Choices {
+			text.WriteString(choice.Delta.Content)
+			if choice.Finish != "" {
+				a.usage = c.Usage
+			}
+		}
+	}
+	if err := sc.Err(); err != nil {
+		a.message = err.Error()
+	}
+	return a
+}
