Quarantine of requests that crash backend servers

Cause: one request may crash each server that runs it, and its caller sends it again with new ids and through other entry VMs. Change: core/tspoison, evidence by digest that merges in any order; a suspect runs alone, is barred after its second crash, cleared by a whole answer. Quarantine.Started now decides, right before sending, so that two attempts that passed Check together don't both run; Survived is new, since an attempt that ended without a crash may not have run and must not clear its request. io/tsentry follows both. There a claimed call that was refused before sending by the router, the quarantine or the claim's guard was put in doubt and charged; it is now abandoned and free.

--- /dev/null
+++ b/core/tspoison/evidence.go
@@ -0,0 +1,121 @@
+package tspoison
+
+import (
+	"slices"
+	"time"
+
+	"turmericshed"
+)
+
+const (
+	// sameCrashWithin is the span in which reports of one server's crash are
+	// taken for the same crash.
+	sameCrashWithin = 3 * time.Second
+	// suspectFor is how long one crash counts.
+	suspectFor = time.Hour
+	// quarantineFor is how long a request is barred after its second crash.
+	// Each further crash doubles it, up to quarantineMax.
+	quarantineFor = time.Hour
+	quarantineMax = 7 * 24 * time.Hour
+	// crashesToBar is the number of crashes after which a request is barred.
+	crashesToBar = 2
+	// maxCrashes bounds the crashes kept for one request.
+	maxCrashes = 16
+)
+
+// Crash is a backend server that went away while the request ran there.
+type Crash struct {
+	Server turmericshed.ServerID `json:"server"`
+	At     time.Time             `json:"at"`
+}
+
+// Evidence is what is known about one request. Two copies merge to the same
+// value in any order.
+type Evidence struct {
+	Digest  turmericshed.Digest `json:"digest"`
+	Crashes []Crash             `json:"crashes"`
+	// PardonedAt voids the crashes up to then: the request was answered whole
+	// afterwards, or a person lifted the quarantine.
+	PardonedAt time.Time `json:"pardoned_at,omitzero"`
+	PardonedBy string    `json:"pardoned_by,omitempty"`
+}
+
+// Merge joins two pieces of evidence about one request and reports whether e
+// learned anything.
+func (e *Evidence) Merge(o Evidence) bool {
+	learned := false
+	for _, c := range o.Crashes {
+		learned = e.add(c) || learned
+	}
+	if o.PardonedAt.After(e.PardonedAt) {
+		e.PardonedAt, e.PardonedBy = o.PardonedAt, o.PardonedBy
+		learned = true
+	}
+	return learned
+}
+
+// add joins a crash; of reports of the same crash the earliest stays.
+func (e *Evidence) add(c Crash) bool {
+	for i, have := range e.Crashes {
+		if have.Server != c.Server || have.At.Sub(c.At).Abs() > sameCrashWithin {
+			continue
+		}
+		if c.At.Before(have.At) {
+			e.Crashes[i].At = c.At
+			return true
+		}
+		return false
+	}
+	e.Crashes = append(e.Crashes, c)
+	slices.SortFunc(e.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	if over := len(e.Crashes) - maxCrashes; over > 0 {
+		e.Crashes = slices.Delete(e.Crashes, 0, over)
+	}
+	return true
+}
+
+// counted returns the crashes that are not voided.
+func (e *Evidence) counted() []Crash {
+	var out []Crash
+	for _, c := range e.Crashes {
+		if c.At.After(e.PardonedAt) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// Until returns when the quarantine ends; zero when the request was never
+// barred.
+func (e *Evidence) Until() time.Time {
+	crashes := e.counted()
+	n := len(crashes)
+	if n < crashesToBar {
+		return time.Time{}
+	}
+	d := quarantineFor
+	for range n - crashesToBar {
+		d = min(d*2, quarantineMax)
+	}
+	return crashes[n-1].At.Add(d)
+}
+
+// Barred reports whether the request may not run.
+func (e *Evidence) Barred(now time.Time) bool { return now.Before(e.Until()) }
+
+// Suspect reports whether the request may run only alone: it crashed a server
+// not long ago, or it comes out of quarantine.
+func (e *Evidence) Suspect(now time.Time) bool {
+	crashes := e.counted()
+	n := len(crashes)
+	return n >= crashesToBar || n > 0 && now.Sub(crashes[n-1].At) < suspectFor
+}
+
+// spent reports whether the evidence can be forgotten.
+func (e *Evidence) spent(now time.Time) bool {
+	last := e.PardonedAt
+	if n := len(e.Crashes); n > 0 && e.Crashes[n-1].At.After(last) {
+		last = e.Crashes[n-1].At
+	}
+	return now.Sub(last) > quarantineMax || !e.Barred(now) && len(e.counted()) < crashesToBar && now.Sub(last) > suspectFor
+}
--- a/fleet.go
+++ b/fleet.go
@@ -188,10 +188,17 @@
 
 // Quarantine stops requests that crash backend servers.
 type Quarantine interface {
-	// Check returns KindQuarantined for a digest that may not run.
+	// Check returns KindQuarantined for a digest that may not run. It is an
+	// early refusal; Started decides.
 	Check(now time.Time, d Digest) error
-	// Started and Ended bracket each attempt; crashed tells that the server
-	// went away while the request ran there.
-	Started(now time.Time, d Digest, s ServerID)
+	// Started must return nil right before an attempt is sent; nothing may
+	// be sent otherwise. Errors: KindQuarantined, and KindOverloaded for a
+	// suspect that has to wait.
+	Started(now time.Time, d Digest, s ServerID) error
+	// Ended ends an attempt that Started let through; crashed tells that the
+	// server went away while the request ran there.
 	Ended(now time.Time, d Digest, s ServerID, crashed bool)
+	// Survived tells that the request was answered whole, which clears it of
+	// suspicion. Attempts that ended otherwise don't.
+	Survived(now time.Time, d Digest)
 }
--- a/io/tsentry/call.go
+++ b/io/tsentry/call.go
@@ -147,7 +147,7 @@
 		_ = claims.Complete(ctx, id, answer)
 		return answer, nil
 	}
-	if notSent(err) {
+	if turmericshed.OutcomeOf(err) == turmericshed.OutcomeNotRun {
 		c.e.settle(res, c.bill, 0)
 		return turmericshed.Answer{}, joinAbandon(err, claims.Abandon(ctx, id))
 	}
@@ -178,6 +178,26 @@
 	}
 }
 
+// send passes the quarantine and the guard and sends the call.
+func (c *serviceCall) send(ctx context.Context, server turmericshed.BackendServer, guard func() error) (answer turmericshed.Answer, err error) {
+	q := c.e.deps.Quarantine
+	if err := q.Started(time.Now(), c.req.digest, server.ID); err != nil {
+		return answer, err
+	}
+	if guard != nil {
+		err = guard()
+	}
+	if err == nil {
+		answer, err = c.e.deps.Service.Do(ctx, server, c.call)
+	}
+	if err == nil {
+		q.Survived(time.Now(), c.req.digest)
+	}
+	crashed := turmericshed.KindOf(err) == turmericshed.KindCallUnknown && ctx.Err() == nil
+	q.Ended(time.Now(), c.req.digest, server.ID, crashed)
+	return answer, err
+}
+
 // dispatch sends the call to one server. The guard, if any, must pass right
 // before sending.
 func (c *serviceCall) dispatch(ctx context.Context, guard func() error) (turmericshed.Answer, error) {
@@ -190,16 +210,7 @@
 		Reason: c.call.Key,
 	})
 	began := time.Now()
-	c.e.deps.Quarantine.Started(began, c.req.digest, server.ID)
-	var answer turmericshed.Answer
-	if guard != nil {
-		err = guard()
-	}
-	if err == nil {
-		answer, err = c.e.deps.Service.Do(ctx, server, c.call)
-	}
-	crashed := turmericshed.KindOf(err) == turmericshed.KindCallUnknown && ctx.Err() == nil
-	c.e.deps.Quarantine.Ended(time.Now(), c.req.digest, server.ID, crashed)
+	answer, err := c.send(ctx, server, guard)
 	c.e.deps.Router.Done(time.Now(), server.ID, c.route, turmericshed.DispatchResult{
 		Err: err, FirstByte: time.Since(began), Elapsed: time.Since(began),
 	})
--- a/io/tsentry/entry_test.go
+++ b/io/tsentry/entry_test.go
@@ -175,8 +175,11 @@
 	return func() {}, nil
 }
 
-func (fakeGate) Check(time.Time, turmericshed.Digest) error                        { return nil }
-func (fakeGate) Started(time.Time, turmericshed.Digest, turmericshed.ServerID)     {}
+func (fakeGate) Check(time.Time, turmericshed.Digest) error { return nil }
+func (fakeGate) Survived(time.Time, turmericshed.Digest)    {}
+func (fakeGate) Started(time.Time, turmericshed.Digest, turmericshed.ServerID) error {
+	return nil
+}
 func (fakeGate) Ended(time.Time, turmericshed.Digest, turmericshed.ServerID, bool) {}
 func (fakeGate) Sent(time.Time)                                                    {}
 func (fakeGate) Allow(time.Time) bool                                              { return true }
--- a/io/tsentry/generate.go
+++ b/io/tsentry/generate.go
@@ -133,7 +133,9 @@
 
 // runAttempt dispatches once and relays the frames into the answer.
 func (e *Entry) runAttempt(a *answer, req request, chat chatRequest, at *attempt) error {
-	e.deps.Quarantine.Started(at.began, req.digest, at.server.ID)
+	if err := e.deps.Quarantine.Started(at.began, req.digest, at.server.ID); err != nil {
+		return err
+	}
 	defer func() { e.deps.Quarantine.Ended(time.Now(), req.digest, at.server.ID, at.crashed) }()
 	e.deps.Recorder.Record(turmericshed.Event{
 		Name: turmericshed.EventDispatched, Request: a.request, Profile: req.profile.Name,
@@ -150,7 +152,11 @@
 	for n := 0; ; n++ {
 		err = e.relay(a, at, ts)
 		_ = ts.Close()
-		if err == nil || n == maxResumes || a.ctx.Err() != nil || turmericshed.KindOf(err) != turmericshed.KindStreamBroken {
+		if err == nil {
+			e.deps.Quarantine.Survived(time.Now(), req.digest)
+			return nil
+		}
+		if n == maxResumes || a.ctx.Err() != nil || turmericshed.KindOf(err) != turmericshed.KindStreamBroken {
 			return err
 		}
 		if ts, err = e.resume(a, at, n, err); err != nil {
@@ -249,8 +255,12 @@
 
 // notSent reports whether the engine certainly did not run the request.
 func notSent(err error) bool {
-	k := turmericshed.KindOf(err)
-	return k == turmericshed.KindNoBackend || k == turmericshed.KindBackendRefused
+	switch turmericshed.KindOf(err) {
+	case turmericshed.KindNoBackend, turmericshed.KindBackendRefused, turmericshed.KindQuarantined, turmericshed.KindOverloaded:
+		return true
+	default:
+		return false
+	}
 }
 
 // mayRetry reports whether another attempt is allowed after err.
@@ -259,7 +269,7 @@
 		return false
 	}
 	k := turmericshed.KindOf(err)
-	retryable := notSent(err) || k == turmericshed.KindStreamBroken
+	retryable := k == turmericshed.KindNoBackend || k == turmericshed.KindBackendRefused || k == turmericshed.KindStreamBroken
 	return retryable && e.deps.Retries.Allow(time.Now())
 }
 
