--- /dev/null
+++ b/io/tsadmin/validate.go
@@ -0,0 +1,153 @@
+package tsadmin
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"turmericshed"
+)
+
+// Bounds on documents.
+const (
+	maxIDBytes     = 128
+	maxPrepaid     = 1_000_000_000_000_000
+	maxPriority    = 9
+	maxCutBridge   = 24 * time.Hour
+	maxAccounts    = 2000
+	maxServices    = 64
+	maxConcurrency = 1_000_000
+)
+
+// DecodeProfile reads a profile as an operator wrote it over base: fields
+// that are left out keep base's values. Unknown fields, text after the
+// document and text that is not UTF-8 are refused. Errors: KindBadRequest.
+func DecodeProfile(text []byte, base turmericshed.Profile) (turmericshed.Profile, error) {
+	p := base
+	// Lists are replaced as a whole, never merged element by element.
+	p.Accounts, p.Services = nil, nil
+	if err := decodeStrict(text, &p); err != nil {
+		return base, turmericshed.WrapError(turmericshed.KindBadRequest, err, "profile document")
+	}
+	var given struct {
+		Accounts json.RawMessage `json:"accounts"`
+		Services json.RawMessage `json:"services"`
+	}
+	if err := json.Unmarshal(text, &given); err != nil {
+		return base, turmericshed.WrapError(turmericshed.KindBadRequest, err, "profile document")
+	}
+	if given.Accounts == nil {
+		p.Accounts = base.Accounts
+	}
+	if given.Services == nil {
+		p.Services = base.Services
+	}
+	return p, nil
+}
+
+// decodeStrict decodes one JSON document and nothing after it.
+func decodeStrict(text []byte, v any) error {
+	if !utf8.Valid(text) {
+		return errors.New("not UTF-8")
+	}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("text after the document")
+	}
+	return nil
+}
+
+// ValidateProfile names the first field that is wrong and what would be
+// right. Errors: KindBadRequest.
+func ValidateProfile(p turmericshed.Profile) error {
+	if err := checkID("name", string(p.Name)); err != nil {
+		return err
+	}
+	switch {
+	case p.Prepaid < 0 || p.Prepaid > maxPrepaid:
+		return badField("prepaid %d: want 0 to %d tokens", p.Prepaid, maxPrepaid)
+	case p.CallCost < 0 || p.CallCost > maxPrepaid:
+		return badField("call_cost %d: want 0 to %d tokens", p.CallCost, maxPrepaid)
+	case p.Priority < 0 || p.Priority > maxPriority:
+		return badField("priority %d: want 0 to %d", p.Priority, maxPriority)
+	case p.Edge != "" && p.Edge != turmericshed.PreferNoSurprise && p.Edge != turmericshed.PreferNoRefusal:
+		return badField("edge %q: want %s or %s", p.Edge, turmericshed.PreferNoSurprise, turmericshed.PreferNoRefusal)
+	case p.CutBridge < 0 || time.Duration(p.CutBridge) > maxCutBridge:
+		return badField("cut_bridge %s: want 0s to %s", time.Duration(p.CutBridge), maxCutBridge)
+	}
+	if err := validateWork(p); err != nil {
+		return err
+	}
+	return validateAccounts(p.Accounts)
+}
+
+func badField(format string, args ...any) error {
+	return turmericshed.NewError(turmericshed.KindBadRequest, format, args...)
+}
+
+func validateWork(p turmericshed.Profile) error {
+	switch p.Work {
+	case turmericshed.WorkAssistant:
+		if len(p.Services) > 0 {
+			return badField("services: want none for work %s", p.Work)
+		}
+	case turmericshed.WorkService:
+		if p.Model != "" {
+			return badField("model %q: want none for work %s", p.Model, p.Work)
+		}
+		if len(p.Services) == 0 || len(p.Services) > maxServices {
+			return badField("services: want 1 to %d names for work %s", maxServices, p.Work)
+		}
+		for _, s := range p.Services {
+			if err := checkID("services", s); err != nil {
+				return err
+			}
+		}
+	default:
+		return badField("work %q: want %s or %s", p.Work, turmericshed.WorkAssistant, turmericshed.WorkService)
+	}
+	return nil
+}
+
+func validateAccounts(accounts []turmericshed.AccountLimit) error {
+	if len(accounts) == 0 || len(accounts) > maxAccounts {
+		return badField("accounts: want 1 to %d", maxAccounts)
+	}
+	seen := map[turmericshed.AccountID]bool{}
+	for _, a := range accounts {
+		if err := checkID("account", string(a.Account)); err != nil {
+			return err
+		}
+		if seen[a.Account] {
+			return badField("account %q stands twice", a.Account)
+		}
+		seen[a.Account] = true
+		if !(a.RequestsPerSecond >= 0 && a.RequestsPerSecond <= maxConcurrency) {
+			return badField("account %q: requests_per_second %v: want 0 to %d", a.Account, a.RequestsPerSecond, maxConcurrency)
+		}
+		for name, n := range map[string]int{"burst": a.Burst, "concurrency": a.Concurrency, "weight": a.Weight} {
+			if n < 0 || n > maxConcurrency {
+				return badField("account %q: %s %d: want 0 to %d", a.Account, name, n, maxConcurrency)
+			}
+		}
+	}
+	return nil
+}
+
+// checkID checks a name that becomes part of a key.
+func checkID(what, id string) error {
+	bad := func(r rune) bool { return r == '/' || unicode.IsSpace(r) || !unicode.IsPrint(r) }
+	if id == "" || len(id) > maxIDBytes || !utf8.ValidString(id) || strings.ContainsFunc(id, bad) {
+		return badField("%s %q: want 1 to %d bytes without blanks and slashes", what, id, maxIDBytes)
+	}
+	return nil
+}
