--- /dev/null
+++ b/core/tsbudget/mutation.go
@@ -0,0 +1,251 @@
+package tsbudget
+
+import (
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsupdate"
+)
+
+// Create returns the mutation that makes a ledger under an absent key.
+func Create(budget turmericshed.BudgetID, profile turmericshed.ProfileName, prepaid turmericshed.Tokens) tsupdate.Mutation {
+	return func(cur turmericshed.Item) ([]byte, error) {
+		if cur.Version != 0 {
+			old, err := Decode(cur)
+			if err == nil && old.Profile != profile {
+				err = turmericshed.NewError(turmericshed.KindConflict, "budget %s belongs to profile %s", budget, old.Profile)
+			}
+			return nil, err
+		}
+		if prepaid < 0 {
+			return nil, turmericshed.NewError(turmericshed.KindBadRequest, "prepaid %d: want zero or more", prepaid)
+		}
+		return seal(nil, &Ledger{Budget: budget, Profile: profile, Prepaid: prepaid})
+	}
+}
+
+// DrawRequest asks for a lot. The id is made before the first write and kept
+// over retries.
+type DrawRequest struct {
+	Lot           turmericshed.LotID
+	Holder        turmericshed.Incarnation
+	FailureDomain turmericshed.FailureDomain
+	// Want is the amount to draw, Min the least that is of use.
+	Want turmericshed.Tokens
+	Min  turmericshed.Tokens
+	// Share bounds the lot to this part of the room, unless less than Min
+	// would come of it.
+	Share float64
+	At    time.Time
+}
+
+// Draw returns the mutation that draws a lot. Errors: KindBudgetExhausted
+// when less than Min is left, KindNotFound for a recalled or absent ledger,
+// KindConflict when the lot was closed meanwhile.
+func Draw(r DrawRequest) tsupdate.Mutation {
+	return mutation(func(l *Ledger) (bool, error) { return draw(l, r) })
+}
+
+func draw(l *Ledger, r DrawRequest) (bool, error) {
+	if _, ok := l.Lot(r.Lot); ok {
+		return false, nil
+	}
+	if _, ok := l.ClosedLot(r.Lot); ok {
+		return false, turmericshed.NewError(turmericshed.KindConflict, "lot %s is closed", r.Lot)
+	}
+	if l.Recalled {
+		return false, turmericshed.NewError(turmericshed.KindNotFound, "budget %s is recalled", l.Budget)
+	}
+	n := drawAmount(l.Room(), r)
+	if n <= 0 || len(l.Lots) >= maxOpenLots {
+		return false, turmericshed.NewError(turmericshed.KindBudgetExhausted, "%d of %d tokens left to draw, %d wanted",
+			max(l.Room(), 0), l.Limit(), r.Min)
+	}
+	l.Lots = append(l.Lots, Lot{ID: r.Lot, Holder: r.Holder, FailureDomain: r.FailureDomain, Drawn: n, At: r.At.UTC()})
+	return true, nil
+}
+
+// Exchange returns the mutation that settles and draws in one write. The
+// draw may fail while the reports still stand; the caller looks for the lot
+// in the result.
+func Exchange(r DrawRequest, reports ...Report) tsupdate.Mutation {
+	return mutation(func(l *Ledger) (bool, error) {
+		changed := false
+		for _, rep := range reports {
+			changed = settleOne(l, rep) || changed
+		}
+		drawn, err := draw(l, r)
+		if changed {
+			return true, nil
+		}
+		return drawn, err
+	})
+}
+
+// drawAmount returns how much of the room a draw gets, 0 for nothing.
+func drawAmount(room turmericshed.Tokens, r DrawRequest) turmericshed.Tokens {
+	least := max(r.Min, 1)
+	if room < least {
+		return 0
+	}
+	n := max(r.Want, least)
+	if r.Share > 0 && r.Share < 1 {
+		n = min(n, turmericshed.Tokens(float64(room)*r.Share))
+	}
+	return min(max(n, least), room)
+}
+
+// Report is what a holder tells about a lot, in cumulative amounts, so that
+// a repeated report changes nothing.
+type Report struct {
+	Lot      turmericshed.LotID
+	Used     turmericshed.Tokens
+	Returned turmericshed.Tokens
+	Requests int64
+	// Final ends the lot; what was neither used nor returned is forfeited.
+	Final bool
+	// Split are lots that go on by themselves when this one ends: amounts
+	// that peers borrowed from it and still hold.
+	Split []Lot
+}
+
+// Settle returns the mutation that takes reports into the ledger, of open
+// lots and of lots that others closed. A lot that stands in neither list was
+// ended before; its report changes nothing.
+func Settle(reports ...Report) tsupdate.Mutation {
+	return mutation(func(l *Ledger) (bool, error) {
+		changed := false
+		for _, r := range reports {
+			changed = settleOne(l, r) || changed
+		}
+		return changed, nil
+	})
+}
+
+func settleOne(l *Ledger, r Report) bool {
+	if i := index(l.Lots, r.Lot); i >= 0 {
+		changed := merge(&l.Lots[i], r)
+		if !r.Final {
+			return changed
+		}
+		lot := l.Lots[i]
+		l.Lots = append(l.Lots[:i], l.Lots[i+1:]...)
+		split(l, &lot, r.Split)
+		charge(l, lot)
+		return true
+	}
+	if i := index(l.Closed, r.Lot); i >= 0 {
+		lot := l.Closed[i]
+		uncharge(l, lot)
+		changed := merge(&lot, r)
+		l.Closed[i] = lot
+		if r.Final {
+			l.Closed = append(l.Closed[:i], l.Closed[i+1:]...)
+			split(l, &lot, r.Split)
+		}
+		charge(l, lot)
+		return changed || r.Final
+	}
+	return false
+}
+
+// split takes the borrowed parts, with what was billed from them, out of a
+// lot that ends, and opens them as lots of their own. The sums stay.
+func split(l *Ledger, lot *Lot, parts []Lot) {
+	for _, p := range parts {
+		turmericshed.Assert(lot.Charge() >= p.Charge() && lot.Used >= p.Used && lot.Requests >= p.Requests, "split_within_lot",
+			"lot %s: charge %d used %d, part %s: charge %d used %d", lot.ID, lot.Charge(), lot.Used, p.ID, p.Charge(), p.Used)
+		lot.Drawn -= p.Charge()
+		lot.Used -= p.Used
+		lot.Requests -= p.Requests
+		turmericshed.Assert(lot.Used <= lot.Charge(), "lot_covers_use", "lot %s after part %s", lot.ID, p.ID)
+		l.Lots = append(l.Lots, p)
+	}
+}
+
+// merge takes the larger of each cumulative amount.
+func merge(lot *Lot, r Report) bool {
+	old := *lot
+	lot.Used = max(lot.Used, r.Used)
+	lot.Returned = max(lot.Returned, r.Returned)
+	lot.Requests = max(lot.Requests, r.Requests)
+	turmericshed.Assert(lot.Used <= lot.Charge(), "lot_covers_use", "lot %s: drawn %d returned %d used %d",
+		lot.ID, lot.Drawn, lot.Returned, lot.Used)
+	return *lot != old
+}
+
+// charge books a lot that is no longer open as spent.
+func charge(l *Ledger, lot Lot) {
+	l.Spent += lot.Charge()
+	l.Billed += lot.Used
+	l.Forfeited += lot.Charge() - lot.Used
+	l.Requests += lot.Requests
+}
+
+func uncharge(l *Ledger, lot Lot) {
+	l.Spent -= lot.Charge()
+	l.Billed -= lot.Used
+	l.Forfeited -= lot.Charge() - lot.Used
+	l.Requests -= lot.Requests
+}
+
+// Close returns the mutation that closes the lots of holders that are gone:
+// the whole charge counts as spent. It needs no certainty about the holders,
+// since an open lot is charged in full already. A lot that is not open is
+// left as it is, so that each is closed once.
+func Close(ids ...turmericshed.LotID) tsupdate.Mutation {
+	return mutation(func(l *Ledger) (bool, error) {
+		changed := false
+		for _, id := range ids {
+			i := index(l.Lots, id)
+			if i < 0 {
+				continue
+			}
+			lot := l.Lots[i]
+			l.Lots = append(l.Lots[:i], l.Lots[i+1:]...)
+			l.Closed = append(l.Closed, lot)
+			charge(l, lot)
+			changed = true
+		}
+		return changed, nil
+	})
+}
+
+// Withdraw returns the mutation that ends a draw whose answer was lost and
+// whose lot is not wanted any more. read is the version that the last
+// ambiguous write wanted. Where the lot stands it ends unused. Where it does
+// not and the key still has that version, a write without a change is made:
+// once it succeeds the draw can never land.
+func Withdraw(id turmericshed.LotID, read turmericshed.Version) tsupdate.Mutation {
+	return func(cur turmericshed.Item) ([]byte, error) {
+		prev, err := Decode(cur)
+		if err != nil {
+			return nil, err
+		}
+		next := prev.clone()
+		if i := index(next.Lots, id); i >= 0 {
+			next.Lots = append(next.Lots[:i], next.Lots[i+1:]...)
+			return seal(&prev, &next)
+		}
+		if i := index(next.Closed, id); i >= 0 {
+			uncharge(&next, next.Closed[i])
+			next.Closed = append(next.Closed[:i], next.Closed[i+1:]...)
+			return seal(&prev, &next)
+		}
+		if cur.Version > read {
+			return nil, nil
+		}
+		return seal(&prev, &next)
+	}
+}
+
+// Recall returns the mutation that stops new lots for good.
+func Recall() tsupdate.Mutation {
+	return mutation(func(l *Ledger) (bool, error) {
+		if l.Recalled {
+			return false, nil
+		}
+		l.Recalled = true
+		return true, nil
+	})
+}
--- /dev/null
+++ b/core/tsbudget/placement.go
@@ -0,0 +1,246 @@
+package tsbudget
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"turmericshed"
+)
+
+const (
+	// defaultBridge sizes lots of profiles that name no bridging time.
+	defaultBridge = 2 * time.Minute
+	// idleReturn is how long an unused budget stays held.
+	idleReturn = 10 * time.Minute
+	// edgeIdleReturn is the same for a budget that is nearly spent.
+	edgeIdleReturn = 5 * time.Second
+	// edgePart is the part of the prepaid amount below which the room counts
+	// as nearly spent.
+	edgePart = 0.1
+	// surpriseShare and refusalShare bound one lot to a part of the room.
+	surpriseShare = 1.0 / 16
+	refusalShare  = 1.0 / 4
+	// lowWater is the part of the target below which a lot is drawn.
+	lowWater = 0.5
+	// highWater is the multiple of the target above which tokens go back.
+	highWater = 4
+	// reserveDepth is how many of the largest requests a lot should cover.
+	reserveDepth = 4
+	// spreadDepth is how many of the largest requests must arrive within the
+	// bridging time before an entry VM that is not home draws for itself.
+	spreadDepth = 16
+)
+
+// View is what a placement decides from.
+type View struct {
+	Now       time.Time
+	Available turmericshed.Tokens
+	Reserved  turmericshed.Tokens
+	Suspended turmericshed.Tokens
+	Lent      turmericshed.Tokens
+	// Waiting is the sum of the requests that wait for tokens, Needed the
+	// largest of them.
+	Waiting turmericshed.Tokens
+	Needed  turmericshed.Tokens
+	// Dirty is true when the ledger lacks something that was settled.
+	Dirty bool
+	// Rate is the usage in tokens per second, Largest the recent largest
+	// reservation, Idle the time since the last one.
+	Rate    float64
+	Largest turmericshed.Tokens
+	Idle    time.Duration
+	// Ledger is the ledger as last read.
+	Ledger Summary
+	// Home is true at the entry VM that holds quiet budgets for its failure
+	// domain; EntryVMs counts the fleet and Peers the failure domain's other
+	// entry VMs.
+	Home     bool
+	EntryVMs int
+	Peers    int
+	Edge     turmericshed.EdgePreference
+	Bridge   time.Duration
+}
+
+// Summary is what a holder remembers of a ledger.
+type Summary struct {
+	// Read is false before the first read.
+	Read  bool
+	At    time.Time
+	Limit turmericshed.Tokens
+	Room  turmericshed.Tokens
+	// Others is the sum of the other holders' open lots.
+	Others  turmericshed.Tokens
+	Holders int
+	// Mine is the sum of the holder's own open lots.
+	Mine turmericshed.Tokens
+}
+
+// Summarize returns what the holder self remembers of a ledger.
+func Summarize(l Ledger, self turmericshed.Incarnation, at time.Time) Summary {
+	s := Summary{Read: true, At: at, Limit: l.Limit(), Room: l.Room()}
+	holders := make(map[turmericshed.Incarnation]bool)
+	for _, lot := range l.Lots {
+		holders[lot.Holder] = true
+		if lot.Holder == self {
+			s.Mine += lot.Charge()
+		} else {
+			s.Others += lot.Charge()
+		}
+	}
+	s.Holders = len(holders)
+	return s
+}
+
+// NearEdge reports whether the budget is nearly spent.
+func (s Summary) NearEdge() bool {
+	return s.Read && float64(s.Room) < edgePart*float64(s.Limit)
+}
+
+// Decision is what a placement wants done.
+type Decision struct {
+	// Draw and Borrow ask for tokens from the ledger and from peers.
+	Draw   bool
+	Borrow bool
+	Want   turmericshed.Tokens
+	Min    turmericshed.Tokens
+	Share  float64
+	// Return gives back what is available beyond Keep.
+	Return bool
+	Keep   turmericshed.Tokens
+}
+
+// Placement decides where the tokens of a budget are held, and how large
+// lots are.
+type Placement interface {
+	Name() string
+	Decide(v View) Decision
+}
+
+var (
+	_ Placement = EqualShare{}
+	_ Placement = Concentrated{}
+	_ Placement = ByDemand{}
+)
+
+// EqualShare lets every entry VM hold an equal share of the room.
+type EqualShare struct{}
+
+// Name returns the policy's name.
+func (EqualShare) Name() string { return "equal_share" }
+
+// Decide draws a share when half of it is gone.
+func (EqualShare) Decide(v View) Decision {
+	share := 1 / float64(max(v.EntryVMs, 1))
+	target := turmericshed.Tokens(float64(v.Ledger.Room+v.Ledger.Mine) * share)
+	if !v.Ledger.Read {
+		target = v.need()
+	}
+	d := Decision{Want: max(target, v.need()), Min: v.least(), Share: share}
+	d.Draw = v.short(target)
+	return d
+}
+
+// Concentrated holds every budget at one entry VM of each failure domain; the
+// others borrow from it.
+type Concentrated struct{}
+
+// Name returns the policy's name.
+func (Concentrated) Name() string { return "concentrated" }
+
+// Decide draws at the home entry VM and borrows elsewhere.
+func (Concentrated) Decide(v View) Decision { return v.sized(v.Home) }
+
+// ByDemand holds quiet budgets like Concentrated. An entry VM where much
+// demand arrives draws for itself, until the budget is nearly spent.
+type ByDemand struct{}
+
+// Name returns the policy's name.
+func (ByDemand) Name() string { return "by_demand" }
+
+// Decide draws where demand arrives.
+func (ByDemand) Decide(v View) Decision {
+	busy := v.Rate*v.bridge().Seconds() >= spreadDepth*float64(max(v.Largest, 1))
+	return v.sized(v.Home || (busy && !v.Ledger.NearEdge()))
+}
+
+func (v View) bridge() time.Duration {
+	if v.Bridge > 0 {
+		return v.Bridge
+	}
+	return defaultBridge
+}
+
+// need is what should be at hand for the requests that wait and the next few.
+func (v View) need() turmericshed.Tokens { return v.Waiting + reserveDepth*v.Largest }
+
+// least is the smallest amount that is of use.
+func (v View) least() turmericshed.Tokens { return max(v.Needed-v.Available, 1) }
+
+// short reports whether tokens should be fetched ahead of demand.
+func (v View) short(target turmericshed.Tokens) bool {
+	if v.Waiting > 0 {
+		return true
+	}
+	if v.Idle > edgeIdleReturn && v.Ledger.NearEdge() {
+		return false
+	}
+	low := max(turmericshed.Tokens(lowWater*float64(target)), min(2*v.Largest, v.need()))
+	return v.Largest > 0 && v.Available < low && v.Idle < idleReturn
+}
+
+func (v View) share() float64 {
+	if v.Edge == turmericshed.PreferNoSurprise {
+		return surpriseShare
+	}
+	return refusalShare
+}
+
+// sized fetches what the demand uses within the bridging time, bounded by a
+// share of the room, and returns what is far above that.
+func (v View) sized(draws bool) Decision {
+	share := v.share()
+	target := turmericshed.Tokens(v.Rate * v.bridge().Seconds())
+	if v.Ledger.Read {
+		target = min(target, turmericshed.Tokens(share*float64(v.Ledger.Room+v.Ledger.Mine)))
+	}
+	target = max(target, v.need())
+	d := Decision{Want: target - min(v.Available, target-1), Min: v.least(), Share: share}
+	fetch := v.short(target)
+	d.Draw, d.Borrow = fetch && draws, fetch && !draws
+	d.Return, d.Keep = v.surplus(target)
+	return d
+}
+
+// surplus reports whether tokens should go back, and what to keep.
+func (v View) surplus(target turmericshed.Tokens) (bool, turmericshed.Tokens) {
+	if v.Available == 0 || v.Waiting > 0 {
+		return false, 0
+	}
+	edge := v.Ledger.NearEdge()
+	switch {
+	case v.Idle >= idleReturn, edge && v.Idle >= edgeIdleReturn:
+		return true, 0
+	case v.Available > highWater*target:
+		return true, target
+	default:
+		return false, 0
+	}
+}
+
+// Home returns the entry VM among candidates that holds the quiet budget, by
+// rendezvous hashing, so that a change of the candidates moves few budgets.
+func Home(budget turmericshed.BudgetID, candidates []turmericshed.EntryVM) (turmericshed.EntryVM, bool) {
+	if len(candidates) == 0 {
+		return turmericshed.EntryVM{}, false
+	}
+	return slices.MaxFunc(candidates, func(a, b turmericshed.EntryVM) int {
+		return cmp.Or(cmp.Compare(weight(budget, a), weight(budget, b)), cmp.Compare(a.Incarnation, b.Incarnation))
+	}), true
+}
+
+func weight(budget turmericshed.BudgetID, vm turmericshed.EntryVM) uint64 {
+	return xxhash.Sum64String(string(budget) + "\x00" + string(vm.Incarnation))
+}
--- /dev/null
+++ b/core/tsbudget/queue.go
@@ -0,0 +1,171 @@
+package tsbudget
+
+import (
+	"time"
+
+	"turmericshed"
+)
+
+// Waiter is a request that waits for tokens.
+type Waiter struct {
+	Profile  turmericshed.Profile
+	Request  turmericshed.RequestID
+	Amount   turmericshed.Tokens
+	Since    time.Time
+	Deadline time.Time
+}
+
+// Queue holds the requests that wait for tokens of one budget, in order of
+// arrival. E names a waiter to its owner.
+type Queue[E comparable] struct {
+	entries []queued[E]
+}
+
+type queued[E comparable] struct {
+	owner E
+	Waiter
+}
+
+// Granted is a waiter that got its reservation.
+type Granted[E comparable] struct {
+	Owner       E
+	Reservation turmericshed.Reservation
+}
+
+// Refused is a waiter that is turned away with an error.
+type Refused[E comparable] struct {
+	Owner E
+	Err   error
+}
+
+// Add appends a waiter.
+func (q *Queue[E]) Add(owner E, w Waiter) {
+	q.entries = append(q.entries, queued[E]{owner: owner, Waiter: w})
+}
+
+// Remove drops a waiter and reports whether it still waited.
+func (q *Queue[E]) Remove(owner E) bool {
+	for i := range q.entries {
+		if q.entries[i].owner == owner {
+			q.entries = append(q.entries[:i], q.entries[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Len returns the number of waiters.
+func (q *Queue[E]) Len() int { return len(q.entries) }
+
+// Fill writes the waiters' needs into a view.
+func (q *Queue[E]) Fill(v *View) {
+	for _, e := range q.entries {
+		v.Waiting += e.Amount
+		v.Needed = max(v.Needed, e.Amount)
+	}
+}
+
+// Grant reserves for every waiter that fits, in order of arrival.
+func (q *Queue[E]) Grant(now time.Time, h *Holder) []Granted[E] {
+	var granted []Granted[E]
+	rest := q.entries[:0]
+	for _, e := range q.entries {
+		res, ok := h.Reserve(now, e.Profile, e.Request, e.Amount)
+		if ok {
+			granted = append(granted, Granted[E]{Owner: e.owner, Reservation: res})
+			continue
+		}
+		rest = append(rest, e)
+	}
+	q.entries = rest
+	return granted
+}
+
+// Refuse turns away the waiters that have nothing to wait for.
+func (q *Queue[E]) Refuse(s Situation) []Refused[E] {
+	var refused []Refused[E]
+	rest := q.entries[:0]
+	for _, e := range q.entries {
+		if err := s.Judge(e.Waiter); err != nil {
+			refused = append(refused, Refused[E]{Owner: e.owner, Err: err})
+			continue
+		}
+		rest = append(rest, e)
+	}
+	q.entries = rest
+	return refused
+}
+
+const (
+	// waitMargin is left of the deadline when waiting for tokens ends.
+	waitMargin = 50 * time.Millisecond
+	// retryBudget advises when to ask again for tokens that are out.
+	retryBudget = 2 * time.Second
+	// retryStore advises when to ask again while the store does not answer.
+	retryStore = 5 * time.Second
+	// retryCut advises the same while peers that hold tokens are cut off.
+	retryCut = 5 * time.Second
+)
+
+// Situation is what is known when a request is short of tokens.
+type Situation struct {
+	View
+	// StoreErr is the outcome of the last attempt to draw; nil when the
+	// ledger was read.
+	StoreErr error
+	// AskedAt is when the last round of drawing and asking peers began.
+	AskedAt time.Time
+	// PeersMissing is true when a holder of open lots could not be asked.
+	PeersMissing bool
+	// Closed is true once the profile is closed.
+	Closed bool
+}
+
+// Judge returns nil while the request should go on waiting, else why it is
+// refused: KindBudgetExhausted when the ledger was read and nothing is left
+// for it, KindBudgetUnavailable when that cannot be known or nothing can be
+// drawn now, KindUnknownProfile for a closed profile.
+func (s Situation) Judge(w Waiter) error {
+	if s.Closed {
+		return turmericshed.NewError(turmericshed.KindUnknownProfile, "profile %s is closed", w.Profile.Name)
+	}
+	if s.AskedAt.Before(w.Since) {
+		if s.late(w) {
+			return unavailable(retryStore, "budget of %s: no answer about it in time", w.Profile.Name)
+		}
+		return nil
+	}
+	inUse := s.Available + s.Reserved - s.Suspended + s.Lent
+	if s.StoreErr == nil && s.Ledger.Read && inUse+s.Ledger.Room+s.Ledger.Others < w.Amount {
+		return turmericshed.NewError(turmericshed.KindBudgetExhausted, "budget of %s: %d tokens left, %d needed",
+			w.Profile.Name, max(s.Ledger.Room+inUse, 0), w.Amount)
+	}
+	// The request waits while settlements here, or lots elsewhere, may free
+	// enough for it.
+	hope := inUse >= w.Amount
+	if s.StoreErr == nil {
+		hope = hope || inUse+s.Ledger.Room+s.Ledger.Others >= w.Amount
+	}
+	if w.Profile.Edge != turmericshed.PreferNoSurprise && hope && !s.late(w) {
+		return nil
+	}
+	switch {
+	case s.StoreErr != nil:
+		return unavailable(retryStore, "budget of %s: nothing can be drawn now", w.Profile.Name)
+	case s.PeersMissing:
+		return unavailable(retryCut, "budget of %s: the tokens left are held where nobody can be asked", w.Profile.Name)
+	case s.Ledger.Room >= w.Amount:
+		return unavailable(retryBudget, "budget of %s: nothing could be drawn in time", w.Profile.Name)
+	default:
+		return turmericshed.NewError(turmericshed.KindBudgetExhausted,
+			"budget of %s: %d tokens left to draw, %d needed, the rest is in use", w.Profile.Name, max(s.Ledger.Room, 0), w.Amount)
+	}
+}
+
+func (s Situation) late(w Waiter) bool {
+	return !w.Deadline.IsZero() && !s.Now.Before(w.Deadline.Add(-waitMargin))
+}
+
+func unavailable(after time.Duration, format string, args ...any) error {
+	return turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindBudgetUnavailable, format, args...), after)
+}
