Budget holder: lots drawn ahead, loans between peers, graceful return

io/tsholder implements Budgets over the store: rounds that borrow, draw and report in one write; waiting requests; draws and loans whose answer was lost are repeated under their ids; drain withdraws, repays and ends every lot.

--- a/core/tsbudget/edit.go
+++ b/core/tsbudget/edit.go
@@ -80,8 +80,7 @@
 		return planAfterBase(e, want, ledger, profile)
 	}
 	if ledger.Version == 0 {
-		value, err := Create(e.Profile.Budget, e.Profile.Name, e.Profile.Prepaid)(ledger)
-		return &turmericshed.Write{Key: ledger.Key, Value: value}, err
+		return planCreate(e, ledger, profile)
 	}
 	l, err := Decode(ledger)
 	if err != nil {
@@ -117,6 +116,20 @@
 	}
 }
 
+// planCreate makes the ledger. Where the profile stood without one, the
+// ledger starts at the lower of both amounts, since the edit may yet lose.
+func planCreate(e Edit, ledger, profile turmericshed.Item) (*turmericshed.Write, error) {
+	amount := e.Profile.Prepaid
+	if old, err := DecodeProfile(profile); err == nil && old.Budget == e.Profile.Budget {
+		amount = min(amount, old.Prepaid)
+	}
+	value, err := Create(e.Profile.Budget, e.Profile.Name, amount)(ledger)
+	if err != nil {
+		return nil, err
+	}
+	return &turmericshed.Write{Key: ledger.Key, Value: value}, nil
+}
+
 // planAfterBase handles a profile whose version is no longer the edit's base:
 // the edit stands, or another one came first.
 func planAfterBase(e Edit, want []byte, ledger, profile turmericshed.Item) (*turmericshed.Write, error) {
@@ -143,8 +156,16 @@
 	}
 	next := l.clone()
 	next.Pending = &PendingEdit{Amount: amount, Base: e.Base, Profile: want}
-	value, err := seal(&l, &next)
-	return &turmericshed.Write{Key: ledger.Key, Want: ledger.Version, Value: value}, err
+	return writeLedger(ledger, &l, &next)
+}
+
+// writeLedger returns the write of a checked ledger.
+func writeLedger(ledger turmericshed.Item, prev, next *Ledger) (*turmericshed.Write, error) {
+	value, err := seal(prev, next)
+	if err != nil {
+		return nil, err
+	}
+	return &turmericshed.Write{Key: ledger.Key, Want: ledger.Version, Value: value}, nil
 }
 
 // finishPending writes the profile that a half-made edit wanted.
@@ -184,8 +205,7 @@
 	if next.Prepaid == l.Prepaid && next.Recalled == l.Recalled && l.Pending == nil {
 		return nil, nil
 	}
-	value, err := seal(&l, &next)
-	return &turmericshed.Write{Key: ledger.Key, Want: ledger.Version, Value: value}, err
+	return writeLedger(ledger, &l, &next)
 }
 
 // Sequence drives PlanEdit or PlanRepair over a store, one call a step: read
@@ -221,7 +241,9 @@
 func NewEdit(e Edit) *Sequence {
 	return &Sequence{
 		ledgerKey: Key(e.Profile.Budget), profileKey: ProfileKey(e.Profile.Name),
-		plan: func(ledger, profile turmericshed.Item) (*turmericshed.Write, error) { return PlanEdit(e, ledger, profile) },
+		plan: func(ledger, profile turmericshed.Item) (*turmericshed.Write, error) {
+			return PlanEdit(e, ledger, profile)
+		},
 	}
 }
 
--- /dev/null
+++ b/core/tsbudget/edit_test.go
@@ -0,0 +1,161 @@
+package tsbudget_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+	"turmericshed/core/tsupdate"
+	"turmericshed/standin/tsplatform"
+)
+
+// desk has a profile of 1000 tokens in a store, and operators at it.
+type desk struct {
+	t     *testing.T
+	store *tsplatform.Store
+}
+
+func newDesk(t *testing.T) *desk {
+	t.Helper()
+	d := &desk{t: t, store: tsplatform.NewStore(tsplatform.Options{})}
+	assert.NilError(t, d.finish(tsbudget.NewEdit(tsbudget.Edit{Profile: profileP})))
+	return d
+}
+
+func (d *desk) get(key string) turmericshed.Item {
+	d.t.Helper()
+	item, err := d.store.Get(context.Background(), key)
+	assert.NilError(d.t, err)
+	return item
+}
+
+func (d *desk) profile() turmericshed.Profile {
+	d.t.Helper()
+	p, err := tsbudget.DecodeProfile(d.get(tsbudget.ProfileKey("p")))
+	assert.NilError(d.t, err)
+	return p
+}
+
+func (d *desk) ledger() tsbudget.Ledger {
+	d.t.Helper()
+	l, err := tsbudget.Decode(d.get(tsbudget.Key(budget)))
+	assert.NilError(d.t, err)
+	return l
+}
+
+// edit returns the sequence that sets the amount, as of now.
+func (d *desk) edit(by string, amount turmericshed.Tokens) *tsbudget.Sequence {
+	p := d.profile()
+	base := p.Version
+	p.Prepaid, p.EditedBy = amount, by
+	return tsbudget.NewEdit(tsbudget.Edit{Profile: p, Base: base})
+}
+
+func (d *desk) steps(s *tsbudget.Sequence, n int) {
+	for range n {
+		s.Handle(tsupdate.Do(context.Background(), d.store, s.Step()))
+	}
+}
+
+func (d *desk) finish(s *tsbudget.Sequence) error {
+	for !s.Finished() {
+		d.steps(s, 1)
+	}
+	_, _, err := s.Result()
+	return err
+}
+
+func (d *desk) draw(id string, n turmericshed.Tokens) error {
+	_, err := tsupdate.Run(context.Background(), d.store, tsupdate.New(tsbudget.Key(budget), draw(id, n)))
+	return err
+}
+
+// assertInForce checks that ledger and profile agree on the amount.
+func (d *desk) assertInForce(amount turmericshed.Tokens) {
+	d.t.Helper()
+	l := d.ledger()
+	assert.Assert(d.t, l.Pending == nil)
+	assert.Equal(d.t, l.Prepaid, amount)
+	assert.Equal(d.t, d.profile().Prepaid, amount)
+}
+
+func TestEdit(t *testing.T) {
+	t.Run("raising and lowering take hold", func(t *testing.T) {
+		d := newDesk(t)
+		assert.NilError(t, d.finish(d.edit("x", 3000)))
+		d.assertInForce(3000)
+		assert.NilError(t, d.finish(d.edit("x", 500)))
+		d.assertInForce(500)
+	})
+	t.Run("lowering below what is out is refused with the lowest amount", func(t *testing.T) {
+		d := newDesk(t)
+		assert.NilError(t, d.draw("1", 700))
+		err := d.finish(d.edit("x", 600))
+		var lowest *tsbudget.LowestError
+		assert.Assert(t, errors.As(err, &lowest))
+		assert.Equal(t, lowest.Lowest, turmericshed.Tokens(700))
+		d.assertInForce(1000)
+		assert.NilError(t, d.finish(d.edit("x", lowest.Lowest)))
+	})
+	t.Run("a lowering takes the room at its first write", func(t *testing.T) {
+		d := newDesk(t)
+		d.steps(d.edit("x", 100), 3)
+		assert.Assert(t, d.draw("1", 200) != nil)
+		assert.Equal(t, d.profile().Prepaid, turmericshed.Tokens(1000))
+	})
+	t.Run("anybody finishes an edit whose operator went away", func(t *testing.T) {
+		for n := 3; n < 9; n++ {
+			d := newDesk(t)
+			s := d.edit("x", 100)
+			d.steps(s, min(n, 9))
+			assert.NilError(t, d.finish(tsbudget.NewRepair(budget, "p")))
+			d.assertInForce(100)
+		}
+	})
+	t.Run("a late write of the profile finds its room taken", func(t *testing.T) {
+		d := newDesk(t)
+		s := d.edit("x", 100)
+		d.steps(s, 5)
+		d.store.SetFaults(tsplatform.Faults{HoldWrites: 1})
+		d.steps(s, 1)
+		// The operator is gone; a holder meets the half-made edit and draws.
+		assert.NilError(t, d.finish(tsbudget.NewRepair(budget, "p")))
+		_ = d.draw("1", 900)
+		d.store.LandHeld()
+		l := d.ledger()
+		assert.Assert(t, l.Spent+l.Open() <= d.profile().Prepaid, "out %d, profile %d", l.Open(), d.profile().Prepaid)
+	})
+	t.Run("one of two racing operators wins and the other leaves nothing", func(t *testing.T) {
+		for n := range 9 {
+			d := newDesk(t)
+			x, y := d.edit("x", 100), d.edit("y", 2000)
+			d.steps(x, n)
+			errY := d.finish(y)
+			errX := x.Finished()
+			if !errX {
+				assert.Equal(t, (d.finish(x) == nil) != (errY == nil), true)
+			}
+			assert.NilError(t, d.finish(tsbudget.NewRepair(budget, "p")))
+			d.assertInForce(d.profile().Prepaid)
+		}
+	})
+	t.Run("a closed profile gets a new budget, never its old lots", func(t *testing.T) {
+		d := newDesk(t)
+		assert.NilError(t, d.draw("1", 700))
+		p := d.profile()
+		p.Closed = true
+		assert.NilError(t, d.finish(tsbudget.NewEdit(tsbudget.Edit{Profile: p, Base: p.Version})))
+		assert.Assert(t, d.ledger().Recalled)
+		p = d.profile()
+		base := p.Version
+		p.Closed, p.Budget = false, "budget-2"
+		assert.NilError(t, d.finish(tsbudget.NewEdit(tsbudget.Edit{Profile: p, Base: base})))
+		second, err := tsbudget.Decode(d.get(tsbudget.Key("budget-2")))
+		assert.NilError(t, err)
+		assert.Equal(t, second.Room(), turmericshed.Tokens(1000))
+	})
+}
--- a/core/tsbudget/holder.go
+++ b/core/tsbudget/holder.go
@@ -65,8 +65,10 @@
 	lots         []*lot
 	reservations map[string]*reservation
 	loans        map[turmericshed.LotID]*loan
-	demand       demand
-	sequence     int
+	// ended are the ids of the last loans that were repaid.
+	ended    []turmericshed.LotID
+	demand   demand
+	sequence int
 }
 
 // View is what a placement decides from, as far as the holder knows it.
@@ -146,6 +148,9 @@
 		}
 	}
 	b.lots = append(b.lots, &lot{Lot: l, lender: lender})
+	if b.demand.lastSeen.Before(l.At) {
+		b.demand.lastSeen = l.At
+	}
 }
 
 // Available returns what can be reserved now.
@@ -255,7 +260,7 @@
 	if !ok {
 		return nil
 	}
-	return b.reports(h, "", final)
+	return b.reports("", final)
 }
 
 // ReportsTo returns the reports about lots that the lender lent.
@@ -264,7 +269,7 @@
 	if !ok || lender == "" {
 		return nil
 	}
-	return b.reports(h, lender, final)
+	return b.reports(lender, final)
 }
 
 // Lenders returns the incarnations that lent this holder tokens, in order.
@@ -281,7 +286,7 @@
 	return ids
 }
 
-func (b *balance) reports(h *Holder, lender turmericshed.Incarnation, final bool) []Report {
+func (b *balance) reports(lender turmericshed.Incarnation, final bool) []Report {
 	var reports []Report
 	for _, l := range b.lots {
 		if l.lender != lender {
@@ -342,7 +347,7 @@
 func (b *balance) dropLoans(l *lot) {
 	for id, n := range b.loans {
 		if n.lot == l {
-			delete(b.loans, id)
+			b.endLoan(id)
 		}
 	}
 }
--- a/core/tsbudget/loan.go
+++ b/core/tsbudget/loan.go
@@ -1,6 +1,7 @@
 package tsbudget
 
 import (
+	"slices"
 	"time"
 
 	"turmericshed"
@@ -36,10 +37,10 @@
 		return known.Lot, known.Holder == r.Borrower
 	}
 	best := b.lendable()
-	if best == nil {
+	if best == nil || slices.Contains(b.ended, r.Loan) {
 		return Lot{}, false
 	}
-	n := min(r.Want, best.available(), h.Available(budget)-r.Keep)
+	n := min(max(r.Want, r.Min), best.available(), h.Available(budget)-r.Keep)
 	if n < max(r.Min, 1) {
 		return Lot{}, false
 	}
@@ -97,11 +98,24 @@
 		rest := n.Charge() - n.Used
 		l.lent -= rest
 		l.reserved += rest
-		delete(b.loans, n.ID)
+		b.endLoan(n.ID)
 	}
 	l.check()
 }
 
+// maxEndedLoans bounds the ids kept against requests that arrive late.
+const maxEndedLoans = 64
+
+// endLoan drops a loan and remembers its id, so that a late copy of the
+// request does not take it out again.
+func (b *balance) endLoan(id turmericshed.LotID) {
+	delete(b.loans, id)
+	b.ended = append(b.ended, id)
+	if over := len(b.ended) - maxEndedLoans; over > 0 {
+		b.ended = b.ended[over:]
+	}
+}
+
 // Lent returns what peers hold of the budget.
 func (h *Holder) Lent(budget turmericshed.BudgetID) turmericshed.Tokens {
 	var sum turmericshed.Tokens
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -23,10 +23,11 @@
 	// surpriseShare and refusalShare bound one lot to a part of the room.
 	surpriseShare = 1.0 / 16
 	refusalShare  = 1.0 / 4
-	// lowWater is the part of the target below which a lot is drawn.
-	lowWater = 0.5
+	// lowWater is the part of the target below which a lot is drawn. What is
+	// left then still covers the bridging time.
+	lowWater = 0.8
 	// highWater is the multiple of the target above which tokens go back.
-	highWater = 4
+	highWater = 3
 	// reserveDepth is how many of the largest requests a lot should cover.
 	reserveDepth = 4
 	// spreadDepth is how many of the largest requests must arrive within the
@@ -202,7 +203,7 @@
 // share of the room, and returns what is far above that.
 func (v View) sized(draws bool) Decision {
 	share := v.share()
-	target := turmericshed.Tokens(v.Rate * v.bridge().Seconds())
+	target := turmericshed.Tokens(v.Rate * v.bridge().Seconds() / lowWater)
 	if v.Ledger.Read {
 		target = min(target, turmericshed.Tokens(share*float64(v.Ledger.Room+v.Ledger.Mine)))
 	}
--- /dev/null
+++ b/io/tsholder/cut_test.go
@@ -0,0 +1,122 @@
+package tsholder_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/io/tsholder"
+	"turmericshed/standin/tsplatform"
+)
+
+// topUp raises the prepaid amount.
+func (w *world) topUp(prepaid turmericshed.Tokens) {
+	w.t.Helper()
+	p := w.profile
+	p.Prepaid = prepaid
+	var err error
+	w.profile, err = tsholder.PutProfile(w.ctx, w.store, p, w.profile.Version)
+	assert.NilError(w.t, err)
+}
+
+// cutOff cuts domain y with its node off from the platform and from x.
+func (w *world) cutOff(y *node, cut bool) {
+	w.cutDomains("x", "y", cut)
+	w.store.ChangeFaults(func(f *tsplatform.Faults) {
+		f.Cut = nil
+		if cut {
+			f.Cut = []string{string(y.vm.Incarnation)}
+		}
+	})
+}
+
+// spend sends a request a second and returns what was billed and refused.
+func (n *node) spend(seconds int) (billed turmericshed.Tokens, refused int) {
+	for range seconds {
+		res, err := n.reserve(100, 500*time.Millisecond)
+		if err == nil {
+			n.Settle(res, 60)
+			billed += 60
+		} else {
+			refused++
+		}
+		time.Sleep(time.Second)
+	}
+	return billed, refused
+}
+
+func TestCut(t *testing.T) {
+	inBubble(t, "a failure domain cut off for hours while the other side tops up", func(t *testing.T) {
+		w := newWorld(t, 100_000, "")
+		w.profile.CutBridge = turmericshed.Duration(10 * time.Minute)
+		a, b := w.add(1, "a", "x"), w.add(2, "b", "y")
+		var before [2]turmericshed.Tokens
+		var both sync.WaitGroup
+		both.Go(func() { before[0], _ = a.spend(120) })
+		both.Go(func() { before[1], _ = b.spend(120) })
+		both.Wait()
+		w.cutOff(b, true)
+		w.topUp(900_000)
+		var after [2]turmericshed.Tokens
+		var refused [2]int
+		both.Go(func() { after[0], refused[0] = a.spend(7200) })
+		both.Go(func() { after[1], refused[1] = b.spend(7200) })
+		both.Wait()
+		assert.Equal(t, refused[0], 0)
+		// Refusals on the cut side began after the bridging time only, and
+		// nothing there was spent beyond its lots.
+		assert.Assert(t, refused[1] > 0 && refused[1] <= 7200-600, "%d refused", refused[1])
+		_, err := b.reserve(5000, time.Second)
+		assertKind(t, err, turmericshed.KindBudgetUnavailable)
+		w.cutOff(b, false)
+		last, refusedLast := b.spend(60)
+		assert.Equal(t, refusedLast, 0)
+		assert.NilError(t, a.drain())
+		assert.NilError(t, b.drain())
+		l := w.ledger()
+		assert.Equal(t, l.Billed, before[0]+before[1]+after[0]+after[1]+last)
+		assert.Equal(t, l.Forfeited, turmericshed.Tokens(0))
+	})
+	inBubble(t, "two holders that both believe to be home", func(t *testing.T) {
+		w := newWorld(t, 20_000, "")
+		a, b := w.add(1, "a", "x"), w.add(2, "b", "x")
+		w.cutDomains("x", "x", true)
+		var billed [2]turmericshed.Tokens
+		var both sync.WaitGroup
+		both.Go(func() { billed[0], _ = a.spend(400) })
+		both.Go(func() { billed[1], _ = b.spend(400) })
+		both.Wait()
+		assert.NilError(t, a.drain())
+		assert.NilError(t, b.drain())
+		assert.Equal(t, w.ledger().Billed, billed[0]+billed[1])
+		assert.Assert(t, billed[0]+billed[1] <= 20_000 && billed[0]+billed[1] > 19_000, "%d billed", billed)
+	})
+	inBubble(t, "a list of VMs that calls the living dead costs nothing", func(t *testing.T) {
+		w := newWorld(t, 100_000, "")
+		a, b := w.add(1, "a", "x"), w.add(2, "b", "x")
+		res := a.mustReserve(100)
+		w.mu.Lock()
+		w.states["a"] = turmericshed.MemberGone
+		w.mu.Unlock()
+		_, refused := b.spend(600)
+		assert.Equal(t, refused, 0)
+		a.Settle(res, 100)
+		assert.NilError(t, a.drain())
+		assert.NilError(t, b.drain())
+		assert.Equal(t, w.ledger().Billed, turmericshed.Tokens(100+600*60))
+		assert.Equal(t, w.ledger().Forfeited, turmericshed.Tokens(0))
+	})
+	inBubble(t, "a holder restarted at the same address owns none of the old lots", func(t *testing.T) {
+		w := newWorld(t, 1000, "")
+		a := w.add(1, "a", "x")
+		a.Settle(a.mustReserve(900), 100)
+		a.crash()
+		b := w.add(1, "b", "x")
+		_, err := b.reserve(200, time.Second)
+		assert.Assert(t, err != nil)
+		assert.Assert(t, w.ledger().Open()+w.ledger().Spent >= 900)
+	})
+}
--- /dev/null
+++ b/io/tsholder/holder.go
@@ -0,0 +1,344 @@
+// Package tsholder spends prepaid budgets at one entry VM: it draws lots from
+// the ledgers in the platform's key-value service ahead of demand, reserves
+// and settles in memory, borrows tokens from peers and lends them, reports
+// usage, and returns everything unspent at a graceful stop.
+//
+// The decisions are those of core/tsbudget; this package has the clock, the
+// store's calls and the peers' calls. A round is one pass over one budget:
+// decide, borrow or draw, report, then grant or refuse the requests that
+// wait. A budget has one round at a time.
+//
+// # Usage
+//
+//	h := tsholder.New(tsholder.Config{Self: vm, Store: store, Members: fleet, Peers: transport})
+//	for _, c := range h.Controllers() {
+//		supervisor.Add(c)
+//	}
+//	server.Mount(h.Handler())
+//	res, err := h.Reserve(ctx, profile, requestID, worstCase)
+//	h.Settle(res, used)
+//	err = h.Drain(ctx)
+//
+// Operators' edits are made with [PutProfile], by any process.
+package tsholder
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"golang.org/x/time/rate"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+)
+
+const (
+	// scanInterval is the time between scans of the held budgets.
+	scanInterval = time.Second
+	// waitRound is the time between rounds while requests wait.
+	waitRound = 250 * time.Millisecond
+	// settleInterval is the time after which settled usage is reported.
+	settleInterval = time.Minute
+	// storeTimeout bounds one change of a ledger.
+	storeTimeout = 3 * time.Second
+	// peerTimeout bounds one call to a peer.
+	peerTimeout = time.Second
+	// exhaustedPause is the time between draws from a ledger with no room.
+	exhaustedPause = time.Second
+	// workers is the number of rounds that run at once.
+	workers = 16
+	// defaultWritesPerSecond limits the writes that no request waits for.
+	defaultWritesPerSecond = 4
+	// writeBurst is the number of such writes let through at once.
+	writeBurst = 16
+	// closeAfter is how long the holder of a lot must be gone before the lot
+	// is closed; unknownCloseAfter is the age of a lot whose holder nobody
+	// knows.
+	closeAfter        = 2 * time.Minute
+	unknownCloseAfter = time.Hour
+)
+
+// Peers gives connect-go clients of entry VMs.
+type Peers interface {
+	Client(addr netip.AddrPort) (connect.HTTPClient, string)
+}
+
+// Config holds the dependencies and settings of a holder.
+type Config struct {
+	Self     turmericshed.EntryVM
+	Store    turmericshed.Store
+	Members  turmericshed.Members
+	Recorder turmericshed.Recorder
+	// Peers may be nil: then nothing is borrowed.
+	Peers Peers
+	// Profiles tells of edits to profiles whose budgets are held; may be
+	// nil: then an edit is met with the next request.
+	Profiles turmericshed.Profiles
+	// Placement defaults to tsbudget.ByDemand.
+	Placement tsbudget.Placement
+	// WritesPerSecond limits the writes to the store that no request waits
+	// for; 0 takes the default.
+	WritesPerSecond float64
+	// NewID makes identifiers; nil takes turmericshed.NewID.
+	NewID func(prefix string) string
+}
+
+// Holder implements turmericshed.Budgets.
+type Holder struct {
+	cfg     Config
+	limiter *rate.Limiter
+	work    chan turmericshed.BudgetID
+
+	mu       sync.Mutex
+	core     *tsbudget.Holder
+	budgets  map[turmericshed.BudgetID]*budget
+	draining bool
+	// lenders has the addresses of the incarnations that lent to us.
+	lenders map[turmericshed.Incarnation]netip.AddrPort
+	// goneSince is when a lot's holder was first seen gone.
+	goneSince map[turmericshed.Incarnation]time.Time
+	fleet     fleet
+}
+
+var _ turmericshed.Budgets = (*Holder)(nil)
+
+// budget is the runtime's state of one budget.
+type budget struct {
+	id      turmericshed.BudgetID
+	profile turmericshed.Profile
+	queue   tsbudget.Queue[*waiter]
+	ledger  tsbudget.Summary
+	// lots are the open lots as last read.
+	lots []tsbudget.Lot
+
+	// queued budgets stand in the work channel, running ones have a round;
+	// again asks for one more round after it.
+	queued  bool
+	running bool
+	again   bool
+	// waitRound, when set, is closed at the end of the next round.
+	waitRound chan struct{}
+
+	storeErr     error
+	askedAt      time.Time
+	peersMissing bool
+	nextDraw     time.Time
+	reportedAt   time.Time
+	closed       bool
+	// wanted is what peers ask to borrow beyond what is available.
+	wanted turmericshed.Tokens
+
+	// home holds the budget in this failure domain while it is quiet, as of
+	// the fleet's generation homeOf.
+	home   turmericshed.EntryVM
+	homeOf int
+
+	// draw and loan are requests whose answer was lost. They are repeated
+	// under the same id until the outcome is known.
+	draw *unansweredDraw
+	loan *unansweredLoan
+}
+
+type unansweredDraw struct {
+	tsbudget.DrawRequest
+	// seen is the ledger's newest version read before the last write.
+	seen turmericshed.Version
+}
+
+type unansweredLoan struct {
+	tsbudget.LoanRequest
+	lender turmericshed.EntryVM
+}
+
+// waiter is a request that waits in Reserve.
+type waiter struct {
+	done chan struct{}
+	res  turmericshed.Reservation
+	err  error
+}
+
+// New returns a holder that holds nothing.
+func New(cfg Config) *Holder {
+	if cfg.Recorder == nil {
+		cfg.Recorder = turmericshed.NopRecorder{}
+	}
+	if cfg.Placement == nil {
+		cfg.Placement = tsbudget.ByDemand{}
+	}
+	if cfg.WritesPerSecond <= 0 {
+		cfg.WritesPerSecond = defaultWritesPerSecond
+	}
+	if cfg.NewID == nil {
+		cfg.NewID = turmericshed.NewID
+	}
+	return &Holder{
+		cfg:       cfg,
+		limiter:   rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), writeBurst),
+		work:      make(chan turmericshed.BudgetID, 1<<16),
+		core:      tsbudget.NewHolder(cfg.Self.Incarnation),
+		budgets:   make(map[turmericshed.BudgetID]*budget),
+		lenders:   make(map[turmericshed.Incarnation]netip.AddrPort),
+		goneSince: make(map[turmericshed.Incarnation]time.Time),
+	}
+}
+
+// Reserve takes the worst case n of a request, waiting within the deadline of
+// ctx where the profile's edge preference allows it. Errors:
+// KindBudgetExhausted, KindBudgetUnavailable, KindUnknownProfile for a closed
+// profile, KindDraining, KindCanceled, KindDeadline.
+func (h *Holder) Reserve(ctx context.Context, p turmericshed.Profile, request turmericshed.RequestID, n turmericshed.Tokens) (turmericshed.Reservation, error) {
+	w, res, err := h.reserveOrWait(ctx, p, request, n)
+	if w == nil {
+		return res, err
+	}
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+		h.mu.Lock()
+		waited := h.budgets[p.Budget].queue.Remove(w)
+		h.mu.Unlock()
+		if waited {
+			return turmericshed.Reservation{}, contextError(ctx)
+		}
+		<-w.done
+	}
+	return w.res, w.err
+}
+
+// reserveOrWait reserves at once or returns a waiter.
+func (h *Holder) reserveOrWait(ctx context.Context, p turmericshed.Profile, request turmericshed.RequestID, n turmericshed.Tokens) (*waiter, turmericshed.Reservation, error) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var none turmericshed.Reservation
+	if h.draining {
+		return nil, none, turmericshed.NewError(turmericshed.KindDraining, "this entry VM is stopping")
+	}
+	b := h.noteLocked(p)
+	if b.closed || p.Closed {
+		return nil, none, turmericshed.NewError(turmericshed.KindUnknownProfile, "profile %s is closed", p.Name)
+	}
+	// Requests that wait go first, unless this one is ready to wait as well.
+	if res, ok := h.core.Reserve(now, p, request, n); ok {
+		h.kickIfLowLocked(now, b)
+		return nil, res, nil
+	}
+	if ctx.Err() != nil {
+		return nil, none, contextError(ctx)
+	}
+	w := &waiter{done: make(chan struct{})}
+	deadline, _ := ctx.Deadline()
+	b.queue.Add(w, tsbudget.Waiter{Profile: p, Request: request, Amount: n, Since: now, Deadline: deadline})
+	h.kickLocked(b)
+	return w, none, nil
+}
+
+func contextError(ctx context.Context) error {
+	if ctx.Err() == context.DeadlineExceeded { //nolint:errorlint // ctx.Err returns the value itself.
+		return turmericshed.NewError(turmericshed.KindDeadline, "deadline passed while waiting for tokens")
+	}
+	return turmericshed.NewError(turmericshed.KindCanceled, "canceled while waiting for tokens")
+}
+
+// noteLocked returns the state of a profile's budget and keeps the newest
+// profile.
+func (h *Holder) noteLocked(p turmericshed.Profile) *budget {
+	b := h.budgets[p.Budget]
+	if b == nil {
+		b = &budget{id: p.Budget, profile: p, reportedAt: time.Now()}
+		h.budgets[p.Budget] = b
+	}
+	if p.Version > b.profile.Version {
+		if p.Prepaid != b.profile.Prepaid {
+			b.nextDraw = time.Time{}
+		}
+		b.profile = p
+	}
+	return b
+}
+
+// Settle replaces a reservation by its true cost, once. It asserts that used
+// is at most the amount.
+func (h *Holder) Settle(res turmericshed.Reservation, used turmericshed.Tokens) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.core.Settle(now, res, used)
+	h.cfg.Recorder.Record(turmericshed.Event{
+		Name: turmericshed.EventRequestBilled, Request: res.Request, Profile: res.Profile, Lot: res.Lot, Tokens: used, Reason: res.ID,
+	})
+	if b := h.budgets[res.Budget]; b != nil {
+		h.grantLocked(now, b)
+	}
+}
+
+// Suspend keeps the amount charged until Settle.
+func (h *Holder) Suspend(res turmericshed.Reservation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.core.Suspend(res)
+}
+
+// grantLocked serves the requests that now fit, in order.
+func (h *Holder) grantLocked(now time.Time, b *budget) {
+	for _, g := range b.queue.Grant(now, h.core) {
+		g.Owner.res = g.Reservation
+		close(g.Owner.done)
+	}
+}
+
+// refuseLocked turns away the requests that have nothing to wait for.
+func (h *Holder) refuseLocked(now time.Time, b *budget) {
+	s := tsbudget.Situation{
+		View: h.viewLocked(now, b), StoreErr: b.storeErr, AskedAt: b.askedAt, PeersMissing: b.peersMissing, Closed: b.closed,
+	}
+	for _, r := range b.queue.Refuse(s) {
+		r.Owner.err = r.Err
+		close(r.Owner.done)
+	}
+}
+
+// viewLocked gathers what a placement decides from.
+func (h *Holder) viewLocked(now time.Time, b *budget) tsbudget.View {
+	v := h.core.View(now, b.id)
+	b.queue.Fill(&v)
+	v.Waiting += b.wanted
+	v.Needed = max(v.Needed, b.wanted)
+	v.Ledger = b.ledger
+	v.Edge, v.Bridge = b.profile.Edge, time.Duration(b.profile.CutBridge)
+	h.refreshFleetLocked(now)
+	v.EntryVMs = h.fleet.size
+	if b.homeOf != h.fleet.generation {
+		b.home, _ = tsbudget.Home(b.id, h.fleet.domain)
+		b.homeOf = h.fleet.generation
+	}
+	v.Home = b.home.Incarnation == h.cfg.Self.Incarnation
+	return v
+}
+
+// fleet is what the members said lately.
+type fleet struct {
+	at         time.Time
+	generation int
+	size       int
+	// domain are the entry VMs of this failure domain, this one included.
+	domain []turmericshed.EntryVM
+}
+
+// refreshFleetLocked asks the members again after the scan interval.
+func (h *Holder) refreshFleetLocked(now time.Time) {
+	if h.fleet.generation > 0 && now.Sub(h.fleet.at) < scanInterval {
+		return
+	}
+	f := fleet{at: now, generation: h.fleet.generation + 1, size: 1, domain: []turmericshed.EntryVM{h.cfg.Self}}
+	for _, vm := range h.cfg.Members.Reachable() {
+		f.size++
+		if vm.FailureDomain == h.cfg.Self.FailureDomain {
+			f.domain = append(f.domain, vm)
+		}
+	}
+	h.fleet = f
+}
--- /dev/null
+++ b/io/tsholder/round.go
@@ -0,0 +1,316 @@
+package tsholder
+
+import (
+	"context"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+	"turmericshed/core/tsupdate"
+)
+
+// kickLocked asks for a round of a budget.
+func (h *Holder) kickLocked(b *budget) {
+	if b.running {
+		b.again = true
+		return
+	}
+	if b.queued {
+		return
+	}
+	select {
+	case h.work <- b.id:
+		b.queued = true
+	default:
+		// The scan comes back to it.
+	}
+}
+
+// kickIfLowLocked asks for a round ahead of demand.
+func (h *Holder) kickIfLowLocked(now time.Time, b *budget) {
+	if b.running || b.queued {
+		return
+	}
+	d := h.cfg.Placement.Decide(h.viewLocked(now, b))
+	if d.Borrow || (d.Draw && !now.Before(b.nextDraw)) {
+		h.kickLocked(b)
+	}
+}
+
+// beginRound claims the budget for a round.
+func (h *Holder) beginRound(id turmericshed.BudgetID) (*budget, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.budgets[id]
+	if b == nil {
+		return nil, false
+	}
+	b.queued = false
+	if b.running {
+		b.again = true
+		return nil, false
+	}
+	b.running, b.again = true, false
+	return b, true
+}
+
+func (h *Holder) endRound(b *budget) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b.running = false
+	if b.waitRound != nil {
+		close(b.waitRound)
+		b.waitRound = nil
+	}
+	h.grantLocked(now, b)
+	h.refuseLocked(now, b)
+	if b.again && !h.draining {
+		h.kickLocked(b)
+	}
+}
+
+// round is one pass over a budget.
+func (h *Holder) round(ctx context.Context, id turmericshed.BudgetID) {
+	b, ok := h.beginRound(id)
+	if !ok {
+		return
+	}
+	defer h.endRound(b)
+	begin := time.Now()
+	h.repair(ctx, b)
+	d, waiting := h.decide(begin, b)
+	missing := false
+	if d.Borrow {
+		d.Draw = !h.borrowFromHome(ctx, b, d)
+	}
+	if d.Return {
+		h.mu.Lock()
+		h.core.Retire(b.id, d.Keep)
+		h.mu.Unlock()
+	}
+	_ = h.repay(ctx, b, false)
+	h.exchange(ctx, b, d, waiting)
+	if h.stillShort(b) {
+		missing = !h.borrowAnywhere(ctx, b)
+	}
+	h.collect(ctx, b)
+	h.mu.Lock()
+	b.askedAt, b.peersMissing = begin, missing
+	h.mu.Unlock()
+}
+
+// decide returns what the placement wants, and whether requests wait.
+func (h *Holder) decide(now time.Time, b *budget) (tsbudget.Decision, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	v := h.viewLocked(now, b)
+	d := h.cfg.Placement.Decide(v)
+	if b.closed {
+		h.core.Retire(b.id, 0)
+		return tsbudget.Decision{}, false
+	}
+	return d, v.Waiting > 0
+}
+
+// stillShort reports whether requests wait for more than is available.
+func (h *Holder) stillShort(b *budget) bool {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.grantLocked(now, b)
+	return b.queue.Len() > 0 && !b.closed
+}
+
+// exchange draws a lot and reports usage, in one write.
+func (h *Holder) exchange(ctx context.Context, b *budget, d tsbudget.Decision, waiting bool) {
+	now := time.Now()
+	h.mu.Lock()
+	reports := h.core.Reports(b.id, false)
+	due := b.closed || d.Return || now.Sub(b.reportedAt) >= settleInterval
+	draw := h.drawRequestLocked(now, b, d, waiting)
+	h.mu.Unlock()
+	switch {
+	case draw == nil && (len(reports) == 0 || !due):
+		return
+	case !waiting && !h.limiter.Allow():
+		return
+	case draw == nil:
+		_, _ = h.update(ctx, b, tsbudget.Settle(reports...), reports)
+		return
+	}
+	item, err := h.update(ctx, b, tsbudget.Exchange(draw.DrawRequest, reports...), reports)
+	h.afterDraw(b, draw, item, err)
+}
+
+// drawRequestLocked returns the draw to make, if any: first of all one whose
+// answer was lost.
+func (h *Holder) drawRequestLocked(now time.Time, b *budget, d tsbudget.Decision, waiting bool) *unansweredDraw {
+	if b.closed {
+		return nil
+	}
+	if b.draw != nil {
+		return b.draw
+	}
+	if !d.Draw || (now.Before(b.nextDraw) && !waiting) {
+		return nil
+	}
+	return &unansweredDraw{DrawRequest: tsbudget.DrawRequest{
+		Lot: turmericshed.LotID(h.cfg.NewID("lot-")), Holder: h.cfg.Self.Incarnation, FailureDomain: h.cfg.Self.FailureDomain,
+		Want: d.Want, Min: d.Min, Share: d.Share, At: now,
+	}}
+}
+
+// update runs one change of the ledger and takes in what it read. The reports
+// are acknowledged when the change stands.
+func (h *Holder) update(ctx context.Context, b *budget, m tsupdate.Mutation, reports []tsbudget.Report) (turmericshed.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, err := tsupdate.Run(ctx, h.cfg.Store, tsupdate.New(tsbudget.Key(b.id), m))
+	l, decodeErr := tsbudget.Decode(item)
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	read := decodeErr == nil && (err == nil || readKind(err))
+	b.storeErr = nil
+	if !read {
+		b.storeErr = err
+		if err == nil {
+			b.storeErr = decodeErr
+		}
+		return item, b.storeErr
+	}
+	b.ledger = tsbudget.Summarize(l, h.cfg.Self.Incarnation, now)
+	b.lots = l.Lots
+	if l.Recalled {
+		b.closed = true
+	}
+	if err == nil && len(reports) > 0 {
+		h.acknowledgeLocked(b, reports)
+		b.reportedAt = now
+	}
+	return item, err
+}
+
+// readKind reports whether the error is the ledger's own answer, after it was
+// read.
+func readKind(err error) bool {
+	switch turmericshed.KindOf(err) {
+	case turmericshed.KindBudgetExhausted, turmericshed.KindConflict, turmericshed.KindNotFound:
+		return true
+	default:
+		return false
+	}
+}
+
+func (h *Holder) acknowledgeLocked(b *budget, reports []tsbudget.Report) {
+	h.core.Acknowledge(b.id, reports)
+	for _, r := range reports {
+		name := turmericshed.EventLotSettled
+		if r.Final {
+			name = turmericshed.EventLotReturned
+		}
+		h.cfg.Recorder.Record(turmericshed.Event{Name: name, Profile: b.profile.Name, Lot: r.Lot, Tokens: r.Used})
+	}
+}
+
+// afterDraw takes the outcome of a draw: the lot, a certain refusal, or an
+// answer that was lost.
+func (h *Holder) afterDraw(b *budget, draw *unansweredDraw, item turmericshed.Item, err error) {
+	now := time.Now()
+	l, decodeErr := tsbudget.Decode(item)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if turmericshed.KindOf(err) == turmericshed.KindStoreUnknown {
+		draw.seen = max(draw.seen, item.Version)
+		b.draw = draw
+		return
+	}
+	if b.draw != nil && err != nil && item.Version <= b.draw.seen {
+		// The write whose answer was lost may still land.
+		return
+	}
+	b.draw = nil
+	event := turmericshed.Event{Profile: b.profile.Name, Lot: draw.Lot}
+	if err == nil && decodeErr == nil {
+		if lot, ok := l.Lot(draw.Lot); ok {
+			h.core.AddLot(b.id, lot, "")
+			event.Name, event.Tokens = turmericshed.EventLotDrawn, lot.Drawn
+			h.cfg.Recorder.Record(event)
+			return
+		}
+	}
+	b.nextDraw = now.Add(exhaustedPause)
+	event.Name, event.Tokens = turmericshed.EventLotRefused, draw.Min
+	if err != nil {
+		event.Reason = turmericshed.KindOf(err).String()
+	}
+	h.cfg.Recorder.Record(event)
+}
+
+// repair brings the ledger in line with an edited or closed profile.
+func (h *Holder) repair(ctx context.Context, b *budget) {
+	h.mu.Lock()
+	p, known := b.profile, b.ledger
+	stale := known.Read && (known.Limit != p.Prepaid || (p.Closed && !b.closed))
+	h.mu.Unlock()
+	if !stale {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	item, err := Repair(ctx, h.cfg.Store, b.id, p.Name)
+	l, decodeErr := tsbudget.Decode(item)
+	if err != nil || decodeErr != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b.ledger = tsbudget.Summarize(l, h.cfg.Self.Incarnation, time.Now())
+	b.closed = b.closed || l.Recalled
+}
+
+// collect closes the lots of holders that are gone. That frees nothing and
+// only keeps the ledger small, so it may wait.
+func (h *Holder) collect(ctx context.Context, b *budget) {
+	now := time.Now()
+	h.mu.Lock()
+	ids := h.deadLotsLocked(now, b)
+	home := len(ids) > 0 && h.viewLocked(now, b).Home
+	h.mu.Unlock()
+	if !home || !h.limiter.Allow() {
+		return
+	}
+	if _, err := h.update(ctx, b, tsbudget.Close(ids...), nil); err != nil {
+		return
+	}
+	for _, id := range ids {
+		h.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventLotClosed, Profile: b.profile.Name, Lot: id})
+	}
+}
+
+func (h *Holder) deadLotsLocked(now time.Time, b *budget) []turmericshed.LotID {
+	var ids []turmericshed.LotID
+	for _, l := range b.lots {
+		if l.Holder == h.cfg.Self.Incarnation {
+			continue
+		}
+		switch h.cfg.Members.State(l.Holder) {
+		case turmericshed.MemberGone, turmericshed.MemberLeft:
+			since, ok := h.goneSince[l.Holder]
+			if !ok {
+				h.goneSince[l.Holder] = now
+			}
+			if ok && now.Sub(since) >= closeAfter {
+				ids = append(ids, l.ID)
+			}
+		case turmericshed.MemberUnknown:
+			if now.Sub(l.At) >= unknownCloseAfter {
+				ids = append(ids, l.ID)
+			}
+		default:
+			delete(h.goneSince, l.Holder)
+		}
+	}
+	return ids
+}
