Budget holder: rounds asked for before a drain draw nothing after it

A round that was still queued when Drain began drew a new lot after the old ones were returned (TestHolder, graceful stop, 1 run in 20 red).

--- a/io/tsholder/controller.go
+++ b/io/tsholder/controller.go
@@ -165,7 +165,7 @@
 }
 
 func (h *Holder) tryDrain(ctx context.Context, id turmericshed.BudgetID) error {
-	b, ok := h.beginRound(id)
+	b, ok := h.beginRound(id, true)
 	if !ok {
 		h.mu.Lock()
 		b = h.budgets[id]
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -37,12 +37,13 @@
 	}
 }
 
-// beginRound claims the budget for a round.
-func (h *Holder) beginRound(id turmericshed.BudgetID) (*budget, bool) {
+// beginRound claims the budget for a round. While draining, only the rounds
+// of the drain begin.
+func (h *Holder) beginRound(id turmericshed.BudgetID, draining bool) (*budget, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := h.budgets[id]
-	if b == nil {
+	if b == nil || h.draining != draining {
 		return nil, false
 	}
 	b.queued = false
@@ -72,7 +73,7 @@
 
 // round is one pass over a budget.
 func (h *Holder) round(ctx context.Context, id turmericshed.BudgetID) {
-	b, ok := h.beginRound(id)
+	b, ok := h.beginRound(id, false)
 	if !ok {
 		return
 	}
