Entry VM on tsdedupe and tsframe; settled before the end frame

Cause: joining and frame checks stood twice; a caller could hold its answer before it was billed; whether a call was sent was guessed from the error's kind. Result: go test -race -count=5 ./io/tsentry ./core/tsdedupe passes; before, 'runs by itself when nobody answers' saw 0 of 5 tokens settled after the answer. Conclusion: one implementation of each.

--- a/core/tsdedupe/table.go
+++ b/core/tsdedupe/table.go
@@ -10,6 +10,7 @@
 //
 // # Usage
 //
+//	table := tsdedupe.NewTable[*runner]()
 //	s, joined, err := table.Join(now, account, key, digest)
 //	if !joined { // run the request and feed the stream
 //		s.Append(frame) // or s.Fail(err)
@@ -45,39 +46,50 @@
 	Request string
 }
 
-// Table holds the streams of one entry VM.
-type Table struct {
-	streams map[Key]*Stream
+// Table holds the streams of one entry VM, each with the handle H by which
+// its runner is reached.
+type Table[H any] struct {
+	streams map[Key]*Stream[H]
 	evicted time.Time
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{streams: map[Key]*Stream{}} }
+func NewTable[H any]() *Table[H] { return &Table[H]{streams: map[Key]*Stream[H]{}} }
 
 // Len returns the number of streams in the table.
-func (t *Table) Len() int { return len(t.streams) }
+func (t *Table[H]) Len() int { return len(t.streams) }
 
 // Join returns the stream of the request, making it where there is none;
-// joined tells which. A stream that failed before its first frame is made
-// anew. Errors: KindKeyReused.
-func (t *Table) Join(now time.Time, account turmericshed.AccountID, key string, d turmericshed.Digest) (s *Stream, joined bool, err error) {
+// joined tells which. A stream that failed is made anew, since joining it
+// could only repeat the failure. Errors: KindKeyReused.
+func (t *Table[H]) Join(now time.Time, account turmericshed.AccountID, key string, d turmericshed.Digest) (s *Stream[H], joined bool, err error) {
 	t.evict(now)
 	k := Key{Account: account, Request: key}
 	s, ok := t.streams[k]
 	if ok && s.digest != d {
 		return nil, false, turmericshed.NewError(turmericshed.KindKeyReused, "request key was used with another body")
 	}
-	if ok && !s.retryable() {
+	if ok && s.err == nil {
 		return s, true, nil
 	}
-	s = &Stream{digest: d}
+	s = &Stream[H]{digest: d}
 	t.streams[k] = s
 	return s, false, nil
 }
 
+// Find returns the stream of the request, if it is there, was not begun with
+// another body and did not fail.
+func (t *Table[H]) Find(account turmericshed.AccountID, key string, d turmericshed.Digest) (*Stream[H], bool) {
+	s, ok := t.streams[Key{Account: account, Request: key}]
+	if !ok || s.digest != d || s.err != nil {
+		return nil, false
+	}
+	return s, true
+}
+
 // evict removes streams that ended long ago, and any ended ones when the
 // table is full.
-func (t *Table) evict(now time.Time) {
+func (t *Table[H]) evict(now time.Time) {
 	if len(t.streams) < maxStreams && now.Sub(t.evicted) < evictInterval {
 		return
 	}
@@ -115,7 +127,9 @@
 )
 
 // Stream is one running or ended generation.
-type Stream struct {
+type Stream[H any] struct {
+	// Handle is set by whoever runs the stream.
+	Handle H
 	// ID and Server are set by whoever runs the stream, so that it can be
 	// resumed; empty before dispatch.
 	ID     turmericshed.StreamID
@@ -133,7 +147,7 @@
 
 // Append adds the next frame, which must have passed its check. The oldest
 // frames leave the buffer when it is full.
-func (s *Stream) Append(now time.Time, f turmericshed.Frame) {
+func (s *Stream[H]) Append(now time.Time, f turmericshed.Frame) {
 	turmericshed.Assert(f.Seq == s.Len() && !s.Ended(), "frames_in_order",
 		"stream %s: frame %d after %d", f.Stream, f.Seq, s.Len())
 	s.frames = append(s.frames, f)
@@ -152,32 +166,32 @@
 func size(f turmericshed.Frame) int { return len(f.Text) + frameOverhead }
 
 // Fail ends the stream with an error.
-func (s *Stream) Fail(now time.Time, err error) {
+func (s *Stream[H]) Fail(now time.Time, err error) {
 	if !s.Ended() {
 		s.err, s.endedAt = err, now
 	}
 }
 
 // Len returns the number of frames appended so far.
-func (s *Stream) Len() int { return s.base + len(s.frames) }
+func (s *Stream[H]) Len() int { return s.base + len(s.frames) }
 
 // Bytes returns the size of the buffer.
-func (s *Stream) Bytes() int { return s.bytes }
+func (s *Stream[H]) Bytes() int { return s.bytes }
 
 // Ended reports whether the stream is whole or failed.
-func (s *Stream) Ended() bool { return s.whole || s.err != nil }
+func (s *Stream[H]) Ended() bool { return s.whole || s.err != nil }
 
 // Err returns why the stream failed.
-func (s *Stream) Err() error { return s.err }
+func (s *Stream[H]) Err() error { return s.err }
 
 // retryable reports whether the request may be run anew under its key:
 // nothing was sent to a backend server, or no frame came and it was not run.
-func (s *Stream) retryable() bool {
+func (s *Stream[H]) retryable() bool {
 	return s.err != nil && s.Len() == 0 && turmericshed.OutcomeOf(s.err) == turmericshed.OutcomeNotRun
 }
 
 // Read returns the frame at a position.
-func (s *Stream) Read(pos int) (turmericshed.Frame, ReadState) {
+func (s *Stream[H]) Read(pos int) (turmericshed.Frame, ReadState) {
 	switch {
 	case pos < s.base:
 		return turmericshed.Frame{}, ReadBehind
@@ -194,13 +208,13 @@
 
 // Bill returns true once in the life of the stream: to the caller that must
 // write the record of its cost.
-func (s *Stream) Bill() bool {
+func (s *Stream[H]) Bill() bool {
 	first := !s.billed
 	s.billed = true
 	return first
 }
 
 // AssertBilled keeps the promise that an ended request is billed.
-func (s *Stream) AssertBilled() {
+func (s *Stream[H]) AssertBilled() {
 	turmericshed.Assert(s.billed || !s.Ended() || s.retryable(), "billed_once", "stream %s ended and was not billed", s.ID)
 }
--- a/io/tsentry/bill.go
+++ b/io/tsentry/bill.go
@@ -46,6 +46,9 @@
 func (b *bill) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.ended {
+		return
+	}
 	b.ended = true
 	b.send()
 }
--- a/io/tsentry/call.go
+++ b/io/tsentry/call.go
@@ -83,6 +83,8 @@
 	call  turmericshed.ServiceRequest
 	route turmericshed.RouteRequest
 	bill  *bill
+	// mayHaveRun is true once an attempt was sent and got no answer.
+	mayHaveRun bool
 }
 
 // runRepeatable tries servers until one answers, within the retry budget.
@@ -92,17 +94,15 @@
 		return turmericshed.Answer{}, err
 	}
 	c.bill.started()
-	mayHaveRun := false
 	for n := 1; ; n++ {
 		answer, err := c.dispatch(ctx, nil)
-		mayHaveRun = mayHaveRun || !notSent(err)
 		if err == nil {
 			c.e.settle(res, c.bill, res.Amount)
 			return answer, nil
 		}
 		if n >= maxAttempts || ctx.Err() != nil || !c.e.deps.Retries.Allow(time.Now()) || backOff(ctx, n) != nil {
 			c.e.settle(res, c.bill, 0)
-			return turmericshed.Answer{}, truthful(err, mayHaveRun)
+			return turmericshed.Answer{}, truthful(err, c.mayHaveRun)
 		}
 	}
 }
@@ -147,7 +147,7 @@
 		_ = claims.Complete(ctx, id, answer)
 		return answer, nil
 	}
-	if turmericshed.OutcomeOf(err) == turmericshed.OutcomeNotRun {
+	if !c.mayHaveRun {
 		c.e.settle(res, c.bill, 0)
 		return turmericshed.Answer{}, joinAbandon(err, claims.Abandon(ctx, id))
 	}
@@ -169,7 +169,7 @@
 func (c *serviceCall) dispatchClaimed(ctx context.Context, id turmericshed.ClaimID) (turmericshed.Answer, error) {
 	for n := 1; ; n++ {
 		answer, err := c.dispatch(ctx, func() error { return c.e.deps.Claims.Dispatch(id) })
-		if err == nil || !notSent(err) || n >= maxAttempts || !c.e.deps.Retries.Allow(time.Now()) {
+		if err == nil || c.mayHaveRun || n >= maxAttempts || !c.e.deps.Retries.Allow(time.Now()) {
 			return answer, err
 		}
 		if backOff(ctx, n) != nil {
@@ -189,6 +189,7 @@
 	}
 	if err == nil {
 		answer, err = c.e.deps.Service.Do(ctx, server, c.call)
+		c.mayHaveRun = c.mayHaveRun || err != nil && !notSent(err)
 	}
 	if err == nil {
 		q.Survived(time.Now(), c.req.digest)
--- a/io/tsentry/chat.go
+++ b/io/tsentry/chat.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 	"unicode/utf8"
 
@@ -140,7 +141,7 @@
 		e.refuse(w, req, err)
 		return
 	}
-	defer e.runs.leave(a)
+	defer a.leave()
 	switch {
 	case joined:
 	case req.key != "":
@@ -157,25 +158,37 @@
 
 // writeWhole answers in one body once the generation has ended.
 func (e *Entry) writeWhole(w http.ResponseWriter, r *http.Request, req request, chat chatRequest, a *answer) {
-	if err := a.wait(r.Context()); err != nil {
-		e.refuse(w, req, err)
+	rd := e.newReader(a, 0)
+	defer rd.close()
+	var text strings.Builder
+	for {
+		f, err := rd.next(r.Context())
+		if err != nil {
+			e.refuse(w, req, err)
+			return
+		}
+		text.WriteString(f.Text)
+		if !f.End {
+			continue
+		}
+		out := e.chunk(a, chat, "chat.completion")
+		out.Choices = []chatChoice{{Message: &chatMessage{Role: "assistant", Content: text.String()}, FinishReason: &f.Finish}}
+		out.Usage = &chatUsage{Usage: f.Usage, Total: f.Usage.Total()}
+		writeJSON(w, http.StatusOK, out)
+		e.answered(req, a)
 		return
 	}
-	text, end := a.whole()
-	out := e.chunk(a, chat, "chat.completion")
-	out.Choices = []chatChoice{{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: &end.Finish}}
-	out.Usage = &chatUsage{Usage: end.Usage, Total: end.Usage.Total()}
-	writeJSON(w, http.StatusOK, out)
-	e.answered(req, a)
 }
 
 // writeStream relays frames as server-sent events. A failure after the first
 // event ends the stream with an error event and without the end mark.
 func (e *Entry) writeStream(w http.ResponseWriter, r *http.Request, req request, chat chatRequest, a *answer) {
+	rd := e.newReader(a, 0)
+	defer rd.close()
 	rc := http.NewResponseController(w)
-	for next := 0; ; {
-		frames, err := a.next(r.Context(), next)
-		if err != nil && next == 0 {
+	for first := true; ; first = false {
+		f, err := rd.next(r.Context())
+		if err != nil && first {
 			e.refuse(w, req, err)
 			return
 		}
@@ -186,18 +199,18 @@
 			_ = rc.Flush()
 			return
 		}
-		if next == 0 {
+		if first {
 			w.Header().Set("Content-Type", "text/event-stream")
 			w.Header().Set("Cache-Control", "no-store")
 		}
-		next += len(frames)
-		for _, f := range frames {
-			e.writeFrame(w, chat, a, f)
+		e.writeFrame(w, chat, a, f)
+		if !f.End && rd.ready() {
+			continue
 		}
 		if rc.Flush() != nil {
 			return
 		}
-		if frames[len(frames)-1].End {
+		if f.End {
 			e.answered(req, a)
 			return
 		}
--- a/io/tsentry/generate.go
+++ b/io/tsentry/generate.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"time"
 
 	"turmericshed"
+	"turmericshed/core/tsframe"
 )
 
 // Bounds on attempts.
@@ -26,14 +26,23 @@
 	route  turmericshed.RouteRequest
 	began  time.Time
 	first  time.Duration
-	tokens turmericshed.Tokens
+	// check judges each frame of the stream.
+	check *tsframe.Checker
+	// sent is true from right before the request is sent.
+	sent bool
 	// connected is true once the engine accepted the request.
 	connected bool
 	// crashed is true when the engine went away with the request running.
 	crashed bool
-	// usage is set once the engine has reported it.
-	usage *turmericshed.Usage
-	bill  *bill
+	bill    *bill
+	// settled is true once the cost is charged.
+	settled bool
+}
+
+// notRun reports whether the engine certainly did not run an attempt that
+// ended with err.
+func (at *attempt) notRun(err error) bool {
+	return !at.sent || (!at.connected && notSent(err))
 }
 
 // generate runs a generation to its end and settles what it cost. It never
@@ -84,7 +93,7 @@
 		}
 		err = e.runAttempt(a, req, chat, at)
 		e.endAttempt(at, err)
-		mayHaveRun = mayHaveRun || !notSent(err)
+		mayHaveRun = mayHaveRun || !at.notRun(err)
 		if err == nil || !e.mayRetry(a, n, err) {
 			return truthful(err, mayHaveRun)
 		}
@@ -125,6 +134,8 @@
 		server: server, stream: turmericshed.StreamID(turmericshed.NewID("stream-")),
 		res: res, route: route, began: time.Now(), bill: b,
 	}
+	at.check = tsframe.New(at.stream, route.Cost)
+	a.dispatched(at.server, at.stream)
 	if req.key != "" {
 		go e.announce(a.ctx, req, at)
 	}
@@ -141,6 +152,7 @@
 		Name: turmericshed.EventDispatched, Request: a.request, Profile: req.profile.Name,
 		Server: at.server.ID, Lot: at.res.Lot, Tokens: at.res.Amount, Reason: string(at.stream),
 	})
+	at.sent = true
 	ts, err := e.deps.Engine.Generate(a.ctx, at.server, turmericshed.GenerateRequest{
 		Stream: at.stream, Model: chat.Model, Messages: chat.Messages,
 		MaxTokens: *chat.MaxTokens, Priority: req.profile.Priority, Deadline: req.deadline,
@@ -184,41 +196,38 @@
 	return ts, nil
 }
 
-// relay moves frames into the answer until the end frame. Frames of another
-// stream and frames seen before are dropped; a gap breaks the stream.
+// relay moves frames that pass their check into the answer until the end
+// frame. A gap, or an end that does not account for every token, breaks the
+// stream.
 func (e *Entry) relay(a *answer, at *attempt, ts turmericshed.TokenStream) error {
+	at.check.Resumed()
 	for {
 		f, err := ts.Next()
-		if errors.Is(err, io.EOF) {
-			return turmericshed.NewError(turmericshed.KindStreamBroken, "the stream ended without its end frame")
+		if err != nil {
+			return at.check.Closed(err)
 		}
+		verdict, err := at.check.Check(f)
 		if err != nil {
 			return err
 		}
-		want := a.size()
-		if f.Stream != at.stream || f.Seq < want {
+		if verdict != tsframe.Relay {
 			e.deps.Recorder.Record(turmericshed.Event{
-				Name: turmericshed.EventFrameDropped, Request: a.request, Server: at.server.ID, Reason: string(f.Stream),
+				Name: turmericshed.EventFrameDropped, Request: a.request, Server: at.server.ID,
+				Reason: verdict.String() + " frame of " + string(f.Stream),
 			})
 			continue
 		}
-		if f.Seq > want {
-			return turmericshed.NewError(turmericshed.KindStreamBroken, "a frame is missing")
-		}
 		if at.first == 0 {
 			at.first = time.Since(at.began)
 		}
-		at.tokens += f.Tokens
-		if f.End {
-			u := f.Usage
-			at.usage = &u
-		}
-		if err := a.append(f); err != nil {
-			return err
-		}
-		if f.End {
-			return nil
+		if !f.End {
+			a.append(f)
+			continue
 		}
+		at.check.AssertWhole()
+		e.settleWhole(at)
+		a.append(f)
+		return nil
 	}
 }
 
@@ -226,12 +235,11 @@
 // it is known, else once the engine has confirmed a cancel.
 func (e *Entry) endAttempt(at *attempt, err error) {
 	e.deps.Router.Done(time.Now(), at.server.ID, at.route, turmericshed.DispatchResult{
-		Err: err, FirstByte: at.first, Elapsed: time.Since(at.began), Tokens: at.tokens,
+		Err: err, FirstByte: at.first, Elapsed: time.Since(at.began), Tokens: at.check.Tokens(),
 	})
 	switch {
-	case at.usage != nil:
-		e.settle(at.res, at.bill, at.usage.Total())
-	case !at.connected && notSent(err):
+	case at.settled:
+	case at.notRun(err):
 		e.settle(at.res, at.bill, 0)
 	default:
 		e.deps.Budgets.Suspend(at.res)
@@ -239,6 +247,19 @@
 	}
 }
 
+// settleWhole charges and bills a whole answer before its end frame goes out,
+// so that a caller with its answer has been billed. A generation that runs
+// elsewhere is billed there.
+func (e *Entry) settleWhole(at *attempt) {
+	if at.bill == nil {
+		return
+	}
+	usage, _ := at.check.Whole()
+	e.settle(at.res, at.bill, usage.Total())
+	at.settled = true
+	at.bill.end()
+}
+
 // settle replaces a reservation by its cost. An engine that reports more than
 // the worst case is charged the worst case and the breach is recorded.
 func (e *Entry) settle(res turmericshed.Reservation, b *bill, used turmericshed.Tokens) {
--- a/io/tsentry/join.go
+++ b/io/tsentry/join.go
@@ -9,6 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"turmericshed"
+	"turmericshed/core/tsdedupe"
+	"turmericshed/core/tsframe"
 	"turmericshed/io/tspeerapi"
 )
 
@@ -23,7 +25,7 @@
 
 // ownerOf returns the soft owner of a key among the entry VMs of this failure
 // domain, by rendezvous hashing.
-func (e *Entry) ownerOf(k runKey) turmericshed.EntryVM {
+func (e *Entry) ownerOf(k tsdedupe.Key) turmericshed.EntryVM {
 	self := e.deps.Members.Self()
 	best, top := self, ownerScore(k, self)
 	for _, m := range e.deps.Members.Reachable() {
@@ -37,9 +39,9 @@
 	return best
 }
 
-func ownerScore(k runKey, m turmericshed.EntryVM) uint64 {
+func ownerScore(k tsdedupe.Key, m turmericshed.EntryVM) uint64 {
 	h := xxhash.New()
-	_, _ = h.WriteString(string(k.account) + "\x00" + k.key + "\x00" + string(m.Incarnation))
+	_, _ = h.WriteString(string(k.Account) + "\x00" + k.Request + "\x00" + string(m.Incarnation))
 	return h.Sum64()
 }
 
@@ -50,7 +52,7 @@
 	if at != nil {
 		g.stream, g.server = at.stream, at.server
 	}
-	k := runKey{req.account, req.key}
+	k := tsdedupe.Key{Account: req.account, Request: req.key}
 	owner := e.ownerOf(k)
 	if owner.Incarnation == g.runner.Incarnation {
 		return e.registry.announce(k, g)
@@ -84,7 +86,7 @@
 		a.cancel()
 		return
 	}
-	err := e.follow(a, req, g)
+	err := e.follow(a, req, g, *chat.MaxTokens)
 	if err == nil {
 		a.cancel()
 		return
@@ -100,15 +102,16 @@
 // follow relays a generation from its runner, and from the engine once the
 // runner can't be reached. Its tokens are charged to the runner's lot: a
 // runner that died has left its whole lot charged.
-func (e *Entry) follow(a *answer, req request, g generation) error {
-	err := e.joinRunner(a, req, g)
+func (e *Entry) follow(a *answer, req request, g generation, limit turmericshed.Tokens) error {
+	at := &attempt{server: g.server, stream: g.stream, began: time.Now(), check: tsframe.New(g.stream, limit)}
+	a.dispatched(at.server, at.stream)
+	err := e.joinRunner(a, req, g, at)
 	if err == nil || a.ctx.Err() != nil || g.stream == "" {
 		return err
 	}
 	if code := connect.CodeOf(err); code == connect.CodeNotFound {
 		return err
 	}
-	at := &attempt{server: g.server, stream: g.stream, began: time.Now()}
 	ts, err := e.deps.Engine.Resume(a.ctx, at.server, at.stream, a.size())
 	if err != nil {
 		return err
@@ -122,7 +125,7 @@
 }
 
 // joinRunner relays frames from the entry VM that runs the generation.
-func (e *Entry) joinRunner(a *answer, req request, g generation) error {
+func (e *Entry) joinRunner(a *answer, req request, g generation, at *attempt) error {
 	stream, err := e.streamClient(g.runner.PeerAddr).Join(a.ctx, connect.NewRequest(&tspeerapi.JoinRequest{
 		Key: streamKey(req), From: int32(a.size()), //nolint:gosec // bounded by max_tokens
 	}))
@@ -130,7 +133,7 @@
 		return err
 	}
 	defer func() { _ = stream.Close() }()
-	return e.relay(a, &attempt{stream: g.stream, began: time.Now()}, &joinedStream{in: stream, id: g.stream})
+	return e.relay(a, at, &joinedStream{in: stream, id: g.stream})
 }
 
 // joinedStream is a TokenStream over a peer's Join.
@@ -170,7 +173,7 @@
 // Announce enters a generation in the owner's table. A generation whose
 // runner is gone is returned once, for its stream to be resumed.
 func (h *StreamHandler) Announce(_ context.Context, r *connect.Request[tspeerapi.AnnounceRequest]) (*connect.Response[tspeerapi.AnnounceResponse], error) {
-	k := runKey{turmericshed.AccountID(r.Msg.GetKey().GetAccount()), r.Msg.GetKey().GetKey()}
+	k := tsdedupe.Key{Account: turmericshed.AccountID(r.Msg.GetKey().GetAccount()), Request: r.Msg.GetKey().GetKey()}
 	g := fromWire(r.Msg.GetGeneration(), r.Msg.GetKey().GetDigest())
 	held, found := h.e.registry.announce(k, g)
 	if !found {
@@ -188,23 +191,22 @@
 // Join relays the frames of a generation that runs here.
 func (h *StreamHandler) Join(ctx context.Context, r *connect.Request[tspeerapi.JoinRequest], out *connect.ServerStream[tspeerapi.JoinFrame]) error {
 	k := r.Msg.GetKey()
-	a, ok := h.e.runs.find(runKey{turmericshed.AccountID(k.GetAccount()), k.GetKey()}, turmericshed.Digest(k.GetDigest()))
+	a, ok := h.e.runs.find(tsdedupe.Key{Account: turmericshed.AccountID(k.GetAccount()), Request: k.GetKey()}, turmericshed.Digest(k.GetDigest()))
 	if !ok {
 		return connect.NewError(connect.CodeNotFound, turmericshed.NewError(turmericshed.KindNotFound, "no such generation"))
 	}
-	defer h.e.runs.leave(a)
-	for next := int(r.Msg.GetFrom()); ; {
-		frames, err := a.next(ctx, next)
+	defer a.leave()
+	rd := h.e.newReader(a, int(r.Msg.GetFrom()))
+	defer rd.close()
+	for {
+		f, err := rd.next(ctx)
 		if err != nil {
 			return connect.NewError(connect.CodeAborted, err)
 		}
-		next += len(frames)
-		for _, f := range frames {
-			if err := out.Send(frameToWire(f)); err != nil {
-				return err
-			}
+		if err := out.Send(frameToWire(f)); err != nil {
+			return err
 		}
-		if frames[len(frames)-1].End {
+		if f.End {
 			return nil
 		}
 	}
--- a/io/tsentry/registry.go
+++ b/io/tsentry/registry.go
@@ -7,6 +7,7 @@
 	lru "github.com/hashicorp/golang-lru/v2/expirable"
 
 	"turmericshed"
+	"turmericshed/core/tsdedupe"
 )
 
 // Announced generations held by the soft owner of their keys.
@@ -30,16 +31,16 @@
 // costs a second run of an ordinary request, never a wrong answer.
 type registry struct {
 	mu    sync.Mutex
-	table *lru.LRU[runKey, generation]
+	table *lru.LRU[tsdedupe.Key, generation]
 }
 
 func newRegistry() *registry {
-	return &registry{table: lru.NewLRU[runKey, generation](registrySize, nil, registryAge)}
+	return &registry{table: lru.NewLRU[tsdedupe.Key, generation](registrySize, nil, registryAge)}
 }
 
 // announce enters g unless another runner's generation of the key is there,
 // which it then returns. A generation that was dispatched always enters.
-func (r *registry) announce(k runKey, g generation) (generation, bool) {
+func (r *registry) announce(k tsdedupe.Key, g generation) (generation, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	held, ok := r.table.Get(k)
@@ -51,7 +52,7 @@
 }
 
 // replace enters g in place of a generation whose runner is gone.
-func (r *registry) replace(k runKey, g generation) {
+func (r *registry) replace(k tsdedupe.Key, g generation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.Add(k, g)
--- a/io/tsentry/stream.go
+++ b/io/tsentry/stream.go
@@ -2,68 +2,46 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
 	"turmericshed"
+	"turmericshed/core/tsdedupe"
 )
 
-// Bounds on answers held in memory.
-const (
-	// maxAnswerBytes bounds the text of one answer.
-	maxAnswerBytes = 1 << 20
-	// answerRetention is how long a whole answer can be replayed to a retry.
-	answerRetention = 60 * time.Second
-	// orphanGrace is how long a generation with an idempotency key goes on
-	// after its last caller hung up, so that a retry can join it.
-	orphanGrace = 3 * time.Second
-)
+// orphanGrace is how long a generation with an idempotency key goes on after
+// its last caller hung up, so that a retry can join it.
+const orphanGrace = 3 * time.Second
 
 // answer is the growing answer of one generation. Callers read it from the
 // start, at their own pace; the generation never waits for them.
 type answer struct {
 	request turmericshed.RequestID
-	account turmericshed.AccountID
 	key     string
-	digest  turmericshed.Digest
 	started time.Time
 	ctx     context.Context
 	cancel  context.CancelFunc
 
 	mu      sync.Mutex
-	frames  []turmericshed.Frame
-	bytes   int
-	ended   bool
-	err     error
+	stream  *tsdedupe.Stream[*answer]
 	changed chan struct{}
 	readers int
 }
 
 // append adds the next frame and wakes the readers.
-func (a *answer) append(f turmericshed.Frame) error {
+func (a *answer) append(f turmericshed.Frame) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	turmericshed.Assert(!a.ended, "no_frame_after_end", "request %s frame %d", a.request, f.Seq)
-	turmericshed.Assert(f.Seq == len(a.frames), "frames_without_gap", "request %s frame %d after %d", a.request, f.Seq, len(a.frames))
-	if a.bytes += len(f.Text); a.bytes > maxAnswerBytes {
-		return turmericshed.NewError(turmericshed.KindStreamBroken, "answer is over %d bytes", maxAnswerBytes)
-	}
-	a.frames = append(a.frames, f)
-	a.ended = f.End
+	a.stream.Append(time.Now(), f)
 	a.wake()
-	return nil
 }
 
 // fail ends the answer with an error, unless it is whole already.
 func (a *answer) fail(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ended {
-		return
-	}
 	turmericshed.Assert(err != nil, "failure_has_reason", "request %s", a.request)
-	a.ended, a.err = true, err
+	a.stream.Fail(time.Now(), err)
 	a.wake()
 }
 
@@ -72,134 +50,169 @@
 	a.changed = make(chan struct{})
 }
 
+// dispatched notes where the generation runs, so that it can be resumed.
+func (a *answer) dispatched(server turmericshed.BackendServer, id turmericshed.StreamID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stream.Server, a.stream.ID = server, id
+}
+
 // size returns the number of frames so far.
 func (a *answer) size() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.frames)
-}
-
-// next returns the frames from the given sequence on, waiting for one. It
-// returns the answer's error after the last frame.
-func (a *answer) next(ctx context.Context, from int) ([]turmericshed.Frame, error) {
-	for {
-		a.mu.Lock()
-		frames, ended, err, changed := a.frames, a.ended, a.err, a.changed
-		a.mu.Unlock()
-		if from < len(frames) {
-			return frames[from:], nil
-		}
-		if ended {
-			return nil, err
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, turmericshed.WithOutcome(
-				turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "caller went away"), turmericshed.OutcomeUnknown)
-		}
-	}
+	return a.stream.Len()
 }
 
-// wait returns once the answer is whole or failed.
-func (a *answer) wait(ctx context.Context) error {
-	for next := 0; ; {
-		frames, err := a.next(ctx, next)
-		if err != nil {
-			return err
-		}
-		next += len(frames)
-		if frames[len(frames)-1].End {
-			return nil
+// at returns what a reader finds at a position.
+func (a *answer) at(pos int) (turmericshed.Frame, tsdedupe.ReadState, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f, state := a.stream.Read(pos)
+	return f, state, a.changed
+}
+
+// reader is one caller's place in an answer.
+type reader struct {
+	engine turmericshed.Engine
+	a      *answer
+	pos    int
+	// behind is the engine's stream for a reader that the buffer has left
+	// behind.
+	behind turmericshed.TokenStream
+}
+
+func (e *Entry) newReader(a *answer, pos int) *reader {
+	return &reader{engine: e.deps.Engine, a: a, pos: pos}
+}
+
+// ready reports whether next returns without waiting.
+func (r *reader) ready() bool {
+	if r.behind != nil {
+		return false
+	}
+	_, state, _ := r.a.at(r.pos)
+	return state != tsdedupe.ReadWait
+}
+
+// next returns the next frame of the answer, waiting for it. After the last
+// frame it returns the answer's error.
+func (r *reader) next(ctx context.Context) (turmericshed.Frame, error) {
+	for r.behind == nil {
+		f, state, changed := r.a.at(r.pos)
+		switch state {
+		case tsdedupe.ReadFrame:
+			r.pos++
+			return f, nil
+		case tsdedupe.ReadBehind:
+			if err := r.catchUp(ctx); err != nil {
+				return turmericshed.Frame{}, err
+			}
+		case tsdedupe.ReadWait:
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return turmericshed.Frame{}, turmericshed.WithOutcome(ended(ctx), turmericshed.OutcomeUnknown)
+			}
+		default:
+			return turmericshed.Frame{}, r.a.err()
 		}
 	}
+	return r.nextBehind()
 }
 
-// whole returns the text and the end frame of an answer that wait returned.
-func (a *answer) whole() (string, turmericshed.Frame) {
+// err returns why the answer failed.
+func (a *answer) err() error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	end := a.frames[len(a.frames)-1]
-	turmericshed.Assert(a.err == nil && end.End, "answer_is_whole", "request %s", a.request)
-	var b strings.Builder
-	b.Grow(a.bytes)
-	for _, f := range a.frames {
-		b.WriteString(f.Text)
+	turmericshed.Assert(a.stream.Err() != nil, "read_past_end", "request %s", a.request)
+	return a.stream.Err()
+}
+
+// catchUp resumes the generation at the engine from the reader's place.
+func (r *reader) catchUp(ctx context.Context) error {
+	r.a.mu.Lock()
+	server, id := r.a.stream.Server, r.a.stream.ID
+	r.a.mu.Unlock()
+	ts, err := r.engine.Resume(ctx, server, id, r.pos)
+	if err != nil {
+		return turmericshed.WrapError(turmericshed.KindStreamBroken, err, "the caller reads too slowly")
 	}
-	return b.String(), end
+	r.behind = ts
+	return nil
 }
 
-// failed reports whether the answer ended with an error.
-func (a *answer) failed() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.ended && a.err != nil
+// nextBehind returns the next frame from the engine, checked as ever.
+func (r *reader) nextBehind() (turmericshed.Frame, error) {
+	f, err := r.behind.Next()
+	if err != nil {
+		return f, turmericshed.WrapError(turmericshed.KindStreamBroken, err, "the caller reads too slowly")
+	}
+	if f.Stream != r.a.stream.ID || f.Seq != r.pos {
+		return f, turmericshed.NewError(turmericshed.KindStreamBroken, "a frame is missing")
+	}
+	r.pos++
+	return f, nil
 }
 
-// runKey names a generation that retries may join.
-type runKey struct {
-	account turmericshed.AccountID
-	key     string
+// close ends the reader.
+func (r *reader) close() {
+	if r.behind != nil {
+		_ = r.behind.Close()
+	}
 }
 
-// runs are the generations of this process that retries may join.
+// runs are the generations of this process. Those with an idempotency key can
+// be joined by retries.
 type runs struct {
-	mu   sync.Mutex
-	open map[runKey]*answer
 	base context.Context
+
+	mu    sync.Mutex
+	table *tsdedupe.Table[*answer]
 }
 
 func newRuns(base context.Context) *runs {
-	return &runs{open: make(map[runKey]*answer), base: base}
+	return &runs{base: base, table: tsdedupe.NewTable[*answer]()}
 }
 
 // begin returns the generation that req belongs to and whether it was there
 // before. KindKeyReused when the key came with another body.
 func (r *runs) begin(req request) (a *answer, joined bool, err error) {
+	if req.key == "" {
+		return r.newAnswer(req, &tsdedupe.Stream[*answer]{}), false, nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	k := runKey{req.account, req.key}
-	if held, ok := r.open[k]; ok && req.key != "" && !held.failed() {
-		if held.digest != req.digest {
-			return nil, false, turmericshed.NewError(turmericshed.KindKeyReused, "the idempotency key came with another body")
-		}
-		held.join()
-		return held, true, nil
+	s, joined, err := r.table.Join(time.Now(), req.account, req.key, req.digest)
+	if err != nil {
+		return nil, false, err
 	}
-	a = newAnswer(r.base, req)
-	if req.key != "" {
-		r.open[k] = a
-		time.AfterFunc(time.Until(req.deadline)+answerRetention, func() { r.forget(k, a) })
+	if joined {
+		s.Handle.join()
+		return s.Handle, true, nil
 	}
-	return a, false, nil
+	return r.newAnswer(req, s), false, nil
 }
 
 // find joins the generation of a key and body, if it is here and not failed.
-func (r *runs) find(k runKey, digest turmericshed.Digest) (*answer, bool) {
+func (r *runs) find(k tsdedupe.Key, digest turmericshed.Digest) (*answer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a, ok := r.open[k]
-	if !ok || a.digest != digest || a.failed() {
+	s, ok := r.table.Find(k.Account, k.Request, digest)
+	if !ok {
 		return nil, false
 	}
-	a.join()
-	return a, true
+	s.Handle.join()
+	return s.Handle, true
 }
 
-func newAnswer(base context.Context, req request) *answer {
-	ctx, cancel := context.WithDeadline(base, req.deadline)
-	return &answer{
-		request: req.id, account: req.account, key: req.key, digest: req.digest, started: time.Now(),
-		ctx: ctx, cancel: cancel, changed: make(chan struct{}), readers: 1,
-	}
-}
-
-func (r *runs) forget(k runKey, a *answer) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.open[k] == a {
-		delete(r.open, k)
+func (r *runs) newAnswer(req request, s *tsdedupe.Stream[*answer]) *answer {
+	ctx, cancel := context.WithDeadline(r.base, req.deadline)
+	s.Handle = &answer{
+		request: req.id, key: req.key, started: time.Now(), ctx: ctx, cancel: cancel,
+		stream: s, changed: make(chan struct{}), readers: 1,
 	}
+	return s.Handle
 }
 
 func (a *answer) join() {
@@ -210,11 +223,11 @@
 
 // leave ends a caller's interest. The last one out cancels the generation, at
 // once without an idempotency key, else after a grace period.
-func (r *runs) leave(a *answer) {
+func (a *answer) leave() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.readers--
-	if a.readers > 0 || a.ended {
+	if a.readers > 0 || a.stream.Ended() {
 		return
 	}
 	if a.key == "" {
@@ -227,7 +240,7 @@
 func (a *answer) cancelIfOrphan() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.readers == 0 && !a.ended {
+	if a.readers == 0 && !a.stream.Ended() {
 		a.cancel()
 	}
 }
