--- a/io/tscommand/commands.go
+++ b/io/tscommand/commands.go
@@ -41,6 +41,7 @@
 		{"account", "make, list and delete client accounts", runAccount},
 		{"standin", "stand in for the platform, an engine or a service", runStandin},
 		{"load", "send open-loop load and keep the callers' books", runLoad},
+		{"timeline", "merge the events of all processes", runTimeline},
 	}
 }
 
