--- /dev/null
+++ b/core/tsmember/gossip.go
@@ -0,0 +1,246 @@
+package tsmember
+
+import (
+	"math/bits"
+	"slices"
+	"strings"
+	"time"
+
+	"turmericshed"
+)
+
+// Piggyback is a topic whose payloads ride on the probes. Calls are made one
+// at a time and must not block.
+type Piggyback interface {
+	// Topic names the kind of payload.
+	Topic() string
+	// Next returns payloads of at most budgetBytes in all, least told first,
+	// and counts them as told once.
+	Next(budgetBytes int) [][]byte
+	// Merge takes a payload from a peer.
+	Merge(payload []byte)
+}
+
+// Urgent is a Piggyback whose news is pushed to neighbours at once.
+type Urgent interface {
+	Piggyback
+	// TakeUrgent reports whether there was urgent news since the last call.
+	TakeUrgent() bool
+}
+
+// Payload is opaque data of one topic.
+type Payload struct {
+	Topic string
+	Data  []byte
+}
+
+// Contact tells how long ago the sender's failure domain was in contact with
+// another one.
+type Contact struct {
+	FailureDomain turmericshed.FailureDomain
+	Age           time.Duration
+}
+
+// Accusation is an accuser as told to others.
+type Accusation struct {
+	Name          string
+	FailureDomain turmericshed.FailureDomain
+	Age           time.Duration
+}
+
+// Update is what a node tells about an incarnation. Only the first update
+// carries addresses.
+type Update struct {
+	turmericshed.EntryVM
+	Epoch      uint64
+	Seq        uint64
+	State      turmericshed.MemberState
+	Superseded bool
+	Accusers   []Accusation
+}
+
+// Addressed reports whether the update carries addresses.
+func (u Update) Addressed() bool { return u.PeerAddr.IsValid() }
+
+func (u Update) accusers(now time.Time) []Accuser {
+	out := make([]Accuser, 0, len(u.Accusers))
+	for _, a := range u.Accusers {
+		out = append(out, Accuser{Name: a.Name, FailureDomain: a.FailureDomain, At: now.Add(-a.Age)})
+	}
+	return out
+}
+
+const (
+	updateBytes   = 16
+	addressBytes  = 28
+	accuserBytes  = 8
+	payloadBytes  = 8
+	contactsBytes = 10
+)
+
+// size estimates the encoded length.
+func (u Update) size() int {
+	n := updateBytes + len(u.Name) + len(u.Incarnation)
+	if u.Addressed() {
+		n += addressBytes + len(u.Region) + len(u.FailureDomain)
+	}
+	for _, a := range u.Accusers {
+		n += accuserBytes + len(a.Name) + len(a.FailureDomain)
+	}
+	return n
+}
+
+// Message is a probe or its answer.
+type Message struct {
+	// From is the sender's own record.
+	From Update
+	// To is the incarnation that a probe expects.
+	To       turmericshed.Incarnation
+	Updates  []Update
+	Contacts []Contact
+	Payloads []Payload
+}
+
+func (m Message) size() int {
+	n := m.From.size() + len(m.Contacts)*contactsBytes
+	for _, u := range m.Updates {
+		n += u.size()
+	}
+	for _, p := range m.Payloads {
+		n += payloadBytes + len(p.Data)
+	}
+	return n
+}
+
+// queue holds the updates still to be told, each a bounded number of times.
+type queue struct {
+	items map[turmericshed.Incarnation]*queued
+}
+
+type queued struct {
+	in   turmericshed.Incarnation
+	sent int
+	full bool
+}
+
+func (q *queue) init() { q.items = make(map[turmericshed.Incarnation]*queued) }
+
+// add tells an update afresh; full includes the addresses.
+func (q *queue) add(in turmericshed.Incarnation, full bool) {
+	if it := q.items[in]; it != nil {
+		it.sent, it.full = 0, it.full || full
+		return
+	}
+	q.items[in] = &queued{in: in, full: full}
+}
+
+// next returns the least told updates that fit.
+func (q *queue) next(n *Node, now time.Time, budget int) []Update {
+	order := make([]*queued, 0, len(q.items))
+	for _, it := range q.items {
+		order = append(order, it)
+	}
+	slices.SortFunc(order, func(a, b *queued) int {
+		if a.sent != b.sent {
+			return a.sent - b.sent
+		}
+		return strings.Compare(string(a.in), string(b.in))
+	})
+	limit := retransmitFactor * bits.Len(uint(len(n.current)))
+	var updates []Update
+	for _, it := range order {
+		m := n.members[it.in]
+		if m == nil {
+			delete(q.items, it.in)
+			continue
+		}
+		u := n.update(now, m, it.full)
+		if u.size() > budget {
+			break
+		}
+		budget -= u.size()
+		updates = append(updates, u)
+		if it.sent++; it.sent >= limit {
+			delete(q.items, it.in)
+		}
+	}
+	return updates
+}
+
+// update describes a member for others.
+func (n *Node) update(now time.Time, m *Member, full bool) Update {
+	u := Update{Epoch: m.Epoch, Seq: m.Seq, State: m.State, Superseded: m.superseded}
+	u.Name, u.Incarnation = m.Name, m.Incarnation
+	if full {
+		u.EntryVM = m.EntryVM
+	}
+	for _, a := range m.Accusers {
+		u.Accusers = append(u.Accusers, Accusation{Name: a.Name, FailureDomain: a.FailureDomain, Age: now.Sub(a.At)})
+	}
+	return u
+}
+
+// message builds a probe or an answer for a member.
+func (n *Node) message(now time.Time, to turmericshed.Incarnation) Message {
+	m := Message{From: n.update(now, n.self, true), To: to}
+	m.Updates = n.queue.next(n, now, memberShareBytes)
+	if peer := n.members[to]; peer != nil && peer.FailureDomain == n.self.FailureDomain {
+		m.Contacts = n.someContacts(now)
+	}
+	budget := MaxPiggybackBytes
+	for _, u := range m.Updates {
+		budget -= u.size()
+	}
+	topics := n.cfg.Piggyback
+	for i := range topics {
+		t := topics[(n.nextTopic+i)%len(topics)]
+		for _, data := range t.Next(budget - payloadBytes) {
+			budget -= payloadBytes + len(data)
+			m.Payloads = append(m.Payloads, Payload{Topic: t.Topic(), Data: data})
+		}
+		if budget <= payloadBytes {
+			break
+		}
+	}
+	n.nextTopic++
+	return m
+}
+
+// someContacts returns a random few of the fresh contacts.
+func (n *Node) someContacts(now time.Time) []Contact {
+	all := make([]Contact, 0, len(n.contacts))
+	for d, at := range n.contacts {
+		if age := now.Sub(at); age <= contactTTL {
+			all = append(all, Contact{FailureDomain: d, Age: age})
+		}
+	}
+	slices.SortFunc(all, func(a, b Contact) int { return strings.Compare(string(a.FailureDomain), string(b.FailureDomain)) })
+	n.cfg.Rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), contactShare)]
+}
+
+// receive merges a message from a peer.
+func (n *Node) receive(now time.Time, m Message) {
+	n.merge(now, m.From, true)
+	for _, u := range m.Updates {
+		n.merge(now, u, false)
+	}
+	if m.From.FailureDomain == n.self.FailureDomain {
+		for _, c := range m.Contacts {
+			n.contact(c.FailureDomain, now.Add(-c.Age))
+		}
+	}
+	for _, p := range m.Payloads {
+		for _, t := range n.cfg.Piggyback {
+			if t.Topic() == p.Topic {
+				t.Merge(p.Data)
+			}
+		}
+	}
+}
+
+func (n *Node) contact(d turmericshed.FailureDomain, at time.Time) {
+	if d != n.self.FailureDomain && at.After(n.contacts[d]) {
+		n.contacts[d] = at
+	}
+}
--- /dev/null
+++ b/core/tsmember/servers.go
@@ -0,0 +1,81 @@
+package tsmember
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"turmericshed"
+)
+
+const (
+	// missingReadings is how many readings in a row must lack a backend
+	// server before it is dropped.
+	missingReadings = 3
+)
+
+// ServerList joins readings of the platform's list of backend servers. A
+// server is marked as leaving at the first sign, which is never taken back
+// for the same registration, and it is dropped only after several newer
+// readings in a row lacked it. It stays in place while the list is stale or
+// empty.
+type ServerList struct {
+	asOf    time.Time
+	missing map[turmericshed.ServerID]int
+}
+
+// Fresh reports whether a reading is newer than those before it and not
+// empty.
+func (l *ServerList) Fresh(snap turmericshed.DirectorySnapshot) bool {
+	return snap.AsOf.After(l.asOf) && len(snap.Entries)+len(snap.Servers) > 0
+}
+
+// Join returns the servers after a reading, by identifier, and what changed.
+// cur must not be modified by the caller's readers and is not modified here.
+func (l *ServerList) Join(cur []turmericshed.BackendServer, snap turmericshed.DirectorySnapshot) (next []turmericshed.BackendServer, events []turmericshed.Event) {
+	if !l.Fresh(snap) {
+		return cur, nil
+	}
+	l.asOf = snap.AsOf
+	if l.missing == nil {
+		l.missing = make(map[turmericshed.ServerID]int)
+	}
+	byID := make(map[turmericshed.ServerID]turmericshed.BackendServer, len(cur))
+	for _, s := range cur {
+		byID[s.ID] = s
+	}
+	for _, s := range snap.Servers {
+		delete(l.missing, s.ID)
+		old, known := byID[s.ID]
+		if !known {
+			events = append(events, turmericshed.Event{Name: turmericshed.EventServerAdded, Server: s.ID, FailureDomain: s.FailureDomain})
+		}
+		if s.Leaving && !old.Leaving {
+			events = append(events, turmericshed.Event{Name: turmericshed.EventServerLeaving, Server: s.ID, Reason: "listed as leaving"})
+		}
+		// A server that was registered anew has another address.
+		s.Leaving = s.Leaving || old.Leaving && old.Addr == s.Addr
+		byID[s.ID] = s
+	}
+	listed := make(map[turmericshed.ServerID]bool, len(snap.Servers))
+	for _, s := range snap.Servers {
+		listed[s.ID] = true
+	}
+	for id := range byID {
+		if listed[id] {
+			continue
+		}
+		if l.missing[id]++; l.missing[id] >= missingReadings && len(snap.Servers) > 0 {
+			delete(byID, id)
+			delete(l.missing, id)
+			events = append(events, turmericshed.Event{Name: turmericshed.EventServerLeaving, Server: id, Reason: "no longer listed"})
+		}
+	}
+	next = make([]turmericshed.BackendServer, 0, len(byID))
+	for _, s := range byID {
+		next = append(next, s)
+	}
+	slices.SortFunc(next, func(a, b turmericshed.BackendServer) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortStableFunc(events, func(a, b turmericshed.Event) int { return strings.Compare(string(a.Server), string(b.Server)) })
+	return next, events
+}
--- /dev/null
+++ b/core/tsmember/sync.go
@@ -0,0 +1,121 @@
+package tsmember
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"turmericshed"
+)
+
+const (
+	// digestBuckets is the number of parts of the table that are compared.
+	digestBuckets = 64
+	// syncBytes bounds the records sent for one comparison.
+	syncBytes = 4000
+)
+
+// SyncRequest compares the tables of two nodes. Digests are over alive
+// incarnations with their sequence numbers; accusations don't count.
+type SyncRequest struct {
+	From    Update
+	Digests [digestBuckets]uint32
+}
+
+// SyncReply holds records of parts that differ; empty when the tables agree.
+type SyncReply struct {
+	Updates []Update
+}
+
+func (m *Member) bucket() int {
+	return int(xxhash.Sum64String(string(m.Incarnation)) % digestBuckets)
+}
+
+// toggle adds a member to its digest, or takes it out again. It stands before
+// and after every change of State, Seq or presence.
+func (n *Node) toggle(m *Member) {
+	if m.ended() {
+		return
+	}
+	var seq [8]byte
+	binary.LittleEndian.PutUint64(seq[:], m.Seq)
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(m.Incarnation))
+	_, _ = d.Write(seq[:])
+	n.digests[m.bucket()] ^= uint32(d.Sum64())
+}
+
+// syncPeer returns whom to compare with: mostly neighbours, at times others.
+func (n *Node) syncPeer() *Member {
+	for range domainRings {
+		m := n.neighbours.next(n.cfg.Rand, n.cfg.Rand.IntN(domainRings+remoteSlots))
+		if m != nil && m.State == turmericshed.MemberAlive && !m.unreachable {
+			return m
+		}
+	}
+	return nil
+}
+
+func (n *Node) syncAction(m *Member) Action {
+	return Action{
+		Kind: ActionSync, ID: n.open(&probe{kind: ActionSync, target: m}),
+		To: m.EntryVM, Sync: SyncRequest{From: n.update(n.lastTick, n.self, true), Digests: n.digests}, Timeout: RelayTimeout,
+	}
+}
+
+// HandleSync answers a comparison with the records that differ here. What the
+// other side knows better comes with this node's own comparisons.
+func (n *Node) HandleSync(now time.Time, r SyncRequest) SyncReply {
+	n.merge(now, r.From, true)
+	var differing [digestBuckets]bool
+	count := 0
+	for i := range r.Digests {
+		if r.Digests[i] != n.digests[i] {
+			differing[i] = true
+			count++
+		}
+	}
+	if count == 0 {
+		return SyncReply{}
+	}
+	var reply SyncReply
+	budget := syncBytes
+	members := n.inBuckets(differing)
+	start := n.cfg.Rand.IntN(max(len(members), 1))
+	for i := range members {
+		u := n.update(now, members[(start+i)%len(members)], true)
+		if budget -= u.size(); budget < 0 {
+			break
+		}
+		reply.Updates = append(reply.Updates, u)
+	}
+	return reply
+}
+
+// inBuckets returns the members of some buckets in order, gone ones too.
+func (n *Node) inBuckets(buckets [digestBuckets]bool) []*Member {
+	var members []*Member
+	for _, m := range n.members {
+		if buckets[m.bucket()] {
+			members = append(members, m)
+		}
+	}
+	slices.SortFunc(members, func(a, b *Member) int { return strings.Compare(string(a.Incarnation), string(b.Incarnation)) })
+	return members
+}
+
+// HandleSyncReply merges what differs and compares again soon if it did.
+func (n *Node) HandleSyncReply(now time.Time, id uint64, r SyncReply) {
+	delete(n.probes, id)
+	before := n.digests
+	for _, u := range r.Updates {
+		n.merge(now, u, false)
+	}
+	if n.digests != before {
+		n.nextSync = now.Add(syncAgain)
+	}
+}
--- /dev/null
+++ b/core/tsprofile/rumour.go
@@ -0,0 +1,195 @@
+package tsprofile
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"slices"
+	"time"
+
+	"turmericshed"
+)
+
+const (
+	// maxRumours bounds the links still to be told.
+	maxRumours = 1024
+	// retransmitFactor times log2 of the fleet's size is how often a link
+	// is told.
+	retransmitFactor = 2
+)
+
+// rumours are the links still to be told, each a bounded number of times.
+type rumours struct {
+	list []rumour
+	// told remembers the versions told lately.
+	told  map[turmericshed.Version]bool
+	order []turmericshed.Version
+}
+
+type rumour struct {
+	link Link
+	sent int
+}
+
+// add takes a link unless it was told lately, and reports whether it is new.
+func (r *rumours) add(k Link) bool {
+	if r.told[k.Version] {
+		return false
+	}
+	if r.told == nil {
+		r.told = make(map[turmericshed.Version]bool)
+	}
+	r.told[k.Version] = true
+	r.order = append(r.order, k.Version)
+	if len(r.order) > 2*maxRumours {
+		for _, v := range r.order[:maxRumours] {
+			delete(r.told, v)
+		}
+		r.order = append([]turmericshed.Version(nil), r.order[maxRumours:]...)
+	}
+	r.list = append(r.list, rumour{link: k})
+	if len(r.list) > maxRumours {
+		r.list = slices.Delete(r.list, 0, len(r.list)-maxRumours)
+	}
+	return true
+}
+
+// Topic carries links and positions on the probes. It is a
+// tsmember.Piggyback and Urgent.
+type Topic struct {
+	cache *Cache
+	// now reads the caller's clock, and size the number of members.
+	now  func() time.Time
+	size func() int
+	// outdated takes the names that have to be fetched.
+	outdated func(name turmericshed.ProfileName)
+}
+
+// NewTopic returns the topic of a cache. outdated is called for every held
+// document that turns out to be old; it must not call the cache.
+func NewTopic(c *Cache, now func() time.Time, size func() int, outdated func(turmericshed.ProfileName)) *Topic {
+	return &Topic{cache: c, now: now, size: size, outdated: outdated}
+}
+
+// Topic returns the name of the topic.
+func (*Topic) Topic() string { return "profiles" }
+
+// TakeUrgent reports whether an edit was heard since the last call.
+func (t *Topic) TakeUrgent() bool {
+	urgent := t.cache.urgent
+	t.cache.urgent = false
+	return urgent
+}
+
+// Next returns one payload: the position with its age, and the least told
+// links.
+func (t *Topic) Next(budgetBytes int) [][]byte {
+	const positionBytes = 2 * binary.MaxVarintLen64
+	if budgetBytes < positionBytes {
+		return nil
+	}
+	c := t.cache
+	b := binary.AppendUvarint(nil, uint64(c.links.position))
+	ageCode := uint64(0) // never confirmed
+	if !c.confirmedAt.IsZero() {
+		ageCode = uint64(max(t.now().Sub(c.confirmedAt), 0)/time.Millisecond) + 1
+	}
+	b = binary.AppendUvarint(b, ageCode)
+	limit := retransmitFactor * bits.Len(uint(t.size()))
+	slices.SortStableFunc(c.rumours.list, func(x, y rumour) int { return x.sent - y.sent })
+	kept := c.rumours.list[:0]
+	full := false
+	for _, r := range c.rumours.list {
+		next := appendLink(b, r.link)
+		if full = full || len(next) > budgetBytes; full {
+			kept = append(kept, r)
+			continue
+		}
+		b = next
+		if r.sent++; r.sent < limit {
+			kept = append(kept, r)
+		}
+	}
+	clear(c.rumours.list[len(kept):])
+	c.rumours.list = kept
+	return [][]byte{b}
+}
+
+// Merge takes a payload of a peer; a malformed one is dropped.
+func (t *Topic) Merge(payload []byte) {
+	c := t.cache
+	r := reader{b: payload}
+	position, ageCode := turmericshed.Version(r.uvarint()), r.uvarint()
+	for !r.failed && len(r.b) > 0 {
+		k := r.link()
+		if r.failed {
+			return
+		}
+		if c.Hear(k) {
+			t.outdated(k.Name)
+		}
+	}
+	if r.failed {
+		return
+	}
+	if ageCode > 0 && ageCode < maxAgeCode && position > 0 && position <= c.links.position {
+		c.Confirm(t.now().Add(-time.Duration(ageCode-1) * time.Millisecond))
+	}
+}
+
+// maxAgeCode bounds the ages taken from peers, in milliseconds.
+const maxAgeCode = uint64(365 * 24 * time.Hour / time.Millisecond)
+
+func appendLink(b []byte, k Link) []byte {
+	b = binary.AppendUvarint(b, uint64(len(k.Name)))
+	b = append(b, k.Name...)
+	b = binary.AppendUvarint(b, uint64(k.Version))
+	// The predecessor is told as a distance, 0 for unknown.
+	distance := uint64(0)
+	if k.After > 0 {
+		distance = uint64(k.Version - k.After)
+	}
+	b = binary.AppendUvarint(b, distance)
+	deleted := byte(0)
+	if k.Deleted {
+		deleted = 1
+	}
+	return append(b, deleted)
+}
+
+// reader takes a payload apart.
+type reader struct {
+	b      []byte
+	failed bool
+}
+
+func (r *reader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 {
+		r.failed = true
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) bytes(n uint64) []byte {
+	if r.failed || n > uint64(len(r.b)) {
+		r.failed = true
+		return nil
+	}
+	b := r.b[:n]
+	r.b = r.b[n:]
+	return b
+}
+
+func (r *reader) link() Link {
+	k := Link{Name: turmericshed.ProfileName(r.bytes(r.uvarint()))}
+	k.Version = turmericshed.Version(r.uvarint())
+	if distance := turmericshed.Version(r.uvarint()); distance > 0 && distance < k.Version {
+		k.After = k.Version - distance
+	}
+	if flag := r.bytes(1); len(flag) == 1 {
+		k.Deleted = flag[0] == 1
+	}
+	return k
+}
--- /dev/null
+++ b/io/tsfleet/fleet.go
@@ -0,0 +1,212 @@
+// Package tsfleet runs membership: it probes other entry VMs, answers their
+// probes, reads the platform's list, and posts members and backend servers on
+// the board. The decisions are made by core/tsmember.
+//
+// # Usage
+//
+//	f := tsfleet.New(tsfleet.Config{Self: self, Directory: d, Board: b, Peers: transport})
+//	server.Mount(f.Handler())
+//	for _, c := range f.Controllers() {
+//		supervisor.Add(c)
+//	}
+//	defer f.Leave(ctx)
+package tsfleet
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/core/tsmember"
+	"turmericshed/io/tspeerapi"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// maxCalls bounds the calls to peers that run at once.
+	maxCalls = 64
+	// maxMessageBytes bounds what is read from a peer.
+	maxMessageBytes = 64 << 10
+)
+
+// Peers opens calls to other entry VMs; *tspeer.Transport does.
+type Peers interface {
+	Client(addr netip.AddrPort) (c connect.HTTPClient, baseURL string)
+}
+
+// Config holds what a fleet works with. Board, Directory and Peers are needed.
+type Config struct {
+	Self      turmericshed.EntryVM
+	Directory turmericshed.Directory
+	Board     *tsboard.Board
+	Peers     Peers
+	Recorder  turmericshed.Recorder
+	Log       *slog.Logger
+	// Piggyback lists the topics that ride on probes. Their methods are
+	// called one at a time and must not call the fleet.
+	Piggyback []tsmember.Piggyback
+	// Metrics registers counters; nil registers none.
+	Metrics prometheus.Registerer
+}
+
+// Fleet is the membership of one process.
+type Fleet struct {
+	cfg   Config
+	epoch uint64
+	calls chan struct{}
+	// failed carries a panic of a handler to the membership controller.
+	failed chan error
+
+	mu   sync.Mutex
+	node *tsmember.Node
+
+	view    atomic.Pointer[view]
+	metrics *metrics
+}
+
+// view is what readers see without a lock.
+type view struct {
+	changes   uint64
+	reachable []turmericshed.EntryVM
+	states    map[turmericshed.Incarnation]turmericshed.MemberState
+}
+
+var _ turmericshed.Members = (*Fleet)(nil)
+
+// New returns a fleet that knows only itself.
+func New(cfg Config) *Fleet {
+	if cfg.Recorder == nil {
+		cfg.Recorder = turmericshed.NopRecorder{}
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	f := &Fleet{
+		cfg:     cfg,
+		epoch:   uint64(time.Now().UnixMilli()),
+		calls:   make(chan struct{}, maxCalls),
+		failed:  make(chan error, 1),
+		metrics: newMetrics(cfg.Metrics),
+	}
+	f.reset()
+	return f
+}
+
+// reset starts over from the platform's list; peers tell the rest.
+func (f *Fleet) reset() {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.node = tsmember.New(tsmember.Config{
+		Self: f.cfg.Self, Epoch: f.epoch, Rand: newRand(), Piggyback: f.cfg.Piggyback,
+	}, now)
+	f.node.Seed(now, f.cfg.Board.Directory.Read().Entries)
+	f.publish()
+}
+
+func newRand() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:])
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+// Controllers returns the parts to supervise.
+func (f *Fleet) Controllers() []turmericshed.Controller {
+	return []turmericshed.Controller{
+		controller{"membership", f.serveMembership},
+		controller{"directory", newReader(f.cfg).Serve},
+	}
+}
+
+// controller is a named turmericshed.Controller.
+type controller struct {
+	name  string
+	serve func(ctx context.Context) error
+}
+
+// Serve runs the controller.
+func (c controller) Serve(ctx context.Context) error { return c.serve(ctx) }
+
+// String returns the name that the supervisor logs.
+func (c controller) String() string { return "fleet " + c.name }
+
+// Handler returns the path and handler of the Gossip service.
+func (f *Fleet) Handler() (string, http.Handler) {
+	return tspeerapi.NewGossipHandler(&service{f}, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+// Self returns this process.
+func (f *Fleet) Self() turmericshed.EntryVM { return f.cfg.Self }
+
+// Reachable returns the entry VMs believed alive, without Self. The result
+// must not be modified.
+func (f *Fleet) Reachable() []turmericshed.EntryVM { return f.view.Load().reachable }
+
+// State returns the belief about one incarnation.
+func (f *Fleet) State(in turmericshed.Incarnation) turmericshed.MemberState {
+	return f.view.Load().states[in]
+}
+
+// do runs a step of the node. A panic is handed to the membership controller,
+// which starts over, and is returned as an error.
+func (f *Fleet) do(step func(now time.Time, n *tsmember.Node)) (err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		err = turmericshed.NewError(turmericshed.KindInternal, "membership: %v", v)
+		name := turmericshed.EventControllerFailed
+		if _, ok := turmericshed.AsInvariant(v); ok {
+			name = turmericshed.EventInvariantBroken
+		}
+		f.cfg.Recorder.Record(turmericshed.Event{Name: name, Reason: err.Error()})
+		select {
+		case f.failed <- err:
+		default:
+		}
+	}()
+	step(time.Now(), f.node)
+	f.publish()
+	return nil
+}
+
+// publish posts what changed.
+func (f *Fleet) publish() {
+	for _, e := range f.node.Events() {
+		f.cfg.Recorder.Record(turmericshed.Event{Name: e.Name, Member: e.Member.Name, Reason: e.Reason})
+		f.cfg.Log.Info("fleet: "+string(e.Name), "member", e.Member.Name, "reason", e.Reason)
+	}
+	if old := f.view.Load(); old != nil && old.changes == f.node.Changes() {
+		return
+	}
+	members := f.node.Members()
+	v := &view{
+		changes: f.node.Changes(), reachable: f.node.Reachable(),
+		states: make(map[turmericshed.Incarnation]turmericshed.MemberState, len(members)),
+	}
+	posted := make([]tsboard.Member, 0, len(members))
+	for _, m := range members {
+		v.states[m.Incarnation] = m.State
+		posted = append(posted, tsboard.Member{EntryVM: m.EntryVM, State: m.State, Since: m.Since})
+	}
+	self := f.node.Self()
+	v.states[self.Incarnation] = turmericshed.MemberAlive
+	f.view.Store(v)
+	f.cfg.Board.Members.Write(posted)
+	f.metrics.members(members, len(v.reachable))
+}
--- /dev/null
+++ b/io/tsfleet/loop.go
@@ -0,0 +1,136 @@
+package tsfleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"turmericshed"
+	"turmericshed/core/tsmember"
+	"turmericshed/io/tspeerapi"
+)
+
+// serveMembership probes until ctx ends or the node fails. It starts over
+// from the platform's list, and from peers.
+func (f *Fleet) serveMembership(ctx context.Context) error {
+	f.reset()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	_, listed := f.cfg.Board.Directory.Watch()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-f.failed:
+			return err
+		case <-listed:
+			snap, next := f.cfg.Board.Directory.Watch()
+			listed = next
+			_ = f.do(func(now time.Time, n *tsmember.Node) { n.Seed(now, snap.Entries) })
+		case <-ticker.C:
+			var actions []tsmember.Action
+			_ = f.do(func(now time.Time, n *tsmember.Node) { actions = n.Tick(now) })
+			f.start(ctx, actions)
+		}
+	}
+}
+
+// start performs actions in the background.
+func (f *Fleet) start(ctx context.Context, actions []tsmember.Action) {
+	for _, a := range actions {
+		select {
+		case f.calls <- struct{}{}:
+		default:
+			_ = f.do(func(now time.Time, n *tsmember.Node) { n.HandleCanceled(now, a.ID) })
+			continue
+		}
+		go func() {
+			defer func() { <-f.calls }()
+			f.perform(ctx, a)
+		}()
+	}
+}
+
+func (f *Fleet) fail(ctx context.Context, a tsmember.Action) {
+	var next []tsmember.Action
+	_ = f.do(func(now time.Time, n *tsmember.Node) { next = n.HandleFailure(now, a.ID) })
+	if ctx.Err() == nil {
+		f.start(ctx, next)
+	}
+}
+
+func (f *Fleet) client(addr turmericshed.EntryVM) tspeerapi.GossipClient {
+	c, base := f.cfg.Peers.Client(addr.PeerAddr)
+	return tspeerapi.NewGossipClient(c, base, connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+// perform makes one call and hands its result back. It reports whether a
+// probed member answered.
+func (f *Fleet) perform(ctx context.Context, a tsmember.Action) bool {
+	call, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	var reached bool
+	err := f.call(call, a, &reached)
+	if err != nil {
+		f.metrics.failures.Inc()
+		f.fail(ctx, a)
+	}
+	return reached
+}
+
+func (f *Fleet) call(ctx context.Context, a tsmember.Action, reached *bool) error {
+	client := f.client(a.To)
+	switch a.Kind {
+	case tsmember.ActionProbe:
+		req := EncodeMessage(a.Message)
+		f.metrics.sent(req)
+		res, err := client.Probe(ctx, connect.NewRequest(req))
+		if err != nil {
+			return err
+		}
+		f.metrics.received(res.Msg)
+		m, err := DecodeMessage(res.Msg)
+		if err != nil {
+			return err
+		}
+		return f.do(func(now time.Time, n *tsmember.Node) { *reached = n.HandleReply(now, a.ID, m) })
+	case tsmember.ActionRelay:
+		res, err := client.Relay(ctx, connect.NewRequest(&tspeerapi.RelayRequest{Target: string(a.Target.Incarnation)}))
+		if err != nil {
+			return err
+		}
+		if res.Msg.GetUnknown() {
+			return turmericshed.NewError(turmericshed.KindNotFound, "%s does not know %s", a.To.Name, a.Target.Name)
+		}
+		return f.do(func(now time.Time, n *tsmember.Node) { n.HandleRelayReply(now, a.ID, res.Msg.GetReached()) })
+	default:
+		req := encodeSync(a.Sync)
+		f.metrics.sent(req)
+		res, err := client.Sync(ctx, connect.NewRequest(req))
+		if err != nil {
+			return err
+		}
+		f.metrics.received(res.Msg)
+		reply, err := decodeSyncReply(res.Msg)
+		if err != nil {
+			return err
+		}
+		return f.do(func(now time.Time, n *tsmember.Node) { n.HandleSyncReply(now, a.ID, reply) })
+	}
+}
+
+// Leave tells peers that this process leaves for good. It waits for the calls
+// within the deadline of ctx.
+func (f *Fleet) Leave(ctx context.Context) {
+	var actions []tsmember.Action
+	_ = f.do(func(now time.Time, n *tsmember.Node) { actions = n.Leave(now) })
+	var wg sync.WaitGroup
+	for _, a := range actions {
+		wg.Go(func() { f.perform(ctx, a) })
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/io/tsprofiles/fetch.go
@@ -0,0 +1,199 @@
+package tsprofiles
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"turmericshed"
+	"turmericshed/core/tsprofile"
+	"turmericshed/io/tspeerapi"
+)
+
+const (
+	// fetchRetry is the time until an outdated document is tried again.
+	fetchRetry = time.Second
+	// sweepBatch bounds the outdated documents tried in one sweep.
+	sweepBatch = 32
+)
+
+// serveFetch fetches outdated documents as they are found, and again while
+// they stay outdated.
+func (c *Cache) serveFetch(ctx context.Context) error {
+	sweep := time.NewTicker(fetchRetry)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case name := <-c.queue:
+			c.refresh(ctx, name)
+		case <-sweep.C:
+			c.mu.Lock()
+			names := c.core.Unsure()
+			c.mu.Unlock()
+			for _, name := range names[:min(len(names), sweepBatch)] {
+				c.refresh(ctx, name)
+			}
+		}
+	}
+}
+
+// refresh fetches a document if it is still outdated.
+func (c *Cache) refresh(ctx context.Context, name turmericshed.ProfileName) {
+	c.mu.Lock()
+	outdated := c.core.Outdated(name)
+	c.mu.Unlock()
+	if outdated {
+		_ = c.fetch(ctx, name, false)
+	}
+}
+
+// fetch reads a document into the cache. Calls for one name are joined.
+func (c *Cache) fetch(ctx context.Context, name turmericshed.ProfileName, first bool) error {
+	done := c.flight.DoChan(string(name), func() (any, error) {
+		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), fetchTimeout)
+		defer cancel()
+		return nil, c.fetchOnce(call, name, first)
+	})
+	select {
+	case res := <-done:
+		return res.Err
+	case <-ctx.Done():
+		return turmericshed.WrapError(turmericshed.KindStoreUnavailable, ctx.Err(), "profile %s", name)
+	}
+}
+
+// fetchOnce asks the store first for a profile not held here: peers may hold
+// old ones. For a known newer version it asks the watching peers first.
+func (c *Cache) fetchOnce(ctx context.Context, name turmericshed.ProfileName, first bool) error {
+	c.mu.Lock()
+	floor := c.core.Floor(name)
+	c.mu.Unlock()
+	if !first && floor > 0 && c.fromPeers(ctx, name, floor, true) {
+		return nil
+	}
+	err := c.fromStore(ctx, name)
+	if err == nil {
+		return nil
+	}
+	if c.fromPeers(ctx, name, floor, false) {
+		return nil
+	}
+	return turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "profile %s", name)
+}
+
+// fromStore reads a document from the store.
+func (c *Cache) fromStore(ctx context.Context, name turmericshed.ProfileName) error {
+	c.mu.Lock()
+	floor := c.core.Floor(name)
+	c.mu.Unlock()
+	readAt := time.Now()
+	item, err := c.cfg.Store.Get(ctx, turmericshed.ProfilePrefix+string(name))
+	if err != nil {
+		return err
+	}
+	doc, err := document(item, readAt)
+	if err != nil {
+		return err
+	}
+	if doc.Deleted {
+		doc.Name, doc.Version = name, floor
+	}
+	c.apply(doc, "store")
+	return nil
+}
+
+// document decodes an item of the store.
+func document(item turmericshed.Item, readAt time.Time) (tsprofile.Document, error) {
+	d := tsprofile.Document{
+		Name:    turmericshed.ProfileName(strings.TrimPrefix(item.Key, turmericshed.ProfilePrefix)),
+		Version: item.Version, Value: item.Value, Deleted: item.Version == 0, ReadAt: readAt,
+	}
+	if d.Deleted {
+		return d, nil
+	}
+	var err error
+	d.Profile, err = tsprofile.Decode(item)
+	return d, err
+}
+
+// fromPeers asks peers and takes the highest version of at least floor. With
+// enough set it stops at the first; else it asks several, so that a document
+// read during an outage is not older than those of peers.
+func (c *Cache) fromPeers(ctx context.Context, name turmericshed.ProfileName, floor turmericshed.Version, enough bool) bool {
+	var best *tsprofile.Document
+	for _, vm := range c.sources() {
+		d, err := c.fromPeer(ctx, vm, name, floor)
+		if err != nil || d == nil {
+			continue
+		}
+		if best == nil || d.Version > best.Version {
+			best = d
+		}
+		if enough {
+			break
+		}
+	}
+	if best == nil {
+		return false
+	}
+	c.apply(*best, "peer")
+	return true
+}
+
+// sources returns the peers to ask: those of the own failure domain that
+// watch the store, then others at random.
+func (c *Cache) sources() []turmericshed.EntryVM {
+	reachable := c.reachable()
+	var vms []turmericshed.EntryVM
+	seen := map[string]bool{c.cfg.Self.Name: true}
+	take := func(vm turmericshed.EntryVM) {
+		if !seen[vm.Name] && len(vms) < peersAsked {
+			seen[vm.Name] = true
+			vms = append(vms, vm)
+		}
+	}
+	relays := tsprofile.Relays(c.cfg.Self.FailureDomain, c.cfg.Self, reachable)
+	for _, i := range rand.Perm(len(relays)) {
+		take(relays[i])
+	}
+	for range 4 * peersAsked {
+		if len(reachable) > 0 {
+			take(reachable[rand.IntN(len(reachable))])
+		}
+	}
+	return vms
+}
+
+func (c *Cache) fromPeer(ctx context.Context, vm turmericshed.EntryVM, name turmericshed.ProfileName, floor turmericshed.Version) (*tsprofile.Document, error) {
+	call, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	sent := time.Now()
+	res, err := c.client(vm).Fetch(call, connect.NewRequest(&tspeerapi.FetchProfileRequest{Name: string(name), MinVersion: uint64(floor)}))
+	if err != nil || !res.Msg.GetFound() {
+		return nil, err
+	}
+	item := turmericshed.Item{
+		Key: turmericshed.ProfilePrefix + string(name), Value: res.Msg.GetValue(), Version: turmericshed.Version(res.Msg.GetVersion()),
+	}
+	d := tsprofile.Document{Name: name, Version: item.Version, Deleted: true}
+	if !res.Msg.GetDeleted() {
+		if d, err = document(item, sent); err != nil {
+			return nil, err
+		}
+	}
+	d.ReadAt = sent.Add(-time.Duration(min(res.Msg.GetAgeMs(), maxAgeMs)) * time.Millisecond)
+	return &d, nil
+}
+
+// maxAgeMs bounds the ages taken from peers.
+const maxAgeMs = uint64(365 * 24 * time.Hour / time.Millisecond)
+
+func (c *Cache) client(vm turmericshed.EntryVM) tspeerapi.ProfileCacheClient {
+	hc, base := c.cfg.Peers.Client(vm.PeerAddr)
+	return tspeerapi.NewProfileCacheClient(hc, base, connect.WithReadMaxBytes(maxMessageBytes))
+}
