Profiles: put, get, list, edit, delete with versions

Cause: operators drive the fleet only by editing profiles, and race. Change: tsadmin.PutProfile, EditProfile and DeleteProfile on the version that the operator saw, over tsholder's safe sequence; the loser is told who won and which fields changed. Store.Peek for checks. Result: go test ./io/tsadmin passes, with lost answers, an outage and a race. Without the version check 'a put over another version tells who and what' is red.

--- /dev/null
+++ b/io/tsadmin/profile.go
@@ -0,0 +1,140 @@
+package tsadmin
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+	"turmericshed/core/tsprofile"
+	"turmericshed/io/tsholder"
+)
+
+// Profile returns a profile with its version. Errors: KindUnknownProfile,
+// KindStoreUnavailable.
+func (a *Admin) Profile(ctx context.Context, name turmericshed.ProfileName) (turmericshed.Profile, error) {
+	it, err := a.cfg.Store.Get(ctx, tsbudget.ProfileKey(name))
+	if err != nil {
+		return turmericshed.Profile{}, err
+	}
+	return tsbudget.DecodeProfile(it)
+}
+
+// Ledger returns the ledger of a profile's budget. Errors: KindNotFound,
+// KindStoreUnavailable.
+func (a *Admin) Ledger(ctx context.Context, p turmericshed.Profile) (tsbudget.Ledger, error) {
+	return tsholder.ReadLedger(ctx, a.cfg.Store, p.Budget)
+}
+
+// Profiles returns every profile in the order of their names.
+func (a *Admin) Profiles(ctx context.Context) ([]turmericshed.Profile, error) {
+	return list(ctx, a.cfg.Store, turmericshed.ProfilePrefix, func(p *turmericshed.Profile, v turmericshed.Version) { p.Version = v })
+}
+
+// PutProfile makes a profile (version 0) or replaces the given version of it.
+// The budget, editor and time of the document are filled in. Errors:
+// KindBadRequest; KindConflict with who edited and what differs, or with a
+// *tsbudget.LowestError; KindStoreUnavailable (nothing changed);
+// KindStoreUnknown (the edit may stand).
+func (a *Admin) PutProfile(ctx context.Context, p turmericshed.Profile, version turmericshed.Version) (turmericshed.Profile, error) {
+	if err := ValidateProfile(p); err != nil {
+		return p, err
+	}
+	cur, err := a.Profile(ctx, p.Name)
+	if err != nil && turmericshed.KindOf(err) != turmericshed.KindUnknownProfile {
+		return p, err
+	}
+	if cur.Version != version {
+		return p, conflict(p, cur, version)
+	}
+	return a.write(ctx, cur, p)
+}
+
+// EditProfile changes a profile; a version other than 0 must be its present
+// one. Errors: those of PutProfile, and KindUnknownProfile.
+func (a *Admin) EditProfile(ctx context.Context, name turmericshed.ProfileName, version turmericshed.Version, change func(p *turmericshed.Profile) error) (turmericshed.Profile, error) {
+	cur, err := a.Profile(ctx, name)
+	if err != nil {
+		return cur, err
+	}
+	next := cur
+	next.Accounts = append([]turmericshed.AccountLimit(nil), cur.Accounts...)
+	next.Services = append([]string(nil), cur.Services...)
+	if err := change(&next); err != nil {
+		return cur, err
+	}
+	if version != 0 && cur.Version != version {
+		return cur, conflict(next, cur, version)
+	}
+	if next.Name != cur.Name {
+		return cur, badField("name %q: a profile keeps its name", next.Name)
+	}
+	if err := ValidateProfile(next); err != nil {
+		return cur, err
+	}
+	return a.write(ctx, cur, next)
+}
+
+// write puts next in place of cur, which it was made from.
+func (a *Admin) write(ctx context.Context, cur, next turmericshed.Profile) (turmericshed.Profile, error) {
+	next.Budget = cur.Budget
+	if cur.Version == 0 || (cur.Closed && !next.Closed) {
+		// A budget is never opened again: a new one never meets its lots.
+		next.Budget = tsholder.NewBudgetID()
+	}
+	next.EditedBy, next.EditedAt = a.cfg.Operator, a.cfg.Now().UTC()
+	p, err := tsholder.PutProfile(ctx, a.cfg.Store, next, cur.Version)
+	if turmericshed.KindOf(err) == turmericshed.KindConflict {
+		now, readErr := a.Profile(ctx, cur.Name)
+		if readErr == nil && now.Version != cur.Version {
+			return cur, lost(cur, now)
+		}
+	}
+	return p, err
+}
+
+// lost tells the loser of a race what the winner changed.
+func lost(base, now turmericshed.Profile) error {
+	return turmericshed.NewError(turmericshed.KindConflict, "profile %s is now version %d, edited by %q at %s: %s",
+		now.Name, now.Version, now.EditedBy, now.EditedAt.UTC().Format(timeFormat), describe(tsprofile.Changes(base, now)))
+}
+
+// conflict tells how the document of an operator who saw another version
+// differs from the present one.
+func conflict(wanted, cur turmericshed.Profile, version turmericshed.Version) error {
+	if cur.Version == 0 {
+		return turmericshed.NewError(turmericshed.KindConflict, "profile %s does not exist, so it has no version %d", wanted.Name, version)
+	}
+	wanted.Budget = cur.Budget
+	return turmericshed.NewError(turmericshed.KindConflict, "profile %s has version %d, not %d, edited by %q at %s; yours would change %s",
+		cur.Name, cur.Version, version, cur.EditedBy, cur.EditedAt.UTC().Format(timeFormat), describe(tsprofile.Changes(cur, wanted)))
+}
+
+// timeFormat is how times are shown to operators, in UTC.
+const timeFormat = "2006-01-02T15:04:05Z"
+
+func describe(changes []tsprofile.Change) string {
+	if len(changes) == 0 {
+		return "nothing"
+	}
+	parts := make([]string, 0, len(changes))
+	for _, c := range changes {
+		parts = append(parts, fmt.Sprint(c))
+	}
+	return strings.Join(parts, "; ")
+}
+
+// DeleteProfile closes a profile, which recalls its budget, and deletes it; a
+// version other than 0 must be its present one. Errors: KindUnknownProfile,
+// KindConflict, KindStoreUnavailable, KindStoreUnknown.
+func (a *Admin) DeleteProfile(ctx context.Context, name turmericshed.ProfileName, version turmericshed.Version) error {
+	p, err := a.EditProfile(ctx, name, version, func(p *turmericshed.Profile) error {
+		p.Closed = true
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return a.deleteKey(ctx, tsbudget.ProfileKey(name), p.Version)
+}
--- /dev/null
+++ b/io/tsadmin/profile_test.go
@@ -0,0 +1,134 @@
+package tsadmin_test
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+	"turmericshed/core/tsupdate"
+	"turmericshed/io/tsadmin"
+	"turmericshed/standin/tsplatform"
+)
+
+// desk is a store with one profile of 1000 tokens.
+func desk(t *testing.T) (*tsplatform.Store, *tsadmin.Admin, turmericshed.Profile) {
+	t.Helper()
+	s := tsplatform.NewStore(tsplatform.Options{})
+	a := tsadmin.New(tsadmin.Config{Store: s, Operator: "ana"})
+	p, err := a.PutProfile(t.Context(), validProfile(), 0)
+	assert.NilError(t, err)
+	return s, a, p
+}
+
+func prepaid(n turmericshed.Tokens) func(p *turmericshed.Profile) error {
+	return func(p *turmericshed.Profile) error {
+		p.Prepaid = n
+		return nil
+	}
+}
+
+func assertPrepaid(t *testing.T, a *tsadmin.Admin, n turmericshed.Tokens) {
+	t.Helper()
+	p, err := a.Profile(t.Context(), "counter")
+	assert.NilError(t, err)
+	assert.Equal(t, p.Prepaid, n)
+	l, err := a.Ledger(t.Context(), p)
+	assert.NilError(t, err)
+	assert.Equal(t, l.Prepaid, n)
+}
+
+func TestProfiles(t *testing.T) {
+	t.Run("put fills in budget and editor", func(t *testing.T) {
+		_, a, p := desk(t)
+		assert.Assert(t, p.Budget != "" && p.EditedBy == "ana" && p.Version != 0)
+		assertPrepaid(t, a, 1000)
+	})
+	t.Run("a put over another version tells who and what", func(t *testing.T) {
+		_, a, p := desk(t)
+		q := validProfile()
+		q.Prepaid = 5
+		_, err := a.PutProfile(t.Context(), q, 0)
+		assertKind(t, err, turmericshed.KindConflict)
+		assert.ErrorContains(t, err, `edited by "ana"`)
+		assert.ErrorContains(t, err, "prepaid: 1000 -> 5")
+		_, err = a.PutProfile(t.Context(), q, p.Version)
+		assert.NilError(t, err)
+		assertPrepaid(t, a, 5)
+	})
+	t.Run("the loser of a race learns what won", func(t *testing.T) {
+		s, a, _ := desk(t)
+		bela := tsadmin.New(tsadmin.Config{Store: s, Operator: "bela"})
+		_, err := a.EditProfile(t.Context(), "counter", 0, func(p *turmericshed.Profile) error {
+			_, err := bela.EditProfile(t.Context(), "counter", 0, prepaid(3000))
+			assert.NilError(t, err)
+			p.Prepaid = 10
+			return nil
+		})
+		assertKind(t, err, turmericshed.KindConflict)
+		assert.ErrorContains(t, err, `edited by "bela"`)
+		assert.ErrorContains(t, err, "prepaid: 1000 -> 3000")
+		assertPrepaid(t, a, 3000)
+	})
+	t.Run("an edit with a lost answer stands once", func(t *testing.T) {
+		s, a, p := desk(t)
+		s.SetFaults(tsplatform.Faults{LoseAnswers: 2})
+		_, err := a.EditProfile(t.Context(), "counter", p.Version, prepaid(2000))
+		assert.NilError(t, err)
+		assertPrepaid(t, a, 2000)
+	})
+	t.Run("an edit in an outage changes nothing", func(t *testing.T) {
+		s, a, p := desk(t)
+		s.SetFaults(tsplatform.Faults{Outage: true})
+		_, err := a.EditProfile(t.Context(), "counter", p.Version, prepaid(2000))
+		assertKind(t, err, turmericshed.KindStoreUnavailable)
+		s.SetFaults(tsplatform.Faults{})
+		assertPrepaid(t, a, 1000)
+	})
+	t.Run("below what is out tells the lowest amount", func(t *testing.T) {
+		s, a, p := desk(t)
+		l, err := a.Ledger(t.Context(), p)
+		assert.NilError(t, err)
+		assert.Equal(t, l.Prepaid, turmericshed.Tokens(1000))
+		drawLot(t, s, p, 700)
+		_, err = a.EditProfile(t.Context(), "counter", 0, prepaid(600))
+		var lowest *tsbudget.LowestError
+		assert.Assert(t, errors.As(err, &lowest))
+		assert.Equal(t, lowest.Lowest, turmericshed.Tokens(700))
+		assertPrepaid(t, a, 1000)
+	})
+	t.Run("a bad edit loses nothing", func(t *testing.T) {
+		_, a, _ := desk(t)
+		_, err := a.EditProfile(t.Context(), "counter", 0, prepaid(-1))
+		assertKind(t, err, turmericshed.KindBadRequest)
+		_, err = a.EditProfile(t.Context(), "counter", 0, func(p *turmericshed.Profile) error {
+			p.Name = "other"
+			return nil
+		})
+		assertKind(t, err, turmericshed.KindBadRequest)
+		assertPrepaid(t, a, 1000)
+	})
+	t.Run("deleted and made again it has a new budget", func(t *testing.T) {
+		s, a, p := desk(t)
+		drawLot(t, s, p, 700)
+		assert.NilError(t, a.DeleteProfile(t.Context(), "counter", p.Version))
+		_, err := a.Profile(t.Context(), "counter")
+		assertKind(t, err, turmericshed.KindUnknownProfile)
+		old, err := a.Ledger(t.Context(), p)
+		assert.Assert(t, err == nil && old.Recalled)
+		q, err := a.PutProfile(t.Context(), validProfile(), 0)
+		assert.NilError(t, err)
+		assert.Assert(t, q.Budget != p.Budget)
+		assertPrepaid(t, a, 1000)
+	})
+}
+
+// drawLot draws a lot as a holder would.
+func drawLot(t *testing.T, s *tsplatform.Store, p turmericshed.Profile, n turmericshed.Tokens) {
+	t.Helper()
+	r := tsbudget.DrawRequest{Lot: "lot-1", Holder: "vm-1", Want: n, Min: n}
+	_, err := tsupdate.Run(t.Context(), s, tsupdate.New(tsbudget.Key(p.Budget), tsbudget.Draw(r)))
+	assert.NilError(t, err)
+}
--- a/io/tscommand/options_admin.go
+++ b/io/tscommand/options_admin.go
@@ -44,3 +44,71 @@
 	}
 	return o, o.check()
 }
+
+// profileOptions holds the settings of the profile commands.
+type profileOptions struct {
+	adminOptions
+	Version uint64
+	File    string
+	// Prepaid is below 0 when it is not to be changed.
+	Prepaid int64
+}
+
+func (o *profileOptions) versionFlag(f flags, help string) {
+	f.Uint64Var(&o.Version, "version", 0, help)
+}
+
+func (o *profileOptions) nameFlag(f flags) {
+	f.StringVar(&o.Name, "profile", "", "`name` of the profile")
+}
+
+func (o *profileOptions) checkNamed() error {
+	if o.Name == "" {
+		return &SettingError{Setting: "-profile", Want: "the profile's name"}
+	}
+	return o.check()
+}
+
+func parseProfilePut(args []string, errOut io.Writer) (profileOptions, error) {
+	var o profileOptions
+	f := newFlags("profile put", "Makes a profile from a document, or replaces a version of it.", errOut)
+	o.adminFlags(f)
+	o.versionFlag(f, "`number` of the version that is replaced; 0 makes a new profile")
+	f.StringVar(&o.File, "file", "", "JSON `file` with the document, - for the input")
+	if err := f.parse(args); err != nil {
+		return o, err
+	}
+	if o.File == "" {
+		return o, &SettingError{Setting: "-file", Want: "a JSON file, or - for the input"}
+	}
+	return o, o.check()
+}
+
+func parseProfileName(name, summary string, args []string, errOut io.Writer) (profileOptions, error) {
+	var o profileOptions
+	f := newFlags(name, summary, errOut)
+	o.adminFlags(f)
+	o.nameFlag(f)
+	o.versionFlag(f, "`number` of the version that the command is for; 0 takes any")
+	if err := f.parse(args); err != nil {
+		return o, err
+	}
+	return o, o.checkNamed()
+}
+
+func parseProfileEdit(args []string, errOut io.Writer) (profileOptions, error) {
+	var o profileOptions
+	f := newFlags("profile edit", "Changes some fields of a profile.", errOut)
+	o.adminFlags(f)
+	o.nameFlag(f)
+	o.versionFlag(f, "`number` of the version that is changed; 0 takes the present one")
+	f.Int64Var(&o.Prepaid, "prepaid", -1, "`number` of prepaid tokens; below 0 leaves them")
+	f.StringVar(&o.File, "file", "", "JSON `file` with the fields to change, - for the input")
+	if err := f.parse(args); err != nil {
+		return o, err
+	}
+	if o.File == "" && o.Prepaid < 0 {
+		return o, &SettingError{Setting: "-file and -prepaid", Want: "at least one of them"}
+	}
+	return o, o.checkNamed()
+}
--- a/standin/tsplatform/store.go
+++ b/standin/tsplatform/store.go
@@ -258,3 +258,10 @@
 	s.leases[id] = &lease{ttl: ttl, expires: s.opts.Now().Add(ttl)}
 	return id
 }
+
+// Peek returns an item past all faults, limits and counts, for checks.
+func (s *Store) Peek(key string) turmericshed.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.itemLocked(key)
+}
