--- a/io/tscalls/calls_test.go
+++ b/io/tscalls/calls_test.go
@@ -1,6 +1,7 @@
 package tscalls
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
+	"turmericshed/core/tsclaim"
 	"turmericshed/standin/tsplatform"
 )
 
@@ -43,10 +45,10 @@
 		f.assertRuns("k", 1)
 	})
 	run(t, "certainly not sent may be retried", 2, func(t *testing.T, f *fleet) {
-		f.service.refuse = true
+		f.service.refuse.Store(true)
 		_, err := f.vms[0].place(within(t, time.Second), call("k"))
 		assertRefused(t, err, turmericshed.KindBackendRefused, turmericshed.OutcomeNotRun)
-		f.service.refuse = false
+		f.service.refuse.Store(false)
 		_, err = f.vms[1].place(within(t, time.Second), call("k"))
 		assert.NilError(t, err)
 		f.assertReplayed("k")
@@ -69,7 +71,26 @@
 		assert.Equal(t, string(a.Body), "claimed run 1")
 		f.store.SetFaults(tsplatform.Faults{})
 		time.Sleep(time.Minute)
-		f.vms[0].gone = true
+		f.vms[0].gone.Store(true)
 		f.assertReplayed("claimed")
 	})
 }
+
+func TestSilentStore(t *testing.T) {
+	run(t, "new claims are refused at once while the store is silent", 1, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(tsplatform.Faults{Delay: turmericshed.Duration(time.Hour)})
+		go func() { _, _ = f.vms[0].place(within(t, time.Minute), call("first")) }()
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		slot := tsclaim.NewID("corner-1", "first").Slot()
+		for i := range 50 {
+			c := call(fmt.Sprint("k", i))
+			if tsclaim.NewID(c.Account, c.Key).Slot() != slot {
+				continue
+			}
+			_, err := f.vms[0].place(within(t, time.Minute), c)
+			assertRefused(t, err, turmericshed.KindStoreUnavailable, turmericshed.OutcomeNotRun)
+		}
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
--- /dev/null
+++ b/io/tscalls/doubts.go
@@ -0,0 +1,86 @@
+package tscalls
+
+import (
+	"context"
+	"slices"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+)
+
+// Doubt is a call that may have run and has no answer.
+type Doubt struct {
+	tsclaim.Entry
+	ID tsclaim.ID `json:"id"`
+}
+
+// Doubts lists the calls in doubt and the open ones whose runner is gone, the
+// oldest first. It costs one read a slot.
+func (c *Calls) Doubts(ctx context.Context) ([]Doubt, error) {
+	var out []Doubt
+	for slot := range tsclaim.Slots {
+		h, err := ReadHead(ctx, c.cfg.Store, slot)
+		if err != nil {
+			return nil, err
+		}
+		for id, e := range h.Entries {
+			if c.doubtful(e) {
+				out = append(out, Doubt{Entry: e, ID: id})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Doubt) int { return a.At.Compare(b.At) })
+	return out, nil
+}
+
+// ReadHead reads the head of a slot.
+func ReadHead(ctx context.Context, s turmericshed.Store, slot int) (*tsclaim.Head, error) {
+	item, err := s.Get(ctx, tsclaim.HeadKey(slot))
+	if err != nil {
+		return nil, err
+	}
+	return tsclaim.DecodeHead(item.Value, slot)
+}
+
+// SettleRan keeps a person's word that the call ran, with its answer. The
+// call must be in doubt. Errors: KindNotFound, KindConflict, and those of the
+// store.
+func (c *Calls) SettleRan(ctx context.Context, account turmericshed.AccountID, key, by string, a turmericshed.Answer) error {
+	return c.settleByPerson(ctx, account, key, tsclaim.Op{
+		Kind: tsclaim.OpResolve, Person: true, Entry: tsclaim.Entry{By: by, Answer: &a},
+	})
+}
+
+// SettleNotRun keeps a person's word that the call did not run. Retries under
+// its key are then refused as not run; the call is placed again under a new
+// key. Errors as for SettleRan.
+func (c *Calls) SettleNotRun(ctx context.Context, account turmericshed.AccountID, key, by string) error {
+	return c.settleByPerson(ctx, account, key, tsclaim.Op{
+		Kind: tsclaim.OpRefuse, Entry: tsclaim.Entry{By: by, Reason: "settled as not run by " + by},
+	})
+}
+
+func (c *Calls) settleByPerson(ctx context.Context, account turmericshed.AccountID, key string, op tsclaim.Op) error {
+	op.ID = tsclaim.NewID(account, key)
+	found := c.readEntry(ctx, op)
+	if found.Err != nil {
+		return found.Err
+	}
+	if !found.Found {
+		return turmericshed.NewError(turmericshed.KindNotFound, "account %s has no unsettled call with key %q", account, key)
+	}
+	e := found.Entry
+	op.Claim = e.Claim
+	if e.State == tsclaim.StateOpen && c.doubtful(e) {
+		// Its runner is gone; nobody has put it in doubt yet.
+		c.commit(ctx, tsclaim.Op{Kind: tsclaim.OpDoubt, ID: op.ID, Claim: e.Claim, Entry: tsclaim.Entry{Reason: "its runner is gone"}})
+	}
+	res := c.commitOutcome(ctx, op)
+	if res.Err == nil && res.Changed {
+		c.cfg.Recorder.Record(turmericshed.Event{
+			Name: turmericshed.EventClaimResolved, Request: e.Request, Profile: e.Profile, Account: account,
+			Claim: e.Claim, Reason: string(res.Entry.State) + " by " + op.Entry.By,
+		})
+	}
+	return res.Err
+}
--- a/io/tscalls/drain.go
+++ b/io/tscalls/drain.go
@@ -114,7 +114,9 @@
 	}
 	req := &tspeerapi.HandOnRequest{}
 	for _, r := range left {
-		body, err := json.Marshal(r.outcome)
+		op, call := r.outcome, r.op.Entry
+		op.Entry.Digest, op.Entry.Account, op.Entry.Profile, op.Entry.Request = call.Digest, call.Account, call.Profile, call.Request
+		body, err := json.Marshal(op)
 		if err != nil {
 			return turmericshed.WrapError(turmericshed.KindInternal, err, "outcome of %s", r.claim)
 		}
--- /dev/null
+++ b/io/tscalls/failure_test.go
@@ -0,0 +1,397 @@
+package tscalls
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+	"turmericshed/standin/tsplatform"
+)
+
+const headPrefix = turmericshed.ClaimPrefix + "heads/"
+
+// claim makes the claim of a call that nobody holds.
+func (v *vm) claim(key string, within time.Duration) turmericshed.ClaimID {
+	v.fleet.t.Helper()
+	ctx, cancel := context.WithTimeout(v.fleet.t.Context(), within)
+	defer cancel()
+	d, err := v.calls.Claim(ctx, call(key))
+	assert.NilError(v.fleet.t, err)
+	assert.Equal(v.fleet.t, d.Verdict, turmericshed.ClaimRun)
+	return d.Claim
+}
+
+// assertUnknown checks that a retry is told that the call may have run.
+func (v *vm) assertUnknown(key string) {
+	v.fleet.t.Helper()
+	_, err := v.place(within(v.fleet.t, 2*time.Second), call(key))
+	assertRefused(v.fleet.t, err, turmericshed.KindCallUnknown, turmericshed.OutcomeUnknown)
+}
+
+// state returns the state of a call in the store.
+func (f *fleet) state(key string) tsclaim.State {
+	f.t.Helper()
+	id := tsclaim.NewID("corner-1", key)
+	item, err := f.store.Get(f.t.Context(), tsclaim.HeadKey(id.Slot()))
+	assert.NilError(f.t, err)
+	h, err := tsclaim.DecodeHead(item.Value, id.Slot())
+	assert.NilError(f.t, err)
+	return h.Entries[id].State
+}
+
+func TestLostWrites(t *testing.T) {
+	run(t, "answer lost after the claim was written", 2, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(tsplatform.Faults{LoseAnswers: 1, KeyPrefix: headPrefix})
+		_, err := f.vms[0].place(within(t, time.Second), call("k"))
+		assert.NilError(t, err)
+		f.assertReplayed("k")
+	})
+	run(t, "claim that lands after its caller was refused", 2, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(tsplatform.Faults{HoldWrites: 1, KeyPrefix: headPrefix})
+		f.cutAfterWrite.Store(true)
+		_, err := f.vms[0].place(within(t, time.Second), call("k"))
+		assertRefused(t, err, turmericshed.KindStoreUnavailable, turmericshed.OutcomeNotRun)
+		time.Sleep(10 * time.Minute)
+		f.cutAfterWrite.Store(false)
+		f.store.SetFaults(tsplatform.Faults{})
+		assert.Equal(t, f.store.LandHeld(), 1)
+		assert.Equal(t, f.state("k"), tsclaim.StateOpen)
+		_, err = f.vms[1].place(within(t, 5*time.Second), call("k"))
+		assert.NilError(t, err)
+		f.assertReplayed("k")
+	})
+	run(t, "answers of every write lost for a while", 3, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(tsplatform.Faults{LoseAnswers: 7, KeyPrefix: headPrefix})
+		var wg sync.WaitGroup
+		for _, v := range f.vms {
+			wg.Go(func() {
+				_, err := v.place(within(t, 10*time.Second), call("k"))
+				assert.Check(t, err)
+			})
+		}
+		wg.Wait()
+		f.assertReplayed("k")
+	})
+}
+
+func TestPausedRunner(t *testing.T) {
+	run(t, "an hour between claim and dispatch", 3, func(t *testing.T, f *fleet) {
+		runner := f.vms[0]
+		claim := runner.claim("k", time.Minute)
+		runner.cut.Store(true)
+		f.vms[1].assertUnknown("k")
+		time.Sleep(time.Hour)
+		f.vms[1].calls.resolveSlot(t.Context(), tsclaim.NewID("corner-1", "k").Slot())
+		f.vms[2].assertUnknown("k")
+		runner.cut.Store(false)
+		err := runner.calls.Dispatch(claim)
+		assertRefused(t, err, turmericshed.KindDeadline, turmericshed.OutcomeNotRun)
+		time.Sleep(time.Second)
+		_, err = f.vms[1].place(within(t, time.Second), call("k"))
+		assert.NilError(t, err)
+		f.assertReplayed("k")
+	})
+	run(t, "an hour between dispatch and sending", 3, func(t *testing.T, f *fleet) {
+		runner := f.vms[0]
+		claim := runner.claim("k", time.Minute)
+		assert.NilError(t, runner.calls.Dispatch(claim))
+		runner.cut.Store(true)
+		time.Sleep(time.Hour)
+		f.vms[1].calls.resolveSlot(t.Context(), tsclaim.NewID("corner-1", "k").Slot())
+		assert.Equal(t, f.state("k"), tsclaim.StateInDoubt)
+		f.vms[1].assertUnknown("k")
+		assert.NilError(t, f.vms[1].calls.SettleNotRun(t.Context(), "corner-1", "k", "amina"))
+		_, err := f.vms[2].place(within(t, time.Second), call("k"))
+		assertRefused(t, err, turmericshed.KindConflict, turmericshed.OutcomeNotRun)
+		f.assertRuns("k", 0)
+		runner.cut.Store(false)
+		_, err = runner.send(within(t, time.Second), call("k"), claim)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		f.assertReplayed("k")
+	})
+	run(t, "the runner gave its claim up in a cut", 2, func(t *testing.T, f *fleet) {
+		runner := f.vms[0]
+		claim := runner.claim("k", time.Minute)
+		f.store.SetFaults(tsplatform.Faults{Outage: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_ = runner.calls.Abandon(ctx, claim)
+		time.Sleep(10 * time.Minute)
+		f.store.SetFaults(tsplatform.Faults{})
+		assert.Equal(t, f.state("k"), tsclaim.StateOpen)
+		assert.Assert(t, runner.calls.Dispatch(claim) != nil)
+		_, err := f.vms[1].place(within(t, 5*time.Second), call("k"))
+		assert.NilError(t, err)
+		f.assertReplayed("k")
+	})
+}
+
+func TestInDoubt(t *testing.T) {
+	run(t, "service ran the call but the answer was lost", 2, func(t *testing.T, f *fleet) {
+		f.service.lose.Store(true)
+		f.vms[0].assertUnknown("k")
+		f.service.lose.Store(false)
+		f.assertReplayed("k")
+		assert.Equal(t, f.state("k"), tsclaim.StateDone)
+	})
+	run(t, "runner gone after sending, answer at the service", 3, func(t *testing.T, f *fleet) {
+		claim := f.vms[0].claim("k", time.Minute)
+		assert.NilError(t, f.vms[0].calls.Dispatch(claim))
+		_, err := f.service.do(tsclaim.ServiceKey("corner-1", "k"), []byte("k"))
+		assert.NilError(t, err)
+		f.vms[0].gone.Store(true)
+		f.vms[1].calls.resolveSlot(t.Context(), tsclaim.NewID("corner-1", "k").Slot())
+		assert.Equal(t, f.state("k"), tsclaim.StateDone)
+		f.assertReplayed("k")
+	})
+	run(t, "not found at the service proves nothing", 3, func(t *testing.T, f *fleet) {
+		claim := f.vms[0].claim("k", time.Minute)
+		assert.NilError(t, f.vms[0].calls.Dispatch(claim))
+		f.vms[0].gone.Store(true)
+		f.vms[1].calls.resolveSlot(t.Context(), tsclaim.NewID("corner-1", "k").Slot())
+		f.vms[1].assertUnknown("k")
+		f.vms[2].assertUnknown("k")
+		_, err := f.service.do(tsclaim.ServiceKey("corner-1", "k"), []byte("k"))
+		assert.NilError(t, err)
+		f.assertReplayed("k")
+	})
+	run(t, "a person settles a call as run", 2, func(t *testing.T, f *fleet) {
+		claim := f.vms[0].claim("k", time.Minute)
+		assert.NilError(t, f.vms[0].calls.Dispatch(claim))
+		assert.NilError(t, f.vms[0].calls.Doubt(t.Context(), claim, "lost"))
+		doubts, err := f.vms[1].calls.Doubts(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(doubts), 1)
+		assert.Equal(t, doubts[0].Key, "k")
+		a := turmericshed.Answer{Status: http.StatusCreated, Body: []byte("job 7")}
+		assert.NilError(t, f.vms[1].calls.SettleRan(t.Context(), "corner-1", "k", "amina", a))
+		got, err := f.vms[0].place(within(t, time.Second), call("k"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(got.Body), "job 7")
+		f.assertRuns("k", 0)
+	})
+	run(t, "loss of all entry VMs", 3, func(t *testing.T, f *fleet) {
+		_, err := f.vms[0].place(within(t, time.Second), call("done"))
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		sent := f.vms[1].claim("sent", time.Minute)
+		assert.NilError(t, f.vms[1].calls.Dispatch(sent))
+		_, err = f.service.do(tsclaim.ServiceKey("corner-1", "sent"), []byte("sent"))
+		assert.NilError(t, err)
+		f.vms[2].claim("open", time.Minute)
+		for _, v := range f.vms {
+			v.gone.Store(true)
+		}
+		f.add(nil)
+		f.add(nil)
+		f.assertReplayed("done")
+		f.assertReplayed("sent")
+		f.vms[4].assertUnknown("open")
+		f.assertRuns("open", 0)
+	})
+}
+
+func TestTwoOwners(t *testing.T) {
+	run(t, "every VM owns every slot", 4, func(t *testing.T, f *fleet) {
+		for _, v := range f.vms {
+			v.cut.Store(true)
+		}
+		var wg sync.WaitGroup
+		for i := range 20 {
+			for _, v := range f.vms {
+				wg.Go(func() {
+					a, err := v.place(within(t, 20*time.Second), call(fmt.Sprint("k", i)))
+					if err == nil {
+						assert.Check(t, string(a.Body) == fmt.Sprintf("k%d run 1", i))
+					}
+				})
+			}
+		}
+		wg.Wait()
+		for _, v := range f.vms {
+			v.cut.Store(false)
+		}
+		time.Sleep(time.Second)
+		for i := range 20 {
+			f.assertReplayed(fmt.Sprint("k", i))
+		}
+	})
+	run(t, "owner dies while it is asked", 3, func(t *testing.T, f *fleet) {
+		slot := tsclaim.NewID("corner-1", "k").Slot()
+		owner, _ := f.vms[0].calls.owner(slot)
+		for _, v := range f.vms {
+			v.silent.Store(v.self.Incarnation == owner.Incarnation)
+		}
+		for _, v := range f.vms {
+			if !v.silent.Load() {
+				_, err := v.place(within(t, time.Second), call("k"))
+				assert.NilError(t, err)
+			}
+		}
+		f.assertReplayed("k")
+	})
+}
+
+func TestDrain(t *testing.T) {
+	run(t, "waits for the running call", 2, func(t *testing.T, f *fleet) {
+		v := f.vms[0]
+		claim := v.claim("k", time.Minute)
+		assert.NilError(t, v.calls.Dispatch(claim))
+		go func() {
+			time.Sleep(10 * time.Second)
+			_, _ = v.send(t.Context(), call("k"), claim)
+		}()
+		assert.NilError(t, v.calls.Drain(within(t, time.Minute)))
+		v.gone.Store(true)
+		f.assertReplayed("k")
+	})
+	run(t, "hands answers on while the store is away", 2, func(t *testing.T, f *fleet) {
+		v := f.vms[0]
+		claim := v.claim("k", time.Minute)
+		assert.NilError(t, v.calls.Dispatch(claim))
+		f.store.SetFaults(tsplatform.Faults{Outage: true})
+		_, err := v.send(t.Context(), call("k"), claim)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		assert.NilError(t, v.calls.Drain(within(t, time.Minute)))
+		v.gone.Store(true)
+		f.assertReplayed("k")
+		f.store.SetFaults(tsplatform.Faults{})
+		time.Sleep(time.Minute)
+		assert.Equal(t, f.state("k"), tsclaim.StateDone)
+	})
+	run(t, "refuses new claims and frees those not sent", 2, func(t *testing.T, f *fleet) {
+		v := f.vms[0]
+		claim := v.claim("k", time.Minute)
+		assert.NilError(t, v.calls.Drain(within(t, 10*time.Second)))
+		assert.Assert(t, v.calls.Dispatch(claim) != nil)
+		_, err := v.calls.Claim(within(t, time.Second), call("new"))
+		assertRefused(t, err, turmericshed.KindDraining, turmericshed.OutcomeNotRun)
+		v.gone.Store(true)
+		f.assertReplayed("k")
+	})
+}
+
+func TestRetention(t *testing.T) {
+	t.Run("sealed calls replay until they expire", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 2, func(cfg *Config) { cfg.Retention = 72 * time.Hour })
+			big := strings.Repeat("x", 5000)
+			for i := range 400 {
+				c := call(fmt.Sprint("k", i))
+				c.Key = fmt.Sprint("k", i)
+				if i%50 == 0 {
+					c.Key = big + c.Key
+				}
+				_, err := f.vms[i%2].place(within(t, time.Second), c)
+				assert.NilError(t, err)
+				time.Sleep(10 * time.Minute)
+			}
+			// 400 calls took 66 hours, so the first are still kept.
+			f.add(nil)
+			for i := range 400 {
+				key := fmt.Sprint("k", i)
+				if i%50 == 0 {
+					key = big + key
+				}
+				f.assertReplayed(key)
+			}
+			items, err := f.store.List(t.Context(), turmericshed.ClaimPrefix+"buckets/", "", 1000)
+			assert.NilError(t, err)
+			assert.Assert(t, len(items) > tsclaim.Slots, "no buckets were made")
+			time.Sleep(100 * time.Hour)
+			for i := range 40 {
+				_, err := f.vms[0].place(within(t, time.Second), call(fmt.Sprint("later", i)))
+				assert.NilError(t, err)
+			}
+			time.Sleep(5 * time.Minute)
+			left, err := f.store.List(t.Context(), turmericshed.ClaimPrefix+"answers/", "", 1000)
+			assert.NilError(t, err)
+			assert.Assert(t, len(left) < 8, "%d long answers left", len(left))
+		})
+	})
+}
+
+// sameSlot returns n keys whose calls fall into one slot.
+func sameSlot(n int) []string {
+	var keys []string
+	for i := 0; len(keys) < n; i++ {
+		key := fmt.Sprint("k", i)
+		if tsclaim.NewID("corner-1", key).Slot() == 0 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func TestSealedByAnotherOwner(t *testing.T) {
+	run(t, "a cached head does not hide a sealed call", 2, func(t *testing.T, f *fleet) {
+		a, b := f.vms[0], f.vms[1]
+		a.cut.Store(true)
+		b.cut.Store(true)
+		place := func(v *vm, key string) {
+			t.Helper()
+			got, err := v.place(within(t, time.Second), call(key))
+			assert.NilError(t, err)
+			assert.Equal(t, string(got.Body), key+" run 1")
+		}
+		keys := sameSlot(24)
+		for i := 0; i+3 < len(keys); i += 3 {
+			place(a, keys[i])
+			place(b, keys[i+1])
+			time.Sleep(7 * time.Hour)
+			// b seals the first two calls into the tail, and closes the tail
+			// with its next write.
+			place(b, keys[i+2])
+			if i%2 == 1 {
+				time.Sleep(time.Second)
+			}
+			place(a, keys[i+1])
+		}
+		for _, key := range keys[:21] {
+			place(a, key)
+			place(b, key)
+			f.assertRuns(key, 1)
+		}
+	})
+}
+
+func TestSealedIntoTail(t *testing.T) {
+	run(t, "a head cached with open calls only does not hide the tail", 3, func(t *testing.T, f *fleet) {
+		for _, v := range f.vms {
+			v.cut.Store(true)
+		}
+		keys := sameSlot(3)
+		f.vms[2].claim(keys[0], time.Hour)
+		_, err := f.vms[0].place(within(t, time.Second), call(keys[1]))
+		assert.NilError(t, err)
+		time.Sleep(7 * time.Hour)
+		_, err = f.vms[1].place(within(t, time.Second), call(keys[2]))
+		assert.NilError(t, err)
+		got, err := f.vms[2].place(within(t, time.Second), call(keys[1]))
+		assert.NilError(t, err)
+		assert.Equal(t, string(got.Body), keys[1]+" run 1")
+	})
+}
+
+func TestStoreOutageIsNotHammered(t *testing.T) {
+	run(t, "claims in an outage share a few store calls", 1, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(tsplatform.Faults{Outage: true})
+		keys := sameSlot(200)
+		for _, key := range keys {
+			_, err := f.vms[0].place(within(t, time.Second), call(key))
+			assertRefused(t, err, turmericshed.KindStoreUnavailable, turmericshed.OutcomeNotRun)
+		}
+		assert.Assert(t, f.store.Counts().Failed < 10, "%d calls failed", f.store.Counts().Failed)
+	})
+}
--- a/io/tscalls/fleet_test.go
+++ b/io/tscalls/fleet_test.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +30,24 @@
 	store   *tsplatform.Store
 	service *service
 	vms     []*vm
+	// cutAfterWrite starts an outage after the next write.
+	cutAfterWrite atomic.Bool
+	// mu guards vms against readers in the background.
+	mu sync.Mutex
+}
+
+// hookedStore can fail after a write.
+type hookedStore struct {
+	turmericshed.Store
+	fleet *fleet
+}
+
+func (s hookedStore) CompareAndSwap(ctx context.Context, w turmericshed.Write) (turmericshed.Version, error) {
+	v, err := s.Store.CompareAndSwap(ctx, w)
+	if s.fleet.cutAfterWrite.Load() {
+		s.fleet.store.ChangeFaults(func(f *tsplatform.Faults) { f.Outage = true })
+	}
+	return v, err
 }
 
 // vm is one entry VM. It implements Members and Peers for its Calls.
@@ -37,8 +57,9 @@
 	calls *Calls
 	path  string
 	serve http.Handler
-	// gone VMs answer nobody; cut ones are not reachable but not gone.
-	gone, cut bool
+	// gone VMs answer nobody; cut ones are not reachable but not gone; silent
+	// ones are still believed reachable.
+	gone, cut, silent atomic.Bool
 }
 
 // service runs calls and counts them by key.
@@ -47,19 +68,19 @@
 	runs    map[string]int
 	answers map[string]turmericshed.Answer
 	// refuse and lose set how the next calls end.
-	refuse, lose bool
+	refuse, lose atomic.Bool
 }
 
 func (s *service) do(key string, body []byte) (turmericshed.Answer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.refuse {
+	if s.refuse.Load() {
 		return turmericshed.Answer{}, turmericshed.NewError(turmericshed.KindBackendRefused, "refused")
 	}
 	s.runs[key]++
 	a := turmericshed.Answer{Status: http.StatusOK, Body: fmt.Appendf(body, " run %d", s.runs[key])}
 	s.answers[key] = a
-	if s.lose {
+	if s.lose.Load() {
 		return turmericshed.Answer{}, turmericshed.NewError(turmericshed.KindCallUnknown, "answer lost")
 	}
 	return a, nil
@@ -89,22 +110,30 @@
 		Name: fmt.Sprintf("vm-%d", i), Incarnation: turmericshed.Incarnation(fmt.Sprintf("in-%d", i)),
 		PeerAddr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 1),
 	}}
-	cfg := Config{Self: v.self, Store: f.store.As(v.self.Name), Members: v, Peers: v, Lookup: f.service.lookup}
+	cfg := Config{Self: v.self, Store: hookedStore{Store: f.store.As(v.self.Name), fleet: f}, Members: v, Peers: v, Lookup: f.service.lookup}
 	if change != nil {
 		change(&cfg)
 	}
 	v.calls = New(cfg)
 	v.path, v.serve = v.calls.Handler()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.vms = append(f.vms, v)
 	return v
 }
 
+func (f *fleet) all() []*vm {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.vms)
+}
+
 func (v *vm) Self() turmericshed.EntryVM { return v.self }
 
 func (v *vm) Reachable() []turmericshed.EntryVM {
 	var out []turmericshed.EntryVM
-	for _, o := range v.fleet.vms {
-		if o != v && !o.gone && !o.cut && !v.cut {
+	for _, o := range v.fleet.all() {
+		if o != v && !o.gone.Load() && !o.cut.Load() && !v.cut.Load() {
 			out = append(out, o.self)
 		}
 	}
@@ -112,8 +141,8 @@
 }
 
 func (v *vm) State(in turmericshed.Incarnation) turmericshed.MemberState {
-	for _, o := range v.fleet.vms {
-		if o.self.Incarnation == in && o.gone {
+	for _, o := range v.fleet.all() {
+		if o.self.Incarnation == in && o.gone.Load() {
 			return turmericshed.MemberGone
 		}
 	}
@@ -131,8 +160,8 @@
 }
 
 func (l link) Do(r *http.Request) (*http.Response, error) {
-	for _, o := range l.from.fleet.vms {
-		if o.self.PeerAddr != l.to || o.gone || o.cut || l.from.cut {
+	for _, o := range l.from.fleet.all() {
+		if o.self.PeerAddr != l.to || o.gone.Load() || o.cut.Load() || o.silent.Load() || l.from.cut.Load() {
 			continue
 		}
 		body, err := io.ReadAll(r.Body)
@@ -217,7 +246,7 @@
 func (f *fleet) assertReplayed(key string) {
 	f.t.Helper()
 	for _, v := range f.vms {
-		if v.gone {
+		if v.gone.Load() {
 			continue
 		}
 		a, err := v.place(within(f.t, time.Second), call(key))
