Experiment fleet: membership and edits at several sizes; subcommand experiment

Cause: the cost a node and the times of detection, recovery and edits have to be measured at sizes up to 1,000 members. Change: load/tsexperiment (table of experiments, simulation of the real decision code with delays, cuts and lost events, transport cost measured on loopback, baselines), subcommand experiment. Probes outside the failure domain go to a small pool that rotates, so that most use an open connection.

--- a/core/tsmember/ring.go
+++ b/core/tsmember/ring.go
@@ -19,22 +19,59 @@
 	domain []*Member
 	// region are the members elsewhere in the region, far those in other
 	// regions.
-	region []*Member
-	far    []*Member
+	region remote
+	far    remote
 	// total counts the members that take part, this node too.
 	total int
 }
 
+// remote is a pool of members of other failure domains and the few of them
+// that are probed at present. One is replaced now and then, so that most
+// probes use a connection that is open.
+type remote struct {
+	all     []*Member
+	probed  []*Member
+	rotated time.Time
+}
+
+const (
+	// remoteProbed bounds the members probed at present.
+	remoteProbed = 6
+	// rotatePeriod is the time after which one of them is replaced.
+	rotatePeriod = 20 * time.Second
+)
+
+// refresh drops ended members, replaces one when due and fills up.
+func (p *remote) refresh(r *rand.Rand, now time.Time) {
+	p.probed = slices.DeleteFunc(p.probed, (*Member).ended)
+	if len(p.probed) > 0 && now.Sub(p.rotated) >= rotatePeriod {
+		p.rotated = now
+		i := r.IntN(len(p.probed))
+		p.probed = slices.Delete(p.probed, i, i+1)
+	}
+	for tries := 0; len(p.probed) < min(remoteProbed, len(p.all)) && tries < 4*remoteProbed; tries++ {
+		if m := pick(r, p.all); !m.ended() && !slices.Contains(p.probed, m) {
+			p.probed = append(p.probed, m)
+		}
+	}
+}
+
 // rebuildPeriod bounds how often the neighbours are worked out.
 const rebuildPeriod = time.Second
 
 // refresh rebuilds the neighbours when needed.
 func (b *neighbours) refresh(n *Node, now time.Time) {
+	b.rebuild(n, now)
+	b.region.refresh(n.cfg.Rand, now)
+	b.far.refresh(n.cfg.Rand, now)
+}
+
+func (b *neighbours) rebuild(n *Node, now time.Time) {
 	if !b.dirty || !b.builtAt.IsZero() && now.Sub(b.builtAt) < rebuildPeriod {
 		return
 	}
 	b.dirty, b.builtAt = false, now
-	b.region, b.far = b.region[:0], b.far[:0]
+	b.region.all, b.far.all = b.region.all[:0], b.far.all[:0]
 	var own []*Member
 	for _, m := range n.members {
 		switch {
@@ -42,16 +79,16 @@
 		case m.FailureDomain == n.self.FailureDomain:
 			own = append(own, m)
 		case m.Region == n.self.Region:
-			b.region = append(b.region, m)
+			b.region.all = append(b.region.all, m)
 		default:
-			b.far = append(b.far, m)
+			b.far.all = append(b.far.all, m)
 		}
 	}
-	b.total = 1 + len(own) + len(b.region) + len(b.far)
+	b.total = 1 + len(own) + len(b.region.all) + len(b.far.all)
 	byIncarnation := func(x, y *Member) int { return cmp.Compare(x.Incarnation, y.Incarnation) }
 	slices.SortFunc(own, byIncarnation)
-	slices.SortFunc(b.region, byIncarnation)
-	slices.SortFunc(b.far, byIncarnation)
+	slices.SortFunc(b.region.all, byIncarnation)
+	slices.SortFunc(b.far.all, byIncarnation)
 	b.domain = b.domain[:0]
 	for ring := range domainRings {
 		if m := successor(n.self.Name, ring, own, b.domain); m != nil {
@@ -88,7 +125,7 @@
 	if slot < domainRings && len(b.domain) > 0 {
 		return b.domain[slot%len(b.domain)]
 	}
-	first, second := b.region, b.far
+	first, second := b.region.probed, b.far.probed
 	if slot == domainRings+1 {
 		first, second = second, first
 	}
@@ -122,9 +159,9 @@
 	}
 	b := &n.neighbours
 	for range 2 * helperCount {
-		take(pick(n.cfg.Rand, b.region))
+		take(pick(n.cfg.Rand, b.region.probed))
 		take(pick(n.cfg.Rand, b.domain))
-		take(pick(n.cfg.Rand, b.far))
+		take(pick(n.cfg.Rand, b.far.probed))
 	}
 	return chosen
 }
--- a/io/tscommand/commands.go
+++ b/io/tscommand/commands.go
@@ -43,6 +43,7 @@
 		{"standin", "stand in for the platform, an engine or a service", runStandin},
 		{"load", "send open-loop load and keep the callers' books", runLoad},
 		{"timeline", "merge the events of all processes", runTimeline},
+		{"experiment", "measure decisions on small fakes", runExperiment},
 	}
 }
 
--- a/io/tsfleet/encode.go
+++ b/io/tsfleet/encode.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"turmericshed"
 	"turmericshed/core/tsmember"
 	"turmericshed/io/tspeerapi"
@@ -53,6 +55,15 @@
 	return out, nil
 }
 
+// UnmarshalMessage reads the bytes of a message. Errors: KindBadRequest.
+func UnmarshalMessage(b []byte) (tsmember.Message, error) {
+	var m tspeerapi.GossipMessage
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return tsmember.Message{}, turmericshed.WrapError(turmericshed.KindBadRequest, err, "gossip message")
+	}
+	return DecodeMessage(&m)
+}
+
 func encodeUpdates(us []tsmember.Update) []*tspeerapi.MemberUpdate {
 	out := make([]*tspeerapi.MemberUpdate, 0, len(us))
 	for _, u := range us {
@@ -154,7 +165,9 @@
 	return out, nil
 }
 
-func encodeSyncReply(r tsmember.SyncReply) *tspeerapi.SyncReply {
+// EncodeSyncReply returns the form in which the answer to a comparison is
+// sent.
+func EncodeSyncReply(r tsmember.SyncReply) *tspeerapi.SyncReply {
 	return &tspeerapi.SyncReply{Updates: encodeUpdates(r.Updates)}
 }
 
--- a/io/tsfleet/service.go
+++ b/io/tsfleet/service.go
@@ -59,7 +59,7 @@
 	if err := s.f.do(func(now time.Time, n *tsmember.Node) { reply = n.HandleSync(now, r) }); err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	res := encodeSyncReply(reply)
+	res := EncodeSyncReply(reply)
 	s.f.metrics.sent(res)
 	return connect.NewResponse(res), nil
 }
--- /dev/null
+++ b/load/tsexperiment/fleet.go
@@ -0,0 +1,399 @@
+package tsexperiment
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsmember"
+	"turmericshed/core/tsprofile"
+)
+
+const (
+	designMembers  = 2600
+	designProfiles = 47000
+	// Stated limits for one node.
+	limitBytesPerSecond = 7000
+	limitCPUShare       = 0.034
+	limitMemoryBytes    = 128 << 20
+	limitInForce        = 9 * time.Second
+	limitInForceToday   = time.Second
+	// todayMembers is the size of a fleet of today.
+	todayMembers = 9
+
+	warmUp       = 40 * time.Second
+	steadyTime   = 60 * time.Second
+	editTime     = 120 * time.Second
+	faultTime    = 60 * time.Second
+	recoveryStep = 500 * time.Millisecond
+	recoveryMost = 120 * time.Second
+)
+
+// FleetSize holds the figures of one size of fleet.
+type FleetSize struct {
+	Members        int `json:"members"`
+	FailureDomains int `json:"failure_domains"`
+	// Payload bytes are without what the transport adds; control bytes are
+	// with it. Both count sent and received.
+	PayloadBytesPerSecond    float64 `json:"payload_bytes_per_second"`
+	CallsPerSecond           float64 `json:"calls_per_second"`
+	ControlBytesPerSecond    float64 `json:"control_bytes_per_second"`
+	ControlBytesPerSecondMax float64 `json:"control_bytes_per_second_max"`
+	// DecisionMicros is the measured time of the decisions and the encoding.
+	DecisionMicros  float64 `json:"decision_micros_per_second"`
+	ControlCPUShare float64 `json:"control_cpu_share"`
+	// Seconds from the death of a member until half of the others, and all,
+	// hold it for suspect or gone, and until all hold it for gone.
+	SuspectHalfSeconds float64 `json:"suspect_half_seconds"`
+	SuspectAllSeconds  float64 `json:"suspect_all_seconds"`
+	GoneAllSeconds     float64 `json:"gone_all_seconds"`
+	// Under one-way cuts of a twentieth of the links and one flapping link.
+	FalseSuspectShare float64 `json:"false_suspect_share"`
+	FalseGone         int     `json:"false_gone"`
+	// After a failure domain was cut off for faultTime.
+	FalseGoneInCut         int     `json:"false_gone_in_cut"`
+	RecoverySeconds        float64 `json:"recovery_seconds"`
+	RecoveryBytesPerSecond float64 `json:"recovery_bytes_per_second"`
+	// Edits at the stated rate, with lost watch events and restarts.
+	EditInForceP50Millis float64 `json:"edit_in_force_p50_ms"`
+	EditInForceP99Millis float64 `json:"edit_in_force_p99_ms"`
+	EditInForceMaxMillis float64 `json:"edit_in_force_max_ms"`
+	EditsLate            int     `json:"edits_late"`
+	StoreWatches         int     `json:"store_watches"`
+	StoreReadsPerSecond  float64 `json:"store_reads_per_second"`
+}
+
+// FleetResult is the result of the experiment.
+type FleetResult struct {
+	Seed      uint64        `json:"seed"`
+	Transport TransportCost `json:"transport"`
+	Memory    FleetMemory   `json:"memory"`
+	Sizes     []FleetSize   `json:"sizes"`
+	Design    FleetDesign   `json:"design"`
+	Baselines FleetBaseline `json:"baselines"`
+	Broken    []string      `json:"broken_limits"`
+}
+
+// FleetMemory is what the state of one node takes.
+type FleetMemory struct {
+	BytesPerMember  float64 `json:"bytes_per_member"`
+	BytesPerProfile float64 `json:"bytes_per_held_profile"`
+	BytesPerName    float64 `json:"bytes_per_known_name"`
+	ProfileText     int     `json:"profile_text_bytes"`
+}
+
+// FleetDesign extrapolates to the design size by the slope over the larger
+// sizes.
+type FleetDesign struct {
+	Members               int     `json:"members"`
+	BytesSlope            float64 `json:"bytes_per_second_per_member"`
+	ControlBytesPerSecond float64 `json:"control_bytes_per_second"`
+	MicrosSlope           float64 `json:"micros_per_second_per_member"`
+	ControlCPUShare       float64 `json:"control_cpu_share"`
+	MemoryBytes           float64 `json:"memory_bytes"`
+	StoreWatches          int     `json:"store_watches"`
+}
+
+// runFleet measures membership and profile edits.
+func runFleet(ctx context.Context, o Options) (any, error) {
+	sizes := []int{todayMembers, 30, 100, 300, 1000}
+	if o.Quick {
+		sizes = []int{todayMembers, 30, 100}
+	}
+	if o.Scenario != "" {
+		var n int
+		if _, err := fmt.Sscanf(o.Scenario, "%d", &n); err != nil || n < 3 {
+			return nil, turmericshed.NewError(turmericshed.KindBadRequest, "scenario %q: want a number of members above 2", o.Scenario)
+		}
+		sizes = []int{n}
+	}
+	cost, err := measureTransport(ctx)
+	if err != nil {
+		return nil, err
+	}
+	r := FleetResult{Seed: o.Seed, Transport: cost, Memory: measureFleetMemory()}
+	for _, n := range sizes {
+		if ctx.Err() != nil {
+			return nil, turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "experiment")
+		}
+		r.Sizes = append(r.Sizes, measureFleet(o.Seed, n, cost))
+	}
+	r.extrapolate()
+	r.Baselines = measureFleetBaselines(cost, r.Memory)
+	r.check()
+	return r, nil
+}
+
+// measureFleet runs every scenario at one size, each on a fleet of its own.
+func measureFleet(seed uint64, n int, cost TransportCost) FleetSize {
+	domains, _ := fleetDomains(n)
+	f := FleetSize{Members: n, FailureDomains: domains}
+	f.steady(newFleetSim(seed, n), cost)
+	f.deaths(newFleetSim(seed+1, n))
+	f.cuts(newFleetSim(seed+2, n))
+	f.isolation(newFleetSim(seed+3, n), cost)
+	f.edits(newFleetSim(seed+4, n))
+	return f
+}
+
+// steady measures the cost without faults, with edits at the stated rate.
+func (f *FleetSize) steady(s *fleetSim, cost TransportCost) {
+	s.run(warmUp)
+	for _, m := range s.members {
+		m.bytes, m.calls, m.cpu = 0, 0, 0
+	}
+	s.store.reads = 0
+	s.store.editFor(steadyTime)
+	s.run(steadyTime)
+	seconds, n := steadyTime.Seconds(), float64(len(s.members))
+	for _, m := range s.members {
+		f.PayloadBytesPerSecond += float64(m.bytes) / seconds / n
+		f.CallsPerSecond += float64(m.calls) / seconds / n
+		f.DecisionMicros += float64(m.cpu.Microseconds()) / seconds / n
+		f.ControlBytesPerSecondMax = max(f.ControlBytesPerSecondMax, cost.bytes(float64(m.bytes), float64(m.calls))/seconds)
+		if m.profiles.relay {
+			f.StoreWatches++
+		}
+	}
+	f.ControlBytesPerSecond = cost.bytes(f.PayloadBytesPerSecond, f.CallsPerSecond) + cost.connections()
+	f.ControlBytesPerSecondMax += cost.connections()
+	f.ControlCPUShare = (f.DecisionMicros + f.CallsPerSecond/2*cost.MicrosPerCall + cost.connectionMicros()) / 1e6
+	f.StoreReadsPerSecond = float64(s.store.reads) / seconds
+}
+
+// deaths measures how soon others notice that a member died.
+func (f *FleetSize) deaths(s *fleetSim) {
+	s.run(warmUp)
+	dead := s.members[s.rng.IntN(len(s.members))]
+	died := s.now
+	dead.dead = true
+	for s.now.Sub(died) < recoveryMost && f.GoneAllSeconds == 0 {
+		s.run(fleetTick)
+		suspects, gone, live := 0, 0, s.live()
+		for _, m := range live {
+			state := m.node.State(dead.vm.Incarnation)
+			if state != turmericshed.MemberAlive {
+				suspects++
+			}
+			if state == turmericshed.MemberGone {
+				gone++
+			}
+		}
+		since := s.now.Sub(died).Seconds()
+		first(&f.SuspectHalfSeconds, since, 2*suspects >= len(live))
+		first(&f.SuspectAllSeconds, since, suspects == len(live))
+		first(&f.GoneAllSeconds, since, gone == len(live))
+	}
+}
+
+// first sets to once, when reached.
+func first(to *float64, value float64, reached bool) {
+	if reached && *to == 0 {
+		*to = value
+	}
+}
+
+// cuts measures false suspicions under one-way cuts and a flapping link.
+func (f *FleetSize) cuts(s *fleetSim) {
+	s.run(warmUp)
+	cut := make(map[[2]string]bool)
+	for _, a := range s.members {
+		for range max(1, len(s.members)/20) {
+			b := s.members[s.rng.IntN(len(s.members))]
+			cut[[2]string{a.vm.Name, b.vm.Name}] = true
+		}
+	}
+	s.blocked = func(from, to *simMember) bool {
+		flapping := from.vm.FailureDomain == "domain-00" && to.vm.FailureDomain == "domain-01" && s.now.Unix()/5%2 == 0
+		return flapping || cut[[2]string{from.vm.Name, to.vm.Name}]
+	}
+	s.wronglyGone = 0
+	samples, suspects := 0, 0
+	for range int(faultTime / time.Second) {
+		s.run(time.Second)
+		for _, m := range s.members[:min(len(s.members), 50)] {
+			for _, other := range s.members {
+				samples++
+				if m.node.State(other.vm.Incarnation) != turmericshed.MemberAlive {
+					suspects++
+				}
+			}
+		}
+	}
+	f.FalseSuspectShare = float64(suspects) / float64(samples)
+	f.FalseGone = s.wronglyGone
+}
+
+// isolation cuts off a failure domain and measures how soon all reach all
+// again after it heals.
+func (f *FleetSize) isolation(s *fleetSim, cost TransportCost) {
+	s.run(warmUp)
+	s.blocked = func(from, to *simMember) bool {
+		return (from.vm.FailureDomain == "domain-00") != (to.vm.FailureDomain == "domain-00")
+	}
+	s.wronglyGone = 0
+	s.run(faultTime)
+	f.FalseGoneInCut = s.wronglyGone
+	s.blocked = nil
+	healed := s.now
+	var before, calls float64
+	for _, m := range s.members {
+		before += float64(m.bytes)
+		calls += float64(m.calls)
+	}
+	for s.now.Sub(healed) < recoveryMost && f.RecoverySeconds == 0 {
+		s.run(recoveryStep)
+		whole := true
+		for _, m := range s.members {
+			whole = whole && len(m.node.Reachable()) == len(s.members)-1
+		}
+		first(&f.RecoverySeconds, s.now.Sub(healed).Seconds(), whole)
+	}
+	var after, callsAfter float64
+	for _, m := range s.members {
+		after += float64(m.bytes)
+		callsAfter += float64(m.calls)
+	}
+	f.RecoveryBytesPerSecond = cost.bytes(after-before, callsAfter-calls)/float64(len(s.members))/s.now.Sub(healed).Seconds() + cost.connections()
+}
+
+// edits measures how soon edits are in force, with lost watch events, an
+// outage of the store and restarted members.
+func (f *FleetSize) edits(s *fleetSim) {
+	s.run(warmUp)
+	s.store.delays = nil
+	s.store.editFor(editTime)
+	for i := range 6 {
+		s.after(time.Duration(i)*editTime/6, func() {
+			vm := s.members[s.rng.IntN(len(s.members))].vm
+			known := s.members[s.rng.IntN(len(s.members))].vm
+			vm.Incarnation = s.incarnation()
+			s.start(vm).node.Seed(s.now, []turmericshed.EntryVM{known})
+		})
+	}
+	s.run(editTime + 2*limitInForce)
+	d := s.store.delays
+	slices.Sort(d)
+	if len(d) > 0 {
+		f.EditInForceP50Millis = millis(d[len(d)/2])
+		f.EditInForceP99Millis = millis(d[len(d)*99/100])
+		f.EditInForceMaxMillis = millis(d[len(d)-1])
+	}
+	for _, m := range s.live() {
+		for _, name := range m.profiles.used {
+			if held, _ := m.cache.Peek(name); held.Version < s.store.docs[name].Version {
+				f.EditsLate++
+			}
+		}
+	}
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// extrapolate fits lines over the sizes of at least a hundred members.
+func (r *FleetResult) extrapolate() {
+	var xs, bytes, micros []float64
+	for _, f := range r.Sizes {
+		if f.Members >= 100 || len(r.Sizes) == 1 {
+			xs = append(xs, float64(f.Members))
+			bytes = append(bytes, f.ControlBytesPerSecond)
+			micros = append(micros, f.ControlCPUShare*1e6)
+		}
+	}
+	d := &r.Design
+	d.Members = designMembers
+	d.BytesSlope, d.ControlBytesPerSecond = line(xs, bytes, designMembers)
+	var total float64
+	d.MicrosSlope, total = line(xs, micros, designMembers)
+	d.ControlCPUShare = total / 1e6
+	d.MemoryBytes = r.Memory.BytesPerMember*designMembers + r.Memory.BytesPerName*designProfiles + 24<<20
+	d.StoreWatches = 15 * tsprofile.RelaysPerDomain
+}
+
+// line returns the slope of the least squares line and its value at x.
+func line(xs, ys []float64, x float64) (slope, value float64) {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(xs))
+	for i := range xs {
+		sx, sy = sx+xs[i], sy+ys[i]
+		sxx, sxy = sxx+xs[i]*xs[i], sxy+xs[i]*ys[i]
+	}
+	if d := n*sxx - sx*sx; d > 0 {
+		slope = (n*sxy - sx*sy) / d
+	}
+	return slope, (sy-slope*sx)/n + slope*x
+}
+
+// check names the stated limits that the figures break.
+func (r *FleetResult) check() {
+	broken := func(ok bool, format string, args ...any) {
+		if !ok {
+			r.Broken = append(r.Broken, fmt.Sprintf(format, args...))
+		}
+	}
+	r.Broken = []string{}
+	for _, f := range r.Sizes {
+		limit := limitInForce
+		if f.Members == todayMembers {
+			limit = limitInForceToday
+		}
+		broken(f.EditInForceP99Millis <= millis(limit), "%d members: edits in force after %.0f ms", f.Members, f.EditInForceP99Millis)
+		broken(f.EditsLate == 0, "%d members: %d edits not in force", f.Members, f.EditsLate)
+		broken(f.ControlBytesPerSecond <= limitBytesPerSecond, "%d members: %.0f bytes a second", f.Members, f.ControlBytesPerSecond)
+		broken(f.FalseGone+f.FalseGoneInCut == 0, "%d members: %d live members gone", f.Members, f.FalseGone+f.FalseGoneInCut)
+		broken(f.RecoverySeconds > 0, "%d members: not recovered", f.Members)
+		broken(f.GoneAllSeconds > 0, "%d members: a dead member not gone", f.Members)
+	}
+	broken(r.Design.ControlBytesPerSecond <= limitBytesPerSecond, "design: %.0f bytes a second", r.Design.ControlBytesPerSecond)
+	broken(r.Design.ControlCPUShare <= limitCPUShare, "design: %.4f of a core", r.Design.ControlCPUShare)
+	broken(r.Design.MemoryBytes <= limitMemoryBytes, "design: %.0f bytes of memory", r.Design.MemoryBytes)
+}
+
+// measureFleetMemory measures what members and profiles take on the heap.
+func measureFleetMemory() FleetMemory {
+	const members, profiles = designMembers, 10000
+	var kept []any
+	perMember := heapOf(func() {
+		s := newFleetSim(1, 1)
+		vms := make([]turmericshed.EntryVM, members)
+		for i := range vms {
+			vms[i] = s.members[0].vm
+			vms[i].Name, vms[i].Incarnation = fmt.Sprintf("entry-x%04d", i), s.incarnation()
+		}
+		s.members[0].node.Seed(s.now, vms)
+		s.members[0].node.Tick(s.now.Add(2 * tsmember.Period))
+		kept = append(kept, s.members[0].node)
+	}) / members
+	docs := make([]tsprofile.Document, profiles)
+	for i := range docs {
+		docs[i] = simDocument(turmericshed.ProfileName(fmt.Sprintf("profile-x%05d", i)), 1)
+	}
+	c, names := tsprofile.New(tsprofile.Config{}), tsprofile.New(tsprofile.Config{})
+	perProfile := heapOf(func() {
+		for _, d := range docs {
+			c.Apply(simDocument(d.Name, 1))
+		}
+	}) / profiles
+	perName := heapOf(func() {
+		for i := range profiles {
+			names.Hear(tsprofile.Link{Name: turmericshed.ProfileName(fmt.Sprintf("profile-y%05d", i)), Version: turmericshed.Version(i + 1)})
+		}
+	}) / profiles
+	kept = append(kept, c, names)
+	runtime.KeepAlive(kept)
+	return FleetMemory{BytesPerMember: perMember, BytesPerProfile: perProfile, BytesPerName: perName, ProfileText: len(docs[0].Value)}
+}
+
+// heapOf returns the bytes that f leaves on the heap.
+func heapOf(f func()) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
--- /dev/null
+++ b/load/tsexperiment/fleet_baseline.go
@@ -0,0 +1,56 @@
+package tsexperiment
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"turmericshed"
+	"turmericshed/core/tsmember"
+	"turmericshed/io/tsfleet"
+)
+
+// FleetBaseline is what simpler ways cost one node at the design size.
+type FleetBaseline struct {
+	// AllToAll sends a heartbeat to every member each second.
+	AllToAllBytesPerSecond float64 `json:"all_to_all_bytes_per_second"`
+	AllToAllCPUShare       float64 `json:"all_to_all_cpu_share"`
+	// WatchEverything lets every node watch and hold all profiles.
+	WatchEverythingWatches        int     `json:"watch_everything_watches"`
+	WatchEverythingBytesPerSecond float64 `json:"watch_everything_bytes_per_second"`
+	WatchEverythingMemoryBytes    float64 `json:"watch_everything_memory_bytes"`
+	// WatchEverythingStartBytes is what a restarted node reads.
+	WatchEverythingStartBytes float64 `json:"watch_everything_start_bytes"`
+}
+
+const (
+	// heartbeatRounds is how often the cost of a heartbeat is taken.
+	heartbeatRounds = 2000
+	// heartbeatHeader is the header of one datagram.
+	heartbeatHeader = 28
+)
+
+// measureFleetBaselines measures one heartbeat and works out the rest from
+// the stated sizes.
+func measureFleetBaselines(cost TransportCost, mem FleetMemory) FleetBaseline {
+	m := newFleetSim(1, 1).members[0]
+	message := tsmember.Message{From: tsmember.Update{EntryVM: m.vm, Epoch: 1, Seq: 1, State: turmericshed.MemberAlive}}
+	size := proto.Size(tsfleet.EncodeMessage(message))
+	start := time.Now()
+	for range heartbeatRounds {
+		decodeGossip(encodeGossip(message))
+	}
+	micros := float64(time.Since(start).Microseconds()) / heartbeatRounds
+	peers := float64(designMembers - 1)
+	// Sent and received, as datagrams without answers.
+	b := FleetBaseline{
+		AllToAllBytesPerSecond: 2 * peers * float64(size+heartbeatHeader),
+		AllToAllCPUShare:       peers * micros / 1e6,
+	}
+	perEdit := float64(mem.ProfileText) + cost.BytesPerCall/2
+	b.WatchEverythingWatches = designMembers
+	b.WatchEverythingBytesPerSecond = perEdit * editsPerDay / (24 * time.Hour).Seconds()
+	b.WatchEverythingMemoryBytes = mem.BytesPerProfile * designProfiles
+	b.WatchEverythingStartBytes = float64(mem.ProfileText) * designProfiles
+	return b
+}
--- /dev/null
+++ b/load/tsexperiment/fleet_sim.go
@@ -0,0 +1,345 @@
+package tsexperiment
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"turmericshed"
+	"turmericshed/core/tsmember"
+	"turmericshed/core/tsprofile"
+	"turmericshed/io/tsfleet"
+)
+
+const (
+	fleetTick = 100 * time.Millisecond
+	// One-way delays inside a failure domain, a region and between regions.
+	domainDelay = 300 * time.Microsecond
+	regionDelay = 1500 * time.Microsecond
+	farDelay    = 60 * time.Millisecond
+	// syncRequestBytes is the encoded size of a table comparison.
+	syncRequestBytes = 64*4 + 130
+	relayBytes       = 40
+)
+
+// fleetEvent is something due at a time.
+type fleetEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type fleetEvents []fleetEvent
+
+func (q fleetEvents) Len() int { return len(q) }
+func (q fleetEvents) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
+}
+func (q fleetEvents) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push adds an event; container/heap calls it.
+func (q *fleetEvents) Push(x any) { *q = append(*q, x.(fleetEvent)) }
+
+// Pop removes the last event; container/heap calls it.
+func (q *fleetEvents) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// fleetSim runs the decision code of many members in one goroutine.
+type fleetSim struct {
+	now     time.Time
+	seq     int
+	events  fleetEvents
+	rng     *rand.Rand
+	members []*simMember
+	byName  map[string]*simMember
+	// blocked cuts one direction of a link; nil cuts nothing.
+	blocked func(from, to *simMember) bool
+	store   *simStore
+	// wronglyGone counts live members that someone declared gone.
+	wronglyGone int
+	starts      int
+}
+
+// simMember is one entry VM with what it spent.
+type simMember struct {
+	vm    turmericshed.EntryVM
+	sim   *fleetSim
+	dead  bool
+	node  *tsmember.Node
+	cache *tsprofile.Cache
+	topic *tsprofile.Topic
+	// reachable is kept until the node's view changes.
+	reachable []turmericshed.EntryVM
+	changes   uint64
+	profiles  simProfiles
+
+	bytes int64
+	calls int64
+	cpu   time.Duration
+}
+
+// newFleetSim starts n members that all know the platform's list.
+func newFleetSim(seed uint64, n int) *fleetSim {
+	s := &fleetSim{
+		now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, uint64(n))), byName: make(map[string]*simMember),
+	}
+	s.store = newSimStore(s)
+	vms := make([]turmericshed.EntryVM, n)
+	domains, regions := fleetDomains(n)
+	for i := range vms {
+		domain := i % domains
+		vms[i] = turmericshed.EntryVM{
+			Name: fmt.Sprintf("entry-%04d", i), Region: turmericshed.Region(fmt.Sprintf("region-%d", domain%regions)),
+			FailureDomain: turmericshed.FailureDomain(fmt.Sprintf("domain-%02d", domain)),
+			CallerAddr:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8080),
+			PeerAddr:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000),
+		}
+		vms[i].Incarnation = s.incarnation()
+	}
+	for _, vm := range vms {
+		s.start(vm).node.Seed(s.now, vms)
+	}
+	return s
+}
+
+// fleetDomains returns the numbers of failure domains and regions.
+func fleetDomains(n int) (domains, regions int) {
+	if n < 60 {
+		return 3, 1
+	}
+	return 15, 6
+}
+
+func (s *fleetSim) incarnation() turmericshed.Incarnation {
+	return turmericshed.Incarnation(fmt.Sprintf("%024x", s.rng.Uint64()))
+}
+
+// start adds a process at the address of vm, in place of an earlier one.
+func (s *fleetSim) start(vm turmericshed.EntryVM) *simMember {
+	m := &simMember{vm: vm, sim: s}
+	m.cache = tsprofile.New(tsprofile.Config{})
+	m.topic = tsprofile.NewTopic(m.cache, func() time.Time { return s.now }, func() int { return 1 + len(m.reachable) }, m.outdated)
+	s.starts++
+	m.node = tsmember.New(tsmember.Config{
+		Self: vm, Epoch: uint64(s.now.UnixMilli()) + uint64(s.starts), Rand: rand.New(rand.NewPCG(s.rng.Uint64(), 1)),
+		Piggyback: []tsmember.Piggyback{m.topic},
+	}, s.now)
+	if old := s.byName[vm.Name]; old != nil {
+		old.dead = true
+		for i := range s.members {
+			if s.members[i] == old {
+				s.members[i] = m
+			}
+		}
+	} else {
+		s.members = append(s.members, m)
+	}
+	s.byName[vm.Name] = m
+	s.after(time.Duration(s.rng.Int64N(int64(fleetTick))), m.tick)
+	m.startProfiles()
+	return m
+}
+
+// after runs f later.
+func (s *fleetSim) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.events, fleetEvent{at: s.now.Add(d), seq: s.seq, run: f})
+}
+
+// run lets time pass.
+func (s *fleetSim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.events) > 0 && !s.events[0].at.After(end) {
+		e := heap.Pop(&s.events).(fleetEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+// live returns the members that run.
+func (s *fleetSim) live() []*simMember {
+	var live []*simMember
+	for _, m := range s.members {
+		if !m.dead {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+func (s *fleetSim) delay(a, b *simMember) time.Duration {
+	switch {
+	case a.vm.FailureDomain == b.vm.FailureDomain:
+		return domainDelay
+	case a.vm.Region == b.vm.Region:
+		return regionDelay
+	default:
+		return farDelay
+	}
+}
+
+// measured runs a step of the member and adds its processor time.
+func (m *simMember) measured(step func()) {
+	start := time.Now()
+	step()
+	m.cpu += time.Since(start)
+}
+
+func (m *simMember) tick() {
+	if m.dead {
+		return
+	}
+	var actions []tsmember.Action
+	m.measured(func() { actions = m.node.Tick(m.sim.now) })
+	for _, e := range m.node.Events() {
+		target := m.sim.byName[e.Member.Name]
+		if e.Name == turmericshed.EventMemberGone && target != nil && !target.dead && target.vm.Incarnation == e.Member.Incarnation {
+			m.sim.wronglyGone++
+		}
+	}
+	if m.node.Changes() != m.changes {
+		m.measured(func() { m.reachable = m.node.Reachable() })
+		m.changes = m.node.Changes()
+	}
+	m.perform(actions)
+	m.sim.after(fleetTick, m.tick)
+}
+
+func (m *simMember) perform(actions []tsmember.Action) {
+	for _, a := range actions {
+		m.call(a, nil)
+	}
+}
+
+// exchange carries a request and its answer over the links; either may be
+// cut. failed runs at the timeout.
+func (m *simMember) exchange(to turmericshed.EntryVM, timeout time.Duration, requestBytes int, serve func(peer *simMember) (answerBytes int, done func()), failed func()) {
+	s := m.sim
+	m.spend(requestBytes)
+	peer := s.byName[to.Name]
+	lost := peer == nil || peer.dead || s.blocked != nil && s.blocked(m, peer)
+	if lost {
+		s.after(timeout, m.alive(failed))
+		return
+	}
+	d := s.delay(m, peer)
+	s.after(d, func() {
+		if peer.dead {
+			s.after(timeout-d, m.alive(failed))
+			return
+		}
+		peer.spend(requestBytes)
+		answerBytes, done := serve(peer)
+		peer.bytes += int64(answerBytes)
+		if s.blocked != nil && s.blocked(peer, m) {
+			s.after(timeout-d, m.alive(failed))
+			return
+		}
+		s.after(d, m.alive(func() {
+			m.bytes += int64(answerBytes)
+			done()
+		}))
+	})
+}
+
+// alive leaves out what comes after the member's end.
+func (m *simMember) alive(f func()) func() {
+	return func() {
+		if !m.dead && f != nil {
+			f()
+		}
+	}
+}
+
+func (m *simMember) spend(n int) {
+	m.bytes += int64(n)
+	m.calls++
+}
+
+// call performs an action; relayed takes the result of a relayed probe.
+func (m *simMember) call(a tsmember.Action, relayed func(reached bool)) {
+	failed := func() {
+		var next []tsmember.Action
+		m.measured(func() { next = m.node.HandleFailure(m.sim.now, a.ID) })
+		m.perform(next)
+		if relayed != nil {
+			relayed(false)
+		}
+	}
+	switch a.Kind {
+	case tsmember.ActionProbe:
+		m.probe(a, failed, relayed)
+	case tsmember.ActionRelay:
+		m.relay(a, failed)
+	case tsmember.ActionSync:
+		m.exchange(a.To, a.Timeout, syncRequestBytes, func(peer *simMember) (int, func()) {
+			var reply tsmember.SyncReply
+			peer.measured(func() { reply = peer.node.HandleSync(m.sim.now, a.Sync) })
+			bytes := proto.Size(tsfleet.EncodeSyncReply(reply))
+			return bytes, func() { m.measured(func() { m.node.HandleSyncReply(m.sim.now, a.ID, reply) }) }
+		}, failed)
+	}
+}
+
+func (m *simMember) probe(a tsmember.Action, failed func(), relayed func(bool)) {
+	var request []byte
+	m.measured(func() { request = encodeGossip(a.Message) })
+	m.exchange(a.To, a.Timeout, len(request), func(peer *simMember) (int, func()) {
+		var answer []byte
+		peer.measured(func() { answer = encodeGossip(peer.node.HandleProbe(m.sim.now, decodeGossip(request))) })
+		return len(answer), func() {
+			var reached bool
+			m.measured(func() { reached = m.node.HandleReply(m.sim.now, a.ID, decodeGossip(answer)) })
+			if relayed != nil {
+				relayed(reached)
+			}
+		}
+	}, failed)
+}
+
+// relay asks a helper, whose answer comes only after its own probe.
+func (m *simMember) relay(a tsmember.Action, failed func()) {
+	s := m.sim
+	answered := false
+	s.after(a.Timeout, m.alive(func() {
+		if !answered {
+			failed()
+		}
+	}))
+	m.exchange(a.To, a.Timeout, relayBytes, func(helper *simMember) (int, func()) {
+		probe, known := helper.node.HandleRelay(s.now, a.Target.Incarnation)
+		if known {
+			helper.call(probe, func(reached bool) {
+				if s.blocked != nil && s.blocked(helper, m) {
+					return
+				}
+				s.after(s.delay(helper, m), m.alive(func() {
+					answered = true
+					m.measured(func() { m.node.HandleRelayReply(s.now, a.ID, reached) })
+				}))
+			})
+		}
+		return relayBytes, func() {}
+	}, nil)
+}
+
+func encodeGossip(m tsmember.Message) []byte {
+	b, err := proto.Marshal(tsfleet.EncodeMessage(m))
+	turmericshed.Assert(err == nil, "gossip_encodes", "%v", err)
+	return b
+}
+
+func decodeGossip(b []byte) tsmember.Message {
+	m, err := tsfleet.UnmarshalMessage(b)
+	turmericshed.Assert(err == nil, "gossip_decodes", "%v", err)
+	return m
+}
--- /dev/null
+++ b/load/tsexperiment/fleet_transport.go
@@ -0,0 +1,165 @@
+package tsexperiment
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/io/tsfleet"
+	"turmericshed/io/tspeer"
+	"turmericshed/io/tspeerapi"
+)
+
+const (
+	transportCalls = 2000
+	// packetsPerCall is how many IP packets a call and its answer take, with
+	// acknowledgements, and packetBytes their headers.
+	packetsPerCall = 4
+	packetBytes    = 52
+	// connectionsPerSecond is how often one node opens or takes a connection
+	// to rotate its probes outside the failure domain.
+	connectionsPerSecond = 0.2
+)
+
+// TransportCost is what the transport adds, measured on loopback.
+type TransportCost struct {
+	// BytesPerCall is HTTP/2 framing and headers of a call with its answer,
+	// and IP headers, without the payloads.
+	BytesPerCall float64 `json:"bytes_per_call"`
+	// MicrosPerCall is the processor time of both sides.
+	MicrosPerCall float64 `json:"micros_per_call"`
+	// TLSBytes and TLSMicros are those of a new connection with mutual TLS,
+	// both sides.
+	TLSBytes  float64 `json:"tls_connection_bytes"`
+	TLSMicros float64 `json:"tls_connection_micros"`
+}
+
+// bytes adds the transport's share to payloads; each call counts at both of
+// its ends.
+func (c TransportCost) bytes(payload, calls float64) float64 { return payload + calls*c.BytesPerCall }
+
+func (c TransportCost) connections() float64 { return connectionsPerSecond * c.TLSBytes }
+
+func (c TransportCost) connectionMicros() float64 { return connectionsPerSecond * c.TLSMicros / 2 }
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+// Read counts what is read.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// Write counts what is written.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// emptyDirectory lists nothing.
+type emptyDirectory struct{}
+
+// Snapshot returns an empty list.
+func (emptyDirectory) Snapshot(context.Context) (turmericshed.DirectorySnapshot, error) {
+	return turmericshed.DirectorySnapshot{}, nil
+}
+
+// measureTransport probes a real fleet service on loopback.
+func measureTransport(ctx context.Context) (TransportCost, error) {
+	var cost TransportCost
+	if err := measureCalls(ctx, &cost); err != nil {
+		return cost, err
+	}
+	return cost, measureConnections(ctx, &cost)
+}
+
+// serveGossip starts a peer on loopback and returns its address.
+func serveGossip(ctx context.Context, cfg tspeer.Config) (netip.AddrPort, error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, turmericshed.WrapError(turmericshed.KindInternal, err, "listen")
+	}
+	addr := netip.MustParseAddrPort(ln.Addr().String())
+	self := turmericshed.EntryVM{Name: "b", Incarnation: "b", FailureDomain: "d", CallerAddr: addr, PeerAddr: addr}
+	f := tsfleet.New(tsfleet.Config{Self: self, Directory: emptyDirectory{}, Board: &tsboard.Board{}, Peers: tspeer.NewTransport(tspeer.Config{})})
+	s := tspeer.NewServer(cfg)
+	s.Mount(f.Handler())
+	go func() { _ = s.Serve(ctx, ln) }()
+	return addr, nil
+}
+
+// counting returns a dialer that counts into n.
+func counting(n *atomic.Int64) tspeer.DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		var d net.Dialer
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return countingConn{c, n}, nil
+	}
+}
+
+func measureCalls(ctx context.Context, cost *TransportCost) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	addr, err := serveGossip(ctx, tspeer.Config{})
+	if err != nil {
+		return err
+	}
+	var n atomic.Int64
+	t := tspeer.NewTransport(tspeer.Config{Dial: counting(&n)})
+	defer t.Close()
+	c, base := t.Client(addr)
+	client := tspeerapi.NewGossipClient(c, base)
+	request := &tspeerapi.GossipMessage{From: &tspeerapi.MemberUpdate{Name: "a", Incarnation: "a", State: 1, PeerAddr: []byte{127, 0, 0, 1, 1, 0}}}
+	payload := 0
+	probe := func() error {
+		res, err := client.Probe(ctx, connect.NewRequest(request))
+		if err != nil {
+			return turmericshed.WrapError(turmericshed.KindInternal, err, "probe")
+		}
+		payload += proto.Size(request) + proto.Size(res.Msg)
+		return nil
+	}
+	for range transportCalls / 10 {
+		if err := probe(); err != nil {
+			return err
+		}
+	}
+	n.Store(0)
+	payload = 0
+	start := processorTime()
+	for range transportCalls {
+		if err := probe(); err != nil {
+			return err
+		}
+	}
+	cost.MicrosPerCall = float64((processorTime() - start).Microseconds()) / transportCalls
+	cost.BytesPerCall = float64(n.Load()-int64(payload))/transportCalls + packetsPerCall*packetBytes
+	return nil
+}
+
+// processorTime returns the user and system time of this process.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
