Router: affinity with bounded load, two choices, breakers, leaving servers

Pure choice of a backend server. Load is our own in flight now, and the part of the last report that was not ours when it was taken, moving to the mean as the report ages. A failed request counts as load for 2 s, so a server that fails fast does not look idle; fresh and returning servers are ramped.

--- /dev/null
+++ b/core/tsroute/router.go
@@ -0,0 +1,216 @@
+// Package tsroute chooses the backend server for a request. It is pure: time
+// and randomness come in, and callers serialize access.
+//
+// # Usage
+//
+//	r := tsroute.New(tsroute.Config{Self: "my-west-a", Rand: rng, Recorder: rec})
+//	r.SetServers(now, servers)
+//	r.Report(now, report)
+//	s, err := r.Pick(now, req)       // KindNoBackend, KindOverloaded
+//	r.Done(now, s.ID, req, result)   // exactly once for each Pick
+//
+// The candidates are the servers with the model or service that are not
+// leaving, not excluded, and let through by their circuit breaker. See
+// choose.go for the choice among them and load.go for the load they are
+// compared by.
+package tsroute
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"turmericshed"
+)
+
+// Defaults of the settings.
+const (
+	// defaultReportLife is the age at which a load report tells nothing more.
+	defaultReportLife = 2 * time.Second
+	// defaultBound is how far above the mean load per slot a server may be
+	// and still be chosen for its cached prefix.
+	defaultBound = 1.25
+	// defaultRemotePenalty is the load per slot that another failure domain
+	// must be better by.
+	defaultRemotePenalty = 0.15
+	// ghostLife is how long a failed request counts as load.
+	ghostLife = 2 * time.Second
+	// overloadedRetry is the advice when every server is at its allowance.
+	overloadedRetry = time.Second
+)
+
+// Config holds what a Router needs. Zero settings take the defaults.
+type Config struct {
+	Self turmericshed.FailureDomain
+	Rand *rand.Rand
+	// ReportLife is the age at which a load report tells nothing more.
+	ReportLife time.Duration
+	// Bound is the bounded load's factor over the mean, above 1.
+	Bound float64
+	// RemotePenalty is in load per slot.
+	RemotePenalty float64
+	// Recorder is told of leaving servers and breakers; nil tells nobody.
+	Recorder turmericshed.Recorder
+}
+
+// Router implements turmericshed.Router.
+type Router struct {
+	cfg     Config
+	servers map[turmericshed.ServerID]*server
+	// order keeps the servers in the order of the list, for repeatability.
+	order []*server
+	// pools are the servers by what they serve, built on demand.
+	pools map[poolKey]*pool
+	// started is true once a first list came in.
+	started bool
+}
+
+var _ turmericshed.Router = (*Router)(nil)
+
+// New returns a router without servers.
+func New(cfg Config) *Router {
+	if cfg.ReportLife == 0 {
+		cfg.ReportLife = defaultReportLife
+	}
+	if cfg.Bound == 0 {
+		cfg.Bound = defaultBound
+	}
+	if cfg.RemotePenalty == 0 {
+		cfg.RemotePenalty = defaultRemotePenalty
+	}
+	if cfg.Recorder == nil {
+		cfg.Recorder = turmericshed.NopRecorder{}
+	}
+	return &Router{cfg: cfg, servers: map[turmericshed.ServerID]*server{}, pools: map[poolKey]*pool{}}
+}
+
+// SetServers replaces the candidates. Servers that are known keep their state;
+// ones that join a running router get work slowly at first. A server that is
+// no longer listed keeps its count until its requests are done.
+func (r *Router) SetServers(_ time.Time, list []turmericshed.BackendServer) {
+	known := r.servers
+	r.servers = make(map[turmericshed.ServerID]*server, len(list))
+	r.order = make([]*server, 0, len(list))
+	for _, b := range list {
+		s := known[b.ID]
+		if s == nil {
+			s = newServer(b)
+			if r.started {
+				s.breaker.ramp()
+			}
+			r.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventServerAdded, Server: b.ID})
+		} else {
+			wasLeaving := s.leaving
+			s.refresh(b)
+			r.recordLeaving(s, wasLeaving, "listed as leaving")
+		}
+		if r.servers[b.ID] == nil {
+			r.order = append(r.order, s)
+		}
+		r.servers[b.ID] = s
+	}
+	for id, s := range known {
+		if r.servers[id] == nil && s.inflight > 0 {
+			s.leaving = true
+			r.servers[id] = s
+		}
+	}
+	r.started = r.started || len(list) > 0
+	clear(r.pools)
+}
+
+// Report joins a load report. Reports may come late, twice and out of order.
+func (r *Router) Report(now time.Time, rep turmericshed.LoadReport) {
+	s := r.servers[rep.Server]
+	if s == nil {
+		return
+	}
+	if rep.Leaving {
+		r.setLeaving(s, "load report")
+	}
+	if !s.heard.IsZero() && !rep.At.After(s.report.At) {
+		return
+	}
+	s.report, s.heard = rep, now
+}
+
+// SetLeaving takes a server out at once and for as long as it is listed.
+func (r *Router) SetLeaving(_ time.Time, id turmericshed.ServerID) {
+	if s := r.servers[id]; s != nil {
+		r.setLeaving(s, "refused as leaving")
+	}
+}
+
+func (r *Router) setLeaving(s *server, reason string) {
+	was := s.leaving
+	s.leaving = true
+	r.recordLeaving(s, was, reason)
+}
+
+func (r *Router) recordLeaving(s *server, was bool, reason string) {
+	if s.leaving && !was {
+		r.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventServerLeaving, Server: s.ID, Reason: reason})
+	}
+}
+
+// Done ends an attempt counted by Pick.
+func (r *Router) Done(now time.Time, id turmericshed.ServerID, _ turmericshed.RouteRequest, res turmericshed.DispatchResult) {
+	s := r.servers[id]
+	turmericshed.Assert(s != nil, "done_after_pick", "server %s is not known", id)
+	s.add(now, -1)
+	switch judge(res) {
+	case verdictWhole:
+		if s.breaker.succeed(s.Slots) {
+			r.recordBreaker(turmericshed.EventBreakerClosed, s, "whole answer")
+		}
+	case verdictFailed:
+		s.ghosts = append(s.ghosts, now.Add(ghostLife))
+		if s.breaker.fail(now, r.cfg.Rand) {
+			r.recordBreaker(turmericshed.EventBreakerOpened, s, res.Err.Error())
+		}
+	case verdictNeutral:
+	}
+	if s.inflight == 0 && !r.listed(s) {
+		delete(r.servers, id)
+	}
+}
+
+// listed reports whether s stands in the newest list.
+func (r *Router) listed(s *server) bool {
+	for _, o := range r.order {
+		if o == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Router) recordBreaker(name turmericshed.EventName, s *server, reason string) {
+	r.cfg.Recorder.Record(turmericshed.Event{Name: name, Server: s.ID, Reason: reason})
+}
+
+// verdict is what an attempt tells about its server.
+type verdict int
+
+const (
+	verdictNeutral verdict = iota
+	verdictWhole
+	verdictFailed
+)
+
+// judge tells the server's fault from the caller's.
+func judge(res turmericshed.DispatchResult) verdict {
+	switch turmericshed.KindOf(res.Err) {
+	case turmericshed.KindNone:
+		return verdictWhole
+	case turmericshed.KindNoBackend, turmericshed.KindBackendRefused, turmericshed.KindStreamBroken,
+		turmericshed.KindCallUnknown, turmericshed.KindInternal:
+		return verdictFailed
+	case turmericshed.KindDeadline:
+		if res.FirstByte == 0 {
+			return verdictFailed
+		}
+		return verdictNeutral
+	default:
+		return verdictNeutral
+	}
+}
--- /dev/null
+++ b/core/tsroute/router_test.go
@@ -0,0 +1,310 @@
+package tsroute_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"turmericshed"
+	"turmericshed/core/tsroute"
+)
+
+var (
+	epoch  = time.Unix(1_800_000_000, 0)
+	chat   = turmericshed.RouteRequest{Work: turmericshed.WorkAssistant, Model: "m"}
+	errRef = turmericshed.NewError(turmericshed.KindBackendRefused, "refused")
+	whole  = turmericshed.DispatchResult{FirstByte: time.Millisecond, Elapsed: time.Second}
+	failed = turmericshed.DispatchResult{Err: errRef, Elapsed: time.Millisecond}
+)
+
+// servers returns n engines in each failure domain "a", "b", ....
+func servers(domains, n int) []turmericshed.BackendServer {
+	var list []turmericshed.BackendServer
+	for i := range domains * n {
+		list = append(list, turmericshed.BackendServer{
+			ID: turmericshed.ServerID(fmt.Sprintf("s-%d", i)), FailureDomain: turmericshed.FailureDomain('a' + rune(i/n)),
+			Work: turmericshed.WorkAssistant, Models: []turmericshed.Model{"m"}, Slots: 8,
+		})
+	}
+	return list
+}
+
+func newRouter(seed uint64, list []turmericshed.BackendServer) *tsroute.Router {
+	r := tsroute.New(tsroute.Config{Self: "a", Rand: rand.New(rand.NewPCG(seed, 1))})
+	r.SetServers(epoch, list)
+	return r
+}
+
+func report(id turmericshed.ServerID, at time.Time, running int) turmericshed.LoadReport {
+	return turmericshed.LoadReport{Server: id, At: at, Running: running}
+}
+
+// spread picks n times without ending any request and counts by server.
+func spread(t *testing.T, r *tsroute.Router, now time.Time, req turmericshed.RouteRequest, n int) map[turmericshed.ServerID]int {
+	t.Helper()
+	got := map[turmericshed.ServerID]int{}
+	for range n {
+		s, err := r.Pick(now, req)
+		assert.NilError(t, err)
+		got[s.ID]++
+	}
+	return got
+}
+
+func TestCandidates(t *testing.T) {
+	t.Run("only servers with the model, the kind of work and the service", func(t *testing.T) {
+		list := servers(1, 3)
+		list[0].Models = []turmericshed.Model{"other"}
+		list[1].Work, list[1].Models, list[1].Service = turmericshed.WorkService, nil, "bookings"
+		r := newRouter(1, list)
+		assert.DeepEqual(t, spread(t, r, epoch, chat, 4), map[turmericshed.ServerID]int{"s-2": 4})
+		booking := turmericshed.RouteRequest{Work: turmericshed.WorkService, Service: "bookings"}
+		assert.DeepEqual(t, spread(t, r, epoch, booking, 4), map[turmericshed.ServerID]int{"s-1": 4})
+		_, err := r.Pick(epoch, turmericshed.RouteRequest{Work: turmericshed.WorkService, Service: "stock"})
+		assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindNoBackend)
+	})
+	t.Run("a server that failed the request is not asked again", func(t *testing.T) {
+		r := newRouter(1, servers(1, 2))
+		req := chat
+		req.Excluded = []turmericshed.ServerID{"s-0"}
+		assert.DeepEqual(t, spread(t, r, epoch, req, 5), map[turmericshed.ServerID]int{"s-1": 5})
+	})
+	t.Run("the own failure domain first, others once it is busier", func(t *testing.T) {
+		r := newRouter(1, servers(2, 2))
+		own := 0
+		for id, n := range spread(t, r, epoch, chat, 4) {
+			if id == "s-0" || id == "s-1" {
+				own += n
+			}
+		}
+		assert.Assert(t, own >= 3, "own domain got %d of 4", own)
+		all := spread(t, r, epoch, chat, 40)
+		assert.Assert(t, all["s-2"] > 0 && all["s-3"] > 0, "%v", all)
+	})
+}
+
+func TestLeaving(t *testing.T) {
+	signs := map[string]func(*tsroute.Router, []turmericshed.BackendServer){
+		"the list": func(r *tsroute.Router, list []turmericshed.BackendServer) {
+			list[0].Leaving = true
+			r.SetServers(epoch, list)
+		},
+		"its own refusal": func(r *tsroute.Router, _ []turmericshed.BackendServer) { r.SetLeaving(epoch, "s-0") },
+		"its load report": func(r *tsroute.Router, _ []turmericshed.BackendServer) {
+			r.Report(epoch, turmericshed.LoadReport{Server: "s-0", At: epoch, Leaving: true})
+		},
+	}
+	for name, sign := range signs {
+		t.Run("no work after "+name, func(t *testing.T) {
+			list := servers(1, 2)
+			r := newRouter(1, list)
+			sign(r, list)
+			assert.DeepEqual(t, spread(t, r, epoch, chat, 8), map[turmericshed.ServerID]int{"s-1": 8})
+		})
+	}
+	t.Run("a stale list does not bring it back", func(t *testing.T) {
+		r := newRouter(1, servers(1, 2))
+		r.SetLeaving(epoch, "s-0")
+		r.SetServers(epoch, servers(1, 2))
+		assert.Equal(t, spread(t, r, epoch, chat, 8)["s-0"], 0)
+	})
+}
+
+func TestBreaker(t *testing.T) {
+	t.Run("a black hole gets little work", func(t *testing.T) {
+		r := newRouter(1, servers(1, 4))
+		hole, now := 0, epoch
+		for range 1000 {
+			now = now.Add(10 * time.Millisecond)
+			s, err := r.Pick(now, chat)
+			assert.NilError(t, err)
+			if s.ID != "s-0" {
+				r.Done(now, s.ID, chat, whole)
+				continue
+			}
+			hole++
+			r.Done(now, s.ID, chat, failed)
+		}
+		assert.Assert(t, hole <= 12, "the black hole got %d of 1000", hole)
+	})
+	t.Run("a single fast failure leaves a load behind", func(t *testing.T) {
+		r := newRouter(1, servers(1, 2))
+		for range 2 {
+			s, _ := r.Pick(epoch, chat)
+			res := whole
+			if s.ID == "s-0" {
+				res = failed
+			}
+			r.Done(epoch, s.ID, chat, res)
+		}
+		got := spread(t, r, epoch, chat, 1)
+		assert.Equal(t, got["s-1"], 1)
+	})
+	t.Run("a returning server gets work slowly", func(t *testing.T) {
+		r := newRouter(3, servers(1, 2))
+		for n := 0; n < 3; {
+			s, err := r.Pick(epoch, chat)
+			assert.NilError(t, err)
+			if s.ID == "s-0" {
+				n++
+				r.Done(epoch, s.ID, chat, failed)
+			}
+		}
+		later := epoch.Add(5 * time.Second)
+		assert.Equal(t, spread(t, r, later, chat, 8)["s-0"], 1, "one probe")
+		r.Done(later, "s-0", chat, whole)
+		assert.Equal(t, spread(t, r, later, chat, 4)["s-0"], 2, "two after one whole answer")
+	})
+	t.Run("with nothing else left an open server is probed", func(t *testing.T) {
+		r := newRouter(1, servers(1, 1))
+		for range 3 {
+			_, err := r.Pick(epoch, chat)
+			assert.NilError(t, err)
+			r.Done(epoch, "s-0", chat, failed)
+		}
+		_, err := r.Pick(epoch, chat)
+		assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindNoBackend)
+		assert.Assert(t, turmericshed.RetryAfterOf(err) > 0)
+		_, err = r.Pick(epoch.Add(300*time.Millisecond), chat)
+		assert.NilError(t, err)
+	})
+	t.Run("a caller that goes away is not the server's fault", func(t *testing.T) {
+		r := newRouter(1, servers(1, 1))
+		gone := turmericshed.DispatchResult{Err: turmericshed.NewError(turmericshed.KindCanceled, "x")}
+		for range 10 {
+			_, err := r.Pick(epoch, chat)
+			assert.NilError(t, err)
+			r.Done(epoch, "s-0", chat, gone)
+		}
+	})
+}
+
+func TestHerd(t *testing.T) {
+	t.Run("a report that arrives at everyone does not draw everyone", func(t *testing.T) {
+		got := map[turmericshed.ServerID]int{}
+		for node := range uint64(9) {
+			r := newRouter(node+1, servers(1, 9))
+			for i, s := range servers(1, 9) {
+				r.Report(epoch, report(s.ID, epoch, min(i, 1)*4))
+			}
+			for id, n := range spread(t, r, epoch, chat, 4) {
+				got[id] += n
+			}
+		}
+		assert.Assert(t, got["s-0"] <= 14, "the idle server got %d of 36", got["s-0"])
+	})
+	t.Run("a fresh server is not flooded", func(t *testing.T) {
+		got := 0
+		for node := range uint64(9) {
+			r := newRouter(node+1, servers(1, 8))
+			for _, s := range servers(1, 8) {
+				r.Report(epoch, report(s.ID, epoch, 8))
+			}
+			r.SetServers(epoch, servers(1, 9))
+			got += spread(t, r, epoch, chat, 10)["s-8"]
+		}
+		assert.Assert(t, got <= 9, "the fresh server got %d of 90", got)
+	})
+}
+
+func TestReports(t *testing.T) {
+	t.Run("our own requests are not counted twice", func(t *testing.T) {
+		r := newRouter(1, servers(1, 1))
+		spread(t, r, epoch, chat, 4)
+		now := epoch.Add(time.Second)
+		r.Report(now, report("s-0", now, 4))
+		assert.Equal(t, r.Pressure(now, turmericshed.WorkAssistant), 0.5)
+	})
+	t.Run("an old report gives way to the mean", func(t *testing.T) {
+		r := newRouter(1, servers(1, 2))
+		r.Report(epoch, report("s-0", epoch, 8))
+		r.Report(epoch, report("s-1", epoch, 0))
+		fresh := spread(t, r, epoch, chat, 4)
+		assert.Equal(t, fresh["s-0"]+fresh["s-1"], 4)
+		assert.Assert(t, fresh["s-1"] >= fresh["s-0"])
+	})
+}
+
+func TestPrefixAffinity(t *testing.T) {
+	prefixed := chat
+	prefixed.Prefix = 42
+	t.Run("every entry VM of a domain sends a prefix to one server", func(t *testing.T) {
+		seen := map[turmericshed.ServerID]int{}
+		for node := range uint64(9) {
+			for id := range spread(t, newRouter(node+1, servers(1, 9)), epoch, prefixed, 2) {
+				seen[id]++
+			}
+		}
+		assert.Equal(t, len(seen), 1)
+	})
+	t.Run("a prefix in great demand spreads within the bound", func(t *testing.T) {
+		got := spread(t, newRouter(1, servers(1, 4)), epoch, prefixed, 32)
+		for id, n := range got {
+			assert.Assert(t, n <= 13, "server %s got %d of 32", id, n)
+		}
+		assert.Equal(t, len(got), 4)
+	})
+	t.Run("few prefixes move when a server joins", func(t *testing.T) {
+		before, after := newRouter(1, servers(1, 8)), newRouter(1, servers(1, 9))
+		moved := 0
+		for i := range uint64(900) {
+			req := chat
+			req.Prefix = (i + 1) * 0x9e3779b97f4a7c15
+			a, _ := before.Pick(epoch, req)
+			b, _ := after.Pick(epoch, req)
+			before.Done(epoch, a.ID, req, whole)
+			after.Done(epoch, b.ID, req, whole)
+			if a.ID != b.ID {
+				moved++
+			}
+		}
+		assert.Assert(t, moved < 150, "%d of 900 moved", moved)
+	})
+}
+
+// TestRouterMachine drives a router by random steps. Asserts inside it check
+// that no work goes to leaving servers and that counts stay whole.
+func TestRouterMachine(t *testing.T) {
+	t.Run("every pick is allowed", rapid.MakeCheck(func(t *rapid.T) {
+		list := servers(2, 3)
+		r := tsroute.New(tsroute.Config{Self: "a", Rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))})
+		now, left := epoch, map[turmericshed.ServerID]bool{}
+		var open []turmericshed.ServerID
+		r.SetServers(now, list)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(list)-1).Draw(t, "server")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				r.SetServers(now, list[:rapid.IntRange(0, len(list)).Draw(t, "listed")])
+				left = map[turmericshed.ServerID]bool{}
+			case 1:
+				r.SetLeaving(now, list[i].ID)
+				left[list[i].ID] = true
+			case 2:
+				r.Report(now, report(list[i].ID, now.Add(-time.Second), rapid.IntRange(0, 9).Draw(t, "running")))
+			case 3:
+				if len(open) > 0 {
+					res := whole
+					if rapid.Bool().Draw(t, "fail") {
+						res = failed
+					}
+					r.Done(now, open[0], chat, res)
+					open = open[1:]
+				}
+			default:
+				s, err := r.Pick(now, chat)
+				if err != nil {
+					assert.Equal(t, turmericshed.OutcomeOf(err), turmericshed.OutcomeNotRun)
+					continue
+				}
+				assert.Assert(t, !left[s.ID], "work to leaving %s", s.ID)
+				open = append(open, s.ID)
+			}
+		}
+	}))
+}
--- /dev/null
+++ b/core/tsroute/server.go
@@ -0,0 +1,110 @@
+package tsroute
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"turmericshed"
+)
+
+const (
+	// defaultSlots stands in where a server does not tell its slots.
+	defaultSlots = 16
+	// historyStep and historyLen keep what we had in flight at a server over
+	// the time that a load report may lag.
+	historyStep = 100 * time.Millisecond
+	historyLen  = 32
+)
+
+// server is what the router knows about one backend server.
+type server struct {
+	turmericshed.BackendServer
+	hash uint64
+	// inflight counts requests of ours at the server.
+	inflight int
+	// ghosts counts failed requests whose load still counts, each until its
+	// time, so that a server that fails fast does not look idle.
+	ghosts []time.Time
+	// leaving stays set as long as the server is listed.
+	leaving bool
+	breaker breaker
+	history history
+	report  turmericshed.LoadReport
+	// heard is when the report came in; zero for none.
+	heard time.Time
+}
+
+func newServer(b turmericshed.BackendServer) *server {
+	s := &server{BackendServer: b, hash: xxhash.Sum64String(string(b.ID)), leaving: b.Leaving}
+	if s.Slots <= 0 {
+		s.Slots = defaultSlots
+	}
+	return s
+}
+
+// refresh takes over a new description of the same server. One that listens
+// elsewhere is a new process; a leaving mark outlives the platform's list.
+func (s *server) refresh(b turmericshed.BackendServer) {
+	moved := s.Addr != b.Addr
+	s.BackendServer = b
+	if s.Slots <= 0 {
+		s.Slots = defaultSlots
+	}
+	s.leaving = b.Leaving || (s.leaving && !moved)
+	if moved {
+		s.breaker, s.heard = breaker{}, time.Time{}
+		s.breaker.ramp()
+	}
+}
+
+// serves reports whether s runs the kind of work that r asks for.
+func (s *server) serves(r turmericshed.RouteRequest) bool {
+	return s.Work == r.Work && s.Service == r.Service && (r.Model == "" || slices.Contains(s.Models, r.Model))
+}
+
+// own returns our part of the load: in flight, and failed of late.
+func (s *server) own(now time.Time) int {
+	s.ghosts = slices.DeleteFunc(s.ghosts, func(t time.Time) bool { return !now.Before(t) })
+	return s.inflight + len(s.ghosts)
+}
+
+// add changes the count in flight and keeps it in the history.
+func (s *server) add(now time.Time, n int) {
+	s.inflight += n
+	turmericshed.Assert(s.inflight >= 0, "inflight_not_negative", "server %s: %d", s.ID, s.inflight)
+	s.history.set(now, s.inflight)
+}
+
+// history is the count in flight over the last steps, newest last.
+type history struct {
+	at    [historyLen]time.Time
+	count [historyLen]int
+	next  int
+}
+
+// set keeps the newest count of each step.
+func (h *history) set(now time.Time, n int) {
+	last := (h.next + historyLen - 1) % historyLen
+	if !h.at[last].IsZero() && now.Sub(h.at[last]) < historyStep {
+		h.count[last] = n
+		return
+	}
+	h.at[h.next], h.count[h.next] = now, n
+	h.next = (h.next + 1) % historyLen
+}
+
+// before returns the count at time t; 0 when that is not kept.
+func (h *history) before(t time.Time) int {
+	for i := 1; i <= historyLen; i++ {
+		j := (h.next + historyLen - i) % historyLen
+		if h.at[j].IsZero() {
+			return 0
+		}
+		if !h.at[j].After(t) {
+			return h.count[j]
+		}
+	}
+	return 0
+}
