Admission: fair queueing, early refusal, rate limits, retry budget, limiter

Start-time fair queueing over accounts and priorities; the expected wait is requests ahead times the mean run time over the places. The first form averaged the rate of releases over time; after an idle minute it told waits of a minute for a burst, so it went. AdmitRequest gains Profile (additive): an account's limits under two profiles are kept apart.

--- /dev/null
+++ b/core/tsadmit/estimate.go
@@ -0,0 +1,86 @@
+package tsadmit
+
+import (
+	"sort"
+	"time"
+
+	"turmericshed"
+)
+
+// Early refusal. A request that could not end before its deadline is refused
+// at once instead of holding a place, and its caller is told how long the
+// queue is. The wait is the number of requests that go before it over the
+// rate at which places become free, which is the number of places over the
+// mean run time (Little's law). It needs no memory of how busy the queue was.
+
+const (
+	// runWeight is the weight of one release in the mean run time.
+	runWeight = 0.05
+	// runShare of the mean run time must be left before the deadline.
+	runShare = 0.5
+	// unknownWait is the advice while nothing has ended yet.
+	unknownWait = time.Second
+)
+
+// meanRun is the moving mean of how long requests run.
+type meanRun time.Duration
+
+// ended counts one release after the given run time.
+func (m *meanRun) ended(run time.Duration) {
+	if *m == 0 {
+		*m = meanRun(run)
+		return
+	}
+	*m += meanRun(runWeight * float64(run-time.Duration(*m)))
+}
+
+// hopeless tells why r can't be served in time, and the advice; nil when it
+// can.
+func (q *Queue) hopeless(now time.Time, f *flow, r turmericshed.AdmitRequest) (error, time.Duration) { //nolint:revive,staticcheck // the advice belongs to the error
+	if q.cfg.Patient || r.Deadline.IsZero() {
+		return nil, 0
+	}
+	wait := q.wait(f)
+	if now.Add(wait + q.need()).After(r.Deadline) {
+		return turmericshed.NewError(turmericshed.KindDeadline, "the deadline can't be met: about %v to wait", wait.Round(time.Millisecond)), wait
+	}
+	return nil, 0
+}
+
+// tooLate reports whether too little time is left to run r.
+func (q *Queue) tooLate(now time.Time, r turmericshed.AdmitRequest) bool {
+	return !r.Deadline.IsZero() && now.Add(q.need()).After(r.Deadline)
+}
+
+// need is the time that a request needs at least once it runs.
+func (q *Queue) need() time.Duration {
+	return time.Duration(runShare * float64(q.run))
+}
+
+// wait returns the expected time until a new request of f would run.
+func (q *Queue) wait(f *flow) time.Duration {
+	if q.run == 0 {
+		if len(q.waiting) == 0 {
+			return 0
+		}
+		return unknownWait
+	}
+	d := time.Duration(float64(q.ahead(f)+1) / float64(q.limit) * float64(q.run))
+	if f.limit.Concurrency > 0 {
+		own := float64(len(f.entries)+1) / float64(f.limit.Concurrency) * float64(q.run)
+		d = max(d, time.Duration(own))
+	}
+	return d
+}
+
+// ahead counts the waiting requests that go before a new one of f.
+func (q *Queue) ahead(f *flow) int {
+	if q.cfg.FirstInFirstOut {
+		return len(q.waiting)
+	}
+	start, n := max(q.virtual, f.finish), 0
+	for _, o := range q.backlog {
+		n += sort.Search(len(o.entries), func(i int) bool { return o.entries[i].start > start })
+	}
+	return n
+}
--- /dev/null
+++ b/core/tsadmit/queue_test.go
@@ -0,0 +1,266 @@
+package tsadmit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"turmericshed"
+	"turmericshed/core/tsadmit"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func request(account string, deadline time.Duration) turmericshed.AdmitRequest {
+	r := turmericshed.AdmitRequest{Account: turmericshed.AccountID(account), Work: turmericshed.WorkAssistant, Cost: 10}
+	if deadline > 0 {
+		r.Deadline = epoch.Add(deadline)
+	}
+	return r
+}
+
+// harness offers requests and notes what became of them.
+type harness struct {
+	t        *testing.T
+	q        *tsadmit.Queue
+	next     tsadmit.Ticket
+	account  map[tsadmit.Ticket]string
+	running  []tsadmit.Ticket
+	admitted map[string]int
+	refused  map[string]int
+	lastErr  error
+}
+
+func newHarness(t *testing.T, cfg tsadmit.Config) *harness {
+	return &harness{
+		t: t, q: tsadmit.New(cfg), account: map[tsadmit.Ticket]string{},
+		admitted: map[string]int{}, refused: map[string]int{},
+	}
+}
+
+func (h *harness) note(ds []tsadmit.Decision) {
+	for _, d := range ds {
+		switch d.Verdict {
+		case tsadmit.Admitted:
+			h.admitted[h.account[d.Ticket]]++
+			h.running = append(h.running, d.Ticket)
+		case tsadmit.Refused:
+			h.refused[h.account[d.Ticket]]++
+			h.lastErr = d.Err
+		case tsadmit.Queued:
+		}
+	}
+}
+
+func (h *harness) offer(now time.Duration, n int, r turmericshed.AdmitRequest) {
+	for range n {
+		h.next++
+		h.account[h.next] = string(r.Account)
+		h.note(h.q.Offer(epoch.Add(now), h.next, r))
+	}
+}
+
+// release ends the n requests that run longest.
+func (h *harness) release(now time.Duration, n int) {
+	for range n {
+		t := h.running[0]
+		h.running = h.running[1:]
+		h.note(h.q.Release(epoch.Add(now), t))
+	}
+}
+
+func assertKind(t *testing.T, err error, kind turmericshed.Kind) {
+	t.Helper()
+	assert.Equal(t, turmericshed.KindOf(err), kind, "%v", err)
+	assert.Equal(t, turmericshed.OutcomeOf(err), turmericshed.OutcomeNotRun)
+	assert.Assert(t, turmericshed.RetryAfterOf(err) > 0, "no advice")
+}
+
+func TestFairShares(t *testing.T) {
+	t.Run("a small account passes a large one's queue", func(t *testing.T) {
+		h := newHarness(t, tsadmit.Config{MaxRunning: 4})
+		h.offer(0, 100, request("large", 0))
+		h.offer(0, 1, request("small", 0))
+		h.release(time.Second, 2)
+		assert.Equal(t, h.admitted["small"], 1)
+	})
+	t.Run("shares follow the weights", func(t *testing.T) {
+		h := newHarness(t, tsadmit.Config{MaxRunning: 4})
+		heavy := request("heavy", 0)
+		heavy.Limit.Weight = 3
+		h.offer(0, 4, request("warm", 0))
+		h.offer(0, 100, heavy)
+		h.offer(0, 100, request("light", 0))
+		h.release(time.Second, 40)
+		assert.Assert(t, h.admitted["heavy"] >= 28 && h.admitted["heavy"] <= 32, "%v", h.admitted)
+	})
+	t.Run("a higher priority goes first but starves nobody", func(t *testing.T) {
+		h := newHarness(t, tsadmit.Config{MaxRunning: 4})
+		urgent := request("urgent", 0)
+		urgent.Priority = 2
+		h.offer(0, 4, request("warm", 0))
+		h.offer(0, 100, request("batch", 0))
+		h.offer(0, 100, urgent)
+		h.release(time.Second, 50)
+		assert.Assert(t, h.admitted["urgent"] >= 38 && h.admitted["batch"] >= 8, "%v", h.admitted)
+	})
+	t.Run("a full queue refuses the account that filled it", func(t *testing.T) {
+		h := newHarness(t, tsadmit.Config{MaxRunning: 1, MaxQueued: 10})
+		h.offer(0, 11, request("large", 0))
+		h.offer(0, 3, request("small", 0))
+		assert.Equal(t, h.refused["small"], 0)
+		assert.Equal(t, h.refused["large"], 3)
+		assertKind(t, h.lastErr, turmericshed.KindOverloaded)
+	})
+}
+
+func TestLimits(t *testing.T) {
+	t.Run("requests above the rate are refused with the time to wait", func(t *testing.T) {
+		h := newHarness(t, tsadmit.Config{})
+		r := request("a", 0)
+		r.Limit.RequestsPerSecond, r.Limit.Burst = 2, 3
+		h.offer(0, 4, r)
+		assert.Equal(t, h.admitted["a"], 3)
+		assertKind(t, h.lastErr, turmericshed.KindRateLimited)
+		assert.Equal(t, turmericshed.RetryAfterOf(h.lastErr), 500*time.Millisecond)
+		h.offer(500*time.Millisecond, 1, r)
+		assert.Equal(t, h.admitted["a"], 4)
+	})
+	t.Run("requests above the concurrency wait and hold up nobody else", func(t *testing.T) {
+		h := newHarness(t, tsadmit.Config{MaxRunning: 8})
+		r := request("a", 0)
+		r.Limit.Concurrency = 2
+		h.offer(0, 5, r)
+		h.offer(0, 3, request("b", 0))
+		assert.DeepEqual(t, h.admitted, map[string]int{"a": 2, "b": 3})
+		h.release(time.Second, 1)
+		assert.Equal(t, h.admitted["a"], 3)
+	})
+}
+
+func TestDeadlines(t *testing.T) {
+	warm := func(h *harness) {
+		for range 100 {
+			h.offer(0, 1, request("warm", 0))
+			h.release(time.Second, 1)
+		}
+	}
+	t.Run("a deadline behind a long queue is refused at once, with the wait", func(t *testing.T) {
+		h := newHarness(t, tsadmit.Config{MaxRunning: 10})
+		warm(h)
+		h.offer(0, 50, request("a", 0))
+		h.offer(0, 1, request("a", 3*time.Second))
+		assert.Equal(t, h.refused["a"], 1)
+		assertKind(t, h.lastErr, turmericshed.KindDeadline)
+		wait := turmericshed.RetryAfterOf(h.lastErr)
+		assert.Assert(t, wait > 3*time.Second && wait < 6*time.Second, "%v", wait)
+	})
+	t.Run("a deadline that the queue can meet is not refused", func(t *testing.T) {
+		h := newHarness(t, tsadmit.Config{MaxRunning: 10})
+		warm(h)
+		h.offer(0, 50, request("a", 0))
+		h.offer(0, 1, request("b", 3*time.Second))
+		assert.Equal(t, h.refused["b"], 0)
+	})
+	t.Run("a request that waited too long is refused before it runs", func(t *testing.T) {
+		h := newHarness(t, tsadmit.Config{MaxRunning: 1})
+		warm(h)
+		h.offer(0, 1, request("a", 0))
+		h.offer(0, 1, request("b", 5*time.Second))
+		h.release(4900*time.Millisecond, 1)
+		assert.Equal(t, h.refused["b"], 1)
+		assertKind(t, h.lastErr, turmericshed.KindDeadline)
+	})
+}
+
+func TestRetries(t *testing.T) {
+	t.Run("a storm is bounded to the share", func(t *testing.T) {
+		var r tsadmit.Retries
+		allowed := 0
+		for i := range 10_000 {
+			now := epoch.Add(time.Duration(i) * time.Millisecond)
+			r.Sent(now)
+			for range 5 {
+				if r.Allow(now) {
+					allowed++
+				}
+			}
+		}
+		assert.Assert(t, allowed > 900 && allowed < 1050, "%d retries for 10000 requests", allowed)
+	})
+	t.Run("low traffic may still retry", func(t *testing.T) {
+		var r tsadmit.Retries
+		r.Sent(epoch)
+		assert.Assert(t, r.Allow(epoch.Add(2*time.Second)))
+	})
+}
+
+func TestLimiter(t *testing.T) {
+	run := func(pressure float64, waiting, start int) int {
+		var l tsadmit.Limiter
+		n := start
+		for i := range 40 {
+			n = l.Next(epoch.Add(time.Duration(i)*250*time.Millisecond), tsadmit.Usage{Limit: n, Ceiling: 100, Running: n, Waiting: waiting, Pressure: pressure})
+		}
+		return n
+	}
+	t.Run("shrinks while the servers queue", func(t *testing.T) { assert.Assert(t, run(2, 50, 100) < 10) })
+	t.Run("is back at the ceiling within 10 s of the servers having room", func(t *testing.T) { assert.Equal(t, run(0.5, 50, 10), 100) })
+	t.Run("stands still where the servers are just full", func(t *testing.T) { assert.Equal(t, run(1, 50, 40), 40) })
+}
+
+// TestQueueMachine checks the limits over random steps.
+func TestQueueMachine(t *testing.T) {
+	t.Run("limits hold and every ticket is decided once", rapid.MakeCheck(func(t *rapid.T) {
+		ceiling := rapid.IntRange(1, 6).Draw(t, "running")
+		q := tsadmit.New(tsadmit.Config{MaxRunning: ceiling, MaxQueued: rapid.IntRange(1, 8).Draw(t, "queued")})
+		decided, waiting := map[tsadmit.Ticket]bool{}, map[tsadmit.Ticket]bool{}
+		var running []tsadmit.Ticket
+		note := func(ds []tsadmit.Decision) {
+			for _, d := range ds {
+				assert.Assert(t, !decided[d.Ticket], "ticket %d decided twice", d.Ticket)
+				waiting[d.Ticket] = d.Verdict == tsadmit.Queued
+				decided[d.Ticket] = d.Verdict != tsadmit.Queued
+				if d.Verdict == tsadmit.Admitted {
+					running = append(running, d.Ticket)
+				}
+			}
+		}
+		now := epoch
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				if len(running) > 0 {
+					done := running[0]
+					running = running[1:]
+					note(q.Release(now, done))
+				}
+			case 1:
+				for w := range tsadmit.Ticket(i + 1) {
+					if waiting[w] {
+						assert.Assert(t, q.Cancel(w))
+						waiting[w] = false
+						break
+					}
+				}
+			default:
+				r := request(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"), 0)
+				r.Limit.Concurrency = rapid.IntRange(0, 2).Draw(t, "concurrency")
+				r.Deadline = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "deadline")) * time.Millisecond)
+				note(q.Offer(now, tsadmit.Ticket(i+1), r))
+			}
+			assert.Equal(t, q.Running(), len(running))
+			assert.Assert(t, q.Running() <= ceiling)
+			n := 0
+			for _, is := range waiting {
+				if is {
+					n++
+				}
+			}
+			assert.Equal(t, q.Waiting(), n)
+		}
+	}))
+}
--- /dev/null
+++ b/core/tsadmit/retries.go
@@ -0,0 +1,50 @@
+package tsadmit
+
+import "time"
+
+// The retry budget.
+const (
+	// defaultRetryShare of the first attempts may be retried.
+	defaultRetryShare = 0.1
+	// retryBurst is the number of retries that may be saved up.
+	retryBurst = 10
+	// retryFloor is the number of retries a second that low traffic is
+	// allowed.
+	retryFloor = 1.0
+)
+
+// Retries bounds retries to a share of the traffic, so that failures do not
+// multiply the load. The zero value is ready to use.
+type Retries struct {
+	// Share is the retries allowed per first attempt; 0 takes the default.
+	Share  float64
+	tokens float64
+	last   time.Time
+}
+
+// Sent counts a first attempt.
+func (r *Retries) Sent(now time.Time) {
+	r.refill(now)
+	share := r.Share
+	if share == 0 {
+		share = defaultRetryShare
+	}
+	r.tokens = min(r.tokens+share, retryBurst)
+}
+
+// Allow reports whether one more retry is within the budget, and counts it.
+func (r *Retries) Allow(now time.Time) bool {
+	r.refill(now)
+	if r.tokens < 1 {
+		return false
+	}
+	r.tokens--
+	return true
+}
+
+func (r *Retries) refill(now time.Time) {
+	if !r.last.IsZero() {
+		r.tokens = min(r.tokens+retryFloor*max(now.Sub(r.last), 0).Seconds(), retryBurst)
+	}
+	r.last = now
+}
--- a/fleet.go
+++ b/fleet.go
@@ -171,7 +171,9 @@
 
 // AdmitRequest asks for a place to run.
 type AdmitRequest struct {
-	Account  AccountID
+	Account AccountID
+	// Profile keeps an account's limits under its profiles apart.
+	Profile  ProfileName
 	Limit    AccountLimit
 	Work     WorkKind
 	Priority int
