--- a/io/tsobserve/reader.go
+++ b/io/tsobserve/reader.go
@@ -16,7 +16,7 @@
 
 const (
 	// timelinePath is where an entry VM serves its time line.
-	timelinePath = "/timeline"
+	timelinePath = "/operator/timeline"
 	// maxLineBytes bounds one line read from a process.
 	maxLineBytes = 1 << 20
 	// reconnectDelay is the pause before a followed process is asked again.
--- a/io/tsobserve/recorder.go
+++ b/io/tsobserve/recorder.go
@@ -6,7 +6,7 @@
 //	m := tsobserve.NewMetrics()
 //	rec := tsobserve.New(tsobserve.Config{Process: "entry-1", FailureDomain: "a", Metrics: m})
 //	rec.Record(turmericshed.Event{Name: turmericshed.EventDispatched, Request: id})
-//	mux.Handle("/timeline", rec.Handler())  // JSON lines, ?since=17&follow=true
+//	mux.Handle("/operator/timeline", rec.Handler()) // JSON lines, ?since=17&follow=true
 //	mux.Handle("/metrics", m.Handler())
 //
 //	log := tsobserve.NewLogger(os.Stderr, tsobserve.LogText, slog.LevelInfo)
--- a/io/tsobserve/recorder_test.go
+++ b/io/tsobserve/recorder_test.go
@@ -27,7 +27,7 @@
 
 func serve(t *testing.T, h http.Handler) netip.AddrPort {
 	mux := http.NewServeMux()
-	mux.Handle("/timeline", h)
+	mux.Handle("/operator/timeline", h)
 	s := httptest.NewServer(mux)
 	t.Cleanup(s.Close)
 	return netip.MustParseAddrPort(s.Listener.Addr().String())
--- /dev/null
+++ b/io/tsrouting/pool.go
@@ -0,0 +1,212 @@
+package tsrouting
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/core/tsroute"
+	"turmericshed/io/tsbackend"
+)
+
+// Bounds of load polling.
+const (
+	// pollRate is the number of load readings that one process takes a
+	// second, however many servers there are.
+	pollRate = 20
+	// pollTimeout bounds one reading.
+	pollTimeout = 500 * time.Millisecond
+	// pollMaxAge is the age of a report that makes a reading due.
+	pollMaxAge = 500 * time.Millisecond
+)
+
+// PoolConfig holds what a Pool needs.
+type PoolConfig struct {
+	Self  turmericshed.FailureDomain
+	Board *tsboard.Board
+	// Loads reads a server's load; nil turns polling off.
+	Loads    turmericshed.LoadReader
+	Rand     *rand.Rand
+	Recorder turmericshed.Recorder
+}
+
+// Pool is a router that is safe for concurrent use and follows the blackboard.
+type Pool struct {
+	cfg PoolConfig
+
+	mu     sync.Mutex
+	router *tsroute.Router
+}
+
+var _ turmericshed.Router = (*Pool)(nil)
+
+// NewPool returns a pool with the servers that the board has now.
+func NewPool(cfg PoolConfig) *Pool {
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	p := &Pool{cfg: cfg, router: tsroute.New(tsroute.Config{Self: cfg.Self, Rand: cfg.Rand, Recorder: cfg.Recorder})}
+	p.router.SetServers(time.Now(), cfg.Board.Servers.Read())
+	return p
+}
+
+// SetServers replaces the candidates.
+func (p *Pool) SetServers(now time.Time, servers []turmericshed.BackendServer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.SetServers(now, servers)
+}
+
+// Report joins a load report.
+func (p *Pool) Report(now time.Time, r turmericshed.LoadReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Report(now, r)
+}
+
+// SetLeaving takes a server out at once.
+func (p *Pool) SetLeaving(now time.Time, id turmericshed.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.SetLeaving(now, id)
+}
+
+// Pick chooses a server. Errors: KindNoBackend, KindOverloaded.
+func (p *Pool) Pick(now time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.router.Pick(now, r)
+}
+
+// Done ends an attempt counted by Pick. A refusal that tells that the server
+// is leaving takes it out.
+func (p *Pool) Done(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest, res turmericshed.DispatchResult) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if tsbackend.IsLeaving(res.Err) {
+		p.router.SetLeaving(now, id)
+	}
+	p.router.Done(now, id, r, res)
+}
+
+// Pressure returns the load per slot of the servers for a kind of work.
+func (p *Pool) Pressure(now time.Time, work turmericshed.WorkKind) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.router.Pressure(now, work)
+}
+
+// Controllers returns the parts that follow the board and read loads.
+func (p *Pool) Controllers() []turmericshed.Controller {
+	cs := []turmericshed.Controller{serverController{p}, loadController{p}}
+	if p.cfg.Loads != nil {
+		cs = append(cs, pollController{p})
+	}
+	return cs
+}
+
+// serverController takes over the board's servers.
+type serverController struct{ pool *Pool }
+
+// String names the controller in the supervisor's log.
+func (serverController) String() string { return "routing servers" }
+
+// Serve runs until ctx ends.
+func (c serverController) Serve(ctx context.Context) error {
+	for {
+		servers, changed := c.pool.cfg.Board.Servers.Watch()
+		c.pool.SetServers(time.Now(), servers)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// loadController takes over the board's load reports, own and from peers.
+type loadController struct{ pool *Pool }
+
+// String names the controller in the supervisor's log.
+func (loadController) String() string { return "routing loads" }
+
+// Serve runs until ctx ends.
+func (c loadController) Serve(ctx context.Context) error {
+	for {
+		loads, changed := c.pool.cfg.Board.Loads.Watch()
+		for _, r := range loads {
+			c.pool.Report(time.Now(), r)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// pollController reads the load of one due server at a time, at a rate that
+// does not grow with the number of servers. Peers read other ones; what they
+// read comes in through the board.
+type pollController struct{ pool *Pool }
+
+// String names the controller in the supervisor's log.
+func (pollController) String() string { return "load reader" }
+
+// Serve runs until ctx ends.
+func (c pollController) Serve(ctx context.Context) error {
+	tick := time.NewTicker(time.Second / pollRate)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			if s, ok := c.due(now); ok {
+				go c.read(ctx, s)
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// due returns a server whose report is old: the oldest of two random ones.
+func (c pollController) due(now time.Time) (turmericshed.BackendServer, bool) {
+	servers := c.pool.cfg.Board.Servers.Read()
+	if len(servers) == 0 {
+		return turmericshed.BackendServer{}, false
+	}
+	loads := c.pool.cfg.Board.Loads.Read()
+	best := servers[rand.IntN(len(servers))]
+	for range 3 {
+		if s := servers[rand.IntN(len(servers))]; loads[s.ID].At.Before(loads[best.ID].At) {
+			best = s
+		}
+	}
+	return best, now.Sub(loads[best.ID].At) >= pollMaxAge
+}
+
+// read posts the load of s to the board.
+func (c pollController) read(ctx context.Context, s turmericshed.BackendServer) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	r, err := c.pool.cfg.Loads.Load(ctx, s)
+	if err != nil {
+		return
+	}
+	r.Server = s.ID
+	c.pool.cfg.Board.Loads.Update(func(old map[turmericshed.ServerID]turmericshed.LoadReport) map[turmericshed.ServerID]turmericshed.LoadReport {
+		if !r.At.After(old[s.ID].At) {
+			return old
+		}
+		next := maps.Clone(old)
+		if next == nil {
+			next = map[turmericshed.ServerID]turmericshed.LoadReport{}
+		}
+		next[s.ID] = r
+		return next
+	})
+}
--- /dev/null
+++ b/io/tsrouting/pool_test.go
@@ -0,0 +1,112 @@
+package tsrouting_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/io/tsrouting"
+)
+
+var chat = turmericshed.RouteRequest{Work: turmericshed.WorkAssistant, Model: "m"}
+
+func servers(n int) []turmericshed.BackendServer {
+	var list []turmericshed.BackendServer
+	for i := range n {
+		list = append(list, turmericshed.BackendServer{
+			ID: turmericshed.ServerID(fmt.Sprintf("s-%d", i)), FailureDomain: "a", Slots: 8,
+			Addr: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)),
+			Work: turmericshed.WorkAssistant, Models: []turmericshed.Model{"m"},
+		})
+	}
+	return list
+}
+
+// fakeLoads counts readings and tells one server as leaving.
+type fakeLoads struct {
+	mu      sync.Mutex
+	reads   int
+	leaving turmericshed.ServerID
+}
+
+// Load answers at once.
+func (f *fakeLoads) Load(_ context.Context, s turmericshed.BackendServer) (turmericshed.LoadReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	return turmericshed.LoadReport{At: time.Now(), Leaving: s.ID == f.leaving}, nil
+}
+
+// runPool runs a pool with its controllers in a bubble of fake time.
+func runPool(t *testing.T, n int, f func(board *tsboard.Board, loads *fakeLoads, p *tsrouting.Pool)) {
+	synctest.Test(t, func(t *testing.T) {
+		board, loads := &tsboard.Board{}, &fakeLoads{}
+		board.Servers.Write(servers(n))
+		p := tsrouting.NewPool(tsrouting.PoolConfig{Self: "a", Board: board, Loads: loads, Rand: rand.New(rand.NewPCG(1, 1))})
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, c := range p.Controllers() {
+			go func() { _ = c.Serve(ctx) }()
+		}
+		synctest.Wait()
+		f(board, loads, p)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// assertNoWork picks for a second and fails when the server gets any.
+func assertNoWork(t *testing.T, p *tsrouting.Pool, id turmericshed.ServerID) {
+	t.Helper()
+	for range 100 {
+		s, err := p.Pick(time.Now(), chat)
+		assert.NilError(t, err)
+		assert.Assert(t, s.ID != id, "work to %s", id)
+		p.Done(time.Now(), s.ID, chat, turmericshed.DispatchResult{})
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestPool(t *testing.T) {
+	t.Run("a server that reports leaving gets no work 2 s later", func(t *testing.T) {
+		runPool(t, 12, func(_ *tsboard.Board, loads *fakeLoads, p *tsrouting.Pool) {
+			loads.mu.Lock()
+			loads.leaving = "s-3"
+			loads.mu.Unlock()
+			time.Sleep(2 * time.Second)
+			assertNoWork(t, p, "s-3")
+		})
+	})
+	t.Run("a server listed as leaving gets no work", func(t *testing.T) {
+		runPool(t, 3, func(board *tsboard.Board, _ *fakeLoads, p *tsrouting.Pool) {
+			list := servers(3)
+			list[1].Leaving = true
+			board.Servers.Write(list)
+			synctest.Wait()
+			assertNoWork(t, p, "s-1")
+		})
+	})
+	t.Run("a report heard from a peer counts", func(t *testing.T) {
+		runPool(t, 1, func(board *tsboard.Board, _ *fakeLoads, p *tsrouting.Pool) {
+			board.Loads.Write(map[turmericshed.ServerID]turmericshed.LoadReport{"s-0": {Server: "s-0", At: time.Now().Add(time.Second), Running: 4}})
+			synctest.Wait()
+			assert.Equal(t, p.Pressure(time.Now(), turmericshed.WorkAssistant), 0.5)
+		})
+	})
+	t.Run("readings do not grow with the servers", func(t *testing.T) {
+		for _, n := range []int{12, 1200} {
+			runPool(t, n, func(_ *tsboard.Board, loads *fakeLoads, _ *tsrouting.Pool) {
+				time.Sleep(10 * time.Second)
+				assert.Assert(t, loads.reads <= 201, "%d readings of %d servers in 10 s", loads.reads, n)
+			})
+		}
+	})
+}
--- /dev/null
+++ b/io/tsrouting/queue.go
@@ -0,0 +1,234 @@
+// Package tsrouting runs the pure decisions of tsroute and tsadmit in a
+// process: it serializes access, waits for places and reads the blackboard.
+//
+// # Usage
+//
+//	pool := tsrouting.NewPool(tsrouting.PoolConfig{Board: board, Loads: engines, ...})
+//	queue := tsrouting.NewQueue(tsrouting.QueueConfig{Board: board, Pressure: pool.Pressure})
+//	retries := tsrouting.NewRetries(0)
+//	controllers := append(pool.Controllers(), queue.Controllers()...)
+//
+//	release, err := queue.Admit(ctx, req)
+//	defer release()
+//	s, err := pool.Pick(time.Now(), route)
+//	defer func() { pool.Done(time.Now(), s.ID, route, result) }()
+package tsrouting
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsadmit"
+	"turmericshed/core/tsboard"
+)
+
+// limitInterval is how often the overload control looks at the load.
+const limitInterval = 250 * time.Millisecond
+
+// QueueConfig holds what a Queue needs. Zero settings take defaults.
+type QueueConfig struct {
+	// MaxRunning bounds the requests that run at once for each kind of work.
+	MaxRunning int
+	// MaxQueued bounds the waiting requests for each kind of work.
+	MaxQueued int
+	// Board tells how many entry VMs share an account's rate limit; nil
+	// counts this process alone.
+	Board *tsboard.Board
+	// Pressure returns the load per slot of the servers for a kind of work;
+	// nil turns overload control off.
+	Pressure func(now time.Time, work turmericshed.WorkKind) float64
+	// Waited is told how long each admitted request waited; may be nil.
+	Waited func(work turmericshed.WorkKind, d time.Duration)
+}
+
+// Queue implements turmericshed.Admission, with one tsadmit.Queue for each
+// kind of work.
+type Queue struct {
+	cfg QueueConfig
+
+	mu     sync.Mutex
+	lanes  map[turmericshed.WorkKind]*lane
+	ticket tsadmit.Ticket
+}
+
+// lane is the queue of one kind of work.
+type lane struct {
+	queue   *tsadmit.Queue
+	limiter tsadmit.Limiter
+	// waiters are told the decision on their ticket.
+	waiters map[tsadmit.Ticket]chan tsadmit.Decision
+}
+
+var _ turmericshed.Admission = (*Queue)(nil)
+
+// NewQueue returns an empty queue.
+func NewQueue(cfg QueueConfig) *Queue {
+	return &Queue{cfg: cfg, lanes: map[turmericshed.WorkKind]*lane{}}
+}
+
+// Admit waits for a place. Errors: KindRateLimited, KindOverloaded,
+// KindDeadline, KindCanceled. All of them mean that nothing was sent.
+func (q *Queue) Admit(ctx context.Context, r turmericshed.AdmitRequest) (func(), error) {
+	if ctx.Err() != nil {
+		return nil, contextError(ctx)
+	}
+	if d, ok := ctx.Deadline(); ok && (r.Deadline.IsZero() || d.Before(r.Deadline)) {
+		r.Deadline = d
+	}
+	r.Limit.RequestsPerSecond /= float64(q.sharers())
+	began := time.Now()
+	l, t, decided := q.offer(began, r)
+	d, err := await(ctx, r.Deadline, decided)
+	if err != nil {
+		return nil, q.giveUp(l, t, decided, err)
+	}
+	if d.Verdict == tsadmit.Refused {
+		return nil, d.Err
+	}
+	if q.cfg.Waited != nil {
+		q.cfg.Waited(r.Work, time.Since(began))
+	}
+	return sync.OnceFunc(func() { q.release(l, t) }), nil
+}
+
+// sharers returns the number of entry VMs that callers are spread over.
+func (q *Queue) sharers() int {
+	n := 1
+	if q.cfg.Board == nil {
+		return n
+	}
+	for _, m := range q.cfg.Board.Members.Read() {
+		if m.State == turmericshed.MemberAlive {
+			n++
+		}
+	}
+	return n
+}
+
+// offer asks for a place and returns the channel of the decision.
+func (q *Queue) offer(now time.Time, r turmericshed.AdmitRequest) (*lane, tsadmit.Ticket, chan tsadmit.Decision) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.lanes[r.Work]
+	if l == nil {
+		l = &lane{
+			queue:   tsadmit.New(tsadmit.Config{MaxRunning: q.cfg.MaxRunning, MaxQueued: q.cfg.MaxQueued}),
+			waiters: map[tsadmit.Ticket]chan tsadmit.Decision{},
+		}
+		q.lanes[r.Work] = l
+	}
+	q.ticket++
+	t, decided := q.ticket, make(chan tsadmit.Decision, 1)
+	l.waiters[t] = decided
+	l.tell(l.queue.Offer(now, t, r))
+	return l, t, decided
+}
+
+// release gives a place back.
+func (q *Queue) release(l *lane, t tsadmit.Ticket) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l.tell(l.queue.Release(time.Now(), t))
+}
+
+// giveUp takes back a request whose caller stopped waiting. A place that was
+// given in the same instant is released.
+func (q *Queue) giveUp(l *lane, t tsadmit.Ticket, decided chan tsadmit.Decision, err error) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(l.waiters, t)
+	if l.queue.Cancel(t) {
+		return err
+	}
+	if d := <-decided; d.Verdict == tsadmit.Admitted {
+		l.tell(l.queue.Release(time.Now(), t))
+	}
+	return err
+}
+
+// tell hands decisions to those who wait for them.
+func (l *lane) tell(ds []tsadmit.Decision) {
+	for _, d := range ds {
+		if d.Verdict == tsadmit.Queued {
+			continue
+		}
+		if c := l.waiters[d.Ticket]; c != nil {
+			delete(l.waiters, d.Ticket)
+			c <- d
+		}
+	}
+}
+
+// await blocks until the decision, the end of ctx, or the deadline.
+func await(ctx context.Context, deadline time.Time, decided <-chan tsadmit.Decision) (tsadmit.Decision, error) {
+	select {
+	case d := <-decided:
+		return d, nil
+	default:
+	}
+	var late <-chan time.Time
+	if !deadline.IsZero() {
+		t := time.NewTimer(time.Until(deadline))
+		defer t.Stop()
+		late = t.C
+	}
+	select {
+	case d := <-decided:
+		return d, nil
+	case <-late:
+		return tsadmit.Decision{}, turmericshed.NewError(turmericshed.KindDeadline, "deadline passed in the queue")
+	case <-ctx.Done():
+		return tsadmit.Decision{}, contextError(ctx)
+	}
+}
+
+func contextError(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return turmericshed.WrapError(turmericshed.KindDeadline, ctx.Err(), "deadline passed in the queue")
+	}
+	return turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "caller went away")
+}
+
+// Controllers returns the overload control.
+func (q *Queue) Controllers() []turmericshed.Controller {
+	if q.cfg.Pressure == nil {
+		return nil
+	}
+	return []turmericshed.Controller{limitController{q}}
+}
+
+// limitController adapts the number of running requests to the servers' load.
+type limitController struct{ queue *Queue }
+
+// String names the controller in the supervisor's log.
+func (limitController) String() string { return "admission limit" }
+
+// Serve runs until ctx ends.
+func (c limitController) Serve(ctx context.Context) error {
+	tick := time.NewTicker(limitInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			c.queue.adapt(now)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// adapt sets the limit of every lane.
+func (q *Queue) adapt(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for work, l := range q.lanes {
+		n := l.limiter.Next(now, tsadmit.Usage{
+			Limit: l.queue.Limit(), Ceiling: l.queue.Ceiling(), Running: l.queue.Running(), Waiting: l.queue.Waiting(),
+			Pressure: q.cfg.Pressure(now, work),
+		})
+		l.tell(l.queue.SetLimit(now, n))
+	}
+}
--- /dev/null
+++ b/io/tsrouting/queue_test.go
@@ -0,0 +1,110 @@
+package tsrouting_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/io/tsrouting"
+)
+
+func admitRequest(account string) turmericshed.AdmitRequest {
+	return turmericshed.AdmitRequest{Account: turmericshed.AccountID(account), Work: turmericshed.WorkAssistant, Cost: 1}
+}
+
+func assertKind(t *testing.T, err error, kind turmericshed.Kind) {
+	t.Helper()
+	assert.Equal(t, turmericshed.KindOf(err), kind, "%v", err)
+	assert.Equal(t, turmericshed.OutcomeOf(err), turmericshed.OutcomeNotRun)
+}
+
+func TestQueue(t *testing.T) {
+	bubble := func(name string, f func(t *testing.T, q *tsrouting.Queue)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { f(t, tsrouting.NewQueue(tsrouting.QueueConfig{MaxRunning: 1})) })
+		})
+	}
+	hold := func(t *testing.T, q *tsrouting.Queue) func() {
+		release, err := q.Admit(t.Context(), admitRequest("holder"))
+		assert.NilError(t, err)
+		return release
+	}
+	bubble("a waiting request gets the released place", func(t *testing.T, q *tsrouting.Queue) {
+		release := hold(t, q)
+		time.AfterFunc(time.Second, release)
+		began := time.Now()
+		next, err := q.Admit(t.Context(), admitRequest("a"))
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(began), time.Second)
+		next()
+		next()
+		hold(t, q)()
+	})
+	bubble("the deadline ends the wait", func(t *testing.T, q *tsrouting.Queue) {
+		defer hold(t, q)()
+		r := admitRequest("a")
+		r.Deadline = time.Now().Add(time.Hour)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		began := time.Now()
+		_, err := q.Admit(ctx, r)
+		assertKind(t, err, turmericshed.KindDeadline)
+		assert.Assert(t, time.Since(began) <= 2*time.Second)
+	})
+	bubble("a caller that goes away gets its answer at once and leaves no place behind", func(t *testing.T, q *tsrouting.Queue) {
+		release := hold(t, q)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		_, err := q.Admit(ctx, admitRequest("a"))
+		assertKind(t, err, turmericshed.KindCanceled)
+		release()
+		hold(t, q)()
+	})
+	t.Run("an account's rate is shared by the entry VMs that are alive", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			var board tsboard.Board
+			board.Members.Write([]tsboard.Member{{State: turmericshed.MemberAlive}, {State: turmericshed.MemberGone}})
+			q := tsrouting.NewQueue(tsrouting.QueueConfig{Board: &board})
+			r := admitRequest("a")
+			r.Limit.RequestsPerSecond = 10
+			admitted := 0
+			for range 1000 {
+				if _, err := q.Admit(t.Context(), r); err == nil {
+					admitted++
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			assert.Assert(t, admitted >= 48 && admitted <= 52, "%d in 10 s", admitted)
+		})
+	})
+	t.Run("overload control shrinks the places while servers queue", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			q := tsrouting.NewQueue(tsrouting.QueueConfig{
+				MaxRunning: 100,
+				Pressure:   func(time.Time, turmericshed.WorkKind) float64 { return 3 },
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			for _, c := range q.Controllers() {
+				go func() { _ = c.Serve(ctx) }()
+			}
+			hold(t, q)()
+			time.Sleep(20 * time.Second)
+			admitted := 0
+			for range 10 {
+				r := admitRequest("a")
+				r.Deadline = time.Now().Add(time.Second)
+				if _, err := q.Admit(ctx, r); err == nil {
+					admitted++
+				}
+			}
+			assert.Equal(t, admitted, 2)
+			cancel()
+			synctest.Wait()
+		})
+	})
+}
--- /dev/null
+++ b/io/tsrouting/retries.go
@@ -0,0 +1,34 @@
+package tsrouting
+
+import (
+	"sync"
+	"time"
+
+	"turmericshed/core/tsadmit"
+)
+
+// Retries is a retry budget that is safe for concurrent use.
+type Retries struct {
+	mu     sync.Mutex
+	budget tsadmit.Retries
+}
+
+// NewRetries returns a budget of the given share of first attempts; 0 takes
+// the default.
+func NewRetries(share float64) *Retries {
+	return &Retries{budget: tsadmit.Retries{Share: share}}
+}
+
+// Sent counts a first attempt.
+func (r *Retries) Sent(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget.Sent(now)
+}
+
+// Allow reports whether one more retry is within the budget, and counts it.
+func (r *Retries) Allow(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Allow(now)
+}
