Quarantine runtime: evidence spreads before the caller can retry

Cause: attempts with new ids through other entry VMs must not crash a third server, also when they come at the same moment. Change: io/tsquarantine implements turmericshed.Quarantine. Conclusion: not covered are the first attempts of one request at the same moment through several entry VMs, before any evidence exists.

--- a/core/tspoison/evidence.go
+++ b/core/tspoison/evidence.go
@@ -111,8 +111,8 @@
 	return n >= crashesToBar || n > 0 && now.Sub(crashes[n-1].At) < suspectFor
 }
 
-// spent reports whether the evidence can be forgotten.
-func (e *Evidence) spent(now time.Time) bool {
+// Spent reports whether the evidence can be forgotten.
+func (e *Evidence) Spent(now time.Time) bool {
 	last := e.PardonedAt
 	if n := len(e.Crashes); n > 0 && e.Crashes[n-1].At.After(last) {
 		last = e.Crashes[n-1].At
--- a/core/tspoison/tracker.go
+++ b/core/tspoison/tracker.go
@@ -234,7 +234,7 @@
 func (t *Tracker) forget(now time.Time) {
 	var oldest *Evidence
 	for d, e := range t.evidence {
-		if e.spent(now) {
+		if e.Spent(now) {
 			delete(t.evidence, d)
 			continue
 		}
@@ -266,7 +266,7 @@
 func (t *Tracker) Export(now time.Time) []Evidence {
 	var out []Evidence
 	for _, e := range t.evidence {
-		if !e.spent(now) {
+		if !e.Spent(now) {
 			out = append(out, e.clone())
 		}
 	}
@@ -278,7 +278,7 @@
 func (t *Tracker) Merge(now time.Time, evidence []Evidence) []Evidence {
 	var news []Evidence
 	for _, e := range evidence {
-		if len(e.Crashes) == 0 || e.spent(now) {
+		if len(e.Crashes) == 0 || e.Spent(now) {
 			continue
 		}
 		own := t.get(now, e.Digest)
--- /dev/null
+++ b/io/tsquarantine/guard.go
@@ -0,0 +1,304 @@
+// Package tsquarantine keeps one request from crashing server after server.
+// It implements turmericshed.Quarantine around the decisions of core/tspoison.
+//
+// Evidence of a crash is passed to the reachable entry VMs of the failure
+// domain before the attempt ends, hence before its caller can send the request
+// again. A suspect needs the one permit of its failure domain, which is given
+// out by an entry VM found by rendezvous hashing; where that cannot be asked,
+// the suspect does not run. A quarantine is also kept in the platform's
+// key-value service, from where every failure domain learns of it and where a
+// person lifts it.
+//
+// # Usage
+//
+//	guard := tsquarantine.New(tsquarantine.Config{Self: vm, Store: store, Members: fleet, Peers: transport})
+//	server.Mount(guard.Handler())
+//	if err := guard.Started(now, digest, server); err != nil { ... } // not sent
+//	...
+//	guard.Ended(now, digest, server, crashed)
+package tsquarantine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"turmericshed"
+	"turmericshed/core/tspoison"
+	"turmericshed/core/tsupdate"
+	"turmericshed/io/tspeerapi"
+)
+
+const (
+	// peerTimeout bounds one call to a peer.
+	peerTimeout = 500 * time.Millisecond
+	// permitFor is how long a permit holds without a release.
+	permitFor = 10 * time.Minute
+	// readInterval is the time between two readings of the kept entries.
+	readInterval = 10 * time.Second
+	// storeTimeout bounds one write of an entry.
+	storeTimeout = 5 * time.Second
+	// maxEntries bounds one reading of the kept entries.
+	maxEntries = 1000
+	// permitSeat and readSeat name what is found by rendezvous hashing.
+	permitSeat = "permit"
+	readSeat   = "read"
+)
+
+// Peers opens connections to other entry VMs.
+type Peers interface {
+	Client(addr netip.AddrPort) (connect.HTTPClient, string)
+}
+
+// Config holds the dependencies of a Guard.
+type Config struct {
+	Self turmericshed.EntryVM
+	// Store keeps quarantines; nil keeps them in the failure domain only.
+	Store turmericshed.Store
+	// Members and Peers reach the failure domain; nil means alone.
+	Members  turmericshed.Members
+	Peers    Peers
+	Recorder turmericshed.Recorder
+}
+
+// Guard implements turmericshed.Quarantine. It is safe for concurrent use.
+type Guard struct {
+	cfg Config
+
+	mu      sync.Mutex
+	tracker *tspoison.Tracker
+	// held are the suspects of this process that hold the permit.
+	held map[turmericshed.Digest]bool
+	// permit is the permit given out by this process.
+	permit permit
+}
+
+type permit struct {
+	digest turmericshed.Digest
+	holder turmericshed.Incarnation
+	at     time.Time
+}
+
+var _ turmericshed.Quarantine = (*Guard)(nil)
+
+// New returns a guard without evidence.
+func New(cfg Config) *Guard {
+	if cfg.Recorder == nil {
+		cfg.Recorder = turmericshed.NopRecorder{}
+	}
+	return &Guard{cfg: cfg, tracker: tspoison.NewTracker(), held: map[turmericshed.Digest]bool{}}
+}
+
+// Check returns KindQuarantined for a request that is barred, and
+// KindOverloaded for a suspect that would have to wait.
+func (g *Guard) Check(now time.Time, d turmericshed.Digest) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Check(now, d)
+}
+
+// Started must return nil right before an attempt is sent. A suspect takes
+// the permit of the failure domain first. Errors as for Check.
+func (g *Guard) Started(now time.Time, d turmericshed.Digest, s turmericshed.ServerID) error {
+	g.mu.Lock()
+	suspect := g.tracker.Suspect(now, d)
+	if !suspect {
+		defer g.mu.Unlock()
+		return g.tracker.Started(now, d, s)
+	}
+	err := g.tracker.Check(now, d)
+	taken := g.held[d]
+	g.held[d] = true
+	own, _ := g.tracker.Get(d)
+	g.mu.Unlock()
+	if taken {
+		return errWait()
+	}
+	if err == nil && !g.askPermit(now, d, own) {
+		err = errWait()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil {
+		err = g.tracker.Started(now, d, s)
+	}
+	if err != nil {
+		delete(g.held, d)
+		go g.release(d)
+	}
+	return err
+}
+
+func errWait() error {
+	err := turmericshed.NewError(turmericshed.KindOverloaded, "the request coincided with a crash and has to wait for its turn")
+	return turmericshed.WithRetryAfter(err, time.Second)
+}
+
+// Ended ends an attempt. After a crash it returns once the reachable entry
+// VMs of the failure domain know, which takes half a second at most.
+func (g *Guard) Ended(now time.Time, d turmericshed.Digest, s turmericshed.ServerID, crashed bool) {
+	g.mu.Lock()
+	before := g.barred(now)
+	g.tracker.Ended(now, d, s, crashed)
+	held := g.held[d]
+	delete(g.held, d)
+	evidence := g.tracker.Export(now)
+	var news []tspoison.Evidence
+	for _, e := range evidence {
+		if e.Barred(now) && !before[e.Digest] {
+			news = append(news, e)
+		}
+	}
+	g.mu.Unlock()
+	if crashed {
+		g.spread(recent(now, evidence))
+		g.keep(news)
+	}
+	if held {
+		g.release(d)
+	}
+}
+
+func (g *Guard) barred(now time.Time) map[turmericshed.Digest]bool {
+	out := map[turmericshed.Digest]bool{}
+	for _, e := range g.tracker.Export(now) {
+		out[e.Digest] = e.Barred(now)
+	}
+	return out
+}
+
+// recent returns the evidence that has a crash of the last minute.
+func recent(now time.Time, evidence []tspoison.Evidence) []tspoison.Evidence {
+	var out []tspoison.Evidence
+	for _, e := range evidence {
+		if n := len(e.Crashes); n > 0 && now.Sub(e.Crashes[n-1].At) < time.Minute {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Survived clears a suspect that was answered whole.
+func (g *Guard) Survived(now time.Time, d turmericshed.Digest) {
+	g.mu.Lock()
+	suspect := g.tracker.Suspect(now, d)
+	g.tracker.Survived(now, d)
+	e, _ := g.tracker.Get(d)
+	g.mu.Unlock()
+	if suspect {
+		go g.spread([]tspoison.Evidence{e})
+	}
+}
+
+// Evidence lists what this process knows.
+func (g *Guard) Evidence(now time.Time) []tspoison.Evidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Export(now)
+}
+
+// Merge joins evidence heard from peers or read from the store.
+func (g *Guard) Merge(now time.Time, evidence []tspoison.Evidence) []tspoison.Evidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Merge(now, evidence)
+}
+
+// domain returns the reachable entry VMs of the failure domain.
+func (g *Guard) domain() []turmericshed.EntryVM {
+	if g.cfg.Members == nil || g.cfg.Peers == nil {
+		return nil
+	}
+	var out []turmericshed.EntryVM
+	for _, m := range g.cfg.Members.Reachable() {
+		if m.FailureDomain == g.cfg.Self.FailureDomain {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// seat returns the entry VM of the failure domain that does the named work.
+func (g *Guard) seat(name string) (turmericshed.EntryVM, bool) {
+	best := g.cfg.Self
+	score := xxhash.Sum64String(name + "/" + string(best.Incarnation))
+	for _, m := range g.domain() {
+		if s := xxhash.Sum64String(name + "/" + string(m.Incarnation)); s > score {
+			best, score = m, s
+		}
+	}
+	return best, best.Incarnation != g.cfg.Self.Incarnation
+}
+
+func (g *Guard) client(m turmericshed.EntryVM) tspeerapi.QuarantineServiceClient {
+	h, url := g.cfg.Peers.Client(m.PeerAddr)
+	return tspeerapi.NewQuarantineServiceClient(h, url)
+}
+
+// spread passes evidence to the failure domain and waits for the answers.
+func (g *Guard) spread(evidence []tspoison.Evidence) {
+	if len(evidence) == 0 {
+		return
+	}
+	body, err := json.Marshal(evidence)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, m := range g.domain() {
+		wg.Go(func() {
+			_, _ = g.client(m).Spread(ctx, connect.NewRequest(&tspeerapi.SpreadRequest{Evidence: body}))
+		})
+	}
+	wg.Wait()
+}
+
+// keep writes quarantines to the store in the background.
+func (g *Guard) keep(evidence []tspoison.Evidence) {
+	for _, e := range evidence {
+		g.cfg.Recorder.Record(turmericshed.Event{
+			Name: turmericshed.EventQuarantined, Server: e.Crashes[len(e.Crashes)-1].Server,
+			Reason: string(e.Digest) + " until " + e.Until().UTC().Format(time.RFC3339),
+		})
+		if g.cfg.Store == nil {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+			defer cancel()
+			// When the write fails, the next reading repeats it.
+			_ = Keep(ctx, g.cfg.Store, e)
+		}()
+	}
+}
+
+// Keep joins evidence to the kept entry of its request.
+func Keep(ctx context.Context, s turmericshed.Store, e tspoison.Evidence) error {
+	u := tsupdate.New(turmericshed.QuarantinePrefix+string(e.Digest), func(cur turmericshed.Item) ([]byte, error) {
+		kept := tspoison.Evidence{Digest: e.Digest}
+		if len(cur.Value) > 0 {
+			if err := json.Unmarshal(cur.Value, &kept); err != nil {
+				return nil, turmericshed.WrapError(turmericshed.KindInternal, err, "quarantine entry")
+			}
+		}
+		if !kept.Merge(e) {
+			return nil, nil
+		}
+		return json.Marshal(kept)
+	})
+	_, err := tsupdate.Run(ctx, s, u)
+	return err
+}
+
+// Handler returns the path and handler to mount on the server for peers.
+func (g *Guard) Handler() (string, http.Handler) {
+	return tspeerapi.NewQuarantineServiceHandler(peerHandler{g: g})
+}
--- /dev/null
+++ b/io/tsquarantine/permit.go
@@ -0,0 +1,116 @@
+package tsquarantine
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"turmericshed"
+	"turmericshed/core/tspoison"
+	"turmericshed/io/tspeerapi"
+)
+
+// askPermit takes the permit of the failure domain for a suspect. Where its
+// grantor cannot be asked, the suspect does not run.
+func (g *Guard) askPermit(now time.Time, d turmericshed.Digest, own tspoison.Evidence) bool {
+	m, remote := g.seat(permitSeat)
+	if !remote {
+		return g.grant(now, d, g.cfg.Self.Incarnation)
+	}
+	body, err := json.Marshal([]tspoison.Evidence{own})
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	resp, err := g.client(m).Permit(ctx, connect.NewRequest(&tspeerapi.PermitRequest{
+		Digest: string(d), Holder: string(g.cfg.Self.Incarnation), Evidence: body,
+	}))
+	if err != nil {
+		return false
+	}
+	g.mergeBody(now, resp.Msg.GetEvidence())
+	return resp.Msg.GetGranted()
+}
+
+// grant gives the permit out unless another holds it or the request is
+// barred.
+func (g *Guard) grant(now time.Time, d turmericshed.Digest, holder turmericshed.Incarnation) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e, ok := g.tracker.Get(d); ok && e.Barred(now) {
+		return false
+	}
+	free := g.permit.digest == "" || now.Sub(g.permit.at) > permitFor
+	if !free {
+		return false
+	}
+	g.permit = permit{digest: d, holder: holder, at: now}
+	return true
+}
+
+// release gives the permit back.
+func (g *Guard) release(d turmericshed.Digest) {
+	m, remote := g.seat(permitSeat)
+	if !remote {
+		g.free(d, g.cfg.Self.Incarnation)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	_, _ = g.client(m).Release(ctx, connect.NewRequest(&tspeerapi.ReleaseRequest{Digest: string(d), Holder: string(g.cfg.Self.Incarnation)}))
+}
+
+func (g *Guard) free(d turmericshed.Digest, holder turmericshed.Incarnation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.permit.digest == d && g.permit.holder == holder {
+		g.permit = permit{}
+	}
+}
+
+func (g *Guard) mergeBody(now time.Time, body []byte) {
+	var evidence []tspoison.Evidence
+	if len(body) == 0 || json.Unmarshal(body, &evidence) != nil {
+		return
+	}
+	g.Merge(now, evidence)
+}
+
+// peerHandler answers the calls of other entry VMs.
+type peerHandler struct{ g *Guard }
+
+var _ tspeerapi.QuarantineServiceHandler = peerHandler{}
+
+// Spread takes evidence of a peer.
+func (p peerHandler) Spread(_ context.Context, req *connect.Request[tspeerapi.SpreadRequest]) (*connect.Response[tspeerapi.SpreadResponse], error) {
+	p.g.mergeBody(time.Now(), req.Msg.GetEvidence())
+	return connect.NewResponse(&tspeerapi.SpreadResponse{}), nil
+}
+
+// Permit answers a peer that wants to run a suspect.
+func (p peerHandler) Permit(_ context.Context, req *connect.Request[tspeerapi.PermitRequest]) (*connect.Response[tspeerapi.PermitResponse], error) {
+	now := time.Now()
+	d := turmericshed.Digest(req.Msg.GetDigest())
+	p.g.mergeBody(now, req.Msg.GetEvidence())
+	resp := &tspeerapi.PermitResponse{Granted: p.g.grant(now, d, turmericshed.Incarnation(req.Msg.GetHolder()))}
+	p.g.mu.Lock()
+	e, ok := p.g.tracker.Get(d)
+	p.g.mu.Unlock()
+	if ok {
+		body, err := json.Marshal([]tspoison.Evidence{e})
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInternal, err)
+		}
+		resp.Evidence = body
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Release takes a permit back.
+func (p peerHandler) Release(_ context.Context, req *connect.Request[tspeerapi.ReleaseRequest]) (*connect.Response[tspeerapi.ReleaseResponse], error) {
+	p.g.free(turmericshed.Digest(req.Msg.GetDigest()), turmericshed.Incarnation(req.Msg.GetHolder()))
+	return connect.NewResponse(&tspeerapi.ReleaseResponse{}), nil
+}
