--- a/io/tsentry/entry.go
+++ b/io/tsentry/entry.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,6 +62,8 @@
 	registry  *registry
 	ready     atomic.Bool
 	stopRuns  context.CancelFunc
+	killed    chan struct{}
+	kill      sync.Once
 }
 
 // New returns an entry VM that is not serving yet.
@@ -72,7 +75,7 @@
 	base, stop := context.WithCancel(context.Background())
 	return &Entry{
 		cfg: cfg, deps: deps, accounts: acc, runs: newRuns(base), unsettled: newUnsettled(),
-		registry: newRegistry(), stopRuns: stop,
+		registry: newRegistry(), stopRuns: stop, killed: make(chan struct{}),
 	}, nil
 }
 
@@ -157,6 +160,8 @@
 	select {
 	case err := <-failed:
 		return turmericshed.WrapError(turmericshed.KindInternal, err, "caller server")
+	case <-e.killed:
+		return srv.Close()
 	case <-ctx.Done():
 	}
 	err := e.drain(srv)
@@ -165,6 +170,13 @@
 	return err
 }
 
+// Kill ends a serving entry VM at once, as the loss of its VM does: nothing
+// is drained, settled or returned.
+func (e *Entry) Kill() {
+	e.kill.Do(func() { close(e.killed) })
+	e.stopRuns()
+}
+
 // supervise runs every controller; the channel closes once all have ended.
 func (e *Entry) supervise(ctx context.Context) <-chan error {
 	sup := suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) {
--- a/io/tsentry/join.go
+++ b/io/tsentry/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -162,17 +163,19 @@
 // Close ends the call.
 func (s *joinedStream) Close() error { return s.in.Close() }
 
-// StreamHandler serves StreamService to other entry VMs.
-type StreamHandler struct{ e *Entry }
+// streamHandler serves StreamService to other entry VMs.
+type streamHandler struct{ e *Entry }
 
-var _ tspeerapi.StreamServiceHandler = (*StreamHandler)(nil)
+var _ tspeerapi.StreamServiceHandler = (*streamHandler)(nil)
 
-// StreamHandler returns the handler to mount on the peer server.
-func (e *Entry) StreamHandler() *StreamHandler { return &StreamHandler{e} }
+// StreamService returns the path and handler to mount on the server for peers.
+func (e *Entry) StreamService() (string, http.Handler) {
+	return tspeerapi.NewStreamServiceHandler(&streamHandler{e})
+}
 
 // Announce enters a generation in the owner's table. A generation whose
 // runner is gone is returned once, for its stream to be resumed.
-func (h *StreamHandler) Announce(_ context.Context, r *connect.Request[tspeerapi.AnnounceRequest]) (*connect.Response[tspeerapi.AnnounceResponse], error) {
+func (h *streamHandler) Announce(_ context.Context, r *connect.Request[tspeerapi.AnnounceRequest]) (*connect.Response[tspeerapi.AnnounceResponse], error) {
 	k := tsdedupe.Key{Account: turmericshed.AccountID(r.Msg.GetKey().GetAccount()), Request: r.Msg.GetKey().GetKey()}
 	g := fromWire(r.Msg.GetGeneration(), r.Msg.GetKey().GetDigest())
 	held, found := h.e.registry.announce(k, g)
@@ -189,7 +192,7 @@
 }
 
 // Join relays the frames of a generation that runs here.
-func (h *StreamHandler) Join(ctx context.Context, r *connect.Request[tspeerapi.JoinRequest], out *connect.ServerStream[tspeerapi.JoinFrame]) error {
+func (h *streamHandler) Join(ctx context.Context, r *connect.Request[tspeerapi.JoinRequest], out *connect.ServerStream[tspeerapi.JoinFrame]) error {
 	k := r.Msg.GetKey()
 	a, ok := h.e.runs.find(tsdedupe.Key{Account: turmericshed.AccountID(k.GetAccount()), Request: k.GetKey()}, turmericshed.Digest(k.GetDigest()))
 	if !ok {
--- a/io/tsentry/join_test.go
+++ b/io/tsentry/join_test.go
@@ -10,7 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
-	"turmericshed/io/tspeerapi"
 )
 
 // newPair returns two entry VMs of one failure domain that reach each other.
@@ -20,7 +19,7 @@
 	vms := make([]turmericshed.EntryVM, len(rigs))
 	for i, r := range rigs {
 		mux := http.NewServeMux()
-		mux.Handle(tspeerapi.NewStreamServiceHandler(r.entry.StreamHandler()))
+		mux.Handle(r.entry.StreamService())
 		srv := httptest.NewServer(mux)
 		t.Cleanup(srv.Close)
 		stop = append(stop, srv.Close)
--- /dev/null
+++ b/io/tsprocess/process.go
@@ -0,0 +1,264 @@
+// Package tsprocess puts the parts of one entry VM together: the platform's
+// client, membership, profiles, budgets, claims, routing and the callers'
+// side, under one supervisor.
+//
+// # Usage
+//
+//	p, err := tsprocess.New(cfg, tsprocess.Options{Log: log})
+//	if err != nil { ... }
+//	err = p.Serve(ctx) // returns after a graceful stop
+package tsprocess
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/io/tsbackend"
+	"turmericshed/io/tscalls"
+	"turmericshed/io/tsentry"
+	"turmericshed/io/tsfleet"
+	"turmericshed/io/tsholder"
+	"turmericshed/io/tsobserve"
+	"turmericshed/io/tspeer"
+	"turmericshed/io/tsplatform"
+	"turmericshed/io/tsprofiles"
+	"turmericshed/io/tsrouting"
+)
+
+// withdrawTimeout bounds the last call to the platform's list.
+const withdrawTimeout = 2 * time.Second
+
+// DialFunc opens a connection; see net.Dialer.DialContext.
+type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Options are what the settings of an entry VM don't say.
+type Options struct {
+	// Dial opens every connection of the process; nil means a net.Dialer.
+	// Tests cut links here.
+	Dial DialFunc
+	Log  *slog.Logger
+}
+
+// Process is one entry VM with all its parts.
+type Process struct {
+	cfg      tsentry.Config
+	self     turmericshed.EntryVM
+	callers  net.Listener
+	peers    net.Listener
+	platform *tsplatform.Client
+	recorder *tsobserve.Recorder
+	entry    *tsentry.Entry
+}
+
+// parts are the pieces while they are put together.
+type parts struct {
+	cfg       tsentry.Config
+	opts      Options
+	self      turmericshed.EntryVM
+	board     *tsboard.Board
+	metrics   *tsobserve.Metrics
+	recorder  *tsobserve.Recorder
+	platform  *tsplatform.Client
+	transport *tspeer.Transport
+	server    *tspeer.Server
+	fleet     *tsfleet.Fleet
+	profiles  *tsprofiles.Cache
+	holder    *tsholder.Holder
+	calls     *tscalls.Calls
+	pool      *tsrouting.Pool
+	service   *tsbackend.Service
+}
+
+// New opens the listeners and builds the parts. Errors: KindBadRequest for a
+// setting that can't be used.
+func New(cfg tsentry.Config, o Options) (*Process, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	callers, err := listen(cfg.CallerAddr)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := listen(cfg.PeerAddr)
+	if err != nil {
+		return nil, errors.Join(err, callers.Close())
+	}
+	p := &Process{cfg: cfg, callers: callers, peers: peers}
+	p.self = turmericshed.EntryVM{
+		Name: cfg.Name, Incarnation: turmericshed.Incarnation(turmericshed.NewID("inc-")),
+		Region: cfg.Region, FailureDomain: cfg.FailureDomain,
+		CallerAddr: addrOf(callers), PeerAddr: addrOf(peers),
+	}
+	if err := p.build(o); err != nil {
+		return nil, errors.Join(err, callers.Close(), peers.Close())
+	}
+	return p, nil
+}
+
+func listen(addr netip.AddrPort) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, turmericshed.WrapError(turmericshed.KindBadRequest, err, "listen on %s", addr)
+	}
+	return ln, nil
+}
+
+func addrOf(ln net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+// build makes every part in the order in which they need each other.
+func (p *Process) build(o Options) error {
+	b := &parts{cfg: p.cfg, opts: o, self: p.self, board: &tsboard.Board{}}
+	for _, step := range []func() error{b.buildPlatform, b.buildPeers, b.buildFleet, b.buildBudgets, b.buildRouting} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	p.platform, p.recorder = b.platform, b.recorder
+	entry, err := tsentry.New(p.cfg, b.deps(p.peers))
+	if err != nil {
+		return err
+	}
+	b.server.Mount(entry.StreamService())
+	p.entry = entry
+	return nil
+}
+
+func (b *parts) buildPlatform() (err error) {
+	b.metrics = tsobserve.NewMetrics()
+	b.recorder = tsobserve.New(tsobserve.Config{
+		Process: b.cfg.Name, FailureDomain: b.cfg.FailureDomain, Metrics: b.metrics,
+	})
+	b.platform, err = tsplatform.NewClient(b.cfg.PlatformAddr, tsplatform.Options{Caller: b.cfg.Name, Dial: b.opts.Dial})
+	return err
+}
+
+func (b *parts) buildPeers() error {
+	cfg := tspeer.Config{Dial: b.opts.Dial}
+	if b.cfg.CertFile != "" {
+		pair, err := b.loadTLS()
+		if err != nil {
+			return err
+		}
+		cfg.TLS = pair
+	}
+	b.transport, b.server = tspeer.NewTransport(cfg), tspeer.NewServer(cfg)
+	return nil
+}
+
+func (b *parts) loadTLS() (*tls.Config, error) {
+	return tspeer.LoadTLS(b.cfg.CertFile, b.cfg.KeyFile, b.cfg.CAFile)
+}
+
+func (b *parts) buildFleet() error {
+	b.profiles = tsprofiles.New(tsprofiles.Config{
+		Self: b.self, Store: b.platform, Peers: b.transport, Recorder: b.recorder, Log: b.opts.Log,
+	})
+	b.fleet = tsfleet.New(tsfleet.Config{
+		Self: b.self, Directory: b.platform, Board: b.board, Peers: b.transport,
+		Recorder: b.recorder, Log: b.opts.Log, Metrics: b.metrics.Registry(),
+		Piggyback: b.piggyback(),
+	})
+	b.profiles.SetMembers(b.fleet)
+	b.server.Mount(b.fleet.Handler())
+	b.server.Mount(b.profiles.Handler())
+	return nil
+}
+
+func (b *parts) buildBudgets() error {
+	b.service = tsbackend.NewService(tsbackend.Options{Dial: b.opts.Dial})
+	b.holder = tsholder.New(tsholder.Config{
+		Self: b.self, Store: b.platform, Members: b.fleet, Recorder: b.recorder,
+		Peers: b.transport, Profiles: b.profiles,
+	})
+	b.calls = tscalls.New(tscalls.Config{
+		Self: b.self, Store: b.platform, Members: b.fleet, Peers: b.transport,
+		Lookup: b.lookup, Recorder: b.recorder,
+	})
+	b.server.Mount(b.holder.Handler())
+	b.server.Mount(b.calls.Handler())
+	return nil
+}
+
+// lookup asks any server of a plain service whether a call ran.
+func (b *parts) lookup(ctx context.Context, service, key string) (turmericshed.Answer, error) {
+	err := turmericshed.NewError(turmericshed.KindNoBackend, "no server of service %s is known", service)
+	for _, s := range b.board.Servers.Read() {
+		if s.Service != service {
+			continue
+		}
+		var a turmericshed.Answer
+		if a, err = b.service.Lookup(ctx, s, key); err == nil || turmericshed.KindOf(err) == turmericshed.KindNotFound {
+			return a, err
+		}
+	}
+	return turmericshed.Answer{}, err
+}
+
+// Addr returns the callers' address.
+func (p *Process) Addr() netip.AddrPort { return p.self.CallerAddr }
+
+// Self describes the process.
+func (p *Process) Self() turmericshed.EntryVM { return p.self }
+
+// Recorder returns the process's part of the time line.
+func (p *Process) Recorder() *tsobserve.Recorder { return p.recorder }
+
+// Serve runs until ctx ends and then stops gracefully.
+func (p *Process) Serve(ctx context.Context) error {
+	err := p.entry.ServeListener(ctx, p.callers)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
+	defer cancel()
+	_ = p.platform.WithdrawEntry(last, p.self.Incarnation)
+	return err
+}
+
+// Kill ends the process at once, as the loss of its VM does: connections
+// break, nothing is returned, handed on or withdrawn.
+func (p *Process) Kill() {
+	p.entry.Kill()
+	_ = p.callers.Close()
+	_ = p.peers.Close()
+}
+
+// peerServer is the controller that serves other entry VMs.
+type peerServer struct {
+	server *tspeer.Server
+	ln     net.Listener
+}
+
+// Serve answers peers until ctx ends.
+func (s peerServer) Serve(ctx context.Context) error { return s.server.Serve(ctx, s.ln) }
+
+// String returns the name that the supervisor logs.
+func (s peerServer) String() string { return "peer server" }
+
+// deps gathers what the callers' side works with.
+func (b *parts) deps(peers net.Listener) tsentry.Deps {
+	controllers := []turmericshed.Controller{
+		peerServer{b.server, peers},
+		tsplatform.NewEntryAnnouncer(b.platform, b.self),
+	}
+	for _, list := range [][]turmericshed.Controller{
+		b.fleet.Controllers(), b.profiles.Controllers(), b.holder.Controllers(), b.calls.Controllers(), b.pool.Controllers(),
+	} {
+		controllers = append(controllers, list...)
+	}
+	var timeline http.Handler = tsobserve.NewHandler(b.recorder)
+	return tsentry.Deps{
+		Board: b.board, Store: b.platform, Members: b.fleet, Peers: b.transport, Profiles: b.profiles,
+		Budgets: b.holder, Claims: b.calls, Router: b.pool, Service: b.service,
+		Engine:   tsbackend.NewEngine(tsbackend.Options{Dial: b.opts.Dial}),
+		Recorder: b.recorder, Log: tsobserve.Part(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), Timeline: timeline,
+		Controllers: controllers,
+	}
+}
