--- /dev/null
+++ b/load/tsdemo/cluster.go
@@ -0,0 +1,233 @@
+package tsdemo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"turmericshed"
+	"turmericshed/io/tsadmin"
+	"turmericshed/io/tsentry"
+	"turmericshed/io/tsplatform"
+	"turmericshed/io/tsprocess"
+	"turmericshed/standin/tsengine"
+	"turmericshed/standin/tsnode"
+	standin "turmericshed/standin/tsplatform"
+	"turmericshed/standin/tsservice"
+)
+
+// Sizes of the demo: three failure domains with three entry VMs and four
+// engines each, and one server of each plain service in each.
+const (
+	entriesPerDomain = 3
+	enginesPerModel  = 2
+	stepInterval     = 10 * time.Millisecond
+	loadLag          = 500 * time.Millisecond
+	listLag          = 2 * time.Second
+	serviceRunTime   = 20 * time.Millisecond
+	serverRestart    = time.Second
+	drainLimit       = 20 * time.Second
+	maxRunning       = 512
+)
+
+// region is the one region of the demo.
+const region turmericshed.Region = "my-west"
+
+// domains returns the failure domains.
+func domains() []place { return []place{"my-west-a", "my-west-b", "my-west-c"} }
+
+// loopback is an address whose port is chosen at listening.
+var loopback = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+
+// entryVM is one entry VM and how to stop it.
+type entryVM struct {
+	at      place
+	proc    *tsprocess.Process
+	stop    context.CancelFunc
+	stopped chan error
+}
+
+// cluster is everything between the callers and the stand-ins' own books.
+type cluster struct {
+	net      *network
+	log      *slog.Logger
+	store    *standin.Store
+	platform netip.AddrPort
+	admin    *tsadmin.Admin
+	engines  map[turmericshed.Model][]*tsengine.Engine
+	services map[string][]*tsservice.Service
+	books    map[string]*tsservice.Books
+
+	mu      sync.Mutex
+	entries []*entryVM
+	started int
+	wg      sync.WaitGroup
+}
+
+// newCluster starts the platform, the backend servers and the entry VMs.
+func newCluster(ctx context.Context, log *slog.Logger, models []turmericshed.Model, services []string) (*cluster, error) {
+	c := &cluster{
+		net: newNetwork(), log: log, engines: map[turmericshed.Model][]*tsengine.Engine{},
+		services: map[string][]*tsservice.Service{}, books: map[string]*tsservice.Books{},
+	}
+	if err := c.startPlatform(ctx); err != nil {
+		return nil, err
+	}
+	for _, d := range domains() {
+		for _, m := range models {
+			for range enginesPerModel {
+				if err := c.startEngine(ctx, d, m); err != nil {
+					return nil, err
+				}
+			}
+		}
+		for _, s := range services {
+			if err := c.startService(ctx, d, s); err != nil {
+				return nil, err
+			}
+		}
+		for range entriesPerDomain {
+			if err := c.startEntry(d); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return c, nil
+}
+
+func (c *cluster) startPlatform(ctx context.Context) error {
+	c.store = standin.NewStore(standin.Options{})
+	dir := standin.NewDirectory(standin.DirectoryOptions{Lag: listLag})
+	ln, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		return err
+	}
+	c.platform = netip.MustParseAddrPort(ln.Addr().String())
+	c.net.put(c.platform, placePlatform)
+	c.admin = tsadmin.New(tsadmin.Config{Store: c.store, Operator: "demo"})
+	c.wg.Go(func() { _ = standin.NewServer(c.store, dir).Serve(ctx, ln) })
+	return nil
+}
+
+// node returns the common options of a backend server in a failure domain.
+func (c *cluster) node(d place, id string) (tsnode.Options, error) {
+	client, err := tsplatform.NewClient(c.platform, tsplatform.Options{Caller: id, Dial: c.net.dialer(d)})
+	return tsnode.Options{
+		Server: turmericshed.BackendServer{
+			ID: turmericshed.ServerID(id), Region: region, FailureDomain: turmericshed.FailureDomain(d), Addr: loopback,
+		},
+		Platform: client, RestartAfter: serverRestart,
+	}, err
+}
+
+func (c *cluster) startEngine(ctx context.Context, d place, m turmericshed.Model) error {
+	node, err := c.node(d, fmt.Sprintf("engine-%s-%s-%d", m, d, len(c.engines[m])))
+	if err != nil {
+		return err
+	}
+	node.Server.Models = []turmericshed.Model{m}
+	e, err := tsengine.Listen(tsengine.Options{Node: node, StepInterval: stepInterval, LoadLag: loadLag})
+	if err != nil {
+		return err
+	}
+	c.net.put(e.Server().Addr, d)
+	c.engines[m] = append(c.engines[m], e)
+	c.wg.Go(func() { _ = e.Serve(ctx) })
+	return nil
+}
+
+func (c *cluster) startService(ctx context.Context, d place, service string) error {
+	node, err := c.node(d, fmt.Sprintf("%s-%s", service, d))
+	if err != nil {
+		return err
+	}
+	node.Server.Service = service
+	if c.books[service] == nil {
+		c.books[service] = tsservice.NewBooks()
+	}
+	s, err := tsservice.Listen(tsservice.Options{Node: node, Books: c.books[service], RunTime: serviceRunTime, LoadLag: loadLag})
+	if err != nil {
+		return err
+	}
+	c.net.put(s.Server().Addr, d)
+	c.services[service] = append(c.services[service], s)
+	c.wg.Go(func() { _ = s.Serve(ctx) })
+	return nil
+}
+
+// startEntry starts an entry VM in a failure domain.
+func (c *cluster) startEntry(d place) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started++
+	proc, err := tsprocess.New(tsentry.Config{
+		Name: fmt.Sprintf("entry-%s-%d", d, c.started), Region: region, FailureDomain: turmericshed.FailureDomain(d),
+		CallerAddr: loopback, PeerAddr: loopback, PlatformAddr: c.platform,
+		DrainLimit: drainLimit, DefaultDeadline: 30 * time.Second, MaxRunning: maxRunning,
+	}, tsprocess.Options{Dial: c.net.dialer(d), Log: c.log})
+	if err != nil {
+		return err
+	}
+	c.net.put(proc.Addr(), d)
+	c.net.put(proc.Self().PeerAddr, d)
+	ctx, stop := context.WithCancel(context.Background())
+	vm := &entryVM{at: d, proc: proc, stop: stop, stopped: make(chan error, 1)}
+	c.entries = append(c.entries, vm)
+	c.wg.Go(func() { vm.stopped <- proc.Serve(ctx) })
+	return nil
+}
+
+// addrs returns the callers' addresses of the running entry VMs.
+func (c *cluster) addrs() []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []netip.AddrPort
+	for _, vm := range c.entries {
+		list = append(list, vm.proc.Addr())
+	}
+	return list
+}
+
+// killEntry ends the first entry VM of a failure domain at once.
+func (c *cluster) killEntry(d place) {
+	c.mu.Lock()
+	i := slices.IndexFunc(c.entries, func(vm *entryVM) bool { return vm.at == d })
+	vm := c.entries[i]
+	c.entries = slices.Delete(c.entries, i, i+1)
+	c.mu.Unlock()
+	vm.proc.Kill()
+	vm.stop()
+}
+
+// takeEntry removes the first entry VM of a failure domain from the balancer
+// and tells it to stop gracefully.
+func (c *cluster) takeEntry(d place) <-chan error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.entries, func(vm *entryVM) bool { return vm.at == d })
+	vm := c.entries[i]
+	c.entries = slices.Delete(c.entries, i, i+1)
+	vm.stop()
+	return vm.stopped
+}
+
+// stop stops every entry VM gracefully.
+func (c *cluster) stop() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var errs []error
+	for _, vm := range c.entries {
+		vm.stop()
+	}
+	for _, vm := range c.entries {
+		errs = append(errs, <-vm.stopped)
+	}
+	c.entries = nil
+	return errors.Join(errs...)
+}
