--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -15,7 +15,6 @@
 	"errors"
 	"log/slog"
 	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -45,6 +44,18 @@
 	// Tests cut links here.
 	Dial DialFunc
 	Log  *slog.Logger
+	// Tee gets every event of the process besides the time line; nil means
+	// nobody.
+	Tee turmericshed.Recorder
+}
+
+// tee records events twice.
+type tee struct{ first, second turmericshed.Recorder }
+
+// Record passes e to both.
+func (t tee) Record(e turmericshed.Event) {
+	t.first.Record(e)
+	t.second.Record(e)
 }
 
 // Process is one entry VM with all its parts.
@@ -65,7 +76,8 @@
 	self      turmericshed.EntryVM
 	board     *tsboard.Board
 	metrics   *tsobserve.Metrics
-	recorder  *tsobserve.Recorder
+	timeline  *tsobserve.Recorder
+	recorder  turmericshed.Recorder
 	platform  *tsplatform.Client
 	transport *tspeer.Transport
 	server    *tspeer.Server
@@ -123,7 +135,7 @@
 			return err
 		}
 	}
-	p.platform, p.recorder = b.platform, b.recorder
+	p.platform, p.recorder = b.platform, b.timeline
 	entry, err := tsentry.New(p.cfg, b.deps(p.peers))
 	if err != nil {
 		return err
@@ -135,9 +147,13 @@
 
 func (b *parts) buildPlatform() (err error) {
 	b.metrics = tsobserve.NewMetrics()
-	b.recorder = tsobserve.New(tsobserve.Config{
+	b.timeline = tsobserve.New(tsobserve.Config{
 		Process: b.cfg.Name, FailureDomain: b.cfg.FailureDomain, Metrics: b.metrics,
 	})
+	b.recorder = b.timeline
+	if b.opts.Tee != nil {
+		b.recorder = tee{b.timeline, b.opts.Tee}
+	}
 	b.platform, err = tsplatform.NewClient(b.cfg.PlatformAddr, tsplatform.Options{Caller: b.cfg.Name, Dial: b.opts.Dial})
 	return err
 }
@@ -253,12 +269,11 @@
 	} {
 		controllers = append(controllers, list...)
 	}
-	var timeline http.Handler = tsobserve.NewHandler(b.recorder)
 	return tsentry.Deps{
 		Board: b.board, Store: b.platform, Members: b.fleet, Peers: b.transport, Profiles: b.profiles,
 		Budgets: b.holder, Claims: b.calls, Router: b.pool, Service: b.service,
 		Engine:   tsbackend.NewEngine(tsbackend.Options{Dial: b.opts.Dial}),
-		Recorder: b.recorder, Log: tsobserve.Part(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), Timeline: timeline,
+		Recorder: b.recorder, Log: tsobserve.Part(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), Timeline: b.timeline.Handler(),
 		Controllers: controllers,
 	}
 }
--- a/load/tsdemo/cluster.go
+++ b/load/tsdemo/cluster.go
@@ -57,6 +57,7 @@
 type cluster struct {
 	net      *network
 	log      *slog.Logger
+	recorder turmericshed.Recorder
 	store    *standin.Store
 	platform netip.AddrPort
 	admin    *tsadmin.Admin
@@ -67,13 +68,14 @@
 	mu      sync.Mutex
 	entries []*entryVM
 	started int
+	failed  int
 	wg      sync.WaitGroup
 }
 
 // newCluster starts the platform, the backend servers and the entry VMs.
-func newCluster(ctx context.Context, log *slog.Logger, models []turmericshed.Model, services []string) (*cluster, error) {
+func newCluster(ctx context.Context, log *slog.Logger, rec turmericshed.Recorder, models []turmericshed.Model, services []string) (*cluster, error) {
 	c := &cluster{
-		net: newNetwork(), log: log, engines: map[turmericshed.Model][]*tsengine.Engine{},
+		net: newNetwork(), log: log, recorder: rec, engines: map[turmericshed.Model][]*tsengine.Engine{},
 		services: map[string][]*tsservice.Service{}, books: map[string]*tsservice.Books{},
 	}
 	if err := c.startPlatform(ctx); err != nil {
@@ -170,7 +172,7 @@
 		Name: fmt.Sprintf("entry-%s-%d", d, c.started), Region: region, FailureDomain: turmericshed.FailureDomain(d),
 		CallerAddr: loopback, PeerAddr: loopback, PlatformAddr: c.platform,
 		DrainLimit: drainLimit, DefaultDeadline: 30 * time.Second, MaxRunning: maxRunning,
-	}, tsprocess.Options{Dial: c.net.dialer(d), Log: c.log})
+	}, tsprocess.Options{Dial: c.net.dialer(d), Log: c.log, Tee: c.recorder})
 	if err != nil {
 		return err
 	}
@@ -231,3 +233,18 @@
 	c.entries = nil
 	return errors.Join(errs...)
 }
+
+// noteStop counts a graceful stop that did not end well.
+func (c *cluster) noteStop(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.failed++
+	}
+}
+
+func (c *cluster) stopFailures() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
--- /dev/null
+++ b/load/tsdemo/demo.go
@@ -0,0 +1,170 @@
+// Package tsdemo runs the whole system in one process, over real TCP on
+// loopback addresses: the platform, backend servers, entry VMs in three
+// failure domains, and callers of both users. It brings failures about and
+// then compares the stand-ins' own books with the callers' own books.
+//
+// # Usage
+//
+//	res, err := tsdemo.Run(ctx, tsdemo.Options{Seed: 1, Duration: 40 * time.Second, Progress: os.Stderr})
+//	if !res.Kept() { ... } // a promise broke
+package tsdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"turmericshed"
+	"turmericshed/io/tsholder"
+	"turmericshed/load/tsload"
+)
+
+// Load of the demo.
+const (
+	defaultRate     = 40.0
+	defaultDuration = 40 * time.Second
+	warmUp          = time.Second
+	requestDeadline = 12 * time.Second
+	accountsPerUser = 10
+	assistTokens    = 48
+	hintTokens      = 24
+	promptBytes     = 400
+	callCost        = 1
+)
+
+// Options sets up a run.
+type Options struct {
+	Seed uint64
+	// Duration is how long requests arrive; 0 means 40 s.
+	Duration time.Duration
+	// Rate is the mean number of arrivals a second; 0 means 40.
+	Rate float64
+	// Progress gets a line for each step; nil means none.
+	Progress io.Writer
+	Log      *slog.Logger
+}
+
+// user is one user's profiles and keys.
+type user struct {
+	name     string
+	model    turmericshed.Model
+	service  string
+	accounts []tsload.Account
+}
+
+// demo is one run.
+type demo struct {
+	opts    Options
+	events  *events
+	cluster *cluster
+	users   []*user
+	load    *tsload.Load
+	began   time.Time
+}
+
+// Run runs the demo and stops everything that it started.
+func Run(ctx context.Context, o Options) (Result, error) {
+	if o.Duration <= 0 {
+		o.Duration = defaultDuration
+	}
+	if o.Rate <= 0 {
+		o.Rate = defaultRate
+	}
+	if o.Progress == nil {
+		o.Progress = io.Discard
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d := &demo{opts: o, events: newEvents(), began: time.Now(), users: []*user{
+		{name: "payung_baik", model: "umbrella-8b", service: "bookings"},
+		{name: "loopwell", model: "stitch-8b", service: "reorders"},
+	}}
+	if err := d.start(ctx); err != nil {
+		return Result{}, err
+	}
+	defer d.cluster.wg.Wait()
+	defer cancel()
+	if err := d.script(ctx); err != nil {
+		return Result{}, err
+	}
+	return d.result(ctx)
+}
+
+// say writes one line of progress.
+func (d *demo) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.opts.Progress, "%5.1fs  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// start starts the cluster, makes accounts and profiles, and plans the load.
+func (d *demo) start(ctx context.Context) (err error) {
+	var models []turmericshed.Model
+	var services []string
+	for _, u := range d.users {
+		models, services = append(models, u.model), append(services, u.service)
+	}
+	if d.cluster, err = newCluster(ctx, d.opts.Log, d.events, models, services); err != nil {
+		return err
+	}
+	d.say("%d entry VMs, %d engines and %d services in %d failure domains", len(d.cluster.entries),
+		len(models)*len(domains())*enginesPerModel, len(services)*len(domains()), len(domains()))
+	var profiles []tsload.Profile
+	for _, u := range d.users {
+		if err := d.makeUser(ctx, u); err != nil {
+			return err
+		}
+		profiles = append(profiles,
+			tsload.Profile{Name: u.assistant(), Accounts: u.accounts, Share: 2, Model: u.model, MaxTokens: assistTokens, PromptBytes: promptBytes},
+			tsload.Profile{Name: u.desk(), Accounts: u.accounts, Share: 1, Service: u.service, LookupShare: 0.3})
+	}
+	d.load, err = tsload.New(tsload.Options{
+		Name: fmt.Sprintf("demo-%d", d.opts.Seed), Entries: d.cluster.addrs(), Profiles: profiles, Rate: d.opts.Rate,
+		Duration: d.opts.Duration, Seed: d.opts.Seed, Deadline: requestDeadline, Dial: d.cluster.net.dialer(placeCallers),
+	})
+	return err
+}
+
+func (u *user) assistant() turmericshed.ProfileName {
+	return turmericshed.ProfileName(u.name + "_assistant")
+}
+func (u *user) desk() turmericshed.ProfileName { return turmericshed.ProfileName(u.name + "_desk") }
+
+// makeUser makes the accounts and profiles of one user.
+func (d *demo) makeUser(ctx context.Context, u *user) error {
+	var limits []turmericshed.AccountLimit
+	for i := range accountsPerUser {
+		id := turmericshed.AccountID(fmt.Sprintf("%s_%d", u.name, i+1))
+		key, err := d.cluster.admin.AddAccount(ctx, id)
+		if err != nil {
+			return err
+		}
+		u.accounts = append(u.accounts, tsload.Account{ID: id, Key: key})
+		limits = append(limits, turmericshed.AccountLimit{Account: id, Weight: 1})
+	}
+	edge := turmericshed.PreferNoSurprise
+	if u.name == "loopwell" {
+		edge = turmericshed.PreferNoRefusal
+	}
+	for _, p := range []turmericshed.Profile{
+		{Name: u.assistant(), Work: turmericshed.WorkAssistant, Model: u.model, Prepaid: d.prepaid()},
+		{Name: u.desk(), Work: turmericshed.WorkService, Services: []string{u.service}, Prepaid: d.prepaid() / 100, CallCost: callCost, Priority: 5},
+	} {
+		p.Accounts, p.Edge, p.EditedBy = limits, edge, "demo"
+		p.CutBridge = turmericshed.Duration(time.Minute)
+		p.Budget = tsholder.NewBudgetID()
+		if _, err := tsholder.PutProfile(ctx, d.cluster.store, p, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// prepaid covers twice what an assistant profile is expected to use.
+func (d *demo) prepaid() turmericshed.Tokens {
+	generations := d.opts.Rate * d.opts.Duration.Seconds() / 3
+	return turmericshed.Tokens(2*generations) * (promptBytes + assistTokens)
+}
--- /dev/null
+++ b/load/tsdemo/result.go
@@ -0,0 +1,191 @@
+package tsdemo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+
+	"turmericshed"
+	"turmericshed/io/tsholder"
+	"turmericshed/load/tsload"
+)
+
+// Result is what the books say after a run. Latencies are in milliseconds.
+type Result struct {
+	Requests        int                 `json:"requests"`
+	Answered        int                 `json:"answered"`
+	Refused         int                 `json:"refused"`
+	Failed          int                 `json:"failed"`
+	Unknown         int                 `json:"unknown"`
+	OverspendTokens turmericshed.Tokens `json:"overspend_tokens"`
+	FalseRefusals   int                 `json:"false_refusals"`
+	DoubledCalls    int                 `json:"doubled_calls"`
+	// LostCalls were answered but never ran.
+	LostCalls int `json:"lost_calls"`
+	// FalseNotRun were told not_run but ran.
+	FalseNotRun int `json:"false_not_run"`
+	// BilledTwice counts requests with two bills, Unbilled the tokens that
+	// the backend servers consumed and no budget was charged for.
+	BilledTwice      int                 `json:"billed_twice"`
+	Unbilled         turmericshed.Tokens `json:"unbilled"`
+	PartialAnswers   int                 `json:"partial_answers"`
+	ForeignFrames    int                 `json:"foreign_frames"`
+	BurntTokens      turmericshed.Tokens `json:"burnt_tokens"`
+	ConsumedTokens   turmericshed.Tokens `json:"consumed_tokens"`
+	InvariantsBroken int                 `json:"invariants_broken"`
+	StopFailures     int                 `json:"stop_failures"`
+	Kinds            map[string]int      `json:"kinds"`
+	FirstTokens      tsload.Percentiles  `json:"first_tokens_ms"`
+	Answers          tsload.Percentiles  `json:"answers_ms"`
+	Calls            tsload.Percentiles  `json:"calls_ms"`
+}
+
+// Kept reports whether every promise held.
+func (r Result) Kept() bool {
+	return r.OverspendTokens == 0 && r.DoubledCalls == 0 && r.LostCalls == 0 && r.FalseNotRun == 0 &&
+		r.BilledTwice == 0 && r.Unbilled == 0 && r.PartialAnswers == 0 && r.ForeignFrames == 0 &&
+		r.InvariantsBroken == 0 && r.StopFailures == 0
+}
+
+// events counts what the books of the outside can't show: bills a request and
+// broken invariants. It implements turmericshed.Recorder.
+type events struct {
+	mu     sync.Mutex
+	bills  map[turmericshed.RequestID]int
+	broken []string
+}
+
+func newEvents() *events { return &events{bills: map[turmericshed.RequestID]int{}} }
+
+// Record counts e.
+func (v *events) Record(e turmericshed.Event) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch e.Name {
+	case turmericshed.EventRequestBilled:
+		v.bills[e.Request]++
+	case turmericshed.EventInvariantBroken:
+		v.broken = append(v.broken, e.Reason)
+	}
+}
+
+// result compares the books.
+func (d *demo) result(ctx context.Context) (Result, error) {
+	s := d.load.Book().Summary()
+	r := Result{
+		Requests: s.Requests, Answered: s.Answered, Refused: s.Refused, Failed: s.Failed, Unknown: s.Unknown,
+		PartialAnswers: s.Partial, ForeignFrames: s.Foreign, Kinds: s.Kinds,
+		FirstTokens: s.Firsts, Answers: s.Answers, Calls: s.Calls, StopFailures: d.cluster.stopFailures(),
+	}
+	room := map[turmericshed.ProfileName]bool{}
+	for _, u := range d.users {
+		if err := d.compareBudget(ctx, &r, u.assistant(), d.generated(u), room); err != nil {
+			return r, err
+		}
+		if err := d.compareBudget(ctx, &r, u.desk(), d.ran(u), room); err != nil {
+			return r, err
+		}
+	}
+	d.compareCalls(&r, room)
+	d.events.mu.Lock()
+	defer d.events.mu.Unlock()
+	for id, n := range d.events.bills {
+		if n > 1 {
+			d.say("request %s has %d bills", id, n)
+			r.BilledTwice++
+		}
+	}
+	for _, reason := range d.events.broken {
+		d.say("invariant broken: %s", reason)
+	}
+	r.InvariantsBroken = len(d.events.broken)
+	return r, nil
+}
+
+// generated returns the tokens that a user's engines consumed, by their books.
+func (d *demo) generated(u *user) turmericshed.Tokens {
+	var sum turmericshed.Tokens
+	for _, e := range d.cluster.engines[u.model] {
+		for _, b := range e.Books() {
+			sum += b.Prompt + b.Completion
+		}
+	}
+	return sum
+}
+
+// ran returns the cost of the calls that a user's services ran.
+func (d *demo) ran(u *user) turmericshed.Tokens {
+	var sum turmericshed.Tokens
+	for _, n := range d.cluster.books[u.service].Runs() {
+		sum += turmericshed.Tokens(n) * callCost
+	}
+	return sum
+}
+
+// compareBudget holds a budget's ledger against what was consumed.
+func (d *demo) compareBudget(ctx context.Context, r *Result, name turmericshed.ProfileName, consumed turmericshed.Tokens, room map[turmericshed.ProfileName]bool) error {
+	item, err := d.cluster.store.Get(ctx, turmericshed.ProfilePrefix+string(name))
+	if err != nil {
+		return err
+	}
+	p, err := decodeProfile(item)
+	if err != nil {
+		return err
+	}
+	l, err := tsholder.ReadLedger(ctx, d.cluster.store, p.Budget)
+	if err != nil {
+		return err
+	}
+	charged := l.Spent + l.Open()
+	d.say("%s: prepaid %d, charged %d, consumed %d, open lots %d", name, p.Prepaid, charged, consumed, len(l.Lots))
+	r.ConsumedTokens += consumed
+	r.OverspendTokens += max(0, consumed-p.Prepaid)
+	r.Unbilled += max(0, consumed-charged)
+	r.BurntTokens += max(0, charged-consumed)
+	room[name] = consumed < p.Prepaid*9/10
+	return nil
+}
+
+// compareCalls holds each caller's line against the services' books. Every
+// backend server had room all along, so that each refusal under a budget with
+// room was a false one.
+func (d *demo) compareCalls(r *Result, room map[turmericshed.ProfileName]bool) {
+	runs := map[string]int{}
+	for _, b := range d.cluster.books {
+		for digest, n := range b.RunsByBody() {
+			runs[digest] += n
+		}
+	}
+	for _, rec := range d.load.Book().Records() {
+		if rec.Result == tsload.ResultRefused && room[rec.Profile] {
+			r.FalseRefusals++
+			d.say("refused: %s %s after %d attempts: %s %s", rec.Profile, rec.Work, rec.Attempts, rec.Kind, rec.Message)
+		}
+		if rec.Work != tsload.WorkCall {
+			continue
+		}
+		n := runs[rec.BodyDigest]
+		switch {
+		case n > 1:
+			r.DoubledCalls++
+		case n == 0 && rec.Result == tsload.ResultAnswered:
+			r.LostCalls++
+		case n > 0 && rec.Result == tsload.ResultRefused:
+			r.FalseNotRun++
+		}
+	}
+}
+
+func (d *demo) summaryLine() string {
+	s := d.load.Book().Summary()
+	return fmt.Sprintf("%d requests, %d answered, %d refused, %d failed, %d unknown, %d retries",
+		s.Requests, s.Answered, s.Refused, s.Failed, s.Unknown, s.Retries)
+}
+
+func decodeProfile(item turmericshed.Item) (turmericshed.Profile, error) {
+	var p turmericshed.Profile
+	err := json.Unmarshal(item.Value, &p)
+	p.Version = item.Version
+	return p, err
+}
