--- a/io/tscommand/commands.go
+++ b/io/tscommand/commands.go
@@ -39,6 +39,7 @@
 	return []command{
 		{"entry", "serve callers as one entry VM", runEntry},
 		{"profile", "make, show, edit and delete profiles", runProfile},
+		{"demo", "run the whole system in one process, with failures", runDemo},
 		{"account", "make, list and delete client accounts", runAccount},
 		{"standin", "stand in for the platform, an engine or a service", runStandin},
 		{"load", "send open-loop load and keep the callers' books", runLoad},
--- a/io/tscommand/entry.go
+++ b/io/tscommand/entry.go
@@ -4,17 +4,19 @@
 	"context"
 	"io"
 
-	"turmericshed/io/tsentry"
+	"turmericshed/io/tsobserve"
+	"turmericshed/io/tsprocess"
 )
 
-// runEntry serves as one entry VM until ctx ends.
+// runEntry serves as one entry VM until ctx ends, then stops gracefully.
 func runEntry(ctx context.Context, args []string, _, errOut io.Writer) error {
-	cfg, err := parseEntry(args, errOut)
+	cfg, logs, err := parseEntry(args, errOut)
 	if err != nil {
 		return err
 	}
-	_ = cfg
-	_ = tsentry.Config{}
-	<-ctx.Done()
-	return nil
+	p, err := tsprocess.New(cfg, tsprocess.Options{Log: tsobserve.NewLogger(errOut, logs.format, logs.level)})
+	if err != nil {
+		return err
+	}
+	return p.Serve(ctx)
 }
--- a/io/tscommand/options.go
+++ b/io/tscommand/options.go
@@ -7,10 +7,6 @@
 	"net/netip"
 	"os"
 	"strings"
-	"time"
-
-	"turmericshed"
-	"turmericshed/io/tsentry"
 )
 
 // environmentPrefix starts the environment variable of every flag.
@@ -115,51 +111,3 @@
 	*a.to = v
 	return nil
 }
-
-// parseEntry reads the settings of one entry VM.
-func parseEntry(args []string, errOut io.Writer) (tsentry.Config, error) {
-	var cfg tsentry.Config
-	f := newFlags("entry", "Serves callers as one entry VM.", errOut)
-	f.StringVar(&cfg.Name, "name", "", "`name` of this entry VM, unique in the fleet")
-	f.Func("region", "region `name`", func(s string) error { cfg.Region = turmericshed.Region(s); return nil })
-	f.Func("failure-domain", "failure domain `name`", func(s string) error { cfg.FailureDomain = turmericshed.FailureDomain(s); return nil })
-	f.Var(addrPort{&cfg.CallerAddr}, "caller-addr", "`address:port` for callers and operators")
-	f.Var(addrPort{&cfg.PeerAddr}, "peer-addr", "`address:port` for other entry VMs")
-	f.Var(addrPort{&cfg.PlatformAddr}, "platform-addr", "`address:port` of the platform's service")
-	f.StringVar(&cfg.OperatorKeyHash, "operator-key-hash", "", "hex `SHA-256` of the operators' key")
-	f.StringVar(&cfg.CertFile, "cert-file", "", "PEM `file` with the certificate for peers")
-	f.StringVar(&cfg.KeyFile, "key-file", "", "PEM `file` with the certificate's key")
-	f.StringVar(&cfg.CAFile, "ca-file", "", "PEM `file` with the authority for peers")
-	f.DurationVar(&cfg.DrainLimit, "drain-limit", 60*time.Second, "`duration` allowed for a graceful stop")
-	f.DurationVar(&cfg.DefaultDeadline, "default-deadline", 60*time.Second, "`duration` for requests that name no deadline")
-	f.IntVar(&cfg.MaxRunning, "max-running", 256, "`number` of requests running at once")
-	if err := f.parse(args); err != nil {
-		return cfg, err
-	}
-	return cfg, checkEntry(cfg)
-}
-
-// checkEntry names the first setting that is missing or out of range.
-func checkEntry(cfg tsentry.Config) error {
-	if cfg.Name == "" {
-		return &SettingError{Setting: "-name", Want: "a name, unique in the fleet"}
-	}
-	if cfg.FailureDomain == "" {
-		return &SettingError{Setting: "-failure-domain", Want: "the failure domain's name"}
-	}
-	for _, a := range []struct {
-		name string
-		addr netip.AddrPort
-	}{{"-caller-addr", cfg.CallerAddr}, {"-peer-addr", cfg.PeerAddr}, {"-platform-addr", cfg.PlatformAddr}} {
-		if !a.addr.IsValid() {
-			return &SettingError{Setting: a.name, Want: "address:port by number"}
-		}
-	}
-	if cfg.MaxRunning < 1 {
-		return &SettingError{Setting: "-max-running", Value: fmt.Sprint(cfg.MaxRunning), Want: "at least 1"}
-	}
-	if (cfg.CertFile == "") != (cfg.KeyFile == "") || (cfg.CertFile == "") != (cfg.CAFile == "") {
-		return &SettingError{Setting: "-cert-file", Value: cfg.CertFile, Want: "-cert-file, -key-file and -ca-file together"}
-	}
-	return nil
-}
--- a/io/tsentry/entry.go
+++ b/io/tsentry/entry.go
@@ -122,7 +122,7 @@
 		ev.Name, ev.Reason = turmericshed.EventInvariantBroken, inv.Error()
 	}
 	e.deps.Recorder.Record(ev)
-	e.deps.Log.Error("entry: request panicked", "request", id, "panic", v)
+	e.deps.Log.Error("request panicked", "request", id, "panic", v)
 }
 
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -156,7 +156,7 @@
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(ln) }()
 	e.ready.Store(true)
-	e.deps.Log.Info("entry: serving", "addr", ln.Addr().String())
+	e.deps.Log.Info("serving", "addr", ln.Addr().String())
 	select {
 	case err := <-failed:
 		return turmericshed.WrapError(turmericshed.KindInternal, err, "caller server")
@@ -180,7 +180,7 @@
 // supervise runs every controller; the channel closes once all have ended.
 func (e *Entry) supervise(ctx context.Context) <-chan error {
 	sup := suture.New("entry", suture.Spec{EventHook: func(ev suture.Event) {
-		e.deps.Log.Warn("entry: controller restarted", "event", ev.String())
+		e.deps.Log.Warn("controller restarted", "event", ev.String())
 		e.deps.Recorder.Record(turmericshed.Event{Name: turmericshed.EventControllerFailed, Reason: ev.String()})
 	}})
 	sup.Add(&canceler{e})
@@ -214,7 +214,7 @@
 	(&canceler{e}).round(ctx)
 	err = errors.Join(err, e.deps.Claims.Drain(ctx), e.deps.Budgets.Drain(ctx))
 	e.deps.Recorder.Record(turmericshed.Event{Name: turmericshed.EventDrainEnded})
-	e.deps.Log.Info("entry: stopped")
+	e.deps.Log.Info("stopped")
 	if err != nil {
 		return turmericshed.WrapError(turmericshed.KindInternal, err, "graceful stop")
 	}
