--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -268,7 +268,7 @@
 	defer h.mu.Unlock()
 	h.core.Settle(now, res, used)
 	h.cfg.Recorder.Record(turmericshed.Event{
-		Name: turmericshed.EventRequestBilled, Request: res.Request, Profile: res.Profile, Lot: res.Lot, Tokens: used, Reason: res.ID,
+		Name: turmericshed.EventReservationSettled, Request: res.Request, Profile: res.Profile, Lot: res.Lot, Tokens: used, Reason: res.ID,
 	})
 	if b := h.budgets[res.Budget]; b != nil {
 		h.grantLocked(now, b)
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -20,6 +20,7 @@
 
 	"turmericshed"
 	"turmericshed/core/tsboard"
+	"turmericshed/core/tsmember"
 	"turmericshed/io/tsbackend"
 	"turmericshed/io/tscalls"
 	"turmericshed/io/tsentry"
@@ -32,8 +33,14 @@
 	"turmericshed/io/tsrouting"
 )
 
-// withdrawTimeout bounds the last call to the platform's list.
-const withdrawTimeout = 2 * time.Second
+const (
+	// withdrawTimeout bounds the last call to the platform's list.
+	withdrawTimeout = 2 * time.Second
+	// retryShare is the part of the traffic that may be retries.
+	retryShare = 0.1
+	// queuePerRunning is how many requests may wait for each that may run.
+	queuePerRunning = 4
+)
 
 // DialFunc opens a connection; see net.Dialer.DialContext.
 type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -86,6 +93,7 @@
 	holder    *tsholder.Holder
 	calls     *tscalls.Calls
 	pool      *tsrouting.Pool
+	engine    *tsbackend.Engine
 	service   *tsbackend.Service
 }
 
@@ -182,7 +190,7 @@
 	b.fleet = tsfleet.New(tsfleet.Config{
 		Self: b.self, Directory: b.platform, Board: b.board, Peers: b.transport,
 		Recorder: b.recorder, Log: b.opts.Log, Metrics: b.metrics.Registry(),
-		Piggyback: b.piggyback(),
+		Piggyback: []tsmember.Piggyback{b.profiles.Topic()},
 	})
 	b.profiles.SetMembers(b.fleet)
 	b.server.Mount(b.fleet.Handler())
@@ -258,6 +266,15 @@
 // String returns the name that the supervisor logs.
 func (s peerServer) String() string { return "peer server" }
 
+// buildRouting makes the router's pool.
+func (b *parts) buildRouting() error {
+	b.engine = tsbackend.NewEngine(tsbackend.Options{Dial: b.opts.Dial})
+	b.pool = tsrouting.NewPool(tsrouting.PoolConfig{
+		Self: b.self.FailureDomain, Board: b.board, Loads: b.engine, Recorder: b.recorder,
+	})
+	return nil
+}
+
 // deps gathers what the callers' side works with.
 func (b *parts) deps(peers net.Listener) tsentry.Deps {
 	controllers := []turmericshed.Controller{
@@ -272,7 +289,11 @@
 	return tsentry.Deps{
 		Board: b.board, Store: b.platform, Members: b.fleet, Peers: b.transport, Profiles: b.profiles,
 		Budgets: b.holder, Claims: b.calls, Router: b.pool, Service: b.service,
-		Engine:   tsbackend.NewEngine(tsbackend.Options{Dial: b.opts.Dial}),
+		Engine: b.engine, Quarantine: newQuarantine(), Retries: tsrouting.NewRetries(retryShare),
+		Admission: tsrouting.NewQueue(tsrouting.QueueConfig{
+			MaxRunning: b.cfg.MaxRunning, MaxQueued: b.cfg.MaxRunning * queuePerRunning, Board: b.board,
+			Pressure: b.pool.Pressure, Waited: b.metrics.QueueWait,
+		}),
 		Recorder: b.recorder, Log: tsobserve.Part(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), Timeline: b.timeline.Handler(),
 		Controllers: controllers,
 	}
