Budget holder: a request is judged only by rounds that began after it

Rounds were compared by time, so a round that began in the same instant as a request, but before the store answered again, could refuse it (TestCut, 1 refusal after the cut healed, seen once while landing). Rounds are numbered now. go test -count=30 ./io/tsholder: 30 of 30 green.

--- a/core/tsbudget/queue.go
+++ b/core/tsbudget/queue.go
@@ -8,10 +8,12 @@
 
 // Waiter is a request that waits for tokens.
 type Waiter struct {
-	Profile  turmericshed.Profile
-	Request  turmericshed.RequestID
-	Amount   turmericshed.Tokens
-	Since    time.Time
+	Profile turmericshed.Profile
+	Request turmericshed.RequestID
+	Amount  turmericshed.Tokens
+	// Round is how many rounds of drawing and asking peers had begun when
+	// the request arrived. Only later ones tell anything about it.
+	Round    int
 	Deadline time.Time
 }
 
@@ -113,8 +115,8 @@
 	// StoreErr is the outcome of the last attempt to draw; nil when the
 	// ledger was read.
 	StoreErr error
-	// AskedAt is when the last round of drawing and asking peers began.
-	AskedAt time.Time
+	// Round is the number of the last round that ended.
+	Round int
 	// PeersMissing is true when a holder of open lots could not be asked.
 	PeersMissing bool
 	// Closed is true once the profile is closed.
@@ -129,7 +131,7 @@
 	if s.Closed {
 		return turmericshed.NewError(turmericshed.KindUnknownProfile, "profile %s is closed", w.Profile.Name)
 	}
-	if s.AskedAt.Before(w.Since) {
+	if s.Round <= w.Round {
 		if s.late(w) {
 			return unavailable(retryStore, "budget of %s: no answer about it in time", w.Profile.Name)
 		}
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -122,8 +122,11 @@
 	// waitRound, when set, is closed at the end of the next round.
 	waitRound chan struct{}
 
-	storeErr     error
-	askedAt      time.Time
+	storeErr error
+	// begun counts the rounds, ended is the number of the last one that
+	// ended.
+	begun        int
+	ended        int
 	peersMissing bool
 	nextDraw     time.Time
 	reportedAt   time.Time
@@ -231,7 +234,7 @@
 	}
 	w := &waiter{done: make(chan struct{})}
 	deadline, _ := ctx.Deadline()
-	b.queue.Add(w, tsbudget.Waiter{Profile: p, Request: request, Amount: n, Since: now, Deadline: deadline})
+	b.queue.Add(w, tsbudget.Waiter{Profile: p, Request: request, Amount: n, Round: b.begun, Deadline: deadline})
 	h.kickLocked(b)
 	return w, none, nil
 }
@@ -293,7 +296,7 @@
 // refuseLocked turns away the requests that have nothing to wait for.
 func (h *Holder) refuseLocked(now time.Time, b *budget) {
 	s := tsbudget.Situation{
-		View: h.viewLocked(now, b), StoreErr: b.storeErr, AskedAt: b.askedAt, PeersMissing: b.peersMissing, Closed: b.closed,
+		View: h.viewLocked(now, b), StoreErr: b.storeErr, Round: b.ended, PeersMissing: b.peersMissing, Closed: b.closed,
 	}
 	for _, r := range b.queue.Refuse(s) {
 		r.Owner.err = r.Err
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -52,6 +52,7 @@
 		return nil, false
 	}
 	b.running, b.again = true, false
+	b.begun++
 	return b, true
 }
 
@@ -59,7 +60,7 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	b.running = false
+	b.running, b.ended = false, b.begun
 	if b.waitRound != nil {
 		close(b.waitRound)
 		b.waitRound = nil
@@ -97,7 +98,7 @@
 	}
 	h.collect(ctx, b)
 	h.mu.Lock()
-	b.askedAt, b.peersMissing = begin, missing
+	b.peersMissing = missing
 	h.mu.Unlock()
 }
 
