--- a/io/tscommand/demo.go
+++ b/io/tscommand/demo.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"text/tabwriter"
 
 	"turmericshed"
@@ -13,16 +14,24 @@
 
 // runDemo runs the whole system in one process and prints what the books say.
 func runDemo(ctx context.Context, args []string, out, errOut io.Writer) error {
-	o, format, err := parseDemo(args, errOut)
+	o, err := parseDemo(args, errOut)
 	if err != nil {
 		return err
 	}
+	if o.timelineFile != "" {
+		f, err := os.Create(o.timelineFile)
+		if err != nil {
+			return &SettingError{Setting: "-timeline-file", Value: o.timelineFile, Want: "a file that can be written"}
+		}
+		defer func() { _ = f.Close() }()
+		o.Timeline = f
+	}
 	o.Progress = errOut
-	res, err := tsdemo.Run(ctx, o)
+	res, err := tsdemo.Run(ctx, o.Options)
 	if err != nil {
 		return err
 	}
-	if format == formatJSON {
+	if o.format == formatJSON {
 		err = json.NewEncoder(out).Encode(res)
 	} else {
 		err = printDemo(out, res)
--- a/io/tscommand/options_entry.go
+++ b/io/tscommand/options_entry.go
@@ -88,25 +88,33 @@
 	return nil
 }
 
+// demoOptions are the settings of the demo.
+type demoOptions struct {
+	tsdemo.Options
+	format       string
+	timelineFile string
+}
+
 // parseDemo reads the settings of the demo.
-func parseDemo(args []string, errOut io.Writer) (tsdemo.Options, string, error) {
-	var o tsdemo.Options
+func parseDemo(args []string, errOut io.Writer) (demoOptions, error) {
+	o := demoOptions{format: formatTable}
 	f := newFlags("demo", "Runs the whole system in one process, with failures.", errOut)
 	f.Uint64Var(&o.Seed, "seed", 1, "`seed` of the load")
 	f.DurationVar(&o.Duration, "duration", 40*time.Second, "`duration` of the load, 5s to 50s")
 	f.Float64Var(&o.Rate, "rate", 40, "mean `arrivals` a second")
-	format := f.String("format", formatTable, "`form` of the result: "+formatTable+" or "+formatJSON)
+	f.StringVar(&o.format, "format", formatTable, "`form` of the result: "+formatTable+" or "+formatJSON)
+	f.StringVar(&o.timelineFile, "timeline-file", "", "`file` for the events of all processes, as JSON lines")
 	if err := f.parse(args); err != nil {
-		return o, "", err
+		return o, err
 	}
-	if err := checkFormat(*format); err != nil {
-		return o, "", err
+	if err := checkFormat(o.format); err != nil {
+		return o, err
 	}
 	if o.Duration < 5*time.Second || o.Duration > 50*time.Second {
-		return o, "", &SettingError{Setting: "-duration", Value: o.Duration.String(), Want: "5s to 50s"}
+		return o, &SettingError{Setting: "-duration", Value: o.Duration.String(), Want: "5s to 50s"}
 	}
 	if o.Rate <= 0 {
-		return o, "", &SettingError{Setting: "-rate", Value: fmt.Sprint(o.Rate), Want: "a number above 0"}
+		return o, &SettingError{Setting: "-rate", Value: fmt.Sprint(o.Rate), Want: "a number above 0"}
 	}
-	return o, *format, nil
+	return o, nil
 }
--- a/io/tsentry/accounts.go
+++ b/io/tsentry/accounts.go
@@ -7,20 +7,30 @@
 	"encoding/hex"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
+	lru "github.com/hashicorp/golang-lru/v2/expirable"
 	"golang.org/x/sync/singleflight"
 
 	"turmericshed"
 )
 
-// Account documents held in memory.
+// Account documents are listed at start and again at an interval that grows
+// with the fleet, so that the fleet's reads do not. One that is not in the
+// list is read when it is first used.
 const (
-	accountCacheSize = 4096
-	// accountMaxAge is the age at which a document is read again; while the
-	// store is away an older one serves.
-	accountMaxAge = 60 * time.Second
+	accountListInterval = 15 * time.Second
+	// accountListShare is what each entry VM of the fleet adds to the
+	// interval for each page listed.
+	accountListShare = 10 * time.Millisecond
+	accountListPage  = 500
+	// maxListedAccounts bounds the documents held.
+	maxListedAccounts = 20000
+	accountRetry      = time.Second
+	// accountCacheSize and accountMaxAge bound the documents read one by one.
+	accountCacheSize = 1024
+	accountMaxAge    = 60 * time.Second
 	// accountReadTimeout bounds one read of the store.
 	accountReadTimeout = 2 * time.Second
 	// KeyPrefix starts every client account key, which has the form
@@ -28,27 +38,74 @@
 	KeyPrefix = "ts."
 )
 
-type cachedAccount struct {
-	doc    turmericshed.Account
-	exists bool
-	readAt time.Time
-}
+// accountList is the newest whole list of account documents.
+type accountList map[turmericshed.AccountID]turmericshed.Account
 
-// accounts checks client account keys against the documents in the store.
+// accounts checks client account keys against the documents in the store. It
+// is also the controller that lists them.
 type accounts struct {
-	store turmericshed.Store
-	cache *lru.Cache[turmericshed.AccountID, cachedAccount]
-	reads singleflight.Group
+	store   turmericshed.Store
+	members turmericshed.Members
+	listed  atomic.Pointer[accountList]
+	single  *lru.LRU[turmericshed.AccountID, turmericshed.Account]
+	reads   singleflight.Group
 }
 
-func newAccounts(store turmericshed.Store) (*accounts, error) {
-	cache, err := lru.New[turmericshed.AccountID, cachedAccount](accountCacheSize)
-	if err != nil {
-		return nil, turmericshed.WrapError(turmericshed.KindInternal, err, "account cache")
+func newAccounts(store turmericshed.Store, members turmericshed.Members) *accounts {
+	return &accounts{
+		store: store, members: members,
+		single: lru.NewLRU[turmericshed.AccountID, turmericshed.Account](accountCacheSize, nil, accountMaxAge),
+	}
+}
+
+// Serve lists the accounts until ctx ends.
+func (a *accounts) Serve(ctx context.Context) error {
+	for {
+		pages, err := a.list(ctx)
+		wait := accountListInterval + accountListShare*time.Duration(pages*len(a.members.Reachable()))
+		if err != nil {
+			wait = accountRetry
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	return &accounts{store: store, cache: cache}, nil
 }
 
+// String returns the name that the supervisor logs.
+func (a *accounts) String() string { return "accounts" }
+
+// list reads every account document and returns the number of pages read.
+func (a *accounts) list(ctx context.Context) (pages int, err error) {
+	list, after := accountList{}, ""
+	for len(list) < maxListedAccounts {
+		page, cancel := context.WithTimeout(ctx, accountReadTimeout)
+		items, err := a.store.List(page, turmericshed.AccountPrefix, after, accountListPage)
+		cancel()
+		if err != nil {
+			return pages, err
+		}
+		pages++
+		for _, item := range items {
+			var doc turmericshed.Account
+			if json.Unmarshal(item.Value, &doc) == nil {
+				list[doc.ID] = doc
+			}
+			after = item.Key
+		}
+		if len(items) < accountListPage {
+			break
+		}
+	}
+	a.listed.Store(&list)
+	return pages, nil
+}
+
+// ready reports whether a list has been read.
+func (a *accounts) ready() bool { return a.listed.Load() != nil }
+
 // authenticate returns the account of an Authorization header.
 func (a *accounts) authenticate(ctx context.Context, header string) (turmericshed.AccountID, error) {
 	key, ok := bearer(header)
@@ -98,36 +155,35 @@
 	return turmericshed.AccountID(rest[:i]), true
 }
 
-// get returns the account's document, from memory while it is fresh or the
-// store is away.
+// get returns the account's document; an absent one is empty.
 func (a *accounts) get(ctx context.Context, id turmericshed.AccountID) (turmericshed.Account, error) {
-	held, ok := a.cache.Get(id)
-	if ok && time.Since(held.readAt) < accountMaxAge {
-		return held.doc, nil
+	if list := a.listed.Load(); list != nil {
+		if doc, ok := (*list)[id]; ok {
+			return doc, nil
+		}
 	}
-	v, err, _ := a.reads.Do(string(id), func() (any, error) { return a.read(ctx, id) })
-	if err == nil {
-		return v.(cachedAccount).doc, nil
+	if doc, ok := a.single.Get(id); ok {
+		return doc, nil
 	}
-	if ok && held.exists {
-		return held.doc, nil
+	v, err, _ := a.reads.Do(string(id), func() (any, error) { return a.read(ctx, id) })
+	if err != nil {
+		return turmericshed.Account{}, turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "client account key can't be checked now")
 	}
-	return turmericshed.Account{}, turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "client account key can't be checked now")
+	return v.(turmericshed.Account), nil
 }
 
-func (a *accounts) read(ctx context.Context, id turmericshed.AccountID) (cachedAccount, error) {
+func (a *accounts) read(ctx context.Context, id turmericshed.AccountID) (doc turmericshed.Account, err error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), accountReadTimeout)
 	defer cancel()
 	item, err := a.store.Get(ctx, turmericshed.AccountPrefix+string(id))
 	if err != nil {
-		return cachedAccount{}, err
+		return doc, err
 	}
-	c := cachedAccount{readAt: time.Now(), exists: item.Version != 0}
-	if c.exists {
-		if err := json.Unmarshal(item.Value, &c.doc); err != nil {
-			return cachedAccount{}, turmericshed.WrapError(turmericshed.KindInternal, err, "account document")
+	if item.Version != 0 {
+		if err := json.Unmarshal(item.Value, &doc); err != nil {
+			return doc, turmericshed.WrapError(turmericshed.KindInternal, err, "account document")
 		}
 	}
-	a.cache.Add(id, c)
-	return c, nil
+	a.single.Add(id, doc)
+	return doc, nil
 }
--- a/io/tsentry/config.go
+++ b/io/tsentry/config.go
@@ -4,9 +4,8 @@
 //
 // # Usage
 //
-//	e, err := tsentry.New(cfg, deps)
-//	if err != nil { ... }
-//	err = e.Serve(ctx) // returns after a graceful stop
+//	e := tsentry.New(cfg, deps)
+//	err := e.Serve(ctx) // returns after a graceful stop
 package tsentry
 
 import (
--- a/io/tsentry/entry.go
+++ b/io/tsentry/entry.go
@@ -20,6 +20,13 @@
 // requests after it told the balancer that it is not ready.
 const notReadyPause = time.Second
 
+// A starting entry VM looks this often whether it is ready, and is ready
+// after readyTimeout in any case.
+const (
+	readyPoll    = 50 * time.Millisecond
+	readyTimeout = 10 * time.Second
+)
+
 // RetryBudget bounds retries to a share of the traffic.
 type RetryBudget interface {
 	// Sent counts a first attempt.
@@ -67,16 +74,12 @@
 }
 
 // New returns an entry VM that is not serving yet.
-func New(cfg Config, deps Deps) (*Entry, error) {
-	acc, err := newAccounts(deps.Store)
-	if err != nil {
-		return nil, err
-	}
+func New(cfg Config, deps Deps) *Entry {
 	base, stop := context.WithCancel(context.Background())
 	return &Entry{
-		cfg: cfg, deps: deps, accounts: acc, runs: newRuns(base), unsettled: newUnsettled(),
+		cfg: cfg, deps: deps, accounts: newAccounts(deps.Store, deps.Members), runs: newRuns(base), unsettled: newUnsettled(),
 		registry: newRegistry(), stopRuns: stop, killed: make(chan struct{}),
-	}, nil
+	}
 }
 
 // Handler serves callers and operators.
@@ -125,6 +128,35 @@
 	e.deps.Log.Error("request panicked", "request", id, "panic", v)
 }
 
+// Ready reports whether callers are told to come.
+func (e *Entry) Ready() bool { return e.ready.Load() }
+
+// becomeReady waits until the platform's list and the accounts have been
+// read, or for readyTimeout: a failure domain that is cut off serves what it
+// can.
+func (e *Entry) becomeReady(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	limit := time.After(readyTimeout)
+	for {
+		dir, changed := e.deps.Board.Directory.Watch()
+		if !dir.AsOf.IsZero() && len(e.deps.Board.Servers.Read()) > 0 && e.accounts.ready() {
+			break
+		}
+		select {
+		case <-changed:
+		case <-time.After(readyPoll):
+		case <-limit:
+			e.deps.Log.Warn("ready without the platform's list")
+			e.ready.Store(true)
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+	e.ready.Store(ctx.Err() == nil)
+}
+
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !e.ready.Load() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -155,7 +187,7 @@
 	stopped := e.supervise(controllers)
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(ln) }()
-	e.ready.Store(true)
+	go e.becomeReady(ctx)
 	e.deps.Log.Info("serving", "addr", ln.Addr().String())
 	select {
 	case err := <-failed:
@@ -184,6 +216,7 @@
 		e.deps.Recorder.Record(turmericshed.Event{Name: turmericshed.EventControllerFailed, Reason: ev.String()})
 	}})
 	sup.Add(&canceler{e})
+	sup.Add(e.accounts)
 	for _, c := range e.deps.Controllers {
 		sup.Add(c)
 	}
--- a/io/tsentry/entry_test.go
+++ b/io/tsentry/entry_test.go
@@ -277,7 +277,7 @@
 	assert.NilError(t, err)
 	members := &fakeMembers{all: []turmericshed.EntryVM{{Incarnation: "inc-1"}}}
 	limits := []turmericshed.AccountLimit{{Account: "shop"}}
-	e, err := tsentry.New(tsentry.Config{DefaultDeadline: 5 * time.Second}, tsentry.Deps{
+	e := tsentry.New(tsentry.Config{DefaultDeadline: 5 * time.Second}, tsentry.Deps{
 		Board: &tsboard.Board{}, Members: members, Peers: fakePeers{}, Store: fakeStore{accounts: map[string][]byte{"accounts/shop": account}},
 		Profiles: fakeProfiles{
 			"assist": {Name: "assist", Work: turmericshed.WorkAssistant, Model: "m", Prepaid: prepaid, Accounts: limits},
@@ -288,7 +288,6 @@
 		Quarantine: fakeGate{}, Retries: fakeGate{}, Engine: fakeEngine{fakes: f}, Service: fakeService{fakes: f},
 		Recorder: f, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
-	assert.NilError(t, err)
 	return &rig{fakes: f, h: e.Handler(), entry: e, members: members}
 }
 
--- a/io/tsentry/generate.go
+++ b/io/tsentry/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"turmericshed"
@@ -187,7 +188,7 @@
 	}
 	ts, err := e.deps.Engine.Resume(a.ctx, at.server, at.stream, a.size())
 	if err != nil {
-		at.crashed = turmericshed.KindOf(err) == turmericshed.KindNoBackend
+		at.crashed = serverGone(err)
 		return nil, broken
 	}
 	e.deps.Recorder.Record(turmericshed.Event{
@@ -196,6 +197,13 @@
 	return ts, nil
 }
 
+// serverGone reports whether the answer to a resumption shows that the
+// server's process ended: nobody listens at its address, or it does not know
+// the stream. A cut looks different: there is no answer at all.
+func serverGone(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || turmericshed.KindOf(err) == turmericshed.KindNotFound
+}
+
 // relay moves frames that pass their check into the answer until the end
 // frame. A gap, or an end that does not account for every token, breaks the
 // stream.
--- a/io/tsentry/request.go
+++ b/io/tsentry/request.go
@@ -63,6 +63,10 @@
 	if err := readBody(w, r, &req); err != nil {
 		return req, err
 	}
+	e.deps.Recorder.Record(turmericshed.Event{
+		Name: turmericshed.EventRequestReceived, Request: req.id, Profile: req.profile.Name, Account: req.account,
+		Reason: req.key,
+	})
 	return req, e.deps.Quarantine.Check(time.Now(), req.digest)
 }
 
--- a/io/tsobserve/recorder.go
+++ b/io/tsobserve/recorder.go
@@ -40,6 +40,8 @@
 	Capacity int
 	// Now is the clock; nil takes time.Now.
 	Now func() time.Time
+	// Next gets every event with its stamp; nil means nobody.
+	Next turmericshed.Recorder
 	// Metrics counts each event by name; nil counts nothing.
 	Metrics *Metrics
 }
@@ -77,6 +79,9 @@
 	close(r.changed)
 	r.changed = make(chan struct{})
 	r.mu.Unlock()
+	if r.cfg.Next != nil {
+		r.cfg.Next.Record(e)
+	}
 	if r.cfg.Metrics != nil {
 		r.cfg.Metrics.countEvent(e)
 	}
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -30,12 +30,15 @@
 	"turmericshed/io/tspeer"
 	"turmericshed/io/tsplatform"
 	"turmericshed/io/tsprofiles"
+	"turmericshed/io/tsquarantine"
 	"turmericshed/io/tsrouting"
 )
 
 const (
 	// withdrawTimeout bounds the last call to the platform's list.
 	withdrawTimeout = 2 * time.Second
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = 2 * time.Second
 	// retryShare is the part of the traffic that may be retries.
 	retryShare = 0.1
 	// queuePerRunning is how many requests may wait for each that may run.
@@ -51,18 +54,9 @@
 	// Tests cut links here.
 	Dial DialFunc
 	Log  *slog.Logger
-	// Tee gets every event of the process besides the time line; nil means
-	// nobody.
-	Tee turmericshed.Recorder
-}
-
-// tee records events twice.
-type tee struct{ first, second turmericshed.Recorder }
-
-// Record passes e to both.
-func (t tee) Record(e turmericshed.Event) {
-	t.first.Record(e)
-	t.second.Record(e)
+	// Events gets every event of the process besides the time line; nil
+	// means nobody.
+	Events turmericshed.Recorder
 }
 
 // Process is one entry VM with all its parts.
@@ -74,27 +68,28 @@
 	platform *tsplatform.Client
 	recorder *tsobserve.Recorder
 	entry    *tsentry.Entry
+	conns    *severer
 }
 
 // parts are the pieces while they are put together.
 type parts struct {
-	cfg       tsentry.Config
-	opts      Options
-	self      turmericshed.EntryVM
-	board     *tsboard.Board
-	metrics   *tsobserve.Metrics
-	timeline  *tsobserve.Recorder
-	recorder  turmericshed.Recorder
-	platform  *tsplatform.Client
-	transport *tspeer.Transport
-	server    *tspeer.Server
-	fleet     *tsfleet.Fleet
-	profiles  *tsprofiles.Cache
-	holder    *tsholder.Holder
-	calls     *tscalls.Calls
-	pool      *tsrouting.Pool
-	engine    *tsbackend.Engine
-	service   *tsbackend.Service
+	cfg        tsentry.Config
+	opts       Options
+	self       turmericshed.EntryVM
+	board      *tsboard.Board
+	metrics    *tsobserve.Metrics
+	recorder   *tsobserve.Recorder
+	platform   *tsplatform.Client
+	transport  *tspeer.Transport
+	server     *tspeer.Server
+	fleet      *tsfleet.Fleet
+	profiles   *tsprofiles.Cache
+	holder     *tsholder.Holder
+	calls      *tscalls.Calls
+	pool       *tsrouting.Pool
+	quarantine *tsquarantine.Guard
+	engine     *tsbackend.Engine
+	service    *tsbackend.Service
 }
 
 // New opens the listeners and builds the parts. Errors: KindBadRequest for a
@@ -111,7 +106,12 @@
 	if err != nil {
 		return nil, errors.Join(err, callers.Close())
 	}
-	p := &Process{cfg: cfg, callers: callers, peers: peers}
+	conns := newSeverer()
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	o.Dial = conns.dial(o.Dial)
+	p := &Process{cfg: cfg, conns: conns, callers: heldListener{callers, conns}, peers: heldListener{peers, conns}}
 	p.self = turmericshed.EntryVM{
 		Name: cfg.Name, Incarnation: turmericshed.Incarnation(turmericshed.NewID("inc-")),
 		Region: cfg.Region, FailureDomain: cfg.FailureDomain,
@@ -143,25 +143,17 @@
 			return err
 		}
 	}
-	p.platform, p.recorder = b.platform, b.timeline
-	entry, err := tsentry.New(p.cfg, b.deps(p.peers))
-	if err != nil {
-		return err
-	}
-	b.server.Mount(entry.StreamService())
-	p.entry = entry
+	p.platform, p.recorder = b.platform, b.recorder
+	p.entry = tsentry.New(p.cfg, b.deps(p.peers))
+	b.server.Mount(p.entry.StreamService())
 	return nil
 }
 
 func (b *parts) buildPlatform() (err error) {
 	b.metrics = tsobserve.NewMetrics()
-	b.timeline = tsobserve.New(tsobserve.Config{
-		Process: b.cfg.Name, FailureDomain: b.cfg.FailureDomain, Metrics: b.metrics,
+	b.recorder = tsobserve.New(tsobserve.Config{
+		Process: b.cfg.Name, FailureDomain: b.cfg.FailureDomain, Metrics: b.metrics, Next: b.opts.Events,
 	})
-	b.recorder = b.timeline
-	if b.opts.Tee != nil {
-		b.recorder = tee{b.timeline, b.opts.Tee}
-	}
 	b.platform, err = tsplatform.NewClient(b.cfg.PlatformAddr, tsplatform.Options{Caller: b.cfg.Name, Dial: b.opts.Dial})
 	return err
 }
@@ -208,6 +200,10 @@
 		Self: b.self, Store: b.platform, Members: b.fleet, Peers: b.transport,
 		Lookup: b.lookup, Recorder: b.recorder,
 	})
+	b.quarantine = tsquarantine.New(tsquarantine.Config{
+		Self: b.self, Store: b.platform, Members: b.fleet, Peers: b.transport, Recorder: b.recorder,
+	})
+	b.server.Mount(b.quarantine.Handler())
 	b.server.Mount(b.holder.Handler())
 	b.server.Mount(b.calls.Handler())
 	return nil
@@ -231,6 +227,9 @@
 // Addr returns the callers' address.
 func (p *Process) Addr() netip.AddrPort { return p.self.CallerAddr }
 
+// Ready reports whether callers are told to come.
+func (p *Process) Ready() bool { return p.entry.Ready() }
+
 // Self describes the process.
 func (p *Process) Self() turmericshed.EntryVM { return p.self }
 
@@ -250,8 +249,8 @@
 // break, nothing is returned, handed on or withdrawn.
 func (p *Process) Kill() {
 	p.entry.Kill()
-	_ = p.callers.Close()
 	_ = p.peers.Close()
+	p.conns.sever()
 }
 
 // peerServer is the controller that serves other entry VMs.
@@ -283,18 +282,19 @@
 	}
 	for _, list := range [][]turmericshed.Controller{
 		b.fleet.Controllers(), b.profiles.Controllers(), b.holder.Controllers(), b.calls.Controllers(), b.pool.Controllers(),
+		b.quarantine.Controllers(),
 	} {
 		controllers = append(controllers, list...)
 	}
 	return tsentry.Deps{
 		Board: b.board, Store: b.platform, Members: b.fleet, Peers: b.transport, Profiles: b.profiles,
 		Budgets: b.holder, Claims: b.calls, Router: b.pool, Service: b.service,
-		Engine: b.engine, Quarantine: newQuarantine(), Retries: tsrouting.NewRetries(retryShare),
+		Engine: b.engine, Quarantine: b.quarantine, Retries: tsrouting.NewRetries(retryShare),
 		Admission: tsrouting.NewQueue(tsrouting.QueueConfig{
 			MaxRunning: b.cfg.MaxRunning, MaxQueued: b.cfg.MaxRunning * queuePerRunning, Board: b.board,
 			Pressure: b.pool.Pressure, Waited: b.metrics.QueueWait,
 		}),
-		Recorder: b.recorder, Log: tsobserve.Part(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), Timeline: b.timeline.Handler(),
+		Recorder: b.recorder, Log: tsobserve.Part(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), Timeline: b.recorder.Handler(),
 		Controllers: controllers,
 	}
 }
--- a/load/tsdemo/cluster.go
+++ b/load/tsdemo/cluster.go
@@ -72,7 +72,7 @@
 	wg      sync.WaitGroup
 }
 
-// newCluster starts the platform, the backend servers and the entry VMs.
+// newCluster starts the platform and the backend servers.
 func newCluster(ctx context.Context, log *slog.Logger, rec turmericshed.Recorder, models []turmericshed.Model, services []string) (*cluster, error) {
 	c := &cluster{
 		net: newNetwork(), log: log, recorder: rec, engines: map[turmericshed.Model][]*tsengine.Engine{},
@@ -94,13 +94,20 @@
 				return nil, err
 			}
 		}
+	}
+	return c, nil
+}
+
+// startEntries starts the entry VMs of every failure domain.
+func (c *cluster) startEntries() error {
+	for _, d := range domains() {
 		for range entriesPerDomain {
 			if err := c.startEntry(d); err != nil {
-				return nil, err
+				return err
 			}
 		}
 	}
-	return c, nil
+	return nil
 }
 
 func (c *cluster) startPlatform(ctx context.Context) error {
@@ -172,7 +179,7 @@
 		Name: fmt.Sprintf("entry-%s-%d", d, c.started), Region: region, FailureDomain: turmericshed.FailureDomain(d),
 		CallerAddr: loopback, PeerAddr: loopback, PlatformAddr: c.platform,
 		DrainLimit: drainLimit, DefaultDeadline: 30 * time.Second, MaxRunning: maxRunning,
-	}, tsprocess.Options{Dial: c.net.dialer(d), Log: c.log, Tee: c.recorder})
+	}, tsprocess.Options{Dial: c.net.dialer(d), Log: c.log, Events: c.recorder})
 	if err != nil {
 		return err
 	}
@@ -185,6 +192,26 @@
 	return nil
 }
 
+// waitReady waits until every entry VM is ready.
+func (c *cluster) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for !c.ready() {
+		select {
+		case <-time.After(readyPoll):
+		case <-ctx.Done():
+			return turmericshed.WrapError(turmericshed.KindDeadline, ctx.Err(), "an entry VM did not become ready")
+		}
+	}
+	return nil
+}
+
+func (c *cluster) ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !slices.ContainsFunc(c.entries, func(vm *entryVM) bool { return !vm.proc.Ready() })
+}
+
 // addrs returns the callers' addresses of the running entry VMs.
 func (c *cluster) addrs() []netip.AddrPort {
 	c.mu.Lock()
--- a/load/tsdemo/demo.go
+++ b/load/tsdemo/demo.go
@@ -25,7 +25,8 @@
 const (
 	defaultRate     = 40.0
 	defaultDuration = 40 * time.Second
-	warmUp          = time.Second
+	readyLimit      = 12 * time.Second
+	readyPoll       = 20 * time.Millisecond
 	requestDeadline = 12 * time.Second
 	accountsPerUser = 10
 	assistTokens    = 48
@@ -44,6 +45,9 @@
 	// Progress gets a line for each step; nil means none.
 	Progress io.Writer
 	Log      *slog.Logger
+	// Timeline gets the events of all processes as JSON lines; nil means
+	// nobody.
+	Timeline io.Writer
 }
 
 // user is one user's profiles and keys.
@@ -80,7 +84,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d := &demo{opts: o, events: newEvents(), began: time.Now(), users: []*user{
+	d := &demo{opts: o, events: newEvents(o.Timeline), began: time.Now(), users: []*user{
 		{name: "payung_baik", model: "umbrella-8b", service: "bookings"},
 		{name: "loopwell", model: "stitch-8b", service: "reorders"},
 	}}
@@ -110,8 +114,6 @@
 	if d.cluster, err = newCluster(ctx, d.opts.Log, d.events, models, services); err != nil {
 		return err
 	}
-	d.say("%d entry VMs, %d engines and %d services in %d failure domains", len(d.cluster.entries),
-		len(models)*len(domains())*enginesPerModel, len(services)*len(domains()), len(domains()))
 	var profiles []tsload.Profile
 	for _, u := range d.users {
 		if err := d.makeUser(ctx, u); err != nil {
@@ -121,6 +123,11 @@
 			tsload.Profile{Name: u.assistant(), Accounts: u.accounts, Share: 2, Model: u.model, MaxTokens: assistTokens, PromptBytes: promptBytes},
 			tsload.Profile{Name: u.desk(), Accounts: u.accounts, Share: 1, Service: u.service, LookupShare: 0.3})
 	}
+	if err := d.cluster.startEntries(); err != nil {
+		return err
+	}
+	d.say("%d entry VMs, %d engines and %d services in %d failure domains", len(d.cluster.entries),
+		len(models)*len(domains())*enginesPerModel, len(services)*len(domains()), len(domains()))
 	d.load, err = tsload.New(tsload.Options{
 		Name: fmt.Sprintf("demo-%d", d.opts.Seed), Entries: d.cluster.addrs(), Profiles: profiles, Rate: d.opts.Rate,
 		Duration: d.opts.Duration, Seed: d.opts.Seed, Deadline: requestDeadline, Dial: d.cluster.net.dialer(placeCallers),
--- a/load/tsdemo/result.go
+++ b/load/tsdemo/result.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"sync"
 
 	"turmericshed"
@@ -54,14 +55,25 @@
 	mu     sync.Mutex
 	bills  map[turmericshed.RequestID]int
 	broken []string
+	// timeline gets every event as a JSON line; nil means nobody.
+	timeline *json.Encoder
 }
 
-func newEvents() *events { return &events{bills: map[turmericshed.RequestID]int{}} }
+func newEvents(timeline io.Writer) *events {
+	v := &events{bills: map[turmericshed.RequestID]int{}}
+	if timeline != nil {
+		v.timeline = json.NewEncoder(timeline)
+	}
+	return v
+}
 
 // Record counts e.
 func (v *events) Record(e turmericshed.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.timeline != nil {
+		_ = v.timeline.Encode(e)
+	}
 	switch e.Name {
 	case turmericshed.EventRequestBilled:
 		v.bills[e.Request]++
--- a/load/tsdemo/script.go
+++ b/load/tsdemo/script.go
@@ -34,7 +34,10 @@
 
 // script runs the load with the steps, waits for its end and stops the fleet.
 func (d *demo) script(ctx context.Context) error {
-	time.Sleep(warmUp)
+	if err := d.cluster.waitReady(ctx); err != nil {
+		return err
+	}
+	d.say("every entry VM is ready")
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -111,14 +114,18 @@
 
 func (d *demo) kill(context.Context) error {
 	d.cluster.killEntry(domains()[0])
+	d.load.SetEntries(d.cluster.addrs())
 	d.say("an entry VM in %s is killed with streams open", domains()[0])
 	return nil
 }
 
-func (d *demo) replace(context.Context) error {
+func (d *demo) replace(ctx context.Context) error {
 	if err := d.cluster.startEntry(domains()[0]); err != nil {
 		return err
 	}
+	if err := d.cluster.waitReady(ctx); err != nil {
+		return err
+	}
 	d.load.SetEntries(d.cluster.addrs())
 	d.say("a new entry VM starts in %s", domains()[0])
 	return nil
