--- a/io/tscommand/entry.go
+++ b/io/tscommand/entry.go
@@ -9,7 +9,7 @@
 )
 
 // runEntry serves as one entry VM until ctx ends, then stops gracefully.
-func runEntry(ctx context.Context, args []string, _, errOut io.Writer) error {
+func runEntry(ctx context.Context, args []string, out, errOut io.Writer) error {
 	cfg, logs, err := parseEntry(args, errOut)
 	if err != nil {
 		return err
@@ -18,5 +18,6 @@
 	if err != nil {
 		return err
 	}
+	announceAddr(out, "entry", p.Addr())
 	return p.Serve(ctx)
 }
--- a/io/tscommand/options.go
+++ b/io/tscommand/options.go
@@ -1,6 +1,7 @@
 package tscommand
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -27,18 +28,22 @@
 // flags is a flag set whose flags also have environment variables.
 type flags struct {
 	*flag.FlagSet
+	// help prints the usage.
+	help func()
 }
 
 func newFlags(name, summary string, errOut io.Writer) flags {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	fs.SetOutput(io.Discard)
-	fs.Usage = func() {
+	// A bad flag ends in one line of its own, see parseError.
+	fs.Usage = func() {}
+	help := func() {
 		_, _ = fmt.Fprintf(errOut, "usage: turmericshed %s [flags]\n%s\n\n", name, summary)
 		fs.SetOutput(errOut)
 		fs.PrintDefaults()
 		fs.SetOutput(io.Discard)
 	}
-	return flags{FlagSet: fs}
+	return flags{FlagSet: fs, help: help}
 }
 
 // parse reads the environment first and the command line over it.
@@ -58,9 +63,13 @@
 		return bad
 	}
 	err := f.Parse(args)
-	if err == nil || err == flag.ErrHelp { //nolint:errorlint // flag returns the value itself.
+	if errors.Is(err, flag.ErrHelp) {
+		f.help()
 		return err
 	}
+	if err == nil {
+		return nil
+	}
 	return f.parseError(err, args)
 }
 
