Membership: faster news, healing by probing back, evidence against members

Change: state changes are pushed like edits; a member that probes a node which believed it unreachable is probed back; accusers of the member's own domain speak against the member; after a cut a probe must fail again; listed members are no news. A first form that judged by any contact after the accusation declared whole domains gone at the moment of healing (TestFailures, isolated domain) and was replaced.

--- a/core/tsmember/member.go
+++ b/core/tsmember/member.go
@@ -19,6 +19,9 @@
 	Since    time.Time
 	Accusers []Accuser
 
+	// reachedAt is the first contact with the member's failure domain after
+	// it became suspect.
+	reachedAt time.Time
 	// unreachable is set while this node's own probes fail.
 	unreachable bool
 	// superseded is set when a newer incarnation of the name is known.
--- a/core/tsmember/node.go
+++ b/core/tsmember/node.go
@@ -19,7 +19,8 @@
 // somebody in this failure domain was in contact with the member's failure
 // domain: the evidence must speak against the member and not against the link.
 // Members of a domain that cannot be reached at all stay suspect until the
-// platform's list drops them too. Contacts are told inside a domain.
+// platform's list drops them too. Contacts are told inside a domain. An
+// accuser from the member's own domain is such evidence too.
 //
 // Incarnations. A restarted process has a new incarnation and the same name,
 // which ends the old incarnation at once. A paused process comes back with
@@ -106,6 +107,8 @@
 	// retransmitFactor times log2 of the fleet's size is how often a node
 	// repeats an update.
 	retransmitFactor = 3
+	// probeBackLimit bounds the members waiting to be probed back.
+	probeBackLimit = 4
 	// pushPeriod is the least time between urgent pushes, and pushBytes the
 	// bytes a second that they may take on average.
 	pushPeriod = 50 * time.Millisecond
@@ -152,6 +155,8 @@
 	contacts   map[turmericshed.FailureDomain]time.Time
 	suspects   map[turmericshed.Incarnation]*Member
 	lost       map[turmericshed.Incarnation]*Member
+	probeBack  map[turmericshed.Incarnation]*Member
+	urgent     bool
 	unreached  map[turmericshed.Incarnation]*Member
 	cut        map[turmericshed.FailureDomain]bool
 	unlisted   map[string]int
@@ -169,6 +174,7 @@
 		contacts:  make(map[turmericshed.FailureDomain]time.Time),
 		suspects:  make(map[turmericshed.Incarnation]*Member),
 		lost:      make(map[turmericshed.Incarnation]*Member),
+		probeBack: make(map[turmericshed.Incarnation]*Member),
 		unreached: make(map[turmericshed.Incarnation]*Member),
 		cut:       make(map[turmericshed.FailureDomain]bool),
 		unlisted:  make(map[string]int),
--- a/core/tsmember/probe.go
+++ b/core/tsmember/probe.go
@@ -56,8 +56,8 @@
 		n.resume(now)
 	}
 	n.lastTick = now
-	n.judge(now)
 	n.updateCuts(now)
+	n.judge(now)
 	n.neighbours.refresh(n, now)
 	var actions []Action
 	if !now.Before(n.nextProbe) {
@@ -74,6 +74,10 @@
 			actions = append(actions, n.probeAction(now, m, true))
 		}
 	}
+	for _, m := range sorted(n.probeBack) {
+		actions = append(actions, n.probeAction(now, m, true))
+	}
+	clear(n.probeBack)
 	if !now.Before(n.nextSync) {
 		n.nextSync = now.Add(syncPeriod)
 		if m := n.syncPeer(); m != nil {
@@ -114,7 +118,8 @@
 	if n.credit <= 0 {
 		return nil
 	}
-	urgent := false
+	urgent := n.urgent
+	n.urgent = false
 	for _, t := range n.cfg.Piggyback {
 		if u, ok := t.(Urgent); ok && u.TakeUrgent() {
 			urgent = true
@@ -145,8 +150,14 @@
 	}
 }
 
-// HandleProbe answers a probe of a peer.
+// HandleProbe answers a probe of a peer. One that this node believed it could
+// not reach is probed back at once.
 func (n *Node) HandleProbe(now time.Time, m Message) Message {
+	if peer := n.members[m.From.Incarnation]; peer != nil && peer != n.self && len(n.probeBack) < probeBackLimit {
+		if peer.State != turmericshed.MemberAlive || peer.unreachable || n.cut[peer.FailureDomain] {
+			n.probeBack[peer.Incarnation] = peer
+		}
+	}
 	n.receive(now, m)
 	return n.message(now, m.From.Incarnation)
 }
--- a/core/tsmember/ring.go
+++ b/core/tsmember/ring.go
@@ -171,11 +171,11 @@
 	n.neighbours.refresh(n, now)
 	var targets []*Member
 	for _, m := range n.neighbours.domain {
-		if m.State == turmericshed.MemberAlive && !m.unreachable {
+		if !m.unreachable {
 			targets = append(targets, m)
 		}
 	}
-	if m := n.neighbours.next(n.cfg.Rand, domainRings); m != nil && m.State == turmericshed.MemberAlive && !slices.Contains(targets, m) {
+	if m := n.neighbours.next(n.cfg.Rand, domainRings); m != nil && !slices.Contains(targets, m) {
 		targets = append(targets, m)
 	}
 	return targets
--- a/core/tsmember/sync.go
+++ b/core/tsmember/sync.go
@@ -41,7 +41,8 @@
 		return
 	}
 	var seq [8]byte
-	binary.LittleEndian.PutUint64(seq[:], m.Seq)
+	// Listed by the platform or heard of counts the same.
+	binary.LittleEndian.PutUint64(seq[:], max(m.Seq, 1))
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(string(m.Incarnation))
--- a/core/tsmember/table.go
+++ b/core/tsmember/table.go
@@ -33,7 +33,10 @@
 		n.supersede(now, m, old)
 		return
 	}
-	n.queue.add(m.Incarnation, true)
+	if m.Seq > 0 {
+		n.queue.add(m.Incarnation, true)
+		n.urgent = true
+	}
 	if !m.ended() {
 		n.event(turmericshed.EventMemberAlive, m, reason)
 	}
@@ -59,8 +62,9 @@
 	n.neighbours.dirty = true
 	n.changes++
 	delete(n.suspects, m.Incarnation)
-	if m != n.self {
+	if m != n.self && !n.cut[m.FailureDomain] {
 		n.queue.add(m.Incarnation, false)
+		n.urgent = true
 	}
 	switch s {
 	case turmericshed.MemberSuspect:
@@ -139,6 +143,7 @@
 	if m.State == turmericshed.MemberLeft {
 		return
 	}
+	listed := m.Seq == 0
 	n.toggle(m)
 	m.Seq, m.Accusers = u.Seq, nil
 	n.toggle(m)
@@ -155,7 +160,9 @@
 	case m.superseded:
 	case u.State == turmericshed.MemberAlive || direct:
 		delete(n.lost, m.Incarnation)
-		n.queue.add(m.Incarnation, false)
+		if !listed {
+			n.queue.add(m.Incarnation, false)
+		}
 		n.setState(now, m, turmericshed.MemberAlive, "refuted")
 	default:
 		delete(n.lost, m.Incarnation)
@@ -218,6 +225,7 @@
 	n.self.Seq = seq
 	n.toggle(n.self)
 	n.queue.add(n.self.Incarnation, false)
+	n.urgent = true
 }
 
 // mergeAccusers joins the accusers that another node knows.
@@ -266,11 +274,18 @@
 }
 
 // speaksAgainstMember reports whether the failed probes tell of the member
-// and not of the link to its failure domain.
+// and not of the link to its failure domain: the accusers are of the member's
+// own domain, or a probe failed after its domain was reached.
 func (n *Node) speaksAgainstMember(m *Member) bool {
-	return m.FailureDomain == n.self.FailureDomain ||
-		n.contacts[m.FailureDomain].After(m.Since) ||
-		n.unlisted[m.Name] >= unlistedReadings
+	if n.cut[m.FailureDomain] {
+		return n.unlisted[m.Name] >= unlistedReadings
+	}
+	if contact := n.contacts[m.FailureDomain]; contact.After(m.Since) && (m.reachedAt.IsZero() || m.reachedAt.Before(m.Since)) {
+		m.reachedAt = contact
+	}
+	accusedSince := !m.reachedAt.IsZero() && slices.ContainsFunc(m.Accusers, func(a Accuser) bool { return a.At.After(m.reachedAt) })
+	return m.FailureDomain == n.self.FailureDomain || m.accusedFrom(m.FailureDomain) ||
+		accusedSince || n.unlisted[m.Name] >= unlistedReadings
 }
 
 // sortedSuspects keeps decisions independent of map order.
@@ -319,17 +334,16 @@
 	}
 }
 
-// healed drops what this domain held against the members of another domain
-// while the link between them was cut.
+// healed drops what was held against the members of another domain while the
+// link to it was cut. Those that are dead are accused again by their probers.
 func (n *Node) healed(now time.Time, d turmericshed.FailureDomain) {
+	n.urgent = true
 	for _, m := range n.sortedSuspects() {
-		if m.FailureDomain != d {
+		if m.FailureDomain != d || m.accusedFrom(d) {
 			continue
 		}
-		m.Accusers = slices.DeleteFunc(m.Accusers, func(a Accuser) bool { return a.FailureDomain == n.self.FailureDomain })
-		if len(m.Accusers) == 0 {
-			n.setState(now, m, turmericshed.MemberAlive, "link healed")
-		}
+		m.Accusers = nil
+		n.setState(now, m, turmericshed.MemberAlive, "link healed")
 	}
 	for _, m := range sorted(n.unreached) {
 		if m.FailureDomain == d {
--- a/io/tsprofiles/watch.go
+++ b/io/tsprofiles/watch.go
@@ -19,7 +19,7 @@
 	// verifyPage is the number of documents in one page of the store's
 	// list, and verifyBytes the bytes a second that verifying may take.
 	verifyPage  = 32
-	verifyBytes = 3000
+	verifyBytes = 2000
 	verifyPause = time.Second
 )
 
--- a/load/tsexperiment/fleet_sim.go
+++ b/load/tsexperiment/fleet_sim.go
@@ -84,8 +84,22 @@
 	bytes int64
 	calls int64
 	cpu   time.Duration
+	parts [partCount]int64
 }
 
+// fleetPart says what bytes were spent on.
+type fleetPart int
+
+const (
+	partProbe fleetPart = iota
+	partSync
+	partCatchUp
+	partFetch
+	partVerify
+	partWatch
+	partCount
+)
+
 // newFleetSim starts n members that all know the platform's list.
 func newFleetSim(seed uint64, n int) *fleetSim {
 	s := &fleetSim{
@@ -222,9 +236,9 @@
 
 // exchange carries a request and its answer over the links; either may be
 // cut. failed runs at the timeout.
-func (m *simMember) exchange(to turmericshed.EntryVM, timeout time.Duration, requestBytes int, serve func(peer *simMember) (answerBytes int, done func()), failed func()) {
+func (m *simMember) exchange(part fleetPart, to turmericshed.EntryVM, timeout time.Duration, requestBytes int, serve func(peer *simMember) (answerBytes int, done func()), failed func()) {
 	s := m.sim
-	m.spend(requestBytes)
+	m.spend(part, requestBytes)
 	peer := s.byName[to.Name]
 	lost := peer == nil || peer.dead || s.blocked != nil && s.blocked(m, peer)
 	if lost {
@@ -237,15 +251,15 @@
 			s.after(timeout-d, m.alive(failed))
 			return
 		}
-		peer.spend(requestBytes)
+		peer.spend(part, requestBytes)
 		answerBytes, done := serve(peer)
-		peer.bytes += int64(answerBytes)
+		peer.add(part, answerBytes)
 		if s.blocked != nil && s.blocked(peer, m) {
 			s.after(timeout-d, m.alive(failed))
 			return
 		}
 		s.after(d, m.alive(func() {
-			m.bytes += int64(answerBytes)
+			m.add(part, answerBytes)
 			done()
 		}))
 	})
@@ -260,11 +274,17 @@
 	}
 }
 
-func (m *simMember) spend(n int) {
-	m.bytes += int64(n)
+// spend counts a call with its bytes.
+func (m *simMember) spend(part fleetPart, n int) {
+	m.add(part, n)
 	m.calls++
 }
 
+func (m *simMember) add(part fleetPart, n int) {
+	m.bytes += int64(n)
+	m.parts[part] += int64(n)
+}
+
 // call performs an action; relayed takes the result of a relayed probe.
 func (m *simMember) call(a tsmember.Action, relayed func(reached bool)) {
 	failed := func() {
@@ -281,7 +301,7 @@
 	case tsmember.ActionRelay:
 		m.relay(a, failed)
 	case tsmember.ActionSync:
-		m.exchange(a.To, a.Timeout, syncRequestBytes, func(peer *simMember) (int, func()) {
+		m.exchange(partSync, a.To, a.Timeout, syncRequestBytes, func(peer *simMember) (int, func()) {
 			var reply tsmember.SyncReply
 			peer.measured(func() { reply = peer.node.HandleSync(m.sim.now, a.Sync) })
 			bytes := proto.Size(tsfleet.EncodeSyncReply(reply))
@@ -293,7 +313,7 @@
 func (m *simMember) probe(a tsmember.Action, failed func(), relayed func(bool)) {
 	var request []byte
 	m.measured(func() { request = encodeGossip(a.Message) })
-	m.exchange(a.To, a.Timeout, len(request), func(peer *simMember) (int, func()) {
+	m.exchange(partProbe, a.To, a.Timeout, len(request), func(peer *simMember) (int, func()) {
 		var answer []byte
 		peer.measured(func() { answer = encodeGossip(peer.node.HandleProbe(m.sim.now, decodeGossip(request))) })
 		return len(answer), func() {
@@ -315,7 +335,7 @@
 			failed()
 		}
 	}))
-	m.exchange(a.To, a.Timeout, relayBytes, func(helper *simMember) (int, func()) {
+	m.exchange(partProbe, a.To, a.Timeout, relayBytes, func(helper *simMember) (int, func()) {
 		probe, known := helper.node.HandleRelay(s.now, a.Target.Incarnation)
 		if known {
 			helper.call(probe, func(reached bool) {
