--- /dev/null
+++ b/io/tsprocess/relay_test.go
@@ -0,0 +1,196 @@
+package tsprocess_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/io/tsadmin"
+	"turmericshed/io/tsentry"
+	"turmericshed/io/tsplatform"
+	"turmericshed/io/tsprocess"
+	"turmericshed/standin/tsengine"
+	"turmericshed/standin/tsnode"
+	standin "turmericshed/standin/tsplatform"
+)
+
+const benchTokens = 200
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// rig is one entry VM before one engine.
+type rig struct {
+	key    string
+	entry  netip.AddrPort
+	engine netip.AddrPort
+	client *http.Client
+}
+
+func newRig(tb testing.TB, prepaid turmericshed.Tokens) *rig {
+	tb.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	tb.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	store := standin.NewStore(standin.Options{})
+	ln, err := net.Listen("tcp", loopback.String())
+	assert.NilError(tb, err)
+	platform := netip.MustParseAddrPort(ln.Addr().String())
+	wg.Go(func() { _ = standin.NewServer(store, standin.NewDirectory(standin.DirectoryOptions{})).Serve(ctx, ln) })
+	client, err := tsplatform.NewClient(platform, tsplatform.Options{Caller: "engine"})
+	assert.NilError(tb, err)
+	engine, err := tsengine.Listen(tsengine.Options{
+		Node: tsnode.Options{Platform: client, Server: turmericshed.BackendServer{
+			ID: "engine-1", FailureDomain: "a", Addr: loopback, Models: []turmericshed.Model{"m"},
+		}},
+		Slots: 256, StepInterval: 2 * time.Millisecond,
+	})
+	assert.NilError(tb, err)
+	wg.Go(func() { _ = engine.Serve(ctx) })
+	admin := tsadmin.New(tsadmin.Config{Store: store})
+	key, err := admin.AddAccount(ctx, "corner")
+	assert.NilError(tb, err)
+	_, err = admin.PutProfile(ctx, turmericshed.Profile{
+		Name: "p", Prepaid: prepaid, Work: turmericshed.WorkAssistant, Model: "m",
+		Accounts: []turmericshed.AccountLimit{{Account: "corner"}},
+	}, 0)
+	assert.NilError(tb, err)
+	proc, err := tsprocess.New(tsentry.Config{
+		Name: "entry-1", FailureDomain: "a", CallerAddr: loopback, PeerAddr: loopback, PlatformAddr: platform,
+		DrainLimit: 10 * time.Second, DefaultDeadline: time.Minute, MaxRunning: 1024,
+	}, tsprocess.Options{})
+	assert.NilError(tb, err)
+	serve, stop := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- proc.Serve(serve) }()
+	tb.Cleanup(func() {
+		stop()
+		assert.Check(tb, <-stopped)
+	})
+	for !proc.Ready() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	t := &http.Transport{MaxIdleConnsPerHost: 256}
+	tb.Cleanup(t.CloseIdleConnections)
+	return &rig{key: key, entry: proc.Addr(), engine: engine.Server().Addr, client: &http.Client{Transport: t}}
+}
+
+// stream sends one streamed generation and returns the time to its first
+// event and the number of events.
+func (r *rig) stream(to netip.AddrPort, id string) (first time.Duration, events int, err error) {
+	body, err := json.Marshal(map[string]any{
+		"model": "m", "stream": true, "max_tokens": benchTokens,
+		"messages": []turmericshed.Message{{Role: "user", Content: "hello " + id}},
+	})
+	if err != nil {
+		return 0, 0, err
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+to.String()+"/v1/chat/completions", strings.NewReader(string(body)))
+	if err != nil {
+		return 0, 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+r.key)
+	req.Header.Set("Turmericshed-Profile", "p")
+	req.Header.Set("Turmericshed-Stream-Id", id)
+	began := time.Now()
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	in := bufio.NewScanner(resp.Body)
+	last := ""
+	for in.Scan() {
+		if line := in.Text(); strings.HasPrefix(line, "data: ") {
+			if events++; events == 1 {
+				first = time.Since(began)
+			}
+			last = line
+		}
+	}
+	if last != "data: [DONE]" {
+		return 0, 0, fmt.Errorf("status %d, last line %q", resp.StatusCode, last)
+	}
+	return first, events, in.Err()
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkRelay pairs each call through an entry VM with the same call made
+// directly, and reports what the entry VM adds.
+func BenchmarkRelay(b *testing.B) {
+	r := newRig(b, 1<<40)
+	var first, whole [2]time.Duration
+	n := 0
+	for b.Loop() {
+		for i, to := range []netip.AddrPort{r.engine, r.entry} {
+			began := time.Now()
+			f, _, err := r.stream(to, fmt.Sprintf("bench-%d-%d", n, i))
+			assert.NilError(b, err)
+			first[i] += f
+			whole[i] += time.Since(began)
+		}
+		n++
+	}
+	perCall := func(d time.Duration) float64 { return float64(d.Microseconds()) / float64(n) }
+	b.ReportMetric(perCall(first[1]-first[0]), "added_first_byte_us")
+	b.ReportMetric(perCall(whole[1]-whole[0])/benchTokens, "added_per_token_us")
+}
+
+// BenchmarkRelayCPU compares the processor time of many calls at once, made
+// directly and through an entry VM. The difference is the entry VM's and that
+// of the second connection's ends.
+func BenchmarkRelayCPU(b *testing.B) {
+	const callers = 64
+	r := newRig(b, 1<<40)
+	var cpu [2]time.Duration
+	tokens, n := 0, 0
+	for b.Loop() {
+		for i, to := range []netip.AddrPort{r.engine, r.entry} {
+			before := cpuTime()
+			var wg sync.WaitGroup
+			for c := range callers {
+				wg.Go(func() {
+					_, _, err := r.stream(to, fmt.Sprintf("cpu-%d-%d-%d", n, i, c))
+					assert.Check(b, err)
+				})
+			}
+			wg.Wait()
+			cpu[i] += cpuTime() - before
+		}
+		tokens += callers * benchTokens
+		n++
+	}
+	added := (cpu[1] - cpu[0]).Seconds()
+	b.ReportMetric(added*1e6/float64(tokens), "added_cpu_us/token")
+	b.ReportMetric(float64(tokens)/added, "tokens/s/core")
+}
+
+func TestOneEntryVM(t *testing.T) {
+	t.Run("an answer is whole and the budget bounds the next", func(t *testing.T) {
+		r := newRig(t, 300)
+		_, events, err := r.stream(r.entry, "one")
+		assert.NilError(t, err)
+		assert.Assert(t, events > 2)
+		_, _, err = r.stream(r.entry, "two")
+		assert.ErrorContains(t, err, "status 402")
+	})
+}
