--- /dev/null
+++ b/spec/claim.pml
@@ -0,0 +1,302 @@
+/*
+ * Claims on one non-idempotent call: at most one run, and "not run" is true.
+ *
+ * ATTEMPTS attempts, each by a runner of its own incarnation, claim the call
+ * through either of two owners of its slot, whose copies of the head may be
+ * old. A write may conflict, take effect and lose its answer, or land late.
+ * A runner may give up, or wait for ever between any two steps, which is also
+ * what its death looks like. Others
+ * may take it for dead at any time, look the call up, and settle it; a person
+ * may say that it did not run.
+ *
+ * Each switch takes one mechanism out; spin must then find a counterexample:
+ *   NO_CAS           a write does not check the version of the head
+ *   NO_GUARD         Dispatch does not check that the claim is still held
+ *   NO_CLAIM         a call is sent though its claim was not confirmed
+ *   NO_BIND          an outcome is applied to whichever claim stands
+ *   OTHERS_ABANDON   a runner taken for dead has its claim abandoned
+ *   NOT_FOUND_FREES  a call that the service does not know is abandoned
+ *   DOUBT_LIFTED     "not held" also lifts a doubt
+ *   PERSON_FREES     a person's "not run" lets retries run the call
+ *   LATE_RECORD      a runner notes its claim after the write, not before
+ * REDELIVER adds an owner that works once more on a claim whose asker has left.
+ */
+/* check holds: CLAIM_BASE */
+/* check holds: REDELIVER */
+/* check fails: NO_CAS */
+/* check fails: NO_GUARD */
+/* check fails: NO_CLAIM */
+/* check fails: NO_BIND ATTEMPTS=3 */
+/* check fails: OTHERS_ABANDON */
+/* check fails: NOT_FOUND_FREES */
+/* check fails: DOUBT_LIFTED */
+/* check fails: PERSON_FREES */
+/* check fails: LATE_RECORD */
+#ifndef ATTEMPTS
+#define ATTEMPTS 2
+#endif
+#define OWNERS   2
+#define NONE     255
+
+mtype = { ABSENT, OPEN, DONE, DOUBT, ABANDONED, NOTRUN };
+mtype = { CLAIM, COMPLETE, ABANDON, NOTHELD, DOUBTS, RESOLVE, REFUSE };
+
+/* The head's entry of the call in the store. */
+mtype state = ABSENT;
+byte  claim = NONE;
+
+/* The copy of each owner. In place of versions, stale tells that the head was
+   written since. A stale copy that is not final leads to a read whatever it
+   holds, so it is blanked to keep the states few. */
+bool  stale[OWNERS];
+mtype seen_state[OWNERS];
+byte  seen_claim[OWNERS];
+
+/* One write that is still on its way. */
+bool  held = false;
+mtype held_state;
+byte  held_claim;
+
+/* What the runners know and have told. */
+bool record[ATTEMPTS];   /* the process holds a record of the claim */
+bool told_not_run[ATTEMPTS];
+
+/* The service. */
+byte runs = 0;
+bool ran_by[ATTEMPTS];
+#ifdef REDELIVER
+bool asked[ATTEMPTS];     /* an owner was asked for the claim */
+bool redelivered = false; /* an owner worked on it again after its asker left */
+#endif
+
+/* Used inside atomic steps only, so not part of the state. */
+hidden mtype nst;
+hidden byte  ncl;
+hidden byte  changed;
+hidden mtype ignored_state;
+hidden byte  ignored_claim;
+hidden byte  i;
+
+/* next computes the entry after an operation; changed tells whether it does
+   anything. It mirrors core/tsclaim transit and settle. */
+inline next(op, c, st, cl, nst, ncl, changed) {
+	nst = st; ncl = cl; changed = false;
+	if
+	:: op == CLAIM ->
+		if
+		:: st == ABSENT || (st == ABANDONED && cl != c) -> nst = OPEN; ncl = c; changed = true
+		:: else
+		fi
+#ifdef NO_BIND
+	:: op != CLAIM && st != ABSENT ->
+#else
+	:: op != CLAIM && st != ABSENT && cl == c ->
+#endif
+		if
+		:: (op == COMPLETE || op == RESOLVE) && (st == OPEN || st == DOUBT || st == NOTRUN) -> nst = DONE; changed = true
+		:: op == ABANDON && (st == OPEN || st == DOUBT) -> nst = ABANDONED; changed = true
+#ifdef DOUBT_LIFTED
+		:: op == NOTHELD && (st == OPEN || st == DOUBT) -> nst = ABANDONED; changed = true
+#else
+		:: op == NOTHELD && st == OPEN -> nst = ABANDONED; changed = true
+#endif
+		:: op == DOUBTS && st == OPEN -> nst = DOUBT; changed = true
+#ifdef PERSON_FREES
+		:: op == REFUSE && st == DOUBT -> nst = ABANDONED; changed = true
+#else
+		:: op == REFUSE && st == DOUBT -> nst = NOTRUN; changed = true
+#endif
+		:: else
+		fi
+	:: else
+	fi
+}
+
+/* write puts an entry into the head, which makes every copy old. */
+inline write(st, cl) {
+	state = st; claim = cl;
+#ifndef NO_CAS
+	held = false; held_state = 0; held_claim = 0; /* it can never land now */
+#endif
+	for (i : 0 .. OWNERS - 1) {
+		stale[i] = true;
+#ifndef NO_CAS
+		if
+		:: seen_state[i] != DONE -> seen_state[i] = ABSENT; seen_claim[i] = NONE
+		:: else
+		fi
+#endif
+	}
+}
+
+inline read(o) {
+	stale[o] = false; seen_state[o] = state; seen_claim[o] = claim
+}
+
+/* commit applies an operation through owner o: tsupdate over the owner's copy.
+   An unchanged entry is answered from a copy that was read since, or when it
+   is final. rst and rcl are the entry met. ok is false when the owner gave up;
+   the operation may then still land. */
+inline commit(op, c, o, ok, rst, rcl) {
+	ok = false; fresh = false;
+	do
+	:: atomic {
+		next(op, c, seen_state[o], seen_claim[o], nst, ncl, changed);
+		if
+		:: !changed && (fresh || seen_state[o] == DONE) -> ok = true; rst = nst; rcl = ncl; break
+		:: !changed && !fresh && seen_state[o] != DONE -> skip /* read again */
+		:: changed ->
+			if
+#ifdef NO_CAS
+			:: true ->
+#else
+			:: !stale[o] ->
+#endif
+				write(nst, ncl);
+				if
+				:: ok = true; rst = nst; rcl = ncl; read(o); break
+				:: skip /* the answer is lost: read back */
+				fi
+			:: !stale[o] && !held ->
+				/* on its way: read back, or give up */
+				held = true; held_state = nst; held_claim = ncl
+			:: stale[o] -> skip /* conflict */
+			fi
+		fi
+	   }
+	   if
+	   :: atomic { fresh = true; read(o) }
+	   :: break /* gives up */
+	   fi
+	od;
+	atomic { o = 0; fresh = false }
+}
+
+/* refuse bars the claim and tells the caller that the call was not run. */
+inline refuse(c) {
+	record[c] = false; told_not_run[c] = true; assert(!ran_by[c])
+}
+
+/* pick chooses one of the two owners. */
+inline pick(o) { if :: o = 0 :: o = 1 fi }
+
+proctype Runner(byte c) {
+	byte o, cl; mtype st, op; bool ok, fresh;
+	atomic {
+#ifndef LATE_RECORD
+		record[c] = true;
+#endif
+#ifdef REDELIVER
+		asked[c] = true;
+#endif
+		pick(o)
+	}
+	commit(CLAIM, c, o, ok, st, cl);
+	atomic {
+#ifdef LATE_RECORD
+		record[c] = true;
+#endif
+		if
+		:: ok && st == OPEN && cl == c -> skip
+		:: ok && st == DONE -> assert(runs == 1); record[c] = false; goto end
+		:: ok && !(st == OPEN && cl == c) && st != DONE -> record[c] = false; goto end
+#ifndef NO_CLAIM
+		:: !ok -> refuse(c); goto end
+#else
+		:: !ok -> skip
+#endif
+		fi;
+		st = 0; cl = 0
+	};
+	/* Dispatch: the guard, then, at any later time, the sending. Before it
+	   the runner may give up in another thread: a drain, a caller that left. */
+	atomic {
+		if
+		:: skip
+		:: refuse(c); op = ABANDON
+		fi
+	};
+	atomic {
+		if
+		:: record[c] -> skip
+#ifdef NO_GUARD
+		:: !record[c] -> skip
+#else
+		:: !record[c] -> goto outcome
+#endif
+		fi
+	};
+	atomic {
+		if
+		:: runs++; ran_by[c] = true; assert(runs == 1); assert(!told_not_run[c]); op = COMPLETE
+		:: runs++; ran_by[c] = true; assert(runs == 1); assert(!told_not_run[c]); op = DOUBTS
+		:: op = DOUBTS /* lost on the way: the runner cannot tell */
+		:: refuse(c); op = ABANDON /* refused by the service */
+		fi
+	};
+outcome:
+	pick(o);
+	commit(op, c, o, ok, ignored_state, ignored_claim);
+	/* The record is kept until the outcome is written. */
+	atomic {
+		if
+		:: ok -> record[c] = false
+		:: !ok && op != ABANDON -> goto outcome
+		:: !ok && op == ABANDON
+		fi
+	};
+end:
+	atomic { o = 0; cl = 0; st = 0; op = 0; ok = false; fresh = false }
+}
+
+/* Others: retries that ask the runner, the resolver, a person, and owners
+   that still work on a claim whose asker has gone. */
+proctype Other() {
+	byte o, c; mtype op; bool ok, fresh;
+	do
+	:: atomic {
+		if
+		:: state == OPEN || state == DOUBT -> c = claim;
+			if
+			:: !record[c] -> op = NOTHELD /* asked, the runner says so */
+			:: ran_by[c] -> op = RESOLVE /* found at the service */
+#ifdef OTHERS_ABANDON
+			:: op = ABANDON /* taken for dead, rightly or not */
+#else
+			:: op = DOUBTS /* taken for dead, rightly or not */
+#endif
+#ifdef NOT_FOUND_FREES
+			:: runs == 0 && state == DOUBT -> op = ABANDON
+#endif
+			:: runs == 0 -> op = REFUSE
+			fi
+#ifdef REDELIVER
+		:: asked[0] && !redelivered -> redelivered = true; op = CLAIM; c = 0
+#endif
+		fi;
+		pick(o)
+	   };
+	   commit(op, c, o, ok, ignored_state, ignored_claim);
+	   atomic { op = 0; c = 0; ok = false }
+	:: break
+	od
+}
+
+proctype Network() {
+	do
+	:: atomic { held ->
+		nst = held_state; ncl = held_claim;
+		held = false; held_state = 0; held_claim = 0;
+		write(nst, ncl) }
+	:: break
+	od
+}
+
+init {
+	atomic {
+		for (i : 0 .. OWNERS - 1) { seen_state[i] = ABSENT; seen_claim[i] = NONE }
+		for (i : 0 .. ATTEMPTS - 1) { run Runner(i) }
+		run Other(); run Network();
+		i = 0
+	}
+}
