Membership and profiles: state machines, failure tests, two faults mended

Cause: the state machine of membership (rapid, 6 members, 2 failure domains) found a member alive without an address: it was first heard of as gone, and its refutation carries none. A test of members gone on both sides of a cut found that a direct contact does not clear gone. The machine of links found that a document of a peer counted as current after a reset. Change: an update of an incarnation without address waits for a comparison; a probe tells its target when it is held for suspect or gone, so that it refutes at once; documents of peers are as current as the one before, else unsure until the store is read.

--- a/core/tsmember/gossip.go
+++ b/core/tsmember/gossip.go
@@ -184,8 +184,14 @@
 func (n *Node) message(now time.Time, to turmericshed.Incarnation) Message {
 	m := Message{From: n.update(now, n.self, true), To: to}
 	m.Updates = n.queue.next(n, now, memberShareBytes)
-	if peer := n.members[to]; peer != nil && peer.FailureDomain == n.self.FailureDomain {
-		m.Contacts = n.someContacts(now)
+	if peer := n.members[to]; peer != nil {
+		if peer.State == turmericshed.MemberSuspect || peer.State == turmericshed.MemberGone {
+			// The member itself can refute at once.
+			m.Updates = append(m.Updates, n.update(now, peer, false))
+		}
+		if peer.FailureDomain == n.self.FailureDomain {
+			m.Contacts = n.someContacts(now)
+		}
 	}
 	budget := MaxPiggybackBytes
 	for _, u := range m.Updates {
--- a/core/tsmember/node_test.go
+++ b/core/tsmember/node_test.go
@@ -203,6 +203,39 @@
 		c.run(30 * time.Second)
 		c.assertAllReach()
 	})
+	t.Run("the link to an isolated failure domain heals within 10 s", func(t *testing.T) {
+		c := newCluster(t, 60, 3)
+		c.run(5 * time.Second)
+		c.blocked = isolating("fd-0")
+		c.run(time.Minute)
+		c.blocked = nil
+		c.run(10 * time.Second)
+		c.assertAllReach()
+		c.assertNobodyWronglyGone()
+	})
+	t.Run("members gone on both sides of a cut come back", func(t *testing.T) {
+		c := newCluster(t, 9, 3)
+		c.run(5 * time.Second)
+		c.blocked = isolating("fd-0")
+		c.run(time.Minute)
+		for _, in := range c.order {
+			var same []turmericshed.EntryVM
+			for i := range 9 {
+				if vm := vmOf(i, 3, fmt.Sprintf("in-%d", i)); (vm.FailureDomain == "fd-0") == (c.nodes[in].Self().FailureDomain == "fd-0") {
+					same = append(same, vm)
+				}
+			}
+			for range 3 {
+				c.nodes[in].Seed(c.now, same)
+			}
+		}
+		c.run(30 * time.Second)
+		assert.Equal(t, c.nodes["in-0"].State("in-1"), turmericshed.MemberGone)
+		assert.Equal(t, c.nodes["in-1"].State("in-0"), turmericshed.MemberGone)
+		c.blocked = nil
+		c.run(time.Minute)
+		c.assertAllReach()
+	})
 	t.Run("a flapping link declares nobody gone", func(t *testing.T) {
 		c := newCluster(t, 9, 3)
 		for i := range 60 {
@@ -276,6 +309,19 @@
 			assert.Assert(t, e[:5] != "vm-4:" || e[6:20] != "member_suspect", e)
 		}
 	})
+	t.Run("a process that was paused drops its open probes", func(t *testing.T) {
+		c := newCluster(t, 9, 3)
+		n := c.nodes["in-4"]
+		var open []tsmember.Action
+		for len(open) == 0 {
+			c.now = c.now.Add(tick)
+			open = n.Tick(c.now)
+		}
+		c.now = c.now.Add(time.Minute)
+		n.Tick(c.now)
+		assert.Equal(t, len(n.HandleFailure(c.now, open[0].ID)), 0)
+		assert.Equal(t, n.State(open[0].To.Incarnation), turmericshed.MemberAlive)
+	})
 	t.Run("a graceful stop is left and not gone", func(t *testing.T) {
 		c := newCluster(t, 9, 3)
 		c.run(5 * time.Second)
--- a/core/tsmember/table.go
+++ b/core/tsmember/table.go
@@ -100,6 +100,14 @@
 		n.mergeUnknown(now, u)
 		return
 	}
+	if !m.PeerAddr.IsValid() {
+		if !u.Addressed() && u.State == turmericshed.MemberAlive {
+			return // without its address it is of no use; a comparison brings it
+		}
+		if u.Addressed() {
+			m.EntryVM = u.EntryVM
+		}
+	}
 	n.reorder(now, m, u.Epoch)
 	if u.Seq > m.Seq {
 		n.mergeNewer(now, m, u, direct)
--- a/core/tsprofile/cache.go
+++ b/core/tsprofile/cache.go
@@ -48,6 +48,8 @@
 	// Value is the text in the store, passed on to peers.
 	Value   []byte
 	Profile turmericshed.Profile
+	// FromPeer is set when a peer gave the document: a newer one may exist.
+	FromPeer bool
 	// ReadAt is when the document was known to be the newest.
 	ReadAt time.Time
 }
@@ -155,6 +157,12 @@
 	return h.doc.Version < c.floors[name] || h.generation < c.generation
 }
 
+// Behind reports whether a newer version than the held one is known to exist.
+func (c *Cache) Behind(name turmericshed.ProfileName) bool {
+	d, held := c.Peek(name)
+	return held && d.Version < c.floors[name]
+}
+
 // Unsure returns the held documents that are outdated.
 func (c *Cache) Unsure() []turmericshed.ProfileName {
 	var names []turmericshed.ProfileName
@@ -177,7 +185,11 @@
 	if e := c.held[d.Name]; e != nil {
 		return c.replace(e, d)
 	}
-	c.held[d.Name] = c.recent.PushFront(&holding{doc: d, generation: c.generation})
+	generation := c.generation
+	if d.FromPeer {
+		generation--
+	}
+	c.held[d.Name] = c.recent.PushFront(&holding{doc: d, generation: generation})
 	c.bytes += d.bytes()
 	c.evict()
 	return Applied
@@ -193,15 +205,24 @@
 		if d.ReadAt.After(h.doc.ReadAt) {
 			h.doc.ReadAt = d.ReadAt
 		}
-		h.generation = c.generation
+		h.current(d, c.generation)
 		return Same
 	}
 	c.bytes += d.bytes() - h.doc.bytes()
-	h.doc, h.generation = d, c.generation
+	h.doc = d
+	h.current(d, c.generation)
 	c.evict()
 	return Applied
 }
 
+// current notes that the store itself gave the document. A peer's document is
+// as current as the one before it: newer ones would have been heard of.
+func (h *holding) current(d Document, generation int) {
+	if !d.FromPeer {
+		h.generation = generation
+	}
+}
+
 // evict drops the least recently used documents above the bounds.
 func (c *Cache) evict() {
 	for c.recent.Len() > 1 && (c.recent.Len() > c.cfg.MaxDocuments || c.bytes > c.cfg.MaxBytes) {
@@ -251,7 +272,8 @@
 		listed[d.Name] = true
 		floor := c.floors[d.Name]
 		_, held := c.held[d.Name]
-		missed := d.Version > floor && (held || floor > 0 || d.Version > c.links.position)
+		unheard := c.links.position > 0 && d.Version > c.links.position
+		missed := d.Version > floor && (held || floor > 0 || unheard)
 		if missed {
 			c.Hear(Link{Name: d.Name, Version: d.Version})
 		}
--- a/io/tsprofiles/fetch.go
+++ b/io/tsprofiles/fetch.go
@@ -18,7 +18,7 @@
 	// fetchRetry is the time until an outdated document is tried again.
 	fetchRetry = time.Second
 	// sweepBatch bounds the outdated documents tried in one sweep.
-	sweepBatch = 32
+	sweepBatch = 8
 )
 
 // serveFetch fetches outdated documents as they are found, and again while
@@ -72,16 +72,16 @@
 // old ones. For a known newer version it asks the watching peers first.
 func (c *Cache) fetchOnce(ctx context.Context, name turmericshed.ProfileName, first bool) error {
 	c.mu.Lock()
-	floor := c.core.Floor(name)
+	floor, behind := c.core.Floor(name), c.core.Behind(name)
 	c.mu.Unlock()
-	if !first && floor > 0 && c.fromPeers(ctx, name, floor, true) {
+	if !first && behind && c.fromPeers(ctx, name, floor, true) {
 		return nil
 	}
 	err := c.fromStore(ctx, name)
 	if err == nil {
 		return nil
 	}
-	if c.fromPeers(ctx, name, floor, false) {
+	if (first || behind) && c.fromPeers(ctx, name, floor, false) {
 		return nil
 	}
 	return turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "profile %s", name)
@@ -188,6 +188,7 @@
 			return nil, err
 		}
 	}
+	d.FromPeer = true
 	d.ReadAt = sent.Add(-time.Duration(min(res.Msg.GetAgeMs(), maxAgeMs)) * time.Millisecond)
 	return &d, nil
 }
--- a/load/tsexperiment/fleet_profiles.go
+++ b/load/tsexperiment/fleet_profiles.go
@@ -190,7 +190,7 @@
 	floor := m.cache.Floor(name)
 	relays := slices.Clone(m.relays)
 	relays = slices.DeleteFunc(relays, func(vm turmericshed.EntryVM) bool { return vm.Name == m.vm.Name })
-	if len(relays) == 0 {
+	if len(relays) == 0 || !m.cache.Behind(name) {
 		m.fromStore(name)
 		return
 	}
@@ -200,6 +200,7 @@
 		if !ok || d.Version < floor {
 			return fetchBytes, func() { m.fromStore(name) }
 		}
+		d.FromPeer = true
 		return len(d.Value) + fetchBytes, func() { m.fetched(d) }
 	}, func() { m.fromStore(name) })
 }
