Fleet: controllers restart alone and rebuild; an overrun watch; fixed seeds

Cause: the controllers' restart after a panic and a watch that fell behind the store's log had no test; rapid took a new seed at each run. Change: io/tsfleet tests over HTTP/2 in memory under fake time; a test of the overrun watch; rapid.seed is set in both machines. Shown to break: without reset the table is not rebuilt; without recover the panic ends the process; without Invalidate the overrun watch misses the edit.

--- a/core/tsmember/machine_test.go
+++ b/core/tsmember/machine_test.go
@@ -1,10 +1,12 @@
 package tsmember_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"turmericshed"
@@ -15,6 +17,8 @@
 // TestMembershipMachine runs random faults and checks that the fleet is whole
 // again once they end, and that a member that nobody was cut from is not gone.
 func TestMembershipMachine(t *testing.T) {
+	assert.NilError(t, flag.Set("rapid.seed", "6"))
+	assert.NilError(t, flag.Set("rapid.nofailfile", "true"))
 	rapid.Check(t, func(r *rapid.T) {
 		c := newCluster(t, machineMembers, 2)
 		c.run(3 * time.Second)
--- a/core/tsprofile/cache_test.go
+++ b/core/tsprofile/cache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -217,6 +218,8 @@
 }
 
 func TestLinksMachine(t *testing.T) {
+	assert.NilError(t, flag.Set("rapid.seed", "6"))
+	assert.NilError(t, flag.Set("rapid.nofailfile", "true"))
 	rapid.Check(t, func(t *rapid.T) { t.Repeat(newMachine().actions()) })
 }
 
--- /dev/null
+++ b/io/tsfleet/fleet_test.go
@@ -0,0 +1,214 @@
+package tsfleet_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/core/tsmember"
+	"turmericshed/io/tsfleet"
+	"turmericshed/io/tspeer"
+	network "turmericshed/standin/tspeer"
+	"turmericshed/standin/tsplatform"
+)
+
+// events records the names of events.
+type events struct {
+	mu    sync.Mutex
+	names map[turmericshed.EventName]int
+}
+
+// Record counts an event.
+func (r *events) Record(e turmericshed.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names[e.Name]++
+}
+
+func (r *events) count(name turmericshed.EventName) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.names[name]
+}
+
+// topic is a Piggyback that can panic once.
+type topic struct {
+	mu    sync.Mutex
+	armed bool
+	heard int
+}
+
+func (p *topic) Topic() string       { return "test" }
+func (p *topic) Next(_ int) [][]byte { return [][]byte{[]byte("x")} }
+func (p *topic) Merge([]byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard++
+	if p.armed {
+		p.armed = false
+		turmericshed.Assert(false, "test", "armed")
+	}
+}
+
+func (p *topic) arm() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.armed, p.heard = true, 0
+}
+
+func (p *topic) heardSince() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard
+}
+
+type process struct {
+	fleet  *tsfleet.Fleet
+	board  *tsboard.Board
+	events *events
+	topic  *topic
+	stop   func()
+}
+
+// world is a small fleet with its platform.
+type world struct {
+	net       *network.Network
+	directory *tsplatform.Directory
+	processes []*process
+}
+
+func (w *world) start(t *testing.T, i int, incarnation string) *process {
+	t.Helper()
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+	vm := turmericshed.EntryVM{
+		Name: fmt.Sprintf("vm-%d", i), Incarnation: turmericshed.Incarnation(incarnation),
+		FailureDomain: turmericshed.FailureDomain(fmt.Sprintf("fd-%d", i%3)), PeerAddr: addr, CallerAddr: addr,
+	}
+	w.directory.AddEntry(vm)
+	p := &process{board: &tsboard.Board{}, events: &events{names: map[turmericshed.EventName]int{}}, topic: &topic{}}
+	transport := tspeer.NewTransport(tspeer.Config{Dial: w.net.Dialer(addr)})
+	p.fleet = tsfleet.New(tsfleet.Config{
+		Self: vm, Directory: w.directory, Board: p.board, Peers: transport, Recorder: p.events,
+		Piggyback: []tsmember.Piggyback{p.topic},
+	})
+	server := tspeer.NewServer(tspeer.Config{})
+	server.Mount(p.fleet.Handler())
+	ctx, cancel := context.WithCancel(t.Context())
+	supervisor := suture.NewSimple("test")
+	for _, c := range p.fleet.Controllers() {
+		supervisor.Add(c)
+	}
+	ln := w.net.Listen(addr)
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = server.Serve(ctx, ln) })
+	wg.Go(func() { _ = supervisor.Serve(ctx) })
+	p.stop = sync.OnceFunc(func() {
+		cancel()
+		wg.Wait()
+		transport.Close()
+	})
+	w.processes = append(w.processes, p)
+	return p
+}
+
+// run starts six processes and gives them fifteen seconds.
+func run(t *testing.T, test func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{net: network.NewNetwork(), directory: tsplatform.NewDirectory(tsplatform.DirectoryOptions{})}
+		for i := range 6 {
+			w.start(t, i, fmt.Sprintf("in-%d", i))
+		}
+		time.Sleep(15 * time.Second)
+		test(t, w)
+		for _, p := range w.processes {
+			p.stop()
+		}
+		time.Sleep(3 * time.Minute) // idle connections time out
+	})
+}
+
+func assertReaches(t *testing.T, n int, ps ...*process) {
+	t.Helper()
+	for _, p := range ps {
+		assert.Equal(t, len(p.fleet.Reachable()), n, p.fleet.Self().Name)
+	}
+}
+
+func TestFleet(t *testing.T) {
+	t.Run("all reach all and post it on the board", func(t *testing.T) {
+		run(t, func(t *testing.T, w *world) {
+			assertReaches(t, 5, w.processes...)
+			assert.Equal(t, len(w.processes[0].board.Members.Read()), 5)
+			assert.Equal(t, w.processes[0].fleet.State("in-3"), turmericshed.MemberAlive)
+		})
+	})
+	t.Run("a controller that panics restarts alone and rebuilds", func(t *testing.T) {
+		run(t, func(t *testing.T, w *world) {
+			p := w.processes[2]
+			known := p.events.count(turmericshed.EventMemberAlive)
+			p.topic.arm()
+			time.Sleep(20 * time.Second)
+			assert.Equal(t, p.events.count(turmericshed.EventMemberAlive), known+5, "the table was not rebuilt")
+			assert.Equal(t, p.events.count(turmericshed.EventInvariantBroken), 1)
+			assert.Assert(t, p.topic.heardSince() > 1, "the controller did not come back")
+			assertReaches(t, 5, w.processes...)
+		})
+	})
+	t.Run("a controller that restarts without the platform rebuilds from peers", func(t *testing.T) {
+		run(t, func(t *testing.T, w *world) {
+			w.directory.SetFaults(tsplatform.DirectoryFaults{Outage: true})
+			p := w.processes[2]
+			p.board.Directory.Write(turmericshed.DirectorySnapshot{})
+			p.topic.arm()
+			time.Sleep(40 * time.Second)
+			assertReaches(t, 5, w.processes...)
+		})
+	})
+	t.Run("an empty list changes nothing", func(t *testing.T) {
+		run(t, func(t *testing.T, w *world) {
+			w.directory.SetFaults(tsplatform.DirectoryFaults{Empty: true})
+			time.Sleep(time.Minute)
+			assertReaches(t, 5, w.processes...)
+		})
+	})
+	t.Run("a process that stops gracefully has left", func(t *testing.T) {
+		run(t, func(t *testing.T, w *world) {
+			w.processes[4].fleet.Leave(t.Context())
+			w.processes[4].stop()
+			time.Sleep(5 * time.Second)
+			assertReaches(t, 4, w.processes[:4]...)
+			assert.Equal(t, w.processes[0].fleet.State("in-4"), turmericshed.MemberLeft)
+		})
+	})
+	t.Run("a process that dies is gone for all", func(t *testing.T) {
+		run(t, func(t *testing.T, w *world) {
+			w.processes[4].stop()
+			time.Sleep(30 * time.Second)
+			for _, p := range w.processes[:4] {
+				assert.Equal(t, p.fleet.State("in-4"), turmericshed.MemberGone, p.fleet.Self().Name)
+			}
+		})
+	})
+	t.Run("a process that cannot dial one peer accuses it to nobody", func(t *testing.T) {
+		run(t, func(t *testing.T, w *world) {
+			a, b := w.processes[0].fleet.Self().PeerAddr, w.processes[3].fleet.Self().PeerAddr
+			w.net.Cut(a, b)
+			time.Sleep(time.Minute)
+			assertReaches(t, 4, w.processes[0])
+			assertReaches(t, 5, w.processes[1:]...)
+			w.net.Heal(a, b)
+			time.Sleep(30 * time.Second)
+			assertReaches(t, 5, w.processes...)
+		})
+	})
+}
--- a/io/tsprofiles/fleet_test.go
+++ b/io/tsprofiles/fleet_test.go
@@ -283,6 +283,31 @@
 	})
 }
 
+func TestOverrunWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.store = tsplatform.NewStore(tsplatform.Options{LogLength: 4})
+		defer w.stop()
+		// So many profiles that the list takes long to read through.
+		for i := range 400 {
+			w.edit(fmt.Sprintf("other-%03d", i), 1)
+		}
+		w.edit("z-counter", 100)
+		alone := w.start(0, "in-0")
+		time.Sleep(2 * time.Second)
+		w.assertPrepaid("z-counter", 100, alone)
+		w.store.ChangeFaults(func(f *tsplatform.Faults) { f.Cut = []string{"vm-0"} })
+		time.Sleep(time.Second)
+		w.edit("z-counter", 200)
+		for i := range 8 {
+			w.edit(fmt.Sprintf("other-%03d", i), 2)
+		}
+		w.store.ChangeFaults(func(f *tsplatform.Faults) { f.Cut = nil })
+		time.Sleep(3 * time.Second)
+		w.assertPrepaid("z-counter", 200, alone)
+	})
+}
+
 func TestUnknownProfile(t *testing.T) {
 	run(t, func(t *testing.T, w *world) {
 		_, _, err := w.entries[0].cache.Get(t.Context(), "absent")
