A stop ends though its lender is dead; generations share the table's lock

Cause: the demo's test found two faults in one run of four: a graceful stop failed after 20 s because the killed lender was still believed alive when the rest of the fleet stopped; the race detector saw the table look into a stream that its runner changed. Change: a stopping holder gives a silent lender up after 8 reports (its loans stay charged); answers take the table's mutex. Conclusion: a stop is bounded by a few seconds whatever became of the lenders.

--- a/io/tsentry/stream.go
+++ b/io/tsentry/stream.go
@@ -22,7 +22,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
-	mu      sync.Mutex
+	// mu is that of the table, which looks into its streams.
+	mu      *sync.Mutex
 	stream  *tsdedupe.Stream[*answer]
 	changed chan struct{}
 	readers int
@@ -188,7 +189,7 @@
 		return nil, false, err
 	}
 	if joined {
-		s.Handle.join()
+		s.Handle.readers++
 		return s.Handle, true, nil
 	}
 	return r.newAnswer(req, s), false, nil
@@ -202,7 +203,7 @@
 	if !ok {
 		return nil, false
 	}
-	s.Handle.join()
+	s.Handle.readers++
 	return s.Handle, true
 }
 
@@ -210,17 +211,11 @@
 	ctx, cancel := context.WithDeadline(r.base, req.deadline)
 	s.Handle = &answer{
 		request: req.id, key: req.key, started: time.Now(), ctx: ctx, cancel: cancel,
-		stream: s, changed: make(chan struct{}), readers: 1,
+		mu: &r.mu, stream: s, changed: make(chan struct{}), readers: 1,
 	}
 	return s.Handle
 }
 
-func (a *answer) join() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.readers++
-}
-
 // leave ends a caller's interest. The last one out cancels the generation, at
 // once without an idempotency key, else after a grace period.
 func (a *answer) leave() {
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -48,6 +48,9 @@
 	peerTimeout = time.Second
 	// exhaustedPause is the time between draws from a ledger with no room.
 	exhaustedPause = time.Second
+	// finalRepayAttempts is how often a stopping holder reports to a lender
+	// that does not answer.
+	finalRepayAttempts = 8
 	// workers is the number of rounds that run at once.
 	workers = 16
 	// defaultWritesPerSecond limits the writes that no request waits for.
@@ -98,6 +101,8 @@
 	draining bool
 	// lenders has the addresses of the incarnations that lent to us.
 	lenders map[turmericshed.Incarnation]netip.AddrPort
+	// unanswered counts the last reports that a lender did not answer.
+	unanswered map[turmericshed.Incarnation]int
 	// goneSince is when a lot's holder was first seen gone.
 	goneSince map[turmericshed.Incarnation]time.Time
 	fleet     fleet
@@ -178,13 +183,14 @@
 		cfg.NewID = turmericshed.NewID
 	}
 	return &Holder{
-		cfg:       cfg,
-		limiter:   rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), writeBurst),
-		work:      make(chan turmericshed.BudgetID, 1<<16),
-		core:      tsbudget.NewHolder(cfg.Self.Incarnation),
-		budgets:   make(map[turmericshed.BudgetID]*budget),
-		lenders:   make(map[turmericshed.Incarnation]netip.AddrPort),
-		goneSince: make(map[turmericshed.Incarnation]time.Time),
+		cfg:        cfg,
+		limiter:    rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), writeBurst),
+		work:       make(chan turmericshed.BudgetID, 1<<16),
+		core:       tsbudget.NewHolder(cfg.Self.Incarnation),
+		budgets:    make(map[turmericshed.BudgetID]*budget),
+		lenders:    make(map[turmericshed.Incarnation]netip.AddrPort),
+		unanswered: map[turmericshed.Incarnation]int{},
+		goneSince:  make(map[turmericshed.Incarnation]time.Time),
 	}
 }
 
--- a/io/tsholder/holder_test.go
+++ b/io/tsholder/holder_test.go
@@ -125,6 +125,20 @@
 		assert.Equal(t, l.Spent, turmericshed.Tokens(900))
 		assert.Equal(t, l.Billed, turmericshed.Tokens(900))
 	})
+	inBubble(t, "a stop ends though a dead lender is believed alive", func(t *testing.T) {
+		w := newWorld(t, 1000, "")
+		a, b := w.add(1, "a", "x"), w.add(2, "b", "y")
+		a.Settle(a.mustReserve(1000), 300)
+		b.Settle(b.mustReserve(600), 50)
+		a.crash()
+		w.mu.Lock()
+		w.states["a"] = turmericshed.MemberAlive
+		w.mu.Unlock()
+		began := time.Now()
+		assert.NilError(t, b.drain())
+		assert.Assert(t, time.Since(began) < 20*time.Second)
+		assert.Equal(t, w.ledger().Open(), turmericshed.Tokens(1000))
+	})
 	inBubble(t, "loans outlive a lender that stops", func(t *testing.T) {
 		w := newWorld(t, 1000, "")
 		a, b := w.add(1, "a", "x"), w.add(2, "b", "y")
--- a/io/tsholder/peer.go
+++ b/io/tsholder/peer.go
@@ -242,6 +242,22 @@
 	return first
 }
 
+// lenderGone reports whether a lender that did not answer is given up. A stop
+// gives it up after a few attempts too: with the rest of the fleet stopping,
+// nobody is left to confirm that it is gone. What it lent then stays charged.
+func (h *Holder) lenderGone(lender turmericshed.Incarnation, final bool) bool {
+	if h.cfg.Members.State(lender) != turmericshed.MemberAlive {
+		return true
+	}
+	if !final {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unanswered[lender]++
+	return h.unanswered[lender] >= finalRepayAttempts
+}
+
 func (h *Holder) repayOne(ctx context.Context, b *budget, lender turmericshed.Incarnation, final bool) error {
 	h.mu.Lock()
 	reports := h.core.ReportsTo(b.id, lender, final)
@@ -260,7 +276,7 @@
 	defer cancel()
 	res, err := h.client(turmericshed.EntryVM{PeerAddr: addr}).Repay(callCtx, connect.NewRequest(req))
 	if err != nil {
-		if h.cfg.Members.State(lender) == turmericshed.MemberAlive {
+		if !h.lenderGone(lender, final) {
 			return turmericshed.WrapError(turmericshed.KindBudgetUnavailable, err, "repay")
 		}
 		// The lender is gone: where it could still hand its loans on, they
