Membership: a member gone is taken from a table with its accusers

Change: an update that says gone with enough accusers is taken whatever their age; the member would have refuted. Seen red both without it and without the count of accusers (TestHearsay).

--- a/core/tsmember/node_test.go
+++ b/core/tsmember/node_test.go
@@ -346,6 +346,26 @@
 	})
 }
 
+func TestHearsay(t *testing.T) {
+	told := func(t *testing.T, accusers int) turmericshed.MemberState {
+		t.Helper()
+		c := newCluster(t, 9, 3)
+		c.run(time.Second)
+		u := tsmember.Update{EntryVM: vmOf(4, 3, "in-4"), Epoch: 1, Seq: 1, State: turmericshed.MemberGone}
+		for i := range accusers {
+			u.Accusers = append(u.Accusers, tsmember.Accusation{Name: fmt.Sprintf("vm-%d", i), FailureDomain: "fd-1", Age: 2 * time.Minute})
+		}
+		c.nodes["in-0"].HandleSyncReply(c.now, 0, tsmember.SyncReply{Updates: []tsmember.Update{u}})
+		return c.nodes["in-0"].State("in-4")
+	}
+	t.Run("old accusations of several are taken from a table", func(t *testing.T) {
+		assert.Equal(t, told(t, 3), turmericshed.MemberGone)
+	})
+	t.Run("gone on one node's word is not taken", func(t *testing.T) {
+		assert.Equal(t, told(t, 1), turmericshed.MemberAlive)
+	})
+}
+
 func TestJoin(t *testing.T) {
 	t.Run("a stale or empty list still joins everybody", func(t *testing.T) {
 		c := newCluster(t, 0, 3)
--- a/core/tsmember/table.go
+++ b/core/tsmember/table.go
@@ -252,7 +252,14 @@
 		n.setState(now, m, turmericshed.MemberGone, "restarted")
 		return
 	}
-	for _, a := range u.accusers(now) {
+	accusers := slices.DeleteFunc(u.accusers(now), func(a Accuser) bool { return n.settled(m.FailureDomain, a) })
+	if u.State == turmericshed.MemberGone && n.enough(accusers) {
+		// The accusations may be old by now; the member did not refute them.
+		m.Accusers = accusers
+		n.setState(now, m, turmericshed.MemberGone, fmt.Sprintf("%d accusers, heard from peers", len(accusers)))
+		return
+	}
+	for _, a := range accusers {
 		n.accuse(now, m, a)
 	}
 }
