--- a/io/tscalls/resolve.go
+++ b/io/tscalls/resolve.go
@@ -35,15 +35,20 @@
 // Serve visits the owned slots until ctx ends.
 func (r resolver) Serve(ctx context.Context) error {
 	for pause(ctx, resolveInterval) {
-		for slot := range tsclaim.Slots {
-			if _, remote := r.c.owner(slot); !remote {
-				r.c.resolveSlot(ctx, slot)
-			}
-		}
+		r.c.Resolve(ctx)
 	}
 	return ctx.Err()
 }
 
+// Resolve visits the slots that this process owns, once.
+func (c *Calls) Resolve(ctx context.Context) {
+	for slot := range tsclaim.Slots {
+		if _, remote := c.owner(slot); !remote {
+			c.resolveSlot(ctx, slot)
+		}
+	}
+}
+
 // resolveSlot looks the doubtful calls of a slot up at their services, and
 // puts open claims of runners that are gone in doubt.
 func (c *Calls) resolveSlot(ctx context.Context, slot int) {
--- /dev/null
+++ b/load/tsexperiment/calls.go
@@ -0,0 +1,283 @@
+package tsexperiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"turmericshed"
+	"turmericshed/standin/tsplatform"
+)
+
+const (
+	// designClaims is the number of claims a second at the design size, and
+	// designClaimWrites what they may cost.
+	designClaims      = 1000
+	designClaimWrites = 200
+	// faultClaims is the rate in the scenarios with faults.
+	faultClaims = 300
+
+	scenarioTime      = 10 * time.Second
+	scenarioTimeQuick = 2 * time.Second
+	// pauseTime is how long a VM is paused; longer than callDeadline.
+	pauseTime = 2500 * time.Millisecond
+)
+
+// CallsResult holds the figures of one scenario under one system.
+type CallsResult struct {
+	Scenario string  `json:"scenario"`
+	System   string  `json:"system"`
+	Calls    int     `json:"calls"`
+	Seconds  float64 `json:"seconds"`
+	Answered int     `json:"answered"`
+	Refused  int     `json:"refused"`
+	InDoubt  int     `json:"in_doubt"`
+
+	DoubledCalls   int `json:"doubled_calls"`
+	LostCalls      int `json:"lost_calls"`
+	FalseNotRun    int `json:"false_not_run"`
+	UnknownAnswers int `json:"unknown_answers"`
+	// ForeignAnswers are answers of another call.
+	ForeignAnswers int `json:"foreign_answers"`
+
+	KVWritesPerCall       float64 `json:"kv_writes_per_call"`
+	KVWritesPerSecond     float64 `json:"kv_writes_per_second"`
+	KVReadsPerSecond      float64 `json:"kv_reads_per_second"`
+	KVBytesWrittenPerCall int64   `json:"kv_bytes_written_per_call"`
+	ClaimP50Micros        int64   `json:"claim_p50_us"`
+	ClaimP99Micros        int64   `json:"claim_p99_us"`
+}
+
+// CallsReport is the result of the experiment.
+type CallsReport struct {
+	Seed uint64 `json:"seed"`
+	// The worst of all scenarios under the product's own system.
+	DoubledCalls    int     `json:"doubled_calls"`
+	LostCalls       int     `json:"lost_calls"`
+	FalseNotRun     int     `json:"false_not_run"`
+	UnknownAnswers  int     `json:"unknown_answers"`
+	PartialAnswers  int     `json:"partial_answers"`
+	ForeignFrames   int     `json:"foreign_frames"`
+	BilledTwice     int     `json:"billed_twice"`
+	Unbilled        int     `json:"unbilled"`
+	KVWritesPerCall float64 `json:"kv_writes_per_call"`
+	ClaimP50Micros  int64   `json:"claim_p50_us"`
+	ClaimP99Micros  int64   `json:"claim_p99_us"`
+	CrashesByPoison int     `json:"crashes_by_poison"`
+	// WithinWrites tells that the design size's claims fit their writes.
+	WithinWrites bool           `json:"within_writes"`
+	Scenarios    []CallsResult  `json:"scenarios,omitempty"`
+	Frames       []FramesResult `json:"frames,omitempty"`
+	Poison       []PoisonResult `json:"poison,omitempty"`
+	Slopes       *CallsSlopes   `json:"slopes,omitempty"`
+}
+
+// callScenario is one row of the scenarios with claims.
+type callScenario struct {
+	name      string
+	rate      int
+	duplicate float64
+	// baselines tells whether the baselines run it too.
+	baselines bool
+	// faults runs beside the load until ctx ends.
+	faults func(ctx context.Context, r *rand.Rand, f *callFleet)
+}
+
+func callScenarios() []callScenario {
+	return []callScenario{
+		{name: "steady", rate: designClaims, baselines: true},
+		{name: "retries", rate: faultClaims, duplicate: 0.5, baselines: true},
+		{name: "store_outage", rate: faultClaims, duplicate: 0.2, baselines: true, faults: faultOutage},
+		{name: "lost_answers", rate: faultClaims, duplicate: 0.2, baselines: true, faults: faultLostAnswers},
+		{name: "runner_deaths", rate: faultClaims, duplicate: 0.2, baselines: true, faults: faultDeaths},
+		{name: "pauses", rate: faultClaims, duplicate: 0.2, baselines: true, faults: faultPauses},
+		{name: "all_together", rate: faultClaims, duplicate: 0.2, faults: faultAll},
+	}
+}
+
+// runCalls measures claims, frames and quarantine. Claims run on goroutines
+// and the real clock: the seed fixes the load and the faults, and the times
+// vary from run to run.
+func runCalls(ctx context.Context, o Options) (any, error) {
+	rep := &CallsReport{Seed: o.Seed, WithinWrites: true}
+	known := false
+	for _, sc := range callScenarios() {
+		if o.Scenario != "" && o.Scenario != sc.name {
+			continue
+		}
+		known = true
+		systems := []string{systemClaims}
+		if sc.baselines {
+			systems = append(systems, systemMemory, systemKeys)
+		}
+		for _, system := range systems {
+			res, err := runCallScenario(ctx, o, sc, system)
+			if err != nil {
+				return nil, err
+			}
+			rep.Scenarios = append(rep.Scenarios, res)
+			if system == systemClaims {
+				rep.join(res)
+			}
+		}
+	}
+	if o.Scenario == "" || o.Scenario == "crossed_frames" {
+		known = true
+		rep.joinFrames(runFrames(o))
+	}
+	if o.Scenario == "" || o.Scenario == "poison" {
+		known = true
+		rep.joinPoison(runPoison(o))
+	}
+	if o.Scenario == "slopes" {
+		known = true
+		slopes, err := measureCallSlopes(ctx, o)
+		if err != nil {
+			return nil, err
+		}
+		rep.Slopes = slopes
+	}
+	if !known {
+		return nil, turmericshed.NewError(turmericshed.KindBadRequest, "unknown scenario %q", o.Scenario)
+	}
+	return rep, nil
+}
+
+// join adds a scenario to the summary.
+func (r *CallsReport) join(res CallsResult) {
+	r.DoubledCalls += res.DoubledCalls
+	r.LostCalls += res.LostCalls
+	r.FalseNotRun += res.FalseNotRun
+	r.UnknownAnswers += res.UnknownAnswers
+	r.ForeignFrames += res.ForeignAnswers
+	if res.Scenario == "steady" {
+		r.KVWritesPerCall = res.KVWritesPerCall
+		r.ClaimP50Micros, r.ClaimP99Micros = res.ClaimP50Micros, res.ClaimP99Micros
+		r.WithinWrites = res.KVWritesPerSecond < designClaimWrites
+	}
+}
+
+// runCallScenario runs one scenario under one system.
+func runCallScenario(ctx context.Context, o Options, sc callScenario, system string) (CallsResult, error) {
+	d := scenarioTime
+	if o.Quick {
+		d = scenarioTimeQuick
+	}
+	r := rand.New(rand.NewPCG(o.Seed, uint64(len(sc.name))))
+	f := newCallFleet(system, true)
+	l := &callLoad{fleet: f, book: newCallBook(), rate: sc.rate, duplicate: sc.duplicate}
+	faultCtx, stop := context.WithTimeout(ctx, d)
+	defer stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if sc.faults != nil {
+			sc.faults(faultCtx, rand.New(rand.NewPCG(o.Seed, 2)), f)
+		}
+	}()
+	began := time.Now()
+	n := l.run(ctx, r, d)
+	elapsed := time.Since(began)
+	stop()
+	<-ended
+	f.heal()
+	time.Sleep(settleTime)
+	res, err := l.audit(ctx, n, elapsed)
+	res.Scenario, res.System = sc.name, system
+	if err != nil {
+		return res, fmt.Errorf("audit of %s under %s: %w", sc.name, system, err)
+	}
+	return res, nil
+}
+
+// heal ends every fault that ends by itself.
+func (f *callFleet) heal() {
+	f.store.SetFaults(tsplatform.Faults{Delay: turmericshed.Duration(callStoreDelay)})
+	f.service.mu.Lock()
+	f.service.loseOne = 0
+	f.service.mu.Unlock()
+	for _, v := range f.all() {
+		v.paused.Store(0)
+	}
+	for slot := range f.all() {
+		if v := f.all()[slot]; v.dead.Load() == 0 && v.calls != nil {
+			v.calls.Resolve(context.Background())
+		}
+	}
+}
+
+// nap sleeps and reports whether ctx is still alive.
+func nap(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// faultOutage takes the store away for a second of every three.
+func faultOutage(ctx context.Context, _ *rand.Rand, f *callFleet) {
+	for nap(ctx, 700*time.Millisecond) {
+		f.store.ChangeFaults(func(fl *tsplatform.Faults) { fl.Outage = true })
+		alive := nap(ctx, time.Second)
+		f.store.ChangeFaults(func(fl *tsplatform.Faults) { fl.Outage = false })
+		if !alive || !nap(ctx, 1300*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// faultLostAnswers loses answers of the store and of the service, and delays
+// writes.
+func faultLostAnswers(ctx context.Context, r *rand.Rand, f *callFleet) {
+	f.service.mu.Lock()
+	f.service.loseOne = 50
+	f.service.mu.Unlock()
+	for nap(ctx, 50*time.Millisecond) {
+		f.store.ChangeFaults(func(fl *tsplatform.Faults) {
+			if r.IntN(2) == 0 {
+				fl.LoseAnswers = 1
+				return
+			}
+			fl.HoldWrites, fl.HoldFor = 1, turmericshed.Duration(r.IntN(300)+1)*turmericshed.Duration(time.Millisecond)
+		})
+	}
+}
+
+// faultDeaths kills a VM every 400 ms and starts another in its place.
+func faultDeaths(ctx context.Context, r *rand.Rand, f *callFleet) {
+	for nap(ctx, 400*time.Millisecond) {
+		v := f.live(r)
+		v.dead.Store(time.Now().UnixNano())
+		f.add(r.IntN(callDomains))
+	}
+}
+
+// faultPauses pauses a VM every 500 ms, wherever it is.
+func faultPauses(ctx context.Context, r *rand.Rand, f *callFleet) {
+	for nap(ctx, 500*time.Millisecond) {
+		v := f.live(r)
+		v.paused.CompareAndSwap(0, time.Now().UnixNano())
+		time.AfterFunc(pauseTime, func() { v.paused.Store(0) })
+	}
+}
+
+// faultAll runs every fault at once.
+func faultAll(ctx context.Context, r *rand.Rand, f *callFleet) {
+	done := make(chan struct{})
+	faults := []func(context.Context, *rand.Rand, *callFleet){faultOutage, faultLostAnswers, faultDeaths, faultPauses}
+	for i, fault := range faults {
+		seed := rand.New(rand.NewPCG(r.Uint64(), uint64(i)))
+		go func() {
+			fault(ctx, seed, f)
+			done <- struct{}{}
+		}()
+	}
+	for range faults {
+		<-done
+	}
+}
--- /dev/null
+++ b/load/tsexperiment/calls_baseline.go
@@ -0,0 +1,190 @@
+package tsexperiment
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+	"turmericshed/core/tsupdate"
+)
+
+// The systems that are compared.
+const (
+	systemClaims = "claims"
+	systemMemory = "memory_of_one_vm"
+	systemKeys   = "write_a_claim"
+)
+
+// memoryClaims is the baseline that knows the calls of one entry VM only.
+type memoryClaims struct {
+	mu    sync.Mutex
+	calls map[tsclaim.ID]*memoryCall
+	byID  map[turmericshed.ClaimID]*memoryCall
+}
+
+type memoryCall struct {
+	id     tsclaim.ID
+	done   chan struct{}
+	answer *turmericshed.Answer
+}
+
+var _ turmericshed.Claims = (*memoryClaims)(nil)
+
+func newMemoryClaims() *memoryClaims {
+	return &memoryClaims{calls: map[tsclaim.ID]*memoryCall{}, byID: map[turmericshed.ClaimID]*memoryCall{}}
+}
+
+// Claim joins a call of this VM.
+func (m *memoryClaims) Claim(ctx context.Context, c turmericshed.Call) (turmericshed.ClaimDecision, error) {
+	id := tsclaim.NewID(c.Account, c.Key)
+	m.mu.Lock()
+	call, ok := m.calls[id]
+	if !ok {
+		call = &memoryCall{id: id, done: make(chan struct{})}
+		claim := turmericshed.ClaimID(turmericshed.NewID("claim-"))
+		m.calls[id], m.byID[claim] = call, call
+		m.mu.Unlock()
+		return turmericshed.ClaimDecision{Verdict: turmericshed.ClaimRun, Claim: claim}, nil
+	}
+	m.mu.Unlock()
+	select {
+	case <-call.done:
+	case <-ctx.Done():
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if call.answer != nil {
+		return turmericshed.ClaimDecision{Verdict: turmericshed.ClaimReplay, Answer: *call.answer}, nil
+	}
+	return turmericshed.ClaimDecision{Verdict: turmericshed.ClaimUnknown}, nil
+}
+
+// Dispatch lets every call through.
+func (m *memoryClaims) Dispatch(turmericshed.ClaimID) error { return nil }
+
+func (m *memoryClaims) end(id turmericshed.ClaimID, a *turmericshed.Answer, forget bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	call := m.byID[id]
+	call.answer = a
+	close(call.done)
+	if forget {
+		delete(m.calls, call.id)
+	}
+}
+
+// Complete keeps the answer in memory.
+func (m *memoryClaims) Complete(_ context.Context, id turmericshed.ClaimID, a turmericshed.Answer) error {
+	m.end(id, &a, false)
+	return nil
+}
+
+// Abandon forgets the call.
+func (m *memoryClaims) Abandon(_ context.Context, id turmericshed.ClaimID) error {
+	m.end(id, nil, true)
+	return nil
+}
+
+// Doubt keeps the call without an answer.
+func (m *memoryClaims) Doubt(_ context.Context, id turmericshed.ClaimID, _ string) error {
+	m.end(id, nil, false)
+	return nil
+}
+
+// Drain does nothing.
+func (m *memoryClaims) Drain(context.Context) error { return nil }
+
+// keyClaims is the baseline that writes each claim, and each answer, under a
+// key of its own.
+type keyClaims struct {
+	store  turmericshed.Store
+	runner turmericshed.Incarnation
+	mu     sync.Mutex
+	ids    map[turmericshed.ClaimID]tsclaim.Op
+}
+
+var _ turmericshed.Claims = (*keyClaims)(nil)
+
+func newKeyClaims(s turmericshed.Store, runner turmericshed.Incarnation) *keyClaims {
+	return &keyClaims{store: s, runner: runner, ids: map[turmericshed.ClaimID]tsclaim.Op{}}
+}
+
+// apply commits one operation to the call's own document.
+func (k *keyClaims) apply(ctx context.Context, op tsclaim.Op) (tsclaim.Result, error) {
+	var res tsclaim.Result
+	mutate := func(cur turmericshed.Item) ([]byte, error) {
+		h, err := tsclaim.DecodeHead(cur.Value, 0)
+		if err != nil {
+			return nil, err
+		}
+		if res = h.Apply(op, time.Now(), nil); !res.Changed {
+			return nil, res.Err
+		}
+		return h.Encode()
+	}
+	u := tsupdate.New(turmericshed.ClaimPrefix+"each/"+string(op.ID), mutate)
+	if op.Kind == tsclaim.OpClaim {
+		u = tsupdate.NewFrom(turmericshed.Item{Key: turmericshed.ClaimPrefix + "each/" + string(op.ID)}, mutate)
+	}
+	_, err := tsupdate.Run(ctx, k.store, u)
+	return res, err
+}
+
+// Claim writes the claim; it does not wait for another runner.
+func (k *keyClaims) Claim(ctx context.Context, c turmericshed.Call) (turmericshed.ClaimDecision, error) {
+	claim := turmericshed.ClaimID(turmericshed.NewID("claim-"))
+	op := tsclaim.ClaimOp(c, claim, k.runner)
+	res, err := k.apply(ctx, op)
+	if err != nil {
+		return turmericshed.ClaimDecision{}, turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "claim")
+	}
+	switch {
+	case res.Entry.Claim == claim:
+		k.mu.Lock()
+		k.ids[claim] = op
+		k.mu.Unlock()
+		return turmericshed.ClaimDecision{Verdict: turmericshed.ClaimRun, Claim: claim}, nil
+	case res.Entry.State == tsclaim.StateDone:
+		return turmericshed.ClaimDecision{Verdict: turmericshed.ClaimReplay, Answer: *res.Entry.Answer}, nil
+	default:
+		return turmericshed.ClaimDecision{Verdict: turmericshed.ClaimUnknown}, nil
+	}
+}
+
+// Dispatch lets every claimed call through.
+func (k *keyClaims) Dispatch(turmericshed.ClaimID) error { return nil }
+
+func (k *keyClaims) end(ctx context.Context, id turmericshed.ClaimID, op tsclaim.Op) error {
+	k.mu.Lock()
+	held := k.ids[id]
+	k.mu.Unlock()
+	op.ID, op.Claim = held.ID, id
+	for {
+		_, err := k.apply(ctx, op)
+		kind := turmericshed.KindOf(err)
+		if kind != turmericshed.KindStoreUnavailable && kind != turmericshed.KindStoreUnknown || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// Complete writes the answer.
+func (k *keyClaims) Complete(ctx context.Context, id turmericshed.ClaimID, a turmericshed.Answer) error {
+	return k.end(ctx, id, tsclaim.Op{Kind: tsclaim.OpComplete, Entry: tsclaim.Entry{Answer: &a}})
+}
+
+// Abandon writes that the call was not sent.
+func (k *keyClaims) Abandon(ctx context.Context, id turmericshed.ClaimID) error {
+	return k.end(ctx, id, tsclaim.Op{Kind: tsclaim.OpAbandon, NeverSent: true})
+}
+
+// Doubt writes that the call may have run.
+func (k *keyClaims) Doubt(ctx context.Context, id turmericshed.ClaimID, reason string) error {
+	return k.end(ctx, id, tsclaim.Op{Kind: tsclaim.OpDoubt, Entry: tsclaim.Entry{Reason: reason}})
+}
+
+// Drain does nothing.
+func (k *keyClaims) Drain(context.Context) error { return nil }
--- /dev/null
+++ b/load/tsexperiment/calls_fleet.go
@@ -0,0 +1,269 @@
+package tsexperiment
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+	"turmericshed/io/tscalls"
+	"turmericshed/standin/tsplatform"
+)
+
+const (
+	callDomains      = 3
+	callVMsPerDomain = 3
+	// goneAfter is when a VM that died, or is paused, is believed gone.
+	goneAfter = time.Second
+	// serviceTime is how long the service takes for one call.
+	serviceTime = 20 * time.Millisecond
+	// callStoreDelay is how long the key-value service takes for one call.
+	callStoreDelay = 3 * time.Millisecond
+	// The limits of the key-value service.
+	storeWrites = 400
+	storeReads  = 2000
+)
+
+// callFleet is a fleet of entry VMs in one process before one service.
+type callFleet struct {
+	store   *tsplatform.Store
+	service *callService
+	system  string
+
+	mu  sync.Mutex
+	vms []*callVM
+	n   int
+}
+
+// callVM is one entry VM, with the parts that matter for claimed calls.
+type callVM struct {
+	fleet  *callFleet
+	self   turmericshed.EntryVM
+	claims turmericshed.Claims
+	calls  *tscalls.Calls
+	serve  http.Handler
+	// dead and paused hold the time in Unix nanoseconds; 0 means not.
+	dead, paused atomic.Int64
+}
+
+func newCallFleet(system string, limited bool) *callFleet {
+	o := tsplatform.Options{}
+	if limited {
+		o.WritesPerSecond, o.ReadsPerSecond = storeWrites, storeReads
+	}
+	f := &callFleet{store: tsplatform.NewStore(o), service: newCallService(), system: system}
+	f.store.SetFaults(tsplatform.Faults{Delay: turmericshed.Duration(callStoreDelay)})
+	for i := range callDomains * callVMsPerDomain {
+		f.add(i % callDomains)
+	}
+	return f
+}
+
+// add starts an entry VM in a failure domain.
+func (f *callFleet) add(domain int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.n++
+	v := &callVM{fleet: f, self: turmericshed.EntryVM{
+		Name: fmt.Sprint("vm-", f.n), Incarnation: turmericshed.Incarnation(fmt.Sprint("in-", f.n)),
+		FailureDomain: turmericshed.FailureDomain(fmt.Sprint("fd-", domain)),
+		PeerAddr:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(f.n >> 8), byte(f.n)}), 1),
+	}}
+	store := vmStore{Store: f.store.As(v.self.Name), vm: v}
+	switch f.system {
+	case systemMemory:
+		v.claims = newMemoryClaims()
+	case systemKeys:
+		v.claims = newKeyClaims(store, v.self.Incarnation)
+	default:
+		v.calls = tscalls.New(tscalls.Config{Self: v.self, Store: store, Members: v, Peers: v, Lookup: f.service.lookup})
+		v.claims = v.calls
+		_, v.serve = v.calls.Handler()
+	}
+	f.vms = append(f.vms, v)
+}
+
+// all returns the VMs; a dead one is replaced, not removed.
+func (f *callFleet) all() []*callVM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.vms)
+}
+
+// live returns a VM that the balancer sends to.
+func (f *callFleet) live(r *rand.Rand) *callVM {
+	var up []*callVM
+	for _, v := range f.all() {
+		if v.dead.Load() == 0 {
+			up = append(up, v)
+		}
+	}
+	return up[r.IntN(len(up))]
+}
+
+// gate holds a paused VM up. It returns an error once the VM is dead.
+func (v *callVM) gate() error {
+	for v.paused.Load() != 0 && v.dead.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if v.dead.Load() != 0 {
+		return errDead
+	}
+	return nil
+}
+
+var errDead = errors.New("the entry VM is gone")
+
+// Self returns the VM; callVM implements Members and Peers for its Calls.
+func (v *callVM) Self() turmericshed.EntryVM { return v.self }
+
+// Reachable returns the VMs that are not yet noticed to be dead or paused.
+func (v *callVM) Reachable() []turmericshed.EntryVM {
+	var out []turmericshed.EntryVM
+	for _, o := range v.fleet.all() {
+		if o != v && !o.noticed() {
+			out = append(out, o.self)
+		}
+	}
+	return out
+}
+
+// noticed reports whether the VM has been dead or paused for some time.
+func (v *callVM) noticed() bool {
+	for _, at := range []int64{v.dead.Load(), v.paused.Load()} {
+		if at != 0 && time.Since(time.Unix(0, at)) > goneAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// State takes VMs that were dead or paused for some time for gone: wrongly so
+// for the paused ones.
+func (v *callVM) State(in turmericshed.Incarnation) turmericshed.MemberState {
+	for _, o := range v.fleet.all() {
+		if o.self.Incarnation == in && o.noticed() {
+			return turmericshed.MemberGone
+		}
+	}
+	return turmericshed.MemberAlive
+}
+
+// Client returns a link to the VM at addr.
+func (v *callVM) Client(addr netip.AddrPort) (connect.HTTPClient, string) {
+	return callLink{from: v, to: addr}, "http://" + addr.String()
+}
+
+type callLink struct {
+	from *callVM
+	to   netip.AddrPort
+}
+
+// Do calls the handler of the VM at the other end.
+func (l callLink) Do(r *http.Request) (*http.Response, error) {
+	if err := l.from.gate(); err != nil {
+		return nil, err
+	}
+	for _, o := range l.from.fleet.all() {
+		if o.self.PeerAddr != l.to || o.serve == nil {
+			continue
+		}
+		for o.paused.Load() != 0 && o.dead.Load() == 0 {
+			if r.Context().Err() != nil {
+				return nil, r.Context().Err()
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if o.dead.Load() != 0 {
+			return nil, errDead
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return nil, err
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		w := httptest.NewRecorder()
+		o.serve.ServeHTTP(w, r)
+		return w.Result(), nil
+	}
+	return nil, errors.New("no route")
+}
+
+// vmStore is the store as one VM sees it: a dead or paused VM calls nobody.
+type vmStore struct {
+	turmericshed.Store
+	vm *callVM
+}
+
+// Get reads a key.
+func (s vmStore) Get(ctx context.Context, key string) (turmericshed.Item, error) {
+	if err := s.vm.gate(); err != nil {
+		return turmericshed.Item{}, turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "read")
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// CompareAndSwap writes a key.
+func (s vmStore) CompareAndSwap(ctx context.Context, w turmericshed.Write) (turmericshed.Version, error) {
+	if err := s.vm.gate(); err != nil {
+		return 0, turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "write")
+	}
+	return s.Store.CompareAndSwap(ctx, w)
+}
+
+// callService is a plain service that remembers what it ran.
+type callService struct {
+	mu      sync.Mutex
+	runs    map[string]int
+	ranBy   map[string]bool
+	answers map[string]turmericshed.Answer
+	// loseOne is the number of calls of which one loses its answer; 0 none.
+	loseOne int
+	n       int
+}
+
+func newCallService() *callService {
+	return &callService{runs: map[string]int{}, ranBy: map[string]bool{}, answers: map[string]turmericshed.Answer{}}
+}
+
+// do runs a call; attempt tells who sent it.
+func (s *callService) do(key, attempt string) (turmericshed.Answer, error) {
+	time.Sleep(serviceTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.n++
+	s.runs[key]++
+	s.ranBy[attempt] = true
+	a := turmericshed.Answer{Status: http.StatusCreated, ContentType: "application/json", Body: fmt.Appendf(nil, `{"job":%q,"state":"booked"}`, key)}
+	s.answers[key] = a
+	if s.loseOne > 0 && s.n%s.loseOne == 0 {
+		return turmericshed.Answer{}, turmericshed.NewError(turmericshed.KindCallUnknown, "the answer was lost")
+	}
+	return a, nil
+}
+
+func (s *callService) lookup(_ context.Context, _, key string) (turmericshed.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.answers[key]
+	if !ok {
+		return a, turmericshed.NewError(turmericshed.KindNotFound, "no such job")
+	}
+	return a, nil
+}
+
+// serviceKey returns the key under which a call is known to the service.
+func serviceKey(key string) string { return tsclaim.ServiceKey(callAccount, key) }
--- /dev/null
+++ b/load/tsexperiment/calls_load.go
@@ -0,0 +1,282 @@
+package tsexperiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+	"turmericshed/io/tscalls"
+)
+
+const (
+	callAccount = turmericshed.AccountID("corner-1")
+	// callDeadline is how long a caller waits for one attempt.
+	callDeadline = 2 * time.Second
+	// callAttempts bounds the attempts of one caller.
+	callAttempts = 4
+	// settleTime is how long outcomes may be written after the load.
+	settleTime = 4 * time.Second
+)
+
+// callBook is what the callers were told.
+type callBook struct {
+	mu      sync.Mutex
+	calls   map[string]*callEntry
+	latency *hdrhistogram.Histogram
+	unknown int
+	refused int
+	falses  int
+	foreign int
+}
+
+type callEntry struct {
+	answered bool
+	// open is set when an attempt may have run for all the caller knows.
+	open bool
+}
+
+func newCallBook() *callBook {
+	return &callBook{calls: map[string]*callEntry{}, latency: hdrhistogram.New(1, 60_000_000, 3)}
+}
+
+func (b *callBook) entry(key string) *callEntry {
+	e, ok := b.calls[key]
+	if !ok {
+		e = &callEntry{}
+		b.calls[key] = e
+	}
+	return e
+}
+
+// callLoad sends calls to a fleet and keeps the callers' book.
+type callLoad struct {
+	fleet *callFleet
+	book  *callBook
+	// rate is the number of calls a second.
+	rate int
+	// duplicate is the share of calls that are sent twice at once.
+	duplicate float64
+}
+
+// run sends calls for a time and waits for every caller to end.
+func (l *callLoad) run(ctx context.Context, r *rand.Rand, d time.Duration) int {
+	var wg sync.WaitGroup
+	n := int(d.Seconds() * float64(l.rate))
+	began := time.Now()
+	for i := range n {
+		at := began.Add(time.Duration(float64(i) / float64(l.rate) * float64(time.Second)))
+		time.Sleep(time.Until(at))
+		key := fmt.Sprint("job-", i)
+		callers := 1
+		if r.Float64() < l.duplicate {
+			callers = 2
+		}
+		for c := range callers {
+			seed := rand.New(rand.NewPCG(r.Uint64(), uint64(c)))
+			wg.Go(func() { l.caller(ctx, seed, key) })
+		}
+	}
+	wg.Wait()
+	return n
+}
+
+// caller sends one call until it has an answer or gives up.
+func (l *callLoad) caller(ctx context.Context, r *rand.Rand, key string) {
+	for n := range callAttempts {
+		attempt := fmt.Sprintf("%s/%d/%d", key, n, r.Uint64())
+		a, err := l.fleet.live(r).attempt(ctx, key, attempt, l.book)
+		if l.note(key, attempt, a, err) {
+			return
+		}
+		time.Sleep(time.Duration(100+r.IntN(200)) * time.Millisecond)
+	}
+}
+
+// note enters what an attempt was told; it reports whether the caller is done.
+func (l *callLoad) note(key, attempt string, a turmericshed.Answer, err error) bool {
+	l.fleet.service.mu.Lock()
+	ran := l.fleet.service.ranBy[attempt]
+	l.fleet.service.mu.Unlock()
+	b := l.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entry(key)
+	if err == nil {
+		if string(a.Body) != fmt.Sprintf(`{"job":%q,"state":"booked"}`, serviceKey(key)) {
+			b.foreign++
+		}
+		e.answered = true
+		return true
+	}
+	if turmericshed.OutcomeOf(err) == turmericshed.OutcomeNotRun {
+		b.refused++
+		if ran {
+			b.falses++
+		}
+		return false
+	}
+	b.unknown++
+	e.open = true
+	return false
+}
+
+// attempt does what an entry VM does with a call that may not be repeated.
+func (v *callVM) attempt(ctx context.Context, key, attempt string, b *callBook) (turmericshed.Answer, error) {
+	lost := turmericshed.NewError(turmericshed.KindCallUnknown, "the connection broke")
+	ctx, cancel := context.WithTimeout(ctx, callDeadline)
+	defer cancel()
+	if v.gate() != nil {
+		return turmericshed.Answer{}, lost
+	}
+	began := time.Now()
+	d, err := v.claims.Claim(ctx, turmericshed.Call{
+		Account: callAccount, Profile: "bookings", Service: "bookings", Key: key,
+		Digest: turmericshed.Digest("digest of " + key), Request: turmericshed.RequestID(attempt),
+	})
+	took := time.Since(began)
+	if v.gate() != nil {
+		return turmericshed.Answer{}, lost
+	}
+	switch {
+	case err != nil:
+		return turmericshed.Answer{}, err
+	case d.Verdict == turmericshed.ClaimReplay:
+		return d.Answer, nil
+	case d.Verdict == turmericshed.ClaimUnknown:
+		return turmericshed.Answer{}, turmericshed.NewError(turmericshed.KindCallUnknown, "an earlier attempt may have run")
+	}
+	b.mu.Lock()
+	_ = b.latency.RecordValue(took.Microseconds())
+	b.mu.Unlock()
+	if err := v.claims.Dispatch(d.Claim); err != nil {
+		return turmericshed.Answer{}, err
+	}
+	if v.gate() != nil {
+		return turmericshed.Answer{}, lost
+	}
+	return v.send(ctx, key, attempt, d.Claim, lost)
+}
+
+// send sends a dispatched call and keeps its outcome.
+func (v *callVM) send(ctx context.Context, key, attempt string, claim turmericshed.ClaimID, lost error) (turmericshed.Answer, error) {
+	a, err := v.fleet.service.do(serviceKey(key), attempt)
+	if v.gate() != nil {
+		return turmericshed.Answer{}, lost
+	}
+	later := context.WithoutCancel(ctx)
+	if err != nil {
+		_ = v.claims.Doubt(ctx, claim, err.Error())
+		return a, err
+	}
+	go func() { _ = v.claims.Complete(later, claim, a) }()
+	return a, nil
+}
+
+// audit compares the callers' book with the service's and the store's.
+func (l *callLoad) audit(ctx context.Context, calls int, elapsed time.Duration) (CallsResult, error) {
+	res := CallsResult{Calls: calls, Seconds: elapsed.Seconds()}
+	listed, done, err := l.unsettled(ctx)
+	if err != nil {
+		return res, err
+	}
+	l.fleet.service.mu.Lock()
+	defer l.fleet.service.mu.Unlock()
+	b := l.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, e := range b.calls {
+		runs := l.fleet.service.runs[serviceKey(key)]
+		id := tsclaim.NewID(callAccount, key)
+		if runs > 1 {
+			res.DoubledCalls++
+		}
+		if e.answered {
+			res.Answered++
+			continue
+		}
+		switch {
+		case !e.open && runs > 0:
+			res.FalseNotRun++
+		case !e.open:
+			res.Refused++
+		case listed[id]:
+			res.InDoubt++
+		case runs > 0 && !done[id]:
+			// It ran, the caller doesn't know, and nobody will find out.
+			res.LostCalls++
+		case runs == 0 && !done[id]:
+			// The attempts that may have run are known not to have.
+			res.Refused++
+		}
+	}
+	res.FalseNotRun += b.falses
+	res.UnknownAnswers, res.ForeignAnswers = b.unknown, b.foreign
+	res.ClaimP50Micros, res.ClaimP99Micros = b.latency.ValueAtQuantile(50), b.latency.ValueAtQuantile(99)
+	counts := l.fleet.store.Counts()
+	res.KVWritesPerCall = round(float64(counts.Writes) / float64(calls))
+	res.KVWritesPerSecond = round(float64(counts.Writes) / elapsed.Seconds())
+	res.KVReadsPerSecond = round(float64(counts.Reads) / elapsed.Seconds())
+	res.KVBytesWrittenPerCall = counts.BytesWritten / int64(calls)
+	return res, nil
+}
+
+// unsettled returns the calls on the list of doubts and those kept as done.
+func (l *callLoad) unsettled(ctx context.Context) (listed, done map[tsclaim.ID]bool, err error) {
+	listed, done = map[tsclaim.ID]bool{}, map[tsclaim.ID]bool{}
+	if l.fleet.system != systemClaims {
+		return listed, done, nil
+	}
+	for slot := range tsclaim.Slots {
+		h, err := tscalls.ReadHead(ctx, l.fleet.store, slot)
+		if err != nil {
+			return nil, nil, err
+		}
+		for id, e := range h.Entries {
+			done[id] = e.State == tsclaim.StateDone
+		}
+	}
+	err = eachSegment(ctx, l.fleet.store, func(id tsclaim.ID) { done[id] = true })
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, v := range l.fleet.all() {
+		if v.dead.Load() != 0 {
+			continue
+		}
+		doubts, err := v.calls.Doubts(ctx)
+		for _, d := range doubts {
+			listed[d.ID] = true
+		}
+		return listed, done, err
+	}
+	return listed, done, nil
+}
+
+// eachSegment visits the sealed calls.
+func eachSegment(ctx context.Context, s turmericshed.Store, f func(id tsclaim.ID)) error {
+	after := ""
+	for {
+		items, err := s.List(ctx, turmericshed.ClaimPrefix+"segments/", after, 100)
+		if err != nil || len(items) == 0 {
+			return err
+		}
+		for _, it := range items {
+			var seg tsclaim.Segment
+			if err := tsclaim.Decode(it.Value, &seg); err != nil {
+				return err
+			}
+			for id := range seg.Entries {
+				f(id)
+			}
+			after = it.Key
+		}
+	}
+}
+
+func round(x float64) float64 { return float64(int(x*1000+0.5)) / 1000 }
--- /dev/null
+++ b/load/tsexperiment/calls_slopes.go
@@ -0,0 +1,137 @@
+package tsexperiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+)
+
+// openClaimsMeasured is how many claims are held open to weigh one.
+const openClaimsMeasured = 4000
+
+// CallsSlopes are the figures for the page on capacity.
+type CallsSlopes struct {
+	Rates []CallsRate `json:"rates"`
+	// BytesPerClaimStored is the size of a settled claim with a short answer
+	// in the tail segment, by its encoding.
+	BytesPerClaimStored float64 `json:"bytes_per_claim_stored"`
+	// BytesPerClaimInBucket is what a bucket's filter takes for it.
+	BytesPerClaimInBucket float64 `json:"bytes_per_claim_in_bucket"`
+	// MemoryPerOpenClaim is in bytes, over all VMs.
+	MemoryPerOpenClaim float64 `json:"memory_bytes_per_open_claim"`
+}
+
+// CallsRate holds the figures at one rate of claims.
+type CallsRate struct {
+	ClaimsPerSecond int     `json:"claims_per_second"`
+	WritesPerSecond float64 `json:"kv_writes_per_second"`
+	ReadsPerSecond  float64 `json:"kv_reads_per_second"`
+	BytesPerSecond  float64 `json:"kv_bytes_written_per_second"`
+	// CPUMicros is the processor time of the whole process for one claim,
+	// stand-ins and load included.
+	CPUMicros      float64 `json:"cpu_us_per_claim"`
+	ClaimP50Micros int64   `json:"claim_p50_us"`
+	ClaimP99Micros int64   `json:"claim_p99_us"`
+}
+
+func measureCallSlopes(ctx context.Context, o Options) (*CallsSlopes, error) {
+	s := &CallsSlopes{}
+	rates := []int{10, 100, 300, 1000, 2000}
+	d := 5 * time.Second
+	if o.Quick {
+		rates, d = []int{10, 100}, time.Second
+	}
+	for _, rate := range rates {
+		m, err := measureRate(ctx, o.Seed, rate, d)
+		if err != nil {
+			return nil, err
+		}
+		s.Rates = append(s.Rates, m)
+	}
+	if err := s.measureStored(); err != nil {
+		return nil, err
+	}
+	return s, s.measureOpen(ctx)
+}
+
+func measureRate(ctx context.Context, seed uint64, rate int, d time.Duration) (CallsRate, error) {
+	f := newCallFleet(systemClaims, false)
+	l := &callLoad{fleet: f, book: newCallBook(), rate: rate}
+	cpu := processorTime()
+	began := time.Now()
+	n := l.run(ctx, rand.New(rand.NewPCG(seed, 5)), d)
+	elapsed := time.Since(began)
+	cpu = processorTime() - cpu
+	res, err := l.audit(ctx, n, elapsed)
+	counts := f.store.Counts()
+	return CallsRate{
+		ClaimsPerSecond: rate, WritesPerSecond: res.KVWritesPerSecond, ReadsPerSecond: res.KVReadsPerSecond,
+		BytesPerSecond: round(float64(counts.BytesWritten) / elapsed.Seconds()),
+		CPUMicros:      round(float64(cpu.Microseconds()) / float64(n)),
+		ClaimP50Micros: res.ClaimP50Micros, ClaimP99Micros: res.ClaimP99Micros,
+	}, err
+}
+
+// measureStored encodes a full segment.
+func (s *CallsSlopes) measureStored() error {
+	const n = 2000
+	var seg tsclaim.Segment
+	entries := map[tsclaim.ID]tsclaim.Entry{}
+	for i := range n {
+		a := turmericshed.Answer{Status: 201, ContentType: "application/json", Body: fmt.Appendf(nil, `{"job":"ts-%032d","state":"booked"}`, i)}
+		entries[tsclaim.NewID(callAccount, fmt.Sprint(i))] = tsclaim.Entry{
+			Claim: turmericshed.ClaimID(turmericshed.NewID("claim-")), State: tsclaim.StateDone,
+			Digest: "0123456789abcdef0123456789abcdef", Account: callAccount, Profile: "bookings", Service: "bookings",
+			At: time.Now(), Answer: &a,
+		}
+	}
+	seg.Add(entries)
+	value, err := tsclaim.Encode(seg)
+	if err != nil {
+		return err
+	}
+	var b tsclaim.Bucket
+	b.Close(0, seg)
+	bucket, err := tsclaim.Encode(b)
+	if err != nil {
+		return err
+	}
+	s.BytesPerClaimStored = round(float64(len(value)) / n)
+	s.BytesPerClaimInBucket = round(float64(len(bucket)) / n)
+	return nil
+}
+
+// measureOpen holds claims open and weighs them.
+func (s *CallsSlopes) measureOpen(ctx context.Context) error {
+	f := newCallFleet(systemClaims, false)
+	before := heapBytes()
+	errs := make(chan error, openClaimsMeasured)
+	for i := range openClaimsMeasured {
+		v := f.all()[i%len(f.all())]
+		go func() {
+			_, err := v.claims.Claim(ctx, turmericshed.Call{Account: callAccount, Profile: "bookings", Service: "bookings", Key: fmt.Sprint("open-", i), Digest: "d"})
+			errs <- err
+		}()
+	}
+	for range openClaimsMeasured {
+		if err := <-errs; err != nil {
+			return err
+		}
+	}
+	s.MemoryPerOpenClaim = round(float64(heapBytes()-before) / openClaimsMeasured)
+	runtime.KeepAlive(f)
+	return nil
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/load/tsexperiment/experiment.go
+++ b/load/tsexperiment/experiment.go
@@ -32,6 +32,7 @@
 // Experiments returns the table.
 func Experiments() []Experiment {
 	return []Experiment{
+		{"calls", "claims, whole answers and quarantine, against baselines", runCalls},
 		{"fleet", "membership and profile edits at several fleet sizes", runFleet},
 	}
 }
