Claims: answers don't wait for their write; digests tell look-ups apart

Cause: Complete held the caller's answer up to the deadline's grace while the store was away. A request's digest left the query out, so look-ups of different jobs were one request to quarantine and dedupe. Change: Complete returns at once, Abandon and Doubt after 300 ms at most; the digest covers the whole request target. Tests of claimed calls that are refused by the router or the quarantine. Conclusion: a store outage no longer delays answers of claimed calls.

--- a/io/tscalls/calls.go
+++ b/io/tscalls/calls.go
@@ -60,6 +60,8 @@
 	maxPoll   = time.Second
 	// outcomeWait bounds one question to a runner.
 	outcomeWait = 5 * time.Second
+	// outcomeWritten bounds how long Abandon and Doubt wait for the write.
+	outcomeWritten = 300 * time.Millisecond
 	// abandonFor bounds the tries to write that a claim was given up.
 	abandonFor = time.Minute
 	// drainGrace is kept back from a drain's limit to settle what is left.
--- a/io/tscalls/fleet_test.go
+++ b/io/tscalls/fleet_test.go
@@ -203,7 +203,9 @@
 	a, err := v.fleet.service.do(tsclaim.ServiceKey(c.Account, c.Key), []byte(c.Key))
 	switch turmericshed.KindOf(err) {
 	case turmericshed.KindNone:
-		go func() { _ = v.calls.Complete(context.WithoutCancel(ctx), claim, a) }()
+		began := time.Now()
+		_ = v.calls.Complete(ctx, claim, a)
+		assert.Equal(v.fleet.t, time.Since(began), time.Duration(0), "the caller waits for the write of its answer")
 		return a, nil
 	case turmericshed.KindBackendRefused:
 		_ = v.calls.Abandon(ctx, claim)
--- a/io/tscalls/record.go
+++ b/io/tscalls/record.go
@@ -153,10 +153,10 @@
 	}
 }
 
-// Complete keeps the whole answer. It returns once the answer is written or
-// ctx ends; writing goes on until it succeeds, and retries are answered from
-// memory meanwhile.
-func (c *Calls) Complete(ctx context.Context, id turmericshed.ClaimID, a turmericshed.Answer) error {
+// Complete keeps the whole answer. It returns at once; the answer is written in
+// the background until that succeeds, and retries are answered from memory
+// meanwhile.
+func (c *Calls) Complete(_ context.Context, id turmericshed.ClaimID, a turmericshed.Answer) error {
 	rec, err := c.held(id)
 	if err != nil {
 		return err
@@ -168,7 +168,8 @@
 	if !c.finish(rec, a, endAnswered) {
 		return turmericshed.NewError(turmericshed.KindConflict, "claim %s has ended", id)
 	}
-	return c.wait(ctx, c.settle(rec, tsclaim.Op{Kind: tsclaim.OpComplete, Entry: tsclaim.Entry{Answer: &a}}))
+	c.settle(rec, tsclaim.Op{Kind: tsclaim.OpComplete, Entry: tsclaim.Entry{Answer: &a}})
+	return nil
 }
 
 // Abandon gives up a claim whose call was certainly not sent, so that a retry
@@ -260,8 +261,11 @@
 	return true
 }
 
-// wait waits for an outcome to be written, within ctx.
+// wait waits a short time for an outcome to be written, so that a caller who
+// retries finds it. Writing goes on afterwards.
 func (c *Calls) wait(ctx context.Context, written <-chan struct{}) error {
+	ctx, cancel := context.WithTimeout(ctx, outcomeWritten)
+	defer cancel()
 	select {
 	case <-written:
 		return nil
--- a/io/tsentry/entry_test.go
+++ b/io/tsentry/entry_test.go
@@ -270,14 +270,14 @@
 	members *fakeMembers
 }
 
-func newRig(t *testing.T, prepaid turmericshed.Tokens) *rig {
+func newRig(t *testing.T, prepaid turmericshed.Tokens, changes ...func(d *tsentry.Deps)) *rig {
 	t.Helper()
 	f := &fakes{open: map[string]turmericshed.Tokens{}, claimed: map[string]turmericshed.Answer{}}
 	account, err := json.Marshal(turmericshed.Account{ID: "shop", KeyHashes: []string{tsentry.HashKey(testKey)}})
 	assert.NilError(t, err)
 	members := &fakeMembers{all: []turmericshed.EntryVM{{Incarnation: "inc-1"}}}
 	limits := []turmericshed.AccountLimit{{Account: "shop"}}
-	e := tsentry.New(tsentry.Config{DefaultDeadline: 5 * time.Second}, tsentry.Deps{
+	deps := tsentry.Deps{
 		Board: &tsboard.Board{}, Members: members, Peers: fakePeers{}, Store: fakeStore{accounts: map[string][]byte{"accounts/shop": account}},
 		Profiles: fakeProfiles{
 			"assist": {Name: "assist", Work: turmericshed.WorkAssistant, Model: "m", Prepaid: prepaid, Accounts: limits},
@@ -287,7 +287,11 @@
 		Budgets: fakeBudgets{f}, Claims: fakeClaims{f}, Router: fakeRouter{}, Admission: fakeGate{},
 		Quarantine: fakeGate{}, Retries: fakeGate{}, Engine: fakeEngine{fakes: f}, Service: fakeService{fakes: f},
 		Recorder: f, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-	})
+	}
+	for _, change := range changes {
+		change(&deps)
+	}
+	e := tsentry.New(tsentry.Config{DefaultDeadline: 5 * time.Second}, deps)
 	return &rig{fakes: f, h: e.Handler(), entry: e, members: members}
 }
 
--- /dev/null
+++ b/io/tsentry/refused_test.go
@@ -0,0 +1,57 @@
+package tsentry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/io/tsentry"
+)
+
+// barGate lets nothing start, and keeps the digests that it was shown.
+type barGate struct {
+	fakeGate
+	digests map[turmericshed.Digest]bool
+}
+
+func (g barGate) Started(_ time.Time, d turmericshed.Digest, _ turmericshed.ServerID) error {
+	g.digests[d] = true
+	return turmericshed.NewError(turmericshed.KindQuarantined, "barred")
+}
+
+// fullRouter has no room.
+type fullRouter struct{ fakeRouter }
+
+func (fullRouter) Pick(time.Time, turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
+	return turmericshed.BackendServer{}, turmericshed.NewError(turmericshed.KindOverloaded, "full")
+}
+
+// assertFreed checks that a claimed call was refused as not run, that its
+// claim was given up and not put in doubt, and that it cost nothing.
+func assertFreed(t *testing.T, r *rig) {
+	t.Helper()
+	w := r.do(http.MethodPost, "/services/bookings/jobs", "book", `{"job":1}`, "Idempotency-Key", "k1")
+	assert.Equal(t, w.Header().Get("Turmericshed-Outcome"), string(turmericshed.OutcomeNotRun))
+	assert.Equal(t, r.abandoned, 1)
+	assert.Equal(t, r.doubted, 0)
+}
+
+func TestRefusedBeforeSending(t *testing.T) {
+	t.Run("a full router frees the claim", func(t *testing.T) {
+		assertFreed(t, newRig(t, 100, func(d *tsentry.Deps) { d.Router = fullRouter{} }))
+	})
+	t.Run("a quarantine frees the claim", func(t *testing.T) {
+		g := barGate{digests: map[turmericshed.Digest]bool{}}
+		assertFreed(t, newRig(t, 100, func(d *tsentry.Deps) { d.Quarantine = g }))
+	})
+	t.Run("look-ups of different jobs have different digests", func(t *testing.T) {
+		g := barGate{digests: map[turmericshed.Digest]bool{}}
+		r := newRig(t, 100, func(d *tsentry.Deps) { d.Quarantine = g })
+		r.do(http.MethodGet, "/services/bookings/jobs?job=1", "book", "")
+		r.do(http.MethodGet, "/services/bookings/jobs?job=2", "book", "")
+		assert.Equal(t, len(g.digests), 2)
+	})
+}
--- a/io/tsentry/request.go
+++ b/io/tsentry/request.go
@@ -124,7 +124,7 @@
 	_ = rc.SetReadDeadline(time.Time{})
 	req.body = body
 	h := sha256.New()
-	_, _ = io.WriteString(h, r.Method+" "+r.URL.Path+"\n")
+	_, _ = io.WriteString(h, r.Method+" "+r.URL.RequestURI()+"\n")
 	_, _ = h.Write(body)
 	req.digest = turmericshed.Digest(hex.EncodeToString(h.Sum(nil)))
 	return nil
