--- a/load/tsexperiment/calls_poison.go
+++ b/load/tsexperiment/calls_poison.go
@@ -6,8 +6,11 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"turmericshed"
 	"turmericshed/core/tspoison"
+	"turmericshed/core/tsroute"
 )
 
 const (
@@ -37,13 +40,21 @@
 func (r *CallsReport) joinPoison(results []PoisonResult) {
 	r.Poison = results
 	for _, p := range results {
-		if p.System == "quarantine" {
+		if p.System == poisonOwn {
 			r.CrashesByPoison = max(r.CrashesByPoison, p.CrashesByPoison)
 		}
 	}
 }
 
-// poisonSystems differ in what evidence reaches the other entry VMs.
+// The systems that are compared: the product, the product with servers picked
+// at random, evidence kept to one entry VM, and nothing.
+const (
+	poisonOwn    = "quarantine"
+	poisonRandom = "quarantine_random_servers"
+	poisonOneVM  = "one_vm_only"
+	poisonNone   = "none"
+)
+
 func runPoison(o Options) []PoisonResult {
 	rounds := poisonRounds
 	if o.Quick {
@@ -51,7 +62,7 @@
 	}
 	var out []PoisonResult
 	for _, together := range []bool{false, true} {
-		for _, system := range []string{"quarantine", "one_vm_only", "none"} {
+		for _, system := range []string{poisonOwn, poisonRandom, poisonOneVM, poisonNone} {
 			out = append(out, poisonRun(o.Seed, rounds, system, together))
 		}
 	}
@@ -64,6 +75,7 @@
 	now      time.Time
 	system   string
 	vms      []*tspoison.Tracker
+	routers  []*tsroute.Router
 	running  map[turmericshed.ServerID][]poisonAttempt
 	crashes  int
 	innocent int
@@ -75,6 +87,7 @@
 	vm     int
 	digest turmericshed.Digest
 	ends   time.Time
+	route  turmericshed.RouteRequest
 }
 
 func poisonRun(seed uint64, rounds int, system string, together bool) PoisonResult {
@@ -91,6 +104,7 @@
 		}
 		for range poisonVMs {
 			p.vms = append(p.vms, tspoison.NewTracker())
+			p.routers = append(p.routers, newPoisonRouter(p.now, r))
 		}
 		p.run(together)
 		total += p.crashes
@@ -129,11 +143,14 @@
 }
 
 func (p *poisonRound) sendThrough(vm int, d turmericshed.Digest) {
-	s := turmericshed.ServerID(fmt.Sprint("s-", p.r.IntN(poisonServers)))
 	if d != poisonDigest {
 		p.innocent++
 	}
-	if p.system != "none" {
+	s, route, ok := p.pick(vm, d)
+	if !ok {
+		return
+	}
+	if p.system != poisonNone {
 		err := p.admit(vm, d, s)
 		if err != nil {
 			if d != poisonDigest {
@@ -142,17 +159,41 @@
 					p.barred[d] = true
 				}
 			}
+			p.routers[vm].Done(p.now, s, route, turmericshed.DispatchResult{Err: err})
 			return
 		}
 	}
 	took := time.Duration(1+p.r.IntN(6)) * time.Second
-	p.running[s] = append(p.running[s], poisonAttempt{vm: vm, digest: d, ends: p.now.Add(took)})
+	p.running[s] = append(p.running[s], poisonAttempt{vm: vm, digest: d, ends: p.now.Add(took), route: route})
+}
+
+func newPoisonRouter(now time.Time, r *rand.Rand) *tsroute.Router {
+	router := tsroute.New(tsroute.Config{Self: "fd", Rand: r})
+	var servers []turmericshed.BackendServer
+	for i := range poisonServers {
+		servers = append(servers, turmericshed.BackendServer{
+			ID: turmericshed.ServerID(fmt.Sprint("s-", i)), FailureDomain: "fd", Work: turmericshed.WorkAssistant,
+			Models: []turmericshed.Model{"m"}, Slots: 16,
+		})
+	}
+	router.SetServers(now, servers)
+	return router
+}
+
+// pick chooses a server, by the hash of the request unless at random.
+func (p *poisonRound) pick(vm int, d turmericshed.Digest) (turmericshed.ServerID, turmericshed.RouteRequest, bool) {
+	route := turmericshed.RouteRequest{Work: turmericshed.WorkAssistant, Model: "m", Cost: 100}
+	if p.system != poisonRandom {
+		route.Prefix = xxhash.Sum64String(string(d))
+	}
+	s, err := p.routers[vm].Pick(p.now, route)
+	return s.ID, route, err == nil
 }
 
 // admit starts an attempt; with the permit of the failure domain a suspect
 // runs alone in it.
 func (p *poisonRound) admit(vm int, d turmericshed.Digest, s turmericshed.ServerID) error {
-	if p.system == "quarantine" && p.vms[vm].Suspect(p.now, d) && p.suspectRuns() {
+	if p.system != poisonOneVM && p.vms[vm].Suspect(p.now, d) && p.suspectRuns() {
 		return turmericshed.NewError(turmericshed.KindOverloaded, "another suspect runs")
 	}
 	return p.vms[vm].Started(p.now, d, s)
@@ -195,7 +236,12 @@
 }
 
 func (p *poisonRound) end(a poisonAttempt, s turmericshed.ServerID, crashed bool) {
-	if p.system == "none" {
+	var err error
+	if crashed {
+		err = turmericshed.NewError(turmericshed.KindStreamBroken, "the server went away")
+	}
+	p.routers[a.vm].Done(p.now, s, a.route, turmericshed.DispatchResult{Err: err})
+	if p.system == poisonNone {
 		return
 	}
 	t := p.vms[a.vm]
@@ -203,7 +249,7 @@
 		t.Survived(p.now, a.digest)
 	}
 	t.Ended(p.now, a.digest, s, crashed)
-	if p.system != "quarantine" {
+	if p.system == poisonOneVM {
 		return
 	}
 	for _, o := range p.vms {
