Fleet: a graceful stop tells peers that the process leaves

Cause: nobody called Leave, so that peers of a process that stopped gracefully suspected it first. Change: the membership controller leaves when it ends while the board says draining. Seen red without it (TestFleet, graceful stop).

--- a/io/tsfleet/fleet.go
+++ b/io/tsfleet/fleet.go
@@ -9,7 +9,9 @@
 //	for _, c := range f.Controllers() {
 //		supervisor.Add(c)
 //	}
-//	defer f.Leave(ctx)
+//
+// When the supervisor stops while Board.Draining is true, peers are told that
+// the process leaves.
 package tsfleet
 
 import (
@@ -35,6 +37,8 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
+	// leaveTimeout bounds the calls that tell peers of a graceful stop.
+	leaveTimeout = time.Second
 	// maxCalls bounds the calls to peers that run at once.
 	maxCalls = 64
 	// maxMessageBytes bounds what is read from a peer.
--- a/io/tsfleet/fleet_test.go
+++ b/io/tsfleet/fleet_test.go
@@ -183,7 +183,7 @@
 	})
 	t.Run("a process that stops gracefully has left", func(t *testing.T) {
 		run(t, func(t *testing.T, w *world) {
-			w.processes[4].fleet.Leave(t.Context())
+			w.processes[4].board.Draining.Write(true)
 			w.processes[4].stop()
 			time.Sleep(5 * time.Second)
 			assertReaches(t, 4, w.processes[:4]...)
--- a/io/tsfleet/loop.go
+++ b/io/tsfleet/loop.go
@@ -13,7 +13,8 @@
 )
 
 // serveMembership probes until ctx ends or the node fails. It starts over
-// from the platform's list, and from peers.
+// from the platform's list, and from peers. At the end of a graceful stop it
+// tells peers that this process leaves.
 func (f *Fleet) serveMembership(ctx context.Context) error {
 	f.reset()
 	ctx, cancel := context.WithCancel(ctx)
@@ -24,6 +25,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			if f.cfg.Board.Draining.Read() {
+				f.leave(ctx)
+			}
 			return ctx.Err()
 		case err := <-f.failed:
 			return err
@@ -123,9 +127,10 @@
 	}
 }
 
-// Leave tells peers that this process leaves for good. It waits for the calls
-// within the deadline of ctx.
-func (f *Fleet) Leave(ctx context.Context) {
+// leave tells peers that this process leaves for good.
+func (f *Fleet) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
 	var actions []tsmember.Action
 	_ = f.do(func(now time.Time, n *tsmember.Node) { actions = n.Leave(now) })
 	var wg sync.WaitGroup
