Profiles: homes fetch for their failure domain; transport measured with TLS

Cause: at the design size a relay would send every edited document to half of its domain's users: with 173 members a domain, 35% of them using a profile and one edit in 5.4 s that is about 3.5 KB a second beside its other control traffic. The transport's cost was measured without TLS. Change: two members of a domain, by rendezvous hashing of the profile, fetch it for the others. A document that is not held but known is asked from peers first. Calls are measured over mutual TLS. Seen red without it: TestLargeFleet with every node a relay, and with peers left out.

--- a/core/tsprofile/cache.go
+++ b/core/tsprofile/cache.go
@@ -157,10 +157,11 @@
 	return h.doc.Version < c.floors[name] || h.generation < c.generation
 }
 
-// Behind reports whether a newer version than the held one is known to exist.
+// Behind reports whether a newer version than the held one, or one while none
+// is held, is known to exist.
 func (c *Cache) Behind(name turmericshed.ProfileName) bool {
-	d, held := c.Peek(name)
-	return held && d.Version < c.floors[name]
+	d, _ := c.Peek(name)
+	return d.Version < c.floors[name]
 }
 
 // Unsure returns the held documents that are outdated.
--- a/core/tsprofile/cache_test.go
+++ b/core/tsprofile/cache_test.go
@@ -284,6 +284,43 @@
 	})
 }
 
+func TestHomes(t *testing.T) {
+	fleet := make([]turmericshed.EntryVM, 90)
+	for i := range fleet {
+		fleet[i] = turmericshed.EntryVM{Name: fmt.Sprintf("vm-%d", i), FailureDomain: turmericshed.FailureDomain(fmt.Sprintf("fd-%d", i%3))}
+	}
+	t.Run("all of a domain choose the same", func(t *testing.T) {
+		want := tsprofile.Homes("p", "fd-0", fleet[0], fleet[1:])
+		for i, vm := range fleet {
+			others := append(append([]turmericshed.EntryVM(nil), fleet[:i]...), fleet[i+1:]...)
+			assert.DeepEqual(t, names(tsprofile.Homes("p", "fd-0", vm, others)), names(want))
+		}
+	})
+	t.Run("profiles spread over the domain", func(t *testing.T) {
+		count := map[string]int{}
+		for i := range 3000 {
+			for _, vm := range tsprofile.Homes(turmericshed.ProfileName(fmt.Sprint(i)), "fd-0", fleet[0], fleet[1:]) {
+				count[vm.Name]++
+			}
+		}
+		assert.Equal(t, len(count), 30)
+		for name, n := range count {
+			assert.Assert(t, n > 100 && n < 400, "%s: %d of 6000", name, n)
+		}
+	})
+	t.Run("none in a small fleet", func(t *testing.T) {
+		assert.Equal(t, len(tsprofile.Homes("p", "fd-0", fleet[0], fleet[1:9])), 0)
+	})
+}
+
+func names(vms []turmericshed.EntryVM) []string {
+	var out []string
+	for _, vm := range vms {
+		out = append(out, vm.Name)
+	}
+	return out
+}
+
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte{5, 1, 1, 'p', 7, 2, 0})
 	f.Add([]byte{})
--- a/io/tsprofiles/fetch.go
+++ b/io/tsprofiles/fetch.go
@@ -127,7 +127,7 @@
 // read during an outage is not older than those of peers.
 func (c *Cache) fromPeers(ctx context.Context, name turmericshed.ProfileName, floor turmericshed.Version, enough bool) bool {
 	var best *tsprofile.Document
-	for _, vm := range c.sources() {
+	for _, vm := range c.sources(name, enough) {
 		d, err := c.fromPeer(ctx, vm, name, floor)
 		if err != nil || d == nil {
 			continue
@@ -146,10 +146,21 @@
 	return true
 }
 
-// sources returns the peers to ask for a document: those of the own failure
-// domain that watch the store, then others at random.
-func (c *Cache) sources() []turmericshed.EntryVM {
-	return c.choose(c.relaysNow(), c.reachable())
+// sources returns the peers to ask for a document: one that fetches it for
+// this failure domain if via is set, then those that watch the store, then
+// others at random.
+func (c *Cache) sources(name turmericshed.ProfileName, via bool) []turmericshed.EntryVM {
+	relays := c.choose(c.relaysNow(), c.reachable())
+	homes := tsprofile.Homes(name, c.cfg.Self.FailureDomain, c.cfg.Self, c.reachable())
+	if !via || len(homes) == 0 || slices.Contains(homes, c.cfg.Self) {
+		return relays
+	}
+	return append([]turmericshed.EntryVM{homes[rand.IntN(len(homes))]}, relays...)
+}
+
+// isHome reports whether this process fetches a profile for others.
+func (c *Cache) isHome(name turmericshed.ProfileName) bool {
+	return slices.Contains(tsprofile.Homes(name, c.cfg.Self.FailureDomain, c.cfg.Self, c.reachable()), c.cfg.Self)
 }
 
 // choose returns a few entry VMs in random order, those preferred first.
--- a/io/tsprofiles/fleet_test.go
+++ b/io/tsprofiles/fleet_test.go
@@ -16,6 +16,7 @@
 	"turmericshed"
 	"turmericshed/core/tsboard"
 	"turmericshed/core/tsmember"
+	"turmericshed/core/tsprofile"
 	"turmericshed/io/tsfleet"
 	"turmericshed/io/tspeer"
 	"turmericshed/io/tsprofiles"
@@ -308,6 +309,28 @@
 	})
 }
 
+func TestLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const members, domains = 30, 3
+		w := newWorld(t)
+		defer w.stop()
+		w.edit("counter", 100)
+		for i := range members {
+			w.start(i, fmt.Sprintf("in-%d", i))
+		}
+		time.Sleep(30 * time.Second)
+		w.assertPrepaid("counter", 100, w.entries...)
+		assert.Equal(t, w.store.Counts().WaitingWatches, int64(domains*tsprofile.RelaysPerDomain))
+		before := w.store.Counts().Reads
+		w.edit("counter", 200)
+		time.Sleep(2 * time.Second)
+		w.assertPrepaid("counter", 200, w.entries...)
+		// The list is read by relays all the time; documents come from peers.
+		reads := w.store.Counts().Reads - before
+		assert.Assert(t, reads < members, "%d reads", reads)
+	})
+}
+
 func TestUnknownProfile(t *testing.T) {
 	run(t, func(t *testing.T, w *world) {
 		_, _, err := w.entries[0].cache.Get(t.Context(), "absent")
--- a/io/tsprofiles/service.go
+++ b/io/tsprofiles/service.go
@@ -17,21 +17,32 @@
 // service answers the ProfileCache service.
 type service struct{ c *Cache }
 
-// Fetch returns a held document that is not known to be outdated below the
-// asked version.
-func (s *service) Fetch(_ context.Context, req *connect.Request[tspeerapi.FetchProfileRequest]) (*connect.Response[tspeerapi.FetchProfileReply], error) {
-	s.c.mu.Lock()
-	defer s.c.mu.Unlock()
-	d, ok := s.c.core.Peek(turmericshed.ProfileName(req.Msg.GetName()))
-	if !ok || d.Version == 0 || uint64(d.Version) < req.Msg.GetMinVersion() {
+// Fetch returns a held document of at least the asked version. One that
+// fetches the profile for its failure domain gets it first.
+func (s *service) Fetch(ctx context.Context, req *connect.Request[tspeerapi.FetchProfileRequest]) (*connect.Response[tspeerapi.FetchProfileReply], error) {
+	name, lowest := turmericshed.ProfileName(req.Msg.GetName()), turmericshed.Version(req.Msg.GetMinVersion())
+	d, age, ok := s.c.held(name, lowest)
+	if !ok && lowest > 0 && s.c.isHome(name) {
+		if err := s.c.fetch(ctx, name, false); err == nil {
+			d, age, ok = s.c.held(name, lowest)
+		}
+	}
+	if !ok {
 		return connect.NewResponse(&tspeerapi.FetchProfileReply{}), nil
 	}
 	return connect.NewResponse(&tspeerapi.FetchProfileReply{
-		Found: true, Version: uint64(d.Version), Deleted: d.Deleted, Value: d.Value,
-		AgeMs: uint64(s.c.core.Age(time.Now(), d) / time.Millisecond),
+		Found: true, Version: uint64(d.Version), Deleted: d.Deleted, Value: d.Value, AgeMs: uint64(age / time.Millisecond),
 	}), nil
 }
 
+// held returns a held document of at least a version, and its age.
+func (c *Cache) held(name turmericshed.ProfileName, lowest turmericshed.Version) (tsprofile.Document, time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d, ok := c.core.Peek(name)
+	return d, c.core.Age(time.Now(), d), ok && d.Version > 0 && d.Version >= lowest
+}
+
 // Since returns the edits heard after a position.
 func (s *service) Since(_ context.Context, req *connect.Request[tspeerapi.SinceRequest]) (*connect.Response[tspeerapi.SinceReply], error) {
 	s.c.mu.Lock()
--- a/load/tsexperiment/fleet_profiles.go
+++ b/load/tsexperiment/fleet_profiles.go
@@ -54,6 +54,8 @@
 	relay    bool
 	watched  turmericshed.Version
 	fetching map[turmericshed.ProfileName]bool
+	// waiting are the peers to answer once a document is here.
+	waiting  map[turmericshed.ProfileName][]func(d tsprofile.Document)
 	verified turmericshed.ProfileName
 }
 
@@ -126,6 +128,7 @@
 // startProfiles reads the profiles in use and starts the loops.
 func (m *simMember) startProfiles() {
 	m.profiles.fetching = make(map[turmericshed.ProfileName]bool)
+	m.profiles.waiting = make(map[turmericshed.ProfileName][]func(d tsprofile.Document))
 	for range simUsed {
 		name := m.sim.store.names[m.sim.rng.IntN(simProfileCount)]
 		m.profiles.used = append(m.profiles.used, name)
@@ -181,16 +184,56 @@
 	}
 }
 
-// outdated fetches a document from a relay, else from the store.
+// outdated fetches a document through a home of the profile, else from a
+// relay, else from the store.
 func (m *simMember) outdated(name turmericshed.ProfileName) {
 	if m.profiles.fetching[name] {
 		return
 	}
 	m.profiles.fetching[name] = true
+	if !m.cache.Behind(name) {
+		m.fromStore(name)
+		return
+	}
+	homes := tsprofile.Homes(name, m.vm.FailureDomain, m.vm, m.reachable)
+	if len(homes) > 0 && !slices.Contains(homes, m.vm) {
+		m.fromHome(homes[m.sim.rng.IntN(len(homes))], name)
+		return
+	}
+	m.fromRelay(name)
+}
+
+// fromHome asks a home, which answers once it has the document itself.
+func (m *simMember) fromHome(home turmericshed.EntryVM, name turmericshed.ProfileName) {
+	floor := m.cache.Floor(name)
+	m.sim.after(time.Second, m.alive(func() {
+		if m.profiles.fetching[name] {
+			m.fromRelay(name)
+		}
+	}))
+	m.exchange(partFetch, home, time.Second, fetchBytes, func(peer *simMember) (int, func()) {
+		answer := func(d tsprofile.Document) {
+			d.FromPeer = true
+			peer.add(partFetch, len(d.Value)+fetchBytes)
+			m.sim.after(m.sim.delay(peer, m), m.alive(func() {
+				m.add(partFetch, len(d.Value)+fetchBytes)
+				m.fetched(d)
+			}))
+		}
+		if d, ok := peer.cache.Peek(name); ok && d.Version >= floor {
+			answer(d)
+			return 0, func() {}
+		}
+		peer.profiles.waiting[name] = append(peer.profiles.waiting[name], answer)
+		peer.outdated(name)
+		return 0, func() {}
+	}, nil)
+}
+
+func (m *simMember) fromRelay(name turmericshed.ProfileName) {
 	floor := m.cache.Floor(name)
-	relays := slices.Clone(m.relays)
-	relays = slices.DeleteFunc(relays, func(vm turmericshed.EntryVM) bool { return vm.Name == m.vm.Name })
-	if len(relays) == 0 || !m.cache.Behind(name) {
+	relays := slices.DeleteFunc(slices.Clone(m.relays), func(vm turmericshed.EntryVM) bool { return vm.Name == m.vm.Name })
+	if len(relays) == 0 {
 		m.fromStore(name)
 		return
 	}
@@ -208,7 +251,12 @@
 func (m *simMember) fetched(d tsprofile.Document) {
 	delete(m.profiles.fetching, d.Name)
 	m.apply(d)
-	if m.cache.Outdated(d.Name) {
+	waiting := m.profiles.waiting[d.Name]
+	delete(m.profiles.waiting, d.Name)
+	for _, answer := range waiting {
+		answer(d)
+	}
+	if m.cache.Behind(d.Name) {
 		m.outdated(d.Name)
 	}
 }
--- a/load/tsexperiment/fleet_tls.go
+++ b/load/tsexperiment/fleet_tls.go
@@ -23,13 +23,9 @@
 
 // measureConnections opens connections with mutual TLS on loopback, each with
 // one probe.
-func measureConnections(ctx context.Context, cost *TransportCost) error {
+func measureConnections(ctx context.Context, cfg *tls.Config, cost *TransportCost) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	cfg, err := temporaryTLS()
-	if err != nil {
-		return err
-	}
 	addr, err := serveGossip(ctx, tspeer.Config{TLS: cfg})
 	if err != nil {
 		return err
--- a/load/tsexperiment/fleet_transport.go
+++ b/load/tsexperiment/fleet_transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -31,8 +32,8 @@
 
 // TransportCost is what the transport adds, measured on loopback.
 type TransportCost struct {
-	// BytesPerCall is HTTP/2 framing and headers of a call with its answer,
-	// and IP headers, without the payloads.
+	// BytesPerCall is TLS and HTTP/2 framing and headers of a call with its
+	// answer, and IP headers, without the payloads.
 	BytesPerCall float64 `json:"bytes_per_call"`
 	// MicrosPerCall is the processor time of both sides.
 	MicrosPerCall float64 `json:"micros_per_call"`
@@ -81,10 +82,14 @@
 // measureTransport probes a real fleet service on loopback.
 func measureTransport(ctx context.Context) (TransportCost, error) {
 	var cost TransportCost
-	if err := measureCalls(ctx, &cost); err != nil {
+	cfg, err := temporaryTLS()
+	if err != nil {
+		return cost, err
+	}
+	if err := measureCalls(ctx, cfg, &cost); err != nil {
 		return cost, err
 	}
-	return cost, measureConnections(ctx, &cost)
+	return cost, measureConnections(ctx, cfg, &cost)
 }
 
 // serveGossip starts a peer on loopback and returns its address.
@@ -115,15 +120,15 @@
 	}
 }
 
-func measureCalls(ctx context.Context, cost *TransportCost) error {
+func measureCalls(ctx context.Context, cfg *tls.Config, cost *TransportCost) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	addr, err := serveGossip(ctx, tspeer.Config{})
+	addr, err := serveGossip(ctx, tspeer.Config{TLS: cfg})
 	if err != nil {
 		return err
 	}
 	var n atomic.Int64
-	t := tspeer.NewTransport(tspeer.Config{Dial: counting(&n)})
+	t := tspeer.NewTransport(tspeer.Config{TLS: cfg, Dial: counting(&n)})
 	defer t.Close()
 	c, base := t.Client(addr)
 	client := tspeerapi.NewGossipClient(c, base)
