--- a/io/tscalls/doubts.go
+++ b/io/tscalls/doubts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"turmericshed"
 	"turmericshed/core/tsclaim"
@@ -33,6 +34,63 @@
 	return out, nil
 }
 
+// EachCall visits the calls that changed since from, once each, in the heads
+// and in the sealed documents of that time.
+func EachCall(ctx context.Context, s turmericshed.Store, from time.Time, visit func(id tsclaim.ID, e tsclaim.Entry)) error {
+	for slot := range tsclaim.Slots {
+		if err := eachCallOfSlot(ctx, s, slot, from, visit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func eachCallOfSlot(ctx context.Context, s turmericshed.Store, slot int, from time.Time, visit func(id tsclaim.ID, e tsclaim.Entry)) error {
+	h, err := ReadHead(ctx, s, slot)
+	if err != nil {
+		return err
+	}
+	seen := map[tsclaim.ID]bool{}
+	visitAll := func(entries map[tsclaim.ID]tsclaim.Entry) {
+		for id, e := range entries {
+			if !seen[id] && !e.At.Before(from) {
+				seen[id] = true
+				visit(id, e)
+			}
+		}
+	}
+	visitAll(h.Entries)
+	seqs := []int{h.Tail}
+	for _, ref := range h.Buckets {
+		if ref.Until.Before(from) {
+			continue
+		}
+		var b tsclaim.Bucket
+		if err := readSealed(ctx, s, tsclaim.BucketKey(slot, ref.Seq), &b); err != nil {
+			return err
+		}
+		for _, seg := range b.Segments {
+			seqs = append(seqs, seg.Seq)
+		}
+	}
+	for _, seq := range seqs {
+		var seg tsclaim.Segment
+		if err := readSealed(ctx, s, tsclaim.SegmentKey(slot, seq), &seg); err != nil {
+			return err
+		}
+		visitAll(seg.Entries)
+	}
+	return nil
+}
+
+func readSealed(ctx context.Context, s turmericshed.Store, key string, to any) error {
+	item, err := s.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	return tsclaim.Decode(item.Value, to)
+}
+
 // ReadHead reads the head of a slot.
 func ReadHead(ctx context.Context, s turmericshed.Store, slot int) (*tsclaim.Head, error) {
 	item, err := s.Get(ctx, tsclaim.HeadKey(slot))
--- /dev/null
+++ b/io/tscommand/doubts.go
@@ -0,0 +1,73 @@
+package tscommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"turmericshed"
+	"turmericshed/io/tscalls"
+	"turmericshed/io/tsplatform"
+	"turmericshed/io/tsreport"
+)
+
+// runDoubts lists and settles calls that may have run and have no answer.
+func runDoubts(ctx context.Context, args []string, out, errOut io.Writer) error {
+	return dispatch(ctx, "doubts", []command{
+		{"list", "list the calls in doubt", runDoubtsList},
+		{"settle", "settle one as ran or not_run", runDoubtsSettle},
+	}, args, out, errOut)
+}
+
+// withStore runs f on the platform's key-value service.
+func withStore(o adminOptions, f func(c *tsplatform.Client) error) error {
+	_, c, err := o.admin()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	return f(c)
+}
+
+func runDoubtsList(ctx context.Context, args []string, out, errOut io.Writer) error {
+	o, err := parseAdmin("doubts list", "Lists the calls that may have run and have no answer.", args, errOut)
+	if err != nil {
+		return err
+	}
+	return withStore(o, func(c *tsplatform.Client) error {
+		doubts, err := tscalls.New(tscalls.Config{Store: c}).Doubts(ctx)
+		if err != nil {
+			return err
+		}
+		w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		tsreport.WriteDoubts(w, doubts)
+		return w.Flush()
+	})
+}
+
+func runDoubtsSettle(ctx context.Context, args []string, out, errOut io.Writer) error {
+	o, err := parseSettle(args, errOut)
+	if err != nil {
+		return err
+	}
+	answer := turmericshed.Answer{Status: o.Status, ContentType: o.ContentType}
+	if o.File != "" {
+		if answer.Body, err = readDocument(o.File); err != nil {
+			return err
+		}
+	}
+	return withStore(o.adminOptions, func(c *tsplatform.Client) error {
+		calls := tscalls.New(tscalls.Config{Store: c})
+		account := turmericshed.AccountID(o.Name)
+		if o.As == settleRan {
+			err = calls.SettleRan(ctx, account, o.Key, o.Operator, answer)
+		} else {
+			err = calls.SettleNotRun(ctx, account, o.Key, o.Operator)
+		}
+		if err == nil {
+			_, err = fmt.Fprintf(out, "call %s of account %s settled as %s\n", o.Key, o.Name, o.As)
+		}
+		return err
+	})
+}
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -209,7 +209,9 @@
 	return nil
 }
 
-// lookup asks any server of a plain service whether a call ran.
+// lookup asks the servers of a plain service whether a call ran, until one
+// knows it. Servers may keep their own books, so one that doesn't know the
+// call doesn't speak for the others.
 func (b *parts) lookup(ctx context.Context, service, key string) (turmericshed.Answer, error) {
 	err := turmericshed.NewError(turmericshed.KindNoBackend, "no server of service %s is known", service)
 	for _, s := range b.board.Servers.Read() {
@@ -217,8 +219,8 @@
 			continue
 		}
 		var a turmericshed.Answer
-		if a, err = b.service.Lookup(ctx, s, key); err == nil || turmericshed.KindOf(err) == turmericshed.KindNotFound {
-			return a, err
+		if a, err = b.service.Lookup(ctx, s, key); err == nil {
+			return a, nil
 		}
 	}
 	return turmericshed.Answer{}, err
--- /dev/null
+++ b/io/tsreport/report.go
@@ -0,0 +1,224 @@
+// Package tsreport builds the morning's report: the budgets left, the jobs
+// placed, the calls in doubt, the requests in quarantine, and the faults of
+// the night with what the fleet did about them.
+//
+// All but the faults comes from the platform's key-value service. The faults
+// come from the time lines of the entry VMs that are reachable; what a VM
+// recorded before it was replaced is gone.
+//
+// # Usage
+//
+//	rep, err := tsreport.Build(ctx, tsreport.Config{Store: store, Admin: admin, Events: events, From: from})
+//	err = rep.WriteText(os.Stdout)
+package tsreport
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsclaim"
+	"turmericshed/core/tspoison"
+	"turmericshed/io/tsadmin"
+	"turmericshed/io/tscalls"
+	"turmericshed/io/tsquarantine"
+)
+
+// Config holds what a report is built from.
+type Config struct {
+	Store turmericshed.Store
+	Admin *tsadmin.Admin
+	// Events are the merged events of the entry VMs.
+	Events []turmericshed.Event
+	// From is the beginning of the night.
+	From time.Time
+}
+
+// Report is the morning's report.
+type Report struct {
+	From        time.Time           `json:"from"`
+	Budgets     []Budget            `json:"budgets"`
+	Jobs        []Jobs              `json:"jobs"`
+	InDoubt     []tscalls.Doubt     `json:"in_doubt"`
+	Quarantined []tspoison.Evidence `json:"quarantined"`
+	Faults      []Fault             `json:"faults"`
+}
+
+// Budget is what is left of one profile's budget, in tokens.
+type Budget struct {
+	Profile turmericshed.ProfileName `json:"profile"`
+	Prepaid turmericshed.Tokens      `json:"prepaid"`
+	Spent   turmericshed.Tokens      `json:"spent"`
+	// InLots is drawn by entry VMs and not yet reported as spent.
+	InLots turmericshed.Tokens `json:"in_lots"`
+	// Forfeited is the part of Spent that was lost with its holders.
+	Forfeited turmericshed.Tokens `json:"forfeited"`
+	Left      turmericshed.Tokens `json:"left"`
+}
+
+// Jobs counts the calls of one profile to one plain service.
+type Jobs struct {
+	Profile turmericshed.ProfileName `json:"profile"`
+	Service string                   `json:"service"`
+	// Placed calls have an answer; Failed is the part of them whose answer is
+	// not a success. Resolved were in doubt and have been settled.
+	Placed   int `json:"placed"`
+	Failed   int `json:"failed"`
+	Resolved int `json:"resolved"`
+	Running  int `json:"running"`
+	InDoubt  int `json:"in_doubt"`
+	NotRun   int `json:"not_run"`
+}
+
+// Fault is one kind of fault with how often it came.
+type Fault struct {
+	Event turmericshed.EventName `json:"event"`
+	Count int                    `json:"count"`
+	First time.Time              `json:"first"`
+	Last  time.Time              `json:"last"`
+	// What is the fault, Done what the fleet did about it.
+	What string `json:"what"`
+	Done string `json:"done"`
+	// Where are the names of members or servers concerned, at most five.
+	Where []string `json:"where,omitempty"`
+}
+
+// maxWhere bounds the names shown for one fault.
+const maxWhere = 5
+
+// explained are the events that count as faults.
+var explained = []Fault{
+	{Event: turmericshed.EventStoreLost, What: "the key-value service went away", Done: "bookings were refused as not run; budgets were spent from lots in hand"},
+	{Event: turmericshed.EventStoreBack, What: "the key-value service came back", Done: "outcomes that had waited were written"},
+	{Event: turmericshed.EventMemberGone, What: "an entry VM was lost", Done: "its lots were closed, its calls looked up or put in doubt"},
+	{Event: turmericshed.EventLotClosed, What: "a lot of a lost entry VM was closed", Done: "its rest was charged"},
+	{Event: turmericshed.EventClaimInDoubt, What: "a call was put in doubt", Done: "it is never sent again, and listed below until it is settled"},
+	{Event: turmericshed.EventClaimResolved, What: "a call in doubt was settled", Done: "retries get its answer"},
+	{Event: turmericshed.EventStreamBroken, What: "a token stream broke", Done: "it was resumed after the last whole frame, or ended with an error"},
+	{Event: turmericshed.EventStreamResumed, What: "a token stream was resumed", Done: "its caller got the whole answer"},
+	{Event: turmericshed.EventFrameDropped, What: "a frame came late, twice or for another request", Done: "it was dropped"},
+	{Event: turmericshed.EventBreakerOpened, What: "a backend server kept failing", Done: "it was left out and probed"},
+	{Event: turmericshed.EventBreakerClosed, What: "a backend server recovered", Done: "it gets work again"},
+	{Event: turmericshed.EventQuarantined, What: "a request crashed backend servers", Done: "it was quarantined, see below"},
+	{Event: turmericshed.EventProfileRefused, What: "an edit of a profile was refused", Done: "the earlier version stays in force"},
+	{Event: turmericshed.EventControllerFailed, What: "a part of an entry VM failed", Done: "its supervisor started it again"},
+	{Event: turmericshed.EventInvariantBroken, What: "an invariant was broken", Done: "the operation was stopped: please report it"},
+}
+
+// Build reads the store and counts the events.
+func Build(ctx context.Context, cfg Config) (Report, error) {
+	rep := Report{From: cfg.From}
+	var err error
+	if rep.Budgets, err = budgets(ctx, cfg.Admin); err != nil {
+		return rep, err
+	}
+	if rep.Jobs, err = jobs(ctx, cfg.Store, cfg.From); err != nil {
+		return rep, err
+	}
+	if rep.InDoubt, err = tscalls.New(tscalls.Config{Store: cfg.Store}).Doubts(ctx); err != nil {
+		return rep, err
+	}
+	if rep.Quarantined, err = tsquarantine.List(ctx, cfg.Store); err != nil {
+		return rep, err
+	}
+	rep.Faults = faults(cfg.Events, cfg.From)
+	return rep, nil
+}
+
+func budgets(ctx context.Context, a *tsadmin.Admin) ([]Budget, error) {
+	profiles, err := a.Profiles(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []Budget
+	for _, p := range profiles {
+		l, err := a.Ledger(ctx, p)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, Budget{
+			Profile: p.Name, Prepaid: p.Prepaid, Spent: l.Spent, InLots: l.Open(),
+			Forfeited: l.Forfeited, Left: p.Prepaid - l.Spent - l.Open(),
+		})
+	}
+	return out, nil
+}
+
+type jobsKey struct {
+	profile turmericshed.ProfileName
+	service string
+}
+
+func jobs(ctx context.Context, s turmericshed.Store, from time.Time) ([]Jobs, error) {
+	counts := map[jobsKey]*Jobs{}
+	err := tscalls.EachCall(ctx, s, from, func(_ tsclaim.ID, e tsclaim.Entry) {
+		k := jobsKey{profile: e.Profile, service: e.Service}
+		if counts[k] == nil {
+			counts[k] = &Jobs{Profile: e.Profile, Service: e.Service}
+		}
+		counts[k].add(e)
+	})
+	var out []Jobs
+	for _, j := range counts {
+		out = append(out, *j)
+	}
+	slices.SortFunc(out, func(a, b Jobs) int {
+		return strings.Compare(string(a.Profile)+"/"+a.Service, string(b.Profile)+"/"+b.Service)
+	})
+	return out, err
+}
+
+// add counts one call.
+func (j *Jobs) add(e tsclaim.Entry) {
+	switch e.State {
+	case tsclaim.StateDone:
+		j.Placed++
+		if e.Answer != nil && e.Answer.Status >= 400 {
+			j.Failed++
+		}
+		if e.By != "" {
+			j.Resolved++
+		}
+	case tsclaim.StateOpen:
+		j.Running++
+	case tsclaim.StateInDoubt:
+		j.InDoubt++
+	case tsclaim.StateNotRun:
+		j.NotRun++
+	}
+}
+
+// faults counts the events that are faults, in the order of the table.
+func faults(events []turmericshed.Event, from time.Time) []Fault {
+	var out []Fault
+	for _, f := range explained {
+		for _, e := range events {
+			if e.Name != f.Event || e.Wall.Before(from) {
+				continue
+			}
+			if f.Count == 0 {
+				f.First = e.Wall
+			}
+			f.Count++
+			f.Last = e.Wall
+			f.name(e)
+		}
+		if f.Count > 0 {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// name adds the member or server that an event is about.
+func (f *Fault) name(e turmericshed.Event) {
+	who := e.Member
+	if who == "" {
+		who = string(e.Server)
+	}
+	if who != "" && len(f.Where) < maxWhere && !slices.Contains(f.Where, who) {
+		f.Where = append(f.Where[:len(f.Where):len(f.Where)], who)
+	}
+}
