--- a/load/tsexperiment/experiment.go
+++ b/load/tsexperiment/experiment.go
@@ -33,6 +33,7 @@
 func Experiments() []Experiment {
 	return []Experiment{
 		{"calls", "claims, whole answers and quarantine, against baselines", runCalls},
+		{"routing", "choice of servers and admission against baselines", runRouting},
 		{"fleet", "membership and profile edits at several fleet sizes", runFleet},
 	}
 }
--- /dev/null
+++ b/load/tsexperiment/routing.go
@@ -0,0 +1,165 @@
+package tsexperiment
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"turmericshed"
+)
+
+// routingCapacity is the requests a second that the twelve fake engines bear
+// when seven in ten prompts find their prefix cached: each request holds one
+// of 16 slots for 100 steps, and its prompt holds up the whole batch.
+const routingCapacity = 58.0
+
+// routingScenario is one course of traffic and faults.
+type routingScenario struct {
+	name string
+	// length is simulated; calls that begin in [from, until) are measured.
+	length, from, until time.Duration
+	// traffic returns the rate of arrivals a second and the next account.
+	traffic  func(now time.Duration, r *rand.Rand) (float64, string)
+	prefixes int
+	// skew is the Zipf exponent of the prefixes.
+	skew float64
+	// lag is how late load reports are.
+	lag      time.Duration
+	deadline time.Duration
+	// tries is how often a caller sends a call at most.
+	tries                int
+	faults               []routingFault
+	surgeStart, surgeEnd time.Duration
+}
+
+// routingFault happens once.
+type routingFault struct {
+	at time.Duration
+	do func(*routingSim)
+}
+
+// prefix draws a prefix by Zipf's law.
+func (sc routingScenario) prefix(r *rand.Rand) uint64 {
+	z := rand.NewZipf(r, sc.skew, 4, uint64(sc.prefixes-1))
+	return (z.Uint64() + 1) * 0x9e3779b97f4a7c15
+}
+
+// routingMix spreads a rate over two large and eight small accounts.
+func routingMix(rate float64) func(time.Duration, *rand.Rand) (float64, string) {
+	return func(_ time.Duration, r *rand.Rand) (float64, string) {
+		return rate, routingAccount(r)
+	}
+}
+
+func routingAccount(r *rand.Rand) string {
+	if x := r.Float64(); x < 0.35 {
+		return "large-0"
+	} else if x < 0.7 {
+		return "large-1"
+	}
+	return "small-" + string('0'+rune(r.IntN(8)))
+}
+
+// routingSurge is the mix at the base rate, with one account sending extra
+// requests in the given time.
+func routingSurge(base, extra float64, from, to time.Duration) func(time.Duration, *rand.Rand) (float64, string) {
+	return func(now time.Duration, r *rand.Rand) (float64, string) {
+		if now < from || now >= to {
+			return base, routingAccount(r)
+		}
+		if r.Float64() < extra/(base+extra) {
+			return base + extra, "large-0"
+		}
+		return base + extra, routingAccount(r)
+	}
+}
+
+// routingScenarios returns the table.
+func routingScenarios(quick bool) []routingScenario {
+	s := time.Second
+	base := routingScenario{
+		length: 90 * s, from: 10 * s, prefixes: 240, skew: 1.3, lag: 500 * time.Millisecond,
+		deadline: 20 * s, tries: 1, traffic: routingMix(0.8 * routingCapacity),
+	}
+	if quick {
+		base.length = 40 * s
+	}
+	with := func(name string, change func(*routingScenario)) routingScenario {
+		sc := base
+		sc.name = name
+		change(&sc)
+		return sc
+	}
+	relist := func(sim *routingSim) { sim.after(routingListLag, sim.list) }
+	return []routingScenario{
+		with("steady_80", func(*routingScenario) {}),
+		with("no_prefix_80", func(sc *routingScenario) { sc.prefixes = 0 }),
+		with("skewed_prefixes", func(sc *routingScenario) { sc.skew = 2 }),
+		with("report_lag_2s", func(sc *routingScenario) { sc.lag = 2 * s }),
+		with("server_death", func(sc *routingScenario) {
+			sc.faults = []routingFault{{20 * s, func(sim *routingSim) { sim.engines[0].die(); relist(sim) }}}
+			sc.traffic = routingMix(0.7 * routingCapacity)
+		}),
+		with("server_leaving", func(sc *routingScenario) {
+			sc.faults = []routingFault{{20 * s, func(sim *routingSim) { sim.engines[0].leftAt = sim.now; relist(sim) }}}
+			sc.traffic = routingMix(0.7 * routingCapacity)
+		}),
+		with("fresh_server", func(sc *routingScenario) {
+			sc.faults = []routingFault{{20 * s, func(sim *routingSim) { sim.addEngine(len(sim.engines)); sim.list() }}}
+			sc.from, sc.until = 20*s, 30*s
+			sc.traffic = routingMix(0.9 * routingCapacity)
+		}),
+		with("black_hole", func(sc *routingScenario) {
+			sc.faults = []routingFault{{20 * s, func(sim *routingSim) { sim.engines[0].hole = true }}}
+			sc.traffic = routingMix(0.7 * routingCapacity)
+		}),
+		with("small_alone", func(sc *routingScenario) {
+			sc.traffic = routingMix(0.5 * routingCapacity)
+			sc.from, sc.until = 20*s, 35*s
+		}),
+		with("large_surge", func(sc *routingScenario) {
+			sc.traffic = routingSurge(0.5*routingCapacity, 2*routingCapacity, 20*s, 35*s)
+			sc.from, sc.until = 20*s, 35*s
+		}),
+		with("metastable", func(sc *routingScenario) {
+			sc.length, sc.surgeStart, sc.surgeEnd = 160*s, 30*s, 90*s
+			sc.deadline, sc.tries = 8*s, 5
+			high := routingMix(2.4 * routingCapacity)
+			low := sc.traffic
+			sc.traffic = func(now time.Duration, r *rand.Rand) (float64, string) {
+				if now >= 30*s && now < 90*s {
+					return high(now, r)
+				}
+				return low(now, r)
+			}
+		}),
+	}
+}
+
+// RoutingResult is what the experiment prints.
+type RoutingResult struct {
+	Seed uint64       `json:"seed"`
+	Rows []RoutingRow `json:"rows"`
+}
+
+// runRouting measures every policy in every scenario.
+func runRouting(ctx context.Context, o Options) (any, error) {
+	res := RoutingResult{Seed: o.Seed}
+	for _, sc := range routingScenarios(o.Quick) {
+		if o.Scenario != "" && o.Scenario != sc.name {
+			continue
+		}
+		for _, p := range routingPolicies() {
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+			sim := newRoutingSim(o.Seed, sc, p)
+			sim.run()
+			res.Rows = append(res.Rows, sim.book.result(sim))
+		}
+	}
+	if len(res.Rows) == 0 {
+		return nil, turmericshed.NewError(turmericshed.KindBadRequest, "unknown scenario %q", o.Scenario)
+	}
+	return res, nil
+}
--- /dev/null
+++ b/load/tsexperiment/routing_book.go
@@ -0,0 +1,165 @@
+package tsexperiment
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"turmericshed"
+)
+
+// RoutingRow is what one policy measured in one scenario.
+type RoutingRow struct {
+	Scenario string `json:"scenario"`
+	Policy   string `json:"policy"`
+	Requests int    `json:"requests"`
+	Answered int    `json:"answered"`
+	// Refused counts tries that were refused or failed.
+	Refused          int     `json:"refused"`
+	TTFTP50          float64 `json:"ttft_p50_ms"`
+	TTFTP95          float64 `json:"ttft_p95_ms"`
+	TTFTP99          float64 `json:"ttft_p99_ms"`
+	PrefixHitShare   float64 `json:"prefix_hit_share"`
+	GoodputPerSecond float64 `json:"goodput_per_second"`
+	FalseRefusals    int     `json:"false_refusals"`
+	SmallAccountP95  float64 `json:"small_account_p95_ms"`
+	WorkToLeaving    int     `json:"work_to_leaving_after_2s"`
+	RecoverySeconds  float64 `json:"recovery_seconds"`
+}
+
+// routingBook is the callers' own book.
+type routingBook struct {
+	shape    routingScenario
+	row      RoutingRow
+	ttft     *hdrhistogram.Histogram
+	small    *hdrhistogram.Histogram
+	answers  int
+	bySecond []routingSecond
+}
+
+// routingSecond is what became of the calls that began in one second.
+type routingSecond struct {
+	arrived, answered int
+	ttft              *hdrhistogram.Histogram
+}
+
+func newRoutingBook(sc routingScenario) *routingBook {
+	b := &routingBook{shape: sc, ttft: newRoutingHistogram(), small: newRoutingHistogram()}
+	b.bySecond = make([]routingSecond, int(sc.length/time.Second)+1)
+	for i := range b.bySecond {
+		b.bySecond[i].ttft = newRoutingHistogram()
+	}
+	return b
+}
+
+// newRoutingHistogram counts microseconds up to ten minutes.
+func newRoutingHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)
+}
+
+func (b *routingBook) measured(c *routingCall) bool {
+	return c.began >= b.shape.from && (b.shape.until == 0 || c.began < b.shape.until)
+}
+
+func (b *routingBook) second(c *routingCall) *routingSecond {
+	return &b.bySecond[int(c.began/time.Second)]
+}
+
+func (b *routingBook) arrived(c *routingCall) {
+	b.second(c).arrived++
+	if b.measured(c) {
+		b.row.Requests++
+	}
+}
+
+func (b *routingBook) first(c *routingCall, now time.Duration) {
+	if c.firstAt > 0 {
+		return
+	}
+	c.firstAt = now
+	us := int64((now - c.began) / time.Microsecond)
+	_ = b.second(c).ttft.RecordValue(us)
+	if !b.measured(c) {
+		return
+	}
+	_ = b.ttft.RecordValue(us)
+	if c.account[0] == 's' {
+		_ = b.small.RecordValue(us)
+	}
+}
+
+func (b *routingBook) answered(c *routingCall, now time.Duration) {
+	if c.attempts == 1 {
+		b.second(c).answered++
+	}
+	if b.measured(c) {
+		b.row.Answered++
+	}
+	if now >= b.shape.from && now < b.shape.length {
+		b.answers++
+	}
+}
+
+func (b *routingBook) failed(c *routingCall, err error, spare bool) {
+	if !b.measured(c) {
+		return
+	}
+	b.row.Refused++
+	if spare && turmericshed.OutcomeOf(err) == turmericshed.OutcomeNotRun && turmericshed.KindOf(err) != turmericshed.KindRateLimited {
+		b.row.FalseRefusals++
+	}
+}
+
+// result closes the book.
+func (b *routingBook) result(s *routingSim) RoutingRow {
+	r := b.row
+	r.Scenario, r.Policy = s.shape.name, s.policy.name
+	r.TTFTP50, r.TTFTP95, r.TTFTP99 = routingMS(b.ttft, 50), routingMS(b.ttft, 95), routingMS(b.ttft, 99)
+	r.SmallAccountP95 = routingMS(b.small, 95)
+	r.GoodputPerSecond = float64(b.answers) / (b.shape.length - b.shape.from).Seconds()
+	hits, total := 0, 0
+	for _, e := range s.engines {
+		hits += e.hits
+		total += e.hits + e.misses
+		r.WorkToLeaving += e.receivedLate
+	}
+	if total > 0 {
+		r.PrefixHitShare = float64(hits) / float64(total)
+	}
+	r.RecoverySeconds = b.recovery()
+	return r
+}
+
+func routingMS(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// Normal service after a surge.
+const (
+	routingNormalShare = 0.95
+	routingNormalTTFT  = 2.0
+)
+
+// recovery returns the seconds from the surge's end to the last second in
+// which service was not normal: fewer than 95 in 100 calls answered at the
+// first try, or a p95 over twice that from before the surge.
+func (b *routingBook) recovery() float64 {
+	if b.shape.surgeEnd == 0 {
+		return 0
+	}
+	before := newRoutingHistogram()
+	for i := int(b.shape.from / time.Second); i < int(b.shape.surgeStart/time.Second); i++ {
+		before.Merge(b.bySecond[i].ttft)
+	}
+	limit := routingNormalTTFT * routingMS(before, 95)
+	end := int(b.shape.surgeEnd / time.Second)
+	last := end
+	for i := end; i < int(b.shape.length/time.Second)-int(b.shape.deadline/time.Second); i++ {
+		s := b.bySecond[i]
+		normal := float64(s.answered) >= routingNormalShare*float64(s.arrived) && routingMS(s.ttft, 95) <= limit
+		if s.arrived > 0 && !normal {
+			last = i + 1
+		}
+	}
+	return float64(last - end)
+}
--- /dev/null
+++ b/load/tsexperiment/routing_policy.go
@@ -0,0 +1,144 @@
+package tsexperiment
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"turmericshed"
+	"turmericshed/core/tsadmit"
+	"turmericshed/core/tsroute"
+)
+
+// errRoutingLeaving is wrapped by the refusal of a leaving engine.
+var errRoutingLeaving = errors.New("leaving")
+
+// routingPolicy is one way of routing and admitting, to be compared.
+type routingPolicy struct {
+	name   string
+	router func(self turmericshed.FailureDomain, r *rand.Rand) turmericshed.Router
+	admit  tsadmit.Config
+	// limited turns overload control on.
+	limited bool
+	// freeRetries turns the retry budget off.
+	freeRetries bool
+}
+
+// routingMaxRunning is the ceiling of requests running at one entry VM.
+const routingMaxRunning = 64
+
+// routingPolicies returns ours first, then the baselines. The baselines differ
+// in the router alone; naive differs in admission alone.
+func routingPolicies() []routingPolicy {
+	fair := tsadmit.Config{MaxRunning: routingMaxRunning}
+	ours := func(self turmericshed.FailureDomain, r *rand.Rand) turmericshed.Router {
+		return tsroute.New(tsroute.Config{Self: self, Rand: r})
+	}
+	baseline := func(choose func(*routingBaseline, []*routingChoice, turmericshed.RouteRequest) *routingChoice) func(turmericshed.FailureDomain, *rand.Rand) turmericshed.Router {
+		return func(_ turmericshed.FailureDomain, r *rand.Rand) turmericshed.Router {
+			return &routingBaseline{choose: choose, rand: r, next: r.IntN(1000)}
+		}
+	}
+	return []routingPolicy{
+		{name: "turmericshed", router: ours, admit: fair, limited: true},
+		{name: "round_robin", router: baseline(chooseRoundRobin), admit: fair},
+		{name: "least_reported", router: baseline(chooseLeastReported), admit: fair},
+		{name: "prefix_hash", router: baseline(choosePrefixHash), admit: fair},
+		{
+			name: "naive_admission", router: ours, freeRetries: true,
+			admit: tsadmit.Config{MaxRunning: routingMaxRunning, MaxQueued: 1 << 20, FirstInFirstOut: true, Patient: true},
+		},
+	}
+}
+
+// routingChoice is one server as a baseline sees it.
+type routingChoice struct {
+	turmericshed.BackendServer
+	hash     uint64
+	reported int
+}
+
+// routingBaseline is a router without state of its own but the last list and
+// the last reports.
+type routingBaseline struct {
+	choose  func(*routingBaseline, []*routingChoice, turmericshed.RouteRequest) *routingChoice
+	rand    *rand.Rand
+	next    int
+	servers []*routingChoice
+}
+
+// SetServers replaces the list.
+func (b *routingBaseline) SetServers(_ time.Time, list []turmericshed.BackendServer) {
+	b.servers = nil
+	for _, s := range list {
+		b.servers = append(b.servers, &routingChoice{BackendServer: s, hash: xxhash.Sum64String(string(s.ID))})
+	}
+}
+
+// Report keeps the last report.
+func (b *routingBaseline) Report(_ time.Time, rep turmericshed.LoadReport) {
+	for _, s := range b.servers {
+		if s.ID == rep.Server {
+			s.reported = rep.Running + rep.Queued
+		}
+	}
+}
+
+// SetLeaving does nothing: baselines follow the list alone.
+func (b *routingBaseline) SetLeaving(time.Time, turmericshed.ServerID) {}
+
+// Pick chooses among the listed servers.
+func (b *routingBaseline) Pick(_ time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
+	var cs []*routingChoice
+	for _, s := range b.servers {
+		if !s.Leaving && !slices.Contains(r.Excluded, s.ID) {
+			cs = append(cs, s)
+		}
+	}
+	if len(cs) == 0 {
+		return turmericshed.BackendServer{}, turmericshed.NewError(turmericshed.KindNoBackend, "none left")
+	}
+	return b.choose(b, cs, r).BackendServer, nil
+}
+
+// Done does nothing.
+func (b *routingBaseline) Done(time.Time, turmericshed.ServerID, turmericshed.RouteRequest, turmericshed.DispatchResult) {
+}
+
+func chooseRoundRobin(b *routingBaseline, cs []*routingChoice, _ turmericshed.RouteRequest) *routingChoice {
+	b.next++
+	return cs[b.next%len(cs)]
+}
+
+func chooseLeastReported(b *routingBaseline, cs []*routingChoice, _ turmericshed.RouteRequest) *routingChoice {
+	start := b.rand.IntN(len(cs))
+	best := cs[start]
+	for i := range cs {
+		if c := cs[(start+i)%len(cs)]; c.reported < best.reported {
+			best = c
+		}
+	}
+	return best
+}
+
+func choosePrefixHash(b *routingBaseline, cs []*routingChoice, r turmericshed.RouteRequest) *routingChoice {
+	if r.Prefix == 0 {
+		return cs[b.rand.IntN(len(cs))]
+	}
+	best := cs[0]
+	for _, c := range cs[1:] {
+		if routingRank(c, r.Prefix) > routingRank(best, r.Prefix) {
+			best = c
+		}
+	}
+	return best
+}
+
+func routingRank(c *routingChoice, prefix uint64) uint64 {
+	x := c.hash ^ prefix
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	return x ^ x>>27
+}
