Router: prefix homes over the region by popularity, shorter life of reports

Homes now stand in the whole region, two of them and more by a prefix's share of the requests, and the less loaded is taken.

--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -1,6 +1,7 @@
 package tsroute
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,21 +10,23 @@
 
 // The choice among the candidates.
 //
-// A request with a prefix goes to the server with the highest rendezvous hash
-// of prefix and server, so that every entry VM sends it to the cache that has
-// it and a change of the list moves few prefixes. Servers whose load stands
-// above Bound times the mean are passed over for the next in hash order
-// (Mirrokni et al., "Consistent Hashing with Bounded Loads", 2018), so a
-// prefix that is in great demand spreads.
+// A request with a prefix goes to one of the prefix's homes: the servers with
+// the highest rendezvous hash of prefix and server, so that every entry VM
+// looks for a cached prefix at the same few servers, and a change of the list
+// moves few prefixes. There are two homes, more as the prefix's share of the
+// requests grows. Servers whose load stands above Bound times the mean are
+// passed over for the next in hash order (Mirrokni et al., "Consistent Hashing
+// with Bounded Loads", 2018). Among the homes the least loaded is taken. The
+// homes are spread over the own region, since a cached prefix saves more than
+// a way between failure domains of one region costs.
 //
 // A request without one goes to the less loaded of two random candidates
 // (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing",
 // 2001), which spreads requests also when every entry VM acts on the same
-// late report.
+// late report. The own failure domain is chosen in first.
 //
-// Both choose in the own failure domain first. The choice among the others is
-// taken instead when its load is lower by more than RemotePenalty. Cost: linear
-// in the candidates.
+// The choice among servers that are further away is taken instead when its
+// load is lower by more than a penalty. Cost: linear in the candidates.
 
 // poolKey names what a pool of servers serves.
 type poolKey struct {
@@ -32,17 +35,31 @@
 	service string
 }
 
+// distance groups servers by how far away they are.
+type distance int
+
+// The distances.
+const (
+	sameDomain distance = iota
+	sameRegion
+	otherRegion
+	distances
+)
+
 // pool is the servers of one key.
 type pool struct {
 	servers []*server
-	// local and remote are reused between picks.
-	local, remote []candidate
+	// groups and homes are reused between picks.
+	groups [distances][]candidate
+	homes  []candidate
 }
 
 // candidate is a server that may be chosen, with its load per slot.
 type candidate struct {
 	*server
 	load float64
+	// rank is the rendezvous hash with the prefix of the request.
+	rank uint64
 }
 
 // pool returns the servers for r.
@@ -82,39 +99,68 @@
 // choose returns the best candidate; nil when there is none.
 func (r *Router) choose(now time.Time, p *pool, req turmericshed.RouteRequest) *server {
 	r.candidates(now, p, req)
-	local, remote := r.among(p.local, req.Prefix), r.among(p.remote, req.Prefix)
-	if local.server == nil || (remote.server != nil && remote.load+r.cfg.RemotePenalty < local.load) {
-		return remote.server
+	if req.Prefix != 0 {
+		p.groups[sameDomain] = append(p.groups[sameDomain], p.groups[sameRegion]...)
+		p.groups[sameRegion] = p.groups[sameRegion][:0]
+	}
+	var best candidate
+	for d, cs := range p.groups {
+		if len(cs) == 0 {
+			continue
+		}
+		c := r.among(p, cs, req.Prefix)
+		c.load += r.penalty(distance(d))
+		if best.server == nil || c.load < best.load {
+			best = c
+		}
 	}
-	return local.server
+	return best.server
 }
 
-// among chooses within one of the two groups.
-func (r *Router) among(cs []candidate, prefix uint64) candidate {
-	switch {
-	case len(cs) == 0:
-		return candidate{}
-	case prefix != 0:
-		return r.byPrefix(cs, prefix)
+// penalty returns the load per slot that a distance counts as.
+func (r *Router) penalty(d distance) float64 {
+	switch d {
+	case sameRegion:
+		return r.cfg.RemotePenalty
+	case otherRegion:
+		return r.cfg.RegionPenalty
 	default:
+		return 0
+	}
+}
+
+// among chooses within one group.
+func (r *Router) among(p *pool, cs []candidate, prefix uint64) candidate {
+	if prefix == 0 {
 		return r.byLoad(cs)
 	}
+	return r.byPrefix(p, cs, prefix)
 }
 
 // candidates collects the servers that may take the request.
 func (r *Router) candidates(now time.Time, p *pool, req turmericshed.RouteRequest) {
 	mean := meanOthers(p.servers)
-	p.local, p.remote = p.local[:0], p.remote[:0]
+	for d := range p.groups {
+		p.groups[d] = p.groups[d][:0]
+	}
 	for _, s := range p.servers {
 		if s.leaving || slices.Contains(req.Excluded, s.ID) || !s.breaker.allows(now, s.inflight) {
 			continue
 		}
 		c := candidate{server: s, load: (r.estimate(now, s, mean) + 1) / float64(s.Slots)}
-		if s.FailureDomain == r.cfg.Self {
-			p.local = append(p.local, c)
-		} else {
-			p.remote = append(p.remote, c)
-		}
+		d := r.distance(s)
+		p.groups[d] = append(p.groups[d], c)
+	}
+}
+
+func (r *Router) distance(s *server) distance {
+	switch {
+	case s.FailureDomain == r.cfg.Self:
+		return sameDomain
+	case r.cfg.Region == "" || s.Region == r.cfg.Region:
+		return sameRegion
+	default:
+		return otherRegion
 	}
 }
 
@@ -128,24 +174,38 @@
 	return a
 }
 
-// byPrefix returns the highest-ranked candidate within the bound.
-func (r *Router) byPrefix(cs []candidate, prefix uint64) candidate {
+// byPrefix returns the least loaded home of the prefix.
+func (r *Router) byPrefix(p *pool, cs []candidate, prefix uint64) candidate {
 	var sum float64
 	for _, c := range cs {
 		sum += c.load
 	}
 	bound := max(r.cfg.Bound*sum/float64(len(cs)), minBound)
-	var best candidate
-	var bestRank uint64
+	n := r.popular.homes(prefix, len(cs))
+	p.homes = p.homes[:0]
 	for _, c := range cs {
-		if rank := mix(prefix ^ c.hash); c.load <= bound && (best.server == nil || rank > bestRank) {
-			best, bestRank = c, rank
+		if c.load <= bound {
+			c.rank = mix(prefix ^ c.hash)
+			p.homes = insertHome(p.homes, c, n)
 		}
 	}
-	if best.server == nil {
+	if len(p.homes) == 0 {
 		return r.byLoad(cs)
 	}
-	return best
+	return slices.MinFunc(p.homes, func(a, b candidate) int { return cmp.Compare(a.load, b.load) })
+}
+
+// insertHome keeps the n candidates with the highest rank, highest first.
+func insertHome(homes []candidate, c candidate, n int) []candidate {
+	i := len(homes)
+	for i > 0 && homes[i-1].rank < c.rank {
+		i--
+	}
+	if i >= n {
+		return homes
+	}
+	homes = slices.Insert(homes, i, c)
+	return homes[:min(len(homes), n)]
 }
 
 // minBound is the load per slot below which affinity is never given up.
--- a/core/tsroute/load.go
+++ b/core/tsroute/load.go
@@ -59,16 +59,30 @@
 // Pressure returns the expected load per slot of the servers for a kind of
 // work that are not leaving; 0 without servers.
 func (r *Router) Pressure(now time.Time, work turmericshed.WorkKind) float64 {
-	var requests, slots float64
+	var own, slots float64
+	var counted []*server
 	for _, s := range r.order {
 		if s.Work != work || s.leaving {
 			continue
 		}
-		requests += float64(s.own(now)) + r.others(now, s, 0)
+		counted = append(counted, s)
+		own += float64(s.own(now))
 		slots += float64(s.Slots)
 	}
 	if slots == 0 {
 		return 0
 	}
-	return requests / slots
+	return own/slots + meanOthers(counted)
+}
+
+// Slots returns the slots of the servers for a kind of work that are not
+// leaving.
+func (r *Router) Slots(work turmericshed.WorkKind) int {
+	n := 0
+	for _, s := range r.order {
+		if s.Work == work && !s.leaving {
+			n += s.Slots
+		}
+	}
+	return n
 }
--- /dev/null
+++ b/core/tsroute/popularity.go
@@ -0,0 +1,49 @@
+package tsroute
+
+const (
+	// popularityWindow is the number of requests after which counts halve.
+	popularityWindow = 1000
+	// popularityPrior is the number of requests that shares are taken of while
+	// fewer were seen.
+	popularityPrior = 250
+	// popularityFloor is the count below which a prefix is forgotten.
+	popularityFloor = 0.5
+	// minHomes is the number of servers that any prefix may be cached at.
+	minHomes = 2
+	// homeSpread is how many times its share of the servers a prefix gets.
+	homeSpread = 3
+)
+
+// popularity counts how often each prefix was asked for lately. It holds at
+// most about two windows of prefixes.
+type popularity struct {
+	count map[uint64]float64
+	sum   float64
+}
+
+// homes counts one request for the prefix and returns the number of servers,
+// of n, that it is to be spread over.
+func (p *popularity) homes(prefix uint64, n int) int {
+	if p.count == nil {
+		p.count = map[uint64]float64{}
+	}
+	if p.sum >= popularityWindow {
+		p.decay()
+	}
+	p.count[prefix]++
+	p.sum++
+	return minHomes + int(homeSpread*float64(n)*p.count[prefix]/max(p.sum, popularityPrior))
+}
+
+// decay halves the counts.
+func (p *popularity) decay() {
+	p.sum = 0
+	for k, v := range p.count {
+		if v < popularityFloor {
+			delete(p.count, k)
+			continue
+		}
+		p.count[k] = v / 2
+		p.sum += v / 2
+	}
+}
--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -25,13 +25,15 @@
 // Defaults of the settings.
 const (
 	// defaultReportLife is the age at which a load report tells nothing more.
-	defaultReportLife = 2 * time.Second
+	defaultReportLife = 800 * time.Millisecond
 	// defaultBound is how far above the mean load per slot a server may be
 	// and still be chosen for its cached prefix.
 	defaultBound = 1.25
 	// defaultRemotePenalty is the load per slot that another failure domain
 	// must be better by.
 	defaultRemotePenalty = 0.15
+	// defaultRegionPenalty is the same for another region.
+	defaultRegionPenalty = 0.5
 	// ghostLife is how long a failed request counts as load.
 	ghostLife = 2 * time.Second
 	// overloadedRetry is the advice when every server is at its allowance.
@@ -41,13 +43,17 @@
 // Config holds what a Router needs. Zero settings take the defaults.
 type Config struct {
 	Self turmericshed.FailureDomain
-	Rand *rand.Rand
+	// Region is the own region; empty counts all servers as near.
+	Region turmericshed.Region
+	Rand   *rand.Rand
 	// ReportLife is the age at which a load report tells nothing more.
 	ReportLife time.Duration
 	// Bound is the bounded load's factor over the mean, above 1.
 	Bound float64
-	// RemotePenalty is in load per slot.
+	// RemotePenalty and RegionPenalty are the load per slot by which another
+	// failure domain and another region must be better.
 	RemotePenalty float64
+	RegionPenalty float64
 	// Recorder is told of leaving servers and breakers; nil tells nobody.
 	Recorder turmericshed.Recorder
 }
@@ -59,7 +65,8 @@
 	// order keeps the servers in the order of the list, for repeatability.
 	order []*server
 	// pools are the servers by what they serve, built on demand.
-	pools map[poolKey]*pool
+	pools   map[poolKey]*pool
+	popular popularity
 	// started is true once a first list came in.
 	started bool
 }
@@ -77,6 +84,9 @@
 	if cfg.RemotePenalty == 0 {
 		cfg.RemotePenalty = defaultRemotePenalty
 	}
+	if cfg.RegionPenalty == 0 {
+		cfg.RegionPenalty = defaultRegionPenalty
+	}
 	if cfg.Recorder == nil {
 		cfg.Recorder = turmericshed.NopRecorder{}
 	}
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -26,8 +26,10 @@
 
 // PoolConfig holds what a Pool needs.
 type PoolConfig struct {
-	Self  turmericshed.FailureDomain
-	Board *tsboard.Board
+	Self turmericshed.FailureDomain
+	// Region is the own region; empty counts all servers as near.
+	Region turmericshed.Region
+	Board  *tsboard.Board
 	// Loads reads a server's load; nil turns polling off.
 	Loads    turmericshed.LoadReader
 	Rand     *rand.Rand
@@ -49,7 +51,7 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	p := &Pool{cfg: cfg, router: tsroute.New(tsroute.Config{Self: cfg.Self, Rand: cfg.Rand, Recorder: cfg.Recorder})}
+	p := &Pool{cfg: cfg, router: tsroute.New(tsroute.Config{Self: cfg.Self, Region: cfg.Region, Rand: cfg.Rand, Recorder: cfg.Recorder})}
 	p.router.SetServers(time.Now(), cfg.Board.Servers.Read())
 	return p
 }
--- a/load/tsexperiment/routing.go
+++ b/load/tsexperiment/routing.go
@@ -95,6 +95,7 @@
 		with("steady_80", func(*routingScenario) {}),
 		with("no_prefix_80", func(sc *routingScenario) { sc.prefixes = 0 }),
 		with("skewed_prefixes", func(sc *routingScenario) { sc.skew = 2 }),
+		with("report_lag_100ms", func(sc *routingScenario) { sc.lag = s / 10 }),
 		with("report_lag_2s", func(sc *routingScenario) { sc.lag = 2 * s }),
 		with("server_death", func(sc *routingScenario) {
 			sc.faults = []routingFault{{20 * s, func(sim *routingSim) { sim.engines[0].die(); relist(sim) }}}
