Admission: two limits that follow the servers' load, shares, standing queues

An account below its share passes a full house within a reserve; one that runs far more than its share has a limit of its own with a lower target, so its surge leaves servers with free slots; a queue that stands for 3 s is kept short, so that service comes back soon after an overload. Once servers are nearly full the router keeps its own in flight even and leaves reports out.

Tried and worse: one limit by additive increase and multiplicative decrease (small accounts 2.4 s, refusals with a third of the slots free); a weight on the difference in load in place of the less loaded of two.

--- a/core/tsadmit/estimate.go
+++ b/core/tsadmit/estimate.go
@@ -18,6 +18,13 @@
 	runWeight = 0.05
 	// runShare of the mean run time must be left before the deadline.
 	runShare = 0.5
+	// standingTime is how long requests of an account may have to wait before
+	// further ones are refused while the first waits longer than standingWait.
+	// A burst may wait up to its deadline; a load that stays above what can
+	// be served must not, or every request waits as long as its caller bears,
+	// and service comes back long after the load is gone.
+	standingTime = 3 * time.Second
+	standingWait = 100 * time.Millisecond
 	// unknownWait is the advice while nothing has ended yet.
 	unknownWait = time.Second
 )
@@ -34,16 +41,19 @@
 	*m += meanRun(runWeight * float64(run-time.Duration(*m)))
 }
 
-// hopeless tells why r can't be served in time, and the advice; nil when it
-// can.
+// hopeless tells why r is refused at once although it could wait, and the
+// advice; nil when it may wait.
 func (q *Queue) hopeless(now time.Time, f *flow, r turmericshed.AdmitRequest) (error, time.Duration) { //nolint:revive,staticcheck // the advice belongs to the error
-	if q.cfg.Patient || r.Deadline.IsZero() {
+	if q.cfg.Patient {
 		return nil, 0
 	}
 	wait := q.wait(f)
-	if now.Add(wait + q.need()).After(r.Deadline) {
+	if !r.Deadline.IsZero() && now.Add(wait+q.need()).After(r.Deadline) {
 		return turmericshed.NewError(turmericshed.KindDeadline, "the deadline can't be met: about %v to wait", wait.Round(time.Millisecond)), wait
 	}
+	if f.standing(now) {
+		return turmericshed.NewError(turmericshed.KindOverloaded, "requests of the client account wait for more than %v already", standingWait), wait
+	}
 	return nil, 0
 }
 
@@ -65,7 +75,7 @@
 		}
 		return unknownWait
 	}
-	d := time.Duration(float64(q.ahead(f)+1) / float64(q.limit) * float64(q.run))
+	d := time.Duration(float64(q.ahead(f)+1) / float64(max(q.limits.total, len(q.running))) * float64(q.run))
 	if f.limit.Concurrency > 0 {
 		own := float64(len(f.entries)+1) / float64(f.limit.Concurrency) * float64(q.run)
 		d = max(d, time.Duration(own))
--- a/core/tsadmit/flow.go
+++ b/core/tsadmit/flow.go
@@ -35,6 +35,7 @@
 	ticket  Ticket
 	request turmericshed.AdmitRequest
 	start   float64
+	since   time.Time
 }
 
 // flow is the state of one account at one priority.
@@ -46,6 +47,9 @@
 	running int
 	finish  float64
 	last    time.Time
+	// busy is since when requests had to wait, without a calm of standingTime
+	// in between; queued is when the last one had to.
+	busy, queued time.Time
 	// tokens and filled are the bucket of the rate limit.
 	tokens float64
 	filled time.Time
@@ -93,6 +97,19 @@
 	return e
 }
 
+// wait notes that a request has to wait.
+func (f *flow) wait(now time.Time) {
+	if now.Sub(f.queued) > standingTime {
+		f.busy = now
+	}
+	f.queued = now
+}
+
+// standing reports whether the queue stands and does not drain.
+func (f *flow) standing(now time.Time) bool {
+	return len(f.entries) > 0 && now.Sub(f.busy) > standingTime && now.Sub(f.entries[0].since) > standingWait
+}
+
 // pop takes the first entry.
 func (f *flow) pop() entry {
 	e := f.entries[0]
@@ -118,7 +135,7 @@
 func (q *Queue) next() *flow {
 	var best *flow
 	for _, f := range q.backlog {
-		if !f.atConcurrency() && (best == nil || q.before(f.entries[0], best.entries[0])) {
+		if q.mayRun(f) && (best == nil || q.before(f.entries[0], best.entries[0])) {
 			best = f
 		}
 	}
@@ -134,9 +151,6 @@
 	return a.start < b.start
 }
 
-// eligible reports whether a waiting request could run.
-func (q *Queue) eligible() bool { return q.next() != nil }
-
 // newest returns the flow that queued last.
 func (q *Queue) newest() *flow {
 	return slices.MaxFunc(q.backlog, func(a, b *flow) int {
--- a/core/tsadmit/limiter.go
+++ b/core/tsadmit/limiter.go
@@ -1,58 +1,116 @@
 package tsadmit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Overload control. The number of requests that run at once follows what the
-// backend servers can take: while they report more work than slots the limit
-// shrinks by a share, and while requests wait here and the servers have room
-// it grows by a step (additive increase, multiplicative decrease). Requests
-// then wait at the entry VM, where order is fair and deadlines are known,
-// and not in the servers' queues.
+// Overload control. The number of requests that run at once here follows what
+// the backend servers can take, so that requests wait at the entry VM, where
+// the order is fair and deadlines are known, and not in the servers' queues.
+//
+// Each limit starts at a share of this entry VM's even part of the servers'
+// slots. While requests wait for it, it moves by a part of the room that the
+// servers have left below the target load, or down while they are above it.
+// While nothing waits it moves back to where it started. One entry VM that
+// gets more than its part of the traffic can so use what others leave.
+//
+// There are two limits. One bounds all requests here. The other bounds any
+// single account that runs far more than its share, at a lower target, so that
+// the surge of one account leaves servers with free slots for the others.
 
-// The steps of the limiter.
 const (
-	// limitInterval is the time between changes; load reports lag about as
-	// much.
+	// limitInterval is the time between changes.
 	limitInterval = 250 * time.Millisecond
-	// pressureHigh and pressureLow are requests per slot at the servers.
-	pressureHigh = 1.1
-	pressureLow  = 0.95
-	// limitShrink is the factor of one decrease.
-	limitShrink = 0.9
-	// limitGrow is the share of the limit added by one increase, at least 1.
-	limitGrow = 0.1
+	// limitGain is the part of the room that one change takes.
+	limitGain = 0.25
+	// limitReturn is the part of the way back that one change takes.
+	limitReturn = 0.1
 	// minLimit keeps a trickle that notices recovery.
 	minLimit = 2
 )
 
-// Usage is what the limiter looks at.
-type Usage struct {
-	// Limit is in force now, Ceiling the highest allowed.
-	Limit, Ceiling int
-	// Running and Waiting are requests here.
-	Running, Waiting int
+// The limit of all requests. Its floor is near the even part, because accounts
+// below their share pass it and would else push it ever further down.
+const (
+	totalTarget = 0.95
+	totalRest   = 1.2
+	totalFloor  = 0.95
+)
+
+// The limit of an account that runs far more than its share.
+const (
+	accountTarget = 0.7
+	accountRest   = 0.5
+	accountFloor  = 0.4
+)
+
+// limit follows the servers' load towards a target.
+type limit struct {
+	// target is the load per slot that is aimed for. rest is the value while
+	// nothing waits and floor the lowest, as shares of the even part.
+	target, rest, floor float64
+	value               float64
+}
+
+// next moves the limit.
+func (l *limit) next(even, pressure float64, waiting bool) int {
+	if l.value == 0 {
+		l.value = l.rest * even
+	}
+	if room := l.target - pressure; waiting || room < 0 {
+		l.value += limitGain * room * even
+	} else {
+		l.value += limitReturn * (l.rest*even - l.value)
+	}
+	l.value = max(l.value, l.floor*even, minLimit)
+	return int(math.Round(l.value))
+}
+
+// Load is what the overload control knows of the servers.
+type Load struct {
 	// Pressure is the servers' load per slot, running and queued.
 	Pressure float64
+	// Slots is the number of requests that the servers can run; 0 turns the
+	// control off.
+	Slots int
+	// Sharers is the number of entry VMs that send to them.
+	Sharers int
 }
 
-// Limiter follows the servers' load. The zero value is ready to use.
-type Limiter struct {
-	last time.Time
+// Control is the overload control of a queue.
+type Control struct {
+	last           time.Time
+	total, account limit
 }
 
-// Next returns the limit to use from now on.
-func (l *Limiter) Next(now time.Time, u Usage) int {
-	if now.Sub(l.last) < limitInterval {
-		return u.Limit
+// NewControl returns a control at rest.
+func NewControl() *Control {
+	return &Control{
+		total:   limit{target: totalTarget, rest: totalRest, floor: totalFloor},
+		account: limit{target: accountTarget, rest: accountRest, floor: accountFloor},
 	}
-	l.last = now
-	n := u.Limit
-	switch step := max(int(float64(n)*limitGrow), 1); {
-	case u.Pressure > pressureHigh:
-		n = int(float64(min(n, max(u.Running, minLimit))) * limitShrink)
-	case u.Pressure < pressureLow && (u.Waiting > 0 || u.Running < n/2):
-		// Also when idle, so that the next surge starts from the ceiling.
-		n += step
+}
+
+// Adapt moves the limits of q and returns the decisions that follow.
+func (c *Control) Adapt(now time.Time, q *Queue, load Load) []Decision {
+	if load.Slots <= 0 || now.Sub(c.last) < limitInterval {
+		return nil
 	}
-	return min(max(n, minLimit), u.Ceiling)
+	c.last = now
+	even := float64(load.Slots) / float64(max(load.Sharers, 1))
+	return q.setLimits(now, limits{
+		total:   c.total.next(even, load.Pressure, len(q.waiting) > 0),
+		account: c.account.next(even, load.Pressure, q.surge()),
+		even:    int(math.Round(even)),
+	})
+}
+
+// limits are the places of a queue.
+type limits struct {
+	// total bounds all requests, account those of one account that runs far
+	// more than its share.
+	total, account int
+	// even is this entry VM's even part of the servers' slots.
+	even int
 }
--- a/core/tsadmit/queue.go
+++ b/core/tsadmit/queue.go
@@ -59,6 +59,8 @@
 	MaxQueued int
 	// FirstInFirstOut turns fair shares and priorities off, for comparison.
 	FirstInFirstOut bool
+	// NoReserve lets one account fill every place, for comparison.
+	NoReserve bool
 	// Patient turns early refusal off, for comparison.
 	Patient bool
 }
@@ -66,7 +68,7 @@
 // Queue is a deadline-aware queue with fair shares among client accounts.
 type Queue struct {
 	cfg     Config
-	limit   int
+	limits  limits
 	flows   map[flowKey]*flow
 	backlog []*flow
 	running map[Ticket]running
@@ -75,6 +77,9 @@
 	virtual float64
 	run     meanRun
 	swept   time.Time
+	// weight is the sum over the flows that were active lately.
+	weight  float64
+	weighed time.Time
 }
 
 // running is one admitted request.
@@ -92,7 +97,7 @@
 		cfg.MaxQueued = defaultMaxQueued
 	}
 	return &Queue{
-		cfg: cfg, limit: cfg.MaxRunning,
+		cfg: cfg, limits: limits{total: cfg.MaxRunning, account: cfg.MaxRunning, even: cfg.MaxRunning},
 		flows: map[flowKey]*flow{}, running: map[Ticket]running{}, waiting: map[Ticket]*flow{},
 	}
 }
@@ -107,15 +112,13 @@
 func (q *Queue) Accounts() int { return len(q.flows) }
 
 // Limit returns how many requests may run at once.
-func (q *Queue) Limit() int { return q.limit }
+func (q *Queue) Limit() int { return q.limits.total }
 
-// Ceiling returns the highest limit.
-func (q *Queue) Ceiling() int { return q.cfg.MaxRunning }
-
-// SetLimit changes how many requests may run at once, between 1 and
-// MaxRunning, and returns the decisions that follow from it.
-func (q *Queue) SetLimit(now time.Time, n int) []Decision {
-	q.limit = min(max(n, 1), q.cfg.MaxRunning)
+// setLimits changes how many requests may run at once.
+func (q *Queue) setLimits(now time.Time, l limits) []Decision {
+	l.total = min(l.total, q.cfg.MaxRunning)
+	l.account = min(l.account, q.cfg.MaxRunning)
+	q.limits = l
 	return q.dispatch(now, nil)
 }
 
@@ -125,18 +128,20 @@
 func (q *Queue) Offer(now time.Time, t Ticket, r turmericshed.AdmitRequest) []Decision {
 	q.sweep(now)
 	f := q.flow(now, r)
+	q.weigh(now)
 	if wait := f.takeRate(now); wait > 0 {
 		err := turmericshed.NewError(turmericshed.KindRateLimited, "above the rate limit of the client account")
 		return []Decision{refused(t, err, wait)}
 	}
-	if len(q.running) < q.limit && !f.atConcurrency() && !q.eligible() {
+	if q.mayRun(f) && q.next() == nil {
 		q.admit(now, f, f.enqueue(q.virtual, t, r))
 		return []Decision{{Ticket: t, Verdict: Admitted}}
 	}
+	f.wait(now)
 	if err, wait := q.hopeless(now, f, r); err != nil {
 		return []Decision{refused(t, err, wait)}
 	}
-	q.push(f, t, r)
+	q.push(now, f, t, r)
 	more := q.displace()
 	for i, d := range more {
 		if d.Ticket == t {
@@ -171,11 +176,7 @@
 // dispatch admits waiting requests while there is room, and refuses those
 // whose deadline can no longer be met.
 func (q *Queue) dispatch(now time.Time, ds []Decision) []Decision {
-	for len(q.running) < q.limit {
-		f := q.next()
-		if f == nil {
-			break
-		}
+	for f := q.next(); f != nil; f = q.next() {
 		e := f.pop()
 		q.forget(f, e.ticket)
 		if !q.cfg.Patient && q.tooLate(now, e.request) {
@@ -199,11 +200,13 @@
 }
 
 // push queues a request.
-func (q *Queue) push(f *flow, t Ticket, r turmericshed.AdmitRequest) {
+func (q *Queue) push(now time.Time, f *flow, t Ticket, r turmericshed.AdmitRequest) {
 	if len(f.entries) == 0 {
 		q.backlog = append(q.backlog, f)
 	}
-	f.entries = append(f.entries, f.enqueue(q.virtual, t, r))
+	e := f.enqueue(q.virtual, t, r)
+	e.since = now
+	f.entries = append(f.entries, e)
 	q.waiting[t] = f
 }
 
--- /dev/null
+++ b/core/tsadmit/reserve.go
@@ -0,0 +1,71 @@
+package tsadmit
+
+import (
+	"math"
+	"time"
+)
+
+// Shares of the places. An account that runs less than its share is let
+// through also when the others have used up the places, within a reserve. An
+// account that runs far more than its share has a limit of its own. So the
+// surge of one account costs the others no wait for a place, while an account
+// alone may use them all.
+
+const (
+	// reserveShare of the even part is kept for accounts below their share.
+	reserveShare = 0.2
+	// surgeFactor times its share is far more than its share.
+	surgeFactor = 2
+	// activeLife is how long an account counts as active after its last
+	// request.
+	activeLife = 10 * time.Second
+	// weighInterval is the time between counts of the active accounts.
+	weighInterval = time.Second
+)
+
+// weigh sums the weights of the active flows.
+func (q *Queue) weigh(now time.Time) {
+	if now.Sub(q.weighed) < weighInterval {
+		return
+	}
+	q.weighed, q.weight = now, 0
+	for _, f := range q.flows {
+		if f.running > 0 || len(f.entries) > 0 || now.Sub(f.last) < activeLife {
+			q.weight += f.weight
+		}
+	}
+}
+
+// share returns the places that f is entitled to.
+func (q *Queue) share(f *flow) float64 {
+	return float64(q.limits.even) * f.weight / max(q.weight, f.weight)
+}
+
+// mayRun reports whether a request of f may take a place now.
+func (q *Queue) mayRun(f *flow) bool {
+	n := len(q.running)
+	if f.atConcurrency() || n >= q.cfg.MaxRunning {
+		return false
+	}
+	own, share := float64(f.running), q.share(f)
+	switch {
+	case q.cfg.NoReserve || q.cfg.FirstInFirstOut || f.weight >= q.weight:
+		return n < q.limits.total
+	case own < share:
+		return n < max(q.limits.total, q.limits.even+int(math.Ceil(reserveShare*float64(q.limits.even))))
+	case own >= surgeFactor*share && f.running >= q.limits.account:
+		return false
+	default:
+		return n < q.limits.total
+	}
+}
+
+// surge reports whether an account waits for its own limit.
+func (q *Queue) surge() bool {
+	for _, f := range q.backlog {
+		if f.weight < q.weight && float64(f.running) >= surgeFactor*q.share(f) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -25,6 +25,12 @@
 // 2001), which spreads requests also when every entry VM acts on the same
 // late report. The own failure domain is chosen in first.
 //
+// Once the servers of a group are nearly full on average, load reports do more
+// harm than good: acting on a late one fills a server that had one place left.
+// Then every entry VM keeps what it has in flight itself even over the servers,
+// which needs no report, and takes a home only where it has no more in flight
+// than on average.
+//
 // The choice among servers that are further away is taken instead when its
 // load is lower by more than a penalty. Cost: linear in the candidates.
 
@@ -131,10 +137,19 @@
 
 // among chooses within one group.
 func (r *Router) among(p *pool, cs []candidate, prefix uint64) candidate {
-	if prefix == 0 {
+	var load float64
+	for _, c := range cs {
+		load += c.load
+	}
+	load /= float64(len(cs))
+	switch {
+	case load > crowdedLoad:
+		return r.byOwn(p, cs, prefix)
+	case prefix != 0:
+		return r.byPrefix(p, cs, prefix, load)
+	default:
 		return r.byLoad(cs)
 	}
-	return r.byPrefix(p, cs, prefix)
 }
 
 // candidates collects the servers that may take the request.
@@ -174,25 +189,50 @@
 	return a
 }
 
-// byPrefix returns the least loaded home of the prefix.
-func (r *Router) byPrefix(p *pool, cs []candidate, prefix uint64) candidate {
-	var sum float64
-	for _, c := range cs {
-		sum += c.load
+// byPrefix returns the least loaded home of the prefix within the bound.
+func (r *Router) byPrefix(p *pool, cs []candidate, prefix uint64, mean float64) candidate {
+	bound := max(r.cfg.Bound*mean, minBound)
+	r.findHomes(p, cs, prefix, func(c candidate) bool { return c.load <= bound })
+	if len(p.homes) == 0 {
+		return r.byLoad(cs)
 	}
-	bound := max(r.cfg.Bound*sum/float64(len(cs)), minBound)
+	return slices.MinFunc(p.homes, func(a, b candidate) int { return cmp.Compare(a.load, b.load) })
+}
+
+// byOwn returns the candidate with the least in flight from here, a home of
+// the prefix if there is one with no more than the average.
+func (r *Router) byOwn(p *pool, cs []candidate, prefix uint64) candidate {
+	if prefix != 0 {
+		own := 0
+		for _, c := range cs {
+			own += c.inflight
+		}
+		bound := float64(own)/float64(len(cs)) + ownSlack
+		r.findHomes(p, cs, prefix, func(c candidate) bool { return float64(c.inflight) <= bound })
+		if len(p.homes) > 0 {
+			cs = p.homes
+		}
+	}
+	start := r.cfg.Rand.IntN(len(cs))
+	best := cs[start]
+	for i := range cs {
+		if c := cs[(start+i)%len(cs)]; c.inflight < best.inflight {
+			best = c
+		}
+	}
+	return best
+}
+
+// findHomes collects the homes of the prefix among the candidates that fit.
+func (r *Router) findHomes(p *pool, cs []candidate, prefix uint64, fits func(candidate) bool) {
 	n := r.popular.homes(prefix, len(cs))
 	p.homes = p.homes[:0]
 	for _, c := range cs {
-		if c.load <= bound {
+		if fits(c) {
 			c.rank = mix(prefix ^ c.hash)
 			p.homes = insertHome(p.homes, c, n)
 		}
 	}
-	if len(p.homes) == 0 {
-		return r.byLoad(cs)
-	}
-	return slices.MinFunc(p.homes, func(a, b candidate) int { return cmp.Compare(a.load, b.load) })
 }
 
 // insertHome keeps the n candidates with the highest rank, highest first.
@@ -208,8 +248,14 @@
 	return homes[:min(len(homes), n)]
 }
 
-// minBound is the load per slot below which affinity is never given up.
-const minBound = 0.5
+const (
+	// minBound is the load per slot below which affinity is never given up.
+	minBound = 0.5
+	// crowdedLoad is the mean load per slot above which reports do not count.
+	crowdedLoad = 0.85
+	// ownSlack is how many requests of ours above the average a home may have.
+	ownSlack = 0.5
+)
 
 // mix is the finalizer of SplitMix64.
 func mix(x uint64) uint64 {
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -95,11 +95,12 @@
 	p.router.Done(now, id, r, res)
 }
 
-// Pressure returns the load per slot of the servers for a kind of work.
-func (p *Pool) Pressure(now time.Time, work turmericshed.WorkKind) float64 {
+// Load returns the load per slot and the slots of the servers for a kind of
+// work.
+func (p *Pool) Load(now time.Time, work turmericshed.WorkKind) (pressure float64, slots int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.router.Pressure(now, work)
+	return p.router.Pressure(now, work), p.router.Slots(work)
 }
 
 // Controllers returns the parts that follow the board and read loads.
--- a/io/tsrouting/queue.go
+++ b/io/tsrouting/queue.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	pool := tsrouting.NewPool(tsrouting.PoolConfig{Board: board, Loads: engines, ...})
-//	queue := tsrouting.NewQueue(tsrouting.QueueConfig{Board: board, Pressure: pool.Pressure})
+//	queue := tsrouting.NewQueue(tsrouting.QueueConfig{Board: board, Load: pool.Load})
 //	retries := tsrouting.NewRetries(0)
 //	controllers := append(pool.Controllers(), queue.Controllers()...)
 //
@@ -37,9 +37,9 @@
 	// Board tells how many entry VMs share an account's rate limit; nil
 	// counts this process alone.
 	Board *tsboard.Board
-	// Pressure returns the load per slot of the servers for a kind of work;
-	// nil turns overload control off.
-	Pressure func(now time.Time, work turmericshed.WorkKind) float64
+	// Load returns the load per slot and the slots of the servers for a kind
+	// of work; nil turns overload control off.
+	Load func(now time.Time, work turmericshed.WorkKind) (pressure float64, slots int)
 	// Waited is told how long each admitted request waited; may be nil.
 	Waited func(work turmericshed.WorkKind, d time.Duration)
 }
@@ -57,7 +57,7 @@
 // lane is the queue of one kind of work.
 type lane struct {
 	queue   *tsadmit.Queue
-	limiter tsadmit.Limiter
+	control *tsadmit.Control
 	// waiters are told the decision on their ticket.
 	waiters map[tsadmit.Ticket]chan tsadmit.Decision
 }
@@ -116,6 +116,7 @@
 	if l == nil {
 		l = &lane{
 			queue:   tsadmit.New(tsadmit.Config{MaxRunning: q.cfg.MaxRunning, MaxQueued: q.cfg.MaxQueued}),
+			control: tsadmit.NewControl(),
 			waiters: map[tsadmit.Ticket]chan tsadmit.Decision{},
 		}
 		q.lanes[r.Work] = l
@@ -194,7 +195,7 @@
 
 // Controllers returns the overload control.
 func (q *Queue) Controllers() []turmericshed.Controller {
-	if q.cfg.Pressure == nil {
+	if q.cfg.Load == nil {
 		return nil
 	}
 	return []turmericshed.Controller{limitController{q}}
@@ -220,15 +221,12 @@
 	}
 }
 
-// adapt sets the limit of every lane.
+// adapt moves the limits of every lane.
 func (q *Queue) adapt(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for work, l := range q.lanes {
-		n := l.limiter.Next(now, tsadmit.Usage{
-			Limit: l.queue.Limit(), Ceiling: l.queue.Ceiling(), Running: l.queue.Running(), Waiting: l.queue.Waiting(),
-			Pressure: q.cfg.Pressure(now, work),
-		})
-		l.tell(l.queue.SetLimit(now, n))
+		pressure, slots := q.cfg.Load(now, work)
+		l.tell(l.control.Adapt(now, l.queue, tsadmit.Load{Pressure: pressure, Slots: slots, Sharers: q.sharers()}))
 	}
 }
