--- a/io/tsentry/call.go
+++ b/io/tsentry/call.go
@@ -59,7 +59,7 @@
 			"header %s is missing: a call that may not be repeated needs one", headerIdempotencyKey)
 	}
 	release, err := e.deps.Admission.Admit(ctx, turmericshed.AdmitRequest{
-		Account: req.account, Limit: req.limit, Work: turmericshed.WorkService,
+		Account: req.account, Profile: req.profile.Name, Limit: req.limit, Work: turmericshed.WorkService,
 		Priority: req.profile.Priority, Cost: 1, Deadline: req.deadline,
 	})
 	if err != nil {
--- a/io/tsentry/generate.go
+++ b/io/tsentry/generate.go
@@ -54,7 +54,7 @@
 	defer b.end()
 	defer e.recoverInto(a)
 	release, err := e.deps.Admission.Admit(a.ctx, turmericshed.AdmitRequest{
-		Account: req.account, Limit: req.limit, Work: turmericshed.WorkAssistant,
+		Account: req.account, Profile: req.profile.Name, Limit: req.limit, Work: turmericshed.WorkAssistant,
 		Priority: req.profile.Priority, Cost: *chat.MaxTokens, Deadline: req.deadline,
 	})
 	if err != nil {
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -271,20 +271,24 @@
 func (b *parts) buildRouting() error {
 	b.engine = tsbackend.NewEngine(tsbackend.Options{Dial: b.opts.Dial})
 	b.pool = tsrouting.NewPool(tsrouting.PoolConfig{
-		Self: b.self.FailureDomain, Board: b.board, Loads: b.engine, Recorder: b.recorder,
+		Self: b.self.FailureDomain, Region: b.self.Region, Board: b.board, Loads: b.engine, Recorder: b.recorder,
 	})
 	return nil
 }
 
 // deps gathers what the callers' side works with.
 func (b *parts) deps(peers net.Listener) tsentry.Deps {
+	queue := tsrouting.NewQueue(tsrouting.QueueConfig{
+		MaxRunning: b.cfg.MaxRunning, MaxQueued: b.cfg.MaxRunning * queuePerRunning, Board: b.board,
+		Load: b.pool.Load, Waited: b.metrics.QueueWait,
+	})
 	controllers := []turmericshed.Controller{
 		peerServer{b.server, peers},
 		tsplatform.NewEntryAnnouncer(b.platform, b.self),
 	}
 	for _, list := range [][]turmericshed.Controller{
 		b.fleet.Controllers(), b.profiles.Controllers(), b.holder.Controllers(), b.calls.Controllers(), b.pool.Controllers(),
-		b.quarantine.Controllers(),
+		queue.Controllers(), b.quarantine.Controllers(),
 	} {
 		controllers = append(controllers, list...)
 	}
@@ -292,11 +296,8 @@
 		Board: b.board, Store: b.platform, Members: b.fleet, Peers: b.transport, Profiles: b.profiles,
 		Budgets: b.holder, Claims: b.calls, Router: b.pool, Service: b.service,
 		Engine: b.engine, Quarantine: b.quarantine, Retries: tsrouting.NewRetries(retryShare),
-		Admission: tsrouting.NewQueue(tsrouting.QueueConfig{
-			MaxRunning: b.cfg.MaxRunning, MaxQueued: b.cfg.MaxRunning * queuePerRunning, Board: b.board,
-			Pressure: b.pool.Pressure, Waited: b.metrics.QueueWait,
-		}),
-		Recorder: b.recorder, Log: tsobserve.Part(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), Timeline: b.recorder.Handler(),
+		Admission: queue,
+		Recorder:  b.recorder, Log: tsobserve.Part(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), Timeline: b.recorder.Handler(),
 		Controllers: controllers,
 	}
 }
