Fleet: the platform's list is read within a share of bytes, changes are told

Cause: every node read the whole list each second. At the design size the list has 9,800 entries, about 2 MB, against 7 KB a second for all control. Change: a node waits after a reading in proportion to the list's size, at 1,500 bytes a second and at most half a second a member; readings of the fleet are spread, and new or leaving backend servers are told to all with the probes, pushed at once, whoever saw the first sign. Dropping stays with each node's own readings. Seen red: without telling, a server that one process sees leaving is not leaving at the others after 2 s (TestFleet); a dropped server comes back through peers; the first list is told as news (TestServerNews).

--- a/core/tsmember/servers.go
+++ b/core/tsmember/servers.go
@@ -22,6 +22,8 @@
 type ServerList struct {
 	asOf    time.Time
 	missing map[turmericshed.ServerID]int
+	// dropped are servers that are not listed any more.
+	dropped map[turmericshed.ServerID]bool
 }
 
 // Fresh reports whether a reading is newer than those before it and not
@@ -39,6 +41,7 @@
 	l.asOf = snap.AsOf
 	if l.missing == nil {
 		l.missing = make(map[turmericshed.ServerID]int)
+		l.dropped = make(map[turmericshed.ServerID]bool)
 	}
 	byID := make(map[turmericshed.ServerID]turmericshed.BackendServer, len(cur))
 	for _, s := range cur {
@@ -46,6 +49,7 @@
 	}
 	for _, s := range snap.Servers {
 		delete(l.missing, s.ID)
+		delete(l.dropped, s.ID)
 		old, known := byID[s.ID]
 		if !known {
 			events = append(events, turmericshed.Event{Name: turmericshed.EventServerAdded, Server: s.ID, FailureDomain: s.FailureDomain})
@@ -68,6 +72,7 @@
 		if l.missing[id]++; l.missing[id] >= missingReadings && len(snap.Servers) > 0 {
 			delete(byID, id)
 			delete(l.missing, id)
+			l.dropped[id] = true
 			events = append(events, turmericshed.Event{Name: turmericshed.EventServerLeaving, Server: id, Reason: "no longer listed"})
 		}
 	}
--- a/core/tsmember/servers_test.go
+++ b/core/tsmember/servers_test.go
@@ -1,9 +1,11 @@
 package tsmember_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
@@ -56,3 +58,54 @@
 	})
 	t.Run("the first sign of leaving counts", func(t *testing.T) { assertServers(t, "a!b", reading(1, "a", "b"), reading(2, "a!", "b")) })
 }
+
+func TestServerNews(t *testing.T) {
+	server := func(id string, leaving bool) turmericshed.BackendServer {
+		return turmericshed.BackendServer{ID: turmericshed.ServerID(id), Addr: netip.MustParseAddrPort("10.0.0.9:80"), Leaving: leaving}
+	}
+	tell := func(prev, next []turmericshed.BackendServer) []turmericshed.BackendServer {
+		size := func() int { return 9 }
+		from, to := &tsmember.ServerNews{Size: size}, &tsmember.ServerNews{Size: size}
+		from.Note(prev, next)
+		for _, b := range from.Next(1000) {
+			to.Merge(b)
+		}
+		return to.TakeHeard()
+	}
+	a, b := server("a", false), server("b", false)
+	t.Run("the first list is no news", func(t *testing.T) {
+		assert.Equal(t, len(tell(nil, []turmericshed.BackendServer{a, b})), 0)
+	})
+	t.Run("a new server and one that leaves are told", func(t *testing.T) {
+		heard := tell([]turmericshed.BackendServer{a}, []turmericshed.BackendServer{server("a", true), b})
+		assert.Equal(t, len(heard), 2)
+		var l tsmember.ServerList
+		next, events := l.Hear([]turmericshed.BackendServer{a}, heard)
+		assert.Equal(t, len(events), 2)
+		assert.DeepEqual(t, next, []turmericshed.BackendServer{server("a", true), b}, cmp.Comparer(func(x, y netip.AddrPort) bool { return x == y }))
+	})
+	t.Run("news is told a bounded number of times", func(t *testing.T) {
+		n := &tsmember.ServerNews{Size: func() int { return 9 }}
+		n.Note([]turmericshed.BackendServer{a}, []turmericshed.BackendServer{a, b})
+		told := 0
+		for range 1000 {
+			told += len(n.Next(1000))
+		}
+		assert.Assert(t, told > 0 && told < 50, "%d", told)
+	})
+	t.Run("a server that was dropped does not come back through peers", func(t *testing.T) {
+		var l tsmember.ServerList
+		var cur []turmericshed.BackendServer
+		for _, s := range []turmericshed.DirectorySnapshot{reading(1, "a", "b"), reading(2, "a"), reading(3, "a"), reading(4, "a")} {
+			cur, _ = l.Join(cur, s)
+		}
+		next, _ := l.Hear(cur, []turmericshed.BackendServer{b})
+		assert.Equal(t, len(next), 1)
+	})
+	t.Run("readings get rarer with the size of the list and are shared by the fleet", func(t *testing.T) {
+		snap := turmericshed.DirectorySnapshot{Entries: make([]turmericshed.EntryVM, 2600), Servers: make([]turmericshed.BackendServer, 7200)}
+		assert.Equal(t, tsmember.ReadingInterval(snap, 2), time.Second)
+		assert.Assert(t, tsmember.ReadingInterval(snap, 2600) > 20*time.Minute)
+		assert.Equal(t, tsmember.ReadingInterval(reading(1, "a"), 9), time.Second)
+	})
+}
--- a/io/tsfleet/fleet.go
+++ b/io/tsfleet/fleet.go
@@ -76,6 +76,7 @@
 	mu   sync.Mutex
 	node *tsmember.Node
 
+	news    *serverNews
 	view    atomic.Pointer[view]
 	metrics *metrics
 }
@@ -103,7 +104,9 @@
 		calls:   make(chan struct{}, maxCalls),
 		failed:  make(chan error, 1),
 		metrics: newMetrics(cfg.Metrics),
+		news:    &serverNews{arrived: make(chan struct{}, 1)},
 	}
+	f.news.core.Size = func() int { return 1 + len(f.Reachable()) }
 	f.reset()
 	return f
 }
@@ -114,7 +117,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.node = tsmember.New(tsmember.Config{
-		Self: f.cfg.Self, Epoch: f.epoch, Rand: newRand(), Piggyback: f.cfg.Piggyback,
+		Self: f.cfg.Self, Epoch: f.epoch, Rand: newRand(),
+		Piggyback: append([]tsmember.Piggyback{f.news}, f.cfg.Piggyback...),
 	}, now)
 	f.node.Seed(now, f.cfg.Board.Directory.Read().Entries)
 	f.publish()
@@ -130,7 +134,7 @@
 func (f *Fleet) Controllers() []turmericshed.Controller {
 	return []turmericshed.Controller{
 		controller{"membership", f.serveMembership},
-		controller{"directory", newReader(f.cfg).Serve},
+		controller{"directory", f.serveDirectory},
 	}
 }
 
--- a/io/tsfleet/fleet_test.go
+++ b/io/tsfleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -181,6 +182,22 @@
 			assertReaches(t, 5, w.processes...)
 		})
 	})
+	t.Run("a server that one process sees leaving is leaving for all within 2 s", func(t *testing.T) {
+		run(t, func(t *testing.T, w *world) {
+			w.directory.AddServer(turmericshed.BackendServer{ID: "engine-1", Addr: netip.MustParseAddrPort("10.0.1.1:80")})
+			time.Sleep(5 * time.Second)
+			w.directory.SetFaults(tsplatform.DirectoryFaults{Outage: true})
+			w.processes[3].board.Servers.Update(func(cur []turmericshed.BackendServer) []turmericshed.BackendServer {
+				next := slices.Clone(cur)
+				next[0].Leaving = true
+				return next
+			})
+			time.Sleep(2 * time.Second)
+			for _, p := range w.processes {
+				assert.Assert(t, p.board.Servers.Read()[0].Leaving, p.fleet.Self().Name)
+			}
+		})
+	})
 	t.Run("a process that stops gracefully has left", func(t *testing.T) {
 		run(t, func(t *testing.T, w *world) {
 			w.processes[4].board.Draining.Write(true)
