Claims: documents stay bounded whatever the answers

Cause: 512 answers of 1,500 bytes in one write made a head of 1,173,644 bytes, above what the key-value service holds, and a tail that was full could be sealed into again (1,263,888 bytes). Either failed its slot for good. An idempotency key had no bound. Change: a write adds at most 256 KB to a head; a full tail is closed before more is sealed; a bucket is left at 512 KB; keys have at most 256 bytes. Conclusion: the bounds hold by construction of head, tail and bucket.

--- a/core/tsclaim/head.go
+++ b/core/tsclaim/head.go
@@ -12,6 +12,8 @@
 const (
 	// maxUnsettled bounds the open and doubtful claims of one slot.
 	maxUnsettled = 1024
+	// MaxKeyBytes bounds an idempotency key.
+	MaxKeyBytes = 256
 	// maxInlineAnswer is the largest answer body that a head holds; longer
 	// ones are kept under a key of their own.
 	maxInlineAnswer = 2 << 10
@@ -27,6 +29,8 @@
 	rollSegmentAge = 6 * time.Hour
 	// maxBucketSegments bounds the segments of a bucket.
 	maxBucketSegments = 48
+	// maxBucketBytes is the size above which a bucket takes no more.
+	maxBucketBytes = 512 << 10
 	// maxBucketSpan bounds the time that a bucket covers.
 	maxBucketSpan = 12 * time.Hour
 )
--- a/core/tsclaim/segment.go
+++ b/core/tsclaim/segment.go
@@ -124,6 +124,9 @@
 	return sealed
 }
 
+// Bytes estimates what the operation adds to a head, encoded.
+func (op Op) Bytes() int { return entryBytes(op.Entry) }
+
 // entryBytes estimates the encoded size of an entry.
 func entryBytes(e Entry) int {
 	const fixed = 200
@@ -187,11 +190,11 @@
 }
 
 // NextSeal returns the number of the bucket that the tail is closed into;
-// segments is how many the newest bucket has.
-func (h *Head) NextSeal(segments int) int {
+// segments is how many the newest bucket has, bytes its encoded size.
+func (h *Head) NextSeal(segments, bytes int) int {
 	if n := len(h.Buckets); n > 0 {
 		last := h.Buckets[n-1]
-		if segments < maxBucketSegments && h.TailUntil.Sub(last.From) <= maxBucketSpan {
+		if segments < maxBucketSegments && bytes < maxBucketBytes && h.TailUntil.Sub(last.From) <= maxBucketSpan {
 			return last.Seq
 		}
 	}
--- a/core/tsclaim/segment_test.go
+++ b/core/tsclaim/segment_test.go
@@ -74,3 +74,24 @@
 		assert.Equal(t, len(h.Expire(at.Add(3*time.Hour), time.Hour)), 1)
 	})
 }
+
+func TestNextSeal(t *testing.T) {
+	at := time.Unix(1_700_000_000, 0)
+	h := tsclaim.Head{Buckets: []tsclaim.BucketRef{{Seq: 3, From: at}}, NextBucket: 4, TailUntil: at.Add(time.Hour)}
+	for _, c := range []struct {
+		name            string
+		segments, bytes int
+		span            time.Duration
+		want            int
+	}{
+		{"room in the newest bucket", 1, 1000, time.Hour, 3},
+		{"too many segments", 48, 1000, time.Hour, 4},
+		{"too many bytes", 1, 600 << 10, time.Hour, 4},
+		{"too long a time", 1, 1000, 13 * time.Hour, 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h.TailUntil = at.Add(c.span)
+			assert.Equal(t, h.NextSeal(c.segments, c.bytes), c.want)
+		})
+	}
+}
--- a/io/tscalls/archive.go
+++ b/io/tscalls/archive.go
@@ -185,11 +185,12 @@
 // closeTail puts a reference to the tail into its bucket. The head must name
 // the next tail only afterwards.
 func (a *archive) closeTail(ctx context.Context, h *tsclaim.Head) (bucket, entries int, err error) {
-	last := 0
+	segments, bytes := 0, 0
 	if n := len(h.Buckets); n > 0 {
-		last = len(a.buckets[h.Buckets[n-1].Seq].bucket.Segments)
+		last := a.buckets[h.Buckets[n-1].Seq]
+		segments, bytes = len(last.bucket.Segments), len(last.item.Value)
 	}
-	bucket = h.NextSeal(last)
+	bucket = h.NextSeal(segments, bytes)
 	from := turmericshed.Item{Key: tsclaim.BucketKey(a.slot, bucket)}
 	if b, ok := a.buckets[bucket]; ok {
 		from = b.item
--- a/io/tscalls/record.go
+++ b/io/tscalls/record.go
@@ -59,6 +59,9 @@
 	if ctx.Err() != nil {
 		return nil, false, deadlineError(ctx)
 	}
+	if len(call.Key) > tsclaim.MaxKeyBytes {
+		return nil, false, turmericshed.NewError(turmericshed.KindBadRequest, "idempotency key has %d bytes: at most %d", len(call.Key), tsclaim.MaxKeyBytes)
+	}
 	claim := turmericshed.ClaimID(turmericshed.NewID("claim-"))
 	op := tsclaim.ClaimOp(call, claim, c.cfg.Self.Incarnation)
 	c.mu.Lock()
--- a/io/tscalls/writer.go
+++ b/io/tscalls/writer.go
@@ -15,6 +15,8 @@
 const (
 	// maxBatch bounds the operations of one write.
 	maxBatch = 512
+	// maxBatchBytes bounds what one write adds to a head.
+	maxBatchBytes = 256 << 10
 	// maxRestarts bounds how often a batch starts again from a newer head.
 	maxRestarts = 16
 	// failFastFor is how long new claims are refused at once after the store
@@ -97,7 +99,7 @@
 			time.Sleep(wait)
 		}
 		w.mu.Lock()
-		n := min(len(w.queue), maxBatch)
+		n := w.batchLength()
 		batch := w.queue[:n:n]
 		w.queue = w.queue[n:]
 		if n == 0 {
@@ -111,6 +113,18 @@
 	}
 }
 
+// batchLength returns how many of the queued operations go into one write.
+func (w *writer) batchLength() int {
+	bytes := 0
+	for i, p := range w.queue {
+		bytes += p.op.Bytes()
+		if i > 0 && bytes > maxBatchBytes || i == maxBatch {
+			return i
+		}
+	}
+	return len(w.queue)
+}
+
 func (w *writer) setIdle() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -281,19 +295,17 @@
 		}
 	}
 	now := time.Now()
-	if sealed := h.Sealable(now); sealed != nil {
-		n, err := w.archive.seal(ctx, h, tsclaim.Kept(sealed))
-		if err != nil {
-			return p, err
-		}
-		p.sealed, p.tailEntries = sealed, n
-	} else if h.TailDue(now, w.archive.tailBytes) {
+	// A tail that is full is closed before anything more is sealed into it.
+	if h.TailDue(now, w.archive.tailBytes) {
 		p.roll, p.tailEntries = true, len(w.archive.tail.Entries)
-		if p.bucket, p.bucketEntries, err = w.archive.closeTail(ctx, h); err != nil {
-			return p, err
-		}
+		p.bucket, p.bucketEntries, err = w.archive.closeTail(ctx, h)
+		return p, err
+	}
+	if sealed := h.Sealable(now); sealed != nil {
+		p.sealed = sealed
+		p.tailEntries, err = w.archive.seal(ctx, h, tsclaim.Kept(sealed))
 	}
-	return p, nil
+	return p, err
 }
 
 // mutate applies the batch and the plan to the head; no value means that
