Calls of one body keep to one server

Change: the digest is the affinity of a plain service call. Result: go test ./io/tsentry passes; without the prefix it fails.

--- a/io/tsentry/call.go
+++ b/io/tsentry/call.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"turmericshed"
 	"turmericshed/core/tsclaim"
 )
@@ -67,7 +69,12 @@
 	}
 	defer release()
 	e.deps.Retries.Sent(time.Now())
-	c := &serviceCall{e: e, req: req, call: call, route: turmericshed.RouteRequest{Work: turmericshed.WorkService, Service: service}}
+	c := &serviceCall{e: e, req: req, call: call, route: turmericshed.RouteRequest{
+		Work: turmericshed.WorkService, Service: service,
+		// Attempts of one body keep to one server, so that a body that
+		// crashes servers meets few of them before evidence has spread.
+		Prefix: xxhash.Sum64String(string(req.digest)),
+	}}
 	c.bill = newBill(e.deps.Recorder, req)
 	if repeatable {
 		defer c.bill.end()
--- a/io/tsentry/refused_test.go
+++ b/io/tsentry/refused_test.go
@@ -29,6 +29,30 @@
 	return turmericshed.BackendServer{}, turmericshed.NewError(turmericshed.KindOverloaded, "full")
 }
 
+// prefixRouter keeps the prefixes that it was asked for.
+type prefixRouter struct {
+	fakeRouter
+	prefixes map[uint64]int
+}
+
+func (p prefixRouter) Pick(now time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
+	p.prefixes[r.Prefix]++
+	return p.fakeRouter.Pick(now, r)
+}
+
+func TestCallsOfOneBodyKeepToOneServer(t *testing.T) {
+	p := prefixRouter{prefixes: map[uint64]int{}}
+	r := newRig(t, 100, func(d *tsentry.Deps) { d.Router = p })
+	for _, key := range []string{"k1", "k2"} {
+		r.do(http.MethodPost, "/services/bookings/jobs", "book", `{"job":1}`, "Idempotency-Key", key)
+	}
+	r.do(http.MethodPost, "/services/bookings/jobs", "book", `{"job":2}`, "Idempotency-Key", "k3")
+	assert.Equal(t, len(p.prefixes), 2)
+	for prefix := range p.prefixes {
+		assert.Assert(t, prefix != 0, "0 means no affinity")
+	}
+}
+
 // assertFreed checks that a claimed call was refused as not run, that its
 // claim was given up and not put in doubt, and that it cost nothing.
 func assertFreed(t *testing.T, r *rig) {
