Experiment budget; sizing by fair share of demand, remainders go back

The experiment drives the decisions of core/tsbudget over a fake service with a fake clock, against two baselines and an ideal ledger.

Causes: rates estimated from one settlement were recorded in the lots, every holder took a quarter of the room whatever its demand, and lots that bridge a cut made a half-full budget count as nearly spent, so idle holders gave back. Near the end of a budget remainders smaller than a request stayed at nine places. Now: two time constants with a least age, shares in proportion to the demand of the open lots, the edge counted over all that is not spent, loans count as demand of the lender, starved holders give remainders back, a lender tells what it knows of the ledger.

--- a/core/tsbudget/demand.go
+++ b/core/tsbudget/demand.go
@@ -7,16 +7,22 @@
 	"turmericshed"
 )
 
-// demandWindow is the time constant of the demand estimates.
-const demandWindow = 30 * time.Second
+const (
+	// fastWindow and slowWindow are the time constants of the demand
+	// estimates: the fast one follows a rise, the slow one outlasts a lull.
+	fastWindow = 30 * time.Second
+	slowWindow = 10 * time.Minute
+)
 
 // demand estimates how fast a budget is used here, and how large its requests
 // are. Both decay exponentially.
 type demand struct {
 	at time.Time
-	// weight is the decayed sum of settled tokens, so that weight divided by
-	// demandWindow is the rate.
-	weight float64
+	// since is when the estimates began.
+	since time.Time
+	// fast and slow are decayed sums of used tokens; divided by their
+	// windows they are rates.
+	fast, slow float64
 	// largest is the decayed largest reservation.
 	largest  float64
 	lastSeen time.Time
@@ -24,8 +30,12 @@
 
 func (d *demand) decay(now time.Time) {
 	if dt := now.Sub(d.at); dt > 0 {
-		f := math.Exp(-float64(dt) / float64(demandWindow))
-		d.weight *= f
+		if d.since.IsZero() {
+			d.since, dt = now, 0
+		}
+		f := math.Exp(-float64(dt) / float64(fastWindow))
+		d.fast *= f
+		d.slow *= math.Exp(-float64(dt) / float64(slowWindow))
 		d.largest *= math.Sqrt(math.Sqrt(f))
 		d.at = now
 	}
@@ -39,11 +49,18 @@
 
 func (d *demand) settle(now time.Time, used turmericshed.Tokens) {
 	d.decay(now)
-	d.weight += float64(used)
+	d.fast = max(d.fast+float64(used), 0)
+	d.slow = max(d.slow+float64(used), 0)
 }
 
-// rate returns tokens per second.
+// rate returns tokens per second, the higher of both estimates.
 func (d *demand) rate(now time.Time) float64 {
 	d.decay(now)
-	return d.weight / demandWindow.Seconds()
+	age := max(now.Sub(d.since), fastWindow)
+	return max(d.fast/filled(fastWindow, age), d.slow/filled(slowWindow, age))
+}
+
+// filled returns the seconds that a decayed sum stands for at its age.
+func filled(window, age time.Duration) float64 {
+	return window.Seconds() * (1 - math.Exp(-float64(age)/float64(window)))
 }
--- a/core/tsbudget/ledger.go
+++ b/core/tsbudget/ledger.go
@@ -57,8 +57,11 @@
 	// Used is what the holder reported as billed so far.
 	Used turmericshed.Tokens `json:"used,omitempty"`
 	// Requests counts the billed requests.
-	Requests int64     `json:"requests,omitempty"`
-	At       time.Time `json:"at"`
+	Requests int64 `json:"requests,omitempty"`
+	// Rate is the holder's demand in tokens per second when it drew; a hint
+	// for the others' fair shares.
+	Rate int64     `json:"rate,omitempty"`
+	At   time.Time `json:"at"`
 }
 
 // Charge is what the lot takes from the budget.
--- a/core/tsbudget/loan.go
+++ b/core/tsbudget/loan.go
@@ -48,7 +48,8 @@
 	best.check()
 	l := &loan{lot: best, Lot: Lot{ID: r.Loan, Holder: r.Borrower, FailureDomain: r.FailureDomain, Drawn: n, At: now.UTC()}}
 	b.loans[r.Loan] = l
-	b.demand.reserve(now, n)
+	b.demand.reserve(now, max(r.Min, 1))
+	b.demand.settle(now, n)
 	return l.Lot, true
 }
 
@@ -91,7 +92,7 @@
 	l.lent -= used + back
 	l.Used += used
 	l.Requests += n.Requests - old.Requests
-	b.demand.settle(now, used)
+	b.demand.settle(now, -back)
 	if r.Final {
 		// What was neither used nor returned stays charged to the lot, as
 		// a reservation that nothing will settle.
--- a/core/tsbudget/mutation.go
+++ b/core/tsbudget/mutation.go
@@ -36,7 +36,9 @@
 	// Share bounds the lot to this part of the room, unless less than Min
 	// would come of it.
 	Share float64
-	At    time.Time
+	// Rate is the holder's demand in tokens per second.
+	Rate float64
+	At   time.Time
 }
 
 // Draw returns the mutation that draws a lot. Errors: KindBudgetExhausted
@@ -61,7 +63,7 @@
 		return false, turmericshed.NewError(turmericshed.KindBudgetExhausted, "%d of %d tokens left to draw, %d wanted",
 			max(l.Room(), 0), l.Limit(), r.Min)
 	}
-	l.Lots = append(l.Lots, Lot{ID: r.Lot, Holder: r.Holder, FailureDomain: r.FailureDomain, Drawn: n, At: r.At.UTC()})
+	l.Lots = append(l.Lots, Lot{ID: r.Lot, Holder: r.Holder, FailureDomain: r.FailureDomain, Drawn: n, Rate: int64(r.Rate), At: r.At.UTC()})
 	return true, nil
 }
 
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -17,22 +17,31 @@
 	idleReturn = 10 * time.Minute
 	// edgeIdleReturn is the same for a budget that is nearly spent.
 	edgeIdleReturn = 5 * time.Second
-	// edgePart is the part of the prepaid amount below which the room counts
-	// as nearly spent.
+	// edgePart is the part of the prepaid amount below which what is not spent
+	// counts as nearly nothing.
 	edgePart = 0.1
 	// surpriseShare and refusalShare bound one lot to a part of the room.
 	surpriseShare = 1.0 / 16
 	refusalShare  = 1.0 / 4
+	// fairPart is what is handed out of the fair shares by demand; the rest
+	// stays in the ledger for demand that moves.
+	fairPart = 0.9
 	// lowWater is the part of the target below which a lot is drawn. What is
 	// left then still covers the bridging time.
 	lowWater = 0.8
 	// highWater is the multiple of the target above which tokens go back.
-	highWater = 3
+	highWater = 1.5
 	// reserveDepth is how many of the largest requests a lot should cover.
 	reserveDepth = 4
-	// spreadDepth is how many of the largest requests must arrive within the
-	// bridging time before an entry VM that is not home draws for itself.
+	// spreadPart is the part of a budget's demand that must arrive at an entry
+	// VM that is not home before it draws for itself. It bounds the lots.
+	spreadPart = 1.0 / 16
+	// spreadDepth is how many of the largest requests must arrive there
+	// within the bridging time as well.
 	spreadDepth = 16
+	// borrowBridge is the bridging time of borrowed tokens, which can be
+	// fetched again nearby.
+	borrowBridge = 10 * time.Second
 )
 
 // View is what a placement decides from.
@@ -46,6 +55,8 @@
 	// largest of them.
 	Waiting turmericshed.Tokens
 	Needed  turmericshed.Tokens
+	// Starved is true when the last round left requests waiting.
+	Starved bool
 	// Dirty is true when the ledger lacks something that was settled.
 	Dirty bool
 	// Rate is the usage in tokens per second, Largest the recent largest
@@ -77,27 +88,41 @@
 	Holders int
 	// Mine is the sum of the holder's own open lots.
 	Mine turmericshed.Tokens
+	// OthersRate is the demand of the other holders, in tokens per second.
+	OthersRate float64
 }
 
 // Summarize returns what the holder self remembers of a ledger.
 func Summarize(l Ledger, self turmericshed.Incarnation, at time.Time) Summary {
 	s := Summary{Read: true, At: at, Limit: l.Limit(), Room: l.Room()}
-	holders := make(map[turmericshed.Incarnation]bool)
+	rates := make(map[turmericshed.Incarnation]int64, len(l.Lots))
 	for _, lot := range l.Lots {
-		holders[lot.Holder] = true
+		rates[lot.Holder] = lot.Rate
 		if lot.Holder == self {
 			s.Mine += lot.Charge()
 		} else {
 			s.Others += lot.Charge()
 		}
 	}
-	s.Holders = len(holders)
+	s.Holders = len(rates)
+	for holder, rate := range rates {
+		if holder != self {
+			s.OthersRate += float64(rate)
+		}
+	}
 	return s
 }
 
 // NearEdge reports whether the budget is nearly spent.
 func (s Summary) NearEdge() bool {
-	return s.Read && float64(s.Room) < edgePart*float64(s.Limit)
+	return s.Read && float64(s.Room+s.Mine+s.Others) < edgePart*float64(s.Limit)
+}
+
+// FromLender returns the summary that a borrower takes from its lender's.
+func (s Summary) FromLender(rate float64) Summary {
+	s.Others, s.Mine = s.Others+s.Mine, 0
+	s.OthersRate += rate
+	return s
 }
 
 // Decision is what a placement wants done.
@@ -163,7 +188,8 @@
 
 // Decide draws where demand arrives.
 func (ByDemand) Decide(v View) Decision {
-	busy := v.Rate*v.bridge().Seconds() >= spreadDepth*float64(max(v.Largest, 1))
+	busy := v.Ledger.Read && v.Rate*v.bridge().Seconds() >= spreadDepth*float64(max(v.Largest, 1)) &&
+		v.Rate >= spreadPart*(v.Rate+v.Ledger.OthersRate)
 	return v.sized(v.Home || (busy && !v.Ledger.NearEdge()))
 }
 
@@ -202,29 +228,52 @@
 // sized fetches what the demand uses within the bridging time, bounded by a
 // share of the room, and returns what is far above that.
 func (v View) sized(draws bool) Decision {
-	share := v.share()
-	target := turmericshed.Tokens(v.Rate * v.bridge().Seconds() / lowWater)
+	bridge := v.bridge()
+	if !draws {
+		bridge = min(bridge, borrowBridge)
+	}
+	target := turmericshed.Tokens(v.Rate * bridge.Seconds() / lowWater)
 	if v.Ledger.Read {
-		target = min(target, turmericshed.Tokens(share*float64(v.Ledger.Room+v.Ledger.Mine)))
+		target = min(target, v.fairShare())
 	}
 	target = max(target, v.need())
-	d := Decision{Want: target - min(v.Available, target-1), Min: v.least(), Share: share}
+	d := Decision{Want: target - min(v.Available, target-1), Min: v.least(), Share: v.fairPart()}
 	fetch := v.short(target)
 	d.Draw, d.Borrow = fetch && draws, fetch && !draws
-	d.Return, d.Keep = v.surplus(target)
+	if d.Return, d.Keep = v.surplus(target); d.Return && v.Waiting > 0 {
+		d.Min, d.Want = max(v.Needed, 1), max(d.Want, v.Needed)
+	}
 	return d
 }
 
+// fairShare returns the part of all that is not spent that this holder's
+// demand has of the demand of all holders.
+func (v View) fairShare() turmericshed.Tokens {
+	return turmericshed.Tokens(v.fairPart() * float64(v.Ledger.Room+v.Ledger.Mine+v.Ledger.Others))
+}
+
+func (v View) fairPart() float64 {
+	part := v.share()
+	if all := v.Rate + v.Ledger.OthersRate; v.Ledger.OthersRate > 0 {
+		part = fairPart * v.Rate / all
+	}
+	return part
+}
+
 // surplus reports whether tokens should go back, and what to keep.
 func (v View) surplus(target turmericshed.Tokens) (bool, turmericshed.Tokens) {
-	if v.Available == 0 || v.Waiting > 0 {
+	if v.Available == 0 {
 		return false, 0
 	}
 	edge := v.Ledger.NearEdge()
 	switch {
+	case v.Waiting > 0:
+		// Remainders that are too small for any request here go back, so
+		// that they add up somewhere.
+		return edge && v.Starved, 0
 	case v.Idle >= idleReturn, edge && v.Idle >= edgeIdleReturn:
 		return true, 0
-	case v.Available > highWater*target:
+	case float64(v.Available) > highWater*float64(target):
 		return true, target
 	default:
 		return false, 0
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -128,6 +128,8 @@
 	waitRound chan struct{}
 
 	storeErr error
+	// starved is true when the last round left requests waiting.
+	starved bool
 	// begun counts the rounds, ended is the number of the last one that
 	// ended.
 	begun        int
@@ -316,7 +318,7 @@
 	b.queue.Fill(&v)
 	v.Waiting += b.wanted
 	v.Needed = max(v.Needed, b.wanted)
-	v.Ledger = b.ledger
+	v.Ledger, v.Starved = b.ledger, b.starved
 	v.Edge, v.Bridge = b.profile.Edge, time.Duration(b.profile.CutBridge)
 	h.refreshFleetLocked(now)
 	v.EntryVMs = h.fleet.size
--- a/io/tsholder/peer.go
+++ b/io/tsholder/peer.go
@@ -35,7 +35,42 @@
 		Loan: turmericshed.LotID(m.Loan), Borrower: turmericshed.Incarnation(m.Borrower), FailureDomain: turmericshed.FailureDomain(m.FailureDomain),
 		Want: turmericshed.Tokens(m.Want), Min: turmericshed.Tokens(m.Min),
 	})
-	return connect.NewResponse(&tspeerapi.LendResponse{Amount: int64(amount)}), nil
+	return connect.NewResponse(&tspeerapi.LendResponse{
+		Amount: int64(amount), Ledger: s.h.summary(turmericshed.BudgetID(m.Budget)),
+	}), nil
+}
+
+// summary tells a borrower what is known of the ledger, so that it need not
+// read it.
+func (h *Holder) summary(id turmericshed.BudgetID) *tspeerapi.LedgerSummary {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.budgets[id]
+	if b == nil || !b.ledger.Read || b.storeErr != nil {
+		return nil
+	}
+	l := b.ledger.FromLender(h.core.View(now, id).Rate)
+	return &tspeerapi.LedgerSummary{
+		Limit: int64(l.Limit), Room: int64(l.Room), Open: int64(l.Others), Rate: l.OthersRate, AgeMs: now.Sub(l.At).Milliseconds(),
+	}
+}
+
+// takeSummaryLocked keeps a lender's summary that is newer than the own one.
+// It reports whether the ledger was read while the call lasted.
+func (h *Holder) takeSummaryLocked(b *budget, began time.Time, m *tspeerapi.LedgerSummary) bool {
+	if m == nil {
+		return false
+	}
+	at := time.Now().Add(-time.Duration(m.AgeMs) * time.Millisecond)
+	if at.After(b.ledger.At) {
+		b.ledger = tsbudget.Summary{
+			Read: true, At: at, Limit: turmericshed.Tokens(m.Limit), Room: turmericshed.Tokens(m.Room),
+			Others: turmericshed.Tokens(m.Open), OthersRate: m.Rate,
+		}
+		b.storeErr = nil
+	}
+	return !at.Before(began)
 }
 
 // Repay takes the reports of a borrower.
@@ -120,7 +155,7 @@
 }
 
 // borrowFromHome borrows from the entry VM that holds the budget in this
-// failure domain. It reports whether anything came of it.
+// failure domain. It reports whether there is no point in drawing as well.
 func (h *Holder) borrowFromHome(ctx context.Context, b *budget, d tsbudget.Decision) bool {
 	h.mu.Lock()
 	home := b.home
@@ -128,8 +163,15 @@
 	if h.cfg.Peers == nil || home.Incarnation == "" || home.Incarnation == h.cfg.Self.Incarnation {
 		return false
 	}
-	n, _ := h.borrow(ctx, b, home, d.Want, d.Min)
-	return n > 0
+	began := time.Now()
+	n, fresh, _ := h.borrow(ctx, b, home, d.Want, d.Min)
+	if n > 0 {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// The home has just read the ledger and found too little in it.
+	return fresh && !b.ledger.At.Before(began) && b.ledger.Room < d.Min
 }
 
 // borrowAnywhere asks the holders of open lots, those of this failure domain
@@ -154,7 +196,7 @@
 		if i >= maxAsked || !h.stillShort(b) {
 			break
 		}
-		if _, err := h.borrow(ctx, b, vm, v.Needed-min(v.Available, v.Needed-1), 1); err != nil {
+		if _, _, err := h.borrow(ctx, b, vm, v.Needed-min(v.Available, v.Needed-1), 1); err != nil {
 			all = false
 		}
 	}
@@ -184,8 +226,10 @@
 }
 
 // borrow asks one peer. A request whose answer was lost is repeated first,
-// under its old id.
-func (h *Holder) borrow(ctx context.Context, b *budget, vm turmericshed.EntryVM, want, least turmericshed.Tokens) (turmericshed.Tokens, error) {
+// under its old id. It returns what was borrowed, and whether the peer read
+// the ledger meanwhile.
+func (h *Holder) borrow(ctx context.Context, b *budget, vm turmericshed.EntryVM, want, least turmericshed.Tokens) (turmericshed.Tokens, bool, error) {
+	began := time.Now()
 	h.mu.Lock()
 	r := b.loan
 	if r == nil {
@@ -210,16 +254,17 @@
 		if connect.CodeOf(err) == connect.CodeFailedPrecondition || h.cfg.Members.State(r.lender.Incarnation) != turmericshed.MemberAlive {
 			b.loan = nil
 		}
-		return 0, turmericshed.WrapError(turmericshed.KindBudgetUnavailable, err, "lend")
+		return 0, false, turmericshed.WrapError(turmericshed.KindBudgetUnavailable, err, "lend")
 	}
 	b.loan = nil
+	fresh := h.takeSummaryLocked(b, began, res.Msg.Ledger)
 	n := turmericshed.Tokens(res.Msg.Amount)
 	if n <= 0 {
-		return 0, nil
+		return 0, fresh, nil
 	}
 	h.lenders[r.lender.Incarnation] = r.lender.PeerAddr
 	h.core.AddLot(b.id, tsbudget.Lot{ID: r.Loan, Holder: r.Borrower, FailureDomain: r.FailureDomain, Drawn: n, At: time.Now()}, r.lender.Incarnation)
-	return n, nil
+	return n, fresh, nil
 }
 
 func (h *Holder) client(vm turmericshed.EntryVM) tspeerapi.BudgetServiceClient {
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -66,6 +66,7 @@
 		b.waitRound = nil
 	}
 	h.grantLocked(now, b)
+	b.starved = b.queue.Len() > 0
 	h.refuseLocked(now, b)
 	if b.again && !h.draining {
 		h.kickLocked(b)
@@ -83,15 +84,15 @@
 	h.repair(ctx, b)
 	d, waiting := h.decide(begin, b)
 	missing := false
-	if d.Borrow {
-		d.Draw = !h.borrowFromHome(ctx, b, d)
-	}
 	if d.Return {
 		h.mu.Lock()
 		h.core.Retire(b.id, d.Keep)
 		h.mu.Unlock()
 	}
 	_ = h.repay(ctx, b, false)
+	if d.Borrow {
+		d.Draw = !h.borrowFromHome(ctx, b, d)
+	}
 	h.exchange(ctx, b, d, waiting)
 	if h.stillShort(b) {
 		missing = !h.borrowAnywhere(ctx, b)
@@ -159,7 +160,7 @@
 	}
 	return &unansweredDraw{DrawRequest: tsbudget.DrawRequest{
 		Lot: turmericshed.LotID(h.cfg.NewID("lot-")), Holder: h.cfg.Self.Incarnation, FailureDomain: h.cfg.Self.FailureDomain,
-		Want: d.Want, Min: d.Min, Share: d.Share, At: now,
+		Want: d.Want, Min: d.Min, Share: d.Share, Rate: h.core.View(now, b.id).Rate, At: now,
 	}}
 }
 
--- /dev/null
+++ b/load/tsexperiment/budget.go
@@ -0,0 +1,282 @@
+package tsexperiment
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+)
+
+// budgetSpec is one scenario at one load.
+type budgetSpec struct {
+	scenario  string
+	load      string
+	domains   int
+	perDomain int
+	budgets   int
+	prepaid   turmericshed.Tokens
+	spent     turmericshed.Tokens
+	bridge    time.Duration
+	duration  time.Duration
+	// rate is requests per second over all; weights share them among the
+	// failure domains.
+	rate    float64
+	weights []float64
+	// topUp is added to the first budget at topUpAt.
+	topUp   turmericshed.Tokens
+	topUpAt time.Duration
+	// The last failure domain is cut off, or the service is out, between
+	// faultAt and faultEnd.
+	cut, outage       bool
+	faultAt, faultEnd time.Duration
+	// crashEvery ends one entry VM after the other.
+	crashEvery time.Duration
+}
+
+// budgetPolicy is one way of holding tokens.
+type budgetPolicy struct {
+	name      string
+	placement tsbudget.Placement
+	edge      turmericshed.EdgePreference
+	// perRequest takes every request through the key-value service; alone
+	// asks no peers.
+	perRequest bool
+	alone      bool
+	// witnessGap, when set, models a witnessed ceiling that runs ahead of
+	// the usage by this time.
+	witnessGap time.Duration
+}
+
+// budgetRequest is one request with what it will turn out to cost.
+type budgetRequest struct {
+	after    time.Duration
+	at       time.Time
+	slot     int
+	budget   int
+	worst    turmericshed.Tokens
+	used     turmericshed.Tokens
+	duration time.Duration
+	patience time.Duration
+}
+
+// BudgetRow is the result of one policy in one scenario.
+type BudgetRow struct {
+	Scenario          string              `json:"scenario"`
+	Load              string              `json:"load"`
+	Policy            string              `json:"policy"`
+	Requests          int                 `json:"requests"`
+	Refusals          int                 `json:"refusals"`
+	FalseRefusals     int                 `json:"false_refusals"`
+	OverspendTokens   turmericshed.Tokens `json:"overspend_tokens"`
+	BurntTokens       turmericshed.Tokens `json:"burnt_tokens"`
+	Crashes           int                 `json:"crashes"`
+	BurntPerCrash     turmericshed.Tokens `json:"burnt_tokens_per_crash"`
+	WritesPerSecond   float64             `json:"kv_writes_per_second"`
+	ReadsPerSecond    float64             `json:"kv_reads_per_second"`
+	AdmissionP50Micro int64               `json:"admission_p50_us"`
+	AdmissionP99Micro int64               `json:"admission_p99_us"`
+}
+
+// BudgetResult is the result of the experiment.
+type BudgetResult struct {
+	Seed uint64      `json:"seed"`
+	Rows []BudgetRow `json:"rows"`
+}
+
+const (
+	// meanCost is about what one request uses.
+	meanCost = 675
+	// cutLength is the length of cuts and outages.
+	cutLength = time.Hour
+)
+
+var todayWeights = []float64{0.3, 0.1, 0.6}
+
+func budgetPolicies() []budgetPolicy {
+	return []budgetPolicy{
+		{name: "equal_share", placement: tsbudget.EqualShare{}, edge: turmericshed.PreferNoRefusal},
+		{name: "concentrated", placement: tsbudget.Concentrated{}, edge: turmericshed.PreferNoRefusal},
+		{name: "by_demand", placement: tsbudget.ByDemand{}, edge: turmericshed.PreferNoRefusal},
+		{name: "by_demand_no_surprise", placement: tsbudget.ByDemand{}, edge: turmericshed.PreferNoSurprise},
+		{name: "store_per_request", placement: fixedSplit{}, edge: turmericshed.PreferNoRefusal, perRequest: true, alone: true},
+		{name: "fixed_split", placement: fixedSplit{}, edge: turmericshed.PreferNoRefusal, alone: true},
+	}
+}
+
+// budgetSpecs returns the scenarios; quick ones are shorter by factor.
+func budgetSpecs(quick bool) []budgetSpec {
+	short := time.Duration(1)
+	if quick {
+		short = 6
+	}
+	tokens := func(rate float64, d time.Duration) turmericshed.Tokens {
+		return turmericshed.Tokens(rate * meanCost * d.Seconds())
+	}
+	var specs []budgetSpec
+	for _, l := range []struct {
+		name string
+		rate float64
+	}{{"heavy", 40}, {"light", 1}} {
+		base := budgetSpec{load: l.name, domains: 3, perDomain: 3, budgets: 1, rate: l.rate, weights: todayWeights}
+		steady := base
+		steady.scenario, steady.duration = "steady", 600*time.Second/short
+		steady.prepaid = tokens(l.rate, 3*steady.duration)
+		edge := base
+		edge.scenario, edge.duration = "nearly_spent", time.Duration(2400/l.rate)*2*time.Second/short
+		edge.duration = max(edge.duration, 2*time.Minute)
+		rest := tokens(l.rate, edge.duration*2/3)
+		edge.prepaid, edge.spent = 20*rest, 19*rest
+		cut := base
+		cut.rate = min(l.rate, 10)
+		cut.scenario, cut.duration, cut.bridge = "cut_top_up", (cutLength+20*time.Minute)/short, cutLength/short
+		cut.cut, cut.faultAt, cut.faultEnd = true, 10*time.Minute/short, 10*time.Minute/short+cutLength/short
+		cut.prepaid, cut.topUp, cut.topUpAt = tokens(cut.rate, cut.duration), tokens(cut.rate, cut.duration), 40*time.Minute/short
+		out := cut
+		out.scenario, out.cut, out.outage, out.topUp = "store_outage", false, true, 0
+		out.prepaid *= 2
+		specs = append(specs, steady, edge, cut, out)
+	}
+	crash := budgetSpec{
+		scenario: "crash_storm", load: "heavy", domains: 3, perDomain: 3, budgets: 1, rate: 40, weights: todayWeights,
+		duration: 600 * time.Second / short, crashEvery: 20 * time.Second,
+	}
+	crash.prepaid = tokens(crash.rate, 3*crash.duration)
+	busiest := budgetSpec{
+		scenario: "busiest", load: "heavy", domains: 15, perDomain: 8, budgets: 1, rate: 400, duration: 120 * time.Second / short,
+	}
+	busiest.prepaid = tokens(busiest.rate, 10*busiest.duration)
+	quiet := budgetSpec{
+		scenario: "many_quiet", load: "light", domains: 15, perDomain: 2, budgets: 470, rate: 470.0 / 60, duration: 30 * time.Minute / short,
+		prepaid: 2_000_000,
+	}
+	return append(specs, crash, busiest, quiet)
+}
+
+// runBudget measures every policy in every scenario.
+func runBudget(ctx context.Context, o Options) (any, error) {
+	switch o.Scenario {
+	case "slopes":
+		return budgetSlopes(), nil
+	case "crash_sweep":
+		return runCrashSweep(ctx, o)
+	}
+	res := BudgetResult{Seed: o.Seed}
+	known := []string{"slopes", "crash_sweep"}
+	for _, spec := range budgetSpecs(o.Quick) {
+		known = append(known, spec.scenario)
+		if o.Scenario != "" && o.Scenario != spec.scenario {
+			continue
+		}
+		for _, p := range budgetPolicies() {
+			if ctx.Err() != nil {
+				return nil, turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "experiment")
+			}
+			res.Rows = append(res.Rows, measureBudget(o.Seed, spec, p))
+		}
+	}
+	if len(res.Rows) == 0 {
+		return nil, turmericshed.NewError(turmericshed.KindBadRequest, "scenario %q: want one of %v", o.Scenario, slices.Compact(known))
+	}
+	return res, nil
+}
+
+// measureBudget runs one policy in one scenario.
+func measureBudget(seed uint64, spec budgetSpec, p budgetPolicy) BudgetRow {
+	w := newBudgetWorld(seed, spec, p)
+	requests := budgetRequests(seed, spec)
+	w.schedule(requests)
+	w.run(w.now.Add(spec.duration + time.Minute))
+	reads, writes := w.reads, w.writes
+	burnt := w.drain()
+	ideal := idealRefusals(spec, requests)
+	row := BudgetRow{
+		Scenario: spec.scenario, Load: spec.load, Policy: p.name, Requests: w.result.requests, Refusals: w.result.refused,
+		FalseRefusals:   max(w.result.falseRefusals, w.result.refused-ideal),
+		OverspendTokens: w.result.overspend, BurntTokens: burnt, Crashes: w.result.crashes,
+		WritesPerSecond: float64(writes) / spec.duration.Seconds(), ReadsPerSecond: float64(reads) / spec.duration.Seconds(),
+		AdmissionP50Micro: percentile(w.result.waits, 50).Microseconds(), AdmissionP99Micro: percentile(w.result.waits, 99).Microseconds(),
+	}
+	if row.Crashes > 0 {
+		row.BurntPerCrash = burnt / turmericshed.Tokens(row.Crashes)
+	}
+	return row
+}
+
+// percentile sorts waits and returns the value below which p of 100 lie.
+func percentile(waits []time.Duration, p int) time.Duration {
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+	return waits[min(len(waits)*p/100, len(waits)-1)]
+}
+
+// schedule puts the requests and the faults on the agenda.
+func (w *budgetWorld) schedule(requests []*budgetRequest) {
+	spec := w.spec
+	for b := range spec.budgets {
+		w.charge(b, spec.spent)
+		w.fixedTopUp(b, spec.prepaid-spec.spent)
+	}
+	w.writes = 0
+	for _, r := range requests {
+		r.at = w.now.Add(r.after)
+		w.at(r.at, func() { w.nodes[r.slot].arrive(r) })
+	}
+	if spec.topUp > 0 {
+		w.after(spec.topUpAt, func() { w.topUp(0, spec.topUp) })
+	}
+	if spec.cut || spec.outage {
+		w.after(spec.faultAt, func() {
+			w.outage = spec.outage
+			if spec.cut {
+				w.cutDomain = spec.domains - 1
+			}
+		})
+		w.after(spec.faultEnd, func() { w.outage, w.cutDomain = false, -1 })
+	}
+	for i, at := 0, spec.crashEvery; spec.crashEvery > 0 && at < spec.duration; i, at = i+1, at+spec.crashEvery {
+		w.after(at, func() { w.crash(i % len(w.nodes)) })
+	}
+}
+
+// budgetRequests returns the arrivals of a scenario, the same for every
+// policy.
+func budgetRequests(seed uint64, spec budgetSpec) []*budgetRequest {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var list []*budgetRequest
+	for at := 0.0; ; {
+		at += r.ExpFloat64() / spec.rate
+		after := time.Duration(at * float64(time.Second))
+		if after >= spec.duration {
+			return list
+		}
+		prompt := turmericshed.Tokens(50 + r.IntN(350))
+		completion := turmericshed.Tokens(100 + r.IntN(700))
+		budget := r.IntN(spec.budgets)
+		list = append(list, &budgetRequest{
+			after: after, budget: budget, slot: spec.slot(r, budget),
+			worst: prompt*8/5 + 1024, used: prompt + completion,
+			duration: time.Duration(completion) * 8 * time.Millisecond, patience: 20 * time.Second,
+		})
+	}
+}
+
+// slot chooses the entry VM where a request arrives.
+func (s budgetSpec) slot(r *rand.Rand, budget int) int {
+	domain := r.IntN(s.domains)
+	switch {
+	case s.weights != nil:
+		x := r.Float64()
+		for domain = 0; domain < s.domains-1 && x >= s.weights[domain]; domain++ {
+			x -= s.weights[domain]
+		}
+	case s.budgets > 1 && r.Float64() < 0.8:
+		// A quiet budget's client accounts are mostly in one place.
+		domain = budget % s.domains
+	}
+	return domain*s.perDomain + r.IntN(s.perDomain)
+}
--- /dev/null
+++ b/load/tsexperiment/budget_slopes.go
@@ -0,0 +1,134 @@
+package tsexperiment
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+)
+
+// BudgetSlopes are the figures from which docs/CAPACITY.md is worked out.
+type BudgetSlopes struct {
+	LedgerBytes             int     `json:"ledger_bytes"`
+	LedgerBytesPerOpenLot   float64 `json:"ledger_bytes_per_open_lot"`
+	MemoryBytesPerBudget    float64 `json:"memory_bytes_per_held_budget"`
+	MemoryBytesPerLot       float64 `json:"memory_bytes_per_held_lot"`
+	ReserveSettleMicro      float64 `json:"reserve_settle_us"`
+	LedgerChangeMicroAt15   float64 `json:"ledger_change_us_at_15_lots"`
+	LedgerChangeMicroAt2600 float64 `json:"ledger_change_us_at_2600_lots"`
+}
+
+const (
+	slopeBudgets = 20_000
+	slopeRounds  = 200_000
+)
+
+func budgetSlopes() BudgetSlopes {
+	empty, many := ledgerOf(0), ledgerOf(1000)
+	s := BudgetSlopes{
+		LedgerBytes:           len(empty.Value),
+		LedgerBytesPerOpenLot: float64(len(many.Value)-len(empty.Value)) / 1000,
+	}
+	one, two := heldMemory(1), heldMemory(2)
+	s.MemoryBytesPerBudget, s.MemoryBytesPerLot = one, two-one
+	s.ReserveSettleMicro = reserveSettle()
+	s.LedgerChangeMicroAt15, s.LedgerChangeMicroAt2600 = ledgerChange(15, 2000), ledgerChange(2600, 50)
+	return s
+}
+
+func slopeLot(i int) tsbudget.DrawRequest {
+	return tsbudget.DrawRequest{
+		Lot: turmericshed.LotID(fmt.Sprintf("lot-%024x", i)), Holder: turmericshed.Incarnation(fmt.Sprintf("vm-%024x", i)),
+		FailureDomain: "my-west-1", Want: 250_000, Min: 1, Rate: 1000, At: time.Unix(1_700_000_000, 123_456_789),
+	}
+}
+
+// ledgerOf returns a ledger with open lots.
+func ledgerOf(lots int) turmericshed.Item {
+	item := turmericshed.Item{Key: tsbudget.Key("budget-0123456789abcdef01234567")}
+	value, err := tsbudget.Create("budget-0123456789abcdef01234567", "profile", 1<<40)(item)
+	for i := 0; err == nil; i++ {
+		item.Value, item.Version = value, item.Version+1
+		if i == lots {
+			return item
+		}
+		value, err = tsbudget.Draw(slopeLot(i))(item)
+	}
+	panic(err)
+}
+
+// heldMemory returns the heap bytes per budget held with that many lots.
+func heldMemory(lots int) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	h := tsbudget.NewHolder("vm")
+	for i := range slopeBudgets {
+		id := turmericshed.BudgetID(fmt.Sprintf("budget-%024x", i))
+		for j := range lots {
+			h.AddLot(id, tsbudget.Lot{ID: turmericshed.LotID(fmt.Sprintf("lot-%d-%024x", j, i)), Holder: "vm", Drawn: 1000}, "")
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	per := float64(after.HeapAlloc-before.HeapAlloc) / slopeBudgets
+	runtime.KeepAlive(h)
+	return per
+}
+
+// reserveSettle returns the processor time of one reservation and settlement
+// with its look ahead at the placement.
+func reserveSettle() float64 {
+	h := tsbudget.NewHolder("vm")
+	h.AddLot("b", tsbudget.Lot{ID: "1", Holder: "vm", Drawn: 1 << 50}, "")
+	p := turmericshed.Profile{Budget: "b"}
+	now := time.Unix(1_700_000_000, 0)
+	began := time.Now()
+	for range slopeRounds {
+		now = now.Add(time.Millisecond)
+		res, _ := h.Reserve(now, p, "r", 1400)
+		tsbudget.ByDemand{}.Decide(h.View(now, "b"))
+		h.Settle(now, res, 675)
+	}
+	return float64(time.Since(began).Microseconds()) / slopeRounds
+}
+
+// ledgerChange returns the processor time of reading, changing and writing a
+// ledger with that many open lots.
+func ledgerChange(lots, rounds int) float64 {
+	item := ledgerOf(lots)
+	began := time.Now()
+	for i := range rounds {
+		if _, err := tsbudget.Draw(slopeLot(1<<30 + i))(item); err != nil {
+			panic(err)
+		}
+	}
+	return float64(time.Since(began).Microseconds()) / float64(rounds)
+}
+
+// runCrashSweep weighs the lot size against a witnessed ceiling by what a
+// crash burns.
+func runCrashSweep(_ context.Context, o Options) (any, error) {
+	res := BudgetResult{Seed: o.Seed}
+	for _, spec := range budgetSpecs(o.Quick) {
+		if spec.scenario != "crash_storm" {
+			continue
+		}
+		for _, bridge := range []time.Duration{15 * time.Second, 30 * time.Second, time.Minute, 2 * time.Minute, 10 * time.Minute} {
+			for _, gap := range []time.Duration{0, 5 * time.Second} {
+				p := budgetPolicies()[2]
+				p.witnessGap = gap
+				p.name = fmt.Sprintf("%s_bridge_%s", p.name, bridge)
+				if gap > 0 {
+					p.name += "_witnessed_" + gap.String()
+				}
+				spec.bridge = bridge
+				res.Rows = append(res.Rows, measureBudget(o.Seed, spec, p))
+			}
+		}
+	}
+	return res, nil
+}
--- a/load/tsexperiment/experiment.go
+++ b/load/tsexperiment/experiment.go
@@ -34,6 +34,7 @@
 	return []Experiment{
 		{"calls", "claims, whole answers and quarantine, against baselines", runCalls},
 		{"routing", "choice of servers and admission against baselines", runRouting},
+		{"budget", "holding and moving tokens: policies, scenarios, slopes, crash_sweep", runBudget},
 		{"fleet", "membership and profile edits at several fleet sizes", runFleet},
 	}
 }
