--- a/load/tsexperiment/routing.go
+++ b/load/tsexperiment/routing.go
@@ -139,13 +139,19 @@
 
 // RoutingResult is what the experiment prints.
 type RoutingResult struct {
-	Seed uint64       `json:"seed"`
-	Rows []RoutingRow `json:"rows"`
+	Seed   uint64         `json:"seed"`
+	Rows   []RoutingRow   `json:"rows,omitempty"`
+	Slopes *RoutingSlopes `json:"slopes,omitempty"`
 }
 
-// runRouting measures every policy in every scenario.
+// runRouting measures every policy in every scenario, or the slopes.
 func runRouting(ctx context.Context, o Options) (any, error) {
 	res := RoutingResult{Seed: o.Seed}
+	if o.Scenario == "slopes" {
+		slopes, err := measureRoutingSlopes(ctx, o)
+		res.Slopes = &slopes
+		return res, err
+	}
 	for _, sc := range routingScenarios(o.Quick) {
 		if o.Scenario != "" && o.Scenario != sc.name {
 			continue
