--- a/io/tscalls/failure_test.go
+++ b/io/tscalls/failure_test.go
@@ -117,6 +117,7 @@
 		_, err = runner.send(within(t, time.Second), call("k"), claim)
 		assert.NilError(t, err)
 		time.Sleep(time.Second)
+		assert.Equal(t, f.events[turmericshed.EventClaimResolved], "answered late: ran after it was settled as not run by amina")
 		f.assertReplayed("k")
 	})
 	run(t, "the runner gave its claim up in a cut", 2, func(t *testing.T, f *fleet) {
--- a/io/tscalls/fleet_test.go
+++ b/io/tscalls/fleet_test.go
@@ -34,7 +34,15 @@
 	// cutAfterWrite starts an outage after the next write.
 	cutAfterWrite atomic.Bool
 	// mu guards vms against readers in the background.
-	mu sync.Mutex
+	mu     sync.Mutex
+	events map[turmericshed.EventName]string
+}
+
+// Record keeps the last reason of each event.
+func (f *fleet) Record(e turmericshed.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events[e.Name] = e.Reason
 }
 
 // hookedStore can fail after a write.
@@ -105,7 +113,7 @@
 }
 
 func newFleet(t *testing.T, n int, change func(cfg *Config)) *fleet {
-	f := &fleet{t: t, store: tsplatform.NewStore(tsplatform.Options{}), service: &service{runs: map[string]int{}, answers: map[string]turmericshed.Answer{}}}
+	f := &fleet{t: t, events: map[turmericshed.EventName]string{}, store: tsplatform.NewStore(tsplatform.Options{}), service: &service{runs: map[string]int{}, answers: map[string]turmericshed.Answer{}}}
 	for range n {
 		f.add(change)
 	}
@@ -118,7 +126,7 @@
 		Name: fmt.Sprintf("vm-%d", i), Incarnation: turmericshed.Incarnation(fmt.Sprintf("in-%d", i)),
 		PeerAddr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 1),
 	}}
-	cfg := Config{Self: v.self, Store: hookedStore{Store: f.store.As(v.self.Name), fleet: f}, Members: v, Peers: v, Lookup: f.service.lookup}
+	cfg := Config{Recorder: f, Self: v.self, Store: hookedStore{Store: f.store.As(v.self.Name), fleet: f}, Members: v, Peers: v, Lookup: f.service.lookup}
 	if change != nil {
 		change(&cfg)
 	}
--- a/io/tscalls/record.go
+++ b/io/tscalls/record.go
@@ -258,9 +258,15 @@
 		tsclaim.OpAbandon:  turmericshed.EventClaimAbandoned,
 		tsclaim.OpDoubt:    turmericshed.EventClaimInDoubt,
 	}
-	if res.Changed {
-		c.record(names[op.Kind], rec, op.Entry.Reason)
+	if !res.Changed {
+		return true
+	}
+	if op.Kind == tsclaim.OpComplete && res.Entry.Reason != "" {
+		// Others had put it in doubt, or a person had settled it.
+		c.record(turmericshed.EventClaimResolved, rec, "answered late: "+res.Entry.Reason)
+		return true
 	}
+	c.record(names[op.Kind], rec, op.Entry.Reason)
 	return true
 }
 
--- a/io/tsreport/text.go
+++ b/io/tsreport/text.go
@@ -44,9 +44,9 @@
 		_, _ = fmt.Fprintln(w, "none")
 		return
 	}
-	_, _ = fmt.Fprintln(w, "since\taccount\tkey\tservice\tprofile\tstate\treason")
+	_, _ = fmt.Fprintln(w, "since\taccount\tkey\tservice\tprofile\tstate\trunner\treason")
 	for _, d := range doubts {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", d.At.Format(time.RFC3339), d.Account, d.Key, d.Service, d.Profile, d.State, d.Reason)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", d.At.Format(time.RFC3339), d.Account, d.Key, d.Service, d.Profile, d.State, d.Runner, d.Reason)
 	}
 }
 
