Claims: a drain waits for every outcome; fewer buckets in a head

Cause: go test -race found that Drain could return between the end of a call and the start of its write. At 1,000 claims a second for 72 hours, 48 segments a bucket put about 530 references into each head. Change: Drain waits until no record is left; 192 segments a bucket. Result: go test -race ./io/tscalls passes; without the wait for records it fails.

--- a/core/tsclaim/head.go
+++ b/core/tsclaim/head.go
@@ -28,7 +28,7 @@
 	// closed.
 	rollSegmentAge = 6 * time.Hour
 	// maxBucketSegments bounds the segments of a bucket.
-	maxBucketSegments = 48
+	maxBucketSegments = 192
 	// maxBucketBytes is the size above which a bucket takes no more.
 	maxBucketBytes = 512 << 10
 	// maxBucketSpan bounds the time that a bucket covers.
--- a/io/tscalls/calls.go
+++ b/io/tscalls/calls.go
@@ -107,8 +107,6 @@
 	byClaim  map[turmericshed.ClaimID]*record
 	byCall   map[tsclaim.ID]*record
 	draining bool
-	// background is done when every outcome has been written.
-	background sync.WaitGroup
 }
 
 var _ turmericshed.Claims = (*Calls)(nil)
--- a/io/tscalls/drain.go
+++ b/io/tscalls/drain.go
@@ -29,19 +29,21 @@
 	c.endAll()
 	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainGrace)
 	defer cancel()
-	first := make(chan struct{})
-	go func() {
-		c.background.Wait()
-		close(first)
-	}()
-	t := time.NewTimer(drainGrace / 2)
-	defer t.Stop()
-	select {
-	case <-first:
-		return nil
-	case <-t.C:
+	written, stop := context.WithTimeout(grace, drainGrace/2)
+	defer stop()
+	for c.records() > 0 {
+		if !pause(written, drainPoll) {
+			return c.handOn(grace)
+		}
 	}
-	return c.handOn(grace)
+	return nil
+}
+
+// records counts the calls of this process whose outcome is not written.
+func (c *Calls) records() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byClaim)
 }
 
 // nearEnd reports whether only the grace is left before ctx ends.
--- a/io/tscalls/fleet_test.go
+++ b/io/tscalls/fleet_test.go
@@ -45,6 +45,13 @@
 	f.events[e.Name] = e.Reason
 }
 
+// reason returns the last reason of an event.
+func (f *fleet) reason(name turmericshed.EventName) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.events[name]
+}
+
 // hookedStore can fail after a write.
 type hookedStore struct {
 	turmericshed.Store
--- a/io/tscalls/record.go
+++ b/io/tscalls/record.go
@@ -218,9 +218,7 @@
 	c.mu.Lock()
 	rec.outcome = op
 	c.mu.Unlock()
-	c.background.Add(1)
 	go func() {
-		defer c.background.Done()
 		defer c.forget(rec)
 		ctx := context.Background()
 		if op.Kind == tsclaim.OpAbandon {
