--- a/load/tssoak/desk.go
+++ b/load/tssoak/desk.go
@@ -19,6 +19,8 @@
 	topUp = 20000
 	// goAway is the chance that an operator goes away before a step.
 	goAway = 0.04
+	// goAwayUnsure is the chance after a write without an answer.
+	goAwayUnsure = 0.5
 	// staffAfter is the age at which a person settles a call in doubt.
 	staffAfter = time.Minute
 	// operators is the number of operators, who race each other.
@@ -139,6 +141,10 @@
 		if !s.Finished() && !d.w.chance(goAway) {
 			d.w.storeCall(who, at, s.Step(), func(r tsupdate.Reply) {
 				s.Handle(r)
+				if turmericshed.KindOf(r.Err) == turmericshed.KindStoreUnknown && d.w.chance(goAwayUnsure) {
+					d.w.logf("%s gives up an edit of %s without an answer", who, e.Profile.Name)
+					return
+				}
 				d.w.at(d.w.between(0, 30*time.Millisecond), next)
 			})
 			return
--- a/load/tssoak/fault.go
+++ b/load/tssoak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"turmericshed"
 	"turmericshed/standin/tsplatform"
 )
 
@@ -125,10 +126,23 @@
 	w.at(d, func() { w.net.slow = 0 })
 }
 
-// holdWrites makes the next writes land late.
+// keys are the keys whose writes are lost or late; the empty prefix is all.
+var keys = [...]string{"", "", turmericshed.ProfilePrefix, turmericshed.BudgetPrefix, turmericshed.ClaimPrefix}
+
+// loseAnswers loses the answers to the next writes of some keys.
+func (w *world) loseAnswers() {
+	w.store.ChangeFaults(func(f *tsplatform.Faults) {
+		f.LoseAnswers = 1 + w.rnd.IntN(4)
+		f.KeyPrefix = keys[w.rnd.IntN(len(keys))]
+	})
+}
+
+// holdWrites makes the next writes of some keys land late.
 func (w *world) holdWrites() {
-	n := 1 + w.rnd.IntN(3)
-	w.store.ChangeFaults(func(f *tsplatform.Faults) { f.HoldWrites += n })
+	w.store.ChangeFaults(func(f *tsplatform.Faults) {
+		f.HoldWrites = 1 + w.rnd.IntN(3)
+		f.KeyPrefix = keys[w.rnd.IntN(len(keys))]
+	})
 	w.at(w.between(100*time.Millisecond, 30*time.Second), func() {
 		if landed := w.store.LandHeld(); landed > 0 {
 			w.logf("%d held writes land", landed)
