--- a/load/tssoak/fault.go
+++ b/load/tssoak/fault.go
@@ -27,9 +27,7 @@
 		{8, (*world).cutPlatform},
 		{4, (*world).outage},
 		{4, (*world).slowness},
-		{10, func(w *world) {
-			w.store.ChangeFaults(func(f *tsplatform.Faults) { f.LoseAnswers += 1 + w.rnd.IntN(4) })
-		}},
+		{10, (*world).loseAnswers},
 		{8, (*world).holdWrites},
 		{12, (*world).pauseVM},
 		{8, (*world).crashVM},
--- a/load/tssoak/soak.go
+++ b/load/tssoak/soak.go
@@ -126,7 +126,7 @@
 		w.vms[i] = w.newVM(i)
 	}
 	w.callers.arrive()
-	w.every(8*time.Second, w.desk.edit)
+	w.every(4*time.Second, w.desk.edit)
 	w.every(5*time.Second, w.desk.staff)
 	w.disturbAgain()
 	w.run(w.start.Add(w.o.Duration))
