First sign of leaving goes to the board; peers' messages carry the clock

A refusal or load report that tells of leaving is marked on the board, from where the membership's news carries it to the peers. The additions and listed leavings of servers are recorded once, by the membership: with processes by hand every server_added stood twice in the time line. tspeer.Config gains Clock (additive): the recorder's logical clock was not joined between processes.

--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -107,11 +107,8 @@
 			if r.started {
 				s.breaker.ramp()
 			}
-			r.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventServerAdded, Server: b.ID})
 		} else {
-			wasLeaving := s.leaving
 			s.refresh(b)
-			r.recordLeaving(s, wasLeaving, "listed as leaving")
 		}
 		if r.servers[b.ID] == nil {
 			r.order = append(r.order, s)
@@ -152,15 +149,10 @@
 }
 
 func (r *Router) setLeaving(s *server, reason string) {
-	was := s.leaving
-	s.leaving = true
-	r.recordLeaving(s, was, reason)
-}
-
-func (r *Router) recordLeaving(s *server, was bool, reason string) {
-	if s.leaving && !was {
+	if !s.leaving {
 		r.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventServerLeaving, Server: s.ID, Reason: reason})
 	}
+	s.leaving = true
 }
 
 // Done ends an attempt counted by Pick.
--- a/io/tspeer/server.go
+++ b/io/tspeer/server.go
@@ -28,8 +28,12 @@
 // Serve answers calls on ln until ctx ends, then lets calls in flight finish
 // for a short time. It closes ln.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	handler := http.Handler(s.mux)
+	if s.cfg.Clock != nil {
+		handler = s.cfg.Clock.Receive(handler)
+	}
 	srv := &http.Server{
-		Handler:           s.mux,
+		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/io/tspeer/transport.go
+++ b/io/tspeer/transport.go
@@ -55,6 +55,16 @@
 	Dial DialFunc
 	// TLS turns on mutual TLS; nil is HTTP/2 without encryption.
 	TLS *tls.Config
+	// Clock joins the processes' logical clocks by a header; nil does not.
+	Clock Clock
+}
+
+// Clock adds the logical clock to messages between processes.
+type Clock interface {
+	// Transport stamps the requests that are sent.
+	Transport(next http.RoundTripper) http.RoundTripper
+	// Receive joins the stamps of the requests that are received.
+	Receive(next http.Handler) http.Handler
 }
 
 // LoadTLS reads PEM files for mutual TLS. Errors: KindBadRequest.
@@ -93,6 +103,7 @@
 // Transport opens and keeps connections to peers.
 type Transport struct {
 	client *http.Client
+	idle   *http.Transport
 	scheme string
 }
 
@@ -108,7 +119,10 @@
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		Protocols:       new(http.Protocols),
 	}
-	t := &Transport{client: &http.Client{Transport: rt}, scheme: "http"}
+	t := &Transport{client: &http.Client{Transport: rt}, idle: rt, scheme: "http"}
+	if cfg.Clock != nil {
+		t.client.Transport = cfg.Clock.Transport(rt)
+	}
 	if cfg.TLS != nil {
 		t.scheme = "https"
 		rt.TLSClientConfig = cfg.TLS.Clone()
@@ -126,4 +140,4 @@
 }
 
 // Close closes idle connections.
-func (t *Transport) Close() { t.client.CloseIdleConnections() }
+func (t *Transport) Close() { t.idle.CloseIdleConnections() }
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -159,7 +159,7 @@
 }
 
 func (b *parts) buildPeers() error {
-	cfg := tspeer.Config{Dial: b.opts.Dial}
+	cfg := tspeer.Config{Dial: b.opts.Dial, Clock: b.recorder}
 	if b.cfg.CertFile != "" {
 		pair, err := b.loadTLS()
 		if err != nil {
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,15 +71,34 @@
 // Report joins a load report.
 func (p *Pool) Report(now time.Time, r turmericshed.LoadReport) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.router.Report(now, r)
+	p.mu.Unlock()
+	if r.Leaving {
+		p.post(r.Server)
+	}
 }
 
-// SetLeaving takes a server out at once.
+// SetLeaving takes a server out at once, and posts it for the peers.
 func (p *Pool) SetLeaving(now time.Time, id turmericshed.ServerID) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.router.SetLeaving(now, id)
+	p.mu.Unlock()
+	p.post(id)
+}
+
+// post marks a server as leaving on the board, from where peers hear of it.
+func (p *Pool) post(id turmericshed.ServerID) {
+	unmarked := func(s turmericshed.BackendServer) bool { return s.ID == id && !s.Leaving }
+	if !slices.ContainsFunc(p.cfg.Board.Servers.Read(), unmarked) {
+		return
+	}
+	p.cfg.Board.Servers.Update(func(old []turmericshed.BackendServer) []turmericshed.BackendServer {
+		next := slices.Clone(old)
+		for i := range next {
+			next[i].Leaving = next[i].Leaving || next[i].ID == id
+		}
+		return next
+	})
 }
 
 // Pick chooses a server. Errors: KindNoBackend, KindOverloaded.
@@ -91,11 +111,11 @@
 // Done ends an attempt counted by Pick. A refusal that tells that the server
 // is leaving takes it out.
 func (p *Pool) Done(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest, res turmericshed.DispatchResult) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if tsbackend.IsLeaving(res.Err) {
-		p.router.SetLeaving(now, id)
+		p.SetLeaving(now, id)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.router.Done(now, id, r, res)
 }
 
--- a/io/tsrouting/pool_test.go
+++ b/io/tsrouting/pool_test.go
@@ -14,6 +14,7 @@
 
 	"turmericshed"
 	"turmericshed/core/tsboard"
+	"turmericshed/io/tsbackend"
 	"turmericshed/io/tsrouting"
 )
 
@@ -85,6 +86,19 @@
 			assertNoWork(t, p, "s-3")
 		})
 	})
+	t.Run("a server that refuses as leaving gets no more work and is posted", func(t *testing.T) {
+		runPool(t, 3, func(board *tsboard.Board, _ *fakeLoads, p *tsrouting.Pool) {
+			s, err := p.Pick(time.Now(), chat)
+			assert.NilError(t, err)
+			p.Done(time.Now(), s.ID, chat, turmericshed.DispatchResult{
+				Err: turmericshed.WrapError(turmericshed.KindBackendRefused, tsbackend.ErrLeaving, "x"),
+			})
+			assertNoWork(t, p, s.ID)
+			for _, b := range board.Servers.Read() {
+				assert.Equal(t, b.Leaving, b.ID == s.ID)
+			}
+		})
+	})
 	t.Run("a server listed as leaving gets no work", func(t *testing.T) {
 		runPool(t, 3, func(board *tsboard.Board, _ *fakeLoads, p *tsrouting.Pool) {
 			list := servers(3)
