--- a/io/tscommand/demo.go
+++ b/io/tscommand/demo.go
@@ -65,6 +65,7 @@
 		{"foreign_frames", r.ForeignFrames},
 		{"consumed_tokens", r.ConsumedTokens},
 		{"burnt_tokens", r.BurntTokens},
+		{"crashes_by_poison", r.CrashesByPoison},
 		{"invariants_broken", r.InvariantsBroken},
 		{"stop_failures", r.StopFailures},
 		{"first_token_p50_ms", r.FirstTokens.P50},
--- a/io/tsentry/generate.go
+++ b/io/tsentry/generate.go
@@ -158,13 +158,12 @@
 		Stream: at.stream, Model: chat.Model, Messages: chat.Messages,
 		MaxTokens: *chat.MaxTokens, Priority: req.profile.Priority, Deadline: req.deadline,
 	})
-	if err != nil {
-		return err
-	}
-	at.connected = true
 	for n := 0; ; n++ {
-		err = e.relay(a, at, ts)
-		_ = ts.Close()
+		if err == nil {
+			at.connected = true
+			err = e.relay(a, at, ts)
+			_ = ts.Close()
+		}
 		if err == nil {
 			e.deps.Quarantine.Survived(time.Now(), req.digest)
 			return nil
@@ -172,13 +171,14 @@
 		if n == maxResumes || a.ctx.Err() != nil || turmericshed.KindOf(err) != turmericshed.KindStreamBroken {
 			return err
 		}
-		if ts, err = e.resume(a, at, n, err); err != nil {
+		if ts, err = e.resume(a, at, n, err); ts == nil {
 			return err
 		}
 	}
 }
 
-// resume reopens a broken stream at the engine after the last whole frame.
+// resume reopens a broken stream at the engine after the last whole frame. It
+// returns the error of the break where it can't.
 func (e *Entry) resume(a *answer, at *attempt, n int, broken error) (turmericshed.TokenStream, error) {
 	e.deps.Recorder.Record(turmericshed.Event{
 		Name: turmericshed.EventStreamBroken, Request: a.request, Server: at.server.ID, Reason: broken.Error(),
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -244,6 +244,7 @@
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
 	defer cancel()
 	_ = p.platform.WithdrawEntry(last, p.self.Incarnation)
+	p.conns.sever()
 	return err
 }
 
--- a/load/tsdemo/cluster.go
+++ b/load/tsdemo/cluster.go
@@ -172,24 +172,36 @@
 
 // startEntry starts an entry VM in a failure domain.
 func (c *cluster) startEntry(d place) error {
+	vm, err := c.launch(d)
+	if err != nil {
+		return err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.entries = append(c.entries, vm)
+	return nil
+}
+
+// launch starts an entry VM that the balancer does not know.
+func (c *cluster) launch(d place) (*entryVM, error) {
+	c.mu.Lock()
 	c.started++
+	n := c.started
+	c.mu.Unlock()
 	proc, err := tsprocess.New(tsentry.Config{
-		Name: fmt.Sprintf("entry-%s-%d", d, c.started), Region: region, FailureDomain: turmericshed.FailureDomain(d),
+		Name: fmt.Sprintf("entry-%s-%d", d, n), Region: region, FailureDomain: turmericshed.FailureDomain(d),
 		CallerAddr: loopback, PeerAddr: loopback, PlatformAddr: c.platform,
 		DrainLimit: drainLimit, DefaultDeadline: 30 * time.Second, MaxRunning: maxRunning,
 	}, tsprocess.Options{Dial: c.net.dialer(d), Log: c.log, Events: c.recorder})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	c.net.put(proc.Addr(), d)
 	c.net.put(proc.Self().PeerAddr, d)
 	ctx, stop := context.WithCancel(context.Background())
 	vm := &entryVM{at: d, proc: proc, stop: stop, stopped: make(chan error, 1)}
-	c.entries = append(c.entries, vm)
 	c.wg.Go(func() { vm.stopped <- proc.Serve(ctx) })
-	return nil
+	return vm, nil
 }
 
 // waitReady waits until every entry VM is ready.
@@ -223,6 +235,19 @@
 	return list
 }
 
+// entryAt returns the n-th entry VM of a failure domain, counted round.
+func (c *cluster) entryAt(d place, n int) *entryVM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []*entryVM
+	for _, vm := range c.entries {
+		if vm.at == d {
+			list = append(list, vm)
+		}
+	}
+	return list[n%len(list)]
+}
+
 // killEntry ends the first entry VM of a failure domain at once.
 func (c *cluster) killEntry(d place) {
 	c.mu.Lock()
--- a/load/tsdemo/demo.go
+++ b/load/tsdemo/demo.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"turmericshed"
-	"turmericshed/io/tsholder"
 	"turmericshed/load/tsload"
 )
 
@@ -66,6 +65,8 @@
 	users   []*user
 	load    *tsload.Load
 	began   time.Time
+	// poisonCrashes counts the engines that one request crashed.
+	poisonCrashes int
 }
 
 // Run runs the demo and stops everything that it started.
@@ -160,10 +161,9 @@
 		{Name: u.assistant(), Work: turmericshed.WorkAssistant, Model: u.model, Prepaid: d.prepaid()},
 		{Name: u.desk(), Work: turmericshed.WorkService, Services: []string{u.service}, Prepaid: d.prepaid() / 100, CallCost: callCost, Priority: 5},
 	} {
-		p.Accounts, p.Edge, p.EditedBy = limits, edge, "demo"
+		p.Accounts, p.Edge = limits, edge
 		p.CutBridge = turmericshed.Duration(time.Minute)
-		p.Budget = tsholder.NewBudgetID()
-		if _, err := tsholder.PutProfile(ctx, d.cluster.store, p, 0); err != nil {
+		if _, err := d.cluster.admin.PutProfile(ctx, p, 0); err != nil {
 			return err
 		}
 	}
--- a/load/tsdemo/demo_test.go
+++ b/load/tsdemo/demo_test.go
@@ -28,6 +28,7 @@
 		{"unbilled", int(r.Unbilled)},
 		{"partial_answers", r.PartialAnswers},
 		{"foreign_frames", r.ForeignFrames},
+		{"crashes_by_poison above 2", max(0, r.CrashesByPoison-2)},
 		{"invariants_broken", r.InvariantsBroken},
 	} {
 		t.Run(promise.name, func(t *testing.T) { assert.Equal(t, promise.broken, 0) })
--- a/load/tsdemo/result.go
+++ b/load/tsdemo/result.go
@@ -8,7 +8,7 @@
 	"sync"
 
 	"turmericshed"
-	"turmericshed/io/tsholder"
+	"turmericshed/core/tsbudget"
 	"turmericshed/load/tsload"
 )
 
@@ -28,25 +28,32 @@
 	FalseNotRun int `json:"false_not_run"`
 	// BilledTwice counts requests with two bills, Unbilled the tokens that
 	// the backend servers consumed and no budget was charged for.
-	BilledTwice      int                 `json:"billed_twice"`
-	Unbilled         turmericshed.Tokens `json:"unbilled"`
-	PartialAnswers   int                 `json:"partial_answers"`
-	ForeignFrames    int                 `json:"foreign_frames"`
-	BurntTokens      turmericshed.Tokens `json:"burnt_tokens"`
-	ConsumedTokens   turmericshed.Tokens `json:"consumed_tokens"`
-	InvariantsBroken int                 `json:"invariants_broken"`
-	StopFailures     int                 `json:"stop_failures"`
-	Kinds            map[string]int      `json:"kinds"`
-	FirstTokens      tsload.Percentiles  `json:"first_tokens_ms"`
-	Answers          tsload.Percentiles  `json:"answers_ms"`
-	Calls            tsload.Percentiles  `json:"calls_ms"`
+	BilledTwice    int                 `json:"billed_twice"`
+	Unbilled       turmericshed.Tokens `json:"unbilled"`
+	PartialAnswers int                 `json:"partial_answers"`
+	ForeignFrames  int                 `json:"foreign_frames"`
+	BurntTokens    turmericshed.Tokens `json:"burnt_tokens"`
+	ConsumedTokens turmericshed.Tokens `json:"consumed_tokens"`
+	// CrashesByPoison counts the engines that one request crashed, sent
+	// again and again in one failure domain.
+	CrashesByPoison  int                `json:"crashes_by_poison"`
+	InvariantsBroken int                `json:"invariants_broken"`
+	StopFailures     int                `json:"stop_failures"`
+	Kinds            map[string]int     `json:"kinds"`
+	FirstTokens      tsload.Percentiles `json:"first_tokens_ms"`
+	Answers          tsload.Percentiles `json:"answers_ms"`
+	Calls            tsload.Percentiles `json:"calls_ms"`
 }
 
+// maxPoisonCrashes is how many engines one request may crash in a failure
+// domain.
+const maxPoisonCrashes = 2
+
 // Kept reports whether every promise held.
 func (r Result) Kept() bool {
 	return r.OverspendTokens == 0 && r.DoubledCalls == 0 && r.LostCalls == 0 && r.FalseNotRun == 0 &&
 		r.BilledTwice == 0 && r.Unbilled == 0 && r.PartialAnswers == 0 && r.ForeignFrames == 0 &&
-		r.InvariantsBroken == 0 && r.StopFailures == 0
+		r.CrashesByPoison <= maxPoisonCrashes && r.InvariantsBroken == 0 && r.StopFailures == 0
 }
 
 // events counts what the books of the outside can't show: bills a request and
@@ -89,6 +96,7 @@
 		Requests: s.Requests, Answered: s.Answered, Refused: s.Refused, Failed: s.Failed, Unknown: s.Unknown,
 		PartialAnswers: s.Partial, ForeignFrames: s.Foreign, Kinds: s.Kinds,
 		FirstTokens: s.Firsts, Answers: s.Answers, Calls: s.Calls, StopFailures: d.cluster.stopFailures(),
+		CrashesByPoison: d.poisonCrashes,
 	}
 	room := map[turmericshed.ProfileName]bool{}
 	for _, u := range d.users {
@@ -135,27 +143,28 @@
 	return sum
 }
 
-// compareBudget holds a budget's ledger against what was consumed.
-func (d *demo) compareBudget(ctx context.Context, r *Result, name turmericshed.ProfileName, consumed turmericshed.Tokens, room map[turmericshed.ProfileName]bool) error {
-	item, err := d.cluster.store.Get(ctx, turmericshed.ProfilePrefix+string(name))
+// ledger reads the ledger of a profile.
+func (d *demo) ledger(ctx context.Context, name turmericshed.ProfileName) (tsbudget.Ledger, error) {
+	p, err := d.cluster.admin.Profile(ctx, name)
 	if err != nil {
-		return err
-	}
-	p, err := decodeProfile(item)
-	if err != nil {
-		return err
+		return tsbudget.Ledger{}, err
 	}
-	l, err := tsholder.ReadLedger(ctx, d.cluster.store, p.Budget)
+	return d.cluster.admin.Ledger(ctx, p)
+}
+
+// compareBudget holds a budget's ledger against what was consumed.
+func (d *demo) compareBudget(ctx context.Context, r *Result, name turmericshed.ProfileName, consumed turmericshed.Tokens, room map[turmericshed.ProfileName]bool) error {
+	l, err := d.ledger(ctx, name)
 	if err != nil {
 		return err
 	}
 	charged := l.Spent + l.Open()
-	d.say("%s: prepaid %d, charged %d, consumed %d, open lots %d", name, p.Prepaid, charged, consumed, len(l.Lots))
+	d.say("%s: prepaid %d, charged %d, consumed %d, open lots %d", name, l.Prepaid, charged, consumed, len(l.Lots))
 	r.ConsumedTokens += consumed
-	r.OverspendTokens += max(0, consumed-p.Prepaid)
+	r.OverspendTokens += max(0, consumed-l.Prepaid)
 	r.Unbilled += max(0, consumed-charged)
 	r.BurntTokens += max(0, charged-consumed)
-	room[name] = consumed < p.Prepaid*9/10
+	room[name] = consumed < l.Prepaid*9/10
 	return nil
 }
 
@@ -194,10 +203,3 @@
 	return fmt.Sprintf("%d requests, %d answered, %d refused, %d failed, %d unknown, %d retries",
 		s.Requests, s.Answered, s.Refused, s.Failed, s.Unknown, s.Retries)
 }
-
-func decodeProfile(item turmericshed.Item) (turmericshed.Profile, error) {
-	var p turmericshed.Profile
-	err := json.Unmarshal(item.Value, &p)
-	p.Version = item.Version
-	return p, err
-}
--- a/load/tsdemo/script.go
+++ b/load/tsdemo/script.go
@@ -1,15 +1,23 @@
 package tsdemo
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"net/http"
 	"time"
 
 	"turmericshed"
-	"turmericshed/io/tsholder"
 	"turmericshed/standin/tsengine"
 	"turmericshed/standin/tsservice"
 )
 
+// A request that crashes engines.
+const (
+	poisonMarker   = "poison-7f3a"
+	poisonAttempts = 8
+)
+
 // step is one action at a share of the run's duration.
 type step struct {
 	at float64
@@ -20,6 +28,7 @@
 func (d *demo) steps() []step {
 	return []step{
 		{0.10, d.disturbFrames},
+		{0.15, d.poison},
 		{0.20, d.cutOff},
 		{0.30, d.topUp},
 		{0.35, d.loseAnswers},
@@ -76,6 +85,49 @@
 	return nil
 }
 
+// poison sends a request that crashes every engine which runs it, again and
+// again, with new ids, through every entry VM of one failure domain.
+func (d *demo) poison(ctx context.Context) error {
+	u, at := d.users[0], domains()[2]
+	list := d.cluster.engines[u.model]
+	for _, e := range list {
+		e.ChangeFaults(func(f *tsengine.Faults) { f.CrashMarker = poisonMarker })
+		d.poisonCrashes -= e.Crashes()
+	}
+	for i := range poisonAttempts {
+		vm := d.cluster.entryAt(at, i)
+		answer, err := d.send(ctx, vm, u, "please mend "+poisonMarker)
+		if err == nil && answer {
+			return turmericshed.NewError(turmericshed.KindInternal, "a request that crashes engines was answered")
+		}
+	}
+	for _, e := range list {
+		d.poisonCrashes += e.Crashes()
+	}
+	d.say("a request that crashes engines is sent %d times through %s: %d crashes", poisonAttempts, at, d.poisonCrashes)
+	return nil
+}
+
+// send sends one generation and reports whether it was answered whole.
+func (d *demo) send(ctx context.Context, vm *entryVM, u *user, prompt string) (bool, error) {
+	body, err := json.Marshal(map[string]any{"max_tokens": hintTokens, "messages": []turmericshed.Message{{Role: "user", Content: prompt}}})
+	if err != nil {
+		return false, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm.proc.Addr().String()+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return false, err
+	}
+	req.Header.Set("Authorization", "Bearer "+u.accounts[0].Key)
+	req.Header.Set("Turmericshed-Profile", string(u.assistant()))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK, nil
+}
+
 func (d *demo) cutOff(context.Context) error {
 	all := domains()
 	d.cluster.net.isolate(all[1], all[0], all[2], placePlatform)
@@ -86,18 +138,13 @@
 // topUp raises a budget on the side that reaches the platform.
 func (d *demo) topUp(ctx context.Context) error {
 	u := d.users[1]
-	item, err := d.cluster.store.Get(ctx, turmericshed.ProfilePrefix+string(u.assistant()))
+	p, err := d.cluster.admin.EditProfile(ctx, u.assistant(), 0, func(p *turmericshed.Profile) error {
+		p.Prepaid += p.Prepaid / 4
+		return nil
+	})
 	if err != nil {
 		return err
 	}
-	p, err := decodeProfile(item)
-	if err != nil {
-		return err
-	}
-	p.Prepaid += p.Prepaid / 4
-	if _, err := tsholder.PutProfile(ctx, d.cluster.store, p, p.Version); err != nil {
-		return err
-	}
 	d.say("%s is topped up to %d tokens", u.assistant(), p.Prepaid)
 	return nil
 }
