Commands of operators, stand-ins, load and soak: tests of use and settings

Cause: the commands were tried by hand only. Change: profile and account commands run against a platform behind a socket; bad settings end with code 2 and one line that names them.

--- /dev/null
+++ b/io/tscommand/admin_test.go
@@ -0,0 +1,98 @@
+package tscommand_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed/io/tscommand"
+)
+
+// desk runs commands against a platform of its own.
+type desk struct {
+	t    *testing.T
+	addr string
+}
+
+func newDesk(t *testing.T) desk { return desk{t: t, addr: newPlatform(t).addr} }
+
+// run runs a command and checks its exit code and a part of what it says.
+func (d desk) run(code int, says string, args ...string) string {
+	d.t.Helper()
+	var out, errOut bytes.Buffer
+	got := tscommand.Main(d.t.Context(), append(args, "-platform-addr", d.addr, "-operator", "ana"), &out, &errOut)
+	assert.Equal(d.t, got, code, "%v: %s", args, errOut.String())
+	assert.Assert(d.t, strings.Contains(out.String()+errOut.String(), says), "%v: %s%s", args, out.String(), errOut.String())
+	return out.String()
+}
+
+func (d desk) file(text string) string {
+	d.t.Helper()
+	path := filepath.Join(d.t.TempDir(), "document.json")
+	assert.NilError(d.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestProfileCommands(t *testing.T) {
+	d := newDesk(t)
+	doc := d.file(`{"name":"counter","prepaid":1000,"work":"assistant","accounts":[{"account":"a1"}]}`)
+	d.run(0, "profile counter version", "profile", "put", "-file", doc)
+	t.Run("a document that was got can be put again", func(t *testing.T) {
+		text := d.run(0, "prepaid 1000, spent 0", "profile", "get", "-profile", "counter")
+		d.run(1, `edited by "ana"`, "profile", "put", "-file", d.file(text))
+		d.run(0, "version", "profile", "put", "-file", d.file(text), "-version", "2")
+	})
+	t.Run("an edit on another version changes nothing", func(t *testing.T) {
+		d.run(1, "prepaid: 1000 -> 7", "profile", "edit", "-profile", "counter", "-prepaid", "7", "-version", "1")
+		d.run(0, "1000", "profile", "list")
+	})
+	t.Run("a bad document is named", func(t *testing.T) {
+		d.run(2, `unknown field "prepayd"`, "profile", "edit", "-profile", "counter", "-file", d.file(`{"prepayd":1}`))
+		d.run(2, "priority 11: want 0 to 9", "profile", "edit", "-profile", "counter", "-file", d.file(`{"priority":11}`))
+	})
+	t.Run("deleted it is gone", func(t *testing.T) {
+		d.run(0, "", "profile", "delete", "-profile", "counter")
+		d.run(1, "no profile", "profile", "get", "-profile", "counter")
+	})
+}
+
+func TestAccountCommands(t *testing.T) {
+	d := newDesk(t)
+	key := strings.TrimSpace(d.run(0, "ts.a1.", "account", "add", "-account", "a1"))
+	list := d.run(0, "a1", "account", "list")
+	assert.Assert(t, !strings.Contains(list, key))
+	d.run(0, "", "account", "delete", "-account", "a1")
+	d.run(1, "does not exist", "account", "delete", "-account", "a1")
+}
+
+func TestBadSettings(t *testing.T) {
+	for _, c := range []struct{ args, says string }{
+		{"profile", "want one of put, get, list, edit, delete"},
+		{"profile edit -profile p -platform-addr 127.0.0.1:1", "-file and -prepaid"},
+		{"profile get -platform-addr 127.0.0.1:1", "-profile"},
+		{"account add -account a -platform-addr localhost:1", `-platform-addr="localhost:1"`},
+		{"standin platform -addr 127.0.0.1:0 -writes-per-second -1", "want 0 or more"},
+		{"standin engine -id e -failure-domain a", "-models"},
+		{"standin service -id s -failure-domain a -addr 127.0.0.1:1 -platform-addr 127.0.0.1:1", "-service"},
+		{"load -entries 127.0.0.1:1 -spec none -format yaml", `-format="yaml"`},
+		{"load -entries 127.0.0.1:1 -spec /none", `-spec="/none"`},
+		{"soak -duration 0s", "above 0"},
+	} {
+		t.Run(c.args, func(t *testing.T) {
+			var out, errOut bytes.Buffer
+			code := tscommand.Main(t.Context(), strings.Fields(c.args), &out, &errOut)
+			assert.Equal(t, code, 2, "%s", errOut.String())
+			assert.Assert(t, strings.Contains(errOut.String(), c.says), "%s", errOut.String())
+			assert.Equal(t, strings.Count(errOut.String(), "\n"), 1)
+		})
+	}
+	t.Run("a flag wins over its variable", func(t *testing.T) {
+		d := newDesk(t)
+		t.Setenv("TURMERICSHED_PLATFORM_ADDR", "127.0.0.1:1")
+		d.run(0, "PROFILE", "profile", "list")
+	})
+}
