Claims: a record that was handed on stays

Cause: two faults found by reading. A stopping entry VM that had handed an answer on dropped its record; a retry that asked it before the answer was written was told that the claim is free, and the call ran twice. And a retry at the very entry VM whose claim had landed late waited to its deadline and was told unknown. Change: the record stays until the process ends; a process releases its own claims without a record at once. Result: go test ./io/tscalls passes with tests for both; without either it fails. Conclusion: 'no record' means 'never dispatched' again.

--- a/io/tscalls/await.go
+++ b/io/tscalls/await.go
@@ -120,6 +120,9 @@
 // askRunner asks the runner of a claim how the call stands. An unspecified
 // status means that it could not be asked.
 func (c *Calls) askRunner(ctx context.Context, id tsclaim.ID, e tsclaim.Entry) (tspeerapi.OutcomeResponse_Status, turmericshed.Answer) {
+	if e.Runner == c.cfg.Self.Incarnation && c.release(ctx, id, e.Claim) {
+		return tspeerapi.OutcomeResponse_STATUS_RELEASED, turmericshed.Answer{}
+	}
 	m, ok := c.member(e.Runner)
 	if !ok {
 		return tspeerapi.OutcomeResponse_STATUS_UNSPECIFIED, turmericshed.Answer{}
@@ -139,6 +142,19 @@
 	return resp.Msg.GetStatus(), a
 }
 
+// release abandons a claim of this incarnation that it has no record of, and
+// reports whether there is none. Such a claim is never dispatched: its write
+// landed after it was given up.
+func (c *Calls) release(ctx context.Context, id tsclaim.ID, claim turmericshed.ClaimID) bool {
+	c.mu.Lock()
+	_, held := c.byClaim[claim]
+	c.mu.Unlock()
+	if !held {
+		c.commit(ctx, tsclaim.Op{Kind: tsclaim.OpAbandon, ID: id, Claim: claim, Entry: tsclaim.Entry{Reason: "not held by its runner"}})
+	}
+	return !held
+}
+
 // readEntry returns the call's entry as the store has it now.
 func (c *Calls) readEntry(ctx context.Context, op tsclaim.Op) tsclaim.Result {
 	item, err := c.cfg.Store.Get(ctx, tsclaim.HeadKey(op.ID.Slot()))
--- a/io/tscalls/failure_test.go
+++ b/io/tscalls/failure_test.go
@@ -56,20 +56,22 @@
 		assert.NilError(t, err)
 		f.assertReplayed("k")
 	})
-	run(t, "claim that lands after its caller was refused", 2, func(t *testing.T, f *fleet) {
-		f.store.SetFaults(tsplatform.Faults{HoldWrites: 1, KeyPrefix: headPrefix})
-		f.cutAfterWrite.Store(true)
-		_, err := f.vms[0].place(within(t, time.Second), call("k"))
-		assertRefused(t, err, turmericshed.KindStoreUnavailable, turmericshed.OutcomeNotRun)
-		time.Sleep(10 * time.Minute)
-		f.cutAfterWrite.Store(false)
-		f.store.SetFaults(tsplatform.Faults{})
-		assert.Equal(t, f.store.LandHeld(), 1)
-		assert.Equal(t, f.state("k"), tsclaim.StateOpen)
-		_, err = f.vms[1].place(within(t, 5*time.Second), call("k"))
-		assert.NilError(t, err)
-		f.assertReplayed("k")
-	})
+	for retryAt, where := range []string{"there", "elsewhere"} {
+		run(t, "claim that lands after its caller was refused, retried "+where, 2, func(t *testing.T, f *fleet) {
+			f.store.SetFaults(tsplatform.Faults{HoldWrites: 1, KeyPrefix: headPrefix})
+			f.cutAfterWrite.Store(true)
+			_, err := f.vms[0].place(within(t, time.Second), call("k"))
+			assertRefused(t, err, turmericshed.KindStoreUnavailable, turmericshed.OutcomeNotRun)
+			time.Sleep(10 * time.Minute)
+			f.cutAfterWrite.Store(false)
+			f.store.SetFaults(tsplatform.Faults{})
+			assert.Equal(t, f.store.LandHeld(), 1)
+			assert.Equal(t, f.state("k"), tsclaim.StateOpen)
+			_, err = f.vms[retryAt].place(within(t, 5*time.Second), call("k"))
+			assert.NilError(t, err)
+			f.assertReplayed("k")
+		})
+	}
 	run(t, "answers of every write lost for a while", 3, func(t *testing.T, f *fleet) {
 		f.store.SetFaults(tsplatform.Faults{LoseAnswers: 7, KeyPrefix: headPrefix})
 		var wg sync.WaitGroup
@@ -272,6 +274,23 @@
 		time.Sleep(time.Minute)
 		assert.Equal(t, f.state("k"), tsclaim.StateDone)
 	})
+	run(t, "keeps what it handed on until it ends", 3, func(t *testing.T, f *fleet) {
+		v := f.vms[0]
+		claim := v.claim("k", time.Minute)
+		assert.NilError(t, v.calls.Dispatch(claim))
+		f.store.SetFaults(tsplatform.Faults{Outage: true})
+		_, err := v.send(t.Context(), call("k"), claim)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		assert.NilError(t, v.calls.Drain(within(t, time.Minute)))
+		time.Sleep(time.Minute)
+		// The peer that took the answer over has not written it yet.
+		f.store.SetFaults(tsplatform.Faults{})
+		a, err := f.vms[2].place(within(t, time.Second), call("k"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(a.Body), "k run 1")
+		f.assertRuns("k", 1)
+	})
 	run(t, "refuses new claims and frees those not sent", 2, func(t *testing.T, f *fleet) {
 		v := f.vms[0]
 		claim := v.claim("k", time.Minute)
--- a/io/tscalls/peers.go
+++ b/io/tscalls/peers.go
@@ -58,8 +58,7 @@
 	rec, ok := c.byClaim[claim]
 	c.mu.Unlock()
 	if !ok {
-		// A claim of this incarnation without a record is never dispatched.
-		c.commit(ctx, tsclaim.Op{Kind: tsclaim.OpAbandon, ID: tsclaim.ID(m.GetCall()), Claim: claim, Entry: tsclaim.Entry{Reason: "not held by its runner"}})
+		c.release(ctx, tsclaim.ID(m.GetCall()), claim)
 		return outcome(tspeerapi.OutcomeResponse_STATUS_RELEASED, nil)
 	}
 	t := time.NewTimer(min(time.Duration(m.GetWaitMilliseconds())*time.Millisecond, outcomeWait))
--- a/io/tscalls/record.go
+++ b/io/tscalls/record.go
@@ -219,7 +219,6 @@
 	rec.outcome = op
 	c.mu.Unlock()
 	go func() {
-		defer c.forget(rec)
 		ctx := context.Background()
 		if op.Kind == tsclaim.OpAbandon {
 			bounded, cancel := context.WithTimeout(ctx, abandonFor)
@@ -227,6 +226,11 @@
 			ctx = bounded
 		}
 		retry(ctx, func() bool { return c.writeOutcome(ctx, rec, op) || c.handedOn(rec) })
+		if !c.handedOn(rec) {
+			// A record that was handed on stays: without it this process
+			// would tell a retry that the claim is free.
+			c.forget(rec)
+		}
 	}()
 	return rec.written
 }
