Router: a failure domain that is cut off is noticed as a whole

Two thirds of the requests with a prefix go to other failure domains, and each server's breaker needs three failed connections, so a cut spent the retry budget. Tests seen red without the rule.

--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -98,6 +98,9 @@
 	}
 	turmericshed.Assert(!s.leaving, "no_work_to_leaving", "server %s", s.ID)
 	s.breaker.lastAttempt = now
+	if s.reach.cut() {
+		s.reach.probed = now
+	}
 	s.add(now, 1)
 	return s.BackendServer, nil
 }
@@ -159,7 +162,7 @@
 		p.groups[d] = p.groups[d][:0]
 	}
 	for _, s := range p.servers {
-		if s.leaving || slices.Contains(req.Excluded, s.ID) || !s.breaker.allows(now, s.inflight) {
+		if s.leaving || slices.Contains(req.Excluded, s.ID) || !s.reach.allows(now) || !s.breaker.allows(now, s.inflight) {
 			continue
 		}
 		c := candidate{server: s, load: (r.estimate(now, s, mean) + 1) / float64(s.Slots)}
--- a/core/tsroute/choose_test.go
+++ b/core/tsroute/choose_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -104,3 +105,65 @@
 		assert.Assert(t, more["s-6"]+more["s-7"]+more["s-8"] > 0, "%v", more)
 	})
 }
+
+func TestReach(t *testing.T) {
+	gone := turmericshed.DispatchResult{Err: turmericshed.NewError(turmericshed.KindNoBackend, "timed out")}
+	// cut returns a router that met two servers of domain b that do not answer.
+	cut := func(t *testing.T) *tsroute.Router {
+		r := newRouter(1, servers(2, 4))
+		for _, id := range []turmericshed.ServerID{"s-4", "s-5"} {
+			req := chat
+			for _, s := range servers(2, 4) {
+				if s.ID != id {
+					req.Excluded = append(req.Excluded, s.ID)
+				}
+			}
+			_, err := r.Pick(epoch, req)
+			assert.NilError(t, err)
+			r.Done(epoch, id, req, gone)
+		}
+		return r
+	}
+	far := func(t *testing.T, r *tsroute.Router, now time.Time, n int) int {
+		got := spread(t, r, now, prefixed(1), n)
+		return n - got["s-0"] - got["s-1"] - got["s-2"] - got["s-3"]
+	}
+	t.Run("a failure domain that is cut off gets no requests", func(t *testing.T) {
+		assert.Equal(t, far(t, cut(t), epoch, 32), 0)
+	})
+	t.Run("it is tried with one request after 10 s", func(t *testing.T) {
+		r := cut(t)
+		assert.Equal(t, far(t, r, epoch.Add(9*time.Second), 16), 0)
+		assert.Equal(t, far(t, r, epoch.Add(10*time.Second), 16), 1)
+	})
+	t.Run("a load report from after the cut ends it", func(t *testing.T) {
+		r := cut(t)
+		r.Report(epoch, report("s-6", epoch.Add(-time.Second), 0))
+		assert.Equal(t, far(t, r, epoch, 16), 0)
+		r.Report(epoch, report("s-6", epoch.Add(time.Second), 0))
+		assert.Assert(t, far(t, r, epoch, 16) > 1)
+	})
+	t.Run("an answer ends the cut", func(t *testing.T) {
+		r := newRouter(1, servers(2, 4))
+		for range 64 {
+			s, err := r.Pick(epoch, prefixed(1))
+			assert.NilError(t, err)
+			res := whole
+			if s.FailureDomain == "b" {
+				res = gone
+			}
+			r.Done(epoch, s.ID, prefixed(1), res)
+		}
+		healed := 0
+		for i := range uint64(64) {
+			now := epoch.Add(time.Duration(i+60) * time.Second)
+			s, err := r.Pick(now, prefixed(i))
+			assert.NilError(t, err)
+			r.Done(now, s.ID, prefixed(i), whole)
+			if s.FailureDomain == "b" {
+				healed++
+			}
+		}
+		assert.Assert(t, healed > 8, "%d of 64", healed)
+	})
+}
--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -64,6 +64,8 @@
 	servers map[turmericshed.ServerID]*server
 	// order keeps the servers in the order of the list, for repeatability.
 	order []*server
+	// domains tells which failure domains can be reached.
+	domains map[turmericshed.FailureDomain]*reach
 	// pools are the servers by what they serve, built on demand.
 	pools   map[poolKey]*pool
 	popular popularity
@@ -90,7 +92,10 @@
 	if cfg.Recorder == nil {
 		cfg.Recorder = turmericshed.NopRecorder{}
 	}
-	return &Router{cfg: cfg, servers: map[turmericshed.ServerID]*server{}, pools: map[poolKey]*pool{}}
+	return &Router{
+		cfg: cfg, servers: map[turmericshed.ServerID]*server{}, domains: map[turmericshed.FailureDomain]*reach{},
+		pools: map[poolKey]*pool{},
+	}
 }
 
 // SetServers replaces the candidates. Servers that are known keep their state;
@@ -110,6 +115,7 @@
 		} else {
 			s.refresh(b)
 		}
+		s.reach = r.reachOf(b.FailureDomain)
 		if r.servers[b.ID] == nil {
 			r.order = append(r.order, s)
 		}
@@ -138,6 +144,7 @@
 		return
 	}
 	s.report, s.heard = rep, now
+	r.noteReport(s)
 	s.others = float64(max(rep.Running+rep.Queued-s.history.before(rep.At), 0))
 }
 
@@ -160,6 +167,7 @@
 	s := r.servers[id]
 	turmericshed.Assert(s != nil, "done_after_pick", "server %s is not known", id)
 	s.add(now, -1)
+	r.noteReach(now, s, res)
 	switch judge(res) {
 	case verdictWhole:
 		if s.breaker.succeed(s.Slots) {
--- a/core/tsroute/server.go
+++ b/core/tsroute/server.go
@@ -30,6 +30,8 @@
 	// leaving stays set as long as the server is listed.
 	leaving bool
 	breaker breaker
+	// reach is shared by the servers of the failure domain.
+	reach   *reach
 	history history
 	report  turmericshed.LoadReport
 	// others is the part of the report that was not ours when it was taken.
--- a/io/tsrouting/pool_test.go
+++ b/io/tsrouting/pool_test.go
@@ -121,6 +121,8 @@
 		for n, bound := range map[int]int{12: 201, 1200: 41} {
 			runPool(t, n, func(_ *tsboard.Board, loads *fakeLoads, _ *tsrouting.Pool) {
 				time.Sleep(10 * time.Second)
+				loads.mu.Lock()
+				defer loads.mu.Unlock()
 				assert.Assert(t, loads.reads <= bound, "%d readings of %d servers in 10 s", loads.reads, n)
 			})
 		}
--- a/load/tsexperiment/routing.go
+++ b/load/tsexperiment/routing.go
@@ -114,6 +114,14 @@
 			sc.faults = []routingFault{{20 * s, func(sim *routingSim) { sim.engines[0].hole = true }}}
 			sc.traffic = routingMix(0.7 * routingCapacity)
 		}),
+		with("domain_cut", func(sc *routingScenario) {
+			sc.faults = []routingFault{
+				{20 * s, func(sim *routingSim) { sim.cut = "c" }},
+				{40 * s, func(sim *routingSim) { sim.cut = "" }},
+			}
+			sc.traffic = routingMix(0.6 * routingCapacity)
+			sc.from, sc.until = 20*s, 50*s
+		}),
 		with("small_alone", func(sc *routingScenario) {
 			sc.traffic = routingMix(0.5 * routingCapacity)
 			sc.from, sc.until = 20*s, 50*s
--- a/load/tsexperiment/routing_sim.go
+++ b/load/tsexperiment/routing_sim.go
@@ -27,6 +27,8 @@
 	// routingAttempts bounds attempts at engines for one request.
 	routingAttempts = 3
 	routingBackOff  = 20 * time.Millisecond
+	// routingConnectTimeout is the wait for a connection across a cut.
+	routingConnectTimeout = 300 * time.Millisecond
 )
 
 var routingEpoch = time.Unix(1_800_000_000, 0)
@@ -79,6 +81,9 @@
 	engines []*routingEngine
 	nodes   []*routingNode
 	book    *routingBook
+	// cut is the failure domain that is cut off from the others; empty for
+	// none.
+	cut turmericshed.FailureDomain
 }
 
 func newRoutingSim(seed uint64, sc routingScenario, p routingPolicy) *routingSim {
@@ -142,8 +147,8 @@
 	}
 }
 
-// report takes a reading of every engine, which all entry VMs hear of at the
-// same time, late.
+// report takes a reading of every engine, which all entry VMs that reach it
+// hear of at the same time, late.
 func (s *routingSim) report() {
 	for _, e := range s.engines {
 		if e.dead {
@@ -152,7 +157,9 @@
 		rep := e.load(s.time())
 		s.after(s.shape.lag, func() {
 			for _, n := range s.nodes {
-				n.router.Report(s.time(), rep)
+				if !s.isCut(n.self, e.server.FailureDomain) {
+					n.router.Report(s.time(), rep)
+				}
 			}
 		})
 	}
@@ -378,6 +385,14 @@
 	run.ended = func() { back(func() { t.done(nil); t.end(nil) }) }
 	run.broken = func(err error) { back(func() { t.attemptFailed(err) }) }
 	engine := t.node.sim.engine(s.ID)
+	if t.node.sim.isCut(t.node.self, s.FailureDomain) {
+		t.node.sim.after(routingConnectTimeout, func() {
+			if t.run == run {
+				t.attemptFailed(turmericshed.NewError(turmericshed.KindNoBackend, "connection timed out"))
+			}
+		})
+		return
+	}
 	t.node.sim.after(delay, func() {
 		if run.canceled {
 			return
@@ -405,6 +420,11 @@
 	sim.after(routingBackOff, t.attempt)
 }
 
+// isCut reports whether a cut lies between two failure domains.
+func (s *routingSim) isCut(a, b turmericshed.FailureDomain) bool {
+	return a != b && (a == s.cut || b == s.cut)
+}
+
 // engine returns the engine with the id.
 func (s *routingSim) engine(id turmericshed.ServerID) *routingEngine {
 	for _, e := range s.engines {
