Fleet: list readings counted in the control bytes, rarer rotation

Cause: the experiment left out what reading the platform's list takes, and with it the largest node at 1,000 members came to 7.9 KB a second against 7. Change: list 1,000 bytes a second, probes outside the domain rotate every 40 s, relays verify at 700 bytes a second; the experiment counts the list.

--- a/core/tsmember/ring.go
+++ b/core/tsmember/ring.go
@@ -38,7 +38,7 @@
 	// remoteProbed bounds the members probed at present.
 	remoteProbed = 6
 	// rotatePeriod is the time after which one of them is replaced.
-	rotatePeriod = 20 * time.Second
+	rotatePeriod = 40 * time.Second
 )
 
 // refresh drops ended members, replaces one when due and fills up.
--- a/core/tsmember/servernews.go
+++ b/core/tsmember/servernews.go
@@ -16,19 +16,23 @@
 	listedEntryBytes  = 180
 	listedServerBytes = 220
 	// listBytesPerSecond is what reading the platform's list may take.
-	listBytesPerSecond = 1500
+	listBytesPerSecond = 1000
 	// leastReading is the least time between two readings of one process,
 	// and memberReading times the number of members the most.
 	leastReading  = time.Second
 	memberReading = 500 * time.Millisecond
 )
 
+// ListBytes estimates the size of a reading of the platform's list.
+func ListBytes(snap turmericshed.DirectorySnapshot) int {
+	return len(snap.Entries)*listedEntryBytes + len(snap.Servers)*listedServerBytes
+}
+
 // ReadingInterval returns how long to wait after a reading of the platform's
 // list, within a share of bytes. The members of a fleet together read it often;
 // each tells the others what changed.
 func ReadingInterval(snap turmericshed.DirectorySnapshot, members int) time.Duration {
-	size := len(snap.Entries)*listedEntryBytes + len(snap.Servers)*listedServerBytes
-	byBytes := time.Duration(size) * time.Second / listBytesPerSecond
+	byBytes := time.Duration(ListBytes(snap)) * time.Second / listBytesPerSecond
 	return max(leastReading, min(byBytes, time.Duration(members)*memberReading))
 }
 
--- a/io/tsprofiles/watch.go
+++ b/io/tsprofiles/watch.go
@@ -22,7 +22,7 @@
 	// small and in large fleets.
 	verifyPage       = 32
 	verifyBytesSmall = 2000
-	verifyBytesLarge = 1000
+	verifyBytesLarge = 700
 	verifyPause      = time.Second
 )
 
--- a/load/tsexperiment/fleet.go
+++ b/load/tsexperiment/fleet.go
@@ -15,6 +15,7 @@
 
 const (
 	designMembers  = 2600
+	designServers  = 7200
 	designProfiles = 47000
 	// Stated limits for one node.
 	limitBytesPerSecond = 7000
@@ -47,6 +48,9 @@
 	Parts FleetParts `json:"payload_parts"`
 	// Relays watch the store; their control bytes a second.
 	RelayBytesPerSecond float64 `json:"relay_control_bytes_per_second"`
+	// ListBytesPerSecond is what reading the platform's list takes; the
+	// control bytes hold it.
+	ListBytesPerSecond float64 `json:"list_bytes_per_second"`
 	// DecisionMicros is the measured time of the decisions and the encoding.
 	DecisionMicros  float64 `json:"decision_micros_per_second"`
 	ControlCPUShare float64 `json:"control_cpu_share"`
@@ -180,13 +184,24 @@
 			f.RelayBytesPerSecond += cost.bytes(float64(m.bytes), float64(m.calls)) / seconds
 		}
 	}
-	f.RelayBytesPerSecond = f.RelayBytesPerSecond/float64(max(f.StoreWatches, 1)) + cost.connections()
-	f.ControlBytesPerSecond = cost.bytes(f.PayloadBytesPerSecond, f.CallsPerSecond) + cost.connections()
-	f.ControlBytesPerSecondMax += cost.connections()
+	f.ListBytesPerSecond = listBytes(len(s.members))
+	f.RelayBytesPerSecond = f.RelayBytesPerSecond/float64(max(f.StoreWatches, 1)) + cost.connections() + f.ListBytesPerSecond
+	f.ControlBytesPerSecond = cost.bytes(f.PayloadBytesPerSecond, f.CallsPerSecond) + cost.connections() + f.ListBytesPerSecond
+	f.ControlBytesPerSecondMax += cost.connections() + f.ListBytesPerSecond
 	f.ControlCPUShare = (f.DecisionMicros + f.CallsPerSecond/2*cost.MicrosPerCall + cost.connectionMicros()) / 1e6
 	f.StoreReadsPerSecond = float64(s.store.reads) / seconds
 }
 
+// listBytes returns what reading the platform's list takes at one node, with
+// backend servers in the proportion of the design size.
+func listBytes(members int) float64 {
+	snap := turmericshed.DirectorySnapshot{
+		Entries: make([]turmericshed.EntryVM, members),
+		Servers: make([]turmericshed.BackendServer, members*designServers/designMembers),
+	}
+	return float64(tsmember.ListBytes(snap)) / tsmember.ReadingInterval(snap, members).Seconds()
+}
+
 // list returns the parts in the order of fleetPart.
 func (p *FleetParts) list() [partCount]*float64 {
 	return [partCount]*float64{&p.Probe, &p.Sync, &p.CatchUp, &p.Fetch, &p.Verify, &p.Watch}
