Fleet: small fleets read the platform's list within 2 s

Cause: the share of bytes made nine members read the list every 7 s, so that a leaving server could be seen too late today. Change: up to 24 members read every 0.65 to 1.95 s; larger fleets within 0.8 s times their members.

--- a/core/tsmember/servernews.go
+++ b/core/tsmember/servernews.go
@@ -17,10 +17,12 @@
 	listedServerBytes = 220
 	// listBytesPerSecond is what reading the platform's list may take.
 	listBytesPerSecond = 1000
-	// leastReading is the least time between two readings of one process,
-	// and memberReading times the number of members the most.
-	leastReading  = time.Second
-	memberReading = 500 * time.Millisecond
+	// smallFleet members read every smallReading, so that each sees within
+	// 2 s that a server leaves; larger fleets read within memberReading
+	// times their members.
+	smallFleet    = 24
+	smallReading  = 1300 * time.Millisecond
+	memberReading = 800 * time.Millisecond
 )
 
 // ListBytes estimates the size of a reading of the platform's list.
@@ -33,7 +35,10 @@
 // each tells the others what changed.
 func ReadingInterval(snap turmericshed.DirectorySnapshot, members int) time.Duration {
 	byBytes := time.Duration(ListBytes(snap)) * time.Second / listBytesPerSecond
-	return max(leastReading, min(byBytes, time.Duration(members)*memberReading))
+	if members <= smallFleet {
+		return smallReading
+	}
+	return max(smallReading, min(byBytes, time.Duration(members)*memberReading))
 }
 
 // ServerNews tells other entry VMs which backend servers were added or began
--- a/io/tsfleet/directory.go
+++ b/io/tsfleet/directory.go
@@ -115,11 +115,7 @@
 		return r.list.Join(cur, snap)
 	})
 	wait := tsmember.ReadingInterval(snap, 1+len(r.f.Reachable()))
-	if wait > directoryRetry {
-		// Spread the readings of the fleet.
-		wait = wait/2 + rand.N(wait)
-	}
-	return wait
+	return wait/2 + rand.N(wait) // spread over the fleet
 }
 
 // update changes the servers on the board.
--- a/io/tsprofiles/watch.go
+++ b/io/tsprofiles/watch.go
@@ -21,7 +21,7 @@
 	// list, and verifyBytes the bytes a second that verifying may take, in
 	// small and in large fleets.
 	verifyPage       = 32
-	verifyBytesSmall = 2000
+	verifyBytesSmall = 1000
 	verifyBytesLarge = 700
 	verifyPause      = time.Second
 )
