Fleet: small fleets read the platform's list each second again

Cause: TestSeparateProcesses found one entry VM without a server that was listed after its first reading; readings were up to 1.95 s apart. Change: one second without spreading up to 24 members.

--- a/core/tsmember/servernews.go
+++ b/core/tsmember/servernews.go
@@ -21,7 +21,7 @@
 	// 2 s that a server leaves; larger fleets read within memberReading
 	// times their members.
 	smallFleet    = 24
-	smallReading  = 1300 * time.Millisecond
+	smallReading  = time.Second
 	memberReading = 800 * time.Millisecond
 )
 
--- a/io/tsfleet/directory.go
+++ b/io/tsfleet/directory.go
@@ -115,7 +115,10 @@
 		return r.list.Join(cur, snap)
 	})
 	wait := tsmember.ReadingInterval(snap, 1+len(r.f.Reachable()))
-	return wait/2 + rand.N(wait) // spread over the fleet
+	if wait > directoryRetry {
+		wait = wait/2 + rand.N(wait) // spread over the fleet
+	}
+	return wait
 }
 
 // update changes the servers on the board.
