A replaced server is learned from its refusal; requests measured

The metrics of requests were never fed. Conclusion: a cut-off failure domain keeps its engines through their restarts.

--- a/io/tsbackend/client.go
+++ b/io/tsbackend/client.go
@@ -27,6 +27,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,21 @@
 // IsLeaving reports whether the server refused because it is going away.
 func IsLeaving(err error) bool { return errors.Is(err, ErrLeaving) }
 
+// ReplacedError tells that another server listens at the address now.
+type ReplacedError struct{ By turmericshed.ServerID }
+
+// Error names the server that answered.
+func (e *ReplacedError) Error() string { return "replaced by " + string(e.By) }
+
+// ReplacedBy returns the server that answered in place of the one called.
+func ReplacedBy(err error) (turmericshed.ServerID, bool) {
+	var r *ReplacedError
+	if !errors.As(err, &r) || r.By == "" {
+		return "", false
+	}
+	return r.By, true
+}
+
 // Options sets up the clients.
 type Options struct {
 	// Dial opens connections; nil means a net.Dialer.
@@ -169,7 +185,8 @@
 	case CodeBusy, CodeBarred:
 		return turmericshed.NewError(turmericshed.KindBackendRefused, "%s: %s", id, d.Message)
 	case CodeOther:
-		return turmericshed.NewError(turmericshed.KindNoBackend, "%s was replaced", id)
+		by := strings.TrimPrefix(d.Message, OtherServerPrefix)
+		return turmericshed.WrapError(turmericshed.KindNoBackend, &ReplacedError{By: turmericshed.ServerID(by)}, "%s", id)
 	case CodeInvalid:
 		return turmericshed.NewError(turmericshed.KindBadRequest, "%s: %s", id, d.Message)
 	case CodeNotFound:
--- a/io/tsbackend/wire.go
+++ b/io/tsbackend/wire.go
@@ -43,6 +43,9 @@
 	CodeInvalid   = "invalid"
 )
 
+// OtherServerPrefix goes before the server's ID in the message of CodeOther.
+const OtherServerPrefix = "this is "
+
 // ErrorAnswer is the body of an answer that refuses a call.
 type ErrorAnswer struct {
 	Error ErrorDetail `json:"error"`
--- a/io/tsentry/answer.go
+++ b/io/tsentry/answer.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"turmericshed"
 )
@@ -49,6 +50,7 @@
 		Name: turmericshed.EventRequestRefused, Request: req.id, Profile: req.profile.Name,
 		Account: req.account, Reason: body.Error.Kind + ": " + err.Error(),
 	})
+	e.measure(req, turmericshed.KindOf(err), 0)
 	w.Header().Set(headerOutcome, string(body.Error.Outcome))
 	if wait := turmericshed.RetryAfterOf(err); wait > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
@@ -56,6 +58,15 @@
 	writeJSON(w, status, body)
 }
 
+// measure counts an ended request. Requests without a profile are not
+// counted by work.
+func (e *Entry) measure(req request, kind turmericshed.Kind, firstByte time.Duration) {
+	if req.profile.Name == "" {
+		return
+	}
+	e.deps.Measure.Request(req.profile.Work, kind, firstByte, time.Since(req.received))
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/io/tsentry/call.go
+++ b/io/tsentry/call.go
@@ -46,6 +46,7 @@
 	w.Header().Set(headerOutcome, string(turmericshed.OutcomeRan))
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
+	e.measure(req, turmericshed.KindNone, time.Since(req.received))
 	e.deps.Recorder.Record(turmericshed.Event{
 		Name: turmericshed.EventRequestAnswered, Request: req.id, Profile: req.profile.Name, Account: req.account,
 	})
@@ -224,6 +225,7 @@
 	})
 	if err != nil {
 		c.route.Excluded = append(c.route.Excluded, server.ID)
+		c.e.learnReplacement(server, err)
 	}
 	return answer, err
 }
--- a/io/tsentry/chat.go
+++ b/io/tsentry/chat.go
@@ -175,7 +175,7 @@
 		out.Choices = []chatChoice{{Message: &chatMessage{Role: "assistant", Content: text.String()}, FinishReason: &f.Finish}}
 		out.Usage = &chatUsage{Usage: f.Usage, Total: f.Usage.Total()}
 		writeJSON(w, http.StatusOK, out)
-		e.answered(req, a)
+		e.answered(req, a, time.Since(req.received))
 		return
 	}
 }
@@ -186,13 +186,16 @@
 	rd := e.newReader(a, 0)
 	defer rd.close()
 	rc := http.NewResponseController(w)
+	var firstByte time.Duration
+	last := req.received
 	for first := true; ; first = false {
 		f, err := rd.next(r.Context())
+		now := time.Now()
 		if err != nil && first {
 			e.refuse(w, req, err)
 			return
 		}
-		_ = rc.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
+		_ = rc.SetWriteDeadline(now.Add(streamWriteTimeout))
 		if err != nil {
 			_, body := describe(req.id, err)
 			writeEvent(w, body)
@@ -200,9 +203,13 @@
 			return
 		}
 		if first {
+			firstByte = now.Sub(req.received)
 			w.Header().Set("Content-Type", "text/event-stream")
 			w.Header().Set("Cache-Control", "no-store")
+		} else {
+			e.deps.Measure.TokenGap(now.Sub(last))
 		}
+		last = now
 		e.writeFrame(w, chat, a, f)
 		if !f.End && rd.ready() {
 			continue
@@ -211,7 +218,7 @@
 			return
 		}
 		if f.End {
-			e.answered(req, a)
+			e.answered(req, a, firstByte)
 			return
 		}
 	}
@@ -246,7 +253,8 @@
 }
 
 // answered records that the caller got its whole answer.
-func (e *Entry) answered(req request, a *answer) {
+func (e *Entry) answered(req request, a *answer, firstByte time.Duration) {
+	e.measure(req, turmericshed.KindNone, firstByte)
 	e.deps.Recorder.Record(turmericshed.Event{
 		Name: turmericshed.EventRequestAnswered, Request: req.id, Profile: req.profile.Name,
 		Account: req.account, Reason: "generation " + string(a.request),
--- a/io/tsentry/entry.go
+++ b/io/tsentry/entry.go
@@ -35,6 +35,14 @@
 	Allow(now time.Time) bool
 }
 
+// Measure takes measurements of requests; it never blocks.
+type Measure interface {
+	// Request counts one ended request; a firstByte of 0 means no answer.
+	Request(work turmericshed.WorkKind, kind turmericshed.Kind, firstByte, elapsed time.Duration)
+	// TokenGap counts the time between two frames of a stream.
+	TokenGap(d time.Duration)
+}
+
 // Deps are the parts that an entry VM works with.
 type Deps struct {
 	Board      *tsboard.Board
@@ -51,6 +59,7 @@
 	Engine     turmericshed.Engine
 	Service    turmericshed.Service
 	Recorder   turmericshed.Recorder
+	Measure    Measure
 	Log        *slog.Logger
 	// Metrics and Timeline serve /metrics and /operator/timeline.
 	Metrics  http.Handler
--- a/io/tsentry/entry_test.go
+++ b/io/tsentry/entry_test.go
@@ -15,10 +15,12 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
 	"turmericshed/core/tsboard"
+	"turmericshed/io/tsbackend"
 	"turmericshed/io/tsentry"
 )
 
@@ -181,8 +183,11 @@
 	return nil
 }
 func (fakeGate) Ended(time.Time, turmericshed.Digest, turmericshed.ServerID, bool) {}
-func (fakeGate) Sent(time.Time)                                                    {}
-func (fakeGate) Allow(time.Time) bool                                              { return true }
+func (fakeGate) TokenGap(time.Duration)                                            {}
+func (fakeGate) Request(turmericshed.WorkKind, turmericshed.Kind, time.Duration, time.Duration) {
+}
+func (fakeGate) Sent(time.Time)       {}
+func (fakeGate) Allow(time.Time) bool { return true }
 
 type fakeEngine struct {
 	turmericshed.Engine
@@ -265,6 +270,7 @@
 // rig is an entry VM's handler over fakes.
 type rig struct {
 	*fakes
+	board   *tsboard.Board
 	h       http.Handler
 	entry   *tsentry.Entry
 	members *fakeMembers
@@ -275,10 +281,11 @@
 	f := &fakes{open: map[string]turmericshed.Tokens{}, claimed: map[string]turmericshed.Answer{}}
 	account, err := json.Marshal(turmericshed.Account{ID: "shop", KeyHashes: []string{tsentry.HashKey(testKey)}})
 	assert.NilError(t, err)
+	board := &tsboard.Board{}
 	members := &fakeMembers{all: []turmericshed.EntryVM{{Incarnation: "inc-1"}}}
 	limits := []turmericshed.AccountLimit{{Account: "shop"}}
 	deps := tsentry.Deps{
-		Board: &tsboard.Board{}, Members: members, Peers: fakePeers{}, Store: fakeStore{accounts: map[string][]byte{"accounts/shop": account}},
+		Board: board, Members: members, Peers: fakePeers{}, Store: fakeStore{accounts: map[string][]byte{"accounts/shop": account}},
 		Profiles: fakeProfiles{
 			"assist": {Name: "assist", Work: turmericshed.WorkAssistant, Model: "m", Prepaid: prepaid, Accounts: limits},
 			"book":   {Name: "book", Work: turmericshed.WorkService, Services: []string{"bookings"}, Prepaid: prepaid, CallCost: 1, Accounts: limits},
@@ -286,13 +293,13 @@
 		},
 		Budgets: fakeBudgets{f}, Claims: fakeClaims{f}, Router: fakeRouter{}, Admission: fakeGate{},
 		Quarantine: fakeGate{}, Retries: fakeGate{}, Engine: fakeEngine{fakes: f}, Service: fakeService{fakes: f},
-		Recorder: f, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Recorder: f, Measure: fakeGate{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	for _, change := range changes {
 		change(&deps)
 	}
 	e := tsentry.New(tsentry.Config{DefaultDeadline: 5 * time.Second}, deps)
-	return &rig{fakes: f, h: e.Handler(), entry: e, members: members}
+	return &rig{fakes: f, board: board, h: e.Handler(), entry: e, members: members}
 }
 
 func (r *rig) do(method, path, profile, body string, headers ...string) *httptest.ResponseRecorder {
@@ -439,6 +446,14 @@
 		r.assertCharged(t, 5)
 		assert.Equal(t, r.sent, 2)
 	})
+	t.Run("a server in place of another is learned from its refusal", func(t *testing.T) {
+		r := newRig(t, 1000)
+		r.board.Servers.Write([]turmericshed.BackendServer{{ID: "s0", Leaving: true}, {ID: "s9"}})
+		r.genErr = []error{turmericshed.WrapError(turmericshed.KindNoBackend, &tsbackend.ReplacedError{By: "s0-2"}, "s0")}
+		r.script = [][]turmericshed.Frame{wholeScript()}
+		assert.Equal(t, r.chat(goodChat).Code, http.StatusOK)
+		assert.DeepEqual(t, r.board.Servers.Read(), []turmericshed.BackendServer{{ID: "s0-2"}, {ID: "s9"}}, cmpopts.EquateComparable(netip.AddrPort{}))
+	})
 	t.Run("a refusal after a lost attempt does not say not_run", func(t *testing.T) {
 		r := newRig(t, 200)
 		broken := turmericshed.NewError(turmericshed.KindStreamBroken, "no answer")
--- a/io/tsentry/generate.go
+++ b/io/tsentry/generate.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
 	"turmericshed"
 	"turmericshed/core/tsframe"
+	"turmericshed/io/tsbackend"
 )
 
 // Bounds on attempts.
@@ -245,6 +247,7 @@
 	e.deps.Router.Done(time.Now(), at.server.ID, at.route, turmericshed.DispatchResult{
 		Err: err, FirstByte: at.first, Elapsed: time.Since(at.began), Tokens: at.check.Tokens(),
 	})
+	e.learnReplacement(at.server, err)
 	switch {
 	case at.settled:
 	case at.notRun(err):
@@ -255,6 +258,27 @@
 	}
 }
 
+// learnReplacement posts the server that answered in place of the one called.
+// A failure domain that is cut off can't read the platform's list.
+func (e *Entry) learnReplacement(old turmericshed.BackendServer, err error) {
+	by, ok := tsbackend.ReplacedBy(err)
+	if !ok {
+		return
+	}
+	e.deps.Board.Servers.Update(func(cur []turmericshed.BackendServer) []turmericshed.BackendServer {
+		if slices.ContainsFunc(cur, func(s turmericshed.BackendServer) bool { return s.ID == by }) {
+			return cur
+		}
+		next := slices.Clone(cur)
+		for i := range next {
+			if next[i].ID == old.ID {
+				next[i].ID, next[i].Leaving = by, false
+			}
+		}
+		return next
+	})
+}
+
 // settleWhole charges and bills a whole answer before its end frame goes out,
 // so that a caller with its answer has been billed. A generation that runs
 // elsewhere is billed there.
--- a/io/tsentry/request.go
+++ b/io/tsentry/request.go
@@ -43,11 +43,12 @@
 	deadline time.Time
 	body     []byte
 	digest   turmericshed.Digest
+	received time.Time
 }
 
 // prepare authenticates the caller, finds its profile and reads the body.
 func (e *Entry) prepare(w http.ResponseWriter, r *http.Request) (request, error) {
-	req := request{id: turmericshed.RequestID(turmericshed.NewID("req-"))}
+	req := request{id: turmericshed.RequestID(turmericshed.NewID("req-")), received: time.Now()}
 	w.Header().Set(headerRequestID, string(req.id))
 	account, err := e.accounts.authenticate(r.Context(), r.Header.Get("Authorization"))
 	if err != nil {
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -298,7 +298,7 @@
 		Budgets: b.holder, Claims: b.calls, Router: b.pool, Service: b.service,
 		Engine: b.engine, Quarantine: b.quarantine, Retries: tsrouting.NewRetries(retryShare),
 		Admission: queue,
-		Recorder:  b.recorder, Log: tsobserve.Part(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), Timeline: b.recorder.Handler(),
+		Recorder:  b.recorder, Log: tsobserve.Part(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), Measure: b.metrics, Timeline: b.recorder.Handler(),
 		Controllers: controllers,
 	}
 }
--- a/standin/tsnode/node.go
+++ b/standin/tsnode/node.go
@@ -208,7 +208,7 @@
 func (n *Node) guard(id turmericshed.ServerID, app App) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if want := r.Header.Get(tsbackend.HeaderServer); want != "" && want != string(id) {
-			Refuse(w, http.StatusMisdirectedRequest, tsbackend.CodeOther, "this is "+string(id))
+			Refuse(w, http.StatusMisdirectedRequest, tsbackend.CodeOther, tsbackend.OtherServerPrefix+string(id))
 			return
 		}
 		app.ServeHTTP(w, r)
