Metrics of attempts at backend servers, fed by the router's pool

Attempts by kind of work and error kind, and the time to the first byte from the server; with the entry VM's own figures they tell a slow server from a long queue.

--- a/io/tsobserve/metrics.go
+++ b/io/tsobserve/metrics.go
@@ -17,7 +17,9 @@
 	registry     *prometheus.Registry
 	events       *prometheus.CounterVec
 	tokens       *prometheus.CounterVec
+	attempts     *prometheus.CounterVec
 	requests     *prometheus.CounterVec
+	dispatchByte *prometheus.HistogramVec
 	firstByte    *prometheus.HistogramVec
 	elapsed      *prometheus.HistogramVec
 	queueWait    *prometheus.HistogramVec
@@ -39,6 +41,12 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "turmericshed_requests_total", Help: "Requests by kind of work and error kind; none is a whole answer.",
 		}, []string{"work", "kind"}),
+		dispatchByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "turmericshed_attempt_first_byte_seconds", Help: "Time from dispatch to the first byte from the backend server.", Buckets: seconds,
+		}, []string{"work"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "turmericshed_attempts_total", Help: "Attempts at backend servers by kind of work and error kind; none is a whole answer.",
+		}, []string{"work", "kind"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "turmericshed_first_byte_seconds", Help: "Time from receipt to the first byte of the answer.", Buckets: seconds,
 		}, []string{"work"}),
@@ -55,7 +63,7 @@
 			Name: "turmericshed_clock_refused_total", Help: "Remote clock stamps too far ahead to follow.",
 		}),
 	}
-	m.registry.MustRegister(m.events, m.tokens, m.requests, m.firstByte, m.elapsed, m.queueWait, m.tokenGap, m.clockRefused,
+	m.registry.MustRegister(m.events, m.tokens, m.requests, m.attempts, m.dispatchByte, m.firstByte, m.elapsed, m.queueWait, m.tokenGap, m.clockRefused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -78,14 +86,22 @@
 	m.elapsed.WithLabelValues(string(work)).Observe(elapsed.Seconds())
 }
 
+// TokenGap counts the time between two frames of a stream.
+func (m *Metrics) TokenGap(d time.Duration) { m.tokenGap.Observe(d.Seconds()) }
+
+// Attempt counts one ended attempt at a backend server.
+func (m *Metrics) Attempt(r turmericshed.RouteRequest, res turmericshed.DispatchResult) {
+	m.attempts.WithLabelValues(string(r.Work), turmericshed.KindOf(res.Err).String()).Inc()
+	if res.FirstByte > 0 {
+		m.dispatchByte.WithLabelValues(string(r.Work)).Observe(res.FirstByte.Seconds())
+	}
+}
+
 // QueueWait counts the time that a request spent in the admission queue.
 func (m *Metrics) QueueWait(work turmericshed.WorkKind, d time.Duration) {
 	m.queueWait.WithLabelValues(string(work)).Observe(d.Seconds())
 }
 
-// TokenGap counts the time between two frames of a stream.
-func (m *Metrics) TokenGap(d time.Duration) { m.tokenGap.Observe(d.Seconds()) }
-
 func (m *Metrics) countEvent(e turmericshed.Event) {
 	m.events.WithLabelValues(string(e.Name)).Inc()
 	if e.Tokens > 0 {
--- a/io/tsobserve/recorder_test.go
+++ b/io/tsobserve/recorder_test.go
@@ -88,12 +88,18 @@
 	r := newRecorder("x", epoch, m)
 	r.Record(turmericshed.Event{Name: turmericshed.EventLotDrawn, Tokens: 40})
 	m.Request(turmericshed.WorkAssistant, turmericshed.KindNone, time.Millisecond, time.Second)
+	m.Attempt(turmericshed.RouteRequest{Work: turmericshed.WorkAssistant}, turmericshed.DispatchResult{
+		FirstByte: 100 * time.Millisecond, Elapsed: time.Second, Tokens: 10,
+	})
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, line := range []string{
 		`turmericshed_events_total{event="lot_drawn"} 1`,
 		`turmericshed_event_tokens_total{event="lot_drawn"} 40`,
+		`turmericshed_attempts_total{kind="none",work="assistant"} 1`,
+		`turmericshed_attempt_first_byte_seconds_sum{work="assistant"} 0.1`,
 		`turmericshed_requests_total{kind="none",work="assistant"} 1`,
+		`turmericshed_first_byte_seconds_sum{work="assistant"} 0.001`,
 	} {
 		t.Run(line, func(t *testing.T) { assert.Assert(t, strings.Contains(w.Body.String(), line)) })
 	}
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -273,6 +273,7 @@
 	b.engine = tsbackend.NewEngine(tsbackend.Options{Dial: b.opts.Dial})
 	b.pool = tsrouting.NewPool(tsrouting.PoolConfig{
 		Self: b.self.FailureDomain, Region: b.self.Region, Board: b.board, Loads: b.engine, Recorder: b.recorder,
+		Attempted: b.metrics.Attempt,
 	})
 	return nil
 }
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -39,6 +39,8 @@
 	Loads    turmericshed.LoadReader
 	Rand     *rand.Rand
 	Recorder turmericshed.Recorder
+	// Attempted is told of each ended attempt; may be nil.
+	Attempted func(turmericshed.RouteRequest, turmericshed.DispatchResult)
 }
 
 // Pool is a router that is safe for concurrent use and follows the blackboard.
@@ -111,6 +113,9 @@
 // Done ends an attempt counted by Pick. A refusal that tells that the server
 // is leaving takes it out.
 func (p *Pool) Done(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest, res turmericshed.DispatchResult) {
+	if p.cfg.Attempted != nil {
+		p.cfg.Attempted(r, res)
+	}
 	if tsbackend.IsLeaving(res.Err) {
 		p.SetLeaving(now, id)
 	}
