Fuzz targets for callers' bodies and keys

Cause: the decoders that take callers' bytes had tables of cases only. Change: FuzzChatBody and FuzzAuthorization through the whole handler; make fuzz runs every target.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,11 @@
 	protoc --go_out=. --go_opt=module=turmericshed \
 		--connect-go_out=. --connect-go_opt=module=turmericshed,package_suffix \
 		api/*.proto
+fuzz:
+	@grep -rlE '^func Fuzz' --include=*_test.go . | while read -r f; do \
+		for t in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' $$f); do \
+			$(GO) test -run '^$$' -fuzz "^$$t$$" -fuzztime 20s ./$$(dirname $$f) || exit 1; \
+		done; done
 known-red:
 	@awk -F' *\\| *' '/^[^\#]/ && NF>1 {print $$2}' KNOWN-RED.txt | while read -r c; do echo "known red: $$c"; sh -c "$$c" || true; done
 tools:
--- /dev/null
+++ b/io/tsentry/fuzz_test.go
@@ -0,0 +1,47 @@
+package tsentry_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// FuzzChatBody sends any body: the answer is whole or a refusal from the
+// table, and a refusal leaves nothing charged.
+func FuzzChatBody(f *testing.F) {
+	for _, s := range []string{goodChat, `{}`, `{"messages":[{"role":"user"}],"max_tokens":null}`, `[`, "\xff", `{"messages":[{}],"stream":1}`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r := newRig(t, 10)
+		w := r.chat(string(body))
+		if w.Code == http.StatusOK {
+			return
+		}
+		var refusal struct {
+			Error struct{ Kind, Outcome string }
+		}
+		assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &refusal), w.Body.String())
+		assert.Assert(t, refusal.Error.Kind != "" && refusal.Error.Outcome == "not_run", w.Body.String())
+		r.assertCharged(t, 0)
+	})
+}
+
+// FuzzAuthorization sends any Authorization header: none but the key passes.
+func FuzzAuthorization(f *testing.F) {
+	for _, s := range []string{"Bearer " + testKey, "bearer ts.shop.", "Bearer ts..x", "Bearer ts.shop/../x.y", "Basic x", "beareR " + testKey, ""} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, header string) {
+		r := newRig(t, 1)
+		w := r.chat(goodChat, "Authorization", header)
+		scheme, key, _ := strings.Cut(header, " ")
+		if strings.EqualFold(scheme, "Bearer") && key == testKey {
+			return
+		}
+		assert.Equal(t, w.Code, http.StatusUnauthorized)
+	})
+}
