--- a/core/tsadmit/estimate.go
+++ b/core/tsadmit/estimate.go
@@ -62,6 +62,17 @@
 	return !r.Deadline.IsZero() && now.Add(q.need()).After(r.Deadline)
 }
 
+// until returns when r can no longer end in time; zero for never.
+func (q *Queue) until(r turmericshed.AdmitRequest) time.Time {
+	if r.Deadline.IsZero() {
+		return time.Time{}
+	}
+	if q.cfg.Patient {
+		return r.Deadline
+	}
+	return r.Deadline.Add(-q.need())
+}
+
 // need is the time that a request needs at least once it runs.
 func (q *Queue) need() time.Duration {
 	return time.Duration(runShare * float64(q.run))
--- a/core/tsadmit/queue.go
+++ b/core/tsadmit/queue.go
@@ -48,7 +48,10 @@
 type Decision struct {
 	Ticket  Ticket
 	Verdict Verdict
-	Err     error
+	// Until is, for Queued, when the request can no longer end in time; it is
+	// to be canceled then. Zero for never.
+	Until time.Time
+	Err   error
 }
 
 // Config holds the settings of a Queue. Zero values take the defaults.
@@ -148,7 +151,7 @@
 			return append([]Decision{d}, append(more[:i:i], more[i+1:]...)...)
 		}
 	}
-	return append([]Decision{{Ticket: t, Verdict: Queued}}, more...)
+	return append([]Decision{{Ticket: t, Verdict: Queued, Until: q.until(r)}}, more...)
 }
 
 // Release ends an admitted request and returns the decisions that follow.
--- a/io/tsrouting/queue.go
+++ b/io/tsrouting/queue.go
@@ -25,8 +25,12 @@
 	"turmericshed/core/tsboard"
 )
 
-// limitInterval is how often the overload control looks at the load.
-const limitInterval = 250 * time.Millisecond
+const (
+	// limitInterval is how often the overload control looks at the load.
+	limitInterval = 250 * time.Millisecond
+	// lateRetry is the advice after a wait that led to nothing.
+	lateRetry = time.Second
+)
 
 // QueueConfig holds what a Queue needs. Zero settings take defaults.
 type QueueConfig struct {
@@ -80,8 +84,8 @@
 	}
 	r.Limit.RequestsPerSecond /= float64(q.sharers())
 	began := time.Now()
-	l, t, decided := q.offer(began, r)
-	d, err := await(ctx, r.Deadline, decided)
+	l, t, until, decided := q.offer(began, r)
+	d, err := await(ctx, until, decided)
 	if err != nil {
 		return nil, q.giveUp(l, t, decided, err)
 	}
@@ -108,8 +112,9 @@
 	return n
 }
 
-// offer asks for a place and returns the channel of the decision.
-func (q *Queue) offer(now time.Time, r turmericshed.AdmitRequest) (*lane, tsadmit.Ticket, chan tsadmit.Decision) {
+// offer asks for a place and returns the channel of the decision, and until
+// when it is worth waiting for.
+func (q *Queue) offer(now time.Time, r turmericshed.AdmitRequest) (*lane, tsadmit.Ticket, time.Time, chan tsadmit.Decision) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	l := q.lanes[r.Work]
@@ -124,8 +129,9 @@
 	q.ticket++
 	t, decided := q.ticket, make(chan tsadmit.Decision, 1)
 	l.waiters[t] = decided
-	l.tell(l.queue.Offer(now, t, r))
-	return l, t, decided
+	ds := l.queue.Offer(now, t, r)
+	l.tell(ds)
+	return l, t, ds[0].Until, decided
 }
 
 // release gives a place back.
@@ -163,16 +169,16 @@
 	}
 }
 
-// await blocks until the decision, the end of ctx, or the deadline.
-func await(ctx context.Context, deadline time.Time, decided <-chan tsadmit.Decision) (tsadmit.Decision, error) {
+// await blocks until the decision, the end of ctx, or the given time.
+func await(ctx context.Context, until time.Time, decided <-chan tsadmit.Decision) (tsadmit.Decision, error) {
 	select {
 	case d := <-decided:
 		return d, nil
 	default:
 	}
 	var late <-chan time.Time
-	if !deadline.IsZero() {
-		t := time.NewTimer(time.Until(deadline))
+	if !until.IsZero() {
+		t := time.NewTimer(time.Until(until))
 		defer t.Stop()
 		late = t.C
 	}
@@ -180,7 +186,8 @@
 	case d := <-decided:
 		return d, nil
 	case <-late:
-		return tsadmit.Decision{}, turmericshed.NewError(turmericshed.KindDeadline, "deadline passed in the queue")
+		err := turmericshed.NewError(turmericshed.KindDeadline, "the deadline can't be met after waiting")
+		return tsadmit.Decision{}, turmericshed.WithRetryAfter(err, lateRetry)
 	case <-ctx.Done():
 		return tsadmit.Decision{}, contextError(ctx)
 	}
