Soak: retries join through tsdedupe, a generation begins once a key

Cause: retries at the same entry VM started generations of their own, which the entry does not do. Change: VMs of the soak use core/tsdedupe; a second generation under one key at one VM within 50 s ends the run, unless the first failed.

--- a/load/tssoak/book.go
+++ b/load/tssoak/book.go
@@ -2,11 +2,16 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"turmericshed"
 	"turmericshed/core/tsbudget"
 )
 
+// dedupeFor is how long after its beginning a generation is surely found by
+// a retry at the same VM.
+const dedupeFor = 50 * time.Second
+
 // books are kept by the engines, services and callers, apart from the code
 // that is tested.
 type books struct {
@@ -20,6 +25,11 @@
 	// told are the calls whose callers were told that they did not run.
 	told    map[string]bool
 	dropped int
+	// begun tells when a generation last began at a VM under a key, while it
+	// has not failed.
+	begun map[string]time.Time
+	// joined counts attempts that joined a generation under their key.
+	joined int
 
 	Requests int
 	Answered int
@@ -35,7 +45,7 @@
 	return books{
 		consumed: map[turmericshed.BudgetID]turmericshed.Tokens{}, streams: map[turmericshed.StreamID]turmericshed.Tokens{},
 		billed: map[turmericshed.StreamID]turmericshed.Tokens{}, poisoned: map[turmericshed.Digest]int{},
-		runs: map[string]int{}, told: map[string]bool{}, Refused: map[string]int{},
+		runs: map[string]int{}, told: map[string]bool{}, begun: map[string]time.Time{}, Refused: map[string]int{},
 	}
 }
 
@@ -97,3 +107,11 @@
 	}
 	return sum
 }
+
+// begin counts a generation that begins at a VM: none may run or be whole
+// there under the same key.
+func (b *books) begin(w *world, key string) {
+	at, ok := b.begun[key]
+	turmericshed.Assert(!ok || w.now.Sub(at) > dedupeFor, "generated_once", "%s began at %s and again at %s", key, at, w.now)
+	b.begun[key] = w.now
+}
--- a/load/tssoak/generate.go
+++ b/load/tssoak/generate.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"turmericshed"
 	"turmericshed/core/tsbudget"
+	"turmericshed/core/tsdedupe"
 	"turmericshed/core/tsframe"
 )
 
@@ -34,6 +36,8 @@
 	n    int
 	ran  bool
 	done bool
+	// shared is what attempts under the same key read.
+	shared *tsdedupe.Stream[*generation]
 	// excluded are the engines that failed the request.
 	excluded []turmericshed.ServerID
 }
@@ -45,7 +49,6 @@
 	stream   turmericshed.StreamID
 	res      turmericshed.Reservation
 	checker  *tsframe.Checker
-	text     string
 	resumes  int
 	began    time.Time
 	heard    time.Time
@@ -70,8 +73,49 @@
 			g.refuse(err)
 			return
 		}
-		g.b = v.balance(p)
+		g.join(t)
+	}
+}
+
+// join takes part in the generation that runs under the same key, or begins
+// one.
+func (g *generation) join(t *callerTry) {
+	v := g.v
+	s, joined, err := v.dedupe.Join(v.w.now, g.req.account, g.req.key, g.req.digest)
+	if err != nil {
+		g.refuse(err)
+		return
+	}
+	if !joined {
+		s.Handle, g.shared, g.b = g, s, v.balance(g.p)
+		v.w.books.begin(v.w, g.bookKey())
 		g.reserve(t.deadline)
+		return
+	}
+	v.running--
+	v.w.books.joined++
+	t.work = s.Handle
+	if s.Ended() {
+		s.Handle.answer()
+	}
+}
+
+// bookKey names the request at this VM.
+func (g *generation) bookKey() string { return string(g.v.self.Incarnation) + " " + g.req.key }
+
+// answer tells the caller the whole answer, frame by frame from the start.
+func (g *generation) answer() {
+	var text strings.Builder
+	for pos := 0; ; pos++ {
+		f, state := g.shared.Read(pos)
+		if state != tsdedupe.ReadFrame {
+			turmericshed.Assert(state == tsdedupe.ReadEnd, "answer_kept", "%s: state %d at frame %d", g.req.key, state, pos)
+			return
+		}
+		text.WriteString(f.Text)
+		if f.End {
+			g.req.answered(g, text.String(), f.Usage)
+		}
 	}
 }
 
@@ -92,6 +136,10 @@
 	}
 	g.done = true
 	g.v.running--
+	if g.shared != nil {
+		g.shared.Fail(g.v.w.now, err)
+		delete(g.v.w.books.begun, g.bookKey())
+	}
 	if g.ran && turmericshed.OutcomeOf(err) == turmericshed.OutcomeNotRun {
 		err = turmericshed.WithOutcome(err, turmericshed.OutcomeUnknown)
 	}
@@ -221,7 +269,9 @@
 		t.g.v.w.books.dropped++
 	default:
 		t.heard = t.g.v.w.now
-		t.text += f.Text
+		if !t.g.done {
+			t.g.shared.Append(t.g.v.w.now, f)
+		}
 		if f.End {
 			t.whole()
 		}
@@ -241,7 +291,7 @@
 	if !g.done {
 		g.done = true
 		v.running--
-		g.req.answered(g, t.text, usage)
+		g.answer()
 	}
 }
 
--- a/load/tssoak/soak.go
+++ b/load/tssoak/soak.go
@@ -71,6 +71,8 @@
 	// Burnt was charged without a bill.
 	Burnt   turmericshed.Tokens `json:"burnt_tokens"`
 	Dropped int                 `json:"dropped_frames"`
+	// Joined counts attempts that joined a generation under their key.
+	Joined int `json:"joined_attempts"`
 	// Digest is of the whole time line.
 	Digest string `json:"digest"`
 	// Failure names the invariant that broke; TimeLine are the last lines
@@ -166,7 +168,7 @@
 	r := Report{
 		Seed: w.o.Seed, Duration: turmericshed.Duration(w.o.Duration), Steps: w.steps, Requests: b.Requests, Answered: b.Answered,
 		Refused: b.Refused, Failed: b.Failed, Unknown: b.Unknown, Calls: b.Calls, Edits: b.Edits, Lost: b.Conflict,
-		Dropped: b.dropped, Failure: failure, Digest: fmt.Sprintf("%016x", w.digest.Sum64()),
+		Dropped: b.dropped, Joined: b.joined, Failure: failure, Digest: fmt.Sprintf("%016x", w.digest.Sum64()),
 	}
 	for _, n := range b.consumed {
 		r.Consumed += n
--- a/load/tssoak/vm.go
+++ b/load/tssoak/vm.go
@@ -10,6 +10,7 @@
 	"turmericshed"
 	"turmericshed/core/tsbudget"
 	"turmericshed/core/tsclaim"
+	"turmericshed/core/tsdedupe"
 	"turmericshed/core/tsmember"
 	"turmericshed/core/tspoison"
 	"turmericshed/core/tsprofile"
@@ -52,6 +53,7 @@
 	watch   *tsplatform.Watcher
 	poison  *tspoison.Tracker
 	calls   map[tsclaim.ID]*record
+	dedupe  *tsdedupe.Table[*generation]
 	// running counts the requests that have no answer yet.
 	running int
 }
@@ -72,6 +74,7 @@
 		refused:  map[turmericshed.ServerID]bool{},
 		poison:   tspoison.NewTracker(),
 		calls:    map[tsclaim.ID]*record{},
+		dedupe:   tsdedupe.NewTable[*generation](),
 	}
 	v.members = tsmember.New(tsmember.Config{Self: v.self, Epoch: uint64(w.now.UnixMilli()), Rand: w.rnd}, w.now)
 	v.router = tsroute.New(tsroute.Config{Self: v.self.FailureDomain, Rand: w.rnd})
