--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -19,6 +19,7 @@
  *   DOUBT_LIFTED     "not held" also lifts a doubt
  *   PERSON_FREES     a person's "not run" lets retries run the call
  *   LATE_RECORD      a runner notes its claim after the write, not before
+ *   FORGET_EARLY     a runner drops its note before the outcome is written
  * REDELIVER adds an owner that works once more on a claim whose asker has left.
  */
 /* check holds: CLAIM_BASE */
@@ -32,6 +33,7 @@
 /* check fails: DOUBT_LIFTED */
 /* check fails: PERSON_FREES */
 /* check fails: LATE_RECORD */
+/* check fails: FORGET_EARLY */
 #ifndef ATTEMPTS
 #define ATTEMPTS 2
 #endif
@@ -234,6 +236,9 @@
 		:: refuse(c); op = ABANDON /* refused by the service */
 		fi
 	};
+#ifdef FORGET_EARLY
+	record[c] = false;
+#endif
 outcome:
 	pick(o);
 	commit(op, c, o, ok, ignored_state, ignored_claim);
