Claims: heads seal at 32 KB

Cause: at 1,000 claims a second heads of up to 64 KB cost 5.7 MB of writes a second. Change: settled entries move to the tail at 32 KB. Experiment calls tells calls settled after their caller gave up, and those that never ran. Conclusion: 32 KB.

--- a/core/tsclaim/head.go
+++ b/core/tsclaim/head.go
@@ -19,7 +19,7 @@
 	maxInlineAnswer = 2 << 10
 	// sealHeadBytes is the size of a head's settled entries above which they
 	// move to the tail segment.
-	sealHeadBytes = 64 << 10
+	sealHeadBytes = 32 << 10
 	// sealAge is the age above which settled entries move to the tail.
 	sealAge = 6 * time.Hour
 	// rollSegmentBytes is the size above which the tail is closed.
--- a/load/tsexperiment/calls.go
+++ b/load/tsexperiment/calls.go
@@ -33,6 +33,11 @@
 	Answered int     `json:"answered"`
 	Refused  int     `json:"refused"`
 	InDoubt  int     `json:"in_doubt"`
+	// SettledLater were placed and settled after their caller had given up.
+	SettledLater int `json:"settled_later"`
+	// UnplacedAfterUnknown never ran, and their caller gave up on unknown
+	// before that was certain.
+	UnplacedAfterUnknown int `json:"unplaced_after_unknown"`
 
 	DoubledCalls   int `json:"doubled_calls"`
 	LostCalls      int `json:"lost_calls"`
--- a/load/tsexperiment/calls_load.go
+++ b/load/tsexperiment/calls_load.go
@@ -212,7 +212,9 @@
 			res.LostCalls++
 		case runs == 0 && !done[id]:
 			// The attempts that may have run are known not to have.
-			res.Refused++
+			res.UnplacedAfterUnknown++
+		default:
+			res.SettledLater++
 		}
 	}
 	res.FalseNotRun += b.falses
