--- /dev/null
+++ b/load/tsexperiment/fleet_test.go
@@ -0,0 +1,32 @@
+package tsexperiment
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// assertFleet checks the stated limits at one size of fleet.
+func assertFleet(t *testing.T, members int, inForce time.Duration) {
+	t.Helper()
+	f := measureFleet(5, members, TransportCost{})
+	assert.Equal(t, f.FalseGone+f.FalseGoneInCut, 0)
+	assert.Equal(t, f.EditsLate, 0)
+	assert.Assert(t, f.EditInForceP99Millis > 0 && f.EditInForceP99Millis <= millis(inForce), "%v ms", f.EditInForceP99Millis)
+	assert.Assert(t, f.GoneAllSeconds > 0, "a dead member is not gone")
+	assert.Assert(t, f.RecoverySeconds > 0, "the cut did not heal")
+	assert.Assert(t, f.PayloadBytesPerSecond <= limitBytesPerSecond, "%v bytes a second", f.PayloadBytesPerSecond)
+}
+
+func TestFleet(t *testing.T) {
+	t.Run("nine members", func(t *testing.T) { assertFleet(t, todayMembers, limitInForceToday) })
+	t.Run("sixty members in fifteen failure domains", func(t *testing.T) { assertFleet(t, 60, limitInForce) })
+	t.Run("the same seed gives the same fleet", func(t *testing.T) {
+		a, b := measureFleet(5, todayMembers, TransportCost{}), measureFleet(5, todayMembers, TransportCost{})
+		for _, f := range []*FleetSize{&a, &b} {
+			f.DecisionMicros, f.ControlCPUShare = 0, 0 // measured on the real clock
+		}
+		assert.DeepEqual(t, a, b)
+	})
+}
