Quarantine: the same run blames the same request

Cause: of two suspects on one server the blamed one depended on the order of a map, so that a seeded run was not repeatable. Change: a fixed order; tests of the calls experiment's pure parts, in which the baselines show that each measure can fail.

--- a/core/tspoison/tracker.go
+++ b/core/tspoison/tracker.go
@@ -137,18 +137,20 @@
 		return
 	}
 	t.noteCrash(now, s)
-	blamed := map[turmericshed.Digest]bool{reporter: true}
+	blamed := []turmericshed.Digest{reporter}
 	for d := range t.running[s] {
-		blamed[d] = true
+		blamed = append(blamed, d)
 	}
-	for d := range blamed {
+	// In a fixed order, so that a run can be repeated.
+	slices.Sort(blamed)
+	for _, d := range slices.Compact(blamed) {
 		if t.Suspect(now, d) && !t.sameCrash(now, d, s) {
 			t.blamed[s] = blame{digest: d, at: now}
-			blamed = map[turmericshed.Digest]bool{d: true}
+			blamed = []turmericshed.Digest{d}
 			break
 		}
 	}
-	for d := range blamed {
+	for _, d := range blamed {
 		t.get(now, d).add(Crash{Server: s, At: now})
 	}
 	if t.cut(now) {
@@ -238,7 +240,7 @@
 			delete(t.evidence, d)
 			continue
 		}
-		if !e.Barred(now) && (oldest == nil || e.Crashes[0].At.Before(oldest.Crashes[0].At)) {
+		if !e.Barred(now) && (oldest == nil || older(e, oldest)) {
 			oldest = e
 		}
 	}
@@ -247,6 +249,11 @@
 	}
 }
 
+// older orders evidence by its first crash, then by digest.
+func older(a, b *Evidence) bool {
+	return cmp.Or(a.Crashes[0].At.Compare(b.Crashes[0].At), cmp.Compare(a.Digest, b.Digest)) < 0
+}
+
 // Get returns the evidence about one request.
 func (t *Tracker) Get(d turmericshed.Digest) (Evidence, bool) {
 	e, ok := t.evidence[d]
--- a/core/tspoison/tracker_test.go
+++ b/core/tspoison/tracker_test.go
@@ -138,3 +138,31 @@
 	assertKind(t, a.Check(now, poison), turmericshed.KindQuarantined)
 	assertKind(t, b.Check(now, poison), turmericshed.KindQuarantined)
 }
+
+// A run with a fixed seed must be repeatable, whatever the order of maps.
+func TestBlameIsRepeatable(t *testing.T) {
+	blamed := func() int {
+		tr := tspoison.NewTracker()
+		for _, d := range []turmericshed.Digest{"a", "b", "c", "d"} {
+			assert.NilError(t, tr.Started(start, d, "s2"))
+		}
+		// Others saw each of them at the crash of another server.
+		for i, d := range []turmericshed.Digest{"a", "b", "c", "d"} {
+			at := start.Add(time.Duration(i) * time.Second)
+			tr.Merge(at, []tspoison.Evidence{{Digest: d, Crashes: []tspoison.Crash{{Server: "s1", At: at}}}})
+		}
+		at := start.Add(time.Minute)
+		tr.Ended(at, "d", "s2", true)
+		for i, d := range []turmericshed.Digest{"a", "b", "c", "d"} {
+			if e, _ := tr.Get(d); e.Barred(at) {
+				return i
+			}
+		}
+		return -1
+	}
+	first := blamed()
+	assert.Assert(t, first >= 0)
+	for range 50 {
+		assert.Equal(t, blamed(), first)
+	}
+}
--- /dev/null
+++ b/load/tsexperiment/calls_test.go
@@ -0,0 +1,41 @@
+package tsexperiment
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// The measures must be able to fail: the baselines show that they do.
+func TestFrameMeasures(t *testing.T) {
+	results := runFrames(Options{Seed: 1, Quick: true})
+	t.Run("checked frames are whole, own and billed once", func(t *testing.T) {
+		r := results[0]
+		assert.Equal(t, r.PartialAnswers+r.ForeignFrames+r.BilledTwice+r.Unbilled, 0, "%+v", r)
+		assert.Equal(t, r.Whole+r.Errors, r.Streams)
+	})
+	t.Run("unchecked frames show every fault", func(t *testing.T) {
+		r := results[1]
+		assert.Assert(t, r.PartialAnswers > 0 && r.ForeignFrames > 0 && r.BilledTwice > 0 && r.Unbilled > 0, "%+v", r)
+	})
+	t.Run("the same seed gives the same figures", func(t *testing.T) {
+		assert.DeepEqual(t, results, runFrames(Options{Seed: 1, Quick: true}))
+	})
+}
+
+func TestPoisonMeasures(t *testing.T) {
+	results := runPoison(Options{Seed: 1, Quick: true})
+	t.Run("the same seed gives the same figures", func(t *testing.T) {
+		assert.DeepEqual(t, results, runPoison(Options{Seed: 1, Quick: true}))
+	})
+	for _, r := range results {
+		t.Run(r.System+" "+r.Arrival, func(t *testing.T) {
+			switch r.System {
+			case poisonOwn:
+				assert.Assert(t, r.CrashesByPoison <= 2, "%+v", r)
+			case poisonOneVM, poisonNone:
+				assert.Assert(t, r.CrashesByPoison > 2, "%+v", r)
+			}
+		})
+	}
+}
