Test of repeatable blame: reported by another request

Change: an innocent request reports the crash. Result: go test ./core/tspoison passes; without the order it now fails. Conclusion: the test holds what its name says.

--- a/core/tspoison/tracker_test.go
+++ b/core/tspoison/tracker_test.go
@@ -143,7 +143,7 @@
 func TestBlameIsRepeatable(t *testing.T) {
 	blamed := func() int {
 		tr := tspoison.NewTracker()
-		for _, d := range []turmericshed.Digest{"a", "b", "c", "d"} {
+		for _, d := range []turmericshed.Digest{"a", "b", "c", "d", innocent} {
 			assert.NilError(t, tr.Started(start, d, "s2"))
 		}
 		// Others saw each of them at the crash of another server.
@@ -152,7 +152,7 @@
 			tr.Merge(at, []tspoison.Evidence{{Digest: d, Crashes: []tspoison.Crash{{Server: "s1", At: at}}}})
 		}
 		at := start.Add(time.Minute)
-		tr.Ended(at, "d", "s2", true)
+		tr.Ended(at, innocent, "s2", true)
 		for i, d := range []turmericshed.Digest{"a", "b", "c", "d"} {
 			if e, _ := tr.Get(d); e.Barred(at) {
 				return i
