Experiment budget stops when its context ends

A run that was asked to stop went on to the end of its row: a minute and more for store_per_request in busiest.

--- a/load/tsexperiment/budget.go
+++ b/load/tsexperiment/budget.go
@@ -174,10 +174,10 @@
 			continue
 		}
 		for _, p := range budgetPolicies() {
+			res.Rows = append(res.Rows, measureBudget(ctx, o.Seed, spec, p))
 			if ctx.Err() != nil {
 				return nil, turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "experiment")
 			}
-			res.Rows = append(res.Rows, measureBudget(o.Seed, spec, p))
 		}
 	}
 	if len(res.Rows) == 0 {
@@ -187,7 +187,7 @@
 }
 
 // measureBudget runs one policy in one scenario.
-func measureBudget(seed uint64, spec budgetSpec, p budgetPolicy) BudgetRow {
+func measureBudget(ctx context.Context, seed uint64, spec budgetSpec, p budgetPolicy) BudgetRow {
 	if p.perRequest && spec.scenario == "busiest" {
 		// One key can't take this rate; a short run shows it.
 		spec.duration = perRequestBusiest
@@ -195,10 +195,10 @@
 	w := newBudgetWorld(seed, spec, p)
 	requests := budgetRequests(seed, spec)
 	w.schedule(requests)
-	w.run(w.now.Add(spec.duration + time.Minute))
+	w.run(ctx, w.now.Add(spec.duration+time.Minute))
 	reads, writes := w.reads, w.writes
 	burnt := w.drain()
-	ideal := idealRefusals(spec, requests)
+	ideal := idealRefusals(ctx, spec, requests)
 	row := BudgetRow{
 		Scenario: spec.scenario, Load: spec.load, Policy: p.name, Requests: w.result.requests, Refusals: w.result.refused,
 		FalseRefusals:   max(w.result.falseRefusals, w.result.refused-ideal),
--- a/load/tsexperiment/budget_baseline.go
+++ b/load/tsexperiment/budget_baseline.go
@@ -1,6 +1,7 @@
 package tsexperiment
 
 import (
+	"context"
 	"time"
 
 	"turmericshed"
@@ -71,7 +72,7 @@
 
 // idealRefusals returns how many of the requests a ledger would refuse that
 // has the same reservations and patience, but no latency, no cut and no crash.
-func idealRefusals(spec budgetSpec, requests []*budgetRequest) int {
+func idealRefusals(ctx context.Context, spec budgetSpec, requests []*budgetRequest) int {
 	c := simClock{now: time.Unix(1_700_000_000, 0)}
 	h := tsbudget.NewHolder("ideal")
 	refused := 0
@@ -115,6 +116,6 @@
 			})
 		})
 	}
-	c.run(c.now.Add(spec.duration + time.Minute))
+	c.run(ctx, c.now.Add(spec.duration+time.Minute))
 	return refused
 }
--- a/load/tsexperiment/budget_clock.go
+++ b/load/tsexperiment/budget_clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"time"
 )
 
@@ -47,9 +48,9 @@
 	heap.Push(&c.agenda, appointment{at: t, seq: c.seq, do: do})
 }
 
-// run advances to the end.
-func (c *simClock) run(end time.Time) {
-	for len(c.agenda) > 0 && !c.agenda[0].at.After(end) {
+// run advances to the end, or as far as ctx lets it.
+func (c *simClock) run(ctx context.Context, end time.Time) {
+	for ctx.Err() == nil && len(c.agenda) > 0 && !c.agenda[0].at.After(end) {
 		a := heap.Pop(&c.agenda).(appointment)
 		c.now = a.at
 		a.do()
--- a/load/tsexperiment/budget_slopes.go
+++ b/load/tsexperiment/budget_slopes.go
@@ -111,7 +111,7 @@
 
 // runCrashSweep weighs the lot size against a witnessed ceiling by what a
 // crash burns.
-func runCrashSweep(_ context.Context, o Options) (any, error) {
+func runCrashSweep(ctx context.Context, o Options) (any, error) {
 	res := BudgetResult{Seed: o.Seed}
 	for _, spec := range budgetSpecs(o.Quick) {
 		if spec.scenario != "crash_storm" {
@@ -126,9 +126,12 @@
 					p.name += "_witnessed_" + gap.String()
 				}
 				spec.bridge = bridge
-				res.Rows = append(res.Rows, measureBudget(o.Seed, spec, p))
+				res.Rows = append(res.Rows, measureBudget(ctx, o.Seed, spec, p))
 			}
 		}
 	}
+	if ctx.Err() != nil {
+		return nil, turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "experiment")
+	}
 	return res, nil
 }
--- a/load/tsexperiment/budget_test.go
+++ b/load/tsexperiment/budget_test.go
@@ -13,7 +13,7 @@
 	for _, s := range budgetSpecs(true) {
 		for _, p := range budgetPolicies() {
 			if s.scenario == scenario && s.load == load && p.name == policy {
-				return measureBudget(1, s, p)
+				return measureBudget(t.Context(), 1, s, p)
 			}
 		}
 	}
