A stopping holder ends its own lots whether or not its lenders answer

Cause: one of two entry VMs stopped together ended with 'the lender is ending its lot' after its whole drain limit (seen once with real processes before lenders were given up). Change: reporting to lenders and ending own lots no longer wait for each other; a test stops two mutual lenders at once through an outage and lost answers. The test passed before the change too: it guards the case and does not reproduce the fault.

--- a/io/tsholder/controller.go
+++ b/io/tsholder/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"turmericshed"
@@ -184,14 +185,18 @@
 			return turmericshed.NewError(turmericshed.KindBudgetUnavailable, "budget %s: %d tokens reserved by running requests", id, busy)
 		}
 	}
-	if err := h.repay(ctx, b, true); err != nil {
-		return err
-	}
+	// Two holders that lent to each other may stop at once: neither waits for
+	// the other before it ends its own lots.
+	return errors.Join(h.repay(ctx, b, true), h.endOwnLots(ctx, b))
+}
+
+// endOwnLots returns what is left of the lots that were drawn here.
+func (h *Holder) endOwnLots(ctx context.Context, b *budget) error {
 	if err := h.withdraw(ctx, b); err != nil {
 		return err
 	}
 	h.mu.Lock()
-	reports := h.core.Reports(id, true)
+	reports := h.core.Reports(b.id, true)
 	h.mu.Unlock()
 	if len(reports) == 0 {
 		return nil
--- a/io/tsholder/holder_test.go
+++ b/io/tsholder/holder_test.go
@@ -1,6 +1,7 @@
 package tsholder_test
 
 import (
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,6 +140,29 @@
 		assert.Assert(t, time.Since(began) < 20*time.Second)
 		assert.Equal(t, w.ledger().Open(), turmericshed.Tokens(1000))
 	})
+	inBubble(t, "two lenders of each other stop at once", func(t *testing.T) {
+		w := newWorld(t, 2000, "")
+		a, b := w.add(1, "a", "x"), w.add(2, "b", "y")
+		ra, rb := a.mustReserve(1000), b.mustReserve(1000)
+		a.Settle(ra, 0)
+		borrowed := b.mustReserve(600)
+		b.Settle(rb, 0)
+		back := a.mustReserve(1200)
+		a.Settle(back, 100)
+		b.Settle(borrowed, 100)
+		w.store.SetFaults(tsplatform.Faults{Outage: true})
+		began := time.Now()
+		time.AfterFunc(2*time.Second, func() { w.store.SetFaults(tsplatform.Faults{LoseAnswers: 4}) })
+		results := make(chan error, 2)
+		for _, n := range []*node{a, b} {
+			go func() { results <- n.drain() }()
+		}
+		assert.NilError(t, errors.Join(<-results, <-results))
+		assert.Assert(t, time.Since(began) < 20*time.Second, "%s", time.Since(began))
+		l := w.ledger()
+		assert.Equal(t, l.Billed, turmericshed.Tokens(200))
+		assert.Equal(t, l.Open(), turmericshed.Tokens(0))
+	})
 	inBubble(t, "loans outlive a lender that stops", func(t *testing.T) {
 		w := newWorld(t, 1000, "")
 		a, b := w.add(1, "a", "x"), w.add(2, "b", "y")
