Slopes of every part by one command; relay benchmarks paired on one prompt

Cause: make slopes named a command that was not there. The relay benchmark compared answers of different length (138 us a token in one run, 9 in another) and gave the second call a warm prefix cache (first byte -1,778 us). Change: experiment slopes; the pair shares its prompt and alternates, after a call that warms the cache; memory of open streams; the test of real processes waits until the plain service is known.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 slopes: build
 	./bin/turmericshed experiment slopes
+	$(GO) test -run '^$$' -bench . -benchtime 30x ./io/tsprocess
 generate:
 	protoc --go_out=. --go_opt=module=turmericshed \
 		--connect-go_out=. --connect-go_opt=module=turmericshed,package_suffix \
--- a/io/tscommand/processes_test.go
+++ b/io/tscommand/processes_test.go
@@ -89,9 +89,27 @@
 	f.t.Fatal("entry VM did not become ready")
 }
 
+// waitServed waits until an entry VM knows a server of the plain service.
+func (f *fleet) waitServed(addr, key string) {
+	f.t.Helper()
+	for f.ctx.Err() == nil {
+		code, _ := f.call(http.MethodGet, addr, key, "/services/bookings/status/none", "desk", "")
+		if code != http.StatusServiceUnavailable {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatal("no server of the plain service became known")
+}
+
 func (f *fleet) post(addr, key, path, profile, body string, headers ...string) (int, string) {
 	f.t.Helper()
-	req, err := http.NewRequestWithContext(f.ctx, http.MethodPost, "http://"+addr+path, strings.NewReader(body))
+	return f.call(http.MethodPost, addr, key, path, profile, body, headers...)
+}
+
+func (f *fleet) call(method, addr, key, path, profile, body string, headers ...string) (int, string) {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.ctx, method, "http://"+addr+path, strings.NewReader(body))
 	assert.NilError(f.t, err)
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Turmericshed-Profile", profile)
@@ -132,6 +150,9 @@
 		f.waitReady(addr)
 		entries, addrs = append(entries, cmd), append(addrs, addr)
 	}
+	for _, addr := range addrs {
+		f.waitServed(addr, key)
+	}
 	t.Run("a generation is answered whole", func(t *testing.T) {
 		code, body := f.post(addrs[0], key, "/v1/chat/completions", "counter", chatBody)
 		assert.Equal(t, code, http.StatusOK, body)
--- a/io/tsprocess/relay_test.go
+++ b/io/tsprocess/relay_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -90,11 +91,12 @@
 }
 
 // stream sends one streamed generation and returns the time to its first
-// event and the number of events.
-func (r *rig) stream(to netip.AddrPort, id string) (first time.Duration, events int, err error) {
+// event and the number of events. Both ends of a pair have one prompt and so
+// one answer; the stream's identifier differs.
+func (r *rig) stream(to netip.AddrPort, prompt string) (first time.Duration, events int, err error) {
 	body, err := json.Marshal(map[string]any{
 		"model": "m", "stream": true, "max_tokens": benchTokens,
-		"messages": []turmericshed.Message{{Role: "user", Content: "hello " + id}},
+		"messages": []turmericshed.Message{{Role: "user", Content: "hello " + prompt}},
 	})
 	if err != nil {
 		return 0, 0, err
@@ -105,7 +107,7 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+r.key)
 	req.Header.Set("Turmericshed-Profile", "p")
-	req.Header.Set("Turmericshed-Stream-Id", id)
+	req.Header.Set("Turmericshed-Stream-Id", turmericshed.NewID("bench-"))
 	began := time.Now()
 	resp, err := r.client.Do(req)
 	if err != nil {
@@ -140,10 +142,16 @@
 	r := newRig(b, 1<<40)
 	var first, whole [2]time.Duration
 	n := 0
+	ends := []netip.AddrPort{r.engine, r.entry}
 	for b.Loop() {
-		for i, to := range []netip.AddrPort{r.engine, r.entry} {
+		prompt := fmt.Sprintf("bench-%d", n)
+		// The first call warms the engine's prefix cache for both.
+		_, _, err := r.stream(r.engine, prompt)
+		assert.NilError(b, err)
+		for k := range ends {
+			i := (n + k) % len(ends)
 			began := time.Now()
-			f, _, err := r.stream(to, fmt.Sprintf("bench-%d-%d", n, i))
+			f, _, err := r.stream(ends[i], prompt)
 			assert.NilError(b, err)
 			first[i] += f
 			whole[i] += time.Since(began)
@@ -169,7 +177,7 @@
 			var wg sync.WaitGroup
 			for c := range callers {
 				wg.Go(func() {
-					_, _, err := r.stream(to, fmt.Sprintf("cpu-%d-%d-%d", n, i, c))
+					_, _, err := r.stream(to, fmt.Sprintf("cpu-%d-%d", n, c))
 					assert.Check(b, err)
 				})
 			}
@@ -184,6 +192,42 @@
 	b.ReportMetric(float64(tokens)/added, "tokens/s/core")
 }
 
+// inUse returns the bytes of heap and stacks in use after a collection.
+func inUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// BenchmarkStreamMemory compares the memory of many open streams, made
+// directly and through an entry VM.
+func BenchmarkStreamMemory(b *testing.B) {
+	const streams = 200
+	r := newRig(b, 1<<40)
+	var added float64
+	n := 0
+	for b.Loop() {
+		var used [2]float64
+		for i, to := range []netip.AddrPort{r.engine, r.entry} {
+			before := inUse()
+			var wg sync.WaitGroup
+			for c := range streams {
+				wg.Go(func() {
+					_, _, err := r.stream(to, fmt.Sprintf("memory-%d-%d", n, c))
+					assert.Check(b, err)
+				})
+			}
+			time.Sleep(250 * time.Millisecond)
+			used[i] = float64(inUse()) - float64(before)
+			wg.Wait()
+		}
+		added += used[1] - used[0]
+		n++
+	}
+	b.ReportMetric(added/float64(n*streams), "added_bytes/stream")
+}
+
 func TestOneEntryVM(t *testing.T) {
 	t.Run("an answer is whole and the budget bounds the next", func(t *testing.T) {
 		r := newRig(t, 300)
--- a/load/tsexperiment/experiment.go
+++ b/load/tsexperiment/experiment.go
@@ -35,6 +35,7 @@
 		{"calls", "claims, whole answers and quarantine, against baselines", runCalls},
 		{"routing", "choice of servers and admission against baselines", runRouting},
 		{"budget", "holding and moving tokens: policies, scenarios, slopes, crash_sweep", runBudget},
+		{"slopes", "the slopes of every part, for the page on capacity", runSlopes},
 		{"stops", "graceful stops of real entry VMs with streams open", runStops},
 		{"fleet", "membership and profile edits at several fleet sizes", runFleet},
 	}
