--- a/io/tsentry/accounts.go
+++ b/io/tsentry/accounts.go
@@ -23,7 +23,7 @@
 	accountListInterval = 15 * time.Second
 	// accountListShare is what each entry VM of the fleet adds to the
 	// interval for each page listed.
-	accountListShare = 10 * time.Millisecond
+	accountListShare = 100 * time.Millisecond
 	accountListPage  = 500
 	// maxListedAccounts bounds the documents held.
 	maxListedAccounts = 20000
