--- a/io/tscalls/await.go
+++ b/io/tscalls/await.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"turmericshed/io/tspause"
+
 	"connectrpc.com/connect"
 
 	"turmericshed"
@@ -65,7 +67,7 @@
 			}
 			return unknown, false, nil
 		}
-		if !pause(ctx, wait) {
+		if !tspause.For(ctx, wait) {
 			return unknown, false, nil
 		}
 		wait = min(wait*2, maxPoll)
@@ -87,7 +89,7 @@
 		if res.Err == nil && (!res.Found || res.Entry.Claim != e.Claim || res.Entry.State != tsclaim.StateOpen) {
 			return turmericshed.ClaimDecision{}, true, nil
 		}
-		if !pause(ctx, wait) {
+		if !tspause.For(ctx, wait) {
 			return turmericshed.ClaimDecision{Verdict: turmericshed.ClaimUnknown, Claim: e.Claim}, false, nil
 		}
 		wait = min(wait*2, maxPoll)
--- a/io/tscalls/calls.go
+++ b/io/tscalls/calls.go
@@ -29,11 +29,11 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
+	"turmericshed/io/tspause"
+	"turmericshed/io/tspeer"
 
 	"turmericshed"
 	"turmericshed/core/tsclaim"
@@ -70,11 +70,6 @@
 	drainPoll = 20 * time.Millisecond
 )
 
-// Peers opens connections to other entry VMs.
-type Peers interface {
-	Client(addr netip.AddrPort) (connect.HTTPClient, string)
-}
-
 // LookupFunc asks a plain service whether the call with the key ran; key is
 // tsclaim.ServiceKey of the call. KindNotFound means that it had not run when
 // the service answered, which does not exclude that it still will.
@@ -87,7 +82,7 @@
 	// Members tells who is reachable; nil means that nobody is.
 	Members turmericshed.Members
 	// Peers opens connections; nil means none.
-	Peers Peers
+	Peers tspeer.Peers
 	// Lookup resolves calls in doubt; nil leaves them to a person.
 	Lookup   LookupFunc
 	Recorder turmericshed.Recorder
@@ -248,21 +243,9 @@
 func retry(ctx context.Context, f func() bool) {
 	wait := firstRetry
 	for !f() {
-		if !pause(ctx, wait) {
+		if !tspause.For(ctx, wait) {
 			return
 		}
 		wait = min(wait*2, maxRetry)
 	}
 }
-
-// pause waits and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/io/tscalls/drain.go
+++ b/io/tscalls/drain.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"turmericshed/io/tspause"
+
 	"connectrpc.com/connect"
 
 	"turmericshed"
@@ -22,7 +24,7 @@
 	c.draining = true
 	c.mu.Unlock()
 	for c.running() > 0 && !nearEnd(ctx) {
-		if !pause(ctx, drainPoll) {
+		if !tspause.For(ctx, drainPoll) {
 			break
 		}
 	}
@@ -32,7 +34,7 @@
 	written, stop := context.WithTimeout(grace, drainGrace/2)
 	defer stop()
 	for c.records() > 0 {
-		if !pause(written, drainPoll) {
+		if !tspause.For(written, drainPoll) {
 			return c.handOn(grace)
 		}
 	}
--- a/io/tscalls/resolve.go
+++ b/io/tscalls/resolve.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"turmericshed/io/tspause"
+
 	"turmericshed"
 	"turmericshed/core/tsclaim"
 )
@@ -34,7 +36,7 @@
 
 // Serve visits the owned slots until ctx ends.
 func (r resolver) Serve(ctx context.Context) error {
-	for pause(ctx, resolveInterval) {
+	for tspause.For(ctx, resolveInterval) {
 		r.c.Resolve(ctx)
 	}
 	return ctx.Err()
--- a/io/tsentry/entry.go
+++ b/io/tsentry/entry.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"turmericshed/io/tspeer"
+
 	"github.com/thejerf/suture/v4"
 
 	"turmericshed"
@@ -48,7 +50,7 @@
 	Board      *tsboard.Board
 	Store      turmericshed.Store
 	Members    turmericshed.Members
-	Peers      Peers
+	Peers      tspeer.Peers
 	Profiles   turmericshed.Profiles
 	Budgets    turmericshed.Budgets
 	Claims     turmericshed.Claims
--- a/io/tsentry/join.go
+++ b/io/tsentry/join.go
@@ -19,11 +19,6 @@
 // answer the request runs as one of its own.
 const announceTimeout = 250 * time.Millisecond
 
-// Peers opens connections to other entry VMs.
-type Peers interface {
-	Client(addr netip.AddrPort) (connect.HTTPClient, string)
-}
-
 // ownerOf returns the soft owner of a key among the entry VMs of this failure
 // domain, by rendezvous hashing.
 func (e *Entry) ownerOf(k tsdedupe.Key) turmericshed.EntryVM {
--- a/io/tsfleet/fleet.go
+++ b/io/tsfleet/fleet.go
@@ -21,11 +21,12 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"turmericshed/io/tspeer"
+
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -45,17 +46,12 @@
 	maxMessageBytes = 64 << 10
 )
 
-// Peers opens calls to other entry VMs; *tspeer.Transport does.
-type Peers interface {
-	Client(addr netip.AddrPort) (c connect.HTTPClient, baseURL string)
-}
-
 // Config holds what a fleet works with. Board, Directory and Peers are needed.
 type Config struct {
 	Self      turmericshed.EntryVM
 	Directory turmericshed.Directory
 	Board     *tsboard.Board
-	Peers     Peers
+	Peers     tspeer.Peers
 	Recorder  turmericshed.Recorder
 	Log       *slog.Logger
 	// Piggyback lists the topics that ride on probes. Their methods are
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -28,7 +28,8 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
+	"turmericshed/io/tspeer"
+
 	"golang.org/x/time/rate"
 
 	"turmericshed"
@@ -65,11 +66,6 @@
 	unknownCloseAfter = time.Hour
 )
 
-// Peers gives connect-go clients of entry VMs.
-type Peers interface {
-	Client(addr netip.AddrPort) (connect.HTTPClient, string)
-}
-
 // Config holds the dependencies and settings of a holder.
 type Config struct {
 	Self     turmericshed.EntryVM
@@ -77,7 +73,7 @@
 	Members  turmericshed.Members
 	Recorder turmericshed.Recorder
 	// Peers may be nil: then nothing is borrowed.
-	Peers Peers
+	Peers tspeer.Peers
 	// Profiles tells of edits to profiles whose budgets are held; may be
 	// nil: then an edit is met with the next request.
 	Profiles turmericshed.Profiles
--- a/io/tspeer/transport.go
+++ b/io/tspeer/transport.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// Peers opens calls to other entry VMs.
+type Peers interface {
+	// Client returns the HTTP client and base URL for connect-go clients of
+	// the peer at addr.
+	Client(addr netip.AddrPort) (c connect.HTTPClient, baseURL string)
+}
+
+var _ Peers = (*Transport)(nil)
+
 // Transport opens and keeps connections to peers.
 type Transport struct {
 	client *http.Client
--- a/io/tsprofiles/cache.go
+++ b/io/tsprofiles/cache.go
@@ -16,12 +16,13 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"turmericshed/io/tspeer"
+
 	"connectrpc.com/connect"
 	"golang.org/x/sync/singleflight"
 
@@ -46,16 +47,11 @@
 	maxMessageBytes = turmericshed.MaxValueBytes + 64<<10
 )
 
-// Peers opens calls to other entry VMs; *tspeer.Transport does.
-type Peers interface {
-	Client(addr netip.AddrPort) (c connect.HTTPClient, baseURL string)
-}
-
 // Config holds what a cache works with. Self, Store and Peers are needed.
 type Config struct {
 	Self  turmericshed.EntryVM
 	Store turmericshed.Store
-	Peers Peers
+	Peers tspeer.Peers
 	// Members tells whom to ask; SetMembers may set it later.
 	Members  turmericshed.Members
 	Recorder turmericshed.Recorder
--- a/io/tsprofiles/watch.go
+++ b/io/tsprofiles/watch.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"turmericshed/io/tspause"
+
 	"turmericshed"
 	"turmericshed/core/tsprofile"
 )
@@ -32,21 +34,11 @@
 		if c.isRelay() {
 			c.watchOnce(ctx)
 		}
-		pause(ctx, watchRetry/2+rand.N(watchRetry))
+		_ = tspause.For(ctx, watchRetry/2+rand.N(watchRetry))
 	}
 	return ctx.Err()
 }
 
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // watchOnce watches until the watch fails or this process is no relay any
 // more.
 func (c *Cache) watchOnce(ctx context.Context) {
@@ -130,7 +122,7 @@
 func (c *Cache) serveCatchUp(ctx context.Context) error {
 	wait := missingInterval
 	for ctx.Err() == nil {
-		pause(ctx, wait/2+rand.N(wait))
+		_ = tspause.For(ctx, wait/2+rand.N(wait))
 		wait = catchUpInterval
 		if c.compare(ctx) {
 			wait = missingInterval
@@ -171,7 +163,7 @@
 	after := ""
 	for ctx.Err() == nil {
 		if !c.isRelay() {
-			pause(ctx, relayCheck)
+			_ = tspause.For(ctx, relayCheck)
 			continue
 		}
 		var read int
@@ -181,7 +173,7 @@
 			rate = verifyBytesSmall
 		}
 		wait := max(verifyPause, time.Duration(read)*time.Second/rate)
-		pause(ctx, wait/2+rand.N(wait))
+		_ = tspause.For(ctx, wait/2+rand.N(wait))
 	}
 	return ctx.Err()
 }
--- a/io/tsquarantine/guard.go
+++ b/io/tsquarantine/guard.go
@@ -22,10 +22,11 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
+	"turmericshed/io/tspeer"
+
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 
@@ -51,11 +52,6 @@
 	readSeat   = "read"
 )
 
-// Peers opens connections to other entry VMs.
-type Peers interface {
-	Client(addr netip.AddrPort) (connect.HTTPClient, string)
-}
-
 // Config holds the dependencies of a Guard.
 type Config struct {
 	Self turmericshed.EntryVM
@@ -63,7 +59,7 @@
 	Store turmericshed.Store
 	// Members and Peers reach the failure domain; nil means alone.
 	Members  turmericshed.Members
-	Peers    Peers
+	Peers    tspeer.Peers
 	Recorder turmericshed.Recorder
 }
 
--- a/load/tsexperiment/calls.go
+++ b/load/tsexperiment/calls.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"turmericshed/io/tspause"
+
 	"turmericshed"
 	"turmericshed/standin/tsplatform"
 )
@@ -212,25 +214,13 @@
 	}
 }
 
-// nap sleeps and reports whether ctx is still alive.
-func nap(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // faultOutage takes the store away for a second of every three.
 func faultOutage(ctx context.Context, _ *rand.Rand, f *callFleet) {
-	for nap(ctx, 700*time.Millisecond) {
+	for tspause.For(ctx, 700*time.Millisecond) {
 		f.store.ChangeFaults(func(fl *tsplatform.Faults) { fl.Outage = true })
-		alive := nap(ctx, time.Second)
+		alive := tspause.For(ctx, time.Second)
 		f.store.ChangeFaults(func(fl *tsplatform.Faults) { fl.Outage = false })
-		if !alive || !nap(ctx, 1300*time.Millisecond) {
+		if !alive || !tspause.For(ctx, 1300*time.Millisecond) {
 			return
 		}
 	}
@@ -242,7 +232,7 @@
 	f.service.mu.Lock()
 	f.service.loseOne = 50
 	f.service.mu.Unlock()
-	for nap(ctx, 50*time.Millisecond) {
+	for tspause.For(ctx, 50*time.Millisecond) {
 		f.store.ChangeFaults(func(fl *tsplatform.Faults) {
 			if r.IntN(2) == 0 {
 				fl.LoseAnswers = 1
@@ -255,7 +245,7 @@
 
 // faultDeaths kills a VM every 400 ms and starts another in its place.
 func faultDeaths(ctx context.Context, r *rand.Rand, f *callFleet) {
-	for nap(ctx, 400*time.Millisecond) {
+	for tspause.For(ctx, 400*time.Millisecond) {
 		v := f.live(r)
 		v.dead.Store(time.Now().UnixNano())
 		f.add(r.IntN(callDomains))
@@ -264,7 +254,7 @@
 
 // faultPauses pauses a VM every 500 ms, wherever it is.
 func faultPauses(ctx context.Context, r *rand.Rand, f *callFleet) {
-	for nap(ctx, 500*time.Millisecond) {
+	for tspause.For(ctx, 500*time.Millisecond) {
 		v := f.live(r)
 		v.paused.CompareAndSwap(0, time.Now().UnixNano())
 		time.AfterFunc(pauseTime, func() { v.paused.Store(0) })
--- a/load/tsload/caller.go
+++ b/load/tsload/caller.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"turmericshed/io/tspause"
+
 	"turmericshed"
 	"turmericshed/standin/tsengine"
 	"turmericshed/standin/tsservice"
@@ -88,7 +90,7 @@
 func (l *Load) backOff(ctx context.Context, n int, advised time.Duration) bool {
 	d := min(l.o.Backoff<<min(n, 20), l.o.MaxBackoff)
 	d = d/2 + time.Duration(rand.Int64N(int64(d/2)+1))
-	return wait(ctx, max(d, min(advised, l.o.MaxBackoff)))
+	return tspause.For(ctx, max(d, min(advised, l.o.MaxBackoff)))
 }
 
 // attempt sends the request once.
--- a/load/tsload/load.go
+++ b/load/tsload/load.go
@@ -23,6 +23,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"turmericshed/io/tspause"
 )
 
 const (
@@ -148,7 +150,7 @@
 	defer wg.Wait()
 	for {
 		r := p.next()
-		if r.At >= l.o.Duration || !wait(ctx, time.Until(start.Add(r.At))) {
+		if r.At >= l.o.Duration || !tspause.For(ctx, time.Until(start.Add(r.At))) {
 			return
 		}
 		select {
@@ -163,18 +165,3 @@
 		})
 	}
 }
-
-// wait pauses for d and returns false when ctx ends.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/tsnode/node.go
+++ b/standin/tsnode/node.go
@@ -20,6 +20,8 @@
 	"sync"
 	"time"
 
+	"turmericshed/io/tspause"
+
 	"turmericshed"
 	"turmericshed/io/tsbackend"
 	"turmericshed/io/tsplatform"
@@ -139,7 +141,7 @@
 		if n.opts.RestartAfter <= 0 {
 			return ErrCrashed
 		}
-		if !pause(ctx, n.opts.RestartAfter) {
+		if !tspause.For(ctx, n.opts.RestartAfter) {
 			return ctx.Err()
 		}
 		if err := n.replace(ctx); err != nil {
@@ -187,23 +189,12 @@
 			n.mu.Unlock()
 			return nil
 		}
-		if !pause(ctx, listenRetry) {
+		if !tspause.For(ctx, listenRetry) {
 			return ctx.Err()
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // guard refuses calls that are meant for another server.
 func (n *Node) guard(id turmericshed.ServerID, app App) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
