Chat settings are passed on; unknown fields are refused

Cause: found in the read-through: temperature, stop and the other settings of the published form were dropped without a word, and n above 1 was ignored. An engine's 'invalid' was charged in full, since a cancel of an unknown stream reports no usage. Change: Sampling goes from the caller to the engine; a field that is not listed, several answers and a second body are refused by name; an engine that calls a request invalid ran nothing. max_completion_tokens is taken as max_tokens. Conclusion: what a caller sets takes effect or is refused.

--- a/backend.go
+++ b/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 )
 
@@ -20,8 +21,23 @@
 	Content string `json:"content"`
 }
 
+// Sampling holds the settings of the published chat form that are passed on
+// to the engine as they are. None of them changes what a request may cost.
+type Sampling struct {
+	Temperature      *float64        `json:"temperature,omitempty"`
+	TopP             *float64        `json:"top_p,omitempty"`
+	PresencePenalty  *float64        `json:"presence_penalty,omitempty"`
+	FrequencyPenalty *float64        `json:"frequency_penalty,omitempty"`
+	Seed             *int64          `json:"seed,omitempty"`
+	Stop             json.RawMessage `json:"stop,omitempty"`
+	ResponseFormat   json.RawMessage `json:"response_format,omitempty"`
+	User             string          `json:"user,omitempty"`
+}
+
 // GenerateRequest is one generation at a model engine.
 type GenerateRequest struct {
+	Sampling
+
 	// Stream is chosen by us, so that cancel and resume can name it.
 	Stream   StreamID
 	Model    Model
--- a/io/tsbackend/engine.go
+++ b/io/tsbackend/engine.go
@@ -25,7 +25,7 @@
 // (certainly not started), KindBadRequest, KindStreamBroken. ctx bounds the
 // stream too.
 func (e *Engine) Generate(ctx context.Context, s turmericshed.BackendServer, r turmericshed.GenerateRequest) (turmericshed.TokenStream, error) {
-	body, err := json.Marshal(ChatRequest{Model: r.Model, Messages: r.Messages, MaxTokens: r.MaxTokens, Stream: true})
+	body, err := json.Marshal(ChatRequest{Sampling: r.Sampling, Model: r.Model, Messages: r.Messages, MaxTokens: r.MaxTokens, Stream: true})
 	if err != nil {
 		return nil, turmericshed.WrapError(turmericshed.KindBadRequest, err, "encode the request")
 	}
--- a/io/tsbackend/wire.go
+++ b/io/tsbackend/wire.go
@@ -59,6 +59,7 @@
 
 // ChatRequest is the body of PathCompletions, in the OpenAI form.
 type ChatRequest struct {
+	turmericshed.Sampling
 	Model     turmericshed.Model     `json:"model"`
 	Messages  []turmericshed.Message `json:"messages"`
 	MaxTokens turmericshed.Tokens    `json:"max_tokens"`
--- a/io/tsentry/chat.go
+++ b/io/tsentry/chat.go
@@ -1,6 +1,7 @@
 package tsentry
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -27,13 +28,20 @@
 	streamWriteTimeout = 30 * time.Second
 )
 
-// chatRequest is the published form of a chat completion request; fields that
-// the fleet does not know are refused by engines, not here.
+// chatRequest is the published form of a chat completion request. A field that
+// is not listed is refused: it might change what the request costs.
 type chatRequest struct {
+	turmericshed.Sampling
 	Model     turmericshed.Model     `json:"model"`
 	Messages  []turmericshed.Message `json:"messages"`
 	MaxTokens *turmericshed.Tokens   `json:"max_tokens"`
-	Stream    bool                   `json:"stream"`
+	// MaxCompletionTokens is the newer name of MaxTokens.
+	MaxCompletionTokens *turmericshed.Tokens `json:"max_completion_tokens"`
+	Stream              bool                 `json:"stream"`
+	// StreamOptions may ask for the usage, which is always sent.
+	StreamOptions json.RawMessage `json:"stream_options"`
+	// N is the number of answers; one is served.
+	N *int `json:"n"`
 }
 
 // chatChunk and chatAnswer are the published forms of answers.
@@ -69,9 +77,20 @@
 	if !utf8.Valid(body) {
 		return c, turmericshed.NewError(turmericshed.KindBadRequest, "body is not UTF-8")
 	}
-	if err := json.Unmarshal(body, &c); err != nil {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
 		return c, turmericshed.NewError(turmericshed.KindBadRequest, "body is not a chat completion request: %v", err)
 	}
+	if d.More() {
+		return c, turmericshed.NewError(turmericshed.KindBadRequest, "body goes on after the chat completion request")
+	}
+	if c.N != nil && *c.N != 1 {
+		return c, turmericshed.NewError(turmericshed.KindBadRequest, "n: one answer is served")
+	}
+	if c.MaxTokens == nil {
+		c.MaxTokens = c.MaxCompletionTokens
+	}
 	if p.Work != turmericshed.WorkAssistant {
 		return c, turmericshed.NewError(turmericshed.KindForbidden, "the profile does not serve chat completions")
 	}
@@ -100,10 +119,10 @@
 }
 
 // promptBound is an upper bound of the prompt's tokens: a token stands for at
-// least one byte.
-func promptBound(messages []turmericshed.Message) turmericshed.Tokens {
-	n := turmericshed.Tokens(templateTokens)
-	for _, m := range messages {
+// least one byte. A response format may be put into the prompt.
+func promptBound(c chatRequest) turmericshed.Tokens {
+	n := turmericshed.Tokens(templateTokens + len(c.ResponseFormat))
+	for _, m := range c.Messages {
 		n += turmericshed.Tokens(len(m.Role)+len(m.Content)) + templateTokens
 	}
 	return n
--- a/io/tsentry/entry_test.go
+++ b/io/tsentry/entry_test.go
@@ -124,6 +124,9 @@
 		{"negative max_tokens", chat(`{"messages":[{"role":"user","content":"hi"}],"max_tokens":-1}`), turmericshed.KindBadRequest},
 		{"absurd max_tokens", chat(`{"messages":[{"role":"user","content":"hi"}],"max_tokens":900000000000}`), turmericshed.KindBadRequest},
 		{"max_tokens above the type", chat(`{"messages":[{"role":"user","content":"hi"}],"max_tokens":9e99}`), turmericshed.KindBadRequest},
+		{"unknown field", chat(`{"best_of":9,` + goodChat[1:]), turmericshed.KindBadRequest},
+		{"several answers", chat(`{"n":3,` + goodChat[1:]), turmericshed.KindBadRequest},
+		{"two bodies", chat(goodChat + goodChat), turmericshed.KindBadRequest},
 		{"no messages", chat(`{}`), turmericshed.KindBadRequest},
 		{"other model", chat(`{"model":"x","messages":[{"role":"user","content":"hi"}]}`), turmericshed.KindBadRequest},
 		{"oversized", chat(strings.Repeat("x", 2<<20)), turmericshed.KindTooLarge},
@@ -161,6 +164,21 @@
 		r.assertCharged(t, 5)
 		assert.Equal(t, r.count(turmericshed.EventRequestBilled), 1)
 	})
+	t.Run("sampling settings are passed on", func(t *testing.T) {
+		r := newRig(t, 1000)
+		r.script = [][]turmericshed.Frame{wholeScript()}
+		w := r.chat(`{"temperature":0.5,"stop":["x"],"n":1,` + goodChat[1:])
+		assert.Equal(t, w.Code, http.StatusOK, w.Body.String())
+		assert.Equal(t, *r.sampling.Temperature, 0.5)
+		assert.Equal(t, string(r.sampling.Stop), `["x"]`)
+	})
+	t.Run("an engine that calls the request invalid ran nothing", func(t *testing.T) {
+		r := newRig(t, 1000)
+		r.genErr = []error{turmericshed.NewError(turmericshed.KindBadRequest, "stop: too many")}
+		assertRefused(t, r.chat(goodChat), turmericshed.KindBadRequest, turmericshed.OutcomeNotRun)
+		r.assertCharged(t, 0)
+		assert.Equal(t, r.sent, 1)
+	})
 	t.Run("crossed and doubled frames are dropped", func(t *testing.T) {
 		r := newRig(t, 1000)
 		s := wholeScript()
--- a/io/tsentry/fakes_test.go
+++ b/io/tsentry/fakes_test.go
@@ -22,6 +22,7 @@
 	settled  turmericshed.Tokens
 	open     map[string]turmericshed.Tokens
 	canceled int
+	sampling turmericshed.Sampling
 	sent     int
 	// script is what each dispatch to the engine delivers in turn.
 	script [][]turmericshed.Frame
@@ -183,6 +184,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sent++
+	g.sampling = r.Sampling
 	if len(g.genErr) > 0 {
 		err := g.genErr[0]
 		g.genErr = g.genErr[1:]
--- a/io/tsentry/generate.go
+++ b/io/tsentry/generate.go
@@ -87,7 +87,7 @@
 		Work: turmericshed.WorkAssistant, Model: chat.Model,
 		Prefix: prefixHash(chat.Model, chat.Messages), Cost: *chat.MaxTokens,
 	}
-	worst := promptBound(chat.Messages) + *chat.MaxTokens
+	worst := promptBound(chat) + *chat.MaxTokens
 	mayHaveRun := false
 	for n := 1; ; n++ {
 		at, err := e.prepareAttempt(a, req, route, worst, b)
@@ -157,7 +157,7 @@
 	})
 	at.sent = true
 	ts, err := e.deps.Engine.Generate(a.ctx, at.server, turmericshed.GenerateRequest{
-		Stream: at.stream, Model: chat.Model, Messages: chat.Messages,
+		Sampling: chat.Sampling, Stream: at.stream, Model: chat.Model, Messages: chat.Messages,
 		MaxTokens: *chat.MaxTokens, Priority: req.profile.Priority, Deadline: req.deadline,
 	})
 	for n := 0; ; n++ {
@@ -309,7 +309,8 @@
 // notSent reports whether the engine certainly did not run the request.
 func notSent(err error) bool {
 	switch turmericshed.KindOf(err) {
-	case turmericshed.KindNoBackend, turmericshed.KindBackendRefused, turmericshed.KindQuarantined, turmericshed.KindOverloaded:
+	case turmericshed.KindNoBackend, turmericshed.KindBackendRefused, turmericshed.KindQuarantined, turmericshed.KindOverloaded,
+		turmericshed.KindBadRequest:
 		return true
 	default:
 		return false
