Test of a flood of headers

Cause: the bound on headers was set but never tried. Change: a subtest sends 64 KiB of headers and then a request that must be answered. Conclusion: bounded before anything is charged.

--- a/io/tsprocess/relay_test.go
+++ b/io/tsprocess/relay_test.go
@@ -229,6 +229,19 @@
 }
 
 func TestOneEntryVM(t *testing.T) {
+	t.Run("a flood of headers is refused before anything is charged", func(t *testing.T) {
+		r := newRig(t, 600)
+		req, err := http.NewRequest(http.MethodPost, "http://"+r.entry.String()+"/v1/chat/completions", nil)
+		assert.NilError(t, err)
+		req.Header.Set("Authorization", "Bearer "+r.key)
+		req.Header.Set("Flood", strings.Repeat("x", 64<<10))
+		resp, err := r.client.Do(req)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+		_, _, err = r.stream(r.entry, "after")
+		assert.NilError(t, err)
+	})
 	t.Run("an answer is whole and the budget bounds the next", func(t *testing.T) {
 		r := newRig(t, 300)
 		_, events, err := r.stream(r.entry, "one")
