--- a/load/tsexperiment/budget_test.go
+++ b/load/tsexperiment/budget_test.go
@@ -10,7 +10,12 @@
 // quickRow measures one policy in one short scenario.
 func quickRow(t *testing.T, scenario, load, policy string) BudgetRow {
 	t.Helper()
-	for _, s := range budgetSpecs(true) {
+	return row(t, true, scenario, load, policy)
+}
+
+func row(t *testing.T, quick bool, scenario, load, policy string) BudgetRow {
+	t.Helper()
+	for _, s := range budgetSpecs(quick) {
 		for _, p := range budgetPolicies() {
 			if s.scenario == scenario && s.load == load && p.name == policy {
 				return measureBudget(t.Context(), 1, s, p)
@@ -39,3 +44,15 @@
 		assert.Assert(t, reflect.DeepEqual(a, b), "%+v %+v", a, b)
 	})
 }
+
+// TestNearlySpentTarget holds the last 5% of a budget to its target of one
+// false refusal in 1,000.
+func TestNearlySpentTarget(t *testing.T) {
+	for _, load := range []string{"heavy", "light"} {
+		t.Run(load, func(t *testing.T) {
+			r := row(t, false, "nearly_spent", load, "by_demand")
+			assert.Assert(t, r.OverspendTokens <= 0)
+			assert.Assert(t, r.FalseRefusals*1000 <= r.Requests, "%d of %d", r.FalseRefusals, r.Requests)
+		})
+	}
+}
