--- /dev/null
+++ b/codec.go
@@ -0,0 +1,33 @@
+package turmericshed
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Codec translates between the headers of callers and backend servers and the
+// product's types. It holds no decision.
+type Codec interface {
+	// DecodeRequest reads a caller's headers. KindBadRequest when one that
+	// is needed is missing or malformed.
+	DecodeRequest(h http.Header) (Inbound, error)
+	// EncodeRequest returns the headers for a backend server: the caller's,
+	// without those of one connection or reserved to the fleet, and ours.
+	EncodeRequest(h http.Header, o Outbound) http.Header
+	// DecodeReply reads the headers of a backend server's answer.
+	DecodeReply(status int, h http.Header) BackendReply
+	// EncodeReply returns a backend server's headers for the caller.
+	EncodeReply(h http.Header) http.Header
+	// RetryAfter formats the advice on when to ask again.
+	RetryAfter(d time.Duration) string
+}
+
+// SnapshotStore is a Store that can be mirrored.
+type SnapshotStore interface {
+	Store
+	// Snapshot returns every item with the prefix, and the version from which
+	// a watch continues. Changes made meanwhile may or may not be included;
+	// the watch tells them again.
+	Snapshot(ctx context.Context, prefix string) ([]Item, Version, error)
+}
--- /dev/null
+++ b/core/tsbudget/bridging.go
@@ -0,0 +1,98 @@
+package tsbudget
+
+import (
+	"time"
+
+	"turmericshed"
+)
+
+// Bridging lets every entry VM hold what it uses within Span, so that one that
+// loses the store and its peers serves on until they are back.
+//
+// Before any demand is known the unspent amount is handed out evenly, since a
+// cut may come first. From then on an entry VM with much demand draws more,
+// and one with little gives back when the ledger runs low. A lot whose holder
+// dies is lost to the account, so Span is the price of a crash as well.
+//
+// Example: 900 tokens prepaid, 9 entry VMs, a span of 10 s. Each draws 90 at
+// first, and 90 stay in the ledger. An entry VM that uses 12 a second wants 120
+// for the span and draws; one that uses nothing gives back three quarters of
+// its 90 once the ledger has less than a fifth of what is unspent.
+type Bridging struct {
+	// Span is the length of a cut to be served through; 0 takes
+	// defaultCutSpan.
+	Span time.Duration
+}
+
+const (
+	// defaultCutSpan is a little longer than the cuts that were seen.
+	defaultCutSpan = 10 * time.Second
+	// evenPart of what is unspent is handed out before demand is known.
+	evenPart = 0.9
+	// quietAfter is how long no request came before a holder counts as one
+	// without demand.
+	quietAfter = 6 * time.Second
+	// quietPart of an even share is kept there, for callers that move.
+	quietPart = 0.25
+	// scarcePart of the unspent amount in the ledger is enough for others.
+	scarcePart = 0.2
+	// bridgeDepth is how many of the largest requests should be at hand.
+	bridgeDepth = 2
+)
+
+var _ Placement = Bridging{}
+
+// Name returns the policy's name.
+func (Bridging) Name() string { return "bridging" }
+
+// Decide draws ahead of demand and returns what others need more.
+func (p Bridging) Decide(v View) Decision {
+	need := v.Waiting + bridgeDepth*v.Largest
+	target := max(p.target(v), need)
+	d := Decision{Want: target - min(v.Available, target-1), Min: v.least(), Share: p.share(v)}
+	low := turmericshed.Tokens(lowWater * float64(target))
+	d.Draw = v.Waiting > 0 || (v.Available < low && (!v.Ledger.Read || v.Ledger.Room > 0))
+	if d.Draw {
+		return d
+	}
+	keep := target + target/2
+	if v.Idle > quietAfter {
+		keep = turmericshed.Tokens(quietPart * p.even(v))
+	}
+	scarce := float64(v.Ledger.Room) < scarcePart*float64(v.Ledger.Unspent)
+	if surplus := v.Available - keep; scarce && surplus > 0 && float64(surplus) > surplusPart*float64(v.Ledger.Unspent)/float64(max(v.EntryVMs, 1)) {
+		d.Return, d.Keep = true, keep
+	}
+	return d
+}
+
+// target is what should be at hand.
+func (p Bridging) target(v View) turmericshed.Tokens {
+	if v.Rate <= 0 {
+		if v.Ledger.Mine > 0 {
+			return 0
+		}
+		return turmericshed.Tokens(p.even(v))
+	}
+	span := p.Span
+	if span <= 0 {
+		span = defaultCutSpan
+	}
+	wanted := v.Rate * span.Seconds() / lowWater
+	fair := fairPart * float64(v.Ledger.Unspent) * v.Rate / (v.Rate + v.Ledger.OthersRate)
+	return turmericshed.Tokens(min(wanted, fair))
+}
+
+// even is an entry VM's equal part of what is unspent.
+func (p Bridging) even(v View) float64 {
+	return evenPart * float64(v.Ledger.Unspent) / float64(max(v.EntryVMs, 1))
+}
+
+// share bounds one draw to a part of the room, so that the first to ask does
+// not take all of it.
+func (p Bridging) share(v View) float64 {
+	if v.Rate <= 0 {
+		return 0
+	}
+	return max(v.Rate/(v.Rate+v.Ledger.OthersRate)/2, 1/float64(max(v.EntryVMs, 1)))
+}
--- a/core/tsbudget/mutation.go
+++ b/core/tsbudget/mutation.go
@@ -24,6 +24,25 @@
 	}
 }
 
+// Grant returns the mutation that makes a ledger, or raises the prepaid amount
+// of one that stands. A lower amount changes nothing: it comes from an older
+// edit.
+func Grant(budget turmericshed.BudgetID, profile turmericshed.ProfileName, prepaid turmericshed.Tokens) tsupdate.Mutation {
+	raise := mutation(func(l *Ledger) (bool, error) {
+		if prepaid <= l.Prepaid {
+			return false, nil
+		}
+		l.Prepaid = prepaid
+		return true, nil
+	})
+	return func(cur turmericshed.Item) ([]byte, error) {
+		if cur.Version == 0 {
+			return Create(budget, profile, prepaid)(cur)
+		}
+		return raise(cur)
+	}
+}
+
 // DrawRequest asks for a lot. The id is made before the first write and kept
 // over retries.
 type DrawRequest struct {
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -88,6 +88,8 @@
 	At    time.Time
 	Limit turmericshed.Tokens
 	Room  turmericshed.Tokens
+	// Unspent is what is neither spent nor reported as used.
+	Unspent turmericshed.Tokens
 	// Others is the sum of the other holders' open lots.
 	Others  turmericshed.Tokens
 	Holders int
@@ -99,10 +101,11 @@
 
 // Summarize returns what the holder self remembers of a ledger.
 func Summarize(l Ledger, self turmericshed.Incarnation, at time.Time) Summary {
-	s := Summary{Read: true, At: at, Limit: l.Limit(), Room: l.Room()}
+	s := Summary{Read: true, At: at, Limit: l.Limit(), Room: l.Room(), Unspent: l.Limit() - l.Spent}
 	rates := make(map[turmericshed.Incarnation]int64, len(l.Lots))
 	for _, lot := range l.Lots {
 		rates[lot.Holder] = lot.Rate
+		s.Unspent -= lot.Used
 		if lot.Holder == self {
 			s.Mine += lot.Charge()
 		} else {
--- a/core/tsbudget/queue.go
+++ b/core/tsbudget/queue.go
@@ -101,8 +101,9 @@
 const (
 	// waitMargin is left of the deadline when waiting for tokens ends.
 	waitMargin = 50 * time.Millisecond
-	// retryBudget advises when to ask again for tokens that are out.
-	retryBudget = 2 * time.Second
+	// retryBudget advises when to ask again for tokens that are out here;
+	// the balancer sends a retry to another entry VM, which may hold some.
+	retryBudget = 250 * time.Millisecond
 	// retryStore advises when to ask again while the store does not answer.
 	retryStore = 5 * time.Second
 	// retryCut advises the same while peers that hold tokens are cut off.
--- /dev/null
+++ b/core/tsevents/split.go
@@ -0,0 +1,93 @@
+// Package tsevents splits a server-sent event stream into whole events, so
+// that an answer that breaks off is relayed up to its last whole event and
+// may go on from there.
+//
+// # Usage
+//
+//	s := tsevents.NewSplitter(maxEventBytes)
+//	events, err := s.Push(chunk) // whole events; the rest is kept
+//	whole := s.Empty()           // false when the stream ended inside an event
+package tsevents
+
+import (
+	"bytes"
+	"strconv"
+
+	"turmericshed"
+)
+
+// Event is one whole event with its bytes as received.
+type Event struct {
+	// Raw ends with the empty line that ends the event.
+	Raw []byte
+	// ID is the event's numeric id; HasID is false for events without one.
+	ID    uint64
+	HasID bool
+}
+
+// Splitter collects bytes into whole events.
+type Splitter struct {
+	limit int
+	rest  []byte
+}
+
+// NewSplitter returns a splitter that takes events of up to limit bytes.
+func NewSplitter(limit int) *Splitter { return &Splitter{limit: limit} }
+
+// Push adds bytes and returns the events that are now whole. They share no
+// memory with data. KindStreamBroken for an event over the limit.
+func (s *Splitter) Push(data []byte) ([]Event, error) {
+	s.rest = append(s.rest, data...)
+	var events []Event
+	for {
+		n := eventEnd(s.rest)
+		if n == 0 {
+			break
+		}
+		raw := s.rest[:n:n]
+		s.rest = s.rest[n:]
+		e := Event{Raw: raw}
+		e.ID, e.HasID = eventID(raw)
+		events = append(events, e)
+	}
+	if len(s.rest) > s.limit {
+		return events, turmericshed.NewError(turmericshed.KindStreamBroken, "an event is over %d bytes", s.limit)
+	}
+	if len(s.rest) == 0 {
+		s.rest = nil
+	}
+	return events, nil
+}
+
+// Empty reports whether no part of an event is held.
+func (s *Splitter) Empty() bool { return len(s.rest) == 0 }
+
+// eventEnd returns the length of the first whole event, 0 for none.
+func eventEnd(b []byte) int {
+	n := 0
+	for n < len(b) {
+		i := bytes.IndexByte(b[n:], '\n')
+		if i < 0 {
+			return 0
+		}
+		line := bytes.TrimSuffix(b[n:n+i], []byte{'\r'})
+		n += i + 1
+		if len(line) == 0 {
+			return n
+		}
+	}
+	return 0
+}
+
+// eventID returns the id of an event.
+func eventID(raw []byte) (uint64, bool) {
+	for line := range bytes.Lines(raw) {
+		v, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		id, err := strconv.ParseUint(string(bytes.TrimSpace(v)), 10, 64)
+		return id, err == nil
+	}
+	return 0, false
+}
--- a/core/tsroute/server.go
+++ b/core/tsroute/server.go
@@ -49,9 +49,9 @@
 }
 
 // refresh takes over a new description of the same server. One that listens
-// elsewhere is a new process; a leaving mark outlives the platform's list.
+// elsewhere, or that started again, is a new process; a leaving mark outlives the platform's list.
 func (s *server) refresh(b turmericshed.BackendServer) {
-	moved := s.Addr != b.Addr
+	moved := s.Addr != b.Addr || !s.Started.Equal(b.Started)
 	s.BackendServer = b
 	if s.Slots <= 0 {
 		s.Slots = defaultSlots
--- /dev/null
+++ b/core/tstable/table.go
@@ -0,0 +1,101 @@
+// Package tstable answers what a routing table says about a request: its
+// route, its service and its client account. It is pure.
+//
+// # Usage
+//
+//	t := tstable.New(table)
+//	route, ok := t.Route("corner.example", "/quotes/2f")
+//	service := tstable.Service(route, rand.Float64())
+//	account, ok := t.Account(key)
+package tstable
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"turmericshed"
+)
+
+// Table is a routing table, indexed. It is not changed after New.
+type Table struct {
+	turmericshed.RoutingTable
+	// hosts has the routes of each host, longest prefix first.
+	hosts    map[string][]turmericshed.Route
+	keys     map[string]turmericshed.AccountGrant
+	services map[string]turmericshed.ServiceSpec
+}
+
+// New indexes a routing table.
+func New(t turmericshed.RoutingTable) *Table {
+	x := &Table{
+		RoutingTable: t,
+		hosts:        make(map[string][]turmericshed.Route),
+		keys:         make(map[string]turmericshed.AccountGrant),
+		services:     make(map[string]turmericshed.ServiceSpec, len(t.Services)),
+	}
+	for _, r := range t.Routes {
+		host := strings.ToLower(r.Host)
+		x.hosts[host] = append(x.hosts[host], r)
+	}
+	for _, routes := range x.hosts {
+		slices.SortStableFunc(routes, func(a, b turmericshed.Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, a := range t.Accounts {
+		for _, k := range a.Keys {
+			x.keys[k] = a
+		}
+	}
+	for _, s := range t.Services {
+		x.services[s.Name] = s
+	}
+	return x
+}
+
+// Route returns the route with the longest prefix of path at the host, which
+// may carry a port.
+func (t *Table) Route(host, path string) (turmericshed.Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return turmericshed.Route{}, false
+}
+
+// Account returns the client account that holds the key.
+func (t *Table) Account(key string) (turmericshed.AccountGrant, bool) {
+	a, ok := t.keys[key]
+	return a, ok && key != ""
+}
+
+// Authenticates reports whether requests need a key.
+func (t *Table) Authenticates() bool { return len(t.Accounts) > 0 }
+
+// Spec returns the description of a service.
+func (t *Table) Spec(service string) turmericshed.ServiceSpec { return t.services[service] }
+
+// Service returns one of the route's services by weight, at the point u in
+// [0, 1) of their total; empty when the route has none.
+func Service(r turmericshed.Route, u float64) string {
+	var total float64
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	last := ""
+	for _, t := range r.Targets {
+		if t.Weight <= 0 {
+			continue
+		}
+		last = t.Service
+		u -= t.Weight / total
+		if u < 0 {
+			return t.Service
+		}
+	}
+	return last
+}
--- a/errors.go
+++ b/errors.go
@@ -51,6 +51,8 @@
 	KindCallUnknown
 	KindStreamBroken
 	KindInternal
+	KindNotReady
+	KindHeadersTooLarge
 	kindEnd
 )
 
@@ -94,6 +96,8 @@
 	KindCallUnknown:       {Name: "call_unknown", Status: http.StatusBadGateway, Outcome: OutcomeUnknown},
 	KindStreamBroken:      {Name: "stream_broken", Status: http.StatusBadGateway, Outcome: OutcomeRan, Retryable: true},
 	KindInternal:          {Name: "internal", Status: http.StatusInternalServerError, Outcome: OutcomeUnknown},
+	KindNotReady:          {Name: "not_ready", Status: http.StatusServiceUnavailable, Outcome: OutcomeNotRun, Retryable: true, RetryAfter: 500 * time.Millisecond},
+	KindHeadersTooLarge:   {Name: "headers_too_large", Status: http.StatusRequestHeaderFieldsTooLarge, Outcome: OutcomeNotRun},
 }
 
 // Kinds returns every kind that an error may have.
--- a/ids.go
+++ b/ids.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/netip"
+	"time"
 )
 
 // Tokens counts model tokens. Amounts are never negative in documents.
@@ -74,6 +75,9 @@
 	Slots int `json:"slots,omitempty"`
 	// Leaving is true from the first sign that the server is going away.
 	Leaving bool `json:"leaving,omitempty"`
+	// Started is when the server's process started; zero when not told. A
+	// server that starts again may keep its id.
+	Started time.Time `json:"started,omitzero"`
 }
 
 // WorkKind is the kind of work of a profile or a backend server.
--- a/io/tscommand/commands.go
+++ b/io/tscommand/commands.go
@@ -38,6 +38,7 @@
 func commands() []command {
 	return []command{
 		{"entry", "serve callers as one entry VM", runEntry},
+		{"gateway", "serve callers as one entry VM on the users' platform", runGateway},
 		{"profile", "make, show, edit and delete profiles", runProfile},
 		{"demo", "run the whole system in one process, with failures", runDemo},
 		{"account", "make, list and delete client accounts", runAccount},
--- /dev/null
+++ b/io/tsgateway/gateway.go
@@ -0,0 +1,252 @@
+// Package tsgateway puts the parts of one entry VM on the users' platform
+// together: mirrors of the store, routing, budgets and the callers' side,
+// under one supervisor.
+//
+// # Usage
+//
+//	g, err := tsgateway.New(tsgateway.Config{Settings: settings, Log: log})
+//	if err != nil { ... }
+//	err = g.Serve(ctx) // returns after a graceful stop
+package tsgateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/core/tsbudget"
+	"turmericshed/core/tstable"
+	"turmericshed/io/tsholder"
+	"turmericshed/io/tsmirror"
+	"turmericshed/io/tsobserve"
+	"turmericshed/io/tsregistry"
+	"turmericshed/io/tsrelay"
+	"turmericshed/io/tsrouting"
+	"turmericshed/io/tsupstream"
+	"turmericshed/platform"
+)
+
+const (
+	// stopReserve is left of the time to stop for returning lots.
+	stopReserve = 1200 * time.Millisecond
+	// exitReserve is left of it for the process's end.
+	exitReserve = 300 * time.Millisecond
+	// holdSpread spreads the first draws of a new account's budget over the
+	// entry VMs, which all hear of it at once.
+	holdSpread = 1500 * time.Millisecond
+	// staleAfter is the age of the routing table from which it may be out of
+	// date: a little more than a watch waits.
+	staleAfter = 6 * time.Second
+	// restartPause is the supervisor's pause after a failed controller.
+	restartPause = 200 * time.Millisecond
+	// headerTimeout bounds the requests of readiness checks and operators.
+	headerTimeout = 2 * time.Second
+)
+
+// Config holds what a Gateway needs.
+type Config struct {
+	Settings platform.Settings
+	Log      *slog.Logger
+	// Dial opens connections to the store and to servers; nil takes
+	// tsupstream.Dial.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Gateway is one entry VM.
+type Gateway struct {
+	cfg      Config
+	log      *slog.Logger
+	self     turmericshed.EntryVM
+	board    *tsboard.Board
+	metrics  *tsobserve.Metrics
+	registry *tsregistry.Registry
+	holder   *tsholder.Holder
+	pool     *tsrouting.Pool
+	upstream *tsupstream.Client
+	relay    *tsrelay.Relay
+	tables   *tsmirror.Mirror
+	servers  *tsmirror.Mirror
+	roster   *serverView
+
+	mu sync.Mutex
+	// held are the budgets whose first draw was asked for, with the amount.
+	held map[turmericshed.BudgetID]turmericshed.Tokens
+}
+
+// New builds the parts.
+func New(cfg Config) *Gateway {
+	if cfg.Dial == nil {
+		cfg.Dial = tsupstream.Dial
+	}
+	s := cfg.Settings
+	g := &Gateway{
+		cfg: cfg, log: cfg.Log, board: &tsboard.Board{}, metrics: tsobserve.NewMetrics(),
+		held: make(map[turmericshed.BudgetID]turmericshed.Tokens),
+		self: turmericshed.EntryVM{
+			Name: s.Name, Incarnation: turmericshed.Incarnation(turmericshed.NewID("inc-")), Region: s.Region,
+			FailureDomain: s.FailureDomain, CallerAddr: s.CallerAddr, PeerAddr: s.MetricsAddr,
+		},
+	}
+	store := platform.NewStore(s.StoreAddr, platform.StoreOptions{Dial: cfg.Dial})
+	events := logEvents{log: tsobserve.Part(g.log, "event")}
+	g.registry = tsregistry.New(tsregistry.Config{Self: g.self, Store: store, Log: tsobserve.Part(g.log, "registry")})
+	g.holder = tsholder.New(tsholder.Config{
+		Self: g.self, Store: store, Members: g.registry, Recorder: events,
+		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{},
+	})
+	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Board: g.board, Recorder: events})
+	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: cfg.Dial})
+	g.tables = tsmirror.New(tsmirror.Config{
+		Store: store, Prefix: platform.TableKey, Log: tsobserve.Part(g.log, "table"),
+		View: &tableView{log: tsobserve.Part(g.log, "table"), apply: g.applyTable},
+	})
+	g.roster = newServerView(tsobserve.Part(g.log, "servers"), g.board)
+	g.servers = tsmirror.New(tsmirror.Config{
+		Store: store, Prefix: platform.ServerPrefix, Log: tsobserve.Part(g.log, "servers"), View: g.roster,
+	})
+	g.relay = tsrelay.New(tsrelay.Config{
+		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Metrics: g.metrics,
+		Log: tsobserve.Part(g.log, "relay"), Retries: retryBounds(s), EntryVMs: g.registry.Count,
+		StaleAfter: staleAfter, TableAge: func() time.Duration { return g.tables.Age(time.Now()) },
+	})
+	return g
+}
+
+func retryBounds(s platform.Settings) tsrelay.RetryBounds {
+	return tsrelay.RetryBounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
+}
+
+// Reload takes changed settings. Addresses and names stay until a restart.
+func (g *Gateway) Reload(s platform.Settings) {
+	g.relay.SetRetries(retryBounds(s))
+	g.log.Info("settings reloaded", "retry_ratio", s.Bounds.RetryRatio, "retry_slack", s.Bounds.RetrySlack)
+}
+
+// applyTable puts a routing table in force and holds the budgets that it
+// names.
+func (g *Gateway) applyTable(t *tstable.Table) {
+	g.relay.SetTable(t)
+	for _, a := range t.Accounts {
+		if !a.HasPrepaid {
+			continue
+		}
+		p := tsrelay.Profile(t, a)
+		g.mu.Lock()
+		old, known := g.held[p.Budget]
+		g.held[p.Budget] = p.Prepaid
+		g.mu.Unlock()
+		if known && old >= p.Prepaid {
+			continue
+		}
+		time.AfterFunc(rand.N(holdSpread), func() { g.holder.Hold(p) })
+	}
+}
+
+// Serve runs until ctx ends and then stops gracefully.
+func (g *Gateway) Serve(ctx context.Context) error {
+	callers, err := listen(g.cfg.Settings.CallerAddr)
+	if err != nil {
+		return err
+	}
+	stopChecks, err := g.serveOperators()
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	defer stopChecks()
+	// The parts go on while what runs is ended.
+	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	done := g.supervise(partsCtx)
+	stopTimeout := g.cfg.Settings.Bounds.StopTimeout
+	g.log.Info("serving", "name", g.self.Name, "incarnation", string(g.self.Incarnation), "failure_domain", string(g.self.FailureDomain),
+		"addr", callers.Addr().String(), "store", g.cfg.Settings.StoreAddr.String())
+	signals := make(chan time.Time, 1)
+	defer context.AfterFunc(ctx, func() { signals <- time.Now() })()
+	err = tsrelay.NewServer(g.relay, tsobserve.Part(g.log, "callers")).Serve(ctx, callers, stopTimeout-stopReserve)
+	if ctx.Err() == nil {
+		return err
+	}
+	signaled := <-signals
+	drainCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), signaled.Add(stopTimeout-exitReserve))
+	defer cancel()
+	drainErr := errors.Join(g.holder.Drain(drainCtx), g.registry.Withdraw(drainCtx))
+	stopParts()
+	<-done
+	g.log.Info("stopped", "elapsed_ms", time.Since(signaled).Milliseconds(), "cut_off", err != nil, "lots_returned", drainErr == nil)
+	return errors.Join(err, drainErr)
+}
+
+// supervise runs the controllers.
+func (g *Gateway) supervise(ctx context.Context) <-chan error {
+	sup := suture.New("gateway", suture.Spec{FailureBackoff: restartPause, EventHook: func(e suture.Event) {
+		g.log.Error("controller ended", "event", e.String())
+	}})
+	parts := []turmericshed.Controller{g.tables, g.servers, g.roster, g.registry, g.upstream}
+	parts = append(parts, g.holder.Controllers()...)
+	parts = append(parts, g.pool.Controllers()...)
+	for _, p := range parts {
+		sup.Add(p)
+	}
+	return sup.ServeBackground(ctx)
+}
+
+// serveOperators answers readiness checks and serves metrics.
+func (g *Gateway) serveOperators() (stop func(), err error) {
+	ready, err := listen(g.cfg.Settings.ReadyAddr)
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := listen(g.cfg.Settings.MetricsAddr)
+	if err != nil {
+		return nil, errors.Join(err, ready.Close())
+	}
+	check := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.relay.Ready() || len(g.board.Servers.Read()) == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", g.metrics.Handler())
+	operators := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: mux}
+	for srv, ln := range map[*http.Server]net.Listener{check: ready, operators: metrics} {
+		go func() {
+			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				g.log.Error("listener ended", "addr", ln.Addr().String(), "error", err.Error())
+			}
+		}()
+	}
+	return func() {
+		if err := errors.Join(check.Close(), operators.Close()); err != nil {
+			g.log.Debug("listeners closed", "error", err.Error())
+		}
+	}, nil
+}
+
+// listen opens a listener.
+func listen(addr netip.AddrPort) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr.String())
+	return ln, turmericshed.WrapError(turmericshed.KindBadRequest, err, "listen on %s", addr)
+}
+
+// logEvents writes events of budgets and routing to the log.
+type logEvents struct{ log *slog.Logger }
+
+// Record logs what changes a belief. What every request does is in its own
+// line already.
+func (l logEvents) Record(e turmericshed.Event) {
+	if e.Name == turmericshed.EventReservationSettled {
+		return
+	}
+	l.log.LogAttrs(context.Background(), slog.LevelInfo, string(e.Name), slog.String("profile", string(e.Profile)),
+		slog.String("lot", string(e.Lot)), slog.String("server", string(e.Server)), slog.Int64("tokens", int64(e.Tokens)), slog.String("reason", e.Reason))
+}
--- a/io/tsholder/controller.go
+++ b/io/tsholder/controller.go
@@ -117,7 +117,7 @@
 		case b.draw != nil, b.loan != nil,
 			b.closed && (held > 0 || v.Dirty),
 			b.profile.Closed && !b.closed && b.ledger.Read,
-			b.ledger.Read && b.profile.Prepaid != b.ledger.Limit && held > 0,
+			h.cfg.Keeper.Stale(b.ledger, b.profile) && (held > 0 || !b.ledger.Read),
 			d.Return, d.Borrow, d.Draw && !now.Before(b.nextDraw),
 			v.ReportDue(now.Sub(b.reportedAt)):
 			h.kickLocked(b)
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -79,6 +79,9 @@
 	Profiles turmericshed.Profiles
 	// Placement defaults to tsbudget.ByDemand.
 	Placement tsbudget.Placement
+	// Keeper brings ledgers in line with their profiles; nil takes
+	// EditedProfiles.
+	Keeper Keeper
 	// WritesPerSecond limits the writes to the store that no request waits
 	// for; 0 takes the default.
 	WritesPerSecond float64
@@ -175,6 +178,9 @@
 	if cfg.Placement == nil {
 		cfg.Placement = tsbudget.ByDemand{}
 	}
+	if cfg.Keeper == nil {
+		cfg.Keeper = EditedProfiles{}
+	}
 	if cfg.WritesPerSecond <= 0 {
 		cfg.WritesPerSecond = defaultWritesPerSecond
 	}
@@ -216,6 +222,16 @@
 	return w.res, w.err
 }
 
+// Hold makes a profile's budget known before its first request, so that
+// tokens are at hand when it comes.
+func (h *Holder) Hold(p turmericshed.Profile) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.draining {
+		h.kickLocked(h.noteLocked(p))
+	}
+}
+
 // reserveOrWait reserves at once or returns a waiter.
 func (h *Holder) reserveOrWait(ctx context.Context, p turmericshed.Profile, request turmericshed.RequestID, n turmericshed.Tokens) (*waiter, turmericshed.Reservation, error) {
 	now := time.Now()
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"turmericshed"
@@ -255,16 +256,17 @@
 func (h *Holder) repair(ctx context.Context, b *budget) {
 	h.mu.Lock()
 	p, known := b.profile, b.ledger
-	stale := known.Read && (known.Limit != p.Prepaid || (p.Closed && !b.closed))
+	stale := h.cfg.Keeper.Stale(known, p) || (known.Read && p.Closed && !b.closed)
 	h.mu.Unlock()
 	if !stale {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	item, err := Repair(ctx, h.cfg.Store, b.id, p.Name)
+	item, err := h.cfg.Keeper.Repair(ctx, h.cfg.Store, p)
 	l, decodeErr := tsbudget.Decode(item)
 	if err != nil || decodeErr != nil {
+		h.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventLotRefused, Profile: p.Name, Reason: "ledger not brought in line: " + errors.Join(err, decodeErr).Error()})
 		return
 	}
 	h.mu.Lock()
--- /dev/null
+++ b/io/tsrelay/answer.go
@@ -0,0 +1,100 @@
+package tsrelay
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"turmericshed"
+)
+
+// refusal is the body of the fleet's own answers.
+type refusal struct {
+	Error   string               `json:"error"`
+	Kind    string               `json:"kind"`
+	Outcome turmericshed.Outcome `json:"outcome"`
+}
+
+// outcome is what is true of the request after err.
+func (q *request) outcome(err error) turmericshed.Outcome {
+	if q.mayHaveRun {
+		if o := turmericshed.OutcomeOf(err); o != turmericshed.OutcomeNotRun {
+			return o
+		}
+		return turmericshed.OutcomeUnknown
+	}
+	return turmericshed.OutcomeNotRun
+}
+
+// refuse answers with an error. The statuses that promise that the request
+// did not run are used for nothing else, and for every refusal of that kind
+// that may pass.
+func (q *request) refuse(err error) {
+	kind := turmericshed.KindOf(err)
+	info := kind.Info()
+	status := info.Status
+	outcome := q.outcome(err)
+	switch {
+	case q.mayHaveRun && kind == turmericshed.KindDeadline:
+		status = http.StatusGatewayTimeout
+	case q.mayHaveRun:
+		status = http.StatusBadGateway
+	case kind == turmericshed.KindCanceled:
+		status = http.StatusServiceUnavailable
+	case info.Retryable:
+		status = http.StatusServiceUnavailable
+	}
+	h := q.w.Header()
+	if !q.mayHaveRun && info.Retryable {
+		if d := turmericshed.RetryAfterOf(err); d > 0 {
+			h.Set("Retry-After", q.relay.cfg.Codec.RetryAfter(d))
+		}
+	}
+	body, marshalErr := json.Marshal(refusal{Error: err.Error(), Kind: kind.String(), Outcome: outcome})
+	if marshalErr != nil {
+		q.relay.cfg.Log.Error("refusal not encoded", "request", string(q.in.ID), "error", marshalErr.Error())
+	}
+	h.Set("Content-Type", "application/json")
+	q.status = status
+	q.setWriteDeadline()
+	q.w.WriteHeader(status)
+	if _, err := q.w.Write(body); err != nil {
+		q.relay.cfg.Log.Debug("caller is gone", "request", string(q.in.ID), "error", err.Error())
+	}
+}
+
+// writeGrace is how long after its deadline an answer may still be written to
+// a caller that reads slowly.
+const writeGrace = 400 * time.Millisecond
+
+// setWriteDeadline keeps a caller that does not read from holding the request.
+func (q *request) setWriteDeadline() {
+	at := q.deadline
+	if at.IsZero() {
+		at = q.arrived
+	}
+	if late := time.Now(); at.Before(late) {
+		at = late
+	}
+	if err := q.rc.SetWriteDeadline(at.Add(writeGrace)); err != nil {
+		q.relay.cfg.Log.Warn("no write deadline", "request", string(q.in.ID), "error", err.Error())
+	}
+}
+
+// commit sends a backend server's status and headers to the caller.
+func (q *request) commit(server turmericshed.ServerID, status int, header http.Header) {
+	q.committed, q.status, q.server = true, status, server
+	q.firstByte = time.Since(q.arrived)
+	h := q.w.Header()
+	for name, values := range q.relay.cfg.Codec.EncodeReply(header) {
+		h[name] = values
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if len(h[name]) == 0 {
+			// Keeps net/http from adding its own.
+			h[name] = nil
+		}
+	}
+	q.setWriteDeadline()
+	q.w.WriteHeader(status)
+}
--- /dev/null
+++ b/io/tsrelay/attempt.go
@@ -0,0 +1,225 @@
+package tsrelay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"turmericshed"
+	"turmericshed/io/tsupstream"
+)
+
+// refusedRetry is the advice after a backend server was full.
+const refusedRetry = 300 * time.Millisecond
+
+// wholeAnswer is a plain answer, read whole.
+type wholeAnswer struct {
+	server turmericshed.ServerID
+	status int
+	header http.Header
+	body   []byte
+}
+
+// run sends the request until it is answered or may not be sent again.
+func (q *request) run() error {
+	var failed *wholeAnswer
+	for {
+		a, err := q.attempt()
+		switch {
+		case err == nil && a == nil:
+			return nil
+		case err == nil && !(q.route.Repeatable && a.status >= http.StatusInternalServerError):
+			return q.relayWhole(a)
+		case err == nil:
+			failed = a
+		}
+		if err = q.mayRepeat(err); err == nil {
+			continue
+		}
+		if failed != nil {
+			// The server's own failure says more than ours.
+			return q.relayWhole(failed)
+		}
+		return err
+	}
+}
+
+// mayRepeat returns nil when the request goes to another server now, else the
+// error that ends it. A nil err stands for an answer that tells of a failure.
+func (q *request) mayRepeat(err error) error {
+	kind := turmericshed.KindOf(err)
+	if ctxErr := q.contextError(); ctxErr != nil {
+		return ctxErr
+	}
+	unsent := kind == turmericshed.KindNoBackend || kind == turmericshed.KindOverloaded
+	switch {
+	case unsent && q.picked && q.dials < maxDials:
+		return nil
+	case unsent, kind == turmericshed.KindCanceled, q.mayHaveRun && !q.route.Repeatable:
+		return err
+	case q.sent >= q.route.MaxAttempts:
+		return q.orFailed(err)
+	case !q.relay.allowRepeat(time.Now(), q.service):
+		return q.orFailed(err)
+	}
+	q.relay.cfg.Log.Info("sent again", "request", string(q.in.ID), "kind", kind.String(), "sent", q.sent, "after_event", q.lastEvent)
+	return nil
+}
+
+// orFailed gives the end of a request that a server failed an error.
+func (q *request) orFailed(err error) error {
+	if err != nil {
+		return err
+	}
+	return turmericshed.NewError(turmericshed.KindCallUnknown, "the server failed the request")
+}
+
+// contextError tells whether the caller left or the deadline passed.
+func (q *request) contextError() error {
+	if q.ctx.Err() == nil {
+		return nil
+	}
+	if context.Cause(q.ctx) == errDeadline { //nolint:errorlint // the cause is the value itself.
+		return turmericshed.NewError(turmericshed.KindDeadline, "no answer within %s", q.deadline.Sub(q.arrived))
+	}
+	return turmericshed.NewError(turmericshed.KindCanceled, "the caller left")
+}
+
+// attempt sends the request to one server. It returns a plain answer, or none
+// when a stream was relayed to its end.
+func (q *request) attempt() (*wholeAnswer, error) {
+	now := time.Now()
+	rr := q.routeRequest()
+	server, err := q.relay.cfg.Router.Pick(now, rr)
+	q.picked = err == nil
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(q.ctx)
+	defer cancel()
+	patience := q.watch(cancel)
+	defer patience.stop()
+	events := q.events
+	a, first, err := q.exchange(ctx, server, patience)
+	if err != nil {
+		q.excluded = append(q.excluded, server.ID)
+		if patience.expired() {
+			err = turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s is silent", server.ID)
+		}
+	}
+	if err != nil && q.ctx.Err() != nil {
+		err = q.contextError()
+	}
+	res := turmericshed.DispatchResult{Err: err, FirstByte: first, Elapsed: time.Since(now), Tokens: turmericshed.Tokens(q.events - events)}
+	if a != nil && a.status >= http.StatusInternalServerError {
+		res.Err = turmericshed.NewError(turmericshed.KindInternal, "status %d", a.status)
+		q.excluded = append(q.excluded, server.ID)
+	}
+	q.relay.cfg.Router.Done(time.Now(), server.ID, rr, res)
+	if q.relay.cfg.Metrics != nil {
+		q.relay.cfg.Metrics.Attempt(rr, res)
+	}
+	return a, err
+}
+
+// exchange sends the request and takes the answer. first is the time to the
+// answer's first byte, 0 without one.
+func (q *request) exchange(ctx context.Context, server turmericshed.BackendServer, p *patience) (*wholeAnswer, time.Duration, error) {
+	began := time.Now()
+	reply, err := q.relay.cfg.Upstream.Send(ctx, q.call(server))
+	switch turmericshed.KindOf(err) {
+	case turmericshed.KindNone:
+	case turmericshed.KindNoBackend, turmericshed.KindOverloaded:
+		q.dials++
+		return nil, 0, err
+	default:
+		q.sent++
+		q.mayHaveRun, q.unfinished = true, true
+		return nil, 0, err
+	}
+	q.sent++
+	first := time.Since(began)
+	if reply.Info.HasLoad {
+		l := reply.Info.Load
+		q.relay.cfg.Router.Report(time.Now(), turmericshed.LoadReport{Server: server.ID, At: began.Add(first / 2), Running: l.Running, Queued: l.Queued})
+	}
+	if reply.Info.NotRun {
+		return nil, first, q.notRun(server, reply)
+	}
+	q.mayHaveRun = true
+	success := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
+	if success && (!reply.Info.Signed || reply.Info.Encoded) {
+		reply.Close()
+		q.unfinished = true
+		return nil, first, turmericshed.NewError(turmericshed.KindCallUnknown, "server %s: the answer is not its own", server.ID)
+	}
+	if q.route.Stream && success {
+		err := q.relayStream(server.ID, reply, p)
+		return nil, first, err
+	}
+	body, err := reply.ReadAll()
+	if err != nil {
+		q.unfinished = true
+		return nil, first, err
+	}
+	if promises(reply.Status) {
+		// The server used a status that promises that nothing ran without
+		// saying so itself.
+		return nil, first, turmericshed.NewError(turmericshed.KindCallUnknown, "server %s: status %d", server.ID, reply.Status)
+	}
+	return &wholeAnswer{server: server.ID, status: reply.Status, header: reply.Header, body: body}, first, nil
+}
+
+// promises reports whether callers take the status as a promise that the
+// request did not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// notRun ends an attempt that the server refused.
+func (q *request) notRun(server turmericshed.BackendServer, reply *tsupstream.Reply) error {
+	if _, err := reply.ReadAll(); err != nil {
+		q.relay.cfg.Log.Debug("refusal broke off", "server", string(server.ID), "error", err.Error())
+	}
+	if reply.Info.Misdirected {
+		q.relay.cfg.Router.SetLeaving(time.Now(), server.ID)
+		q.relay.cfg.Log.Warn("another server has the address", "server", string(server.ID), "addr", server.Addr.String())
+	}
+	err := turmericshed.NewError(turmericshed.KindBackendRefused, "server %s refused with status %d", server.ID, reply.Status)
+	return turmericshed.WithRetryAfter(err, refusedRetry)
+}
+
+// call is the request as it goes to a server.
+func (q *request) call(server turmericshed.BackendServer) tsupstream.Call {
+	out := turmericshed.Outbound{
+		Server: server.ID, Account: q.account.Account, TimeLimit: time.Until(q.deadline),
+		Urgency: q.urgency(), SetUrgency: q.generates(),
+	}
+	if q.route.Stream && q.lastEvent > 0 {
+		out.LastEvent = q.lastEvent
+	}
+	return tsupstream.Call{
+		Server: server, ID: q.in.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
+		Header: q.relay.cfg.Codec.EncodeRequest(q.r.Header, out), Body: q.body,
+		Once: !q.route.Repeatable, Connections: q.relay.connectionShare(q.spec()),
+	}
+}
+
+// relayWhole answers the caller with a whole answer.
+func (q *request) relayWhole(a *wholeAnswer) error {
+	if q.committed {
+		return turmericshed.NewError(turmericshed.KindStreamBroken, "the stream was not resumed: status %d", a.status)
+	}
+	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	q.commit(a.server, a.status, a.header)
+	if _, err := q.w.Write(a.body); err != nil {
+		return turmericshed.WrapError(turmericshed.KindCanceled, err, "caller")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/tsrelay/relay.go
@@ -0,0 +1,169 @@
+// Package tsrelay serves callers by host and path: it finds the route and the
+// client account of a request, reserves its tokens, sends it to a backend
+// server and relays the answer.
+//
+// Every refusal comes from the table of error kinds, and says that the request
+// did not run only when that is certain. A request that may run at most once
+// is sent to one server and never again once its first byte may have left. A
+// stream that breaks off goes on at another server after its last whole event,
+// where the route allows that.
+//
+// # Usage
+//
+//	relay := tsrelay.New(tsrelay.Config{Codec: codec, Router: pool, Budgets: holder, Upstream: upstream, Log: log})
+//	relay.SetTable(tstable.New(table))
+//	server := tsrelay.NewServer(relay, log)
+//	err := server.Serve(ctx, listener) // returns after a graceful stop
+package tsrelay
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsadmit"
+	"turmericshed/core/tstable"
+	"turmericshed/io/tsobserve"
+	"turmericshed/io/tsupstream"
+)
+
+const (
+	// maxDials is how many servers may refuse the connection before a request
+	// is given up.
+	maxDials = 4
+	// defaultLimit stands in for a time limit that the caller did not tell.
+	defaultLimit = 30 * time.Second
+	// firstEventFactor times the objective is how long a stream that can go
+	// elsewhere may stay without its first event.
+	firstEventFactor = 3
+	// pauseFactor times the longest good pause is how long such a stream may
+	// pause.
+	pauseFactor = 4
+	// answerFactor times the objective is how long a repeatable request may
+	// stay without an answer while it can go elsewhere.
+	answerFactor = 3
+	// connectionPart of a server's connections is shared by the entry VMs
+	// evenly; the rest is left for uneven loads.
+	connectionPart = 0.8
+	// minConnections is the least share of a server's connections.
+	minConnections = 4
+)
+
+// RetryBounds bound the repeats that all entry VMs together send.
+type RetryBounds struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Config holds what a Relay needs.
+type Config struct {
+	Codec    turmericshed.Codec
+	Router   turmericshed.Router
+	Budgets  turmericshed.Budgets
+	Upstream *tsupstream.Client
+	Metrics  *tsobserve.Metrics
+	Log      *slog.Logger
+	Retries  RetryBounds
+	// EntryVMs returns how many entry VMs there may be, this one included.
+	EntryVMs func() int
+	// StaleAfter is the age of the routing table from which an unknown route
+	// or key is no proof that it does not exist; TableAge tells the age.
+	StaleAfter time.Duration
+	TableAge   func() time.Duration
+}
+
+// Relay serves callers' requests.
+type Relay struct {
+	cfg   Config
+	table atomic.Pointer[tstable.Table]
+	// stopping is true from the start of a graceful stop.
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	bounds  RetryBounds
+	retries map[string]*tsadmit.RetryWindow
+}
+
+// New returns a relay without a routing table, which refuses everything.
+func New(cfg Config) *Relay {
+	return &Relay{cfg: cfg, bounds: cfg.Retries, retries: make(map[string]*tsadmit.RetryWindow)}
+}
+
+// SetTable puts a routing table in force for the requests that follow.
+func (s *Relay) SetTable(t *tstable.Table) { s.table.Store(t) }
+
+// Table returns the routing table in force; nil before the first.
+func (s *Relay) Table() *tstable.Table { return s.table.Load() }
+
+// SetRetries replaces the bounds on repeats. The window's length stays for
+// services that are in use.
+func (s *Relay) SetRetries(b RetryBounds) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bounds = b
+}
+
+// Stop makes answers close their connections from now on.
+func (s *Relay) Stop() { s.stopping.Store(true) }
+
+// Ready reports whether new connections are welcome.
+func (s *Relay) Ready() bool { return s.table.Load() != nil && !s.stopping.Load() }
+
+// ServeHTTP serves one request.
+func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req := &request{relay: s, w: w, r: r, rc: http.NewResponseController(w), arrived: time.Now()}
+	err := req.prepare()
+	if err == nil {
+		var cancel context.CancelFunc
+		req.ctx, cancel = context.WithDeadlineCause(r.Context(), req.deadline, errDeadline)
+		defer cancel()
+		err = req.serve()
+	}
+	req.end(err)
+}
+
+// errDeadline is the cause of a context that ended at the request's deadline.
+var errDeadline = errors.New("the request's deadline passed")
+
+// countRequest counts a request for the service's retry budget.
+func (s *Relay) countRequest(now time.Time, service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window(service).Request(now)
+}
+
+// allowRepeat reports whether one more repeat may be sent to the service.
+func (s *Relay) allowRepeat(now time.Time, service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.window(service).Allow(now)
+}
+
+// window returns a service's retry budget, with this entry VM's part of the
+// fleet's slack.
+func (s *Relay) window(service string) *tsadmit.RetryWindow {
+	w := s.retries[service]
+	if w == nil {
+		w = &tsadmit.RetryWindow{Window: s.bounds.Window}
+		s.retries[service] = w
+	}
+	w.Ratio, w.Slack = s.bounds.Ratio, s.bounds.Slack/float64(max(s.cfg.EntryVMs(), 1))
+	return w
+}
+
+// connectionShare is how many connections this entry VM opens to one server.
+func (s *Relay) connectionShare(spec turmericshed.ServiceSpec) int {
+	if spec.MaxConnections <= 0 {
+		return 0
+	}
+	return max(int(float64(spec.MaxConnections)*connectionPart)/max(s.cfg.EntryVMs(), 1), minConnections)
+}
--- /dev/null
+++ b/io/tsrelay/request.go
@@ -0,0 +1,311 @@
+package tsrelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"turmericshed"
+	"turmericshed/core/tstable"
+)
+
+const (
+	// headerLineExtra is what a header line adds to its name and value.
+	headerLineExtra = 4
+	// defaultHeaderTimeout bounds the reading of a body when the routing
+	// table names no time.
+	defaultHeaderTimeout = 10 * time.Second
+	// readinessRetry is the advice before the first routing table.
+	readinessRetry = 500 * time.Millisecond
+)
+
+// request is one caller's request through its life.
+type request struct {
+	relay   *Relay
+	w       http.ResponseWriter
+	r       *http.Request
+	rc      *http.ResponseController
+	ctx     context.Context
+	arrived time.Time
+
+	in      turmericshed.Inbound
+	table   *tstable.Table
+	route   turmericshed.Route
+	service string
+	account turmericshed.AccountGrant
+	body    []byte
+	// deadline is when the caller or the route stops waiting.
+	deadline time.Time
+
+	reservation turmericshed.Reservation
+	reserved    bool
+
+	// sent counts the servers that the request was sent to, dials those that
+	// could not be reached.
+	sent     int
+	dials    int
+	excluded []turmericshed.ServerID
+	// picked is false when no server was left to choose.
+	picked bool
+	// mayHaveRun is true once a server may have begun to work on it.
+	mayHaveRun bool
+	// committed is true once the answer's headers went to the caller, status
+	// and server are the answer's.
+	committed bool
+	status    int
+	server    turmericshed.ServerID
+	firstByte time.Duration
+	// events were relayed, the last one with the id lastEvent.
+	events    int
+	lastEvent uint64
+	// unfinished is true when a server may have made more than was relayed.
+	unfinished bool
+}
+
+// prepare reads the request and finds its route, account and service.
+func (q *request) prepare() error {
+	q.table = q.relay.Table()
+	if q.table == nil {
+		return turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindNotReady, "no routing table yet"), readinessRetry)
+	}
+	in, err := q.relay.cfg.Codec.DecodeRequest(q.r.Header)
+	q.in = in
+	if err != nil {
+		return err
+	}
+	q.lastEvent = in.LastEvent
+	if limit := q.table.Limits.HeaderBytes; limit > 0 && headerBytes(q.r) > limit {
+		return turmericshed.NewError(turmericshed.KindHeadersTooLarge, "the headers are over %d bytes", limit)
+	}
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	route, ok := q.table.Route(q.r.Host, path)
+	if !ok {
+		return q.unknown(turmericshed.NewError(turmericshed.KindNotFound, "no route for this host and path"))
+	}
+	q.route = route
+	if err := q.authenticate(); err != nil {
+		return err
+	}
+	q.service = tstable.Service(route, rand.Float64())
+	q.deadline = q.arrived.Add(q.limit())
+	return q.readBody()
+}
+
+// limit is how long the request may take.
+func (q *request) limit() time.Duration {
+	d := q.in.TimeLimit
+	if d <= 0 {
+		d = defaultLimit
+	}
+	if q.route.Timeout > 0 {
+		d = min(d, q.route.Timeout)
+	}
+	return d
+}
+
+// unknown turns a refusal for something that the routing table lacks into one
+// for now, while the table may be out of date.
+func (q *request) unknown(err error) error {
+	if age := q.relay.cfg.TableAge(); age > q.relay.cfg.StaleAfter {
+		return turmericshed.NewError(turmericshed.KindNotReady, "the routing table is %s old", age.Round(time.Millisecond))
+	}
+	return err
+}
+
+// authenticate finds the client account of the request's key.
+func (q *request) authenticate() error {
+	if !q.table.Authenticates() {
+		return nil
+	}
+	a, ok := q.table.Account(q.in.Key)
+	if ok {
+		q.account = a
+		return nil
+	}
+	if q.route.Anonymous {
+		return nil
+	}
+	return q.unknown(turmericshed.NewError(turmericshed.KindUnauthenticated, "unknown key"))
+}
+
+// readBody reads the body whole, so that it can be sent again.
+func (q *request) readBody() error {
+	limit := q.table.Limits.BodyBytes
+	if limit > 0 && q.r.ContentLength > limit {
+		return turmericshed.NewError(turmericshed.KindTooLarge, "the body is over %d bytes", limit)
+	}
+	if q.r.ContentLength == 0 {
+		return nil
+	}
+	timeout := q.table.Limits.HeaderTimeout
+	if timeout <= 0 {
+		timeout = defaultHeaderTimeout
+	}
+	if err := q.rc.SetReadDeadline(time.Now().Add(timeout + q.limit())); err != nil {
+		return turmericshed.WrapError(turmericshed.KindInternal, err, "read deadline")
+	}
+	body := io.Reader(q.r.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(q.w, q.r.Body, limit)
+	}
+	data, err := io.ReadAll(body)
+	if err == nil {
+		err = q.rc.SetReadDeadline(time.Time{})
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return turmericshed.NewError(turmericshed.KindTooLarge, "the body is over %d bytes", limit)
+	}
+	q.body = data
+	return turmericshed.WrapError(turmericshed.KindCanceled, err, "body")
+}
+
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + headerLineExtra
+		}
+	}
+	return n
+}
+
+// serve reserves the request's tokens, sends it and relays the answer.
+func (q *request) serve() error {
+	if err := q.reserve(); err != nil {
+		return err
+	}
+	q.relay.countRequest(q.arrived, q.service)
+	err := q.run()
+	q.settle()
+	return err
+}
+
+// generates reports whether the request uses tokens.
+func (q *request) generates() bool { return q.in.Sized && q.spec().TokensPerEvent > 0 }
+
+func (q *request) spec() turmericshed.ServiceSpec { return q.table.Spec(q.service) }
+
+// reserve takes the worst case of a generation from the account's budget.
+func (q *request) reserve() error {
+	if !q.account.HasPrepaid || !q.in.Sized {
+		return nil
+	}
+	res, err := q.relay.cfg.Budgets.Reserve(q.ctx, Profile(q.table, q.account), q.in.ID, q.in.PromptTokens+q.in.MaxOutput)
+	if err != nil {
+		return err
+	}
+	q.reservation, q.reserved = res, true
+	return nil
+}
+
+// Profile is the budget of a client account as the budgets know it.
+func Profile(t *tstable.Table, a turmericshed.AccountGrant) turmericshed.Profile {
+	return turmericshed.Profile{
+		Name: turmericshed.ProfileName(a.Account), Budget: turmericshed.BudgetID(a.Account), Prepaid: a.Prepaid,
+		Accounts: []turmericshed.AccountLimit{{Account: a.Account}}, Work: turmericshed.WorkAssistant,
+		Edge: turmericshed.PreferNoSurprise, Version: turmericshed.Version(t.Version),
+	}
+}
+
+// settle bills the prompt and the output that was delivered, once. Where a
+// server may have made more than was relayed, one event more is billed.
+func (q *request) settle() {
+	if !q.reserved {
+		return
+	}
+	q.reserved = false
+	var used turmericshed.Tokens
+	if q.mayHaveRun {
+		events := q.events
+		if q.unfinished {
+			events++
+		}
+		used = q.in.PromptTokens + min(turmericshed.Tokens(events)*q.spec().TokensPerEvent, q.in.MaxOutput)
+	}
+	q.relay.cfg.Budgets.Settle(q.reservation, used)
+}
+
+// routeRequest asks for a server.
+func (q *request) routeRequest() turmericshed.RouteRequest {
+	return turmericshed.RouteRequest{
+		Work: turmericshed.WorkService, Service: q.service, Model: q.in.Model,
+		Prefix: q.prefix(), Cost: q.in.PromptTokens + q.in.MaxOutput, Excluded: q.excluded,
+	}
+}
+
+// prefix hashes the parts of the prompt that other requests may share: all
+// but the last one. A prompt of one part is its own prefix.
+func (q *request) prefix() uint64 {
+	parts := q.in.Parts
+	if !q.route.Affinity || len(parts) == 0 {
+		return 0
+	}
+	if len(parts) > 1 {
+		parts = parts[:len(parts)-1]
+	}
+	var h xxhash.Digest
+	h.Reset()
+	for _, p := range parts {
+		_, _ = h.WriteString(p.ID)
+		_, _ = h.WriteString("\x00")
+	}
+	return max(h.Sum64(), 1)
+}
+
+// urgency is the account's priority, or the route's.
+func (q *request) urgency() int {
+	if q.account.HasPriority {
+		return q.account.Priority
+	}
+	return q.route.Priority
+}
+
+// end answers what was not answered, counts the request and logs it.
+func (q *request) end(err error) {
+	if err != nil && !q.committed {
+		q.refuse(err)
+	}
+	q.observe(err)
+	if err != nil && q.committed {
+		// The connection is closed, so that the answer does not look whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// observe counts the request and writes its line to the log.
+func (q *request) observe(err error) {
+	elapsed := time.Since(q.arrived)
+	kind := turmericshed.KindOf(err)
+	work := turmericshed.WorkService
+	if q.route.Stream {
+		work = turmericshed.WorkAssistant
+	}
+	if q.relay.cfg.Metrics != nil {
+		q.relay.cfg.Metrics.Request(work, kind, q.firstByte, elapsed)
+	}
+	level := slog.LevelInfo
+	attrs := []slog.Attr{
+		slog.String("request", string(q.in.ID)), slog.String("route", q.route.Name), slog.String("account", string(q.account.Account)),
+		slog.String("service", q.service), slog.String("server", string(q.server)), slog.Int("status", q.status),
+		slog.Int("sent", q.sent), slog.Int("dials", q.dials), slog.Int("events", q.events),
+		slog.Int64("first_byte_ms", q.firstByte.Milliseconds()), slog.Int64("elapsed_ms", elapsed.Milliseconds()),
+	}
+	if q.table != nil {
+		attrs = append(attrs, slog.Uint64("table_version", q.table.Version))
+	}
+	msg := "answered"
+	if err != nil {
+		msg, level = "not answered", slog.LevelWarn
+		attrs = append(attrs, slog.String("kind", kind.String()), slog.String("outcome", string(q.outcome(err))),
+			slog.Int64("table_age_ms", q.relay.cfg.TableAge().Milliseconds()), slog.String("error", err.Error()))
+	}
+	q.relay.cfg.Log.LogAttrs(context.Background(), level, msg, attrs...)
+}
--- /dev/null
+++ b/io/tsupstream/client.go
@@ -0,0 +1,264 @@
+// Package tsupstream sends requests to backend servers, each once, and reads
+// their answers with doubt: bytes that do not answer the request on their
+// connection are nobody's.
+//
+// It keeps connections open between requests and never sends a request a
+// second time by itself. Whether one may be sent again is for the caller to
+// decide, by the kind of the error.
+//
+// # Usage
+//
+//	c := tsupstream.New(tsupstream.Config{Codec: codec})
+//	reply, err := c.Send(ctx, call) // KindNoBackend, KindOverloaded: not sent
+//	body, err := reply.ReadAll()    // or reply.Read, then reply.Close
+package tsupstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"turmericshed"
+)
+
+const (
+	// defaultKeep is how long an idle connection is kept when its server does
+	// not tell; shorter than the usual server's time.
+	defaultKeep = 4 * time.Second
+	// keepPart of the time that a server told is used, so that a request does
+	// not cross the server's close.
+	keepPart = 0.7
+	// onceMaxIdle is how long a connection may have been idle to carry a
+	// request that must not run twice: one that the server dropped unnoticed
+	// would leave the outcome unknown.
+	onceMaxIdle = 1500 * time.Millisecond
+	// inlineBody is the largest body that is written before the answer is
+	// read; larger ones are written beside, since a server may answer early.
+	inlineBody = 4 << 10
+	// maxBody bounds a whole answer in memory.
+	maxBody = 16 << 20
+	// sweepInterval is the time between searches for expired connections.
+	sweepInterval = time.Second
+)
+
+// Config holds what a Client needs.
+type Config struct {
+	Codec turmericshed.Codec
+	// Dial opens connections; nil takes Dial of this package.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Client sends requests to backend servers.
+type Client struct {
+	codec turmericshed.Codec
+	conns connections
+}
+
+// New returns a client without connections.
+func New(cfg Config) *Client {
+	if cfg.Dial == nil {
+		cfg.Dial = Dial
+	}
+	return &Client{codec: cfg.Codec, conns: connections{dial: cfg.Dial, pools: make(map[serverKey]*pool)}}
+}
+
+// Serve closes idle connections until ctx ends.
+func (c *Client) Serve(ctx context.Context) error {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-t.C:
+			c.conns.sweep(now)
+		}
+	}
+}
+
+// Call is one request to one server.
+type Call struct {
+	Server turmericshed.BackendServer
+	ID     turmericshed.RequestID
+	Method string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Once requests must not run twice; they avoid connections that the
+	// server may have dropped.
+	Once bool
+	// Connections bounds the connections to the server; 0 means no bound.
+	Connections int
+}
+
+// Reply is an answer whose headers were read and belong to the call.
+type Reply struct {
+	Status int
+	Header http.Header
+	Info   turmericshed.BackendReply
+
+	client  *Client
+	key     serverKey
+	conn    *conn
+	resp    *http.Response
+	written chan error
+	stop    func() bool
+	closed  bool
+}
+
+// Send makes the call. The end of ctx closes its connection, also while the
+// answer is read. Errors: KindNoBackend and KindOverloaded when nothing was
+// sent, KindCallUnknown when the call may run.
+func (c *Client) Send(ctx context.Context, call Call) (*Reply, error) {
+	k := keyOf(call.Server)
+	cn, err := c.connect(ctx, k, call)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	r := &Reply{client: c, key: k, conn: cn, stop: stop, written: make(chan error, 1)}
+	if err := r.write(call); err != nil {
+		r.Close()
+		return nil, turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: write", call.Server.ID)
+	}
+	if err := r.readHead(call); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// connect returns a connection for the call.
+func (c *Client) connect(ctx context.Context, k serverKey, call Call) (*conn, error) {
+	maxIdle := time.Hour
+	if call.Once {
+		maxIdle = onceMaxIdle
+	}
+	cn, mayOpen := c.conns.take(time.Now(), k, maxIdle, call.Connections)
+	if cn != nil {
+		return cn, nil
+	}
+	if !mayOpen {
+		return nil, turmericshed.NewError(turmericshed.KindOverloaded, "server %s: %d connections are busy", k.id, call.Connections)
+	}
+	cn, err := c.conns.openConn(ctx, k)
+	return cn, turmericshed.WrapError(turmericshed.KindNoBackend, err, "server %s", k.id)
+}
+
+// write sends the request, a large body beside the reading of the answer.
+func (r *Reply) write(call Call) error {
+	var head bytes.Buffer
+	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
+	if err := call.Header.Write(&head); err != nil {
+		return err
+	}
+	if len(call.Body) > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	}
+	head.WriteString("\r\n")
+	if len(call.Body) <= inlineBody {
+		head.Write(call.Body)
+		_, err := r.conn.Write(head.Bytes())
+		r.written <- nil
+		return err
+	}
+	go func() {
+		bufs := net.Buffers{head.Bytes(), call.Body}
+		_, err := bufs.WriteTo(r.conn.Conn)
+		r.written <- err
+	}()
+	return nil
+}
+
+// readHead reads the headers and checks whom they answer.
+func (r *Reply) readHead(call Call) error {
+	resp, err := readResponse(r.conn.br, call.Method)
+	if err != nil {
+		return turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: no answer", call.Server.ID)
+	}
+	r.resp, r.Status, r.Header = resp, resp.StatusCode, resp.Header
+	r.Info = r.client.codec.DecodeReply(resp.StatusCode, resp.Header)
+	if r.Info.ID != call.ID && (r.Info.ID != "" || !r.Info.NotRun) {
+		return turmericshed.NewError(turmericshed.KindCallUnknown, "server %s: the answer belongs to request %q", call.Server.ID, r.Info.ID)
+	}
+	return nil
+}
+
+// readResponse skips informational answers.
+func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(br, &http.Request{Method: method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+}
+
+// Read reads the body. io.EOF comes only after a whole body.
+func (r *Reply) Read(p []byte) (int, error) { return r.resp.Body.Read(p) }
+
+// ReadAll reads the body whole and ends the call.
+func (r *Reply) ReadAll() ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r.resp.Body, maxBody+1))
+	if err == nil && len(data) > maxBody {
+		err = errors.New("the body is too large")
+	}
+	if err != nil {
+		r.Close()
+		return nil, turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: body", r.key.id)
+	}
+	r.Finish()
+	return data, nil
+}
+
+// Finish ends a call whose body was read to its end; the connection is kept
+// where the server allows it.
+func (r *Reply) Finish() {
+	if r.closed {
+		return
+	}
+	r.closed = true
+	kept := r.stop() && r.reusable()
+	if !kept {
+		r.client.conns.discard(r.key, r.conn)
+		return
+	}
+	keep := defaultKeep
+	if r.Info.KeepAlive > 0 {
+		keep = time.Duration(float64(r.Info.KeepAlive) * keepPart)
+	}
+	r.client.conns.put(time.Now(), r.key, r.conn, keep)
+}
+
+// reusable reports whether the answer's framing left the connection clean.
+func (r *Reply) reusable() bool {
+	select {
+	case err := <-r.written:
+		if err != nil {
+			return false
+		}
+	default:
+		return false
+	}
+	framed := r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
+	return framed && !r.resp.Close && r.conn.br.Buffered() == 0
+}
+
+// Close ends a call early and closes its connection, which cancels the
+// request at the server.
+func (r *Reply) Close() {
+	if r.closed {
+		return
+	}
+	r.closed = true
+	r.stop()
+	r.client.conns.discard(r.key, r.conn)
+}
--- a/platform.go
+++ b/platform.go
@@ -31,7 +31,8 @@
 }
 
 // WatchEvent is a change of a key. A gap in the stream is told by Reset:
-// the watcher must list again.
+// the watcher must list again. An event with neither a key nor Reset tells
+// only that the store was reached.
 type WatchEvent struct {
 	Item
 	Deleted bool
