Budgets: hold by what arrives now, write from the last ledger, refuse at once in an outage

Change: the Bridging placement sizes by reserved tokens of the last seconds; ledger writes start from the last item (and read only when there is nothing to write, which a test of the graceful stop asked for); draws pause while the ledger is empty or the store away.

--- a/core/tsbudget/bridging.go
+++ b/core/tsbudget/bridging.go
@@ -9,15 +9,16 @@
 // Bridging lets every entry VM hold what it uses within Span, so that one that
 // loses the store and its peers serves on until they are back.
 //
-// Before any demand is known the unspent amount is handed out evenly, since a
-// cut may come first. From then on an entry VM with much demand draws more,
-// and one with little gives back when the ledger runs low. A lot whose holder
-// dies is lost to the account, so Span is the price of a crash as well.
+// Before any demand is known a part of the budget is handed out evenly, since
+// a cut may come first. From then on an entry VM with demand draws for the
+// span, and one without gives back when the ledger runs low. A lot whose
+// holder dies is lost to the account, so Span is the price of a crash as well.
 //
-// Example: 900 tokens prepaid, 9 entry VMs, a span of 10 s. Each draws 90 at
-// first, and 90 stay in the ledger. An entry VM that uses 12 a second wants 120
-// for the span and draws; one that uses nothing gives back three quarters of
-// its 90 once the ledger has less than a fifth of what is unspent.
+// Example: 900 tokens prepaid, 9 entry VMs, a span of 10 s. Each draws 35 at
+// first, and 585 stay in the ledger. An entry VM that is asked for 12 a second
+// wants 120 for the span and draws 85; one that is asked for nothing gives
+// back most of its 35 once the ledger has less than a fifth of what is
+// unspent.
 type Bridging struct {
 	// Span is the length of a cut to be served through; 0 takes
 	// defaultCutSpan.
@@ -25,10 +26,10 @@
 }
 
 const (
-	// defaultCutSpan is a little longer than the cuts that were seen.
-	defaultCutSpan = 10 * time.Second
+	// defaultCutSpan is the length of the platform's usual cuts.
+	defaultCutSpan = 9 * time.Second
 	// evenPart of what is unspent is handed out before demand is known.
-	evenPart = 0.9
+	evenPart = 0.35
 	// quietAfter is how long no request came before a holder counts as one
 	// without demand.
 	quietAfter = 6 * time.Second
@@ -36,8 +37,10 @@
 	quietPart = 0.25
 	// scarcePart of the unspent amount in the ledger is enough for others.
 	scarcePart = 0.2
+	// bridgeLow is the part of the target below which a lot is drawn.
+	bridgeLow = 0.75
 	// bridgeDepth is how many of the largest requests should be at hand.
-	bridgeDepth = 2
+	bridgeDepth = 1.5
 )
 
 var _ Placement = Bridging{}
@@ -47,10 +50,9 @@
 
 // Decide draws ahead of demand and returns what others need more.
 func (p Bridging) Decide(v View) Decision {
-	need := v.Waiting + bridgeDepth*v.Largest
-	target := max(p.target(v), need)
-	d := Decision{Want: target - min(v.Available, target-1), Min: v.least(), Share: p.share(v)}
-	low := turmericshed.Tokens(lowWater * float64(target))
+	target := p.target(v)
+	d := Decision{Want: target + v.Waiting - min(v.Available, target+v.Waiting-1), Min: v.least(), Share: p.share(v)}
+	low := turmericshed.Tokens(bridgeLow * float64(target))
 	d.Draw = v.Waiting > 0 || (v.Available < low && (!v.Ledger.Read || v.Ledger.Room > 0))
 	if d.Draw {
 		return d
@@ -68,7 +70,7 @@
 
 // target is what should be at hand.
 func (p Bridging) target(v View) turmericshed.Tokens {
-	if v.Rate <= 0 {
+	if v.Arriving < 1 {
 		if v.Ledger.Mine > 0 {
 			return 0
 		}
@@ -78,9 +80,7 @@
 	if span <= 0 {
 		span = defaultCutSpan
 	}
-	wanted := v.Rate * span.Seconds() / lowWater
-	fair := fairPart * float64(v.Ledger.Unspent) * v.Rate / (v.Rate + v.Ledger.OthersRate)
-	return turmericshed.Tokens(min(wanted, fair))
+	return turmericshed.Tokens(v.Arriving*span.Seconds() + bridgeDepth*float64(v.Largest))
 }
 
 // even is an entry VM's equal part of what is unspent.
@@ -91,8 +91,8 @@
 // share bounds one draw to a part of the room, so that the first to ask does
 // not take all of it.
 func (p Bridging) share(v View) float64 {
-	if v.Rate <= 0 {
+	if v.Arriving < 1 {
 		return 0
 	}
-	return max(v.Rate/(v.Rate+v.Ledger.OthersRate)/2, 1/float64(max(v.EntryVMs, 1)))
+	return max(fairPart*v.Arriving/(v.Arriving+v.Ledger.OthersRate), 1/float64(max(v.EntryVMs, 1)))
 }
--- a/core/tsbudget/demand.go
+++ b/core/tsbudget/demand.go
@@ -12,6 +12,10 @@
 	// estimates: the fast one follows a rise, the slow one outlasts a lull.
 	fastWindow = 30 * time.Second
 	slowWindow = 10 * time.Minute
+	// recentWindow follows what is asked for now, and recentFloor is the age
+	// from which that is trusted.
+	recentWindow = 8 * time.Second
+	recentFloor  = 2 * time.Second
 )
 
 // demand estimates how fast a budget is used here, and how large its requests
@@ -23,6 +27,9 @@
 	// fast and slow are decayed sums of used tokens; divided by their
 	// windows they are rates.
 	fast, slow float64
+	// recent is the same for reserved tokens, so that it sees a request when
+	// it comes.
+	recent float64
 	// largest is the decayed largest reservation.
 	largest  float64
 	lastSeen time.Time
@@ -35,6 +42,7 @@
 		}
 		f := math.Exp(-float64(dt) / float64(fastWindow))
 		d.fast *= f
+		d.recent *= math.Exp(-float64(dt) / float64(recentWindow))
 		slower := math.Exp(-float64(dt) / float64(slowWindow))
 		d.slow *= slower
 		d.largest *= slower
@@ -45,6 +53,7 @@
 func (d *demand) reserve(now time.Time, n turmericshed.Tokens) {
 	d.decay(now)
 	d.largest = max(d.largest, float64(n))
+	d.recent += float64(n)
 	d.lastSeen = now
 }
 
@@ -61,6 +70,12 @@
 	return max(d.fast/filled(fastWindow, age), d.slow/filled(slowWindow, age))
 }
 
+// arriving returns the reserved tokens per second of the last seconds.
+func (d *demand) arriving(now time.Time) float64 {
+	d.decay(now)
+	return d.recent / filled(recentWindow, max(now.Sub(d.since), recentFloor))
+}
+
 // filled returns the seconds that a decayed sum stands for at its age.
 func filled(window, age time.Duration) float64 {
 	return window.Seconds() * (1 - math.Exp(-float64(age)/float64(window)))
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -68,6 +68,9 @@
 	// reservation, Idle the time since the last one.
 	Rate    float64
 	Largest turmericshed.Tokens
+	// Arriving is what was asked for in the last seconds, in tokens per
+	// second at the requests' worst case.
+	Arriving float64
 	Idle    time.Duration
 	// Ledger is the ledger as last read.
 	Ledger Summary
--- a/core/tsbudget/queue.go
+++ b/core/tsbudget/queue.go
@@ -104,10 +104,10 @@
 	// retryBudget advises when to ask again for tokens that are out here;
 	// the balancer sends a retry to another entry VM, which may hold some.
 	retryBudget = 250 * time.Millisecond
-	// retryStore advises when to ask again while the store does not answer.
-	retryStore = 5 * time.Second
+	// retryStore advises the same while the store does not answer.
+	retryStore = 250 * time.Millisecond
 	// retryCut advises the same while peers that hold tokens are cut off.
-	retryCut = 5 * time.Second
+	retryCut = 250 * time.Millisecond
 )
 
 // Situation is what is known when a request is short of tokens.
@@ -154,7 +154,7 @@
 	}
 	switch {
 	case s.StoreErr != nil:
-		return unavailable(retryStore, "budget of %s: nothing can be drawn now", w.Profile.Name)
+		return Unavailable(w.Profile.Name)
 	case s.PeersMissing:
 		return unavailable(retryCut, "budget of %s: the tokens left are held where nobody can be asked", w.Profile.Name)
 	case s.Ledger.Room >= w.Amount:
@@ -165,6 +165,12 @@
 	}
 }
 
+// Unavailable is the refusal while the store that has the ledger does not
+// answer: KindBudgetUnavailable.
+func Unavailable(p turmericshed.ProfileName) error {
+	return unavailable(retryStore, "budget of %s: nothing can be drawn now", p)
+}
+
 func (s Situation) late(w Waiter) bool {
 	return !w.Deadline.IsZero() && !s.Now.Before(w.Deadline.Add(-waitMargin))
 }
--- a/core/tsupdate/update.go
+++ b/core/tsupdate/update.go
@@ -75,10 +75,14 @@
 }
 
 // NewFrom returns an update that starts from a cached item, saving the read
-// when the cache is fresh. A stale cache costs a conflict, never safety.
+// when the cache is fresh. A stale cache costs a conflict, never safety: only
+// a write that the store takes proves that the cache was fresh, so where the
+// mutation has nothing to write, the key is read first.
 func NewFrom(cached turmericshed.Item, mutate Mutation) *Update {
 	u := New(cached.Key, mutate)
-	u.apply(cached)
+	if next, err := mutate(cached); err == nil && next != nil {
+		u.cur, u.known, u.next = cached, true, next
+	}
 	return u
 }
 
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -50,6 +50,10 @@
 	peerTimeout = time.Second
 	// exhaustedPause is the time between draws from a ledger with no room.
 	exhaustedPause = time.Second
+	// outagePause is the same while the store does not answer, and
+	// waitingPause while requests wait for a ledger with no room.
+	outagePause  = 500 * time.Millisecond
+	waitingPause = 300 * time.Millisecond
 	// finalRepayAttempts is how often a stopping holder reports to a lender
 	// that does not answer.
 	finalRepayAttempts = 8
@@ -128,6 +132,9 @@
 	waitRound chan struct{}
 
 	storeErr error
+	// item is the ledger as last read or written; zero when the outcome of a
+	// write is not known.
+	item turmericshed.Item
 	// starved is true when the last round left requests waiting.
 	starved bool
 	// begun counts the rounds, ended is the number of the last one that
@@ -253,6 +260,15 @@
 	if ctx.Err() != nil {
 		return nil, none, contextError(ctx)
 	}
+	if b.storeErr != nil && p.Edge == turmericshed.PreferNoSurprise {
+		// The store is away. A round looks for it at times; this request is
+		// not kept waiting for that.
+		if now.After(b.nextDraw) {
+			b.nextDraw = now.Add(outagePause)
+			h.kickLocked(b)
+		}
+		return nil, none, tsbudget.Unavailable(p.Name)
+	}
 	w := &waiter{done: make(chan struct{})}
 	deadline, _ := ctx.Deadline()
 	b.queue.Add(w, tsbudget.Waiter{Profile: p, Request: request, Amount: n, Round: b.begun, Deadline: deadline})
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -156,7 +156,7 @@
 	if b.draw != nil {
 		return b.draw
 	}
-	if !d.Draw || (now.Before(b.nextDraw) && !waiting) {
+	if !d.Draw || (now.Before(b.nextDraw) && !waiting) || now.Before(b.nextDraw.Add(waitingPause-exhaustedPause)) {
 		return nil
 	}
 	return &unansweredDraw{DrawRequest: tsbudget.DrawRequest{
@@ -170,11 +170,21 @@
 func (h *Holder) update(ctx context.Context, b *budget, m tsupdate.Mutation, reports []tsbudget.Report) (turmericshed.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	item, err := tsupdate.Run(ctx, h.cfg.Store, tsupdate.New(tsbudget.Key(b.id), m))
+	h.mu.Lock()
+	u := tsupdate.New(tsbudget.Key(b.id), m)
+	if b.item.Version != 0 {
+		u = tsupdate.NewFrom(b.item, m)
+	}
+	h.mu.Unlock()
+	item, err := tsupdate.Run(ctx, h.cfg.Store, u)
 	l, decodeErr := tsbudget.Decode(item)
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	b.item = turmericshed.Item{}
+	if err == nil {
+		b.item = item
+	}
 	read := decodeErr == nil && (err == nil || readKind(err))
 	b.storeErr = nil
 	if !read {
