Budgets: every holder reads all ledgers late, and what is not needed goes back

Draws of single tokens, and shares drawn and returned in turn, cost calls.

Change: one late reading of all ledgers every 1 to 2 s (a tenth of a call); targets are the span's demand or the fair part of what is unspent; a least draw.

--- a/core/tsbudget/bridging.go
+++ b/core/tsbudget/bridging.go
@@ -39,6 +39,9 @@
 	scarcePart = 0.2
 	// bridgeLow is the part of the target below which a lot is drawn.
 	bridgeLow = 0.75
+	// minDrawPart of the target is the least that is drawn ahead of demand,
+	// unless it is more than the largest request.
+	minDrawPart = 4
 	// bridgeDepth is how many of the largest requests should be at hand.
 	bridgeDepth = 1.5
 )
@@ -51,27 +54,39 @@
 // Decide draws ahead of demand and returns what others need more.
 func (p Bridging) Decide(v View) Decision {
 	target := p.target(v)
-	d := Decision{Want: target + v.Waiting - min(v.Available, target+v.Waiting-1), Min: v.least(), Share: p.share(v)}
+	want := target + v.Waiting
+	d := Decision{Want: want - min(v.Available, want-1), Share: p.share(v), Rate: v.Arriving}
+	d.Min = max(v.least(), min(v.Largest, target/minDrawPart))
+	if v.Waiting > 0 {
+		d.Min = v.least()
+	}
 	low := turmericshed.Tokens(bridgeLow * float64(target))
-	d.Draw = v.Waiting > 0 || (v.Available < low && (!v.Ledger.Read || v.Ledger.Room > 0))
+	d.Draw = v.Waiting > 0 || (v.Available < low && (!v.Ledger.Read || v.Ledger.Room >= d.Min))
 	if d.Draw {
 		return d
 	}
-	keep := target + target/2
+	keep := target + target/4
 	if v.Idle > quietAfter {
 		keep = turmericshed.Tokens(quietPart * p.even(v))
 	}
-	scarce := float64(v.Ledger.Room) < scarcePart*float64(v.Ledger.Unspent)
-	if surplus := v.Available - keep; scarce && surplus > 0 && float64(surplus) > surplusPart*float64(v.Ledger.Unspent)/float64(max(v.EntryVMs, 1)) {
+	surplus := v.Available - keep
+	if p.scarce(v) && float64(surplus) > surplusPart*float64(v.Ledger.Unspent)/float64(max(v.EntryVMs, 1)) {
 		d.Return, d.Keep = true, keep
 	}
 	return d
 }
 
-// target is what should be at hand.
+// scarce reports whether the ledger runs low while tokens are held.
+func (p Bridging) scarce(v View) bool {
+	return float64(v.Ledger.Room) < scarcePart*float64(v.Ledger.Unspent)
+}
+
+// target is what should be at hand: the demand of the span, or when there is
+// not so much, the part of all that is unspent that this demand has of all
+// demand.
 func (p Bridging) target(v View) turmericshed.Tokens {
 	if v.Arriving < 1 {
-		if v.Ledger.Mine > 0 {
+		if v.Ledger.Mine > 0 || (v.Ledger.Read && p.scarce(v)) {
 			return 0
 		}
 		return turmericshed.Tokens(p.even(v))
@@ -80,7 +95,12 @@
 	if span <= 0 {
 		span = defaultCutSpan
 	}
-	return turmericshed.Tokens(v.Arriving*span.Seconds() + bridgeDepth*float64(v.Largest))
+	wanted := v.Arriving*span.Seconds() + bridgeDepth*float64(v.Largest)
+	if !v.Ledger.Read {
+		return turmericshed.Tokens(wanted)
+	}
+	fair := fairPart * float64(v.Ledger.Unspent) * v.Arriving / (v.Arriving + v.Ledger.OthersRate)
+	return turmericshed.Tokens(min(wanted, fair))
 }
 
 // even is an entry VM's equal part of what is unspent.
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -157,6 +157,8 @@
 	Want   turmericshed.Tokens
 	Min    turmericshed.Tokens
 	Share  float64
+	// Rate is the demand that the lot is marked with; 0 takes View.Rate.
+	Rate float64
 	// Return gives back what is available beyond Keep.
 	Return bool
 	Keep   turmericshed.Tokens
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -102,7 +102,7 @@
 	g.registry = tsregistry.New(tsregistry.Config{Self: g.self, Store: store, Log: tsobserve.Part(g.log, "registry")})
 	g.holder = tsholder.New(tsholder.Config{
 		Self: g.self, Store: store, Members: g.registry, Recorder: events,
-		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{},
+		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{}, Ledgers: store,
 	})
 	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Board: g.board, Recorder: events})
 	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: cfg.Dial})
--- a/io/tsholder/controller.go
+++ b/io/tsholder/controller.go
@@ -20,6 +20,9 @@
 // Controllers returns the loops to be supervised.
 func (h *Holder) Controllers() []turmericshed.Controller {
 	list := []turmericshed.Controller{controller(h.scanLoop)}
+	if h.cfg.Ledgers != nil {
+		list = append(list, controller(h.refreshLoop))
+	}
 	for range workers {
 		list = append(list, controller(h.workLoop))
 	}
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -54,6 +54,11 @@
 	// waitingPause while requests wait for a ledger with no room.
 	outagePause  = 500 * time.Millisecond
 	waitingPause = 300 * time.Millisecond
+	// refreshInterval is the time between readings of all ledgers, jittered
+	// by as much again.
+	refreshInterval = time.Second
+	// refreshPage is the most ledgers read in one call.
+	refreshPage = 500
 	// finalRepayAttempts is how often a stopping holder reports to a lender
 	// that does not answer.
 	finalRepayAttempts = 8
@@ -86,6 +91,9 @@
 	// Keeper brings ledgers in line with their profiles; nil takes
 	// EditedProfiles.
 	Keeper Keeper
+	// Ledgers reads all ledgers at once, a little late, so that holders
+	// without demand learn when others run short; nil reads none.
+	Ledgers turmericshed.StaleLister
 	// WritesPerSecond limits the writes to the store that no request waits
 	// for; 0 takes the default.
 	WritesPerSecond float64
@@ -135,6 +143,8 @@
 	// item is the ledger as last read or written; zero when the outcome of a
 	// write is not known.
 	item turmericshed.Item
+	// read is the newest version that the ledger's summary is of.
+	read turmericshed.Version
 	// starved is true when the last round left requests waiting.
 	starved bool
 	// begun counts the rounds, ended is the number of the last one that
--- /dev/null
+++ b/io/tsholder/refresh.go
@@ -0,0 +1,64 @@
+package tsholder
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+	"turmericshed/io/tspause"
+)
+
+// refreshLoop reads all ledgers again and again.
+func (h *Holder) refreshLoop(ctx context.Context) error {
+	for tspause.For(ctx, refreshInterval+rand.N(refreshInterval)) {
+		if err := h.refreshLedgers(ctx); err != nil && ctx.Err() == nil {
+			h.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventStoreLost, Reason: "ledgers not read: " + err.Error()})
+		}
+	}
+	return ctx.Err()
+}
+
+// refreshLedgers takes in what the ledgers of known budgets say.
+func (h *Holder) refreshLedgers(ctx context.Context) error {
+	for after := ""; ; {
+		items, err := h.cfg.Ledgers.ListStale(ctx, turmericshed.BudgetPrefix, after, refreshPage)
+		if err != nil {
+			return err
+		}
+		for _, item := range items {
+			after = item.Key
+			l, err := tsbudget.Decode(item)
+			if err != nil {
+				h.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventLotRefused, Reason: err.Error()})
+				continue
+			}
+			h.takeLedger(item, l)
+		}
+		if len(items) < refreshPage {
+			return nil
+		}
+	}
+}
+
+// takeLedger keeps what a reading tells, unless a newer one is known.
+func (h *Holder) takeLedger(item turmericshed.Item, l tsbudget.Ledger) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.budgets[l.Budget]
+	if b == nil || b.running || item.Version <= b.read {
+		return
+	}
+	h.readLocked(b, item, l, time.Now())
+	b.item = item
+}
+
+// readLocked takes in a ledger.
+func (h *Holder) readLocked(b *budget, item turmericshed.Item, l tsbudget.Ledger, now time.Time) {
+	b.ledger = tsbudget.Summarize(l, h.cfg.Self.Incarnation, now)
+	b.lots, b.read = l.Lots, item.Version
+	if l.Recalled {
+		b.closed = true
+	}
+}
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"turmericshed"
@@ -161,7 +162,7 @@
 	}
 	return &unansweredDraw{DrawRequest: tsbudget.DrawRequest{
 		Lot: turmericshed.LotID(h.cfg.NewID("lot-")), Holder: h.cfg.Self.Incarnation, FailureDomain: h.cfg.Self.FailureDomain,
-		Want: d.Want, Min: d.Min, Share: d.Share, Rate: h.core.View(now, b.id).Rate, At: now,
+		Want: d.Want, Min: d.Min, Share: d.Share, Rate: max(d.Rate, h.core.View(now, b.id).Rate), At: now,
 	}}
 }
 
@@ -194,11 +195,7 @@
 		}
 		return item, b.storeErr
 	}
-	b.ledger = tsbudget.Summarize(l, h.cfg.Self.Incarnation, now)
-	b.lots = l.Lots
-	if l.Recalled {
-		b.closed = true
-	}
+	h.readLocked(b, item, l, now)
 	if err == nil && len(reports) > 0 {
 		h.acknowledgeLocked(b, reports)
 		b.reportedAt = now
@@ -250,6 +247,7 @@
 		if lot, ok := l.Lot(draw.Lot); ok {
 			h.core.AddLot(b.id, lot, "")
 			event.Name, event.Tokens = turmericshed.EventLotDrawn, lot.Drawn
+			event.Reason = fmt.Sprintf("version %d: room %d, unspent %d of %d, held by others %d", item.Version, l.Room(), b.ledger.Unspent, b.ledger.Limit, b.ledger.Others)
 			h.cfg.Recorder.Record(event)
 			return
 		}
@@ -257,7 +255,7 @@
 	b.nextDraw = now.Add(exhaustedPause)
 	event.Name, event.Tokens = turmericshed.EventLotRefused, draw.Min
 	if err != nil {
-		event.Reason = turmericshed.KindOf(err).String()
+		event.Reason = err.Error()
 	}
 	h.cfg.Recorder.Record(event)
 }
@@ -281,8 +279,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	b.ledger = tsbudget.Summarize(l, h.cfg.Self.Incarnation, time.Now())
-	b.closed = b.closed || l.Recalled
+	h.readLocked(b, item, l, time.Now())
 }
 
 // collect closes the lots of holders that are gone. That frees nothing and
--- a/platform.go
+++ b/platform.go
@@ -66,6 +66,12 @@
 	Watch(ctx context.Context, prefix string, after Version) (Watcher, error)
 }
 
+// StaleLister reads a list that may be seconds old, at a fraction of the price
+// of Store.List.
+type StaleLister interface {
+	ListStale(ctx context.Context, prefix, after string, limit int) ([]Item, error)
+}
+
 // Directory is the platform's lagging list of live and leaving VMs.
 type Directory interface {
 	// Snapshot returns the list as the platform saw it at AsOf.
