Budgets: ceilings under a lease let the next process return what a dead one held

Cause: when every entry VM loses power, all that they hold is charged.

Change: holders publish how far their lots may be used under a key with a fresh lease, keep to that while the key may be there, and use all of their lots once it has certainly lapsed. The next process on the machine that still finds the key returns the rest. Refused requests count as demand, and an outage ends with any reading of the ledgers: a holder stayed stuck for 9 s without.

--- a/core/tsbudget/bridging.go
+++ b/core/tsbudget/bridging.go
@@ -57,11 +57,12 @@
 	want := target + v.Waiting
 	d := Decision{Want: want - min(v.Available, want-1), Share: p.share(v), Rate: v.Arriving}
 	d.Min = max(v.least(), min(v.Largest, target/minDrawPart))
-	if v.Waiting > 0 {
+	short := v.Waiting > v.Available
+	if short {
 		d.Min = v.least()
 	}
 	low := turmericshed.Tokens(bridgeLow * float64(target))
-	d.Draw = v.Waiting > 0 || (v.Available < low && (!v.Ledger.Read || v.Ledger.Room >= d.Min))
+	d.Draw = short || (v.Available < low && (!v.Ledger.Read || v.Ledger.Room >= d.Min))
 	if d.Draw {
 		return d
 	}
--- a/core/tsbudget/holder.go
+++ b/core/tsbudget/holder.go
@@ -101,6 +101,8 @@
 type Holder struct {
 	self     turmericshed.Incarnation
 	balances map[turmericshed.BudgetID]*balance
+	// Ceilings bound the use of lots while the store may hold them.
+	Ceilings Ceilings
 }
 
 // NewHolder returns the holder of one incarnation.
@@ -173,7 +175,7 @@
 	}
 	b := h.balance(p.Budget)
 	b.profile = p.Name
-	if h.Available(p.Budget) < n {
+	if h.spendable(now, b) < n {
 		return none, false
 	}
 	r := &reservation{amount: n}
@@ -181,7 +183,7 @@
 		if n == 0 {
 			break
 		}
-		if take := min(n, l.available()); take > 0 {
+		if take := min(n, h.below(now, l)); take > 0 {
 			l.reserved += take
 			l.check()
 			r.parts = append(r.parts, part{lot: l, amount: take})
@@ -200,6 +202,38 @@
 	return res, true
 }
 
+// Missed counts a request that was refused as demand, so that tokens are
+// fetched for those that follow.
+func (h *Holder) Missed(now time.Time, budget turmericshed.BudgetID, n turmericshed.Tokens) {
+	h.balance(budget).demand.reserve(now, n)
+}
+
+// below returns what may be taken from a lot now.
+func (h *Holder) below(now time.Time, l *lot) turmericshed.Tokens {
+	n := l.available()
+	if most, ok := h.Ceilings.Most(now, l.ID); ok {
+		n = min(n, max(most-l.Used-l.reserved-l.lent, 0))
+	}
+	return n
+}
+
+func (h *Holder) spendable(now time.Time, b *balance) turmericshed.Tokens {
+	var sum turmericshed.Tokens
+	for _, l := range b.lots {
+		sum += h.below(now, l)
+	}
+	return sum
+}
+
+// Spendable returns what can be reserved now: what is available below the
+// ceilings.
+func (h *Holder) Spendable(now time.Time, budget turmericshed.BudgetID) turmericshed.Tokens {
+	if b, ok := h.balances[budget]; ok {
+		return h.spendable(now, b)
+	}
+	return 0
+}
+
 // Settle bills a reservation, once: used tokens are charged to its lots and
 // the rest is available again.
 func (h *Holder) Settle(now time.Time, res turmericshed.Reservation, used turmericshed.Tokens) {
--- a/core/tsbudget/queue.go
+++ b/core/tsbudget/queue.go
@@ -36,8 +36,9 @@
 
 // Refused is a waiter that is turned away with an error.
 type Refused[E comparable] struct {
-	Owner E
-	Err   error
+	Owner  E
+	Amount turmericshed.Tokens
+	Err    error
 }
 
 // Add appends a waiter.
@@ -89,7 +90,7 @@
 	rest := q.entries[:0]
 	for _, e := range q.entries {
 		if err := s.Judge(e.Waiter); err != nil {
-			refused = append(refused, Refused[E]{Owner: e.owner, Err: err})
+			refused = append(refused, Refused[E]{Owner: e.owner, Amount: e.Amount, Err: err})
 			continue
 		}
 		rest = append(rest, e)
@@ -138,6 +139,10 @@
 		}
 		return nil
 	}
+	if s.Available >= w.Amount && s.StoreErr == nil && !s.late(w) {
+		// Only the holder's ceilings are in the way, which are being raised.
+		return nil
+	}
 	inUse := s.Available + s.Reserved - s.Suspended + s.Lent
 	if s.StoreErr == nil && s.Ledger.Read && inUse+s.Ledger.Room+s.Ledger.Others < w.Amount {
 		return turmericshed.NewError(turmericshed.KindBudgetExhausted, "budget of %s: %d tokens left, %d needed",
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -47,6 +47,9 @@
 	// staleAfter is the age of the routing table from which it may be out of
 	// date: a little more than a watch waits.
 	staleAfter = 6 * time.Second
+	// inheritTimeout bounds the return of an earlier process's lots, which
+	// callers wait for.
+	inheritTimeout = 1500 * time.Millisecond
 	// restartPause is the supervisor's pause after a failed controller.
 	restartPause = 200 * time.Millisecond
 	// headerTimeout bounds the requests of readiness checks and operators.
@@ -102,7 +105,7 @@
 	g.registry = tsregistry.New(tsregistry.Config{Self: g.self, Store: store, Log: tsobserve.Part(g.log, "registry")})
 	g.holder = tsholder.New(tsholder.Config{
 		Self: g.self, Store: store, Members: g.registry, Recorder: events,
-		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{}, Ledgers: store,
+		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{}, Ledgers: store, Ceilings: true,
 	})
 	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Board: g.board, Recorder: events})
 	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: cfg.Dial})
@@ -166,6 +169,7 @@
 	// The parts go on while what runs is ended.
 	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
+	g.inherit(ctx)
 	done := g.supervise(partsCtx)
 	stopTimeout := g.cfg.Settings.Bounds.StopTimeout
 	g.log.Info("serving", "name", g.self.Name, "incarnation", string(g.self.Incarnation), "failure_domain", string(g.self.FailureDomain),
@@ -186,6 +190,16 @@
 	return errors.Join(err, drainErr)
 }
 
+// inherit gives back what an earlier process on this machine did not use.
+func (g *Gateway) inherit(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, inheritTimeout)
+	defer cancel()
+	began := time.Now()
+	if err := g.holder.Inherit(ctx); err != nil {
+		g.log.Warn("lots of an earlier process stay charged", "error", err.Error(), "elapsed_ms", time.Since(began).Milliseconds())
+	}
+}
+
 // supervise runs the controllers.
 func (g *Gateway) supervise(ctx context.Context) <-chan error {
 	sup := suture.New("gateway", suture.Spec{FailureBackoff: restartPause, EventHook: func(e suture.Event) {
--- a/io/tsholder/controller.go
+++ b/io/tsholder/controller.go
@@ -20,6 +20,9 @@
 // Controllers returns the loops to be supervised.
 func (h *Holder) Controllers() []turmericshed.Controller {
 	list := []turmericshed.Controller{controller(h.scanLoop)}
+	if h.cfg.Ceilings {
+		list = append(list, h.publisher)
+	}
 	if h.cfg.Ledgers != nil {
 		list = append(list, controller(h.refreshLoop))
 	}
@@ -150,6 +153,9 @@
 			first = err
 		}
 	}
+	if h.cfg.Ceilings && first == nil {
+		return h.publisher.withdraw(ctx)
+	}
 	return first
 }
 
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -94,6 +94,9 @@
 	// Ledgers reads all ledgers at once, a little late, so that holders
 	// without demand learn when others run short; nil reads none.
 	Ledgers turmericshed.StaleLister
+	// Ceilings publishes how far lots may be used, so that a process that
+	// follows on the same machine can give back the rest.
+	Ceilings bool
 	// WritesPerSecond limits the writes to the store that no request waits
 	// for; 0 takes the default.
 	WritesPerSecond float64
@@ -106,6 +109,9 @@
 	cfg     Config
 	limiter *rate.Limiter
 	work    chan turmericshed.BudgetID
+	// raise asks for ceilings to be published at once.
+	raise     chan struct{}
+	publisher *publisher
 
 	mu       sync.Mutex
 	core     *tsbudget.Holder
@@ -204,7 +210,8 @@
 	if cfg.NewID == nil {
 		cfg.NewID = turmericshed.NewID
 	}
-	return &Holder{
+	h := &Holder{
+		raise:      make(chan struct{}, 1),
 		cfg:        cfg,
 		limiter:    rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), writeBurst),
 		work:       make(chan turmericshed.BudgetID, 1<<16),
@@ -214,6 +221,8 @@
 		unanswered: map[turmericshed.Incarnation]int{},
 		goneSince:  make(map[turmericshed.Incarnation]time.Time),
 	}
+	h.publisher = &publisher{h: h, key: tsbudget.CeilingPrefix + cfg.Self.Name}
+	return h
 }
 
 // Reserve takes the worst case n of a request, waiting within the deadline of
@@ -270,18 +279,27 @@
 	if ctx.Err() != nil {
 		return nil, none, contextError(ctx)
 	}
-	if b.storeErr != nil && p.Edge == turmericshed.PreferNoSurprise {
+	if b.storeErr != nil && p.Edge == turmericshed.PreferNoSurprise && h.core.Available(b.id) < n {
 		// The store is away. A round looks for it at times; this request is
 		// not kept waiting for that.
 		if now.After(b.nextDraw) {
 			b.nextDraw = now.Add(outagePause)
 			h.kickLocked(b)
 		}
+		h.core.Missed(now, b.id, n)
 		return nil, none, tsbudget.Unavailable(p.Name)
 	}
 	w := &waiter{done: make(chan struct{})}
 	deadline, _ := ctx.Deadline()
 	b.queue.Add(w, tsbudget.Waiter{Profile: p, Request: request, Amount: n, Round: b.begun, Deadline: deadline})
+	if h.core.Available(b.id) >= n {
+		// Only the ceilings are in the way.
+		select {
+		case h.raise <- struct{}{}:
+		default:
+		}
+		return w, none, nil
+	}
 	h.kickLocked(b)
 	return w, none, nil
 }
@@ -346,6 +364,7 @@
 		View: h.viewLocked(now, b), StoreErr: b.storeErr, Round: b.ended, PeersMissing: b.peersMissing, Closed: b.closed,
 	}
 	for _, r := range b.queue.Refuse(s) {
+		h.core.Missed(now, b.id, r.Amount)
 		r.Owner.err = r.Err
 		close(r.Owner.done)
 	}
--- a/io/tsholder/refresh.go
+++ b/io/tsholder/refresh.go
@@ -47,7 +47,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := h.budgets[l.Budget]
-	if b == nil || b.running || item.Version <= b.read {
+	if b == nil {
+		return
+	}
+	// The store answers again, even where it tells nothing new.
+	b.storeErr = nil
+	if b.running || item.Version <= b.read {
 		return
 	}
 	h.readLocked(b, item, l, time.Now())
