--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -247,7 +247,7 @@
 		if lot, ok := l.Lot(draw.Lot); ok {
 			h.core.AddLot(b.id, lot, "")
 			event.Name, event.Tokens = turmericshed.EventLotDrawn, lot.Drawn
-			event.Reason = fmt.Sprintf("version %d: room %d, unspent %d of %d, held by others %d", item.Version, l.Room(), b.ledger.Unspent, b.ledger.Limit, b.ledger.Others)
+			event.Reason = fmt.Sprintf("version %d: room %d, unspent %d of %d, held by others %d, forfeited %d", item.Version, l.Room(), b.ledger.Unspent, b.ledger.Limit, b.ledger.Others, l.Forfeited)
 			h.cfg.Recorder.Record(event)
 			return
 		}
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -46,6 +46,7 @@
 
 	reservation turmericshed.Reservation
 	reserved    bool
+	billed      turmericshed.Tokens
 
 	// sent counts the servers that the request was sent to, dials those that
 	// could not be reached.
@@ -230,6 +231,7 @@
 		}
 		used = q.in.PromptTokens + min(turmericshed.Tokens(events)*q.spec().TokensPerEvent, q.in.MaxOutput)
 	}
+	q.billed = used
 	q.relay.cfg.Budgets.Settle(q.reservation, used)
 }
 
@@ -296,6 +298,7 @@
 		slog.String("request", string(q.in.ID)), slog.String("route", q.route.Name), slog.String("account", string(q.account.Account)),
 		slog.String("service", q.service), slog.String("server", string(q.server)), slog.Int("status", q.status),
 		slog.Int("sent", q.sent), slog.Int("dials", q.dials), slog.Int("events", q.events),
+		slog.Int64("billed", int64(q.billed)),
 		slog.Int64("first_byte_ms", q.firstByte.Milliseconds()), slog.Int64("elapsed_ms", elapsed.Milliseconds()),
 	}
 	if q.table != nil {
