--- a/core/tsupdate/update.go
+++ b/core/tsupdate/update.go
@@ -145,6 +145,11 @@
 		u.known = false
 		if u.attempts >= maxAttempts {
 			u.fail(turmericshed.WrapError(turmericshed.KindStoreUnavailable, r.Err, "key %s: gave up", u.key))
+			return
+		}
+		if current, ok := turmericshed.CurrentOf(r.Err); ok && kind == turmericshed.KindConflict {
+			// The store told the key with the conflict; it need not be read.
+			u.apply(current)
 		}
 	default:
 		u.fail(r.Err)
--- a/errors.go
+++ b/errors.go
@@ -126,6 +126,7 @@
 	kindKey errorKey = iota + 1
 	retryAfterKey
 	outcomeKey
+	currentKey
 )
 
 // NewError returns an error of the given kind. The message is shown to the
@@ -154,6 +155,17 @@
 	return merry.Wrap(err, merry.WithValue(outcomeKey, o), merry.NoCaptureStack())
 }
 
+// WithCurrent adds the item as the store has it to a conflict.
+func WithCurrent(err error, current Item) error {
+	return merry.Wrap(err, merry.WithValue(currentKey, current), merry.NoCaptureStack())
+}
+
+// CurrentOf returns the item that a conflict tells.
+func CurrentOf(err error) (Item, bool) {
+	current, ok := merry.Value(err, currentKey).(Item)
+	return current, ok
+}
+
 // KindOf returns the kind of err: KindNone for nil, KindInternal where no
 // kind was given.
 func KindOf(err error) Kind {
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -59,6 +59,9 @@
 	refreshInterval = time.Second
 	// refreshPage is the most ledgers read in one call.
 	refreshPage = 500
+	// knownEmptyFor is the age to which a reading of a ledger without room
+	// stands in for another.
+	knownEmptyFor = 500 * time.Millisecond
 	// finalRepayAttempts is how often a stopping holder reports to a lender
 	// that does not answer.
 	finalRepayAttempts = 8
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -134,6 +134,9 @@
 	reports := h.core.Reports(b.id, false)
 	due := b.closed || d.Return || h.viewLocked(now, b).ReportDue(now.Sub(b.reportedAt))
 	draw := h.drawRequestLocked(now, b, d, waiting)
+	if draw != nil && draw != b.draw && h.knownEmptyLocked(now, b, draw.DrawRequest, waiting) {
+		draw = nil
+	}
 	h.mu.Unlock()
 	switch {
 	case draw == nil && (len(reports) == 0 || !due):
@@ -148,6 +151,21 @@
 	h.afterDraw(b, draw, item, err)
 }
 
+// knownEmptyLocked reports whether the ledger as last read has no room for a
+// draw, so that it is not asked again: at all for a draw ahead of demand, and
+// for a while for one that requests wait for.
+func (h *Holder) knownEmptyLocked(now time.Time, b *budget, r tsbudget.DrawRequest, waiting bool) bool {
+	if b.item.Version == 0 || (waiting && now.Sub(b.ledger.At) > knownEmptyFor) {
+		return false
+	}
+	_, err := tsbudget.Draw(r)(b.item)
+	if turmericshed.KindOf(err) != turmericshed.KindBudgetExhausted {
+		return false
+	}
+	b.nextDraw = now.Add(exhaustedPause)
+	return true
+}
+
 // drawRequestLocked returns the draw to make, if any: first of all one whose
 // answer was lost.
 func (h *Holder) drawRequestLocked(now time.Time, b *budget, d tsbudget.Decision, waiting bool) *unansweredDraw {
--- a/platform.go
+++ b/platform.go
@@ -56,7 +56,8 @@
 	// List returns up to limit items with the prefix, in key order, after
 	// the given key. It counts as one read.
 	List(ctx context.Context, prefix, after string, limit int) ([]Item, error)
-	// CompareAndSwap applies w and returns the new version.
+	// CompareAndSwap applies w and returns the new version. A conflict may
+	// carry the item as it stands, see CurrentOf.
 	CompareAndSwap(ctx context.Context, w Write) (Version, error)
 	// Grant makes a lease with the given time to live.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
