--- a/core/tsadmit/retry_window.go
+++ b/core/tsadmit/retry_window.go
@@ -6,12 +6,15 @@
 const retryBuckets = 20
 
 // RetryWindow bounds the repeats that one entry VM sends to a service within
-// a sliding window to Ratio of the requests in that window plus Slack, so
-// that the sum over all entry VMs keeps the fleet's bound without their
-// talking to each other. Each gets an equal part of the fleet's slack.
+// any window to Ratio of its requests plus Slack, so that the sum over all
+// entry VMs keeps the fleet's bound without their talking to each other. Each
+// gets an equal part of the fleet's slack.
 //
-// The window moves in steps; requests of the oldest step are dropped a step
-// early and repeats a step late, so that the bound holds for every window.
+// The requests of a window are those in it, or in the one that began half a
+// window earlier, whichever are more. A repeat is allowed by the requests of
+// the last half window alone: these lie whole in one of the two, wherever a
+// window that has this repeat begins. The window moves in steps; repeats of
+// the oldest step are dropped a step late.
 type RetryWindow struct {
 	Ratio  float64
 	Slack  float64
@@ -34,12 +37,13 @@
 // Allow reports whether one more repeat is within the bound, and counts it.
 func (w *RetryWindow) Allow(now time.Time) bool {
 	w.advance(now)
-	oldest := (w.step + 1) % (retryBuckets + 1)
 	var requests, repeats int
-	for i := range w.requests {
-		repeats += w.repeats[i]
-		if int64(i) != oldest {
-			requests += w.requests[i]
+	for _, n := range w.repeats {
+		repeats += n
+	}
+	for back := range int64(retryBuckets / 2) {
+		if w.step >= back {
+			requests += w.requests[(w.step-back)%(retryBuckets+1)]
 		}
 	}
 	if float64(repeats+1) > w.Ratio*float64(requests)+w.Slack {
--- /dev/null
+++ b/core/tsbudget/bridging_test.go
@@ -0,0 +1,75 @@
+package tsbudget_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+)
+
+func ledgerOf(unspent, room, mine int64) tsbudget.Summary {
+	return tsbudget.Summary{
+		Read: true, Limit: 900, Unspent: toTokens(unspent), Room: toTokens(room), Mine: toTokens(mine), Others: toTokens(unspent - room - mine),
+	}
+}
+
+func TestBridging(t *testing.T) {
+	p := tsbudget.Bridging{Span: 10 * time.Second}
+	decide := func(change func(v *tsbudget.View)) tsbudget.Decision {
+		v := tsbudget.View{EntryVMs: 9, Ledger: ledgerOf(900, 900, 0)}
+		change(&v)
+		return p.Decide(v)
+	}
+	t.Run("an even part before any demand", func(t *testing.T) {
+		d := decide(func(*tsbudget.View) {})
+		assert.Assert(t, d.Draw)
+		assert.Equal(t, d.Want, toTokens(35))
+	})
+	t.Run("once only", func(t *testing.T) {
+		assert.Assert(t, !decide(func(v *tsbudget.View) { v.Ledger.Mine, v.Available = 35, 0 }).Draw)
+	})
+	t.Run("not from a ledger that runs low", func(t *testing.T) {
+		assert.Assert(t, !decide(func(v *tsbudget.View) { v.Ledger = ledgerOf(900, 100, 0) }).Draw)
+	})
+	t.Run("the demand of the span", func(t *testing.T) {
+		d := decide(func(v *tsbudget.View) { v.Arriving, v.Available, v.Ledger = 12, 35, ledgerOf(900, 500, 35) })
+		assert.Assert(t, d.Draw)
+		assert.Equal(t, d.Want, toTokens(85))
+		assert.Equal(t, d.Rate, 12.0)
+	})
+	t.Run("no more than the fair part of what is unspent", func(t *testing.T) {
+		d := decide(func(v *tsbudget.View) {
+			v.Arriving, v.Ledger = 12, ledgerOf(100, 100, 0)
+			v.Ledger.OthersRate = 36
+		})
+		assert.Assert(t, d.Want <= toTokens(25), "want %d", d.Want)
+	})
+	t.Run("enough at hand", func(t *testing.T) {
+		assert.Assert(t, !decide(func(v *tsbudget.View) { v.Arriving, v.Available = 12, 120 }).Draw)
+	})
+	t.Run("whatever is missing for a request that waits", func(t *testing.T) {
+		d := decide(func(v *tsbudget.View) { v.Waiting, v.Needed, v.Available, v.Ledger = 50, 50, 20, ledgerOf(900, 40, 20) })
+		assert.Assert(t, d.Draw)
+		assert.Equal(t, d.Min, toTokens(30))
+	})
+	t.Run("nothing for a request that only the ceilings hold up", func(t *testing.T) {
+		assert.Assert(t, !decide(func(v *tsbudget.View) { v.Waiting, v.Needed, v.Available, v.Ledger.Mine = 50, 50, 60, 60 }).Draw)
+	})
+	t.Run("a holder without demand gives back when others run short", func(t *testing.T) {
+		d := decide(func(v *tsbudget.View) { v.Available, v.Idle, v.Ledger = 35, time.Minute, ledgerOf(900, 100, 35) })
+		assert.Assert(t, d.Return)
+		assert.Assert(t, d.Keep <= 9, "keeps %d", d.Keep)
+	})
+	t.Run("and keeps while there is enough", func(t *testing.T) {
+		assert.Assert(t, !decide(func(v *tsbudget.View) { v.Available, v.Idle, v.Ledger = 35, time.Minute, ledgerOf(900, 500, 35) }).Return)
+	})
+	t.Run("no dust is drawn ahead of demand", func(t *testing.T) {
+		d := decide(func(v *tsbudget.View) { v.Arriving, v.Largest, v.Ledger = 12, 30, ledgerOf(200, 3, 0) })
+		assert.Assert(t, !d.Draw)
+	})
+}
+
+func toTokens(n int64) turmericshed.Tokens { return turmericshed.Tokens(n) }
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -71,7 +71,7 @@
 	// Arriving is what was asked for in the last seconds, in tokens per
 	// second at the requests' worst case.
 	Arriving float64
-	Idle    time.Duration
+	Idle     time.Duration
 	// Ledger is the ledger as last read.
 	Ledger Summary
 	// Home is true at the entry VM that holds quiet budgets for its failure
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -74,4 +74,3 @@
 	}
 	return nil
 }
-
--- /dev/null
+++ b/standin/tsmetastore/backend.go
@@ -0,0 +1,216 @@
+package tsmetastore
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Behaviour is how a Backend treats the requests that follow.
+type Behaviour int
+
+// The behaviours.
+const (
+	// BehaveWell answers whole.
+	BehaveWell Behaviour = iota
+	// BehaveFull refuses without running the request.
+	BehaveFull
+	// BehaveLosing runs the request and closes the connection unanswered.
+	BehaveLosing
+	// BehaveBreaking breaks a stream off inside an event, after the half of
+	// its events.
+	BehaveBreaking
+	// BehaveFailing answers 500.
+	BehaveFailing
+	// BehaveCrossed answers for another request.
+	BehaveCrossed
+	// BehaveSilent runs the request and never answers.
+	BehaveSilent
+)
+
+// Backend stands in for one server of the users' platform: a plain service, or
+// with Events an engine whose streams have so many events.
+type Backend struct {
+	ID     string
+	Events int
+	// Pause is the time between the events of a stream.
+	Pause time.Duration
+
+	ln net.Listener
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	runs      map[string]int
+	canceled  int
+	seen      []http.Header
+}
+
+// Start listens on the loopback interface until Close.
+func (b *Backend) Start() error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	b.ln, b.runs = ln, map[string]int{}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return nil
+}
+
+// Close stops listening.
+func (b *Backend) Close() error { return b.ln.Close() }
+
+// Addr returns the address.
+func (b *Backend) Addr() string { return b.ln.Addr().String() }
+
+// Behave changes how requests are treated.
+func (b *Backend) Behave(how Behaviour) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behaviour = how
+}
+
+// Runs returns how often the request ran here, and in all.
+func (b *Backend) Runs(id string) (one, all int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.runs {
+		all += n
+	}
+	return b.runs[id], all
+}
+
+// Canceled returns how many requests lost their connection while they ran.
+func (b *Backend) Canceled() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.canceled
+}
+
+// Seen returns the headers of the requests, in order.
+func (b *Backend) Seen() []http.Header {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]http.Header(nil), b.seen...)
+}
+
+// Entry returns the server's entry in the store.
+func (b *Backend) Entry(service, domain, state string) []byte {
+	entry, _ := json.Marshal(map[string]any{
+		"service": service, "address": b.Addr(), "zone": domain, "version": "v1", "slots": 8, "state": state,
+		"coldRemainingMs": 0, "sequence": 1, "born": 1,
+	})
+	return entry
+}
+
+func (b *Backend) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body := make([]byte, max(r.ContentLength, 0))
+		if _, err := readFull(br, body); err != nil || !b.answer(c, r) {
+			return
+		}
+	}
+}
+
+func readFull(br *bufio.Reader, p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		m, err := br.Read(p[n:])
+		n += m
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// answer treats one request and reports whether the connection goes on.
+func (b *Backend) answer(c net.Conn, r *http.Request) bool {
+	id := r.Header.Get("Attempt-Id")
+	b.mu.Lock()
+	how := b.behaviour
+	b.seen = append(b.seen, r.Header)
+	if r.Header.Get("Expect-Instance") != b.ID {
+		b.mu.Unlock()
+		return write(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+	}
+	if how != BehaveFull {
+		b.runs[id]++
+	}
+	b.mu.Unlock()
+	head := func(status, extra string) string {
+		return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id + "\r\nServer-Load: 1,0,8\r\n" + extra
+	}
+	switch how {
+	case BehaveFull:
+		return write(c, head("503 Service Unavailable", "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
+	case BehaveLosing:
+		return false
+	case BehaveSilent:
+		var p [1]byte
+		_, _ = c.Read(p[:])
+		b.noteCanceled()
+		return false
+	case BehaveFailing:
+		return write(c, head("500 Internal Server Error", "Response-Stamp: s\r\nContent-Length: 5\r\n\r\nerror"))
+	case BehaveCrossed:
+		return write(c, strings.Replace(head("200 OK", "Response-Stamp: s\r\nContent-Length: 5\r\n\r\nother"), id, "another", 1))
+	}
+	if b.Events > 0 {
+		return b.stream(c, r, head, how == BehaveBreaking)
+	}
+	text := "answer to " + id
+	return write(c, head("200 OK", fmt.Sprintf("Response-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", len(text), text)))
+}
+
+// stream sends the events that follow the last one that the caller has.
+func (b *Backend) stream(c net.Conn, r *http.Request, head func(status, extra string) string, breaks bool) bool {
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if !write(c, head("200 OK", "Response-Stamp: "+b.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+		return false
+	}
+	for n := from + 1; n <= b.Events; n++ {
+		time.Sleep(b.Pause)
+		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+		if breaks && n > from+b.Events/2 {
+			event = event[:len(event)/2]
+			write(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+			return false
+		}
+		if !write(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event)) {
+			b.noteCanceled()
+			return false
+		}
+	}
+	return write(c, "0\r\n\r\n")
+}
+
+func (b *Backend) noteCanceled() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.canceled++
+}
+
+func write(c net.Conn, s string) bool {
+	_, err := c.Write([]byte(s))
+	return err == nil
+}
