--- a/core/tsbudget/ceiling_test.go
+++ b/core/tsbudget/ceiling_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-	"pgregory.net/rapid"
 
 	"turmericshed"
 	"turmericshed/core/tsbudget"
@@ -93,7 +93,9 @@
 // lets the next process end its lots. What was used may never exceed what the
 // ledger has charged.
 func TestInheritedLotsAreNeverSpentTwice(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	for seed := range uint64(4000) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		intRange := func(from, to int) int { return from + rng.IntN(to-from+1) }
 		const lease = 3 * time.Second
 		budget := turmericshed.BudgetID("b")
 		s := &leasedStore{now: time.Unix(1000, 0)}
@@ -125,13 +127,13 @@
 		}
 		draw()
 		var version, sequence turmericshed.Version
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			s.now = s.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+		for range intRange(1, 60) {
+			s.now = s.now.Add(time.Duration(intRange(0, 900)) * time.Millisecond)
+			switch intRange(0, 5) {
 			case 0:
 				draw()
 			case 1, 2:
-				n := turmericshed.Tokens(rapid.IntRange(1, 120).Draw(t, "tokens"))
+				n := turmericshed.Tokens(intRange(1, 120))
 				if res, ok := h.Reserve(s.now, p, "r", n); ok {
 					used += n
 					h.Settle(s.now, res, n)
@@ -147,7 +149,7 @@
 				mine, want := sequence, version
 				h.Ceilings.Sending(s.now, list, lapse)
 				write := func() bool { return s.publish(want, mine, value, lapse) }
-				switch rapid.IntRange(0, 2).Draw(t, "outcome") {
+				switch intRange(0, 2) {
 				case 0:
 					if write() {
 						h.Ceilings.Sent(list)
@@ -158,16 +160,16 @@
 				}
 			default:
 				if n := len(s.pending); n > 0 {
-					i := rapid.IntRange(0, n-1).Draw(t, "late")
+					i := intRange(0, n-1)
 					s.pending[i]()
 					s.pending = append(s.pending[:i], s.pending[i+1:]...)
 				}
 			}
 		}
 		// The holder is dead; the next process looks for its key.
-		s.now = s.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "down")) * time.Millisecond)
+		s.now = s.now.Add(time.Duration(intRange(0, 4000)) * time.Millisecond)
 		for _, late := range s.pending {
-			if rapid.Bool().Draw(t, "before the reading") {
+			if rng.IntN(2) == 0 {
 				late()
 			}
 		}
@@ -179,8 +181,8 @@
 		}
 		l, err := tsbudget.Decode(s.ledger)
 		assert.NilError(t, err)
-		assert.Assert(t, used <= l.Spent+l.Open(), "used %d, charged %d", used, l.Spent+l.Open())
-	})
+		assert.Assert(t, used <= l.Spent+l.Open(), "seed %d: used %d, charged %d", seed, used, l.Spent+l.Open())
+	}
 }
 
 func ceilingsJSON(list []tsbudget.LotCeiling) string {
