Stand-in of the metadata store and end-to-end tests of the gateway

Found by them and mended: a lot drawn within the last second of a process's life was lost, as only listed lots went back. Lots that are not listed may not be used now while the key may be there, so they go back whole; a request that waits for a fresh lot asks for its listing at once (it waited up to 1 s).

Tests of the adapter, mirror, upstream client, and the whole path: bookings once, truthful refusals, streams resumed, leaving servers, desired state, prepaid amounts through lost answers, outage, kill and graceful stop.

--- a/core/tsbudget/ceiling.go
+++ b/core/tsbudget/ceiling.go
@@ -15,7 +15,7 @@
 //
 // A holder publishes, under a key that lapses with a lease of the store, how
 // much of each lot it may have used. While the key may be there it keeps to
-// that. It raises the ceilings ahead of its demand, and once it cannot reach
+// that, and does not use a lot that is not listed. It raises the ceilings ahead of its demand, and once it cannot reach
 // the store it goes on within them until the key has certainly lapsed; only
 // then it spends its lots to the end. So the next process on the same machine
 // that still finds the key knows that the dead one never went beyond the
@@ -71,12 +71,15 @@
 // the store, until lapse.
 func (c *Ceilings) Sending(now time.Time, list []LotCeiling, lapse time.Time) {
 	if c.Lifted(now) {
-		c.most = make(map[turmericshed.LotID]turmericshed.Tokens, len(list))
-	}
-	for _, l := range list {
-		if old, ok := c.most[l.Lot]; !ok || l.Most < old {
-			c.most[l.Lot] = l.Most
+		c.Sent(list)
+	} else {
+		lowest := make(map[turmericshed.LotID]turmericshed.Tokens, len(list))
+		for _, l := range list {
+			if old, ok := c.most[l.Lot]; ok {
+				lowest[l.Lot] = min(old, l.Most)
+			}
 		}
+		c.most = lowest
 	}
 	if lapse.After(c.until) {
 		c.until = lapse
@@ -94,13 +97,13 @@
 // Lifted reports whether no document can be in the store any more.
 func (c *Ceilings) Lifted(now time.Time) bool { return !now.Before(c.until) }
 
-// Most returns the ceiling of a lot; ok is false for one without.
-func (c *Ceilings) Most(now time.Time, id turmericshed.LotID) (n turmericshed.Tokens, ok bool) {
+// Most returns the ceiling of a lot, 0 for one that is not listed. bound is
+// false when there are no ceilings.
+func (c *Ceilings) Most(now time.Time, id turmericshed.LotID) (n turmericshed.Tokens, bound bool) {
 	if c.Lifted(now) {
 		return 0, false
 	}
-	n, ok = c.most[id]
-	return n, ok
+	return c.most[id], true
 }
 
 // WantCeilings returns the ceilings for the requests that wait, the next span
@@ -130,17 +133,23 @@
 }
 
 // Inherit returns the mutation that ends the lots of a dead holder, whose
-// ceilings were found in the store: what is above them goes back.
+// ceilings were found in the store: what is above them goes back, and lots
+// that are not listed go back whole.
 func Inherit(holder turmericshed.Incarnation, list []LotCeiling) tsupdate.Mutation {
 	return mutation(func(l *Ledger) (bool, error) {
-		changed := false
+		most := make(map[turmericshed.LotID]turmericshed.Tokens, len(list))
 		for _, c := range list {
-			lot, ok := l.Lot(c.Lot)
-			if !ok || lot.Holder != holder || c.Budget != l.Budget {
+			if c.Budget == l.Budget {
+				most[c.Lot] = c.Most
+			}
+		}
+		changed := false
+		for _, lot := range slices.Clone(l.Lots) {
+			if lot.Holder != holder {
 				continue
 			}
-			most := min(max(c.Most, lot.Used), lot.Charge())
-			changed = settleOne(l, Report{Lot: lot.ID, Used: lot.Used, Returned: lot.Drawn - most, Requests: lot.Requests, Final: true}) || changed
+			charge := min(max(most[lot.ID], lot.Used), lot.Charge())
+			changed = settleOne(l, Report{Lot: lot.ID, Used: lot.Used, Returned: lot.Drawn - charge, Requests: lot.Requests, Final: true}) || changed
 		}
 		return changed, nil
 	})
--- a/io/tscommand/gateway.go
+++ b/io/tscommand/gateway.go
@@ -42,7 +42,10 @@
 	}
 	lines := tsobserve.NewAsyncWriter(out)
 	log := tsobserve.NewLogger(lines, o.logs.format, o.logs.level)
-	g := tsgateway.New(tsgateway.Config{Settings: settings, Log: log})
+	g, err := tsgateway.New(tsgateway.Config{Settings: settings, Log: log})
+	if err != nil {
+		return errors.Join(err, lines.Close())
+	}
 	reloadCtx, stopReload := context.WithCancel(ctx)
 	defer stopReload()
 	go followSettings(reloadCtx, o.config, log, g.Reload)
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -81,25 +81,33 @@
 	servers  *tsmirror.Mirror
 	roster   *serverView
 
+	callers, checks, operators net.Listener
+	// killed ends the process without a graceful stop; for tests.
+	killed chan struct{}
+
 	mu sync.Mutex
 	// held are the budgets whose first draw was asked for, with the amount.
 	held map[turmericshed.BudgetID]turmericshed.Tokens
 }
 
-// New builds the parts.
-func New(cfg Config) *Gateway {
+// New opens the listeners and builds the parts. KindBadRequest for an address
+// that can't be listened on.
+func New(cfg Config) (*Gateway, error) {
 	if cfg.Dial == nil {
 		cfg.Dial = tsupstream.Dial
 	}
 	s := cfg.Settings
 	g := &Gateway{
 		cfg: cfg, log: cfg.Log, board: &tsboard.Board{}, metrics: tsobserve.NewMetrics(),
-		held: make(map[turmericshed.BudgetID]turmericshed.Tokens),
+		held: make(map[turmericshed.BudgetID]turmericshed.Tokens), killed: make(chan struct{}),
 		self: turmericshed.EntryVM{
 			Name: s.Name, Incarnation: turmericshed.Incarnation(turmericshed.NewID("inc-")), Region: s.Region,
 			FailureDomain: s.FailureDomain, CallerAddr: s.CallerAddr, PeerAddr: s.MetricsAddr,
 		},
 	}
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
 	store := platform.NewStore(s.StoreAddr, platform.StoreOptions{Dial: cfg.Dial})
 	events := logEvents{log: tsobserve.Part(g.log, "event")}
 	g.registry = tsregistry.New(tsregistry.Config{Self: g.self, Store: store, Log: tsobserve.Part(g.log, "registry")})
@@ -122,9 +130,49 @@
 		Log: tsobserve.Part(g.log, "relay"), Retries: retryBounds(s), EntryVMs: g.registry.Count,
 		StaleAfter: staleAfter, TableAge: func() time.Duration { return g.tables.Age(time.Now()) },
 	})
-	return g
+	return g, nil
 }
 
+// listen opens the listeners, or none.
+func (g *Gateway) listen() error {
+	var open []net.Listener
+	for _, l := range []struct {
+		to   *net.Listener
+		addr netip.AddrPort
+	}{{&g.callers, g.cfg.Settings.CallerAddr}, {&g.checks, g.cfg.Settings.ReadyAddr}, {&g.operators, g.cfg.Settings.MetricsAddr}} {
+		ln, err := net.Listen("tcp", l.addr.String())
+		if err != nil {
+			for _, o := range open {
+				err = errors.Join(err, o.Close())
+			}
+			return turmericshed.WrapError(turmericshed.KindBadRequest, err, "listen on %s", l.addr)
+		}
+		*l.to = ln
+		open = append(open, ln)
+	}
+	return nil
+}
+
+// CallerAddr returns where callers are served.
+func (g *Gateway) CallerAddr() netip.AddrPort { return addrOf(g.callers) }
+
+// ReadyAddr returns where readiness checks are answered.
+func (g *Gateway) ReadyAddr() netip.AddrPort { return addrOf(g.checks) }
+
+// MetricsAddr returns where metrics are served.
+func (g *Gateway) MetricsAddr() netip.AddrPort { return addrOf(g.operators) }
+
+func addrOf(ln net.Listener) netip.AddrPort {
+	addr, ok := ln.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return addr.AddrPort()
+}
+
+// Kill ends Serve as the process's death would: nothing is returned or told.
+func (g *Gateway) Kill() { close(g.killed) }
+
 func retryBounds(s platform.Settings) tsrelay.RetryBounds {
 	return tsrelay.RetryBounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 }
@@ -157,15 +205,7 @@
 
 // Serve runs until ctx ends and then stops gracefully.
 func (g *Gateway) Serve(ctx context.Context) error {
-	callers, err := listen(g.cfg.Settings.CallerAddr)
-	if err != nil {
-		return err
-	}
-	stopChecks, err := g.serveOperators()
-	if err != nil {
-		return errors.Join(err, callers.Close())
-	}
-	defer stopChecks()
+	defer g.serveOperators()()
 	// The parts go on while what runs is ended.
 	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
@@ -173,10 +213,18 @@
 	done := g.supervise(partsCtx)
 	stopTimeout := g.cfg.Settings.Bounds.StopTimeout
 	g.log.Info("serving", "name", g.self.Name, "incarnation", string(g.self.Incarnation), "failure_domain", string(g.self.FailureDomain),
-		"addr", callers.Addr().String(), "store", g.cfg.Settings.StoreAddr.String())
+		"addr", g.callers.Addr().String(), "store", g.cfg.Settings.StoreAddr.String())
 	signals := make(chan time.Time, 1)
 	defer context.AfterFunc(ctx, func() { signals <- time.Now() })()
-	err = tsrelay.NewServer(g.relay, tsobserve.Part(g.log, "callers")).Serve(ctx, callers, stopTimeout-stopReserve)
+	server := tsrelay.NewServer(g.relay, tsobserve.Part(g.log, "callers"))
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx, g.callers, stopTimeout-stopReserve) }()
+	var err error
+	select {
+	case err = <-served:
+	case <-g.killed:
+		return errors.Join(g.callers.Close(), server.Close())
+	}
 	if ctx.Err() == nil {
 		return err
 	}
@@ -215,15 +263,7 @@
 }
 
 // serveOperators answers readiness checks and serves metrics.
-func (g *Gateway) serveOperators() (stop func(), err error) {
-	ready, err := listen(g.cfg.Settings.ReadyAddr)
-	if err != nil {
-		return nil, err
-	}
-	metrics, err := listen(g.cfg.Settings.MetricsAddr)
-	if err != nil {
-		return nil, errors.Join(err, ready.Close())
-	}
+func (g *Gateway) serveOperators() (stop func()) {
 	check := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !g.relay.Ready() || len(g.board.Servers.Read()) == 0 {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -232,7 +272,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", g.metrics.Handler())
 	operators := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: mux}
-	for srv, ln := range map[*http.Server]net.Listener{check: ready, operators: metrics} {
+	for srv, ln := range map[*http.Server]net.Listener{check: g.checks, operators: g.operators} {
 		go func() {
 			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 				g.log.Error("listener ended", "addr", ln.Addr().String(), "error", err.Error())
@@ -243,13 +283,7 @@
 		if err := errors.Join(check.Close(), operators.Close()); err != nil {
 			g.log.Debug("listeners closed", "error", err.Error())
 		}
-	}, nil
-}
-
-// listen opens a listener.
-func listen(addr netip.AddrPort) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr.String())
-	return ln, turmericshed.WrapError(turmericshed.KindBadRequest, err, "listen on %s", addr)
+	}
 }
 
 // logEvents writes events of budgets and routing to the log.
--- a/io/tsholder/ceiling.go
+++ b/io/tsholder/ceiling.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"turmericshed"
@@ -67,6 +68,14 @@
 	}
 }
 
+// askRaise asks for higher ceilings before their time.
+func (h *Holder) askRaise() {
+	select {
+	case h.raise <- struct{}{}:
+	default:
+	}
+}
+
 // grantAll serves the requests that waited for higher ceilings.
 func (h *Holder) grantAll() {
 	now := time.Now()
@@ -165,26 +174,39 @@
 	if err != nil {
 		return err
 	}
-	byBudget := make(map[turmericshed.BudgetID][]tsbudget.LotCeiling)
-	for _, c := range doc.Ceilings {
-		byBudget[c.Budget] = append(byBudget[c.Budget], c)
-	}
 	var first error
-	for budget, list := range byBudget {
-		if err := h.inheritOne(ctx, doc.Holder, budget, list); err != nil && first == nil {
-			first = err
+	for after := ""; ; {
+		items, err := h.cfg.Store.List(ctx, turmericshed.BudgetPrefix, after, refreshPage)
+		if err != nil {
+			return err
+		}
+		for _, i := range items {
+			after = i.Key
+			if err := h.inheritOne(ctx, doc, i); err != nil && first == nil {
+				first = err
+			}
+		}
+		if len(items) < refreshPage {
+			return first
 		}
 	}
-	return first
 }
 
-func (h *Holder) inheritOne(ctx context.Context, holder turmericshed.Incarnation, budget turmericshed.BudgetID, list []tsbudget.LotCeiling) error {
+// inheritOne ends the dead holder's lots of one budget.
+func (h *Holder) inheritOne(ctx context.Context, doc tsbudget.CeilingDocument, ledger turmericshed.Item) error {
+	l, err := tsbudget.Decode(ledger)
+	if err != nil || !slices.ContainsFunc(l.Lots, func(lot tsbudget.Lot) bool { return lot.Holder == doc.Holder }) {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := tsupdate.Run(ctx, h.cfg.Store, tsupdate.New(tsbudget.Key(budget), tsbudget.Inherit(holder, list)))
-	event := turmericshed.Event{Name: turmericshed.EventLotClosed, Profile: turmericshed.ProfileName(budget), Reason: "inherited from " + string(holder)}
+	after, err := tsupdate.Run(ctx, h.cfg.Store, tsupdate.NewFrom(ledger, tsbudget.Inherit(doc.Holder, doc.Ceilings)))
+	event := turmericshed.Event{Name: turmericshed.EventLotClosed, Profile: l.Profile}
 	if err != nil {
-		event.Name, event.Reason = turmericshed.EventLotRefused, "lots of "+string(holder)+" stay charged: "+err.Error()
+		event.Name, event.Reason = turmericshed.EventLotRefused, "lots of "+string(doc.Holder)+" stay charged: "+err.Error()
+	} else if now, err := tsbudget.Decode(after); err == nil {
+		event.Tokens = now.Room() - l.Room()
+		event.Reason = "inherited from " + string(doc.Holder)
 	}
 	h.cfg.Recorder.Record(event)
 	return err
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -297,10 +297,7 @@
 	b.queue.Add(w, tsbudget.Waiter{Profile: p, Request: request, Amount: n, Round: b.begun, Deadline: deadline})
 	if h.core.Available(b.id) >= n {
 		// Only the ceilings are in the way.
-		select {
-		case h.raise <- struct{}{}:
-		default:
-		}
+		h.askRaise()
 		return w, none, nil
 	}
 	h.kickLocked(b)
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -70,6 +70,9 @@
 	h.grantLocked(now, b)
 	b.starved = b.queue.Len() > 0
 	h.refuseLocked(now, b)
+	if b.queue.Len() > 0 && h.core.Available(b.id) > 0 {
+		h.askRaise()
+	}
 	if b.again && !h.draining {
 		h.kickLocked(b)
 	}
--- /dev/null
+++ b/io/tsmirror/mirror_test.go
@@ -0,0 +1,99 @@
+package tsmirror_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/io/tsmirror"
+	"turmericshed/platform"
+	"turmericshed/standin/tsmetastore"
+)
+
+// view tells what it hears in words.
+type view chan string
+
+func (v view) Reset(items []turmericshed.Item) {
+	words := []string{"reset"}
+	for _, i := range items {
+		words = append(words, i.Key+"="+string(i.Value))
+	}
+	v <- strings.Join(words, " ")
+}
+
+func (v view) Change(ev turmericshed.WatchEvent) {
+	if ev.Deleted {
+		v <- "removed " + ev.Key
+		return
+	}
+	v <- ev.Key + "=" + string(ev.Value)
+}
+
+func (v view) Lost(error) { v <- "lost" }
+
+func (v view) assertNext(t *testing.T, want string) {
+	t.Helper()
+	select {
+	case got := <-v:
+		assert.Equal(t, got, want)
+	case <-time.After(10 * time.Second):
+		t.Fatalf("nothing was told; want %q", want)
+	}
+}
+
+func follow(t *testing.T) (*tsmetastore.Store, view, *tsmirror.Mirror) {
+	t.Helper()
+	s := tsmetastore.New()
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	s.Put("a/1", []byte("x"))
+	v := make(view, 16)
+	m := tsmirror.New(tsmirror.Config{
+		Store:  platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://")), platform.StoreOptions{}),
+		Prefix: "a/", View: v, Log: slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = m.Serve(ctx) }()
+	v.assertNext(t, "reset a/1=x")
+	return s, v, m
+}
+
+func TestMirror(t *testing.T) {
+	t.Run("changes in order", func(t *testing.T) {
+		s, v, _ := follow(t)
+		s.Put("a/2", []byte("y"))
+		s.Remove("a/1")
+		v.assertNext(t, "a/2=y")
+		v.assertNext(t, "removed a/1")
+	})
+	t.Run("an outage is told once, and a snapshot follows it", func(t *testing.T) {
+		s, v, m := follow(t)
+		s.SetDown(true)
+		v.assertNext(t, "lost")
+		time.Sleep(700 * time.Millisecond)
+		assert.Assert(t, m.Age(time.Now()) > 500*time.Millisecond)
+		s.Put("a/1", []byte("z"))
+		s.SetDown(false)
+		v.assertNext(t, "reset a/1=z")
+		assert.Assert(t, m.Age(time.Now()) < 500*time.Millisecond)
+	})
+	t.Run("dropped history leads to a snapshot", func(t *testing.T) {
+		s, v, _ := follow(t)
+		s.Put("b/1", nil)
+		s.Compact()
+		v.assertNext(t, "reset a/1=x")
+	})
+	t.Run("a quiet watch keeps the view young", func(t *testing.T) {
+		_, _, m := follow(t)
+		time.Sleep(1900 * time.Millisecond)
+		assert.Assert(t, m.Age(time.Now()) < 1500*time.Millisecond)
+	})
+}
--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -29,6 +29,7 @@
 type Server struct {
 	relay *Relay
 	log   *slog.Logger
+	http  *http.Server
 
 	mu   sync.Mutex
 	idle map[net.Conn]time.Time
@@ -36,19 +37,23 @@
 
 // NewServer returns a server of the relay.
 func NewServer(relay *Relay, log *slog.Logger) *Server {
-	return &Server{relay: relay, log: log, idle: make(map[net.Conn]time.Time)}
+	s := &Server{relay: relay, log: log, idle: make(map[net.Conn]time.Time)}
+	s.http = &http.Server{
+		Handler: relay, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: s.noteState, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	return s
 }
 
+// Close ends the server at once.
+func (s *Server) Close() error { return s.http.Close() }
+
 // Serve takes connections until ctx ends, and then stops: answers close their
 // connections, new ones are still taken while the balancer sends them, and
 // what runs may end until stopTimeout has passed.
 func (s *Server) Serve(ctx context.Context, ln net.Listener, stopTimeout time.Duration) error {
-	srv := &http.Server{
-		Handler: s.relay, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.noteState, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
-	}
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(ln) }()
+	go func() { served <- s.http.Serve(ln) }()
 	sweep := time.NewTicker(idleSweep)
 	defer sweep.Stop()
 	for {
@@ -58,22 +63,22 @@
 		case now := <-sweep.C:
 			s.closeIdle(now)
 		case <-ctx.Done():
-			return s.stop(srv, stopTimeout)
+			return s.stop(stopTimeout)
 		}
 	}
 }
 
 // stop ends the server gracefully.
-func (s *Server) stop(srv *http.Server, timeout time.Duration) error {
+func (s *Server) stop(timeout time.Duration) error {
 	began := time.Now()
 	s.relay.Stop()
 	s.log.Info("stopping", "timeout_ms", timeout.Milliseconds())
 	time.Sleep(min(acceptWhileStopping, timeout/2))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(timeout))
 	defer cancel()
-	err := srv.Shutdown(ctx)
+	err := s.http.Shutdown(ctx)
 	if err != nil {
-		err = errors.Join(err, srv.Close())
+		err = errors.Join(err, s.http.Close())
 	}
 	s.log.Info("stopped serving", "elapsed_ms", time.Since(began).Milliseconds(), "whole", err == nil)
 	return err
--- /dev/null
+++ b/io/tsupstream/client_test.go
@@ -0,0 +1,278 @@
+package tsupstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/io/tsupstream"
+	"turmericshed/platform"
+)
+
+// raw is a server whose handler writes the bytes of its answers itself.
+type raw struct {
+	ln       net.Listener
+	accepted atomic.Int32
+}
+
+// newRaw calls answer for each request of a connection until it returns
+// false.
+func newRaw(t *testing.T, answer func(c net.Conn, r *http.Request, n int) bool) *raw {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	s := &raw{ln: ln}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				br := bufio.NewReader(c)
+				for n := 1; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil || !answer(c, r, n) {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *raw) server() turmericshed.BackendServer {
+	return turmericshed.BackendServer{ID: "i-1", Addr: netip.MustParseAddrPort(s.ln.Addr().String())}
+}
+
+func call(s *raw, id string) tsupstream.Call {
+	return tsupstream.Call{
+		Server: s.server(), ID: turmericshed.RequestID(id), Method: http.MethodPost, Target: "/p?q=1", Host: "corner.example",
+		Header: http.Header{"Attempt-Id": {id}}, Body: []byte("body"),
+	}
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(t *testing.T, s string, c net.Conn) bool {
+	t.Helper()
+	_, err := io.WriteString(c, s)
+	return err == nil
+}
+
+func fetch(c *tsupstream.Client, call tsupstream.Call) (string, error) {
+	reply, err := c.Send(context.Background(), call)
+	if err != nil {
+		return "", err
+	}
+	data, err := reply.ReadAll()
+	return string(data), err
+}
+
+func assertKind(t *testing.T, err error, want turmericshed.Kind) {
+	t.Helper()
+	assert.Equal(t, turmericshed.KindOf(err), want, "%v", err)
+}
+
+func newClient() *tsupstream.Client {
+	return tsupstream.New(tsupstream.Config{Codec: platform.Codec{}})
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	s := newRaw(t, func(c net.Conn, r *http.Request, _ int) bool { return send(t, ok(r.Header.Get("Attempt-Id"), "x"), c) })
+	c := newClient()
+	for i := range 3 {
+		got, err := fetch(c, call(s, fmt.Sprint("a", i)))
+		assert.NilError(t, err)
+		assert.Equal(t, got, "x")
+	}
+	assert.Equal(t, s.accepted.Load(), int32(1))
+}
+
+func TestRequestBytes(t *testing.T) {
+	var line, host, length string
+	s := newRaw(t, func(c net.Conn, r *http.Request, _ int) bool {
+		line, host, length = r.Method+" "+r.RequestURI, r.Host, r.Header.Get("Content-Length")
+		return send(t, ok("a", ""), c)
+	})
+	_, err := fetch(newClient(), call(s, "a"))
+	assert.NilError(t, err)
+	assert.Equal(t, line, "POST /p?q=1")
+	assert.Equal(t, host, "corner.example")
+	assert.Equal(t, length, "4")
+}
+
+func TestDoubtfulAnswers(t *testing.T) {
+	for name, answer := range map[string]string{
+		"for another request":    ok("b", "x"),
+		"not HTTP":               "hello\r\n\r\n",
+		"cut off in the headers": "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nConte",
+		"cut off in the body":    "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 9\r\n\r\nx",
+		"cut off in a chunk":     "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+		"nothing":                "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRaw(t, func(c net.Conn, _ *http.Request, _ int) bool { send(t, answer, c); return false })
+			_, err := fetch(newClient(), call(s, "a"))
+			assertKind(t, err, turmericshed.KindCallUnknown)
+		})
+	}
+	t.Run("without a length it ends with its connection", func(t *testing.T) {
+		s := newRaw(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			send(t, "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\nwhole", c)
+			return false
+		})
+		got, err := fetch(newClient(), call(s, "a"))
+		assert.NilError(t, err)
+		assert.Equal(t, got, "whole")
+	})
+	t.Run("without a length and reset it is not whole", func(t *testing.T) {
+		s := newRaw(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			send(t, "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\nwho", c)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		})
+		_, err := fetch(newClient(), call(s, "a"))
+		assertKind(t, err, turmericshed.KindCallUnknown)
+	})
+}
+
+func TestBytesAfterAnAnswerBelongToNobody(t *testing.T) {
+	s := newRaw(t, func(c net.Conn, r *http.Request, n int) bool {
+		id := r.Header.Get("Attempt-Id")
+		if n == 1 && id == "a" {
+			return send(t, ok(id, "x")+ok("late", "y"), c)
+		}
+		return send(t, ok(id, "x"), c)
+	})
+	c := newClient()
+	_, err := fetch(c, call(s, "a"))
+	assert.NilError(t, err)
+	got, err := fetch(c, call(s, "b"))
+	assert.NilError(t, err)
+	assert.Equal(t, got, "x")
+	assert.Equal(t, s.accepted.Load(), int32(2))
+}
+
+func TestAConnectionThatTheServerClosedIsNotUsed(t *testing.T) {
+	s := newRaw(t, func(c net.Conn, r *http.Request, _ int) bool {
+		send(t, ok(r.Header.Get("Attempt-Id"), "x"), c)
+		return false
+	})
+	c := newClient()
+	for _, id := range []string{"a", "b", "c"} {
+		_, err := fetch(c, call(s, id))
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestNothingIsSentTwice(t *testing.T) {
+	var requests atomic.Int32
+	s := newRaw(t, func(c net.Conn, r *http.Request, n int) bool {
+		requests.Add(1)
+		if n == 1 {
+			return send(t, ok(r.Header.Get("Attempt-Id"), "x"), c)
+		}
+		return false
+	})
+	c := newClient()
+	_, err := fetch(c, call(s, "a"))
+	assert.NilError(t, err)
+	get := call(s, "b")
+	get.Method, get.Body = http.MethodGet, nil
+	_, err = fetch(c, get)
+	assertKind(t, err, turmericshed.KindCallUnknown)
+	assert.Equal(t, requests.Load(), int32(2))
+}
+
+func TestNoConnectionMeansNotSent(t *testing.T) {
+	s := newRaw(t, nil)
+	server := call(s, "a")
+	assert.NilError(t, s.ln.Close())
+	_, err := fetch(newClient(), server)
+	assertKind(t, err, turmericshed.KindNoBackend)
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	s := newRaw(t, func(c net.Conn, r *http.Request, _ int) bool {
+		<-release
+		return send(t, ok(r.Header.Get("Attempt-Id"), "x"), c)
+	})
+	c := newClient()
+	bounded := call(s, "a")
+	bounded.Connections = 1
+	done := make(chan error)
+	go func() { _, err := fetch(c, bounded); done <- err }()
+	for s.accepted.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := fetch(c, bounded)
+	assertKind(t, err, turmericshed.KindOverloaded)
+	close(release)
+	assert.NilError(t, <-done)
+	_, err = fetch(c, bounded)
+	assert.NilError(t, err)
+}
+
+func TestAnEarlyAnswerToALongBody(t *testing.T) {
+	s := newRaw(t, func(c net.Conn, r *http.Request, _ int) bool {
+		// The body is read only after the answer was sent.
+		return send(t, ok(r.Header.Get("Attempt-Id"), "early"), c)
+	})
+	long := call(s, "a")
+	long.Body = []byte(strings.Repeat("x", 8<<20))
+	got, err := fetch(newClient(), long)
+	assert.NilError(t, err)
+	assert.Equal(t, got, "early")
+}
+
+func TestTheEndOfTheContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	s := newRaw(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		var p [1]byte
+		_, _ = c.Read(p[:])
+		close(closed)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := newClient().Send(ctx, call(s, "a"))
+	assertKind(t, err, turmericshed.KindCallUnknown)
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the server's connection is still open")
+	}
+}
+
+func TestAServerThatStartedAgainGetsFreshConnections(t *testing.T) {
+	s := newRaw(t, func(c net.Conn, r *http.Request, _ int) bool { return send(t, ok(r.Header.Get("Attempt-Id"), "x"), c) })
+	c := newClient()
+	first := call(s, "a")
+	_, err := fetch(c, first)
+	assert.NilError(t, err)
+	first.Server.Started = time.UnixMilli(5)
+	_, err = fetch(c, first)
+	assert.NilError(t, err)
+	assert.Equal(t, s.accepted.Load(), int32(2))
+}
