--- a/core/tsbudget/queue.go
+++ b/core/tsbudget/queue.go
@@ -102,13 +102,9 @@
 const (
 	// waitMargin is left of the deadline when waiting for tokens ends.
 	waitMargin = 50 * time.Millisecond
-	// retryBudget advises when to ask again for tokens that are out here;
+	// retryElsewhere advises when to ask again for tokens that are out here:
 	// the balancer sends a retry to another entry VM, which may hold some.
-	retryBudget = 250 * time.Millisecond
-	// retryStore advises the same while the store does not answer.
-	retryStore = 250 * time.Millisecond
-	// retryCut advises the same while peers that hold tokens are cut off.
-	retryCut = 250 * time.Millisecond
+	retryElsewhere = 250 * time.Millisecond
 )
 
 // Situation is what is known when a request is short of tokens.
@@ -135,7 +131,7 @@
 	}
 	if s.Round <= w.Round {
 		if s.late(w) {
-			return unavailable(retryStore, "budget of %s: no answer about it in time", w.Profile.Name)
+			return unavailable("budget of %s: no answer about it in time", w.Profile.Name)
 		}
 		return nil
 	}
@@ -161,9 +157,9 @@
 	case s.StoreErr != nil:
 		return Unavailable(w.Profile.Name)
 	case s.PeersMissing:
-		return unavailable(retryCut, "budget of %s: the tokens left are held where nobody can be asked", w.Profile.Name)
+		return unavailable("budget of %s: the tokens left are held where nobody can be asked", w.Profile.Name)
 	case s.Ledger.Room >= w.Amount:
-		return unavailable(retryBudget, "budget of %s: nothing could be drawn in time", w.Profile.Name)
+		return unavailable("budget of %s: nothing could be drawn in time", w.Profile.Name)
 	default:
 		return turmericshed.NewError(turmericshed.KindBudgetExhausted,
 			"budget of %s: %d tokens left to draw, %d needed, the rest is in use", w.Profile.Name, max(s.Ledger.Room, 0), w.Amount)
@@ -173,13 +169,13 @@
 // Unavailable is the refusal while the store that has the ledger does not
 // answer: KindBudgetUnavailable.
 func Unavailable(p turmericshed.ProfileName) error {
-	return unavailable(retryStore, "budget of %s: nothing can be drawn now", p)
+	return unavailable("budget of %s: nothing can be drawn now", p)
 }
 
 func (s Situation) late(w Waiter) bool {
 	return !w.Deadline.IsZero() && !s.Now.Before(w.Deadline.Add(-waitMargin))
 }
 
-func unavailable(after time.Duration, format string, args ...any) error {
-	return turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindBudgetUnavailable, format, args...), after)
+func unavailable(format string, args ...any) error {
+	return turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindBudgetUnavailable, format, args...), retryElsewhere)
 }
--- a/io/tsgateway/budget_test.go
+++ b/io/tsgateway/budget_test.go
@@ -142,6 +142,6 @@
 		assert.Equal(t, got.body, wholeStream(1))
 	})
 	assert.NilError(t, <-r.ended)
-	r.entryVM.stop = nil
+	r.stop = nil
 	assert.Equal(t, r.ledger().Spent, turmericshed.Tokens(cost))
 }
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -233,7 +233,9 @@
 	defer cancel()
 	drainErr := errors.Join(g.holder.Drain(drainCtx), g.registry.Withdraw(drainCtx))
 	stopParts()
-	<-done
+	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+		g.log.Warn("parts ended", "error", err.Error())
+	}
 	g.log.Info("stopped", "elapsed_ms", time.Since(signaled).Milliseconds(), "cut_off", err != nil, "lots_returned", drainErr == nil)
 	return errors.Join(err, drainErr)
 }
--- a/io/tsgateway/rig_test.go
+++ b/io/tsgateway/rig_test.go
@@ -114,7 +114,7 @@
 // kill ends the gateway like the death of its process.
 func (vm *entryVM) kill() {
 	vm.gateway.Kill()
-	<-vm.ended
+	_ = <-vm.ended //nolint:staticcheck // a killed gateway ends with an error.
 	vm.stop()
 	vm.stop = nil
 }
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -29,7 +29,7 @@
 		switch {
 		case err == nil && a == nil:
 			return nil
-		case err == nil && !(q.route.Repeatable && a.status >= http.StatusInternalServerError):
+		case err == nil && (!q.route.Repeatable || a.status < http.StatusInternalServerError):
 			return q.relayWhole(a)
 		case err == nil:
 			failed = a
