--- a/core/tsbudget/ceiling.go
+++ b/core/tsbudget/ceiling.go
@@ -32,7 +32,7 @@
 
 // quietCeiling is the part of what is free that may be used without known
 // demand; it is lost when the holder dies.
-const quietCeiling = 1.0 / 8
+const quietCeiling = 1.0 / 50
 
 // CeilingPrefix is followed by the entry VM's name.
 const CeilingPrefix = "ceilings/"
@@ -106,14 +106,13 @@
 	return c.most[id], true
 }
 
-// WantCeilings returns the ceilings for the requests that wait, the next span
-// of demand, and depth of the largest requests beside, in the order of budgets
-// and lots. No less than quietCeiling of what is free is allowed, for demand
+// WantCeilings returns the ceilings for the requests that wait and the next
+// span of demand, in the order of budgets and lots. No less than quietCeiling of what is free is allowed, for demand
 // that is not known yet.
-func (h *Holder) WantCeilings(now time.Time, span time.Duration, depth float64, waiting map[turmericshed.BudgetID]turmericshed.Tokens) []LotCeiling {
+func (h *Holder) WantCeilings(now time.Time, span time.Duration, waiting map[turmericshed.BudgetID]turmericshed.Tokens) []LotCeiling {
 	var list []LotCeiling
 	for id, b := range h.balances {
-		allowance := b.demand.arriving(now)*span.Seconds() + depth*b.demand.largest
+		allowance := b.demand.arriving(now) * span.Seconds()
 		var free turmericshed.Tokens
 		for _, l := range b.lots {
 			free += l.free()
--- a/core/tsbudget/ceiling_test.go
+++ b/core/tsbudget/ceiling_test.go
@@ -152,7 +152,7 @@
 				version = s.ceilings.Version
 				// The lease is new, and the answer with it came now.
 				lapse := s.now.Add(lease)
-				list := h.WantCeilings(s.now, time.Second, 0.5, nil)
+				list := h.WantCeilings(s.now, time.Second, nil)
 				value := []byte(ceilingsJSON(list))
 				sequence++
 				mine, want := sequence, version
--- a/io/tsholder/ceiling.go
+++ b/io/tsholder/ceiling.go
@@ -19,11 +19,10 @@
 	ceilingLease = 3 * time.Second
 	// leaseMargin allows for clocks that don't run quite evenly.
 	leaseMargin = 100 * time.Millisecond
-	// ceilingSpan is the demand that the ceilings allow for: a publication's
-	// age and the lease's length, after which they are lifted.
-	ceilingSpan = ceilingInterval + ceilingLease
-	// ceilingDepth is the part of the largest request that they allow beside.
-	ceilingDepth = 0.5
+	// ceilingSpan is the demand that the ceilings allow for: twice a
+	// publication's age. What comes beyond asks for a publication, and in a
+	// cut waits for the lease's end; a longer span costs more at a crash.
+	ceilingSpan = 2 * ceilingInterval
 	// raisePause is the least time between publications that requests ask
 	// for.
 	raisePause = 20 * time.Millisecond
@@ -112,7 +111,7 @@
 	}
 	doc := tsbudget.CeilingDocument{
 		Holder: p.h.cfg.Self.Incarnation, Sequence: p.sequence,
-		Ceilings: p.h.core.WantCeilings(now, ceilingSpan, ceilingDepth, waiting),
+		Ceilings: p.h.core.WantCeilings(now, ceilingSpan, waiting),
 	}
 	value, err := json.Marshal(doc)
 	if err == nil {
