--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -13,8 +13,8 @@
 // A request with a prefix goes to one of the prefix's homes: the servers with
 // the highest rendezvous hash of prefix and server, so that every entry VM
 // looks for a cached prefix at the same few servers, and a change of the list
-// moves few prefixes. There are two homes, more as the prefix's share of the
-// requests grows. Servers whose load stands above Bound times the mean are
+// moves few prefixes. There are Homes of them, more as the prefix's share of
+// the requests grows. Servers whose load stands above Bound times the mean are
 // passed over for the next in hash order (Mirrokni et al., "Consistent Hashing
 // with Bounded Loads", 2018). Among the homes the least loaded is taken. The
 // homes are spread over the own region, since a cached prefix saves more than
@@ -228,7 +228,7 @@
 
 // findHomes collects the homes of the prefix among the candidates that fit.
 func (r *Router) findHomes(p *pool, cs []candidate, prefix uint64, fits func(candidate) bool) {
-	n := r.popular.homes(prefix, len(cs))
+	n := r.popular.homes(prefix, len(cs), r.cfg.Homes)
 	p.homes = p.homes[:0]
 	for _, c := range cs {
 		if fits(c) {
--- a/core/tsroute/popularity.go
+++ b/core/tsroute/popularity.go
@@ -8,8 +8,8 @@
 	popularityPrior = 250
 	// popularityFloor is the count below which a prefix is forgotten.
 	popularityFloor = 0.5
-	// minHomes is the number of servers that any prefix may be cached at.
-	minHomes = 2
+	// defaultHomes is the number of servers that any prefix may be cached at.
+	defaultHomes = 2
 	// homeSpread is how many times its share of the servers a prefix gets.
 	homeSpread = 3
 )
@@ -22,8 +22,8 @@
 }
 
 // homes counts one request for the prefix and returns the number of servers,
-// of n, that it is to be spread over.
-func (p *popularity) homes(prefix uint64, n int) int {
+// of n, that it is to be spread over, at least least.
+func (p *popularity) homes(prefix uint64, n, least int) int {
 	if p.count == nil {
 		p.count = map[uint64]float64{}
 	}
@@ -32,7 +32,7 @@
 	}
 	p.count[prefix]++
 	p.sum++
-	return minHomes + int(homeSpread*float64(n)*p.count[prefix]/max(p.sum, popularityPrior))
+	return least + int(homeSpread*float64(n)*p.count[prefix]/max(p.sum, popularityPrior))
 }
 
 // decay halves the counts.
--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -50,6 +50,9 @@
 	ReportLife time.Duration
 	// Bound is the bounded load's factor over the mean, above 1.
 	Bound float64
+	// Homes is the number of servers that any prefix may be cached at. One
+	// saves the second reading of long prompts; two spread short ones.
+	Homes int
 	// RemotePenalty and RegionPenalty are the load per slot by which another
 	// failure domain and another region must be better.
 	RemotePenalty float64
@@ -83,6 +86,9 @@
 	if cfg.Bound == 0 {
 		cfg.Bound = defaultBound
 	}
+	if cfg.Homes == 0 {
+		cfg.Homes = defaultHomes
+	}
 	if cfg.RemotePenalty == 0 {
 		cfg.RemotePenalty = defaultRemotePenalty
 	}
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -50,6 +50,9 @@
 	// inheritTimeout bounds the return of an earlier process's lots, which
 	// callers wait for.
 	inheritTimeout = 1500 * time.Millisecond
+	// prefixHomes is the number of servers that a prefix may be cached at:
+	// prompts of thousands of tokens cost more than an uneven load.
+	prefixHomes = 1
 	// restartPause is the supervisor's pause after a failed controller.
 	restartPause = 200 * time.Millisecond
 	// headerTimeout bounds the requests of readiness checks and operators.
@@ -115,7 +118,7 @@
 		Self: g.self, Store: store, Members: g.registry, Recorder: events,
 		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{}, Ledgers: store, Ceilings: true,
 	})
-	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Board: g.board, Recorder: events})
+	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Homes: prefixHomes, Board: g.board, Recorder: events})
 	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: cfg.Dial})
 	g.tables = tsmirror.New(tsmirror.Config{
 		Store: store, Prefix: platform.TableKey, Log: tsobserve.Part(g.log, "table"),
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -35,6 +35,9 @@
 	// Region is the own region; empty counts all servers as near.
 	Region turmericshed.Region
 	Board  *tsboard.Board
+	// Homes is the number of servers that any prefix may be cached at; 0 takes
+	// the router's default.
+	Homes int
 	// Loads reads a server's load; nil turns polling off.
 	Loads    turmericshed.LoadReader
 	Rand     *rand.Rand
@@ -58,7 +61,9 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	p := &Pool{cfg: cfg, router: tsroute.New(tsroute.Config{Self: cfg.Self, Region: cfg.Region, Rand: cfg.Rand, Recorder: cfg.Recorder})}
+	p := &Pool{cfg: cfg, router: tsroute.New(tsroute.Config{
+		Self: cfg.Self, Region: cfg.Region, Homes: cfg.Homes, Rand: cfg.Rand, Recorder: cfg.Recorder,
+	})}
 	p.router.SetServers(time.Now(), cfg.Board.Servers.Read())
 	return p
 }
