Budgets: usage is told while a ledger has no room, and a used-up budget as such

Cause: holders report usage with their draws, and draw nothing from an empty ledger.

Change: a placement may ask for a report (Bridging: while the room is under the largest request, every 2 s at most); a request above all that is unspent is refused as exhausted. TestAnEntryVMThatHoldsNothingTellsThatABudgetIsUsedUp was red before.

--- a/core/tsbudget/bridging.go
+++ b/core/tsbudget/bridging.go
@@ -57,6 +57,7 @@
 	want := target + v.Waiting
 	d := Decision{Want: want - min(v.Available, want-1), Share: p.share(v), Rate: v.Arriving}
 	d.Min = max(v.least(), min(v.Largest, target/minDrawPart))
+	d.Report = v.Dirty && v.Ledger.Read && v.Ledger.Room < v.Largest
 	short := v.Waiting > v.Available
 	if short {
 		d.Min = v.least()
--- a/core/tsbudget/bridging_test.go
+++ b/core/tsbudget/bridging_test.go
@@ -66,6 +66,12 @@
 	t.Run("and keeps while there is enough", func(t *testing.T) {
 		assert.Assert(t, !decide(func(v *tsbudget.View) { v.Available, v.Idle, v.Ledger = 35, time.Minute, ledgerOf(900, 500, 35) }).Return)
 	})
+	t.Run("usage is told once the ledger has no room for a request", func(t *testing.T) {
+		for room, want := range map[int64]bool{29: true, 30: false} {
+			d := decide(func(v *tsbudget.View) { v.Dirty, v.Largest, v.Ledger = true, 30, ledgerOf(200, room, 100) })
+			assert.Equal(t, d.Report, want, "room %d", room)
+		}
+	})
 	t.Run("no dust is drawn ahead of demand", func(t *testing.T) {
 		d := decide(func(v *tsbudget.View) { v.Arriving, v.Largest, v.Ledger = 12, 30, ledgerOf(200, 3, 0) })
 		assert.Assert(t, !d.Draw)
--- a/core/tsbudget/queue.go
+++ b/core/tsbudget/queue.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	inUse := s.Available + s.Reserved - s.Suspended + s.Lent
-	if s.StoreErr == nil && s.Ledger.Read && inUse+s.Ledger.Room+s.Ledger.Others < w.Amount {
+	if s.StoreErr == nil && s.Ledger.Read && min(inUse+s.Ledger.Room+s.Ledger.Others, s.Ledger.Unspent) < w.Amount {
 		return turmericshed.NewError(turmericshed.KindBudgetExhausted, "budget of %s: %d tokens left, %d needed",
 			w.Profile.Name, max(s.Ledger.Room+inUse, 0), w.Amount)
 	}
--- a/io/tsgateway/budget_test.go
+++ b/io/tsgateway/budget_test.go
@@ -145,3 +145,18 @@
 	r.stop = nil
 	assert.Equal(t, r.ledger().Spent, turmericshed.Tokens(cost))
 }
+
+func TestAnEntryVMThatHoldsNothingTellsThatABudgetIsUsedUp(t *testing.T) {
+	const fits = 12
+	r := newRig(t, fits*cost+prompt)
+	first := r.entryVM
+	for first := 0; first < fits; {
+		if r.quote("/quote/1").status == http.StatusOK {
+			first++
+		}
+	}
+	r.entryVM = r.start("vm-2")
+	r.eventually("it is told as used up", func() bool { return r.quote("/quote/1").status == http.StatusPaymentRequired })
+	assert.Equal(t, runs(r.engines), fits)
+	first.kill()
+}
--- a/io/tsholder/controller.go
+++ b/io/tsholder/controller.go
@@ -125,7 +125,7 @@
 			b.profile.Closed && !b.closed && b.ledger.Read,
 			h.cfg.Keeper.Stale(b.ledger, b.profile) && (held > 0 || !b.ledger.Read),
 			d.Return, d.Borrow, d.Draw && !now.Before(b.nextDraw),
-			v.ReportDue(now.Sub(b.reportedAt)):
+			d.Report && now.Sub(b.reportedAt) >= edgeReport, v.ReportDue(now.Sub(b.reportedAt)):
 			h.kickLocked(b)
 		case b.queue.Len() == 0 && v.Idle > forgetAfter && h.core.Forget(id):
 			delete(h.budgets, id)
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -59,6 +59,9 @@
 	refreshInterval = time.Second
 	// refreshPage is the most ledgers read in one call.
 	refreshPage = 500
+	// edgeReport is the least time between reports of usage that a placement
+	// asks for while a ledger has no room.
+	edgeReport = 2 * time.Second
 	// knownEmptyFor is the age to which a reading of a ledger without room
 	// stands in for another.
 	knownEmptyFor = 500 * time.Millisecond
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -135,7 +135,8 @@
 	now := time.Now()
 	h.mu.Lock()
 	reports := h.core.Reports(b.id, false)
-	due := b.closed || d.Return || h.viewLocked(now, b).ReportDue(now.Sub(b.reportedAt))
+	age := now.Sub(b.reportedAt)
+	due := b.closed || d.Return || (d.Report && age >= edgeReport) || h.viewLocked(now, b).ReportDue(age)
 	draw := h.drawRequestLocked(now, b, d, waiting)
 	if draw != nil && draw != b.draw && h.knownEmptyLocked(now, b, draw.DrawRequest, waiting) {
 		draw = nil
