Reading as a newcomer: one factor for silence, no unused bounds, no addresses in refusals

The bodies of refusals showed callers the servers' ids and addresses; they name the request, the kind and the outcome now, and the log has the cause.

--- a/io/tsgateway/rig_test.go
+++ b/io/tsgateway/rig_test.go
@@ -42,7 +42,7 @@
 	engines []*tsmetastore.Backend
 	desks   []*tsmetastore.Backend
 	version int
-	// unfinished are how the gateways' ends are awaited.
+	// entryVM is the gateway that callers are sent to.
 	*entryVM
 }
 
--- a/io/tsrelay/answer.go
+++ b/io/tsrelay/answer.go
@@ -8,11 +8,12 @@
 	"turmericshed"
 )
 
-// refusal is the body of the fleet's own answers.
+// refusal is the body of the fleet's own answers. The cause, with servers and
+// addresses, is in the log under the request's id.
 type refusal struct {
-	Error   string               `json:"error"`
-	Kind    string               `json:"kind"`
-	Outcome turmericshed.Outcome `json:"outcome"`
+	Request turmericshed.RequestID `json:"request,omitempty"`
+	Kind    string                 `json:"kind"`
+	Outcome turmericshed.Outcome   `json:"outcome"`
 }
 
 // outcome is what is true of the request after err.
@@ -50,7 +51,7 @@
 			h.Set("Retry-After", q.relay.cfg.Codec.RetryAfter(d))
 		}
 	}
-	body, marshalErr := json.Marshal(refusal{Error: err.Error(), Kind: kind.String(), Outcome: outcome})
+	body, marshalErr := json.Marshal(refusal{Request: q.in.ID, Kind: kind.String(), Outcome: outcome})
 	if marshalErr != nil {
 		q.relay.cfg.Log.Error("refusal not encoded", "request", string(q.in.ID), "error", marshalErr.Error())
 	}
--- a/io/tsrelay/patience.go
+++ b/io/tsrelay/patience.go
@@ -20,12 +20,10 @@
 	if !q.route.Repeatable || q.sent+1 >= q.route.MaxAttempts || q.route.Objective <= 0 {
 		return p
 	}
-	first := answerFactor * q.route.Objective
 	if q.route.Stream {
-		first = firstEventFactor * q.route.Objective
 		p.between = pauseFactor * q.route.PauseObjective
 	}
-	p.timer = time.AfterFunc(first, func() {
+	p.timer = time.AfterFunc(silenceFactor*q.route.Objective, func() {
 		p.silent.Store(true)
 		cancel()
 	})
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -38,15 +38,13 @@
 	maxDials = 4
 	// defaultLimit stands in for a time limit that the caller did not tell.
 	defaultLimit = 30 * time.Second
-	// firstEventFactor times the objective is how long a stream that can go
-	// elsewhere may stay without its first event.
-	firstEventFactor = 3
+	// silenceFactor times the objective is how long a request that can go
+	// elsewhere may stay without its answer or first event; callers give up
+	// at four times the objective.
+	silenceFactor = 3
 	// pauseFactor times the longest good pause is how long such a stream may
-	// pause.
+	// pause; callers give up at eight times that.
 	pauseFactor = 4
-	// answerFactor times the objective is how long a repeatable request may
-	// stay without an answer while it can go elsewhere.
-	answerFactor = 3
 	// connectionPart of a server's connections is shared by the entry VMs
 	// evenly; the rest is left for uneven loads.
 	connectionPart = 0.8
