Budgets: the last tokens stay in the ledger until a request needs them

Cause: near the end of a budget an entry VM whose few callers were served kept what their requests gave back (2,000 to 6,400 tokens, no request waiting), while hundreds waited at others until their patience ended. It returns tokens only after 5 s without a request, and others can't find them: the ledger shows a borrower's tokens as the lender's lot. All 11 and 5 false refusals of TestNearlySpentTarget were requests that had waited their whole 20 s. Ruled out: tokens in flight between entry VMs (the amounts stood still for seconds); the order in which peers are asked (the holder was on no list). Two tries: judging by what all lots hold overstates what is left, since use is reported once a minute (heavy unchanged at 11, light 1); taking off the demand since the last reading, the same.

Change: once the ledger can't refill an entry VM's reserve, and it holds no more than that reserve, it returns all and fetches only for requests that wait.

--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -256,9 +256,20 @@
 	return refusalShare
 }
 
+// scarce reports whether the ledger cannot fill this entry VM's reserve any
+// more and little is left here. Tokens then stay in the ledger until a request
+// needs them: what one entry VM keeps idle is missed by the callers at another.
+func (v View) scarce() bool {
+	reserve := reserveDepth * v.Largest
+	return v.Ledger.NearEdge() && v.Ledger.Room < reserve && v.Available <= reserve
+}
+
 // sized fetches what the demand uses within the bridging time, bounded by a
 // share of the room, and returns what is far above that.
 func (v View) sized(draws bool) Decision {
+	if v.scarce() {
+		return v.onlyWaiting(draws)
+	}
 	bridge := v.bridge()
 	if !draws {
 		bridge = min(bridge, borrowBridge)
@@ -277,6 +288,18 @@
 	return d
 }
 
+// onlyWaiting fetches what the requests that wait need, and returns the rest.
+func (v View) onlyWaiting(draws bool) Decision {
+	d := Decision{Want: max(v.Waiting-v.Available, 1), Min: v.least(), Share: 1}
+	fetch := v.Waiting > 0
+	d.Draw, d.Borrow = fetch && draws, fetch && !draws
+	if v.Available > 0 && (!fetch || v.Starved) {
+		d.Return = true
+		d.Min, d.Want = max(v.Needed, 1), max(v.Waiting, 1)
+	}
+	return d
+}
+
 // fairShare returns the part of all that is not spent that this holder's
 // demand has of the demand of all holders.
 func (v View) fairShare() turmericshed.Tokens {
--- a/load/tsexperiment/budget_test.go
+++ b/load/tsexperiment/budget_test.go
@@ -1,6 +1,7 @@
 package tsexperiment
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 
@@ -10,15 +11,15 @@
 // quickRow measures one policy in one short scenario.
 func quickRow(t *testing.T, scenario, load, policy string) BudgetRow {
 	t.Helper()
-	return row(t, true, scenario, load, policy)
+	return row(t, 1, true, scenario, load, policy)
 }
 
-func row(t *testing.T, quick bool, scenario, load, policy string) BudgetRow {
+func row(t *testing.T, seed uint64, quick bool, scenario, load, policy string) BudgetRow {
 	t.Helper()
 	for _, s := range budgetSpecs(quick) {
 		for _, p := range budgetPolicies() {
 			if s.scenario == scenario && s.load == load && p.name == policy {
-				return measureBudget(t.Context(), 1, s, p)
+				return measureBudget(t.Context(), seed, s, p)
 			}
 		}
 	}
@@ -49,10 +50,13 @@
 // false refusal in 1,000.
 func TestNearlySpentTarget(t *testing.T) {
 	for _, load := range []string{"heavy", "light"} {
-		t.Run(load, func(t *testing.T) {
-			r := row(t, false, "nearly_spent", load, "by_demand")
-			assert.Assert(t, r.OverspendTokens <= 0)
-			assert.Assert(t, r.FalseRefusals*1000 <= r.Requests, "%d of %d", r.FalseRefusals, r.Requests)
-		})
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s seed %d", load, seed+1), func(t *testing.T) {
+				t.Parallel()
+				r := row(t, seed+1, false, "nearly_spent", load, "by_demand")
+				assert.Assert(t, r.OverspendTokens <= 0)
+				assert.Assert(t, r.FalseRefusals*1000 <= r.Requests, "%d of %d", r.FalseRefusals, r.Requests)
+			})
+		}
 	}
 }
