Budgets: a VM writes all ledgers that are due, and its ceilings, in one transaction

Each of the ten accounts was written by itself, and the ceilings once more after each draw.

Change: tsupdate.Batch runs several keys' mutations in one transaction; tsholder's exchanger runs the rounds of all budgets, with draws that would be due soon, raises and the ceilings; the amount drawn is decided by the ledger as the store tells it. Inherit ends a dead process's lots in one transaction. A request that only the ceilings hold back waits for them also without the store.

Tests: TestBatch and 3,000 random runs with lost and late transactions (three mechanisms taken out by hand, each red), TestExchanger over HTTP, joint draws in TestInheritedLotsAreNeverSpentTwice and in spec/ceiling.pml (search complete, five mechanisms found).

--- a/core/tsbudget/bridging.go
+++ b/core/tsbudget/bridging.go
@@ -39,6 +39,9 @@
 	scarcePart = 0.2
 	// bridgeLow is the part of the target below which a lot is drawn.
 	bridgeLow = 0.75
+	// topUpBelow is the part of the target below which a lot is drawn when the
+	// store is written to anyway.
+	topUpBelow = 0.95
 	// minDrawPart of the target is the least that is drawn ahead of demand,
 	// unless it is more than the largest request.
 	minDrawPart = 4
@@ -67,6 +70,7 @@
 	if d.Draw {
 		return d
 	}
+	d.TopUp = v.Available < turmericshed.Tokens(topUpBelow*float64(target)) && v.Ledger.Read && v.Ledger.Room >= d.Min
 	keep := target + target/4
 	if v.Idle > quietAfter {
 		keep = turmericshed.Tokens(quietPart * p.even(v))
--- a/core/tsbudget/ceiling.go
+++ b/core/tsbudget/ceiling.go
@@ -107,18 +107,26 @@
 }
 
 // WantCeilings returns the ceilings for the requests that wait and the next
-// span of demand, in the order of budgets and lots. No less than quietCeiling of what is free is allowed, for demand
-// that is not known yet.
-func (h *Holder) WantCeilings(now time.Time, span time.Duration, waiting map[turmericshed.BudgetID]turmericshed.Tokens) []LotCeiling {
+// span of demand, in the order of budgets and lots. No less than quietCeiling
+// of what is free is allowed, for demand that is not known yet. Lots that are
+// drawn in the same transaction count as held.
+func (h *Holder) WantCeilings(now time.Time, span time.Duration, waiting map[turmericshed.BudgetID]turmericshed.Tokens, drawn map[turmericshed.BudgetID]Lot) []LotCeiling {
+	for id := range drawn {
+		h.balance(id)
+	}
 	var list []LotCeiling
 	for id, b := range h.balances {
+		lots := b.lots
+		if l, ok := drawn[id]; ok && !slices.ContainsFunc(lots, func(held *lot) bool { return held.ID == l.ID }) {
+			lots = append(slices.Clone(lots), &lot{Lot: l})
+		}
 		allowance := b.demand.arriving(now) * span.Seconds()
 		var free turmericshed.Tokens
-		for _, l := range b.lots {
+		for _, l := range lots {
 			free += l.free()
 		}
 		rest := turmericshed.Tokens(max(allowance, quietCeiling*float64(free))) + waiting[id]
-		for _, l := range b.lots {
+		for _, l := range lots {
 			taken := l.Used + l.reserved + l.lent
 			more := min(l.free(), rest)
 			rest -= more
--- a/core/tsbudget/ceiling_test.go
+++ b/core/tsbudget/ceiling_test.go
@@ -138,9 +138,44 @@
 		var version, sequence turmericshed.Version
 		for range intRange(1, 60) {
 			s.now = s.now.Add(time.Duration(intRange(0, 900)) * time.Millisecond)
-			switch intRange(0, 5) {
+			switch intRange(0, 6) {
 			case 0:
 				draw()
+			case 6:
+				// One transaction draws a lot and lists it.
+				s.expire()
+				lots++
+				r := tsbudget.DrawRequest{Lot: turmericshed.LotID(fmt.Sprint("lot", lots)), Holder: "dead", Want: 200, Min: 1, At: s.now}
+				next, err := tsbudget.Draw(r)(s.ledger)
+				if err != nil {
+					continue
+				}
+				l, err := tsbudget.Decode(turmericshed.Item{Value: next, Version: 1})
+				assert.NilError(t, err)
+				lot, ok := l.Lot(r.Lot)
+				assert.Assert(t, ok)
+				lapse := s.now.Add(lease)
+				list := h.WantCeilings(s.now, time.Second, nil, map[turmericshed.BudgetID]tsbudget.Lot{budget: lot})
+				h.Ceilings.Sending(s.now, list, lapse)
+				sequence++
+				mine, want, ledger, value := sequence, s.ceilings.Version, s.ledger, []byte(ceilingsJSON(list))
+				write := func() bool {
+					if s.ledger.Version != ledger.Version || !s.publish(want, mine, value, lapse) {
+						return false
+					}
+					s.ledger = turmericshed.Item{Key: ledger.Key, Value: next, Version: ledger.Version + 1}
+					return true
+				}
+				switch intRange(0, 2) {
+				case 0:
+					if write() {
+						h.AddLot(budget, lot, "")
+						h.Ceilings.Sent(list)
+					}
+				case 1:
+					s.pending = append(s.pending, func() { write() })
+				default: // It never arrives.
+				}
 			case 1, 2:
 				n := turmericshed.Tokens(intRange(1, 120))
 				if res, ok := h.Reserve(s.now, p, "r", n); ok {
@@ -152,7 +187,7 @@
 				version = s.ceilings.Version
 				// The lease is new, and the answer with it came now.
 				lapse := s.now.Add(lease)
-				list := h.WantCeilings(s.now, time.Second, nil)
+				list := h.WantCeilings(s.now, time.Second, nil, nil)
 				value := []byte(ceilingsJSON(list))
 				sequence++
 				mine, want := sequence, version
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -159,6 +159,9 @@
 	Share  float64
 	// Rate is the demand that the lot is marked with; 0 takes View.Rate.
 	Rate float64
+	// TopUp is true when a draw is worth making only if other budgets are
+	// written anyway.
+	TopUp bool
 	// Report writes settled usage now, so that others know what is left.
 	Report bool
 	// Return gives back what is available beyond Keep.
--- a/core/tsbudget/queue.go
+++ b/core/tsbudget/queue.go
@@ -135,8 +135,9 @@
 		}
 		return nil
 	}
-	if s.Available >= w.Amount && s.StoreErr == nil && !s.late(w) {
-		// Only the holder's ceilings are in the way, which are being raised.
+	if s.Available >= w.Amount && !s.late(w) {
+		// Only the holder's ceilings are in the way. They are being raised, or
+		// lapse with their lease while the store is away.
 		return nil
 	}
 	inUse := s.Available + s.Reserved - s.Suspended + s.Lent
--- a/core/tsupdate/update.go
+++ b/core/tsupdate/update.go
@@ -147,7 +147,7 @@
 			u.fail(turmericshed.WrapError(turmericshed.KindStoreUnavailable, r.Err, "key %s: gave up", u.key))
 			return
 		}
-		if current, ok := turmericshed.CurrentOf(r.Err); ok && kind == turmericshed.KindConflict {
+		if current, ok := turmericshed.CurrentOf(r.Err, u.key); ok && kind == turmericshed.KindConflict {
 			// The store told the key with the conflict; it need not be read.
 			u.apply(current)
 		}
--- a/errors.go
+++ b/errors.go
@@ -155,15 +155,20 @@
 	return merry.Wrap(err, merry.WithValue(outcomeKey, o), merry.NoCaptureStack())
 }
 
-// WithCurrent adds the item as the store has it to a conflict.
-func WithCurrent(err error, current Item) error {
+// WithCurrent adds the items as the store has them to a conflict.
+func WithCurrent(err error, current ...Item) error {
 	return merry.Wrap(err, merry.WithValue(currentKey, current), merry.NoCaptureStack())
 }
 
-// CurrentOf returns the item that a conflict tells.
-func CurrentOf(err error) (Item, bool) {
-	current, ok := merry.Value(err, currentKey).(Item)
-	return current, ok
+// CurrentOf returns the key's item that a conflict tells.
+func CurrentOf(err error, key string) (Item, bool) {
+	current, _ := merry.Value(err, currentKey).([]Item)
+	for _, i := range current {
+		if i.Key == key {
+			return i, true
+		}
+	}
+	return Item{}, false
 }
 
 // KindOf returns the kind of err: KindNone for nil, KindInternal where no
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -116,7 +116,7 @@
 	g.registry = tsregistry.New(tsregistry.Config{Self: g.self, Store: store, Log: tsobserve.Part(g.log, "registry")})
 	g.holder = tsholder.New(tsholder.Config{
 		Self: g.self, Store: store, Members: g.registry, Recorder: events,
-		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{}, Ledgers: store, Ceilings: true,
+		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{}, Ledgers: store, Joint: store,
 	})
 	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Homes: prefixHomes, Board: g.board, Recorder: events})
 	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: cfg.Dial})
--- a/io/tsholder/controller.go
+++ b/io/tsholder/controller.go
@@ -20,12 +20,12 @@
 // Controllers returns the loops to be supervised.
 func (h *Holder) Controllers() []turmericshed.Controller {
 	list := []turmericshed.Controller{controller(h.scanLoop)}
-	if h.cfg.Ceilings {
-		list = append(list, h.publisher)
-	}
 	if h.cfg.Ledgers != nil {
 		list = append(list, controller(h.refreshLoop))
 	}
+	if h.cfg.Joint != nil {
+		return append(list, h.exchanger)
+	}
 	for range workers {
 		list = append(list, controller(h.workLoop))
 	}
@@ -153,8 +153,8 @@
 			first = err
 		}
 	}
-	if h.cfg.Ceilings && first == nil {
-		return h.publisher.withdraw(ctx)
+	if h.cfg.Joint != nil && first == nil {
+		return h.exchanger.withdraw(ctx)
 	}
 	return first
 }
--- /dev/null
+++ b/io/tsholder/exchanger_test.go
@@ -0,0 +1,187 @@
+package tsholder_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+	"turmericshed/io/tsholder"
+	"turmericshed/platform"
+	"turmericshed/standin/tsmetastore"
+)
+
+const accounts = 10
+
+// bench is holders that write all their ledgers together, over HTTP.
+type bench struct {
+	t     *testing.T
+	store *tsmetastore.Store
+	addr  netip.AddrPort
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	s := tsmetastore.New()
+	srv := httptest.NewServer(s)
+	t.Cleanup(srv.Close)
+	return &bench{t: t, store: s, addr: netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))}
+}
+
+// alone are the members of a fleet whose entry VMs don't know each other.
+type alone struct{ vm turmericshed.EntryVM }
+
+func (a alone) Self() turmericshed.EntryVM      { return a.vm }
+func (alone) Reachable() []turmericshed.EntryVM { return nil }
+func (alone) State(turmericshed.Incarnation) turmericshed.MemberState {
+	return turmericshed.MemberUnknown
+}
+
+func profileOf(account int, prepaid turmericshed.Tokens) turmericshed.Profile {
+	name := fmt.Sprint("account-", account)
+	return turmericshed.Profile{
+		Name: turmericshed.ProfileName(name), Budget: turmericshed.BudgetID(name), Prepaid: prepaid,
+		Edge: turmericshed.PreferNoSurprise, Version: turmericshed.Version(prepaid),
+	}
+}
+
+// start runs a holder until the returned function is called.
+func (b *bench) start(name, incarnation string) (*tsholder.Holder, context.CancelFunc) {
+	store := platform.NewStore(b.addr, platform.StoreOptions{})
+	vm := turmericshed.EntryVM{Name: name, Incarnation: turmericshed.Incarnation(incarnation)}
+	h := tsholder.New(tsholder.Config{
+		Self: vm, Store: store, Joint: store, Members: alone{vm}, Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{},
+	})
+	assert.NilError(b.t, h.Inherit(b.t.Context()))
+	ctx, cancel := context.WithCancel(b.t.Context())
+	b.t.Cleanup(cancel)
+	for _, c := range h.Controllers() {
+		go func() { _ = c.Serve(ctx) }()
+	}
+	return h, cancel
+}
+
+func (b *bench) ledger(account int) (l tsbudget.Ledger) {
+	b.t.Helper()
+	p := profileOf(account, 0)
+	item, _ := b.store.Get(tsbudget.Key(p.Budget))
+	l, err := tsbudget.Decode(turmericshed.Item{Key: item.Key, Value: item.Value, Version: turmericshed.Version(item.Revision)})
+	assert.NilError(b.t, err)
+	assert.Assert(b.t, l.Spent+l.Open() <= l.Prepaid, "spent %d open %d prepaid %d", l.Spent, l.Open(), l.Prepaid)
+	return l
+}
+
+func (b *bench) reserve(h *tsholder.Holder, p turmericshed.Profile, n turmericshed.Tokens) (turmericshed.Reservation, error) {
+	ctx, cancel := context.WithTimeout(b.t.Context(), 5*time.Second)
+	defer cancel()
+	return h.Reserve(ctx, p, "r", n)
+}
+
+// use reserves and settles n tokens of an account.
+func (b *bench) use(h *tsholder.Holder, p turmericshed.Profile, n turmericshed.Tokens) {
+	b.t.Helper()
+	res, err := b.reserve(h, p, n)
+	assert.NilError(b.t, err)
+	h.Settle(res, n)
+}
+
+func TestExchanger(t *testing.T) {
+	const prepaid = 100_000
+	t.Run("all accounts cost the calls of one", func(t *testing.T) {
+		b := newBench(t)
+		h, _ := b.start("vm-1", "a")
+		for i := range accounts {
+			h.Hold(profileOf(i, prepaid))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for i := range accounts {
+			assert.Assert(t, b.ledger(i).Open() > 0, "account %d", i)
+		}
+		// To learn of the ledgers, to make them, to draw, and to follow up.
+		assert.Assert(t, b.store.Calls("/kv-txn") <= 6, "%d transactions", b.store.Calls("/kv-txn"))
+		before := b.store.Calls("/kv-txn")
+		for range 20 {
+			for i := range accounts {
+				b.use(h, profileOf(i, prepaid), 200)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		spent := b.store.Calls("/kv-txn") - before
+		assert.Assert(t, spent <= 12, "%d transactions in 2 s for 200 requests", spent)
+	})
+	t.Run("more accounts than one transaction holds", func(t *testing.T) {
+		b := newBench(t)
+		h, _ := b.start("vm-1", "a")
+		for i := range 40 {
+			h.Hold(profileOf(i, prepaid))
+		}
+		time.Sleep(2500 * time.Millisecond)
+		for i := range 40 {
+			assert.Assert(t, b.ledger(i).Open() > 0, "account %d", i)
+		}
+	})
+	t.Run("two entry VMs share out what is left, and no more", func(t *testing.T) {
+		b := newBench(t)
+		one, _ := b.start("vm-1", "a")
+		two, _ := b.start("vm-2", "b")
+		p := profileOf(0, 5000)
+		served := 0
+		for range 100 {
+			for _, h := range []*tsholder.Holder{one, two} {
+				if res, err := b.reserve(h, p, 100); err == nil {
+					h.Settle(res, 100)
+					served++
+				}
+			}
+			b.ledger(0)
+		}
+		assert.Assert(t, served <= 50, "%d of 50 served", served)
+		assert.Assert(t, served >= 46, "%d of 50 served", served)
+	})
+	t.Run("a raise is written with the draw that waits for it", func(t *testing.T) {
+		b := newBench(t)
+		h, _ := b.start("vm-1", "a")
+		b.use(h, profileOf(0, 1000), 900)
+		_, err := b.reserve(h, profileOf(0, 1000), 500)
+		assertKind(t, err, turmericshed.KindBudgetExhausted)
+		before := b.store.Calls("/kv-txn")
+		b.use(h, profileOf(0, 3000), 500)
+		assert.Assert(t, b.store.Calls("/kv-txn")-before <= 3)
+	})
+	t.Run("what only the ceilings hold back is served without the store", func(t *testing.T) {
+		b := newBench(t)
+		h, _ := b.start("vm-1", "a")
+		h.Hold(profileOf(0, prepaid))
+		time.Sleep(1500 * time.Millisecond)
+		b.store.SetDown(true)
+		began := time.Now()
+		b.use(h, profileOf(0, prepaid), 20_000)
+		assert.Assert(t, time.Since(began) < 3500*time.Millisecond, "the lease has ended by then")
+	})
+	t.Run("the next process returns the lots of all accounts in one transaction", func(t *testing.T) {
+		b := newBench(t)
+		h, kill := b.start("vm-1", "a")
+		for i := range accounts {
+			h.Hold(profileOf(i, prepaid))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		b.use(h, profileOf(0, prepaid), 300)
+		kill()
+		time.Sleep(100 * time.Millisecond)
+		before := b.store.Calls("/kv-txn")
+		b.start("vm-1", "b")
+		for i := range accounts {
+			l := b.ledger(i)
+			assert.Assert(t, l.Spent < prepaid/20, "account %d: spent %d", i, l.Spent)
+		}
+		assert.Assert(t, b.ledger(0).Spent >= 300)
+		assert.Assert(t, b.store.Calls("/kv-txn")-before <= 2)
+	})
+}
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -100,9 +100,10 @@
 	// Ledgers reads all ledgers at once, a little late, so that holders
 	// without demand learn when others run short; nil reads none.
 	Ledgers turmericshed.StaleLister
-	// Ceilings publishes how far lots may be used, so that a process that
-	// follows on the same machine can give back the rest.
-	Ceilings bool
+	// Joint, when set, writes the ledgers of all budgets together. With them
+	// it publishes how far lots may be used, so that a process that follows
+	// on the same machine can give back the rest. Nothing is borrowed then.
+	Joint turmericshed.Transactor
 	// WritesPerSecond limits the writes to the store that no request waits
 	// for; 0 takes the default.
 	WritesPerSecond float64
@@ -115,9 +116,9 @@
 	cfg     Config
 	limiter *rate.Limiter
 	work    chan turmericshed.BudgetID
-	// raise asks for ceilings to be published at once.
+	// raise asks the exchanger for a write at once.
 	raise     chan struct{}
-	publisher *publisher
+	exchanger *exchanger
 
 	mu       sync.Mutex
 	core     *tsbudget.Holder
@@ -130,6 +131,8 @@
 	// goneSince is when a lot's holder was first seen gone.
 	goneSince map[turmericshed.Incarnation]time.Time
 	fleet     fleet
+	// written is when the exchanger last wrote.
+	written time.Time
 }
 
 var _ turmericshed.Budgets = (*Holder)(nil)
@@ -143,7 +146,7 @@
 	// lots are the open lots as last read.
 	lots []tsbudget.Lot
 
-	// queued budgets stand in the work channel, running ones have a round;
+	// queued budgets wait for a round, running ones have one;
 	// again asks for one more round after it.
 	queued  bool
 	running bool
@@ -227,7 +230,7 @@
 		unanswered: map[turmericshed.Incarnation]int{},
 		goneSince:  make(map[turmericshed.Incarnation]time.Time),
 	}
-	h.publisher = &publisher{h: h, key: tsbudget.CeilingPrefix + cfg.Self.Name}
+	h.exchanger = &exchanger{h: h, key: tsbudget.CeilingPrefix + cfg.Self.Name}
 	return h
 }
 
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -17,6 +17,13 @@
 		b.again = true
 		return
 	}
+	if h.cfg.Joint != nil {
+		b.queued = true
+		if b.queue.Len() > 0 {
+			h.askRaise()
+		}
+		return
+	}
 	if b.queued {
 		return
 	}
@@ -33,9 +40,14 @@
 	if b.running || b.queued {
 		return
 	}
-	d := h.cfg.Placement.Decide(h.viewLocked(now, b))
+	v := h.viewLocked(now, b)
+	d := h.cfg.Placement.Decide(v)
 	if d.Borrow || (d.Draw && !now.Before(b.nextDraw)) {
 		h.kickLocked(b)
+		if d.Want > v.Available && now.Sub(h.written) >= waitRound {
+			// Less than half of the target is left: too little for a cut.
+			h.askRaise()
+		}
 	}
 }
 
@@ -132,27 +144,40 @@
 
 // exchange draws a lot and reports usage, in one write.
 func (h *Holder) exchange(ctx context.Context, b *budget, d tsbudget.Decision, waiting bool) {
-	now := time.Now()
 	h.mu.Lock()
-	reports := h.core.Reports(b.id, false)
+	p := h.planLocked(time.Now(), b, d, waiting)
+	h.mu.Unlock()
+	if p.mutation == nil || (!waiting && !h.limiter.Allow()) {
+		return
+	}
+	item, err := h.update(ctx, b, p.mutation, p.reports)
+	if p.draw != nil {
+		h.afterDraw(b, p.draw, item, err)
+	}
+}
+
+// plan is what a round writes to a ledger.
+type plan struct {
+	// mutation is nil when there is nothing to write.
+	mutation tsupdate.Mutation
+	draw     *unansweredDraw
+	reports  []tsbudget.Report
+}
+
+func (h *Holder) planLocked(now time.Time, b *budget, d tsbudget.Decision, waiting bool) plan {
+	p := plan{reports: h.core.Reports(b.id, false), draw: h.drawRequestLocked(now, b, d, waiting)}
 	age := now.Sub(b.reportedAt)
 	due := b.closed || d.Return || (d.Report && age >= edgeReport) || h.viewLocked(now, b).ReportDue(age)
-	draw := h.drawRequestLocked(now, b, d, waiting)
-	if draw != nil && draw != b.draw && h.knownEmptyLocked(now, b, draw.DrawRequest, waiting) {
-		draw = nil
+	if p.draw != nil && p.draw != b.draw && h.knownEmptyLocked(now, b, p.draw.DrawRequest, waiting) {
+		p.draw = nil
 	}
-	h.mu.Unlock()
 	switch {
-	case draw == nil && (len(reports) == 0 || !due):
-		return
-	case !waiting && !h.limiter.Allow():
-		return
-	case draw == nil:
-		_, _ = h.update(ctx, b, tsbudget.Settle(reports...), reports)
-		return
+	case p.draw != nil:
+		p.mutation = tsbudget.Exchange(p.draw.DrawRequest, p.reports...)
+	case len(p.reports) > 0 && due:
+		p.mutation = tsbudget.Settle(p.reports...)
 	}
-	item, err := h.update(ctx, b, tsbudget.Exchange(draw.DrawRequest, reports...), reports)
-	h.afterDraw(b, draw, item, err)
+	return p
 }
 
 // knownEmptyLocked reports whether the ledger as last read has no room for a
@@ -200,10 +225,16 @@
 	}
 	h.mu.Unlock()
 	item, err := tsupdate.Run(ctx, h.cfg.Store, u)
-	l, decodeErr := tsbudget.Decode(item)
-	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return item, h.takeWriteLocked(b, item, err, reports)
+}
+
+// takeWriteLocked takes in the outcome of a ledger's change. It returns err,
+// or why the ledger can't be read.
+func (h *Holder) takeWriteLocked(b *budget, item turmericshed.Item, err error, reports []tsbudget.Report) error {
+	now := time.Now()
+	l, decodeErr := tsbudget.Decode(item)
 	b.item = turmericshed.Item{}
 	if err == nil {
 		b.item = item
@@ -215,14 +246,14 @@
 		if err == nil {
 			b.storeErr = decodeErr
 		}
-		return item, b.storeErr
+		return b.storeErr
 	}
 	h.readLocked(b, item, l, now)
 	if err == nil && len(reports) > 0 {
 		h.acknowledgeLocked(b, reports)
 		b.reportedAt = now
 	}
-	return item, err
+	return err
 }
 
 // readKind reports whether the error is the ledger's own answer, after it was
@@ -250,10 +281,14 @@
 // afterDraw takes the outcome of a draw: the lot, a certain refusal, or an
 // answer that was lost.
 func (h *Holder) afterDraw(b *budget, draw *unansweredDraw, item turmericshed.Item, err error) {
-	now := time.Now()
-	l, decodeErr := tsbudget.Decode(item)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.takeDrawLocked(b, draw, item, err)
+}
+
+func (h *Holder) takeDrawLocked(b *budget, draw *unansweredDraw, item turmericshed.Item, err error) {
+	now := time.Now()
+	l, decodeErr := tsbudget.Decode(item)
 	if turmericshed.KindOf(err) == turmericshed.KindStoreUnknown {
 		draw.seen = max(draw.seen, item.Version)
 		b.draw = draw
--- a/platform.go
+++ b/platform.go
@@ -67,6 +67,29 @@
 	Watch(ctx context.Context, prefix string, after Version) (Watcher, error)
 }
 
+// Transaction is writes of several keys that are applied together or not at
+// all, if the keys of Checks have their versions as well.
+type Transaction struct {
+	Writes []Write
+	Checks []Check
+}
+
+// Check is the version that a key must have; 0 for absent.
+type Check struct {
+	Key  string
+	Want Version
+}
+
+// Transactor is a Store that applies writes of several keys at once.
+type Transactor interface {
+	// MaxKeys returns the most keys of a transaction.
+	MaxKeys() int
+	// Transact applies t and returns the version that all written keys have
+	// now. Errors are those of Store.CompareAndSwap; a conflict carries every
+	// key's item as it stands, see CurrentOf.
+	Transact(ctx context.Context, t Transaction) (Version, error)
+}
+
 // StaleLister reads a list that may be seconds old, at a fraction of the price
 // of Store.List.
 type StaleLister interface {
--- a/spec/ceiling.pml
+++ b/spec/ceiling.pml
@@ -1,10 +1,11 @@
 /*
- * Ceilings of lots under a lease: core/tsbudget/ceiling.go, io/tsholder/ceiling.go.
+ * Ceilings of lots under a lease: core/tsbudget/ceiling.go, io/tsholder/exchanger.go.
  *
  * A holder uses two lots; the second one is drawn later. It publishes how far
  * each may be used under a key with a lease of the store, keeps to that while
  * the key may be there, and uses all of its lots once the key has certainly
- * lapsed. It may die at any moment. The next process on the machine looks for
+ * lapsed. It may draw the second lot and list it in one transaction. It may
+ * die at any moment. The next process on the machine looks for
  * the key and, where it is there, ends the lots with the ceilings as charge.
  *
  * Writes may be lost, answered, unanswered, or carried out late while their
@@ -115,7 +116,8 @@
 			:: c1 < LOT -> c1++
 			:: else -> skip
 			fi
-		:: else -> skip
+		:: !drawn -> c1 = 1; joint = true	/* the transaction draws the second lot, too */
+		:: !drawn -> skip
 		fi;
 		/* Sending */
 		if
@@ -133,14 +135,15 @@
 		if
 		:: skip; store(want, c0, c1, e, done);
 			if
-			:: done -> bound[0] = c0; bound[1] = c1	/* Sent */
+			:: done -> bound[0] = c0; bound[1] = c1;	/* Sent */
+				drawn = drawn || joint
 			:: else -> skip
 			fi
 		:: skip; store(want, c0, c1, e, done)		/* unanswered */
 		:: lateWant == NONE -> lateWant = want; late[0] = c0; late[1] = c1; lateEnds = e
 		:: skip						/* lost */
 		fi;
-		c0 = 0; c1 = 0; want = 0; e = 0; lapse = 0; done = false
+		c0 = 0; c1 = 0; want = 0; e = 0; lapse = 0; done = false; joint = false
 	}
 }
 
@@ -158,7 +161,7 @@
 
 active proctype Holder() {
 	byte want, e, lapse, c0, c1;
-	bool done;
+	bool done, joint;
 	do
 	:: dead -> break
 	:: !dead && sends < SENDS -> publish()
--- a/standin/tsmetastore/serve.go
+++ b/standin/tsmetastore/serve.go
@@ -8,8 +8,13 @@
 	"time"
 )
 
-// pageSize is the most items of one answer.
-const pageSize = 500
+const (
+	// pageSize is the most items of one answer.
+	pageSize = 500
+	// maxEntries is the most conditions, writes and deletions of a
+	// transaction.
+	maxEntries = 32
+)
 
 type condition struct {
 	Key      string `json:"key"`
@@ -110,7 +115,7 @@
 
 func (s *Store) serveTxn(w http.ResponseWriter, r *http.Request) {
 	var tx transaction
-	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil || len(tx.ExpectedRevision)+len(tx.Writes)+len(tx.Remove) > maxEntries {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -150,8 +155,11 @@
 			return http.StatusNotFound, nil
 		}
 	}
+	if len(tx.Writes) > 0 {
+		s.revision++
+	}
 	for _, p := range tx.Writes {
-		s.put(p.Key, p.Value, p.Lease)
+		s.putNow(p.Key, p.Value, p.Lease)
 	}
 	for _, k := range tx.Remove {
 		s.remove(k)
--- a/standin/tsmetastore/store.go
+++ b/standin/tsmetastore/store.go
@@ -122,6 +122,11 @@
 
 func (s *Store) put(key string, value []byte, lease int64) {
 	s.revision++
+	s.putNow(key, value, lease)
+}
+
+// putNow writes a key as a part of the change that made the revision.
+func (s *Store) putNow(key string, value []byte, lease int64) {
 	i := Item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
 	if old, ok := s.items[key]; ok {
 		i.Created = old.Created
