Explain a request from logs; logs bounded by kind; metrics at a port named in the deploy file

A request's cause had to be gathered by hand from the logs of all VMs; log volume was bounded by a queue alone, which drops whatever comes next; the platform was not told where metrics are.

core/tsstory and `turmericshed explain -id ID FILE...`: the lines of one id, and for a request what its VM believed when it decided. Log lines carry the VM's name. At most 100 lines a second of each message and error kind are written; the next one tells how many were left out. `-metrics-port` with `metrics` in deploy/system.toml; when the port is taken, the control address serves them.

--- /dev/null
+++ b/core/tsstory/tell.go
@@ -0,0 +1,131 @@
+package tsstory
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// budgetBefore and serverBefore are how long before a request its
+	// account's tokens and its server's state are of interest.
+	budgetBefore = 5 * time.Second
+	serverBefore = 10 * time.Second
+	// mostBudget bounds the lines about tokens.
+	mostBudget = 5
+)
+
+// Part is a line of a story, with why it belongs there.
+type Part struct {
+	Line
+	Why string
+}
+
+// String returns the line and the reason.
+func (p Part) String() string { return p.Line.String() + "  <- " + p.Why }
+
+// idKeys are the attributes that may hold what a story is about, and what it
+// is then. A version is of the routing table.
+var idKeys = []struct{ key, what string }{
+	{"request", "the request"},
+	{"server", "the server"},
+	{"account", "the account"},
+	{"profile", "the account"},
+	{"lot", "the lot"},
+	{"incarnation", "the process"},
+	{"name", "the entry VM"},
+}
+
+// Tell returns the story of an id, in the order of time: a request, server,
+// account, lot, process or entry VM, or "version N". It is empty when no line
+// names the id.
+func Tell(lines []Line, id string) []Part {
+	lines = slices.Clone(lines)
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	var story []Part
+	for i, l := range lines {
+		what, ok := names(l, id)
+		if !ok {
+			continue
+		}
+		if what == "the request" {
+			story = append(story, around(lines[:i], l)...)
+		}
+		story = append(story, Part{Line: l, Why: what})
+	}
+	return dedupe(story)
+}
+
+// names reports what of a line has the id.
+func names(l Line, id string) (string, bool) {
+	for _, k := range idKeys {
+		if l.Values[k.key] == id {
+			return k.what, true
+		}
+	}
+	if l.VM == id && (l.Message == "serving" || l.Message == "stopped" || strings.HasSuffix(l.Message, "store lost") || strings.HasSuffix(l.Message, "store read")) {
+		return "the entry VM", true
+	}
+	if version, ok := strings.CutPrefix(id, "version "); ok && strings.HasSuffix(l.Message, "routing table in force") {
+		return "the version", l.Values["version"] == version || l.Values["before"] == version
+	}
+	return "", false
+}
+
+// around returns what the entry VM believed when it decided about a request:
+// the last lines before it, out of those given.
+func around(before []Line, r Line) []Part {
+	began := r.At
+	if ms, err := strconv.Atoi(r.Values["elapsed_ms"]); err == nil {
+		began = began.Add(-time.Duration(ms) * time.Millisecond)
+	}
+	var parts []Part
+	seen := make(map[string]bool)
+	once := func(l Line, key, why string) {
+		if !seen[key] {
+			seen[key] = true
+			parts = append(parts, Part{Line: l, Why: why})
+		}
+	}
+	tokens := 0
+	for i := len(before) - 1; i >= 0; i-- {
+		l := before[i]
+		if l.VM != r.VM {
+			continue
+		}
+		switch {
+		case strings.HasSuffix(l.Message, "routing table in force"):
+			once(l, "table", "the routing table then")
+		case strings.HasSuffix(l.Message, "store lost"), strings.HasSuffix(l.Message, "store read"):
+			once(l, "store "+l.Values["prefix"], "the view of the store then")
+		case strings.HasSuffix(l.Message, "store_lost"), strings.HasSuffix(l.Message, "store_back"):
+			once(l, "ledgers", "whether ledgers could be written")
+		case l.Message == "serving":
+			once(l, "serving", "the process that served it")
+		case l.Values["profile"] != "" && l.Values["profile"] == r.Values["account"]:
+			if began.Sub(l.At) <= budgetBefore && tokens < mostBudget {
+				tokens++
+				parts = append(parts, Part{Line: l, Why: "the account's tokens"})
+			}
+		case l.Values["server"] != "" && l.Values["server"] == r.Values["server"] && l.Values["request"] == "":
+			if began.Sub(l.At) <= serverBefore {
+				parts = append(parts, Part{Line: l, Why: "the server's state"})
+			}
+		}
+	}
+	return parts
+}
+
+// dedupe sorts a story and drops lines that came in twice; a line's first
+// reason stays.
+func dedupe(story []Part) []Part {
+	slices.SortStableFunc(story, func(a, b Part) int { return a.At.Compare(b.At) })
+	seen := make(map[string]bool, len(story))
+	return slices.DeleteFunc(story, func(p Part) bool {
+		key := p.Line.String()
+		was := seen[key]
+		seen[key] = true
+		return was
+	})
+}
--- a/io/tscommand/commands.go
+++ b/io/tscommand/commands.go
@@ -49,6 +49,7 @@
 		{"load", "send open-loop load and keep the callers' books", runLoad},
 		{"soak", "drive the decision code through seeded failures", runSoak},
 		{"timeline", "merge the events of all processes", runTimeline},
+		{"explain", "tell the story of a request, server or account from logs", runExplain},
 		{"experiment", "measure decisions on small fakes", runExperiment},
 	}
 }
--- a/io/tscommand/gateway.go
+++ b/io/tscommand/gateway.go
@@ -41,8 +41,8 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryPart))
 	}
 	lines := tsobserve.NewAsyncWriter(out)
-	log := tsobserve.NewLogger(lines, o.logs.format, o.logs.level)
-	g, err := tsgateway.New(tsgateway.Config{Settings: settings, Log: log})
+	log := tsobserve.NewLogger(lines, o.logs.format, o.logs.level).With("vm", settings.Name)
+	g, err := tsgateway.New(tsgateway.Config{Settings: settings, MetricsPort: o.metricsPort, Log: log})
 	if err != nil {
 		return errors.Join(err, lines.Close())
 	}
--- a/io/tscommand/options_gateway.go
+++ b/io/tscommand/options_gateway.go
@@ -1,8 +1,10 @@
 package tscommand
 
 import (
+	"errors"
 	"io"
 	"log/slog"
+	"strconv"
 
 	"turmericshed/io/tsobserve"
 )
@@ -11,7 +13,10 @@
 // the platform's settings file does not hold.
 type gatewayOptions struct {
 	config string
-	logs   logOptions
+	// metricsPort serves metrics on the entry VM's address; 0 takes the
+	// address that the platform names for operators.
+	metricsPort uint16
+	logs        logOptions
 }
 
 // parseGateway reads them.
@@ -19,6 +24,14 @@
 	o := gatewayOptions{logs: logOptions{format: tsobserve.LogJSON, level: slog.LevelInfo}}
 	f := newFlags("gateway", "Serves callers as one entry VM on the users' platform.", errOut)
 	f.StringVar(&o.config, "config", "", "settings `file` that the platform renders from deploy/settings.json.tmpl")
+	f.Func("metrics-port", "`port` of the metrics, named in deploy/system.toml as well; without one, the platform's control address", func(s string) error {
+		n, err := strconv.ParseUint(s, 10, 16)
+		if err != nil || n == 0 {
+			return errors.New("want a port from 1 to 65535")
+		}
+		o.metricsPort = uint16(n)
+		return nil
+	})
 	f.Func("log-format", "log `format`: json (default) or text", o.logs.setFormat)
 	f.TextVar(&o.logs.level, "log-level", slog.LevelInfo, "log `level`: debug, info, warn or error")
 	if err := f.parse(args); err != nil {
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -62,7 +62,10 @@
 // Config holds what a Gateway needs.
 type Config struct {
 	Settings platform.Settings
-	Log      *slog.Logger
+	// MetricsPort serves metrics on the address of the settings' MetricsAddr;
+	// 0 takes that address's port.
+	MetricsPort uint16
+	Log         *slog.Logger
 	// Dial opens connections to the store and to servers; nil takes
 	// tsupstream.Dial.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -138,11 +141,12 @@
 
 // listen opens the listeners, or none.
 func (g *Gateway) listen() error {
+	metrics := g.metricsAddr()
 	var open []net.Listener
 	for _, l := range []struct {
 		to   *net.Listener
 		addr netip.AddrPort
-	}{{&g.callers, g.cfg.Settings.CallerAddr}, {&g.checks, g.cfg.Settings.ReadyAddr}, {&g.operators, g.cfg.Settings.MetricsAddr}} {
+	}{{&g.callers, g.cfg.Settings.CallerAddr}, {&g.checks, g.cfg.Settings.ReadyAddr}, {&g.operators, metrics}} {
 		ln, err := net.Listen("tcp", l.addr.String())
 		if err != nil {
 			for _, o := range open {
@@ -156,6 +160,25 @@
 	return nil
 }
 
+// metricsAddr returns where to serve metrics: the control address when the
+// configured port is taken, since callers matter more.
+func (g *Gateway) metricsAddr() netip.AddrPort {
+	control := g.cfg.Settings.MetricsAddr
+	if g.cfg.MetricsPort == 0 {
+		return control
+	}
+	addr := netip.AddrPortFrom(control.Addr(), g.cfg.MetricsPort)
+	ln, err := net.Listen("tcp", addr.String())
+	if err == nil {
+		err = ln.Close()
+	}
+	if err != nil {
+		g.log.Error("metrics port not available; metrics are served at the control address", "addr", addr.String(), "error", err.Error())
+		return control
+	}
+	return addr
+}
+
 // CallerAddr returns where callers are served.
 func (g *Gateway) CallerAddr() netip.AddrPort { return addrOf(g.callers) }
 
--- a/io/tsgateway/gateway_test.go
+++ b/io/tsgateway/gateway_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
+	"turmericshed/io/tsgateway"
 	"turmericshed/platform"
 	"turmericshed/standin/tsmetastore"
 )
@@ -222,3 +226,25 @@
 		assertStatus(t, r.ask(http.MethodGet, "/look/1", ""), http.StatusOK)
 	})
 }
+
+func TestMetricsPort(t *testing.T) {
+	any0 := netip.MustParseAddrPort("127.0.0.1:0")
+	gateway := func(port uint16) *tsgateway.Gateway {
+		g, err := tsgateway.New(tsgateway.Config{MetricsPort: port, Log: slog.New(slog.DiscardHandler), Settings: platform.Settings{
+			Name: "vm-1", CallerAddr: any0, ReadyAddr: any0, MetricsAddr: any0, StoreAddr: any0,
+		}})
+		assert.NilError(t, err)
+		return g
+	}
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	port := netip.MustParseAddrPort(taken.Addr().String()).Port()
+	t.Run("one that is taken does not keep callers from being served", func(t *testing.T) {
+		g := gateway(port)
+		assert.Assert(t, g.MetricsAddr().Port() != port && g.MetricsAddr().Port() != 0)
+	})
+	assert.NilError(t, taken.Close())
+	t.Run("one that is free", func(t *testing.T) {
+		assert.Equal(t, gateway(port).MetricsAddr().Port(), port)
+	})
+}
--- a/io/tsobserve/logger.go
+++ b/io/tsobserve/logger.go
@@ -19,9 +19,9 @@
 func NewLogger(w io.Writer, format LogFormat, level slog.Leveler) *slog.Logger {
 	opts := &slog.HandlerOptions{Level: level}
 	if format == LogJSON {
-		return slog.New(slog.NewJSONHandler(w, opts))
+		return slog.New(newSampler(slog.NewJSONHandler(w, opts)))
 	}
-	return slog.New(slog.NewTextHandler(w, opts))
+	return slog.New(newSampler(slog.NewTextHandler(w, opts)))
 }
 
 // Part returns a logger whose messages start with the name of one part of the
--- /dev/null
+++ b/io/tsobserve/sampler_test.go
@@ -0,0 +1,38 @@
+package tsobserve_test
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed/io/tsobserve"
+)
+
+func TestLogVolumeIsBoundedByKind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log := tsobserve.Part(tsobserve.NewLogger(&out, tsobserve.LogJSON, slog.LevelInfo), "relay")
+		storm := func() {
+			for range 1000 {
+				log.Warn("not answered", "kind", "budget_unavailable")
+			}
+		}
+		storm()
+		log.Warn("not answered", "kind", "internal")
+		log.Info("answered")
+		count := func(word string) int { return strings.Count(out.String(), word) }
+		assert.Equal(t, count(`"budget_unavailable"`), 100)
+		assert.Equal(t, count(`"internal"`), 1, "another kind of error is not left out")
+		assert.Equal(t, count(`"relay: answered"`), 1)
+		time.Sleep(1100 * time.Millisecond)
+		log.Warn("not answered", "kind", "budget_unavailable")
+		assert.Equal(t, count(`"left_out":900`), 1)
+		storm()
+		assert.Equal(t, count(`"budget_unavailable"`), 200)
+	})
+}
