Budgets: lots stand in their holders' documents, ledgers keep the sums

Ruled out: the links alone (with small documents, rounds were still 32 conflicts long); turns by rank alone (8,861 conflicts against 8,871).

Change: an entry VM keeps its lots of all budgets in one document, and the ledger the sums over all; both change in one transaction (tsbudget.Parted), so that the mutations of whole ledgers stay as they are.

--- a/core/tsbudget/ledger.go
+++ b/core/tsbudget/ledger.go
@@ -91,8 +91,9 @@
 	Forfeited turmericshed.Tokens `json:"forfeited"`
 	// Requests counts the billed requests of lots that are not open.
 	Requests int64 `json:"requests"`
-	// Lots are the open lots.
-	Lots []Lot `json:"lots,omitempty"`
+	// Lots are the open lots; those that stand in holdings are in Elsewhere.
+	Lots      []Lot     `json:"lots,omitempty"`
+	Elsewhere Elsewhere `json:"elsewhere,omitzero"`
 	// Closed are lots that others closed; their charge is in Spent. Their
 	// holder may still give back, once.
 	Closed  []Lot        `json:"closed,omitempty"`
@@ -119,7 +120,7 @@
 
 // Open returns the sum of the open lots.
 func (l Ledger) Open() turmericshed.Tokens {
-	var sum turmericshed.Tokens
+	sum := l.Elsewhere.Charge
 	for _, lot := range l.Lots {
 		sum += lot.Charge()
 	}
@@ -166,7 +167,7 @@
 
 // TotalBilled returns the settled cost of all lots, open ones included.
 func (l Ledger) TotalBilled() turmericshed.Tokens {
-	sum := l.Billed
+	sum := l.Billed + l.Elsewhere.Used
 	for _, lot := range l.Lots {
 		sum += lot.Used
 	}
@@ -175,7 +176,7 @@
 
 // TotalRequests returns the number of billed requests, of open lots too.
 func (l Ledger) TotalRequests() int64 {
-	sum := l.Requests
+	sum := l.Requests + l.Elsewhere.Requests
 	for _, lot := range l.Lots {
 		sum += lot.Requests
 	}
@@ -223,6 +224,8 @@
 		"budget %s: prepaid %d billed %d forfeited %d", next.Budget, next.Prepaid, next.Billed, next.Forfeited)
 	turmericshed.Assert(next.Spent == next.Billed+next.Forfeited, "spent_is_accounted",
 		"budget %s: spent %d billed %d forfeited %d", next.Budget, next.Spent, next.Billed, next.Forfeited)
+	e := next.Elsewhere
+	turmericshed.Assert(e.Used >= 0 && e.Used <= e.Charge && e.Holders >= 0, "sums_of_lots", "budget %s: %+v", next.Budget, e)
 	turmericshed.Assert(next.Spent+open <= next.Limit(), "within_prepaid",
 		"budget %s: spent %d + open lots %d > %d", next.Budget, next.Spent, open, next.Limit())
 	turmericshed.Assert(len(next.Lots) <= maxOpenLots, "lots_bounded", "budget %s: %d lots", next.Budget, len(next.Lots))
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -93,6 +93,8 @@
 	Room  turmericshed.Tokens
 	// Unspent is what is neither spent nor reported as used.
 	Unspent turmericshed.Tokens
+	// OthersUnused is the part of Others that is not reported as used.
+	OthersUnused turmericshed.Tokens
 	// Others is the sum of the other holders' open lots.
 	Others  turmericshed.Tokens
 	Holders int
@@ -104,7 +106,11 @@
 
 // Summarize returns what the holder self remembers of a ledger.
 func Summarize(l Ledger, self turmericshed.Incarnation, at time.Time) Summary {
-	s := Summary{Read: true, At: at, Limit: l.Limit(), Room: l.Room(), Unspent: l.Limit() - l.Spent}
+	e := l.Elsewhere
+	s := Summary{
+		Read: true, At: at, Limit: l.Limit(), Room: l.Room(), Unspent: l.Limit() - l.Spent - e.Used,
+		Others: e.Charge, OthersUnused: e.Charge - e.Used, OthersRate: float64(e.Rate),
+	}
 	rates := make(map[turmericshed.Incarnation]int64, len(l.Lots))
 	for _, lot := range l.Lots {
 		rates[lot.Holder] = lot.Rate
@@ -113,9 +119,10 @@
 			s.Mine += lot.Charge()
 		} else {
 			s.Others += lot.Charge()
+			s.OthersUnused += lot.Charge() - lot.Used
 		}
 	}
-	s.Holders = len(rates)
+	s.Holders = len(rates) + e.Holders
 	for holder, rate := range rates {
 		if holder != self {
 			s.OthersRate += float64(rate)
--- a/core/tsupdate/batch.go
+++ b/core/tsupdate/batch.go
@@ -79,6 +79,10 @@
 	return e.cur, e.err
 }
 
+// Current returns the item that change i's mutation runs on in the attempt
+// being made, or the item after the batch.
+func (b *Batch) Current(i int) turmericshed.Item { return b.entries[i].cur }
+
 // Pending returns the value that change i writes in the attempt being made; a
 // later change's mutation may look at it.
 func (b *Batch) Pending(i int) []byte { return b.entries[i].next }
--- a/io/tsholder/controller.go
+++ b/io/tsholder/controller.go
@@ -24,7 +24,7 @@
 		list = append(list, controller(h.refreshLoop))
 	}
 	if h.cfg.Joint != nil {
-		return append(list, h.exchanger)
+		return append(list, h.exchanger, controller(h.orphanLoop))
 	}
 	for range workers {
 		list = append(list, controller(h.workLoop))
--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -3,58 +3,99 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"turmericshed"
 	"turmericshed/core/tsbudget"
 	"turmericshed/core/tsupdate"
+	"turmericshed/io/tspause"
 )
 
 const (
-	// exchangeInterval is the time between looks for something to write.
+	// exchangeInterval is the least time between looks for something to write,
+	// and exchangePerVM times the entry VMs the usual time in large fleets,
+	// which share the store's writes; maxExchange bounds it.
 	exchangeInterval = time.Second
+	exchangePerVM    = 25 * time.Millisecond
+	maxExchange      = 3 * time.Second
 	// raisePause gathers requests that wait before a write that they asked
 	// for.
 	raisePause = 20 * time.Millisecond
 	// transactTimeout bounds one transaction. All budgets wait for it; a slow
 	// platform answers within 300 ms.
 	transactTimeout = 800 * time.Millisecond
-	// ceilingLease is the length of the leases: a document's age, the restart
-	// of a process (up to 1.5 s) and its first call fit in. In a cut, requests
-	// beyond the ceilings wait for its end.
-	ceilingLease = 3 * time.Second
-	// ceilingsDue is the age from which the ceilings are written again: at
-	// each look, which may come a little early.
-	ceilingsDue = exchangeInterval * 9 / 10
-	// leaseReuse is the age to which a lease is used for another document.
-	leaseReuse = exchangeInterval * 3 / 4
+	// restartTime is what a process takes to restart (up to 1.5 s) and to make
+	// its first call. The leases are as long as that and an interval, a
+	// document's age. In a cut, requests beyond the ceilings wait for the end.
+	restartTime = 2 * time.Second
+	// ceilingsDue is the part of an interval at which the ceilings are written
+	// again: at each look, which may come a little early.
+	ceilingsDue = 0.9
+	// leaseReuse is the part of an interval for which a lease is used for
+	// other documents.
+	leaseReuse = 0.75
+	// ceilingSpan is the demand that the ceilings allow for, in intervals:
+	// twice a document's age. What comes beyond asks for a write, and in a cut
+	// waits for the lease's end; a longer span costs more at a crash.
+	ceilingSpan = 2
+	// maxJointConflicts ends a transaction of several ledgers, which is then
+	// made in smaller ones; maxConflicts one of a single ledger.
+	maxJointConflicts = 3
+	maxConflicts      = 16
+	// conflictPause bounds the pause before a transaction that met conflicts
+	// more than once, for each of them: about one call's time.
+	conflictPause = 8 * time.Millisecond
 	// leaseMargin allows for clocks that don't run quite evenly.
 	leaseMargin = 100 * time.Millisecond
-	// ceilingSpan is the demand that the ceilings allow for: twice a
-	// document's age. What comes beyond asks for a write, and in a cut waits
-	// for the lease's end; a longer span costs more at a crash.
-	ceilingSpan = 2 * exchangeInterval
 )
 
-// exchanger writes the ledgers that are due and the holder's ceilings, all in
-// one transaction: the price of a call is the same for one key and for many.
-// It runs the rounds of all budgets.
+// exchanger writes the ledgers that are due, the holder's own lots and its
+// ceilings, all in one transaction: the price of a call is the same for one
+// key and for many. It runs the rounds of all budgets.
 type exchanger struct {
 	h *Holder
-	// key and version are the ceilings' document in the store; version is 0
-	// when it is not known.
-	key      string
-	version  turmericshed.Version
-	sequence int
-	lease    turmericshed.LeaseID
-	// granted is when the store's answer with the lease came.
+	// ceilingKey and ceilingVersion are the ceilings' document in the store;
+	// the version is 0 when it is not known.
+	ceilingKey     string
+	ceilingVersion turmericshed.Version
+	sequence       int
+	lease          turmericshed.LeaseID
+	// size is how many ledgers one transaction may have. In a large fleet many
+	// of them conflict: then it is halved, and grows by one with each success.
+	size int
+	// granted is when the store's answer with the lease came, lapse when the
+	// lease has ended by then at the latest.
 	granted time.Time
+	lapse   time.Time
+
+	// mu is held for a transaction, since a stop ends lots beside the loop.
+	mu sync.Mutex
+	// holding is the own lots' document as last read or written; its version
+	// is 0 when the outcome of a write is not known.
+	holding turmericshed.Item
+	// lots are those of the document, under the holder's mutex.
+	lots map[turmericshed.BudgetID][]tsbudget.Lot
+}
+
+func newExchanger(h *Holder) *exchanger {
+	name := h.cfg.Self.Name
+	x := &exchanger{h: h, ceilingKey: tsbudget.CeilingPrefix + name, holding: turmericshed.Item{Key: tsbudget.HoldingKey(name)}}
+	if h.cfg.Joint != nil {
+		x.size = x.most()
+	}
+	return x
 }
 
+// most is how many ledgers fit in a transaction: two of its keys are the
+// holding and the ceilings.
+func (x *exchanger) most() int { return x.h.cfg.Joint.MaxKeys() - 2 }
+
 // Serve writes until ctx ends.
 func (x *exchanger) Serve(ctx context.Context) error {
-	t := time.NewTicker(exchangeInterval)
-	defer t.Stop()
 	failing := false
 	for {
 		err := x.exchange(ctx)
@@ -70,13 +111,36 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-t.C:
+		case <-time.After(x.untilTurn(time.Now())):
 		case <-x.h.raise:
 			time.Sleep(raisePause)
 		}
 	}
 }
 
+// interval is the time between looks in a fleet of this size.
+func (x *exchanger) interval() time.Duration {
+	x.h.mu.Lock()
+	defer x.h.mu.Unlock()
+	return min(max(time.Duration(x.h.fleet.size)*exchangePerVM, exchangeInterval), maxExchange)
+}
+
+// untilTurn returns the time until the next look. Each entry VM has its turn
+// in an interval, by its rank and the time of day, so that those of a large
+// fleet don't meet at the same ledgers; where clocks differ, some conflict.
+func (x *exchanger) untilTurn(now time.Time) time.Duration {
+	interval := x.interval()
+	x.h.mu.Lock()
+	turn := interval * time.Duration(x.h.fleet.rank) / time.Duration(max(x.h.fleet.size, 1))
+	x.h.mu.Unlock()
+	since := time.Duration(now.UnixNano()) % interval
+	wait := (turn - since + interval) % interval
+	if wait <= 0 {
+		wait = interval
+	}
+	return wait
+}
+
 // askRaise asks for a write before its time.
 func (h *Holder) askRaise() {
 	select {
@@ -116,15 +180,28 @@
 	if len(writing) == 0 && !x.ceilingsDue(time.Now()) {
 		return nil
 	}
-	// One key of each transaction is the ceilings' document.
-	most := x.h.cfg.Joint.MaxKeys() - 1
-	for first := true; first || len(writing) > 0; first = false {
-		n := min(len(writing), most)
-		if err := x.write(ctx, writing[:n]); err != nil {
-			x.fail(writing[n:], err)
+	if len(writing) == 0 {
+		return x.write(ctx, nil)
+	}
+	return x.inTransactions(writing, func(some []part) error { return x.write(ctx, some) })
+}
+
+// inTransactions makes as few transactions of the parts as get through: a
+// large one that conflicts with others' again and again is made in two.
+func (x *exchanger) inTransactions(parts []part, transact func(some []part) error) error {
+	for len(parts) > 0 {
+		n := min(len(parts), x.size)
+		err := transact(parts[:n])
+		if crowded(err) && n > 1 {
+			x.size = n / 2
+			continue
+		}
+		if err != nil {
+			x.fail(parts[n:], err)
 			return err
 		}
-		writing = writing[n:]
+		parts = parts[n:]
+		x.size = min(x.size+1, x.most())
 	}
 	return nil
 }
@@ -229,6 +306,7 @@
 // is: they age, requests wait for higher ones, or soon will.
 func (x *exchanger) ceilingsDue(now time.Time) bool {
 	h := x.h
+	interval := x.interval()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := false
@@ -239,88 +317,190 @@
 		}
 		held = true
 		spendable := h.core.Spendable(now, id)
-		soon := turmericshed.Tokens(v.Arriving * exchangeInterval.Seconds())
+		soon := turmericshed.Tokens(v.Arriving * interval.Seconds())
 		if spendable < v.Available && (b.queue.Len() > 0 || spendable < soon) {
 			return true
 		}
 	}
-	return held && now.Sub(h.written) >= ceilingsDue
+	return held && now.Sub(h.written).Seconds() >= ceilingsDue*interval.Seconds()
 }
 
-// write makes one transaction of some ledgers and the ceilings.
+// write makes one transaction of some ledgers, the holding and the ceilings.
 func (x *exchanger) write(ctx context.Context, parts []part) error {
-	err := x.renew(ctx)
-	if err != nil {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if err := x.renew(ctx); err != nil {
 		x.fail(parts, err)
 		return err
 	}
-	changes := make([]tsupdate.Change, 0, len(parts)+1)
-	x.h.mu.Lock()
-	for _, p := range parts {
-		changes = append(changes, tsupdate.Change{Key: tsbudget.Key(p.b.id), Mutate: p.mutation, Cached: p.b.item})
-	}
-	x.h.mu.Unlock()
-	var batch *tsupdate.Batch
+	w := x.newWriting(parts)
 	var sent []tsbudget.LotCeiling
-	changes = append(changes, tsupdate.Change{
-		Key: x.key, Cached: turmericshed.Item{Version: x.version}, Lease: x.lease,
+	w.changes = append(w.changes, tsupdate.Change{
+		Key: x.ceilingKey, Cached: turmericshed.Item{Version: x.ceilingVersion}, Lease: x.lease,
 		Mutate: func(turmericshed.Item) (value []byte, err error) {
-			sent, value, err = x.document(batch, parts)
+			sent, value, err = x.document(w)
 			return value, err
 		},
 	})
-	batch = tsupdate.NewBatch(changes)
-	err = tsupdate.RunBatch(ctx, timed{x.h.cfg.Joint}, batch)
-	x.version = 0
+	err := w.run(ctx)
+	if crowded(err) && len(parts) > 1 {
+		w.keepTold()
+		return err
+	}
+	x.ceilingVersion = 0
 	switch {
 	case err == nil:
 		// The document's own error leaves the ledgers as written.
 		var item turmericshed.Item
-		item, err = batch.Result(len(parts))
-		x.version = item.Version
+		item, err = w.batch.Result(len(w.changes) - 1)
+		x.ceilingVersion = item.Version
 	case turmericshed.KindOf(err) == turmericshed.KindNotFound:
 		x.lease = ""
 		err = turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "ceilings")
 	}
 	x.h.mu.Lock()
 	defer x.h.mu.Unlock()
+	_ = w.takeLocked() // Each budget keeps its own error.
+	if err == nil {
+		x.h.written = time.Now()
+		x.h.core.Ceilings.Sent(sent)
+	}
+	return err
+}
+
+// update makes one change of a ledger, and of the holding with it.
+func (x *exchanger) update(ctx context.Context, b *budget, m tsupdate.Mutation, reports []tsbudget.Report) (turmericshed.Item, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	w := x.newWriting([]part{{b: b, plan: plan{mutation: m, reports: reports}}})
+	_ = w.run(ctx) // Result tells the error.
+	x.h.mu.Lock()
+	defer x.h.mu.Unlock()
+	item, _ := w.batch.Result(0)
+	return item, w.takeLocked()
+}
+
+// writing is one transaction in the making.
+type writing struct {
+	x       *exchanger
+	parts   []part
+	changes []tsupdate.Change
+	batch   *tsupdate.Batch
+	// lots are what each part's lots are after it.
+	lots [][]tsbudget.Lot
+}
+
+// newWriting prepares the changes of the ledgers and of the holding.
+func (x *exchanger) newWriting(parts []part) *writing {
+	w := &writing{x: x, parts: parts, lots: make([][]tsbudget.Lot, len(parts))}
+	x.h.mu.Lock()
+	defer x.h.mu.Unlock()
 	for i, p := range parts {
-		item, partErr := batch.Result(i)
-		if batch.Err() != nil {
+		w.changes = append(w.changes, tsupdate.Change{
+			Key: tsbudget.Key(p.b.id), Cached: p.b.item,
+			Mutate: tsbudget.Parted(p.mutation,
+				func() ([]tsbudget.Lot, error) {
+					holding, err := tsbudget.DecodeHolding(w.batch.Current(len(parts)))
+					return holding.Lots[p.b.id], err
+				},
+				func(lots []tsbudget.Lot) { w.lots[i] = lots }),
+		})
+	}
+	w.changes = append(w.changes, tsupdate.Change{Key: x.holding.Key, Cached: x.holding, Mutate: w.held})
+	return w
+}
+
+// held is the mutation of the holding: the lots of the ledgers that are
+// written.
+func (w *writing) held(cur turmericshed.Item) ([]byte, error) {
+	holding, err := tsbudget.DecodeHolding(cur)
+	if err != nil {
+		return nil, err
+	}
+	changed := false
+	for i, p := range w.parts {
+		if w.batch.Pending(i) != nil && !slices.Equal(holding.Lots[p.b.id], w.lots[i]) {
+			holding.Lots[p.b.id], changed = w.lots[i], true
+		}
+	}
+	if !changed {
+		return nil, nil
+	}
+	return holding.Encode()
+}
+
+func (w *writing) run(ctx context.Context) error {
+	w.batch = tsupdate.NewBatch(w.changes)
+	most := maxConflicts
+	if len(w.parts) > 1 {
+		most = maxJointConflicts
+	}
+	return tsupdate.RunBatch(ctx, &paced{Transactor: w.x.h.cfg.Joint, most: most}, w.batch)
+}
+
+// keepTold remembers the items that the store told with conflicts.
+func (w *writing) keepTold() {
+	w.x.h.mu.Lock()
+	defer w.x.h.mu.Unlock()
+	for i, p := range w.parts {
+		p.b.item = w.batch.Current(i)
+	}
+	w.x.holding = w.batch.Current(len(w.parts))
+	if len(w.changes) > len(w.parts)+1 {
+		w.x.ceilingVersion = w.batch.Current(len(w.parts) + 1).Version
+	}
+}
+
+// takeLocked takes in the outcome, and returns the first ledger's error.
+func (w *writing) takeLocked() error {
+	x := w.x
+	item, err := w.batch.Result(len(w.parts))
+	x.holding = turmericshed.Item{Key: x.holding.Key}
+	if err == nil {
+		holding, decodeErr := tsbudget.DecodeHolding(item)
+		if err = decodeErr; err == nil {
+			x.holding, x.lots = item, holding.Lots
+		}
+	}
+	var first error
+	for i, p := range w.parts {
+		item, partErr := w.batch.Result(i)
+		if turmericshed.KindOf(w.batch.Err()) == turmericshed.KindNotFound {
+			// A lease that lapsed says nothing of the ledger.
+			partErr = turmericshed.WrapError(turmericshed.KindStoreUnavailable, partErr, "ceilings")
+		}
+		if partErr == nil {
 			partErr = err
 		}
 		partErr = x.h.takeWriteLocked(p.b, item, partErr, p.reports)
 		if p.draw != nil {
 			x.h.takeDrawLocked(p.b, p.draw, item, partErr)
 		}
+		if i == 0 {
+			first = partErr
+		}
 	}
-	if err == nil {
-		x.h.written = time.Now()
-		x.h.core.Ceilings.Sent(sent)
-	}
-	return err
+	return first
 }
 
 // document returns the ceilings for the lots held and those that the
 // transaction draws. From now on they are kept to.
-func (x *exchanger) document(batch *tsupdate.Batch, parts []part) ([]tsbudget.LotCeiling, []byte, error) {
+func (x *exchanger) document(w *writing) ([]tsbudget.LotCeiling, []byte, error) {
 	h := x.h
+	interval := x.interval()
 	x.sequence++
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
 	drawn := make(map[turmericshed.BudgetID]tsbudget.Lot)
-	for i, p := range parts {
-		pending := batch.Pending(i)
-		if p.draw == nil || pending == nil {
+	for i, p := range w.parts {
+		if p.draw == nil || w.batch.Pending(i) == nil {
 			continue
 		}
-		l, err := tsbudget.Decode(turmericshed.Item{Key: tsbudget.Key(p.b.id), Value: pending, Version: 1})
-		if err != nil {
-			return nil, nil, err
-		}
-		if lot, ok := l.Lot(p.draw.Lot); ok {
-			drawn[p.b.id] = lot
+		for _, lot := range w.lots[i] {
+			if lot.ID == p.draw.Lot {
+				drawn[p.b.id] = lot
+			}
 		}
 	}
 	waiting := make(map[turmericshed.BudgetID]turmericshed.Tokens)
@@ -329,12 +509,12 @@
 		b.queue.Fill(&v)
 		waiting[id] = v.Waiting
 	}
-	list := h.core.WantCeilings(now, ceilingSpan, waiting, drawn)
+	list := h.core.WantCeilings(now, ceilingSpan*interval, waiting, drawn)
 	value, err := json.Marshal(tsbudget.CeilingDocument{Holder: h.cfg.Self.Incarnation, Sequence: x.sequence, Ceilings: list})
 	if err != nil {
 		return nil, nil, turmericshed.WrapError(turmericshed.KindInternal, err, "ceilings")
 	}
-	h.core.Ceilings.Sending(now, list, x.granted.Add(ceilingLease+leaseMargin))
+	h.core.Ceilings.Sending(now, list, x.lapse.Add(leaseMargin))
 	return list, value, nil
 }
 
@@ -352,35 +532,77 @@
 
 // renew takes a new lease when the last one is not fresh.
 func (x *exchanger) renew(ctx context.Context) error {
-	if x.lease != "" && time.Since(x.granted) < leaseReuse {
+	interval := x.interval()
+	if x.lease != "" && time.Since(x.granted).Seconds() < leaseReuse*interval.Seconds() {
 		return nil
 	}
+	length := interval + restartTime
 	ctx, cancel := context.WithTimeout(ctx, transactTimeout)
 	defer cancel()
-	id, err := x.h.cfg.Store.Grant(ctx, ceilingLease)
+	id, err := x.h.cfg.Store.Grant(ctx, length)
 	if err != nil {
 		return err
 	}
 	x.lease, x.granted = id, time.Now()
+	x.lapse = x.granted.Add(length)
 	return nil
 }
 
-// withdraw removes the document at a graceful stop, when no lot is left.
+// withdraw removes the documents at a graceful stop, when no lot is left.
 func (x *exchanger) withdraw(ctx context.Context) error {
-	item, err := x.h.cfg.Store.Get(ctx, x.key)
-	if err != nil || item.Version == 0 {
-		return err
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, key := range []string{x.ceilingKey, x.holding.Key} {
+		item, err := x.h.cfg.Store.Get(ctx, key)
+		if err != nil {
+			return err
+		}
+		if key == x.holding.Key {
+			if holding, err := tsbudget.DecodeHolding(item); err != nil || len(holding.Lots) > 0 {
+				return err
+			}
+		}
+		if item.Version == 0 {
+			continue
+		}
+		if _, err := x.h.cfg.Store.CompareAndSwap(ctx, turmericshed.Write{Key: key, Want: item.Version, Delete: true}); err != nil {
+			return err
+		}
 	}
-	_, err = x.h.cfg.Store.CompareAndSwap(ctx, turmericshed.Write{Key: x.key, Want: item.Version, Delete: true})
-	return err
+	return nil
+}
+
+// paced bounds each transaction of a batch, and spreads those of holders that
+// get in each other's way. One conflict is usual: the keys were not known.
+type paced struct {
+	turmericshed.Transactor
+	conflicts int
+	// most is how many conflicts are borne.
+	most int
 }
 
-// timed bounds each transaction.
-type timed struct{ turmericshed.Transactor }
+// errCrowded ends a batch that met too many conflicts.
+var errCrowded = turmericshed.NewError(turmericshed.KindStoreUnavailable, "others write the same ledgers all the time")
+
+// crowded reports whether a batch was given up for its conflicts, and nothing
+// of it can have been applied.
+func crowded(err error) bool {
+	return errors.Is(err, errCrowded) && turmericshed.KindOf(err) == turmericshed.KindStoreUnavailable
+}
 
 // Transact applies t within transactTimeout.
-func (s timed) Transact(ctx context.Context, t turmericshed.Transaction) (turmericshed.Version, error) {
+func (s *paced) Transact(ctx context.Context, t turmericshed.Transaction) (turmericshed.Version, error) {
+	if s.conflicts >= s.most {
+		return 0, errCrowded
+	}
+	if s.conflicts > 1 {
+		tspause.For(ctx, rand.N(conflictPause*time.Duration(s.conflicts)))
+	}
 	ctx, cancel := context.WithTimeout(ctx, transactTimeout)
 	defer cancel()
-	return s.Transactor.Transact(ctx, t)
+	v, err := s.Transactor.Transact(ctx, t)
+	if turmericshed.KindOf(err) == turmericshed.KindConflict {
+		s.conflicts++
+	}
+	return v, err
 }
--- a/io/tsholder/exchanger_test.go
+++ b/io/tsholder/exchanger_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,7 +19,11 @@
 	"turmericshed/standin/tsmetastore"
 )
 
-const accounts = 10
+// accounts and vms are the size of a users' deployment.
+const (
+	accounts = 10
+	vms      = 9
+)
 
 // bench is holders that write all their ledgers together, over HTTP.
 type bench struct {
@@ -74,10 +79,38 @@
 	item, _ := b.store.Get(tsbudget.Key(p.Budget))
 	l, err := tsbudget.Decode(turmericshed.Item{Key: item.Key, Value: item.Value, Version: turmericshed.Version(item.Revision)})
 	assert.NilError(b.t, err)
+	b.assertSums(p.Budget, l)
 	assert.Assert(b.t, l.Spent+l.Open() <= l.Prepaid, "spent %d open %d prepaid %d", l.Spent, l.Open(), l.Prepaid)
 	return l
 }
 
+// assertSums compares a ledger with the holdings that it sums up. Both are
+// read while transactions go on, so that one more reading may be needed.
+func (b *bench) assertSums(id turmericshed.BudgetID, l tsbudget.Ledger) {
+	b.t.Helper()
+	for try := 0; ; try++ {
+		var charge, used turmericshed.Tokens
+		for n := range vms {
+			vm := fmt.Sprint("vm-", n+1)
+			item, _ := b.store.Get(tsbudget.HoldingKey(vm))
+			holding, err := tsbudget.DecodeHolding(turmericshed.Item{Key: item.Key, Value: item.Value, Version: turmericshed.Version(item.Revision)})
+			assert.NilError(b.t, err)
+			for _, lot := range holding.Lots[id] {
+				charge += lot.Charge()
+				used += lot.Used
+			}
+		}
+		if charge == l.Elsewhere.Charge && used == l.Elsewhere.Used {
+			return
+		}
+		assert.Assert(b.t, try < 20, "ledger %s: %+v, holdings have %d and %d", id, l.Elsewhere, charge, used)
+		item, _ := b.store.Get(tsbudget.Key(id))
+		var err error
+		l, err = tsbudget.Decode(turmericshed.Item{Key: item.Key, Value: item.Value, Version: turmericshed.Version(item.Revision)})
+		assert.NilError(b.t, err)
+	}
+}
+
 func (b *bench) reserve(h *tsholder.Holder, p turmericshed.Profile, n turmericshed.Tokens) (turmericshed.Reservation, error) {
 	ctx, cancel := context.WithTimeout(b.t.Context(), 5*time.Second)
 	defer cancel()
@@ -184,4 +217,30 @@
 		assert.Assert(t, b.ledger(0).Spent >= 300)
 		assert.Assert(t, b.store.Calls("/kv-txn")-before <= 2)
 	})
+	t.Run("all processes are killed at once, and nothing stays with the dead ones", func(t *testing.T) {
+		b := newBench(t)
+		var kills []context.CancelFunc
+		for n := range vms {
+			h, kill := b.start(fmt.Sprint("vm-", n+1), fmt.Sprint("a", n))
+			for i := range accounts {
+				h.Hold(profileOf(i, prepaid))
+			}
+			kills = append(kills, kill)
+		}
+		time.Sleep(2 * time.Second)
+		for _, kill := range kills {
+			kill()
+		}
+		time.Sleep(100 * time.Millisecond)
+		var wg sync.WaitGroup
+		for n := range vms {
+			wg.Go(func() { b.start(fmt.Sprint("vm-", n+1), fmt.Sprint("b", n)) })
+		}
+		wg.Wait()
+		for i := range accounts {
+			l := b.ledger(i)
+			assert.Assert(t, l.Spent < prepaid/10, "account %d: spent %d", i, l.Spent)
+			assert.Equal(t, l.Elsewhere.Holders, 0, "account %d: %+v", i, l.Elsewhere)
+		}
+	})
 }
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -230,7 +230,7 @@
 		unanswered: map[turmericshed.Incarnation]int{},
 		goneSince:  make(map[turmericshed.Incarnation]time.Time),
 	}
-	h.exchanger = &exchanger{h: h, key: tsbudget.CeilingPrefix + cfg.Self.Name}
+	h.exchanger = newExchanger(h)
 	return h
 }
 
@@ -399,6 +399,8 @@
 	at         time.Time
 	generation int
 	size       int
+	// rank is the number of entry VMs whose names come before the own one.
+	rank int
 	// domain are the entry VMs of this failure domain, this one included.
 	domain []turmericshed.EntryVM
 }
@@ -411,6 +413,9 @@
 	f := fleet{at: now, generation: h.fleet.generation + 1, size: 1, domain: []turmericshed.EntryVM{h.cfg.Self}}
 	for _, vm := range h.cfg.Members.Reachable() {
 		f.size++
+		if vm.Name < h.cfg.Self.Name {
+			f.rank++
+		}
 		if vm.FailureDomain == h.cfg.Self.FailureDomain {
 			f.domain = append(f.domain, vm)
 		}
--- a/io/tsholder/peer.go
+++ b/io/tsholder/peer.go
@@ -180,6 +180,10 @@
 func (h *Holder) borrowAnywhere(ctx context.Context, b *budget) bool {
 	h.mu.Lock()
 	v := h.viewLocked(time.Now(), b)
+	if h.cfg.Peers == nil {
+		h.mu.Unlock()
+		return v.Ledger.OthersUnused <= 0
+	}
 	holders := make(map[turmericshed.Incarnation]turmericshed.Tokens)
 	for _, l := range b.lots {
 		if l.Holder != h.cfg.Self.Incarnation && l.Charge() > l.Used {
@@ -187,9 +191,6 @@
 		}
 	}
 	h.mu.Unlock()
-	if h.cfg.Peers == nil {
-		return len(holders) == 0
-	}
 	peers := h.askOrder(holders)
 	all := len(peers) == len(holders)
 	for i, vm := range peers {
--- a/io/tsholder/refresh.go
+++ b/io/tsholder/refresh.go
@@ -29,12 +29,9 @@
 		}
 		for _, item := range items {
 			after = item.Key
-			l, err := tsbudget.Decode(item)
-			if err != nil {
+			if err := h.takeLedger(item); err != nil {
 				h.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventLotRefused, Reason: err.Error()})
-				continue
 			}
-			h.takeLedger(item, l)
 		}
 		if len(items) < refreshPage {
 			return nil
@@ -43,20 +40,25 @@
 }
 
 // takeLedger keeps what a reading tells, unless a newer one is known.
-func (h *Holder) takeLedger(item turmericshed.Item, l tsbudget.Ledger) {
+func (h *Holder) takeLedger(item turmericshed.Item) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	l, err := h.decodeLocked(item)
+	if err != nil {
+		return err
+	}
 	b := h.budgets[l.Budget]
 	if b == nil {
-		return
+		return nil
 	}
 	// The store answers again, even where it tells nothing new.
 	b.storeErr = nil
 	if b.running || item.Version <= b.read {
-		return
+		return nil
 	}
 	h.readLocked(b, item, l, time.Now())
 	b.item = item
+	return nil
 }
 
 // readLocked takes in a ledger.
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -44,10 +44,6 @@
 	d := h.cfg.Placement.Decide(v)
 	if d.Borrow || (d.Draw && !now.Before(b.nextDraw)) {
 		h.kickLocked(b)
-		if d.Want > v.Available && now.Sub(h.written) >= waitRound {
-			// Less than half of the target is left: too little for a cut.
-			h.askRaise()
-		}
 	}
 }
 
@@ -218,6 +214,9 @@
 func (h *Holder) update(ctx context.Context, b *budget, m tsupdate.Mutation, reports []tsbudget.Report) (turmericshed.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	if h.cfg.Joint != nil {
+		return h.exchanger.update(ctx, b, m, reports)
+	}
 	h.mu.Lock()
 	u := tsupdate.New(tsbudget.Key(b.id), m)
 	if b.item.Version != 0 {
@@ -234,7 +233,7 @@
 // or why the ledger can't be read.
 func (h *Holder) takeWriteLocked(b *budget, item turmericshed.Item, err error, reports []tsbudget.Report) error {
 	now := time.Now()
-	l, decodeErr := tsbudget.Decode(item)
+	l, decodeErr := h.decodeLocked(item)
 	b.item = turmericshed.Item{}
 	if err == nil {
 		b.item = item
@@ -256,6 +255,15 @@
 	return err
 }
 
+// decodeLocked reads a ledger, with the own lots in it.
+func (h *Holder) decodeLocked(item turmericshed.Item) (tsbudget.Ledger, error) {
+	l, err := tsbudget.Decode(item)
+	if err == nil && h.cfg.Joint != nil {
+		l = l.Join(h.exchanger.lots[l.Budget])
+	}
+	return l, err
+}
+
 // readKind reports whether the error is the ledger's own answer, after it was
 // read.
 func readKind(err error) bool {
@@ -288,7 +296,7 @@
 
 func (h *Holder) takeDrawLocked(b *budget, draw *unansweredDraw, item turmericshed.Item, err error) {
 	now := time.Now()
-	l, decodeErr := tsbudget.Decode(item)
+	l, decodeErr := h.decodeLocked(item)
 	if turmericshed.KindOf(err) == turmericshed.KindStoreUnknown {
 		draw.seen = max(draw.seen, item.Version)
 		b.draw = draw
