Registry: the list of entry VMs is read again soon after the start

Cause: all entry VMs start together, and each read the list once, when the first few had registered, and again after 10 to 20 s. Ruled out: the thresholds of draws.

Change: the list is read after 1 to 2 s, and then at intervals that double to 10 s; the first draw of a new account waits 2 s.

--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -41,8 +41,11 @@
 	stopReserve = 1200 * time.Millisecond
 	// exitReserve is left of it for the process's end.
 	exitReserve = 300 * time.Millisecond
-	// holdSpread spreads the first draws of a new account's budget over the
-	// entry VMs, which all hear of it at once.
+	// holdAfter is the time before the first draw of a new account's budget,
+	// so that an entry VM which has just started knows of the others;
+	// holdSpread spreads the draws over the entry VMs, which all hear of the
+	// account at once.
+	holdAfter  = 2 * time.Second
 	holdSpread = 1500 * time.Millisecond
 	// staleAfter is the age of the routing table from which it may be out of
 	// date: a little more than a watch waits.
@@ -225,7 +228,7 @@
 		if known && old >= p.Prepaid {
 			continue
 		}
-		time.AfterFunc(rand.N(holdSpread), func() { g.holder.Hold(p) })
+		time.AfterFunc(holdAfter+rand.N(holdSpread), func() { g.holder.Hold(p) })
 	}
 }
 
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -100,9 +100,10 @@
 	// Ledgers reads all ledgers at once, a little late, so that holders
 	// without demand learn when others run short; nil reads none.
 	Ledgers turmericshed.StaleLister
-	// Joint, when set, writes the ledgers of all budgets together. With them
-	// it publishes how far lots may be used, so that a process that follows
-	// on the same machine can give back the rest. Nothing is borrowed then.
+	// Joint, when set, writes the ledgers of all budgets together, with the
+	// own lots in a document beside them. It also publishes how far lots may
+	// be used, so that a process that follows on the same machine can give
+	// back the rest. Nothing is borrowed then.
 	Joint turmericshed.Transactor
 	// WritesPerSecond limits the writes to the store that no request waits
 	// for; 0 takes the default.
--- a/io/tsholder/inherit.go
+++ b/io/tsholder/inherit.go
@@ -122,7 +122,7 @@
 		return err
 	}
 	now := time.Now()
-	known := map[string]bool{h.exchanger.holding.Key: true}
+	known := map[string]bool{tsbudget.HoldingKey(h.cfg.Self.Name): true}
 	for _, vm := range h.cfg.Members.Reachable() {
 		known[tsbudget.HoldingKey(vm.Name)] = true
 	}
--- /dev/null
+++ b/io/tsholder/inherit_test.go
@@ -0,0 +1,90 @@
+package tsholder_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+	"turmericshed/io/tsholder"
+	"turmericshed/standin/tsplatform"
+)
+
+// transactor makes transactions of single writes, one at a time.
+type transactor struct {
+	*tsplatform.Store
+	mu *sync.Mutex
+}
+
+func (transactor) MaxKeys() int { return 16 }
+
+func (s transactor) Transact(ctx context.Context, t turmericshed.Transaction) (v turmericshed.Version, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	checks := t.Checks
+	for _, w := range t.Writes {
+		checks = append(checks, turmericshed.Check{Key: w.Key, Want: w.Want})
+	}
+	var current []turmericshed.Item
+	holds := true
+	for _, c := range checks {
+		i := s.Peek(c.Key)
+		current = append(current, i)
+		holds = holds && i.Version == c.Want
+	}
+	if !holds {
+		return 0, turmericshed.WithCurrent(turmericshed.NewError(turmericshed.KindConflict, "version"), current...)
+	}
+	for _, w := range t.Writes {
+		if v, err = s.CompareAndSwap(ctx, w); err != nil {
+			return 0, err
+		}
+	}
+	return v, nil
+}
+
+// TestHoldingsOfGoneVMs lets an entry VM disappear for good.
+func TestHoldingsOfGoneVMs(t *testing.T) {
+	inBubble(t, "what it held is charged and its document goes", func(t *testing.T) {
+		store := transactor{Store: tsplatform.NewStore(tsplatform.Options{}), mu: &sync.Mutex{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		run := func(name, incarnation string) (*tsholder.Holder, context.CancelFunc) {
+			vm := turmericshed.EntryVM{Name: name, Incarnation: turmericshed.Incarnation(incarnation)}
+			h := tsholder.New(tsholder.Config{
+				Self: vm, Store: store, Joint: store, Members: alone{vm}, Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{},
+			})
+			ctx, stop := context.WithCancel(ctx)
+			for _, c := range h.Controllers() {
+				go func() { _ = c.Serve(ctx) }()
+			}
+			return h, stop
+		}
+		gone, stop := run("vm-1", "a")
+		gone.Hold(profileOf(0, 100_000))
+		time.Sleep(5 * time.Second)
+		stop()
+		key := tsbudget.HoldingKey("vm-1")
+		assert.Assert(t, store.Peek(key).Version > 0)
+		_, _ = run("vm-2", "b")
+		ledger := func() tsbudget.Ledger {
+			l, err := tsbudget.Decode(store.Peek(tsbudget.Key(profileOf(0, 0).Budget)))
+			assert.NilError(t, err)
+			return l
+		}
+		held := ledger().Open()
+		assert.Assert(t, held > 0)
+		time.Sleep(30 * time.Minute)
+		assert.Equal(t, ledger().Open(), held, "it may still come back")
+		time.Sleep(2 * time.Hour)
+		assert.Equal(t, ledger().Open(), toTokens(0))
+		assert.Equal(t, ledger().Forfeited, held)
+		assert.Equal(t, store.Peek(key).Version, turmericshed.Version(0))
+	})
+}
+
+func toTokens(n int64) turmericshed.Tokens { return turmericshed.Tokens(n) }
--- a/io/tsregistry/registry.go
+++ b/io/tsregistry/registry.go
@@ -30,6 +30,9 @@
 	// listInterval is the time between readings of the list, jittered by as
 	// much again; entry VMs come and go slowly.
 	listInterval = 10 * time.Second
+	// firstInterval is the time between the first two readings, doubled until
+	// listInterval: all entry VMs may have started just now.
+	firstInterval = time.Second
 	// retryInterval is the same while the store does not answer.
 	retryInterval = time.Second
 	// storeTimeout bounds one change of the own key.
@@ -105,8 +108,8 @@
 // Serve registers the own entry VM and reads the list until ctx ends.
 func (r *Registry) Serve(ctx context.Context) error {
 	registered := false
-	for {
-		pause := listInterval + rand.N(listInterval)
+	for interval := firstInterval; ; interval = min(2*interval, listInterval) {
+		pause := interval + rand.N(interval)
 		if !registered {
 			err := r.put(ctx)
 			registered = err == nil
