--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -168,13 +168,13 @@
 			writing = append(writing, p)
 		}
 	}
-	if len(writing) == 0 && !x.ceilingsDue(time.Now()) {
-		return nil
+	if len(writing) > 0 {
+		return x.inTransactions(writing, func(some []part) error { return x.write(ctx, some) })
 	}
-	if len(writing) == 0 {
+	if x.ceilingsDue(time.Now()) {
 		return x.write(ctx, nil)
 	}
-	return x.inTransactions(writing, func(some []part) error { return x.write(ctx, some) })
+	return nil
 }
 
 // inTransactions makes as few transactions of the parts as get through: a
@@ -245,7 +245,7 @@
 	return parts
 }
 
-// joinRound decides what a round writes.
+// joinRound decides what a budget's round writes.
 func (h *Holder) joinRound(b *budget) part {
 	now := time.Now()
 	d, waiting := h.decide(now, b)
