Budgets: a raise acknowledges no report that it did not write

A round that only raises a ledger's prepaid amount writes no reports, but its plan had them, and they were acknowledged. So the holder dropped lots that were used up, while their document still had them with an older use; the next process found them without a ceiling and gave the difference back. It takes a raise beside lots that end, and a kill of the process afterwards. Ruled out: late writes and paused leases (no outage of the store near it), ceilings that were exceeded, documents that don't fit their ledger's sums. Seen by logging the documents: a lot of 34,185 tokens, used up, stood with 21,350 and was not listed.

Change: a plan without a write of its reports has none.

--- a/io/tsholder/exchanger_test.go
+++ b/io/tsholder/exchanger_test.go
@@ -243,4 +243,20 @@
 			assert.Equal(t, l.Elsewhere.Holders, 0, "account %d: %+v", i, l.Elsewhere)
 		}
 	})
+	t.Run("a raise acknowledges no report that it did not write", func(t *testing.T) {
+		b := newBench(t)
+		h, kill := b.start("vm-1", "a")
+		used, amount := turmericshed.Tokens(0), turmericshed.Tokens(30_000)
+		for began := time.Now(); time.Since(began) < 6*time.Second; time.Sleep(20 * time.Millisecond) {
+			amount += 10
+			h.Hold(profileOf(0, amount))
+			b.use(h, profileOf(0, amount), 97)
+			used += 97
+		}
+		kill()
+		time.Sleep(100 * time.Millisecond)
+		b.start("vm-1", "b")
+		l := b.ledger(0)
+		assert.Assert(t, l.Spent+l.Open() >= used, "used %d, charged %d", used, l.Spent+l.Open())
+	})
 }
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -172,6 +172,9 @@
 		p.mutation = tsbudget.Exchange(p.draw.DrawRequest, p.reports...)
 	case len(p.reports) > 0 && due:
 		p.mutation = tsbudget.Settle(p.reports...)
+	default:
+		// What is not written must not be acknowledged.
+		p.reports = nil
 	}
 	return p
 }
