--- a/core/tsbudget/bridging.go
+++ b/core/tsbudget/bridging.go
@@ -117,6 +117,9 @@
 // share bounds one draw to a part of the room, so that the first to ask does
 // not take all of it.
 func (p Bridging) share(v View) float64 {
+	if !v.Ledger.Read {
+		return 1 / float64(max(v.EntryVMs, 1))
+	}
 	if v.Arriving < 1 {
 		return 0
 	}
--- a/core/tsbudget/ceiling.go
+++ b/core/tsbudget/ceiling.go
@@ -2,40 +2,44 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 	"time"
 
 	"turmericshed"
-	"turmericshed/core/tsupdate"
 )
 
 // A holder that dies leaves lots whose use nobody knows, and all of them would
 // count as spent. Ceilings bound that loss.
 //
-// A holder publishes, under a key that lapses with a lease of the store, how
-// much of each lot it may have used. While the key may be there it keeps to
-// that, and does not use a lot that is not listed. It raises the ceilings ahead of its demand, and once it cannot reach
-// the store it goes on within them until the key has certainly lapsed; only
-// then it spends its lots to the end. So the next process on the same machine
-// that still finds the key knows that the dead one never went beyond the
-// ceilings, and gives the rest back. Without the key, the lots are lost.
+// A holder declares how much of each lot it may have used, as long as a lease
+// of the store lasts. The declaration stands in the holding of its failure
+// domain. Until the lease has certainly ended the holder keeps to it, and does
+// not use a lot that is not listed. It raises the ceilings ahead of its demand,
+// and once it cannot reach the store it goes on within them until the lease has
+// ended; only then it spends its lots to the end. So the next process on the
+// same machine that finds the lease alive knows that the dead one never went
+// beyond the ceilings, and gives the rest back. Without it, the lots are lost.
 //
-// Leases are never renewed, since a renewal without an answer may be carried
-// out late and keep the key for longer than anybody knows. Each lease is new,
-// and ends at the latest its length after the store's answer came: that takes
-// one clock that runs evenly, and no two clocks that agree.
+// Whoever writes the holding takes the leases; one lease serves all holders of
+// the domain. A holder counts a lease's length from when it learned of it,
+// which is later than the store does. A lease may stand still while the store
+// is away, so that it proves nothing by itself: the entry VM's time of day must
+// agree, see Commit. Leases are never renewed.
 //
 // Example: a lot of 1000 with 300 used has the ceiling 500. In a cut the holder
-// spends 200 more; three seconds later the key has lapsed, and the other 500
-// are free for use. If it dies before the cut, the next process returns 500.
+// spends 200 more; seconds later the lease has ended, and the other 500 are free
+// for use. If it dies before that, the next process returns 500.
 
-// quietCeiling is the part of what is free that may be used without known
-// demand; it is lost when the holder dies.
-const quietCeiling = 1.0 / 50
-
-// CeilingPrefix is followed by the entry VM's name.
-const CeilingPrefix = "ceilings/"
+const (
+	// LeaseLength is how long a declaration binds. It covers the time between
+	// two declarations, that between two leases, a process's restart (up to
+	// 1.5 s) and its first call. In a cut, requests beyond the ceilings wait
+	// for its end.
+	LeaseLength = 4500 * time.Millisecond
+	// quietCeiling is the part of what is free that may be used without known
+	// demand; it is lost when the holder dies.
+	quietCeiling = 1.0 / 50
+)
 
 // LotCeiling is the most that may be used of a lot.
 type LotCeiling struct {
@@ -44,31 +48,16 @@
 	Most   turmericshed.Tokens   `json:"most"`
 }
 
-// CeilingDocument is what a holder publishes.
-type CeilingDocument struct {
-	Holder turmericshed.Incarnation `json:"holder"`
-	// Sequence makes each writing of a holder a different one.
-	Sequence int          `json:"sequence"`
-	Ceilings []LotCeiling `json:"ceilings"`
-}
-
-// DecodeCeilings reads a document. KindInternal when it cannot be read.
-func DecodeCeilings(item turmericshed.Item) (CeilingDocument, error) {
-	var d CeilingDocument
-	err := json.Unmarshal(item.Value, &d)
-	return d, turmericshed.WrapError(turmericshed.KindInternal, err, "ceilings %s", item.Key)
-}
-
-// Ceilings is what a holder keeps to: the lowest of all documents that may be
-// in the store. It is pure and not safe for concurrent use.
+// Ceilings is what a holder keeps to: the lowest of all declarations that may
+// stand. It is pure and not safe for concurrent use.
 type Ceilings struct {
 	most map[turmericshed.LotID]turmericshed.Tokens
-	// until is when the last key that was sent has certainly lapsed.
+	// until is when the last lease that was declared for has certainly ended.
 	until time.Time
 }
 
-// Sending must be called before a document is sent: from now on it may be in
-// the store, until lapse.
+// Sending must be called before a declaration is sent: from now on it may
+// stand, until lapse.
 func (c *Ceilings) Sending(now time.Time, list []LotCeiling, lapse time.Time) {
 	if c.Lifted(now) {
 		c.Sent(list)
@@ -86,7 +75,7 @@
 	}
 }
 
-// Sent tells that the document stands and replaced all before it.
+// Sent tells that the declaration stands and replaced all before it.
 func (c *Ceilings) Sent(list []LotCeiling) {
 	c.most = make(map[turmericshed.LotID]turmericshed.Tokens, len(list))
 	for _, l := range list {
@@ -94,7 +83,7 @@
 	}
 }
 
-// Lifted reports whether no document can be in the store any more.
+// Lifted reports whether no declaration can bind any more.
 func (c *Ceilings) Lifted(now time.Time) bool { return !now.Before(c.until) }
 
 // Most returns the ceiling of a lot, 0 for one that is not listed. bound is
@@ -138,26 +127,3 @@
 	})
 	return list
 }
-
-// Inherit returns the mutation that ends the lots of a dead holder, whose
-// ceilings were found in the store: what is above them goes back, and lots
-// that are not listed go back whole.
-func Inherit(holder turmericshed.Incarnation, list []LotCeiling) tsupdate.Mutation {
-	return mutation(func(l *Ledger) (bool, error) {
-		most := make(map[turmericshed.LotID]turmericshed.Tokens, len(list))
-		for _, c := range list {
-			if c.Budget == l.Budget {
-				most[c.Lot] = c.Most
-			}
-		}
-		changed := false
-		for _, lot := range slices.Clone(l.Lots) {
-			if lot.Holder != holder {
-				continue
-			}
-			charge := min(max(most[lot.ID], lot.Used), lot.Charge())
-			changed = settleOne(l, Report{Lot: lot.ID, Used: lot.Used, Returned: lot.Drawn - charge, Requests: lot.Requests, Final: true}) || changed
-		}
-		return changed, nil
-	})
-}
--- /dev/null
+++ b/core/tsbudget/commit.go
@@ -0,0 +1,338 @@
+package tsbudget
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsupdate"
+)
+
+// Request is what one holder wants done to the ledgers and to its failure
+// domain's holding.
+type Request struct {
+	VM          string
+	Incarnation turmericshed.Incarnation
+	Changes     []Change
+	// Declaration, if set, is how far the holder's lots may be used.
+	Declaration *Declaration
+	// Takeover makes the process stand for its entry VM. Such a request has no
+	// changes.
+	Takeover *Takeover
+	// Leave takes the entry VM out of the holding, when no lot is left.
+	Leave bool
+	// Cursor is that of the last reply, so that ledgers are told once.
+	Cursor Cursor
+}
+
+// Cursor is a place in the order in which a LedgerWriter learned of ledgers.
+type Cursor struct {
+	Writer turmericshed.Incarnation
+	At     uint64
+}
+
+// Takeover ends what an earlier process on the entry VM held.
+type Takeover struct {
+	// From is the earlier process; empty where the holding has none.
+	From turmericshed.Incarnation
+	// Now is the entry VM's time of day.
+	Now time.Time
+}
+
+// Declaration is a holder's promise, see Ceilings.
+type Declaration struct {
+	// Sequence grows with each declaration of a process.
+	Sequence int64
+	// Lease is what the promise lasts as long as. The holder learned of it at
+	// Since, by its time of day.
+	Lease    turmericshed.LeaseID
+	Since    time.Time
+	Ceilings []LotCeiling
+}
+
+// Commit makes some of the changes of several holders in one transaction: of
+// some ledgers and of the holding. It is pure; a tsupdate.Batch drives it.
+//
+// A request of a process that does not stand for its entry VM changes nothing.
+// Whether it does is decided on the holding that the transaction replaces, so
+// that a request which comes late, from a process that is gone, is harmless.
+type Commit struct {
+	requests []Request
+	budgets  []turmericshed.BudgetID
+	alive    func(l turmericshed.LeaseID) bool
+	decode   func(item turmericshed.Item) (Holding, error)
+	// current returns the holding's item that the attempt being made replaces.
+	current func() turmericshed.Item
+
+	// cur, lots and errs are of the attempt being made; errs are by request
+	// and budget.
+	cur Holding
+	// broken is why the holding can't be read.
+	broken error
+	lots   map[turmericshed.BudgetID][]Lot
+	errs   []map[turmericshed.BudgetID]error
+	next   Holding
+}
+
+// CommitConfig holds what a Commit needs.
+type CommitConfig struct {
+	Requests []Request
+	// Budgets are those of this transaction.
+	Budgets []turmericshed.BudgetID
+	// LeaseAlive reports whether a lease was seen alive after all requests
+	// with a Takeover had come.
+	LeaseAlive func(l turmericshed.LeaseID) bool
+	// Decode reads a holding; it may remember the last one.
+	Decode func(item turmericshed.Item) (Holding, error)
+}
+
+// NewCommit prepares a transaction.
+func NewCommit(cfg CommitConfig) *Commit {
+	return &Commit{requests: cfg.Requests, budgets: cfg.Budgets, alive: cfg.LeaseAlive, decode: cfg.Decode}
+}
+
+// Changes returns the transaction's changes: the ledgers in the order of the
+// budgets, then the holding. cached are the items as last known.
+func (c *Commit) Changes(cached func(id turmericshed.BudgetID) turmericshed.Item, holding turmericshed.Item) []tsupdate.Change {
+	var list []tsupdate.Change
+	for i, id := range c.budgets {
+		list = append(list, tsupdate.Change{Key: Key(id), Cached: cached(id), Mutate: func(cur turmericshed.Item) ([]byte, error) {
+			if i == 0 {
+				c.begin()
+			}
+			return c.ledger(id, cur)
+		}})
+	}
+	return append(list, tsupdate.Change{Key: holding.Key, Cached: holding, Mutate: func(cur turmericshed.Item) ([]byte, error) {
+		if len(c.budgets) == 0 {
+			c.begin()
+		}
+		return c.enterAll()
+	}})
+}
+
+// Run tells the Commit of the batch that has its Changes.
+func (c *Commit) Run(b *tsupdate.Batch) {
+	c.current = func() turmericshed.Item { return b.Current(len(c.budgets)) }
+}
+
+// Holding returns the holding after the last attempt.
+func (c *Commit) Holding() Holding { return c.next }
+
+// Err returns why a change of a request was not made in the last attempt.
+func (c *Commit) Err(request int, id turmericshed.BudgetID) error { return c.errs[request][id] }
+
+// begin starts an attempt.
+func (c *Commit) begin() {
+	c.cur, c.broken = c.decode(c.current())
+	c.next = c.cur.clone()
+	c.lots = make(map[turmericshed.BudgetID][]Lot)
+	c.errs = make([]map[turmericshed.BudgetID]error, len(c.requests))
+	for i := range c.errs {
+		c.errs[i] = make(map[turmericshed.BudgetID]error)
+	}
+}
+
+// Standing returns nil for a request of the process that stands for its entry
+// VM, or may take it over. Errors: KindConflict.
+func (h Holding) Standing(r Request) error {
+	vm, ok := h.VMs[r.VM]
+	switch {
+	case ok && vm.Incarnation == r.Incarnation, r.Takeover != nil && (!ok || vm.Incarnation == r.Takeover.From):
+		return nil
+	case !ok:
+		return turmericshed.NewError(turmericshed.KindConflict, "no process stands for entry VM %s", r.VM)
+	default:
+		return turmericshed.NewError(turmericshed.KindConflict, "process %s stands for entry VM %s", vm.Incarnation, r.VM)
+	}
+}
+
+// ledger makes the changes of one ledger.
+func (c *Commit) ledger(id turmericshed.BudgetID, cur turmericshed.Item) ([]byte, error) {
+	if c.broken != nil {
+		return nil, c.broken
+	}
+	var changes []Change
+	var owners []int
+	for i, r := range c.requests {
+		if err := c.cur.Standing(r); err != nil {
+			c.errs[i][id] = err
+			continue
+		}
+		if ending, ok := c.cur.inherited(r, id, c.alive); ok {
+			changes, owners = append(changes, ending), append(owners, i)
+		}
+		for _, ch := range r.Changes {
+			if ch.Budget == id {
+				changes, owners = append(changes, ch), append(owners, i)
+			}
+		}
+	}
+	if len(changes) == 0 {
+		return nil, nil
+	}
+	value, after, errs, err := mergeChanges(cur, c.cur.Lots[id], changes)
+	for n, i := range owners {
+		if err != nil {
+			c.errs[i][id] = err
+		} else if errs[n] != nil {
+			c.errs[i][id] = errs[n]
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	if value != nil {
+		c.lots[id] = after
+	}
+	return value, nil
+}
+
+// inherited returns the change that ends the lots of an earlier process of the
+// request's entry VM. Where its ceilings hold for certain, what is above them
+// goes back, else all of it counts as spent.
+//
+// The lease alone does not prove that they hold: it may have stood still while
+// the store was away, and the process went on by its own clock. So the entry
+// VM's time of day must agree.
+func (h Holding) inherited(r Request, id turmericshed.BudgetID, alive func(turmericshed.LeaseID) bool) (Change, bool) {
+	if r.Takeover == nil || r.Takeover.From == "" || r.Takeover.From == r.Incarnation {
+		return Change{}, false
+	}
+	lots := h.LotsOf(r.Takeover.From, id)
+	if len(lots) == 0 {
+		return Change{}, false
+	}
+	vm := h.VMs[r.VM]
+	age := r.Takeover.Now.Sub(vm.Since)
+	bound := vm.Lease != "" && alive(vm.Lease) && age >= 0 && age < LeaseLength
+	ch := Change{Budget: id}
+	for _, l := range lots {
+		charge := l.Charge()
+		if bound {
+			charge = min(max(h.Most[l.ID], l.Used), charge)
+		}
+		ch.Reports = append(ch.Reports, Report{Lot: l.ID, Used: l.Used, Returned: l.Drawn - charge, Requests: l.Requests, Final: true})
+	}
+	return ch, true
+}
+
+// enterAll makes the changes of the holding.
+func (c *Commit) enterAll() ([]byte, error) {
+	if c.broken != nil {
+		return nil, c.broken
+	}
+	changed := len(c.lots) > 0
+	for id, lots := range c.lots {
+		c.next.Lots[id] = lots
+	}
+	for _, r := range c.requests {
+		if c.cur.Standing(r) == nil {
+			changed = c.enter(r) || changed
+		}
+	}
+	if !changed {
+		return nil, nil
+	}
+	c.next.dropMost()
+	return c.next.Encode()
+}
+
+// enter notes what a request changes of its entry VM's row.
+func (c *Commit) enter(r Request) bool {
+	vm, ok := c.next.VMs[r.VM]
+	changed := false
+	if r.Takeover != nil && vm.Incarnation != r.Incarnation {
+		if ok && len(c.next.Of(vm.Incarnation)) > 0 {
+			// Another transaction ends the rest.
+			return false
+		}
+		vm, changed = HoldingVM{Incarnation: r.Incarnation}, true
+		c.next.VMs[r.VM] = vm
+	}
+	if d := r.Declaration; d != nil && d.Sequence >= vm.Sequence {
+		vm.Sequence, vm.Lease, vm.Since = d.Sequence, d.Lease, d.Since
+		c.next.VMs[r.VM], changed = vm, true
+		c.next.declare(r.Incarnation, d.Ceilings)
+	}
+	if r.Leave && len(c.next.Of(r.Incarnation)) == 0 {
+		delete(c.next.VMs, r.VM)
+		changed = true
+	}
+	// A write of the holding keeps one that may yet arrive from landing.
+	return changed || slices.ContainsFunc(r.Changes, func(ch Change) bool { return ch.Withdraw != "" })
+}
+
+// declare replaces the ceilings of a process's lots.
+func (h Holding) declare(in turmericshed.Incarnation, list []LotCeiling) {
+	for _, lots := range h.Lots {
+		for _, l := range lots {
+			if l.Holder == in {
+				delete(h.Most, l.ID)
+			}
+		}
+	}
+	for _, l := range list {
+		if l.Most > 0 {
+			h.Most[l.Lot] = l.Most
+		}
+	}
+}
+
+// dropMost forgets the ceilings of lots that ended or were never drawn.
+func (h Holding) dropMost() {
+	stand := make(map[turmericshed.LotID]bool, len(h.Most))
+	for _, lots := range h.Lots {
+		for _, l := range lots {
+			stand[l.ID] = true
+		}
+	}
+	for id := range h.Most {
+		if !stand[id] {
+			delete(h.Most, id)
+		}
+	}
+}
+
+// BudgetsOf returns the budgets whose ledgers the requests change, in order.
+func BudgetsOf(h Holding, requests []Request) []turmericshed.BudgetID {
+	set := make(map[turmericshed.BudgetID]bool)
+	for _, r := range requests {
+		for _, ch := range r.Changes {
+			set[ch.Budget] = true
+		}
+		if r.Takeover != nil && r.Takeover.From != r.Incarnation {
+			for id := range h.Of(r.Takeover.From) {
+				set[id] = true
+			}
+		}
+	}
+	return sortedBudgets(set)
+}
+
+// Reply is what a holder is told of its request.
+type Reply struct {
+	// Standing is the process that stands for the holder's entry VM.
+	Standing turmericshed.Incarnation
+	// Lease is what the next declaration may be bound to; empty for none.
+	Lease turmericshed.LeaseID
+	// Declared is true when the request's declaration stands.
+	Declared bool
+	// Ledgers are those that changed since the request's Cursor, at least, and
+	// Cursor is for the next request.
+	Ledgers []turmericshed.Item
+	Cursor  Cursor
+	// Lots are all of the process.
+	Lots map[turmericshed.BudgetID][]Lot
+	// Errs are why changes were not made.
+	Errs map[turmericshed.BudgetID]error
+}
+
+// LedgerWriter writes the ledgers for the holders of a failure domain.
+type LedgerWriter interface {
+	// Commit makes the request's changes. Repeated, it changes nothing more.
+	// Errors: KindStoreUnavailable (nothing of it was written),
+	// KindStoreUnknown (all, some or nothing was, or may yet be).
+	Commit(ctx context.Context, r Request) (Reply, error)
+}
--- a/core/tsbudget/holder.go
+++ b/core/tsbudget/holder.go
@@ -155,6 +155,12 @@
 	}
 }
 
+// Holds reports whether a lot is held.
+func (h *Holder) Holds(budget turmericshed.BudgetID, id turmericshed.LotID) bool {
+	b, ok := h.balances[budget]
+	return ok && slices.ContainsFunc(b.lots, func(l *lot) bool { return l.ID == id })
+}
+
 // Available returns what can be reserved now.
 func (h *Holder) Available(budget turmericshed.BudgetID) turmericshed.Tokens {
 	var sum turmericshed.Tokens
--- /dev/null
+++ b/core/tsbudget/takeover_test.go
@@ -0,0 +1,286 @@
+package tsbudget_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+	"turmericshed/core/tsupdate"
+)
+
+type transactorFunc func(t turmericshed.Transaction) (turmericshed.Version, error)
+
+func (transactorFunc) MaxKeys() int { return 16 }
+
+func (f transactorFunc) Transact(_ context.Context, t turmericshed.Transaction) (turmericshed.Version, error) {
+	return f(t)
+}
+
+const simPrepaid = 2000
+
+// sim is one failure domain whose entry VMs die anywhere. Transactions are
+// lost, unanswered or late, requests come late and more than once, and leases
+// stand still while the store is away.
+type sim struct {
+	*domains
+	rng  *rand.Rand
+	now  time.Time
+	down bool
+	// ends is when each lease ends.
+	ends map[turmericshed.LeaseID]time.Time
+	// late are transactions, and requests at a writer that was frozen.
+	late []func()
+	vms  map[string]*simVM
+	// stale is a holding as some writer remembers it.
+	stale turmericshed.Item
+	used  turmericshed.Tokens
+	made  int
+	// returned counts the takeovers that gave tokens back.
+	returned int
+}
+
+// simVM is the process that stands, or will stand, for an entry VM.
+type simVM struct {
+	name     string
+	process  string
+	number   int
+	h        *tsbudget.Holder
+	standing bool
+	previous string
+	lease    turmericshed.LeaseID
+	learned  time.Time
+	sequence int64
+	draw     *tsbudget.DrawRequest
+}
+
+func newSim(t *testing.T, seed uint64) *sim {
+	t.Helper()
+	s := &sim{
+		domains: newDomains(t), rng: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0),
+		ends: map[turmericshed.LeaseID]time.Time{}, vms: map[string]*simVM{},
+	}
+	for _, name := range []string{"x", "y"} {
+		s.vms[name] = &simVM{name: name}
+		s.restart(s.vms[name])
+	}
+	return s
+}
+
+// restart ends a process, wherever it is, and starts the next one.
+func (s *sim) restart(vm *simVM) {
+	vm.number++
+	process := fmt.Sprint(vm.name, vm.number)
+	*vm = simVM{name: vm.name, process: process, number: vm.number, h: tsbudget.NewHolder(turmericshed.Incarnation(process))}
+}
+
+// pass lets time go by; leases stand still while the store is down.
+func (s *sim) pass(d time.Duration) {
+	s.now = s.now.Add(d)
+	for id, end := range s.ends {
+		if s.down {
+			s.ends[id] = end.Add(d)
+		}
+	}
+}
+
+func (s *sim) marked() map[turmericshed.LeaseID]bool {
+	alive := make(map[turmericshed.LeaseID]bool)
+	for id, end := range s.ends {
+		alive[id] = s.now.Before(end)
+	}
+	return alive
+}
+
+// write commits a request as some writer would. It reports whether it was
+// answered.
+func (s *sim) write(r tsbudget.Request) (answered bool, errs map[turmericshed.BudgetID]error) {
+	alive := s.marked()
+	if s.rng.IntN(4) == 0 {
+		// The writer is frozen after it read the leases.
+		s.pass(time.Duration(s.rng.IntN(3000)) * time.Millisecond)
+	}
+	unknown := turmericshed.NewError(turmericshed.KindStoreUnknown, "no answer")
+	fate := transactorFunc(func(t turmericshed.Transaction) (turmericshed.Version, error) {
+		if s.down {
+			return 0, turmericshed.NewError(turmericshed.KindStoreUnavailable, "down")
+		}
+		switch s.rng.IntN(10) {
+		case 0:
+			_, _ = s.transact(t)
+			return 0, unknown
+		case 1:
+			s.late = append(s.late, func() { _, _ = s.transact(t) })
+			return 0, unknown
+		case 2:
+			return 0, unknown
+		default:
+			return s.transact(t)
+		}
+	})
+	cached := turmericshed.Item{Key: tsbudget.HoldingKey("d")}
+	if s.rng.IntN(2) == 0 && s.stale.Version != 0 {
+		cached = s.stale
+	}
+	requests := []tsbudget.Request{r}
+	budgets := tsbudget.BudgetsOf(s.holding("d"), requests)
+	c := tsbudget.NewCommit(tsbudget.CommitConfig{
+		Requests: requests, Budgets: budgets, Decode: tsbudget.DecodeHolding,
+		LeaseAlive: func(l turmericshed.LeaseID) bool { return alive[l] },
+	})
+	b := tsupdate.NewBatch(c.Changes(func(id turmericshed.BudgetID) turmericshed.Item { return s.shelf[tsbudget.Key(id)] }, cached))
+	c.Run(b)
+	err := tsupdate.RunBatch(s.t.Context(), fate, b)
+	s.stale = b.Current(len(budgets))
+	errs = make(map[turmericshed.BudgetID]error)
+	for _, id := range budgets {
+		if err == nil && c.Err(0, id) != nil {
+			errs[id] = c.Err(0, id)
+		}
+	}
+	return err == nil, errs
+}
+
+// send writes a request now, or perhaps again much later.
+func (s *sim) send(r tsbudget.Request) (bool, map[turmericshed.BudgetID]error) {
+	if s.rng.IntN(6) == 0 {
+		again := r
+		s.late = append(s.late, func() { _, _ = s.write(again) })
+		if s.rng.IntN(2) == 0 {
+			return false, nil
+		}
+	}
+	return s.write(r)
+}
+
+// learn gives a process a lease that was granted some time before it hears of
+// it.
+func (s *sim) learn(vm *simVM) {
+	if s.down {
+		return
+	}
+	s.made++
+	id := turmericshed.LeaseID(fmt.Sprint("lease", s.made))
+	s.ends[id] = s.now.Add(tsbudget.LeaseLength)
+	s.pass(time.Duration(s.rng.IntN(500)) * time.Millisecond)
+	vm.lease, vm.learned = id, s.now
+}
+
+func (s *sim) room() turmericshed.Tokens {
+	if s.shelf[tsbudget.Key("b")].Version == 0 {
+		return simPrepaid
+	}
+	return s.ledger("d").Room()
+}
+
+// exchange is what a holder's loop does.
+func (s *sim) exchange(vm *simVM) {
+	in := turmericshed.Incarnation(vm.process)
+	if !vm.standing {
+		before := s.room()
+		answered, _ := s.send(takeover(vm.process, vm.previous, s.now))
+		if s.room() > before {
+			s.returned++
+		}
+		row := s.holding("d").VMs[vm.name]
+		vm.standing, vm.previous = answered && row.Incarnation == in, string(row.Incarnation)
+		return
+	}
+	ch := tsbudget.Change{Prepaid: simPrepaid, Reports: vm.h.Reports("b", false)}
+	if vm.draw == nil && s.rng.IntN(2) == 0 {
+		s.made++
+		vm.draw = &tsbudget.DrawRequest{Lot: turmericshed.LotID(fmt.Sprint("lot", s.made)), Holder: in, Want: 300, Min: 1, At: s.now}
+	}
+	ch.Draw = vm.draw
+	r := request(vm.process, ch)
+	var list []tsbudget.LotCeiling
+	if vm.lease != "" && s.rng.IntN(4) > 0 {
+		drawn := map[turmericshed.BudgetID]tsbudget.Lot{}
+		if vm.draw != nil {
+			drawn["b"] = tsbudget.Lot{ID: vm.draw.Lot, Holder: in, Drawn: vm.draw.Want}
+		}
+		list = vm.h.WantCeilings(s.now, time.Second, nil, drawn)
+		vm.sequence++
+		r.Declaration = &tsbudget.Declaration{Sequence: vm.sequence, Lease: vm.lease, Since: vm.learned, Ceilings: list}
+		vm.h.Ceilings.Sending(s.now, list, vm.learned.Add(tsbudget.LeaseLength))
+	}
+	answered, errs := s.send(r)
+	row := s.holding("d").VMs[vm.name]
+	if !answered || row.Incarnation != in {
+		return
+	}
+	if errs["b"] == nil {
+		vm.h.Acknowledge("b", ch.Reports)
+	}
+	if vm.draw != nil {
+		for _, l := range s.holding("d").LotsOf(in, "b") {
+			if l.ID == vm.draw.Lot {
+				vm.h.AddLot("b", l, "")
+			}
+		}
+		vm.draw = nil
+	}
+	if r.Declaration != nil && row.Sequence == vm.sequence {
+		vm.h.Ceilings.Sent(list)
+	}
+}
+
+func (s *sim) use(vm *simVM) {
+	n := turmericshed.Tokens(1 + s.rng.IntN(120))
+	if res, ok := vm.h.Reserve(s.now, turmericshed.Profile{Name: "p", Budget: "b"}, "r", n); ok {
+		s.used += n
+		vm.h.Settle(s.now, res, n)
+	}
+}
+
+func (s *sim) step() {
+	s.pass(time.Duration(s.rng.IntN(300)) * time.Millisecond)
+	vm := s.vms[slices.Sorted(maps.Keys(s.vms))[s.rng.IntN(len(s.vms))]]
+	switch s.rng.IntN(20) {
+	case 0:
+		s.restart(vm)
+		for range s.rng.IntN(6) {
+			s.pass(time.Duration(s.rng.IntN(500)) * time.Millisecond)
+			s.exchange(vm)
+		}
+	case 1:
+		s.down = !s.down && s.rng.IntN(4) == 0
+	case 2, 3, 4, 5:
+		s.learn(vm)
+	case 6, 7, 8, 9, 10, 11:
+		s.use(vm)
+	case 12:
+		if n := len(s.late); n > 0 && !s.down {
+			i := s.rng.IntN(n)
+			late := s.late[i]
+			s.late = slices.Delete(s.late, i, i+1)
+			late()
+		}
+	default:
+		s.exchange(vm)
+	}
+}
+
+// TestInheritedLotsAreNeverSpentTwice checks that what was used is never more
+// than what the ledger has charged, after anything.
+func TestInheritedLotsAreNeverSpentTwice(t *testing.T) {
+	const seeds = 600
+	returned := 0
+	for seed := range uint64(seeds) {
+		s := newSim(t, seed)
+		for range 100 {
+			s.step()
+			charged := simPrepaid - s.room()
+			assert.Assert(t, s.used <= charged, "seed %d: used %d, charged %d", seed, s.used, charged)
+		}
+		returned += s.returned
+	}
+	assert.Assert(t, returned > seeds/4, "tokens went back only %d times", returned)
+}
--- /dev/null
+++ b/core/tspreference/rank.go
@@ -0,0 +1,34 @@
+// Package tspreference orders the entry VMs of a failure domain by who should
+// do what one of them does for all. Every entry VM finds the same order by
+// itself, as far as it knows of the others, so nothing need be agreed. The
+// order is a hint: no promise may rest on it.
+//
+// # Usage
+//
+//	ranked := tspreference.Rank(vms, domain)
+//	first := ranked[0]
+package tspreference
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"turmericshed"
+)
+
+// Rank returns the entry VMs of the domain: those with the most capacity
+// first, and among equals by a hash of the name (rendezvous hashing).
+func Rank(vms []turmericshed.EntryVM, domain turmericshed.FailureDomain) []turmericshed.EntryVM {
+	var list []turmericshed.EntryVM
+	for _, vm := range vms {
+		if vm.FailureDomain == domain {
+			list = append(list, vm)
+		}
+	}
+	slices.SortFunc(list, func(a, b turmericshed.EntryVM) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
--- a/errors.go
+++ b/errors.go
@@ -109,6 +109,16 @@
 	return kinds
 }
 
+// ParseKind returns the kind with a name; KindInternal for an unknown one.
+func ParseKind(name string) Kind {
+	for k := KindNone; k < kindEnd; k++ {
+		if kindTable[k].Name == name {
+			return k
+		}
+	}
+	return KindInternal
+}
+
 // Info returns the answer for the kind.
 func (k Kind) Info() KindInfo {
 	if k < 0 || k >= kindEnd {
--- a/ids.go
+++ b/ids.go
@@ -57,6 +57,9 @@
 	FailureDomain FailureDomain  `json:"failure_domain"`
 	CallerAddr    netip.AddrPort `json:"caller_addr"`
 	PeerAddr      netip.AddrPort `json:"peer_addr"`
+	// Capacity is the processor time that the entry VM has, in cores; 0 where
+	// nobody tells. Those with more do what one does for all.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // BackendServer describes one model engine or plain service.
--- /dev/null
+++ b/io/tscommit/client.go
@@ -0,0 +1,137 @@
+package tscommit
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+	"turmericshed/core/tspreference"
+	"turmericshed/io/tspeer"
+	"turmericshed/io/tspeerapi"
+)
+
+const (
+	// attemptTimeout bounds a call to a peer: a round that waits for the one
+	// before it and makes two transactions.
+	attemptTimeout = 700 * time.Millisecond
+	// avoidAfter is how long a peer that did not answer is passed over.
+	avoidAfter = 1500 * time.Millisecond
+	// maxPeers is how many peers are asked before the own process writes.
+	maxPeers = 2
+)
+
+// ClientConfig holds what a Client needs.
+type ClientConfig struct {
+	Members turmericshed.Members
+	Peers   tspeer.Peers
+	// Local writes where no peer does.
+	Local tsbudget.LedgerWriter
+	Log   *slog.Logger
+}
+
+// Client sends a holder's requests to the entry VM of its failure domain that
+// writes for all. All choose it alike by name and capacity, and the next one
+// while it does not answer.
+type Client struct {
+	cfg ClientConfig
+
+	mu sync.Mutex
+	// failed is when a peer last did not answer.
+	failed map[string]time.Time
+	writer turmericshed.Incarnation
+}
+
+var _ tsbudget.LedgerWriter = (*Client)(nil)
+
+// NewClient returns a client.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{cfg: cfg, failed: make(map[string]time.Time)}
+}
+
+// Commit makes the request's changes, at the first entry VM that answers.
+func (c *Client) Commit(ctx context.Context, r tsbudget.Request) (tsbudget.Reply, error) {
+	self := c.cfg.Members.Self()
+	unknown := false
+	for n, vm := range c.order(time.Now()) {
+		if vm.Incarnation == self.Incarnation || n >= maxPeers {
+			break
+		}
+		reply, err := c.ask(ctx, vm, r)
+		if err == nil {
+			c.note(vm, nil)
+			return reply, nil
+		}
+		c.note(vm, err)
+		unknown = unknown || turmericshed.KindOf(err) == turmericshed.KindStoreUnknown
+		if ctx.Err() != nil {
+			return reply, err
+		}
+	}
+	reply, err := c.cfg.Local.Commit(ctx, r)
+	if err != nil && unknown {
+		err = turmericshed.WrapError(turmericshed.KindStoreUnknown, err, "after a peer that did not answer")
+	}
+	return reply, err
+}
+
+// order returns the entry VMs to ask: the preferred ones that are not passed
+// over, and at last the one that failed longest ago.
+func (c *Client) order(now time.Time) []turmericshed.EntryVM {
+	self := c.cfg.Members.Self()
+	ranked := tspreference.Rank(append(c.cfg.Members.Reachable(), self), self.FailureDomain)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list, avoided []turmericshed.EntryVM
+	for _, vm := range ranked {
+		if at, ok := c.failed[vm.Name]; ok && now.Sub(at) < avoidAfter {
+			avoided = append(avoided, vm)
+			continue
+		}
+		list = append(list, vm)
+		if len(list) == maxPeers {
+			return list
+		}
+	}
+	for _, vm := range avoided {
+		if c.failed[vm.Name].Before(c.failed[avoided[0].Name]) {
+			avoided[0] = vm
+		}
+	}
+	if len(list) == 0 || (len(list) == 1 && list[0].Incarnation == self.Incarnation && len(avoided) > 0) {
+		return append(avoided[:1], list...)
+	}
+	return list
+}
+
+// ask calls one peer.
+func (c *Client) ask(ctx context.Context, vm turmericshed.EntryVM, r tsbudget.Request) (tsbudget.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	hc, base := c.cfg.Peers.Client(vm.PeerAddr)
+	resp, err := tspeerapi.NewLedgerServiceClient(hc, base).WriteLedgers(ctx, connect.NewRequest(encodeRequest(r)))
+	if err != nil {
+		return tsbudget.Reply{}, notReached(err)
+	}
+	return replyOf(resp.Msg, r.Incarnation), nil
+}
+
+// note remembers whether a peer answered.
+func (c *Client) note(vm turmericshed.EntryVM, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.failed[vm.Name] = time.Now()
+		c.cfg.Log.Info("entry VM does not write the ledgers", "entry_vm", vm.Name, "addr", vm.PeerAddr.String(), "error", err.Error())
+		return
+	}
+	delete(c.failed, vm.Name)
+	if c.writer != vm.Incarnation {
+		c.writer = vm.Incarnation
+		c.cfg.Log.Info("entry VM writes the ledgers", "entry_vm", vm.Name, "addr", vm.PeerAddr.String())
+	}
+}
--- /dev/null
+++ b/io/tscommit/committer.go
@@ -0,0 +1,465 @@
+// Package tscommit writes the ledgers of all budgets for the entry VMs of a
+// failure domain, many requests in one transaction (group commit). Any entry VM
+// can do it for the others, and several at once only get in each other's way:
+// what is agreed stands in the store, under conditions. So who does it is a
+// hint, see [Client].
+//
+// # Usage
+//
+//	c := tscommit.New(tscommit.Config{Members: members, Store: store, Ledgers: store, Log: log})
+//	for _, loop := range c.Controllers() {
+//		supervisor.Add(loop)
+//	}
+//	server.Mount(c.Handler())
+//
+//	w := tscommit.NewClient(tscommit.ClientConfig{Members: members, Peers: peers, Local: c, Log: log})
+//	reply, err := w.Commit(ctx, request)
+package tscommit
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+	"turmericshed/core/tsupdate"
+	"turmericshed/io/tspause"
+)
+
+const (
+	// gatherPause is the time in which requests join the one that came first,
+	// and roundSpacing the least time between two rounds. Every call to the
+	// store is paid for, with one request in it or with forty.
+	gatherPause  = 15 * time.Millisecond
+	roundSpacing = 80 * time.Millisecond
+	// leaseInterval is the time between leases, and firstLeaseTimeout what a
+	// round without any waits for one.
+	leaseInterval     = time.Second
+	firstLeaseTimeout = 400 * time.Millisecond
+	// refreshInterval is the time between late readings of all ledgers while
+	// there are requests.
+	refreshInterval = time.Second
+	// refreshPage is the most ledgers, or leases, read in one call.
+	refreshPage = 500
+	// maxQueue bounds the requests that wait for a round.
+	maxQueue = 1024
+	// sharedKeys are the keys of a transaction that are not ledgers: the
+	// holding and the mark of a lease.
+	sharedKeys = 2
+)
+
+// Store is what a Committer needs of the platform's store.
+type Store interface {
+	turmericshed.Store
+	turmericshed.Transactor
+}
+
+// Config holds what a Committer needs.
+type Config struct {
+	// Members are the entry VMs, of which Self writes for its failure domain.
+	Members turmericshed.Members
+	Store   Store
+	Ledgers turmericshed.StaleLister
+	Log     *slog.Logger
+}
+
+// Committer implements tsbudget.LedgerWriter.
+type Committer struct {
+	cfg    Config
+	self   turmericshed.Incarnation
+	domain turmericshed.FailureDomain
+	queue  chan *pending
+
+	// The rest is the loop's own.
+
+	// holding is the document as last known, and decoded what is in it.
+	holding turmericshed.Item
+	decoded tsbudget.Holding
+	// loaded is false before the holding was first read.
+	loaded bool
+	// size is how many ledgers one transaction may have; halved when many
+	// others write them too.
+	size int
+	// lease is the newest one; its mark stands once marked is true. The next
+	// one is asked for at asked, and comes through granted.
+	lease   turmericshed.LeaseID
+	marked  bool
+	asked   time.Time
+	granted chan turmericshed.LeaseID
+	failing bool
+
+	mu sync.Mutex
+	// ledgers are the newest ones known, in the order in which they came.
+	ledgers   map[turmericshed.BudgetID]noted
+	notes     uint64
+	refreshed time.Time
+}
+
+// noted is a ledger and its place in the order of news.
+type noted struct {
+	turmericshed.Item
+	at uint64
+}
+
+var _ tsbudget.LedgerWriter = (*Committer)(nil)
+
+// pending is a request that waits for its round.
+type pending struct {
+	tsbudget.Request
+	ctx   context.Context //nolint:containedctx // A request that nobody waits for any more is dropped.
+	done  chan struct{}
+	reply tsbudget.Reply
+	err   error
+	// errs are by budget.
+	errs map[turmericshed.BudgetID]error
+}
+
+// New returns a Committer that has read nothing.
+func New(cfg Config) *Committer {
+	self := cfg.Members.Self()
+	return &Committer{
+		cfg: cfg, self: self.Incarnation, domain: self.FailureDomain, queue: make(chan *pending, maxQueue),
+		holding: turmericshed.Item{Key: tsbudget.HoldingKey(self.FailureDomain)},
+		size:    cfg.Store.MaxKeys() - sharedKeys, ledgers: make(map[turmericshed.BudgetID]noted),
+		granted: make(chan turmericshed.LeaseID, 1),
+	}
+}
+
+// Commit makes the request's changes with the next round.
+func (c *Committer) Commit(ctx context.Context, r tsbudget.Request) (tsbudget.Reply, error) {
+	p := &pending{Request: r, ctx: ctx, done: make(chan struct{}), errs: make(map[turmericshed.BudgetID]error)}
+	select {
+	case c.queue <- p:
+	default:
+		return tsbudget.Reply{}, turmericshed.NewError(turmericshed.KindStoreUnavailable, "too many requests wait for the ledgers")
+	}
+	select {
+	case <-p.done:
+		return p.reply, p.err
+	case <-ctx.Done():
+		return tsbudget.Reply{}, turmericshed.WrapError(turmericshed.KindStoreUnknown, ctx.Err(), "ledgers")
+	}
+}
+
+// Controllers returns the loops to be supervised.
+func (c *Committer) Controllers() []turmericshed.Controller {
+	return []turmericshed.Controller{controller(c.roundLoop), controller(c.orphanLoop)}
+}
+
+type controller func(ctx context.Context) error
+
+// Serve runs the controller.
+func (f controller) Serve(ctx context.Context) error { return f(ctx) }
+
+// roundLoop makes rounds until ctx ends. Requests that wait then get no answer.
+func (c *Committer) roundLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case first := <-c.queue:
+			began := time.Now()
+			tspause.For(ctx, gatherPause)
+			c.round(ctx, c.gather(first))
+			tspause.For(ctx, roundSpacing-time.Since(began))
+		}
+	}
+}
+
+// gather takes the requests that wait.
+func (c *Committer) gather(first *pending) []*pending {
+	list := []*pending{first}
+	for {
+		select {
+		case p := <-c.queue:
+			list = append(list, p)
+		default:
+			alive := list[:0]
+			for _, p := range list {
+				if p.ctx.Err() == nil {
+					alive = append(alive, p)
+				}
+			}
+			return alive
+		}
+	}
+}
+
+// round serves some requests.
+func (c *Committer) round(ctx context.Context, list []*pending) {
+	if len(list) == 0 {
+		return
+	}
+	began := time.Now()
+	err := c.commit(ctx, list)
+	if (err != nil) != c.failing && ctx.Err() == nil {
+		c.failing = err != nil
+		if c.failing {
+			c.cfg.Log.Warn("ledgers not written", "requests", len(list), "elapsed_ms", time.Since(began).Milliseconds(), "error", err.Error())
+		} else {
+			c.cfg.Log.Info("ledgers written again", "requests", len(list), "version", uint64(c.holding.Version))
+		}
+	}
+	for _, p := range list {
+		if err != nil {
+			p.err = err
+		} else {
+			p.reply = c.replyTo(p)
+		}
+		close(p.done)
+	}
+	c.refresh(ctx)
+}
+
+// commit makes the changes of the requests, in as few transactions as get
+// through. Errors: that of the first one; nothing was written then, or nobody
+// knows. Those of later ones are the changes'.
+func (c *Committer) commit(ctx context.Context, list []*pending) error {
+	alive, err := c.leases(ctx, list)
+	if err != nil {
+		return err
+	}
+	if err := c.prepare(ctx); err != nil {
+		return err
+	}
+	requests := make([]tsbudget.Request, 0, len(list))
+	for _, p := range list {
+		requests = append(requests, p.Request)
+	}
+	budgets := tsbudget.BudgetsOf(c.decoded, requests)
+	for first := true; first || len(budgets) > 0; first = false {
+		n := min(len(budgets), c.size)
+		err := c.transact(ctx, list, requests, budgets[:n], alive)
+		if crowded(err) && n > 1 {
+			c.size = n / 2
+			continue
+		}
+		if err != nil && first {
+			return err
+		}
+		for _, p := range list {
+			for _, id := range budgets[:n] {
+				if err != nil {
+					p.errs[id] = err
+				}
+			}
+		}
+		budgets = budgets[n:]
+		c.size = min(c.size+1, c.cfg.Store.MaxKeys()-sharedKeys)
+	}
+	return nil
+}
+
+// leases returns which leases are alive, if a request takes an entry VM over.
+func (c *Committer) leases(ctx context.Context, list []*pending) (func(turmericshed.LeaseID) bool, error) {
+	alive := make(map[turmericshed.LeaseID]bool)
+	for _, p := range list {
+		if p.Takeover == nil || p.Takeover.From == "" {
+			continue
+		}
+		prefix := tsbudget.MarkerKey(c.domain, "")
+		items, err := c.cfg.Store.List(ctx, prefix, "", refreshPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, i := range items {
+			alive[turmericshed.LeaseID(strings.TrimPrefix(i.Key, prefix))] = true
+		}
+		break
+	}
+	return func(l turmericshed.LeaseID) bool { return alive[l] }, nil
+}
+
+// prepare reads the holding, once, and takes a lease when the last one is not
+// fresh.
+func (c *Committer) prepare(ctx context.Context) error {
+	if !c.loaded {
+		item, err := c.cfg.Store.Get(ctx, c.holding.Key)
+		if err != nil {
+			return err
+		}
+		if c.decoded, err = tsbudget.DecodeHolding(item); err != nil {
+			return err
+		}
+		c.holding, c.loaded = item, true
+	}
+	c.takeLease(ctx)
+	return nil
+}
+
+// takeLease takes a lease that was granted meanwhile, and asks for the next
+// one. Only a round without any lease waits for it.
+func (c *Committer) takeLease(ctx context.Context) {
+	if time.Since(c.asked) >= leaseInterval {
+		c.asked = time.Now()
+		go c.grant(ctx)
+	}
+	wait := time.Duration(0)
+	if c.lease == "" {
+		wait = firstLeaseTimeout
+	}
+	select {
+	case id := <-c.granted:
+		c.lease, c.marked = id, false
+	case <-time.After(wait):
+	}
+}
+
+func (c *Committer) grant(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaseInterval)
+	defer cancel()
+	id, err := c.cfg.Store.Grant(ctx, tsbudget.LeaseLength)
+	if err != nil {
+		c.cfg.Log.Debug("no lease", "error", err.Error())
+		return
+	}
+	select {
+	case c.granted <- id:
+	default: // An earlier one is not taken yet.
+	}
+}
+
+// transact makes one transaction.
+func (c *Committer) transact(ctx context.Context, list []*pending, requests []tsbudget.Request, budgets []turmericshed.BudgetID, alive func(turmericshed.LeaseID) bool) error {
+	commit := tsbudget.NewCommit(tsbudget.CommitConfig{Requests: requests, Budgets: budgets, LeaseAlive: alive, Decode: c.decode})
+	changes := commit.Changes(c.cached, c.holding)
+	if c.lease != "" && !c.marked {
+		changes = append(changes, tsupdate.Change{
+			Key: tsbudget.MarkerKey(c.domain, c.lease), Lease: c.lease, Mutate: func(cur turmericshed.Item) ([]byte, error) {
+				if cur.Version != 0 {
+					return nil, nil
+				}
+				return []byte("{}"), nil
+			},
+		})
+	}
+	batch := tsupdate.NewBatch(changes)
+	commit.Run(batch)
+	err := tsupdate.RunBatch(ctx, newPaced(c.cfg.Store, len(budgets)), batch)
+	if turmericshed.KindOf(err) == turmericshed.KindNotFound {
+		c.lease = ""
+		err = turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "ledgers")
+	}
+	c.keep(batch, budgets, commit, err)
+	if err != nil {
+		return err
+	}
+	c.marked = c.lease != ""
+	for i, p := range list {
+		for _, id := range budgets {
+			if err := commit.Err(i, id); err != nil {
+				p.errs[id] = err
+			}
+		}
+	}
+	_, err = batch.Result(len(budgets))
+	return err
+}
+
+// keep remembers the items as the store told them.
+func (c *Committer) keep(batch *tsupdate.Batch, budgets []turmericshed.BudgetID, commit *tsbudget.Commit, err error) {
+	wrote := err == nil && batch.Pending(len(budgets)) != nil
+	item := batch.Current(len(budgets))
+	switch {
+	case wrote:
+		c.holding, c.decoded = item, commit.Holding()
+	case item.Version != c.holding.Version:
+		decoded, decodeErr := tsbudget.DecodeHolding(item)
+		if decodeErr != nil {
+			c.cfg.Log.Error("holding not read", "version", uint64(item.Version), "error", decodeErr.Error())
+			break
+		}
+		c.holding, c.decoded = item, decoded
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, id := range budgets {
+		c.noteLocked(id, batch.Current(i))
+	}
+}
+
+func (c *Committer) noteLocked(id turmericshed.BudgetID, item turmericshed.Item) {
+	if item.Version > c.ledgers[id].Version {
+		c.notes++
+		c.ledgers[id] = noted{Item: item, at: c.notes}
+	}
+}
+
+func (c *Committer) cached(id turmericshed.BudgetID) turmericshed.Item {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ledgers[id].Item
+}
+
+// decode reads a holding, or returns what is known of it.
+func (c *Committer) decode(item turmericshed.Item) (tsbudget.Holding, error) {
+	if item.Version == c.holding.Version {
+		return c.decoded, nil
+	}
+	return tsbudget.DecodeHolding(item)
+}
+
+// replyTo returns what a request is told.
+func (c *Committer) replyTo(p *pending) tsbudget.Reply {
+	vm := c.decoded.VMs[p.VM]
+	r := tsbudget.Reply{Standing: vm.Incarnation, Lots: c.decoded.Of(p.Incarnation), Errs: p.errs}
+	if c.marked {
+		r.Lease = c.lease
+	}
+	if d := p.Declaration; d != nil && vm.Incarnation == p.Incarnation {
+		r.Declared = vm.Sequence == d.Sequence && vm.Lease == d.Lease
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since := p.Cursor.At
+	if p.Cursor.Writer != c.self {
+		since = 0
+	}
+	for _, n := range c.ledgers {
+		if n.at > since {
+			r.Ledgers = append(r.Ledgers, n.Item)
+		}
+	}
+	for _, ch := range p.Changes {
+		if n, ok := c.ledgers[ch.Budget]; ok && n.at <= since {
+			r.Ledgers = append(r.Ledgers, n.Item)
+		}
+	}
+	r.Cursor = tsbudget.Cursor{Writer: c.self, At: c.notes}
+	return r
+}
+
+// refresh reads all ledgers a little late, beside the rounds.
+func (c *Committer) refresh(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cfg.Ledgers == nil || time.Since(c.refreshed) < refreshInterval {
+		return
+	}
+	c.refreshed = time.Now()
+	go c.readLedgers(ctx)
+}
+
+func (c *Committer) readLedgers(ctx context.Context) {
+	for after := ""; ; {
+		items, err := c.cfg.Ledgers.ListStale(ctx, turmericshed.BudgetPrefix, after, refreshPage)
+		if err != nil {
+			if ctx.Err() == nil {
+				c.cfg.Log.Debug("ledgers not read", "error", err.Error())
+			}
+			return
+		}
+		c.mu.Lock()
+		for _, item := range items {
+			after = item.Key
+			c.noteLocked(turmericshed.BudgetID(strings.TrimPrefix(item.Key, turmericshed.BudgetPrefix)), item)
+		}
+		c.mu.Unlock()
+		if len(items) < refreshPage {
+			return
+		}
+	}
+}
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -26,9 +26,11 @@
 	"turmericshed/core/tsboard"
 	"turmericshed/core/tsbudget"
 	"turmericshed/core/tstable"
+	"turmericshed/io/tscommit"
 	"turmericshed/io/tsholder"
 	"turmericshed/io/tsmirror"
 	"turmericshed/io/tsobserve"
+	"turmericshed/io/tspeer"
 	"turmericshed/io/tsregistry"
 	"turmericshed/io/tsrelay"
 	"turmericshed/io/tsrouting"
@@ -60,6 +62,8 @@
 	restartPause = 200 * time.Millisecond
 	// headerTimeout bounds the requests of readiness checks and operators.
 	headerTimeout = 2 * time.Second
+	// peerStopTimeout is what calls of other entry VMs have left at the end.
+	peerStopTimeout = 100 * time.Millisecond
 )
 
 // Config holds what a Gateway needs.
@@ -82,6 +86,8 @@
 	board    *tsboard.Board
 	metrics  *tsobserve.Metrics
 	registry *tsregistry.Registry
+	peers    *tspeer.Server
+	commits  *tscommit.Committer
 	holder   *tsholder.Holder
 	pool     *tsrouting.Pool
 	upstream *tsupstream.Client
@@ -90,7 +96,7 @@
 	servers  *tsmirror.Mirror
 	roster   *serverView
 
-	callers, checks, operators net.Listener
+	callers, checks, operators, others net.Listener
 	// killed ends the process without a graceful stop; for tests.
 	killed chan struct{}
 
@@ -111,18 +117,27 @@
 		held: make(map[turmericshed.BudgetID]turmericshed.Tokens), killed: make(chan struct{}),
 		self: turmericshed.EntryVM{
 			Name: s.Name, Incarnation: turmericshed.Incarnation(turmericshed.NewID("inc-")), Region: s.Region,
-			FailureDomain: s.FailureDomain, CallerAddr: s.CallerAddr, PeerAddr: s.MetricsAddr,
+			FailureDomain: s.FailureDomain, CallerAddr: s.CallerAddr, Capacity: s.Capacity,
 		},
 	}
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
+	g.self.PeerAddr = addrOf(g.others)
 	store := platform.NewStore(s.StoreAddr, platform.StoreOptions{Dial: cfg.Dial})
 	events := logEvents{log: tsobserve.Part(g.log, "event")}
-	g.registry = tsregistry.New(tsregistry.Config{Self: g.self, Store: store, Log: tsobserve.Part(g.log, "registry")})
+	g.registry = tsregistry.New(tsregistry.Config{Self: g.self, Store: store, Late: store, Log: tsobserve.Part(g.log, "registry")})
+	peering := tspeer.Config{Dial: cfg.Dial, Plain: true, StopTimeout: peerStopTimeout}
+	transport := tspeer.NewTransport(peering)
+	g.commits = tscommit.New(tscommit.Config{Members: g.registry, Store: store, Ledgers: store, Log: tsobserve.Part(g.log, "ledgers")})
+	g.peers = tspeer.NewServer(peering)
+	g.peers.Mount(g.commits.Handler())
 	g.holder = tsholder.New(tsholder.Config{
 		Self: g.self, Store: store, Members: g.registry, Recorder: events,
-		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{}, Ledgers: store, Joint: store,
+		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{},
+		Writer: tscommit.NewClient(tscommit.ClientConfig{
+			Members: g.registry, Peers: transport, Local: g.commits, Log: tsobserve.Part(g.log, "ledgers"),
+		}),
 	})
 	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Homes: prefixHomes, Board: g.board, Recorder: events})
 	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: cfg.Dial})
@@ -149,7 +164,7 @@
 	for _, l := range []struct {
 		to   *net.Listener
 		addr netip.AddrPort
-	}{{&g.callers, g.cfg.Settings.CallerAddr}, {&g.checks, g.cfg.Settings.ReadyAddr}, {&g.operators, metrics}} {
+	}{{&g.callers, g.cfg.Settings.CallerAddr}, {&g.checks, g.cfg.Settings.ReadyAddr}, {&g.operators, metrics}, {&g.others, g.cfg.Settings.PeerAddr}} {
 		ln, err := net.Listen("tcp", l.addr.String())
 		if err != nil {
 			for _, o := range open {
@@ -238,8 +253,8 @@
 	// The parts go on while what runs is ended.
 	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
-	g.inherit(ctx)
 	done := g.supervise(partsCtx)
+	g.inherit(ctx)
 	stopTimeout := g.cfg.Settings.Bounds.StopTimeout
 	g.log.Info("serving", "name", g.self.Name, "incarnation", string(g.self.Incarnation), "failure_domain", string(g.self.FailureDomain),
 		"addr", g.callers.Addr().String(), "store", g.cfg.Settings.StoreAddr.String())
@@ -271,11 +286,18 @@
 
 // inherit gives back what an earlier process on this machine did not use.
 func (g *Gateway) inherit(ctx context.Context) {
+	if g.cfg.Settings.FirstStart {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, inheritTimeout)
 	defer cancel()
 	began := time.Now()
-	if err := g.holder.Inherit(ctx); err != nil {
-		g.log.Warn("lots of an earlier process stay charged", "error", err.Error(), "elapsed_ms", time.Since(began).Milliseconds())
+	err := g.registry.List(ctx)
+	if err == nil {
+		err = g.holder.Inherit(ctx)
+	}
+	if err != nil {
+		g.log.Warn("lots of an earlier process are not ended yet", "error", err.Error(), "elapsed_ms", time.Since(began).Milliseconds())
 	}
 }
 
@@ -284,7 +306,8 @@
 	sup := suture.New("gateway", suture.Spec{FailureBackoff: restartPause, EventHook: func(e suture.Event) {
 		g.log.Error("controller ended", "event", e.String())
 	}})
-	parts := []turmericshed.Controller{g.tables, g.servers, g.roster, g.registry, g.upstream}
+	parts := []turmericshed.Controller{g.tables, g.servers, g.roster, g.registry, g.upstream, peerController{g}}
+	parts = append(parts, g.commits.Controllers()...)
 	parts = append(parts, g.holder.Controllers()...)
 	parts = append(parts, g.pool.Controllers()...)
 	for _, p := range parts {
@@ -293,6 +316,12 @@
 	return sup.ServeBackground(ctx)
 }
 
+// peerController serves the other entry VMs.
+type peerController struct{ g *Gateway }
+
+// Serve answers calls until ctx ends.
+func (c peerController) Serve(ctx context.Context) error { return c.g.peers.Serve(ctx, c.g.others) }
+
 // serveOperators answers readiness checks and serves metrics.
 func (g *Gateway) serveOperators() (stop func()) {
 	check := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/io/tsholder/controller.go
+++ b/io/tsholder/controller.go
@@ -20,12 +20,12 @@
 // Controllers returns the loops to be supervised.
 func (h *Holder) Controllers() []turmericshed.Controller {
 	list := []turmericshed.Controller{controller(h.scanLoop)}
+	if h.cfg.Writer != nil {
+		return append(list, h.exchanger)
+	}
 	if h.cfg.Ledgers != nil {
 		list = append(list, controller(h.refreshLoop))
 	}
-	if h.cfg.Joint != nil {
-		return append(list, h.exchanger, controller(h.orphanLoop))
-	}
 	for range workers {
 		list = append(list, controller(h.workLoop))
 	}
@@ -140,6 +140,10 @@
 func (h *Holder) Drain(ctx context.Context) error {
 	h.mu.Lock()
 	h.draining = true
+	if h.cfg.Writer != nil {
+		h.mu.Unlock()
+		return h.exchanger.drainAll(ctx)
+	}
 	ids := h.core.Budgets()
 	for id := range h.budgets {
 		if h.budgets[id].draw != nil {
@@ -153,9 +157,6 @@
 			first = err
 		}
 	}
-	if h.cfg.Joint != nil && first == nil {
-		return h.exchanger.withdraw(ctx)
-	}
 	return first
 }
 
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -100,11 +100,11 @@
 	// Ledgers reads all ledgers at once, a little late, so that holders
 	// without demand learn when others run short; nil reads none.
 	Ledgers turmericshed.StaleLister
-	// Joint, when set, writes the ledgers of all budgets together, with the
+	// Writer, when set, writes the ledgers of all budgets together, with the
 	// own lots in a document beside them. It also publishes how far lots may
 	// be used, so that a process that follows on the same machine can give
-	// back the rest. Nothing is borrowed then.
-	Joint turmericshed.Transactor
+	// back the rest. Nothing is borrowed then, and Ledgers is not read.
+	Writer tsbudget.LedgerWriter
 	// WritesPerSecond limits the writes to the store that no request waits
 	// for; 0 takes the default.
 	WritesPerSecond float64
@@ -384,6 +384,11 @@
 	v.Waiting += b.wanted
 	v.Needed = max(v.Needed, b.wanted)
 	v.Ledger, v.Starved = b.ledger, b.starved
+	if h.cfg.Writer != nil && !b.ledger.Read {
+		// A first draw need not wait for a reading of the ledger: the writer
+		// bounds it to a share of the room.
+		v.Ledger.Unspent = b.profile.Prepaid
+	}
 	v.Edge, v.Bridge = b.profile.Edge, time.Duration(b.profile.CutBridge)
 	h.refreshFleetLocked(now)
 	v.EntryVMs = h.fleet.size
@@ -400,8 +405,6 @@
 	at         time.Time
 	generation int
 	size       int
-	// rank is the number of entry VMs whose names come before the own one.
-	rank int
 	// domain are the entry VMs of this failure domain, this one included.
 	domain []turmericshed.EntryVM
 }
@@ -414,9 +417,6 @@
 	f := fleet{at: now, generation: h.fleet.generation + 1, size: 1, domain: []turmericshed.EntryVM{h.cfg.Self}}
 	for _, vm := range h.cfg.Members.Reachable() {
 		f.size++
-		if vm.Name < h.cfg.Self.Name {
-			f.rank++
-		}
 		if vm.FailureDomain == h.cfg.Self.FailureDomain {
 			f.domain = append(f.domain, vm)
 		}
--- a/io/tsholder/refresh.go
+++ b/io/tsholder/refresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"turmericshed"
@@ -43,6 +44,10 @@
 func (h *Holder) takeLedger(item turmericshed.Item) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.takeLedgerLocked(item)
+}
+
+func (h *Holder) takeLedgerLocked(item turmericshed.Item) error {
 	l, err := h.decodeLocked(item)
 	if err != nil {
 		return err
@@ -69,3 +74,8 @@
 		b.closed = true
 	}
 }
+
+// budgetOf returns the budget that a ledger's item is of.
+func budgetOf(item turmericshed.Item) turmericshed.BudgetID {
+	return turmericshed.BudgetID(strings.TrimPrefix(item.Key, turmericshed.BudgetPrefix))
+}
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -17,7 +17,7 @@
 		b.again = true
 		return
 	}
-	if h.cfg.Joint != nil {
+	if h.cfg.Writer != nil {
 		b.queued = true
 		if b.queue.Len() > 0 {
 			h.askRaise()
@@ -217,9 +217,6 @@
 func (h *Holder) update(ctx context.Context, b *budget, m tsupdate.Mutation, reports []tsbudget.Report) (turmericshed.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if h.cfg.Joint != nil {
-		return h.exchanger.update(ctx, b, m, reports)
-	}
 	h.mu.Lock()
 	u := tsupdate.New(tsbudget.Key(b.id), m)
 	if b.item.Version != 0 {
@@ -261,7 +258,7 @@
 // decodeLocked reads a ledger, with the own lots in it.
 func (h *Holder) decodeLocked(item turmericshed.Item) (tsbudget.Ledger, error) {
 	l, err := tsbudget.Decode(item)
-	if err == nil && h.cfg.Joint != nil {
+	if err == nil && h.cfg.Writer != nil {
 		l = l.Join(h.exchanger.lots[l.Budget])
 	}
 	return l, err
--- a/io/tspeer/server.go
+++ b/io/tspeer/server.go
@@ -1,6 +1,7 @@
 package tspeer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -39,12 +40,15 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         new(http.Protocols),
 	}
-	if s.cfg.TLS != nil {
+	switch {
+	case s.cfg.TLS != nil:
 		srv.Protocols.SetHTTP2(true)
 		tlsConfig := s.cfg.TLS.Clone()
 		tlsConfig.NextProtos = []string{"h2"}
 		ln = tls.NewListener(ln, tlsConfig)
-	} else {
+	case s.cfg.Plain:
+		srv.Protocols.SetHTTP1(true)
+	default:
 		srv.Protocols.SetUnencryptedHTTP2(true)
 	}
 	failed := make(chan error, 1)
@@ -54,7 +58,7 @@
 		return turmericshed.WrapError(turmericshed.KindInternal, err, "peer server")
 	case <-ctx.Done():
 	}
-	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(s.cfg.StopTimeout, shutdownTimeout))
 	defer cancel()
 	if err := srv.Shutdown(stop); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		_ = srv.Close()
--- a/io/tspeer/transport.go
+++ b/io/tspeer/transport.go
@@ -57,6 +57,13 @@
 	TLS *tls.Config
 	// Clock joins the processes' logical clocks by a header; nil does not.
 	Clock Clock
+	// Plain carries one call at a time on a connection (HTTP/1.1). A call that
+	// gets no answer then costs its connection, so that one which went silent
+	// is not used again. It can't be joined with TLS.
+	Plain bool
+	// StopTimeout is what calls in flight have left when the server stops; 0
+	// takes shutdownTimeout.
+	StopTimeout time.Duration
 }
 
 // Clock adds the logical clock to messages between processes.
@@ -138,6 +145,10 @@
 		rt.Protocols.SetHTTP2(true)
 		return t
 	}
+	if cfg.Plain {
+		rt.Protocols.SetHTTP1(true)
+		return t
+	}
 	rt.Protocols.SetUnencryptedHTTP2(true)
 	return t
 }
--- a/io/tspeer/transport_test.go
+++ b/io/tspeer/transport_test.go
@@ -111,6 +111,11 @@
 	t.Run("http/2 without certificates", func(t *testing.T) {
 		assertReached(t, tspeer.Config{}, serve(t, tspeer.Config{}))
 	})
+	t.Run("http/1.1 where one call at a time is wanted", func(t *testing.T) {
+		proto, err := call(t, tspeer.Config{Plain: true}, serve(t, tspeer.Config{Plain: true}))
+		assert.NilError(t, err)
+		assert.Equal(t, proto, "HTTP/1.1")
+	})
 	t.Run("a cut in the dialer fails the call", func(t *testing.T) {
 		addr := serve(t, tspeer.Config{})
 		assertRefused(t, tspeer.Config{Dial: func(context.Context, string, string) (net.Conn, error) {
--- a/io/tsregistry/registry.go
+++ b/io/tsregistry/registry.go
@@ -48,7 +48,10 @@
 type Config struct {
 	Self  turmericshed.EntryVM
 	Store turmericshed.Store
-	Log   *slog.Logger
+	// Late reads the list a little late at a fraction of the price; nil takes
+	// Store.
+	Late turmericshed.StaleLister
+	Log  *slog.Logger
 }
 
 // Registry implements turmericshed.Members from the store alone.
@@ -118,7 +121,7 @@
 				pause = retryInterval
 			}
 		}
-		if err := r.list(ctx); err != nil {
+		if err := r.List(ctx); err != nil {
 			r.cfg.Log.Warn("entry VMs not listed", "error", err.Error())
 			pause = retryInterval
 		}
@@ -166,11 +169,11 @@
 	return err
 }
 
-// list reads the entry VMs of all names.
-func (r *Registry) list(ctx context.Context) error {
+// List reads the entry VMs of all names. Errors: those of the store.
+func (r *Registry) List(ctx context.Context) error {
 	known := make(map[string]turmericshed.EntryVM)
 	for after := ""; ; {
-		items, err := r.cfg.Store.List(ctx, prefix, after, pageSize)
+		items, err := r.page(ctx, after)
 		if err != nil {
 			return err
 		}
@@ -195,3 +198,10 @@
 	r.known = known
 	return nil
 }
+
+func (r *Registry) page(ctx context.Context, after string) ([]turmericshed.Item, error) {
+	if r.cfg.Late != nil {
+		return r.cfg.Late.ListStale(ctx, prefix, after, pageSize)
+	}
+	return r.cfg.Store.List(ctx, prefix, after, pageSize)
+}
