Ledgers writer: requests meet at a beat, ledgers are read late before a write

Cause: requests of a domain came at different times, each cost a transaction, and 44 of 100 transactions met a conflict.

--- a/core/tsbudget/ceiling.go
+++ b/core/tsbudget/ceiling.go
@@ -110,6 +110,11 @@
 			lots = append(slices.Clone(lots), &lot{Lot: l})
 		}
 		allowance := b.demand.arriving(now) * span.Seconds()
+		if allowance > 0 {
+			// Requests are few and large where an entry VM has a small part of
+			// an account's demand.
+			allowance = max(allowance, b.demand.largest)
+		}
 		var free turmericshed.Tokens
 		for _, l := range lots {
 			free += l.free()
--- a/core/tsbudget/commit.go
+++ b/core/tsbudget/commit.go
@@ -22,6 +22,8 @@
 	Takeover *Takeover
 	// Leave takes the entry VM out of the holding, when no lot is left.
 	Leave bool
+	// Urgent is true when callers wait for the outcome.
+	Urgent bool
 	// Cursor is that of the last reply, so that ledgers are told once.
 	Cursor Cursor
 }
@@ -323,6 +325,9 @@
 	// Cursor is for the next request.
 	Ledgers []turmericshed.Item
 	Cursor  Cursor
+	// Next is the time until a request that is not urgent is best made: all
+	// holders then ask at once.
+	Next time.Duration
 	// Lots are all of the process.
 	Lots map[turmericshed.BudgetID][]Lot
 	// Errs are why changes were not made.
--- a/core/tsbudget/queue.go
+++ b/core/tsbudget/queue.go
@@ -142,8 +142,7 @@
 	}
 	inUse := s.Available + s.Reserved - s.Suspended + s.Lent
 	if s.StoreErr == nil && s.Ledger.Read && min(inUse+s.Ledger.Room+s.Ledger.Others, s.Ledger.Unspent) < w.Amount {
-		return turmericshed.NewError(turmericshed.KindBudgetExhausted, "budget of %s: %d tokens left, %d needed",
-			w.Profile.Name, max(s.Ledger.Room+inUse, 0), w.Amount)
+		return Exhausted(w.Profile.Name, max(s.Ledger.Room+inUse, 0), w.Amount)
 	}
 	// The request waits while settlements here, or lots elsewhere, may free
 	// enough for it.
@@ -167,6 +166,12 @@
 	}
 }
 
+// Exhausted is the refusal of a request that asks for more than is left:
+// KindBudgetExhausted.
+func Exhausted(p turmericshed.ProfileName, left, needed turmericshed.Tokens) error {
+	return turmericshed.NewError(turmericshed.KindBudgetExhausted, "budget of %s: %d tokens left, %d needed", p, left, needed)
+}
+
 // Unavailable is the refusal while the store that has the ledger does not
 // answer: KindBudgetUnavailable.
 func Unavailable(p turmericshed.ProfileName) error {
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -20,28 +20,38 @@
 	"context"
 	"log/slog"
 	"strings"
-	"sync"
 	"time"
 
 	"turmericshed"
 	"turmericshed/core/tsbudget"
 	"turmericshed/core/tsupdate"
-	"turmericshed/io/tspause"
 )
 
 const (
-	// gatherPause is the time in which requests join the one that came first,
-	// and roundSpacing the least time between two rounds. Every call to the
-	// store is paid for, with one request in it or with forty.
+	// gatherPause is the time in which requests join an urgent one, joinPause
+	// the time in which one that is not urgent waits for others, and
+	// roundSpacing the least time between two rounds. Every call to the store
+	// is paid for, with one request in it or with forty.
 	gatherPause  = 15 * time.Millisecond
-	roundSpacing = 80 * time.Millisecond
-	// leaseInterval is the time between leases, and firstLeaseTimeout what a
-	// round without any waits for one.
+	joinPause    = 150 * time.Millisecond
+	roundSpacing = 100 * time.Millisecond
+	// beatInterval is the time between the rounds that holders make their
+	// requests for when nobody waits, and beatMargin the least time that they
+	// are told to wait.
+	beatInterval = time.Second
+	beatMargin   = 400 * time.Millisecond
+	// leaseInterval is the time between leases while there are requests,
+	// maxLeaseAge the age from which one is not told any more, and
+	// firstLeaseTimeout what a round without any waits for one.
 	leaseInterval     = time.Second
+	maxLeaseAge       = 2 * time.Second
 	firstLeaseTimeout = 400 * time.Millisecond
-	// refreshInterval is the time between late readings of all ledgers while
-	// there are requests.
-	refreshInterval = time.Second
+	// refreshAge is the age of the last late reading of all ledgers from which
+	// a round reads them again, and writeRefreshAge the same before some are
+	// written: a reading costs a tenth of a conflict. refreshTimeout bounds it.
+	refreshAge      = 800 * time.Millisecond
+	writeRefreshAge = 50 * time.Millisecond
+	refreshTimeout  = 200 * time.Millisecond
 	// refreshPage is the most ledgers, or leases, read in one call.
 	refreshPage = 500
 	// maxQueue bounds the requests that wait for a round.
@@ -85,19 +95,26 @@
 	size int
 	// lease is the newest one; its mark stands once marked is true. The next
 	// one is asked for at asked, and comes through granted.
-	lease   turmericshed.LeaseID
+	lease   lease
 	marked  bool
 	asked   time.Time
-	granted chan turmericshed.LeaseID
+	granted chan lease
 	failing bool
+	// start is what the beat is counted from.
+	start time.Time
 
-	mu sync.Mutex
 	// ledgers are the newest ones known, in the order in which they came.
 	ledgers   map[turmericshed.BudgetID]noted
 	notes     uint64
 	refreshed time.Time
 }
 
+// lease is a lease and when it was asked for.
+type lease struct {
+	id turmericshed.LeaseID
+	at time.Time
+}
+
 // noted is a ledger and its place in the order of news.
 type noted struct {
 	turmericshed.Item
@@ -124,7 +141,7 @@
 		cfg: cfg, self: self.Incarnation, domain: self.FailureDomain, queue: make(chan *pending, maxQueue),
 		holding: turmericshed.Item{Key: tsbudget.HoldingKey(self.FailureDomain)},
 		size:    cfg.Store.MaxKeys() - sharedKeys, ledgers: make(map[turmericshed.BudgetID]noted),
-		granted: make(chan turmericshed.LeaseID, 1),
+		granted: make(chan lease, 1), start: time.Now(),
 	}
 }
 
@@ -156,36 +173,56 @@
 
 // roundLoop makes rounds until ctx ends. Requests that wait then get no answer.
 func (c *Committer) roundLoop(ctx context.Context) error {
+	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case first := <-c.queue:
-			began := time.Now()
-			tspause.For(ctx, gatherPause)
-			c.round(ctx, c.gather(first))
-			tspause.For(ctx, roundSpacing-time.Since(began))
+			list := c.gather(ctx, first, last.Add(roundSpacing))
+			last = time.Now()
+			c.round(ctx, list)
 		}
 	}
 }
 
-// gather takes the requests that wait.
-func (c *Committer) gather(first *pending) []*pending {
+// gather waits for the requests that join the first one, until earliest at
+// least, and leaves out those that nobody waits for any more.
+func (c *Committer) gather(ctx context.Context, first *pending, earliest time.Time) []*pending {
 	list := []*pending{first}
-	for {
+	due := time.Now().Add(first.patience())
+	for wait := true; wait; {
+		until := due
+		if earliest.After(until) {
+			until = earliest
+		}
 		select {
 		case p := <-c.queue:
 			list = append(list, p)
-		default:
-			alive := list[:0]
-			for _, p := range list {
-				if p.ctx.Err() == nil {
-					alive = append(alive, p)
-				}
+			if d := time.Now().Add(p.patience()); d.Before(due) {
+				due = d
 			}
-			return alive
+		case <-time.After(time.Until(until)):
+			wait = false
+		case <-ctx.Done():
+			wait = false
 		}
 	}
+	alive := list[:0]
+	for _, p := range list {
+		if p.ctx.Err() == nil {
+			alive = append(alive, p)
+		}
+	}
+	return alive
+}
+
+// patience is how long a request waits for others.
+func (p *pending) patience() time.Duration {
+	if p.Urgent || p.Takeover != nil || p.Leave {
+		return gatherPause
+	}
+	return joinPause
 }
 
 // round serves some requests.
@@ -211,7 +248,6 @@
 		}
 		close(p.done)
 	}
-	c.refresh(ctx)
 }
 
 // commit makes the changes of the requests, in as few transactions as get
@@ -230,6 +266,11 @@
 		requests = append(requests, p.Request)
 	}
 	budgets := tsbudget.BudgetsOf(c.decoded, requests)
+	if len(budgets) > 0 {
+		c.refresh(ctx, writeRefreshAge)
+	} else {
+		c.refresh(ctx, refreshAge)
+	}
 	for first := true; first || len(budgets) > 0; first = false {
 		n := min(len(budgets), c.size)
 		err := c.transact(ctx, list, requests, budgets[:n], alive)
@@ -291,19 +332,23 @@
 }
 
 // takeLease takes a lease that was granted meanwhile, and asks for the next
-// one. Only a round without any lease waits for it.
+// one. Only a round without a fresh lease waits for it.
 func (c *Committer) takeLease(ctx context.Context) {
+	c.pollLease(0)
 	if time.Since(c.asked) >= leaseInterval {
 		c.asked = time.Now()
 		go c.grant(ctx)
 	}
-	wait := time.Duration(0)
-	if c.lease == "" {
-		wait = firstLeaseTimeout
+	if time.Since(c.lease.at) > maxLeaseAge {
+		c.lease, c.marked = lease{}, false
+		c.pollLease(firstLeaseTimeout)
 	}
+}
+
+func (c *Committer) pollLease(wait time.Duration) {
 	select {
-	case id := <-c.granted:
-		c.lease, c.marked = id, false
+	case l := <-c.granted:
+		c.lease, c.marked = l, false
 	case <-time.After(wait):
 	}
 }
@@ -311,13 +356,14 @@
 func (c *Committer) grant(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaseInterval)
 	defer cancel()
+	asked := time.Now()
 	id, err := c.cfg.Store.Grant(ctx, tsbudget.LeaseLength)
 	if err != nil {
 		c.cfg.Log.Debug("no lease", "error", err.Error())
 		return
 	}
 	select {
-	case c.granted <- id:
+	case c.granted <- lease{id: id, at: asked}:
 	default: // An earlier one is not taken yet.
 	}
 }
@@ -326,9 +372,9 @@
 func (c *Committer) transact(ctx context.Context, list []*pending, requests []tsbudget.Request, budgets []turmericshed.BudgetID, alive func(turmericshed.LeaseID) bool) error {
 	commit := tsbudget.NewCommit(tsbudget.CommitConfig{Requests: requests, Budgets: budgets, LeaseAlive: alive, Decode: c.decode})
 	changes := commit.Changes(c.cached, c.holding)
-	if c.lease != "" && !c.marked {
+	if c.lease.id != "" && !c.marked {
 		changes = append(changes, tsupdate.Change{
-			Key: tsbudget.MarkerKey(c.domain, c.lease), Lease: c.lease, Mutate: func(cur turmericshed.Item) ([]byte, error) {
+			Key: tsbudget.MarkerKey(c.domain, c.lease.id), Lease: c.lease.id, Mutate: func(cur turmericshed.Item) ([]byte, error) {
 				if cur.Version != 0 {
 					return nil, nil
 				}
@@ -340,14 +386,14 @@
 	commit.Run(batch)
 	err := tsupdate.RunBatch(ctx, newPaced(c.cfg.Store, len(budgets)), batch)
 	if turmericshed.KindOf(err) == turmericshed.KindNotFound {
-		c.lease = ""
+		c.lease, c.marked = lease{}, false
 		err = turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "ledgers")
 	}
 	c.keep(batch, budgets, commit, err)
 	if err != nil {
 		return err
 	}
-	c.marked = c.lease != ""
+	c.marked = c.lease.id != ""
 	for i, p := range list {
 		for _, id := range budgets {
 			if err := commit.Err(i, id); err != nil {
@@ -374,14 +420,12 @@
 		}
 		c.holding, c.decoded = item, decoded
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for i, id := range budgets {
-		c.noteLocked(id, batch.Current(i))
+		c.note(id, batch.Current(i))
 	}
 }
 
-func (c *Committer) noteLocked(id turmericshed.BudgetID, item turmericshed.Item) {
+func (c *Committer) note(id turmericshed.BudgetID, item turmericshed.Item) {
 	if item.Version > c.ledgers[id].Version {
 		c.notes++
 		c.ledgers[id] = noted{Item: item, at: c.notes}
@@ -389,8 +433,6 @@
 }
 
 func (c *Committer) cached(id turmericshed.BudgetID) turmericshed.Item {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	return c.ledgers[id].Item
 }
 
@@ -407,13 +449,15 @@
 	vm := c.decoded.VMs[p.VM]
 	r := tsbudget.Reply{Standing: vm.Incarnation, Lots: c.decoded.Of(p.Incarnation), Errs: p.errs}
 	if c.marked {
-		r.Lease = c.lease
+		r.Lease = c.lease.id
+	}
+	r.Next = beatInterval - time.Since(c.start)%beatInterval
+	if r.Next < beatMargin {
+		r.Next += beatInterval
 	}
 	if d := p.Declaration; d != nil && vm.Incarnation == p.Incarnation {
 		r.Declared = vm.Sequence == d.Sequence && vm.Lease == d.Lease
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	since := p.Cursor.At
 	if p.Cursor.Writer != c.self {
 		since = 0
@@ -432,34 +476,27 @@
 	return r
 }
 
-// refresh reads all ledgers a little late, beside the rounds.
-func (c *Committer) refresh(ctx context.Context) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.cfg.Ledgers == nil || time.Since(c.refreshed) < refreshInterval {
+// refresh reads all ledgers a little late, unless the last reading is younger
+// than an age. What it misses is told by conflicts.
+func (c *Committer) refresh(ctx context.Context, age time.Duration) {
+	if c.cfg.Ledgers == nil || time.Since(c.refreshed) < age {
 		return
 	}
-	c.refreshed = time.Now()
-	go c.readLedgers(ctx)
-}
-
-func (c *Committer) readLedgers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
 	for after := ""; ; {
 		items, err := c.cfg.Ledgers.ListStale(ctx, turmericshed.BudgetPrefix, after, refreshPage)
 		if err != nil {
-			if ctx.Err() == nil {
-				c.cfg.Log.Debug("ledgers not read", "error", err.Error())
-			}
+			c.cfg.Log.Debug("ledgers not read", "error", err.Error())
 			return
 		}
-		c.mu.Lock()
 		for _, item := range items {
 			after = item.Key
-			c.noteLocked(turmericshed.BudgetID(strings.TrimPrefix(item.Key, turmericshed.BudgetPrefix)), item)
+			c.note(turmericshed.BudgetID(strings.TrimPrefix(item.Key, turmericshed.BudgetPrefix)), item)
 		}
-		c.mu.Unlock()
 		if len(items) < refreshPage {
-			return
+			break
 		}
 	}
+	c.refreshed = time.Now()
 }
--- a/io/tscommit/service.go
+++ b/io/tscommit/service.go
@@ -50,7 +50,7 @@
 
 func encodeRequest(r tsbudget.Request) *tspeerapi.WriteLedgersRequest {
 	m := &tspeerapi.WriteLedgersRequest{
-		EntryVm: r.VM, Incarnation: string(r.Incarnation), Leave: r.Leave,
+		EntryVm: r.VM, Incarnation: string(r.Incarnation), Leave: r.Leave, Urgent: r.Urgent,
 		Cursor: &tspeerapi.LedgerCursor{Writer: string(r.Cursor.Writer), At: r.Cursor.At},
 	}
 	for _, ch := range r.Changes {
@@ -85,7 +85,7 @@
 
 func requestOf(m *tspeerapi.WriteLedgersRequest) tsbudget.Request {
 	r := tsbudget.Request{
-		VM: m.EntryVm, Incarnation: turmericshed.Incarnation(m.Incarnation), Leave: m.Leave,
+		VM: m.EntryVm, Incarnation: turmericshed.Incarnation(m.Incarnation), Leave: m.Leave, Urgent: m.Urgent,
 		Cursor: tsbudget.Cursor{Writer: turmericshed.Incarnation(m.GetCursor().GetWriter()), At: m.GetCursor().GetAt()},
 	}
 	for _, ch := range m.Changes {
@@ -126,7 +126,7 @@
 
 func encodeReply(r tsbudget.Reply) *tspeerapi.WriteLedgersResponse {
 	m := &tspeerapi.WriteLedgersResponse{
-		Standing: string(r.Standing), Lease: string(r.Lease), Declared: r.Declared,
+		Standing: string(r.Standing), Lease: string(r.Lease), Declared: r.Declared, NextMs: r.Next.Milliseconds(),
 		Cursor: &tspeerapi.LedgerCursor{Writer: string(r.Cursor.Writer), At: r.Cursor.At},
 	}
 	for _, i := range r.Ledgers {
@@ -149,6 +149,7 @@
 func replyOf(m *tspeerapi.WriteLedgersResponse, holder turmericshed.Incarnation) tsbudget.Reply {
 	r := tsbudget.Reply{
 		Standing: turmericshed.Incarnation(m.Standing), Lease: turmericshed.LeaseID(m.Lease), Declared: m.Declared,
+		Next: time.Duration(m.NextMs) * time.Millisecond,
 		Lots: make(map[turmericshed.BudgetID][]tsbudget.Lot), Errs: make(map[turmericshed.BudgetID]error),
 		Cursor: tsbudget.Cursor{Writer: turmericshed.Incarnation(m.GetCursor().GetWriter()), At: m.GetCursor().GetAt()},
 	}
--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,19 +10,18 @@
 )
 
 const (
-	// exchangeInterval is the time between looks for something to write. The
-	// ceilings are written again at each look while anything is held.
+	// exchangeInterval is the time between looks for something to write, where
+	// the ledgers' writer asks for no other. The ceilings are written again at
+	// each look while anything is held.
 	exchangeInterval = time.Second
-	// exchangeJitter spreads the looks of the entry VMs.
-	exchangeJitter = 100 * time.Millisecond
 	// raisePause gathers requests that wait before a write that they asked
 	// for.
 	raisePause = 10 * time.Millisecond
 	// commitTimeout bounds one request to the ledgers' writer.
 	commitTimeout = 2500 * time.Millisecond
-	// ceilingsDue is the part of an interval at which the ceilings are written
-	// again: at each look, which may come a little early.
-	ceilingsDue = 0.9
+	// ceilingsDue is the part of an interval from which the ceilings are
+	// written again.
+	ceilingsDue = 0.5
 	// ceilingSpan is the demand that the ceilings allow for, in intervals:
 	// twice a declaration's age. What comes beyond asks for a write, and in a
 	// cut waits for the lease's end; a longer span costs more at a crash.
@@ -51,6 +49,8 @@
 	learned  time.Time
 	since    time.Time
 	sequence int64
+	// next is when the ledgers' writer expects the next request.
+	next time.Time
 	// strays are lots that stand in the holding and are not held here: a draw
 	// that was given up was carried out late.
 	strays map[turmericshed.BudgetID][]tsbudget.Lot
@@ -78,13 +78,23 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(exchangeInterval - rand.N(exchangeJitter)):
+		case <-time.After(x.untilNext(time.Now())):
 		case <-x.h.raise:
 			time.Sleep(raisePause)
 		}
 	}
 }
 
+// untilNext returns the time until the next look.
+func (x *exchanger) untilNext(now time.Time) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if wait := x.next.Sub(now); wait > 0 {
+		return wait
+	}
+	return exchangeInterval
+}
+
 // askRaise asks for a write before its time.
 func (h *Holder) askRaise() {
 	select {
@@ -260,6 +270,11 @@
 // back along with them.
 func (x *exchanger) request(parts []part) tsbudget.Request {
 	r := tsbudget.Request{VM: x.h.cfg.Self.Name, Incarnation: x.h.cfg.Self.Incarnation, Cursor: x.cursor}
+	x.h.mu.Lock()
+	for _, b := range x.h.budgets {
+		r.Urgent = r.Urgent || b.queue.Len() > 0
+	}
+	x.h.mu.Unlock()
 	for _, p := range parts {
 		r.Changes = append(r.Changes, p.change)
 	}
@@ -307,6 +322,7 @@
 		return reply, err
 	}
 	x.cursor = reply.Cursor
+	x.next = time.Now().Add(reply.Next)
 	x.learn(reply.Lease)
 	if self := r.Incarnation; reply.Standing != self && !r.Leave {
 		x.standing, x.previous = false, reply.Standing
@@ -329,6 +345,7 @@
 	h := x.h
 	ledgers := make(map[turmericshed.BudgetID]turmericshed.Item, len(reply.Ledgers))
 	if err == nil {
+		h.toldAt = time.Now()
 		x.lots = reply.Lots
 		for _, item := range reply.Ledgers {
 			ledgers[budgetOf(item)] = item
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -63,8 +63,10 @@
 	// asks for while a ledger has no room.
 	edgeReport = 2 * time.Second
 	// knownEmptyFor is the age to which a reading of a ledger without room
-	// stands in for another.
+	// stands in for another, and toldEmptyFor the same where the ledgers'
+	// writer tells of changes.
 	knownEmptyFor = 500 * time.Millisecond
+	toldEmptyFor  = 1200 * time.Millisecond
 	// finalRepayAttempts is how often a stopping holder reports to a lender
 	// that does not answer.
 	finalRepayAttempts = 8
@@ -132,8 +134,10 @@
 	// goneSince is when a lot's holder was first seen gone.
 	goneSince map[turmericshed.Incarnation]time.Time
 	fleet     fleet
-	// written is when the exchanger last wrote.
+	// written is when the exchanger last wrote, toldAt when the ledgers' writer
+	// last told which ledgers changed.
 	written time.Time
+	toldAt  time.Time
 }
 
 var _ turmericshed.Budgets = (*Holder)(nil)
@@ -289,6 +293,10 @@
 	if ctx.Err() != nil {
 		return nil, none, contextError(ctx)
 	}
+	if b.ledger.Read && b.ledger.Limit >= p.Prepaid && b.ledger.Unspent < n && h.cfg.Writer != nil {
+		// However old the reading, no more than that can be left.
+		return nil, none, tsbudget.Exhausted(p.Name, b.ledger.Unspent, n)
+	}
 	if b.storeErr != nil && p.Edge == turmericshed.PreferNoSurprise && h.core.Available(b.id) < n {
 		// The store is away. A round looks for it at times; this request is
 		// not kept waiting for that.
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -183,7 +183,11 @@
 // draw, so that it is not asked again: at all for a draw ahead of demand, and
 // for a while for one that requests wait for.
 func (h *Holder) knownEmptyLocked(now time.Time, b *budget, r tsbudget.DrawRequest, waiting bool) bool {
-	if b.item.Version == 0 || (waiting && now.Sub(b.ledger.At) > knownEmptyFor) {
+	trusted, at := knownEmptyFor, b.ledger.At
+	if h.toldAt.After(at) {
+		trusted, at = toldEmptyFor, h.toldAt
+	}
+	if b.item.Version == 0 || (waiting && now.Sub(at) > trusted) {
 		return false
 	}
 	_, err := tsbudget.Draw(r)(b.item)
