--- a/core/tsbudget/commit.go
+++ b/core/tsbudget/commit.go
@@ -24,6 +24,8 @@
 	Leave bool
 	// Urgent is true when callers wait for the outcome.
 	Urgent bool
+	// Count is true when ledgers should count at once what was used.
+	Count bool
 	// Cursor is that of the last reply, so that ledgers are told once.
 	Cursor Cursor
 }
@@ -62,17 +64,18 @@
 type Commit struct {
 	requests []Request
 	budgets  []turmericshed.BudgetID
+	local    []turmericshed.BudgetID
 	alive    func(l turmericshed.LeaseID) bool
 	decode   func(item turmericshed.Item) (Holding, error)
 	// current returns the holding's item that the attempt being made replaces.
 	current func() turmericshed.Item
 
-	// cur, lots and errs are of the attempt being made; errs are by request
+	// cur, shares and errs are of the attempt being made; errs are by request
 	// and budget.
 	cur Holding
 	// broken is why the holding can't be read.
 	broken error
-	lots   map[turmericshed.BudgetID][]Lot
+	shares map[turmericshed.BudgetID]share
 	errs   []map[turmericshed.BudgetID]error
 	next   Holding
 }
@@ -80,8 +83,10 @@
 // CommitConfig holds what a Commit needs.
 type CommitConfig struct {
 	Requests []Request
-	// Budgets are those of this transaction.
+	// Budgets are those whose ledgers this transaction writes, Local those that
+	// it changes within the domain's share, see Plan.
 	Budgets []turmericshed.BudgetID
+	Local   []turmericshed.BudgetID
 	// LeaseAlive reports whether a lease was seen alive after all requests
 	// with a Takeover had come.
 	LeaseAlive func(l turmericshed.LeaseID) bool
@@ -91,7 +96,7 @@
 
 // NewCommit prepares a transaction.
 func NewCommit(cfg CommitConfig) *Commit {
-	return &Commit{requests: cfg.Requests, budgets: cfg.Budgets, alive: cfg.LeaseAlive, decode: cfg.Decode}
+	return &Commit{requests: cfg.Requests, budgets: cfg.Budgets, local: cfg.Local, alive: cfg.LeaseAlive, decode: cfg.Decode}
 }
 
 // Changes returns the transaction's changes: the ledgers in the order of the
@@ -129,7 +134,7 @@
 func (c *Commit) begin() {
 	c.cur, c.broken = c.decode(c.current())
 	c.next = c.cur.clone()
-	c.lots = make(map[turmericshed.BudgetID][]Lot)
+	c.shares = make(map[turmericshed.BudgetID]share)
 	c.errs = make([]map[turmericshed.BudgetID]error, len(c.requests))
 	for i := range c.errs {
 		c.errs[i] = make(map[turmericshed.BudgetID]error)
@@ -155,26 +160,11 @@
 	if c.broken != nil {
 		return nil, c.broken
 	}
-	var changes []Change
-	var owners []int
-	for i, r := range c.requests {
-		if err := c.cur.Standing(r); err != nil {
-			c.errs[i][id] = err
-			continue
-		}
-		if ending, ok := c.cur.inherited(r, id, c.alive); ok {
-			changes, owners = append(changes, ending), append(owners, i)
-		}
-		for _, ch := range r.Changes {
-			if ch.Budget == id {
-				changes, owners = append(changes, ch), append(owners, i)
-			}
-		}
-	}
+	changes, owners := c.changesOf(id)
 	if len(changes) == 0 {
 		return nil, nil
 	}
-	value, after, errs, err := mergeChanges(cur, c.cur.Lots[id], changes)
+	value, after, errs, err := mergeChanges(cur, c.cur.share(id), changes)
 	for n, i := range owners {
 		if err != nil {
 			c.errs[i][id] = err
@@ -186,11 +176,60 @@
 		return nil, err
 	}
 	if value != nil {
-		c.lots[id] = after
+		c.shares[id] = after
 	}
 	return value, nil
 }
 
+// changesOf returns the changes of one budget, and whose each is. Requests of
+// processes that don't stand for their entry VMs get an error.
+func (c *Commit) changesOf(id turmericshed.BudgetID) (changes []Change, owners []int) {
+	for i, r := range c.requests {
+		if err := c.cur.Standing(r); err != nil {
+			c.errs[i][id] = err
+			continue
+		}
+		for _, ch := range c.cur.changesOf(r, id, c.alive) {
+			changes, owners = append(changes, ch), append(owners, i)
+		}
+	}
+	return changes, owners
+}
+
+// changesOf returns a request's changes of one budget.
+func (h Holding) changesOf(r Request, id turmericshed.BudgetID, alive func(turmericshed.LeaseID) bool) []Change {
+	var list []Change
+	if ending, ok := h.inherited(r, id, alive); ok {
+		list = append(list, ending)
+	}
+	for _, ch := range r.Changes {
+		if ch.Budget == id {
+			list = append(list, ch)
+		}
+	}
+	return list
+}
+
+func (h Holding) share(id turmericshed.BudgetID) share {
+	return share{lots: h.Lots[id], pool: h.Pools[id]}
+}
+
+// changeLocal makes the changes of one budget within the domain's share.
+func (c *Commit) changeLocal(id turmericshed.BudgetID) {
+	changes, owners := c.changesOf(id)
+	if len(changes) == 0 {
+		return
+	}
+	after, ok := mergeLocal(c.cur.share(id), changes)
+	if ok {
+		c.shares[id] = after
+		return
+	}
+	for _, i := range owners {
+		c.errs[i][id] = turmericshed.NewError(turmericshed.KindStoreUnavailable, "the pool of budget %s was used meanwhile", id)
+	}
+}
+
 // inherited returns the change that ends the lots of an earlier process of the
 // request's entry VM. Where its ceilings hold for certain, what is above them
 // goes back, else all of it counts as spent.
@@ -225,9 +264,12 @@
 	if c.broken != nil {
 		return nil, c.broken
 	}
-	changed := len(c.lots) > 0
-	for id, lots := range c.lots {
-		c.next.Lots[id] = lots
+	for _, id := range c.local {
+		c.changeLocal(id)
+	}
+	changed := len(c.shares) > 0
+	for id, s := range c.shares {
+		c.next.Lots[id], c.next.Pools[id] = s.lots, s.pool
 	}
 	for _, r := range c.requests {
 		if c.cur.Standing(r) == nil {
@@ -297,8 +339,10 @@
 	}
 }
 
-// BudgetsOf returns the budgets whose ledgers the requests change, in order.
-func BudgetsOf(h Holding, requests []Request) []turmericshed.BudgetID {
+// Plan returns the budgets that the requests change: those whose ledgers must
+// be written, and those that the domain's share is enough for, each in order.
+// due reports whether the ledger should count again what the domain used.
+func Plan(h Holding, requests []Request, due func(id turmericshed.BudgetID) bool) (ledgers, local []turmericshed.BudgetID) {
 	set := make(map[turmericshed.BudgetID]bool)
 	for _, r := range requests {
 		for _, ch := range r.Changes {
@@ -310,7 +354,28 @@
 			}
 		}
 	}
-	return sortedBudgets(set)
+	never := func(turmericshed.LeaseID) bool { return false }
+	for _, id := range sortedBudgets(set) {
+		var changes []Change
+		takesOver, counts := false, false
+		for _, r := range requests {
+			if h.Standing(r) != nil {
+				continue
+			}
+			own := h.changesOf(r, id, never)
+			changes = append(changes, own...)
+			takesOver = takesOver || (r.Takeover != nil && len(own) > 0)
+			counts = counts || (r.Count && len(own) > 0)
+		}
+		own, ok := mergeLocal(h.share(id), changes)
+		uncounted := own.pool.sum(own.lots).Used != own.pool.Counted.Used
+		if !ok || takesOver || (due(id) && uncounted) || (counts && (uncounted || own.pool.Used > 0)) {
+			ledgers = append(ledgers, id)
+		} else {
+			local = append(local, id)
+		}
+	}
+	return ledgers, local
 }
 
 // Reply is what a holder is told of its request.
@@ -330,6 +395,9 @@
 	Next time.Duration
 	// Lots are all of the process.
 	Lots map[turmericshed.BudgetID][]Lot
+	// Pools are what the domain can still give of budgets without their
+	// ledgers.
+	Pools map[turmericshed.BudgetID]turmericshed.Tokens
 	// Errs are why changes were not made.
 	Errs map[turmericshed.BudgetID]error
 }
--- a/core/tsbudget/holding.go
+++ b/core/tsbudget/holding.go
@@ -1,6 +1,7 @@
 package tsbudget
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"maps"
@@ -22,9 +23,14 @@
 // its predecessor by name, once; writes for any other process are refused from
 // then on, whenever they arrive.
 //
-// Example: prepaid 1000, two domains with a lot of 300 each. The ledger says
-// charge 600 elsewhere, room 400. A holder of the first domain draws 100 more:
-// charge 700 elsewhere in the ledger, two lots in its domain's holding.
+// The holding has a pool of each budget as well, which nobody may use: lots are
+// drawn from it and go back to it without a write of the ledger, which all
+// domains share. The ledger then counts what the domain used a little late.
+//
+// Example: prepaid 1000, two domains with a lot of 300 each and a pool of 50.
+// The ledger says charge 700 elsewhere, room 300. A holder of the first domain
+// draws 40 more, from the pool: the ledger stays as it is. The next one draws
+// 40: 30 are drawn from the ledger along with what fills the pool up.
 
 const (
 	// HoldingPrefix is followed by the failure domain's name.
@@ -105,14 +111,32 @@
 	VMs  map[string]HoldingVM
 	Lots map[turmericshed.BudgetID][]Lot
 	// Most is how far a lot may be used; nothing of a lot that is not listed.
-	Most map[turmericshed.LotID]turmericshed.Tokens
+	Most  map[turmericshed.LotID]turmericshed.Tokens
+	Pools map[turmericshed.BudgetID]Pool
+}
+
+// Pool is what a domain has of a budget beside its holders' lots.
+type Pool struct {
+	// Free was drawn from the ledger and is nobody's.
+	Free turmericshed.Tokens `json:"free,omitempty"`
+	// Used and Requests are of lots that ended, which the ledger counts as open.
+	Used     turmericshed.Tokens `json:"used,omitempty"`
+	Requests int64               `json:"requests,omitempty"`
+	// Counted is what the ledger counts for this holding.
+	Counted Elsewhere `json:"counted"`
+}
+
+// sum returns what the holding has of the budget.
+func (p Pool) sum(lots []Lot) Elsewhere {
+	return sumOf(lots).plus(Elsewhere{Charge: p.Free + p.Used, Used: p.Used, Requests: p.Requests})
 }
 
 // holdingDoc is the stored form: a lot is a short row, since there is one for
 // each entry VM and budget.
 type holdingDoc struct {
-	VMs  map[string]HoldingVM                   `json:"entry_vms"`
-	Lots map[turmericshed.BudgetID][]holdingRow `json:"lots"`
+	VMs   map[string]HoldingVM                   `json:"entry_vms"`
+	Lots  map[turmericshed.BudgetID][]holdingRow `json:"lots"`
+	Pools map[turmericshed.BudgetID]Pool         `json:"pools"`
 }
 
 type holdingRow struct {
@@ -132,6 +156,7 @@
 func DecodeHolding(item turmericshed.Item) (Holding, error) {
 	h := Holding{
 		VMs: make(map[string]HoldingVM), Lots: make(map[turmericshed.BudgetID][]Lot), Most: make(map[turmericshed.LotID]turmericshed.Tokens),
+		Pools: make(map[turmericshed.BudgetID]Pool),
 	}
 	if item.Version == 0 {
 		return h, nil
@@ -141,6 +166,7 @@
 		return h, turmericshed.WrapError(turmericshed.KindInternal, err, "holding %s", item.Key)
 	}
 	maps.Copy(h.VMs, doc.VMs)
+	maps.Copy(h.Pools, doc.Pools)
 	for id, rows := range doc.Lots {
 		lots := make([]Lot, 0, len(rows))
 		for _, r := range rows {
@@ -159,7 +185,7 @@
 
 // Encode returns the value to write. Budgets without lots are left out.
 func (h Holding) Encode() ([]byte, error) {
-	doc := holdingDoc{VMs: h.VMs, Lots: make(map[turmericshed.BudgetID][]holdingRow, len(h.Lots))}
+	doc := holdingDoc{VMs: h.VMs, Pools: h.Pools, Lots: make(map[turmericshed.BudgetID][]holdingRow, len(h.Lots))}
 	for id, lots := range h.Lots {
 		if len(lots) == 0 {
 			continue
@@ -181,7 +207,7 @@
 // clone returns a copy whose maps are its own; the lists of lots are shared
 // and never changed in place.
 func (h Holding) clone() Holding {
-	return Holding{VMs: maps.Clone(h.VMs), Lots: maps.Clone(h.Lots), Most: maps.Clone(h.Most)}
+	return Holding{VMs: maps.Clone(h.VMs), Lots: maps.Clone(h.Lots), Most: maps.Clone(h.Most), Pools: maps.Clone(h.Pools)}
 }
 
 // Of returns the lots of one process, by budget.
@@ -256,46 +282,132 @@
 	return drawn, err
 }
 
-// mergeChanges makes several holders' changes of one ledger, in their order. lots are
-// the holding's lots of the budget. It returns the ledger's value, nil when
-// nothing changes, the lots after it, and an error for each change. Errors:
-// KindNotFound without a ledger, KindInternal when ledger and holding don't fit
-// together.
-func mergeChanges(cur turmericshed.Item, lots []Lot, changes []Change) (value []byte, after []Lot, errs []error, err error) {
+// share is a domain's part of a budget: its lots and its pool.
+type share struct {
+	lots []Lot
+	pool Pool
+}
+
+// mergeChanges makes several holders' changes of one ledger, in their order,
+// and fills the domain's pool. It returns the ledger's value, the share after
+// it, and an error for each change. Errors: KindNotFound without a ledger,
+// KindInternal when ledger and holding don't fit together.
+func mergeChanges(cur turmericshed.Item, own share, changes []Change) (value []byte, after share, errs []error, err error) {
 	var prev *Ledger
 	var next Ledger
 	if cur.Version != 0 {
 		was, err := Decode(cur)
 		if err != nil {
-			return nil, lots, nil, err
-		}
-		if rest := was.Elsewhere.minus(sumOf(lots)); !rest.valid() {
-			// One of them is older than the other.
-			return nil, lots, nil, turmericshed.NewError(turmericshed.KindInternal, "ledger %s does not count what a holding has: %+v are left for the others",
-				was.Budget, rest)
+			return nil, own, nil, err
 		}
-		prev, next = &was, was.Join(lots)
+		prev, next = &was, was.clone()
 	} else {
 		i := slices.IndexFunc(changes, func(c Change) bool { return c.Prepaid > 0 })
-		if i < 0 || len(lots) > 0 {
-			return nil, lots, nil, turmericshed.NewError(turmericshed.KindNotFound, "no ledger under %s, %d lots", cur.Key, len(lots))
+		if i < 0 || len(own.lots) > 0 {
+			return nil, own, nil, turmericshed.NewError(turmericshed.KindNotFound, "no ledger under %s, %d lots", cur.Key, len(own.lots))
 		}
 		next = Ledger{Budget: changes[i].Budget, Profile: changes[i].Profile}
 	}
-	changed := false
+	rest := next.Elsewhere.minus(own.pool.Counted)
+	if !rest.valid() || own.pool.sum(own.lots).Charge != own.pool.Counted.Charge {
+		// One of them is older than the other.
+		return nil, own, nil, turmericshed.NewError(turmericshed.KindInternal, "ledger %s does not count what a holding has: %+v are left for the others",
+			next.Budget, rest)
+	}
+	pool := own.pool
+	next.charge(Lot{Drawn: pool.Used, Used: pool.Used, Requests: pool.Requests})
+	// What is free counts as room while the changes are made.
+	next.Elsewhere, next.Lots = rest, slices.Clone(own.lots)
 	errs = make([]error, len(changes))
 	for i, c := range changes {
-		var did bool
-		did, errs[i] = c.apply(&next)
-		changed = changed || did
-	}
-	if !changed {
-		return nil, lots, errs, nil
+		_, errs[i] = c.apply(&next)
 	}
-	after = slices.Clone(next.Lots)
-	next.Elsewhere, next.Lots = next.Elsewhere.plus(sumOf(next.Lots)), nil
+	lots := next.Lots
+	pool = Pool{Free: poolTarget(next.Room(), sumOf(lots).Rate, rest.Rate)}
+	pool.Counted = pool.sum(lots)
+	next.Elsewhere, next.Lots = rest.plus(pool.Counted), nil
 	value, err = seal(prev, &next)
-	return value, after, errs, err
+	if bytes.Equal(value, cur.Value) {
+		value = nil
+	}
+	return value, share{lots: lots, pool: pool}, errs, err
+}
+
+const (
+	// poolSpan is the demand of the domain that its pool should cover, and
+	// poolPart bounds it to a part of the domain's fair share of the room.
+	poolSpan = 4 * time.Second
+	poolPart = 0.4
+)
+
+// poolTarget returns what a domain's pool should have of the room. mine and
+// others are rates of demand in tokens per second.
+func poolTarget(room turmericshed.Tokens, mine, others int64) turmericshed.Tokens {
+	if mine <= 0 || room <= 0 {
+		return 0
+	}
+	fair := poolPart * float64(room) * float64(mine) / float64(mine+max(others, 0))
+	return turmericshed.Tokens(min(float64(mine)*poolSpan.Seconds(), fair))
+}
+
+// mergeLocal makes changes within the domain's share. It reports false when one
+// of them needs the ledger.
+func mergeLocal(own share, changes []Change) (share, bool) {
+	lots, pool := slices.Clone(own.lots), own.pool
+	for _, c := range changes {
+		if c.Prepaid > 0 || !c.local(&lots, &pool) {
+			return own, false
+		}
+	}
+	turmericshed.Assert(pool.sum(lots).Charge == own.pool.sum(own.lots).Charge, "pool_conserved", "pool %+v after %+v", pool, own.pool)
+	return share{lots: lots, pool: pool}, true
+}
+
+// local makes the change within the domain's share, if it can be.
+func (c Change) local(lots *[]Lot, pool *Pool) bool {
+	for _, r := range c.Reports {
+		if !settleLocal(lots, pool, r) {
+			return false
+		}
+	}
+	if i := index(*lots, c.Withdraw); c.Withdraw != "" && i >= 0 {
+		pool.Free += (*lots)[i].Charge()
+		*lots = slices.Delete(*lots, i, i+1)
+	}
+	if c.Draw == nil || index(*lots, c.Draw.Lot) >= 0 {
+		return true
+	}
+	n := max(c.Draw.Want, c.Draw.Min, 1)
+	if pool.Free < n {
+		return false
+	}
+	pool.Free -= n
+	*lots = append(*lots, Lot{ID: c.Draw.Lot, Holder: c.Draw.Holder, Drawn: n, Rate: int64(c.Draw.Rate), At: c.Draw.At.UTC()})
+	return true
+}
+
+// settleLocal takes a report into a lot of the domain. What goes back goes to
+// the pool. A lot that ends with something forfeited needs the ledger.
+func settleLocal(lots *[]Lot, pool *Pool, r Report) bool {
+	i := index(*lots, r.Lot)
+	if i < 0 {
+		return true
+	}
+	lot := (*lots)[i]
+	before := lot.Charge()
+	merge(&lot, r)
+	pool.Free += before - lot.Charge()
+	if !r.Final {
+		(*lots)[i] = lot
+		return true
+	}
+	if lot.Charge() != lot.Used {
+		return false
+	}
+	pool.Used += lot.Used
+	pool.Requests += lot.Requests
+	*lots = slices.Delete(*lots, i, i+1)
+	return true
 }
 
 // sortedBudgets returns the budgets in order.
--- a/core/tsbudget/mutation.go
+++ b/core/tsbudget/mutation.go
@@ -152,7 +152,7 @@
 		lot := l.Lots[i]
 		l.Lots = append(l.Lots[:i], l.Lots[i+1:]...)
 		split(l, &lot, r.Split)
-		charge(l, lot)
+		l.charge(lot)
 		return true
 	}
 	if i := index(l.Closed, r.Lot); i >= 0 {
@@ -164,7 +164,7 @@
 			l.Closed = append(l.Closed[:i], l.Closed[i+1:]...)
 			split(l, &lot, r.Split)
 		}
-		charge(l, lot)
+		l.charge(lot)
 		return changed || r.Final
 	}
 	return false
@@ -196,7 +196,7 @@
 }
 
 // charge books a lot that is no longer open as spent.
-func charge(l *Ledger, lot Lot) {
+func (l *Ledger) charge(lot Lot) {
 	l.Spent += lot.Charge()
 	l.Billed += lot.Used
 	l.Forfeited += lot.Charge() - lot.Used
@@ -225,7 +225,7 @@
 			lot := l.Lots[i]
 			l.Lots = append(l.Lots[:i], l.Lots[i+1:]...)
 			l.Closed = append(l.Closed, lot)
-			charge(l, lot)
+			l.charge(lot)
 			changed = true
 		}
 		return changed, nil
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strings"
 	"time"
 
@@ -54,6 +55,9 @@
 	refreshTimeout  = 200 * time.Millisecond
 	// refreshPage is the most ledgers, or leases, read in one call.
 	refreshPage = 500
+	// countInterval is the time after which a ledger that is drawn on within
+	// the domain counts again what was used.
+	countInterval = 2 * time.Second
 	// maxQueue bounds the requests that wait for a round.
 	maxQueue = 1024
 	// sharedKeys are the keys of a transaction that are not ledgers: the
@@ -119,6 +123,8 @@
 type noted struct {
 	turmericshed.Item
 	at uint64
+	// wrote is when this process last wrote it.
+	wrote time.Time
 }
 
 var _ tsbudget.LedgerWriter = (*Committer)(nil)
@@ -265,15 +271,16 @@
 	for _, p := range list {
 		requests = append(requests, p.Request)
 	}
-	budgets := tsbudget.BudgetsOf(c.decoded, requests)
-	if len(budgets) > 0 {
+	ledgers, local := tsbudget.Plan(c.decoded, requests, c.due)
+	if len(ledgers) > 0 {
 		c.refresh(ctx, writeRefreshAge)
 	} else {
 		c.refresh(ctx, refreshAge)
 	}
-	for first := true; first || len(budgets) > 0; first = false {
-		n := min(len(budgets), c.size)
-		err := c.transact(ctx, list, requests, budgets[:n], alive)
+	for first := true; first || len(ledgers) > 0; first = false {
+		n := min(len(ledgers), c.size)
+		t := transaction{list: list, requests: requests, ledgers: ledgers[:n], local: local, alive: alive}
+		err := c.transact(ctx, t)
 		if crowded(err) && n > 1 {
 			c.size = n / 2
 			continue
@@ -281,19 +288,38 @@
 		if err != nil && first {
 			return err
 		}
-		for _, p := range list {
-			for _, id := range budgets[:n] {
-				if err != nil {
-					p.errs[id] = err
-				}
-			}
+		if err != nil {
+			t.fail(err)
 		}
-		budgets = budgets[n:]
+		ledgers, local = ledgers[n:], nil
 		c.size = min(c.size+1, c.cfg.Store.MaxKeys()-sharedKeys)
 	}
 	return nil
 }
 
+// due reports whether a ledger has not been written for a while.
+func (c *Committer) due(id turmericshed.BudgetID) bool {
+	return time.Since(c.ledgers[id].wrote) >= countInterval
+}
+
+// transaction is what one transaction makes of the requests.
+type transaction struct {
+	list     []*pending
+	requests []tsbudget.Request
+	ledgers  []turmericshed.BudgetID
+	local    []turmericshed.BudgetID
+	alive    func(turmericshed.LeaseID) bool
+}
+
+// fail tells the requests that a transaction after the first one was not made.
+func (t transaction) fail(err error) {
+	for _, p := range t.list {
+		for _, id := range t.ledgers {
+			p.errs[id] = err
+		}
+	}
+}
+
 // leases returns which leases are alive, if a request takes an entry VM over.
 func (c *Committer) leases(ctx context.Context, list []*pending) (func(turmericshed.LeaseID) bool, error) {
 	alive := make(map[turmericshed.LeaseID]bool)
@@ -369,8 +395,10 @@
 }
 
 // transact makes one transaction.
-func (c *Committer) transact(ctx context.Context, list []*pending, requests []tsbudget.Request, budgets []turmericshed.BudgetID, alive func(turmericshed.LeaseID) bool) error {
-	commit := tsbudget.NewCommit(tsbudget.CommitConfig{Requests: requests, Budgets: budgets, LeaseAlive: alive, Decode: c.decode})
+func (c *Committer) transact(ctx context.Context, t transaction) error {
+	commit := tsbudget.NewCommit(tsbudget.CommitConfig{
+		Requests: t.requests, Budgets: t.ledgers, Local: t.local, LeaseAlive: t.alive, Decode: c.decode,
+	})
 	changes := commit.Changes(c.cached, c.holding)
 	if c.lease.id != "" && !c.marked {
 		changes = append(changes, tsupdate.Change{
@@ -384,24 +412,24 @@
 	}
 	batch := tsupdate.NewBatch(changes)
 	commit.Run(batch)
-	err := tsupdate.RunBatch(ctx, newPaced(c.cfg.Store, len(budgets)), batch)
+	err := tsupdate.RunBatch(ctx, newPaced(c.cfg.Store, len(t.ledgers)), batch)
 	if turmericshed.KindOf(err) == turmericshed.KindNotFound {
 		c.lease, c.marked = lease{}, false
 		err = turmericshed.WrapError(turmericshed.KindStoreUnavailable, err, "ledgers")
 	}
-	c.keep(batch, budgets, commit, err)
+	c.keep(batch, t.ledgers, commit, err)
 	if err != nil {
 		return err
 	}
 	c.marked = c.lease.id != ""
-	for i, p := range list {
-		for _, id := range budgets {
+	for i, p := range t.list {
+		for _, id := range slices.Concat(t.ledgers, t.local) {
 			if err := commit.Err(i, id); err != nil {
 				p.errs[id] = err
 			}
 		}
 	}
-	_, err = batch.Result(len(budgets))
+	_, err = batch.Result(len(t.ledgers))
 	return err
 }
 
@@ -422,13 +450,18 @@
 	}
 	for i, id := range budgets {
 		c.note(id, batch.Current(i))
+		if wrote {
+			n := c.ledgers[id]
+			n.wrote = time.Now()
+			c.ledgers[id] = n
+		}
 	}
 }
 
 func (c *Committer) note(id turmericshed.BudgetID, item turmericshed.Item) {
 	if item.Version > c.ledgers[id].Version {
 		c.notes++
-		c.ledgers[id] = noted{Item: item, at: c.notes}
+		c.ledgers[id] = noted{Item: item, at: c.notes, wrote: c.ledgers[id].wrote}
 	}
 }
 
@@ -472,6 +505,12 @@
 			r.Ledgers = append(r.Ledgers, n.Item)
 		}
 	}
+	r.Pools = make(map[turmericshed.BudgetID]turmericshed.Tokens)
+	for id, pool := range c.decoded.Pools {
+		if pool.Free > 0 {
+			r.Pools[id] = pool.Free
+		}
+	}
 	r.Cursor = tsbudget.Cursor{Writer: c.self, At: c.notes}
 	return r
 }
--- a/io/tscommit/service.go
+++ b/io/tscommit/service.go
@@ -50,7 +50,7 @@
 
 func encodeRequest(r tsbudget.Request) *tspeerapi.WriteLedgersRequest {
 	m := &tspeerapi.WriteLedgersRequest{
-		EntryVm: r.VM, Incarnation: string(r.Incarnation), Leave: r.Leave, Urgent: r.Urgent,
+		EntryVm: r.VM, Incarnation: string(r.Incarnation), Leave: r.Leave, Urgent: r.Urgent, Count: r.Count,
 		Cursor: &tspeerapi.LedgerCursor{Writer: string(r.Cursor.Writer), At: r.Cursor.At},
 	}
 	for _, ch := range r.Changes {
@@ -85,7 +85,7 @@
 
 func requestOf(m *tspeerapi.WriteLedgersRequest) tsbudget.Request {
 	r := tsbudget.Request{
-		VM: m.EntryVm, Incarnation: turmericshed.Incarnation(m.Incarnation), Leave: m.Leave, Urgent: m.Urgent,
+		VM: m.EntryVm, Incarnation: turmericshed.Incarnation(m.Incarnation), Leave: m.Leave, Urgent: m.Urgent, Count: m.Count,
 		Cursor: tsbudget.Cursor{Writer: turmericshed.Incarnation(m.GetCursor().GetWriter()), At: m.GetCursor().GetAt()},
 	}
 	for _, ch := range m.Changes {
@@ -140,6 +140,9 @@
 			})
 		}
 	}
+	for id, free := range r.Pools {
+		m.Pools = append(m.Pools, &tspeerapi.LedgerPool{Budget: string(id), Free: int64(free)})
+	}
 	for id, err := range r.Errs {
 		m.Errors = append(m.Errors, &tspeerapi.LedgerError{Budget: string(id), Kind: turmericshed.KindOf(err).String(), Message: err.Error()})
 	}
@@ -151,6 +154,7 @@
 		Standing: turmericshed.Incarnation(m.Standing), Lease: turmericshed.LeaseID(m.Lease), Declared: m.Declared,
 		Next: time.Duration(m.NextMs) * time.Millisecond,
 		Lots: make(map[turmericshed.BudgetID][]tsbudget.Lot), Errs: make(map[turmericshed.BudgetID]error),
+		Pools:  make(map[turmericshed.BudgetID]turmericshed.Tokens),
 		Cursor: tsbudget.Cursor{Writer: turmericshed.Incarnation(m.GetCursor().GetWriter()), At: m.GetCursor().GetAt()},
 	}
 	for _, i := range m.Ledgers {
@@ -163,6 +167,9 @@
 			Used: turmericshed.Tokens(l.Used), Requests: l.Requests, Rate: l.Rate, At: fromMillis(l.AtMs),
 		})
 	}
+	for _, p := range m.Pools {
+		r.Pools[turmericshed.BudgetID(p.Budget)] = turmericshed.Tokens(p.Free)
+	}
 	for _, e := range m.Errors {
 		r.Errs[turmericshed.BudgetID(e.Budget)] = turmericshed.NewError(turmericshed.ParseKind(e.Kind), "%s", e.Message)
 	}
--- a/io/tsholder/drain.go
+++ b/io/tsholder/drain.go
@@ -42,7 +42,9 @@
 	if err := x.stand(ctx); err != nil {
 		return false, err
 	}
-	reply, err := x.send(ctx, x.request(parts))
+	r := x.request(parts)
+	r.Count = true
+	reply, err := x.send(ctx, r)
 	x.h.mu.Lock()
 	defer x.h.mu.Unlock()
 	x.takeLocked(parts, reply, err)
@@ -93,7 +95,8 @@
 	return parts, busy
 }
 
-// leave takes the entry VM out of the holding, when no lot is left.
+// leave takes the entry VM out of the holding, when no lot is left, and lets the
+// ledgers count what it used.
 func (x *exchanger) leave(ctx context.Context) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -101,7 +104,12 @@
 		return nil
 	}
 	r := x.request(nil)
-	r.Leave = true
+	r.Leave, r.Count = true, true
+	x.h.mu.Lock()
+	for id := range x.h.budgets {
+		r.Changes = append(r.Changes, tsbudget.Change{Budget: id})
+	}
+	x.h.mu.Unlock()
 	_, err := x.send(ctx, r)
 	return err
 }
--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -22,10 +22,10 @@
 	// ceilingsDue is the part of an interval from which the ceilings are
 	// written again.
 	ceilingsDue = 0.5
-	// ceilingSpan is the demand that the ceilings allow for, in intervals:
-	// twice a declaration's age. What comes beyond asks for a write, and in a
-	// cut waits for the lease's end; a longer span costs more at a crash.
-	ceilingSpan = 2
+	// ceilingSpan is the demand that the ceilings allow for, in intervals: most
+	// of a lease's length. What comes beyond asks for a write, and in a cut
+	// waits for the lease's end; a longer span costs more at a crash.
+	ceilingSpan = 3
 	// leaseMargin allows for clocks that don't run quite evenly.
 	leaseMargin = 100 * time.Millisecond
 )
@@ -55,8 +55,10 @@
 	// that was given up was carried out late.
 	strays map[turmericshed.BudgetID][]tsbudget.Lot
 
-	// lots are those of the holding, under the holder's mutex.
-	lots map[turmericshed.BudgetID][]tsbudget.Lot
+	// lots are those of the holding, and pools what the domain can give of
+	// budgets without their ledgers, under the holder's mutex.
+	lots  map[turmericshed.BudgetID][]tsbudget.Lot
+	pools map[turmericshed.BudgetID]turmericshed.Tokens
 }
 
 func newExchanger(h *Holder) *exchanger { return &exchanger{h: h} }
@@ -346,7 +348,7 @@
 	ledgers := make(map[turmericshed.BudgetID]turmericshed.Item, len(reply.Ledgers))
 	if err == nil {
 		h.toldAt = time.Now()
-		x.lots = reply.Lots
+		x.lots, x.pools = reply.Lots, reply.Pools
 		for _, item := range reply.Ledgers {
 			ledgers[budgetOf(item)] = item
 		}
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -392,6 +392,7 @@
 	v.Waiting += b.wanted
 	v.Needed = max(v.Needed, b.wanted)
 	v.Ledger, v.Starved = b.ledger, b.starved
+	v.Ledger.Room = h.roomLocked(b)
 	if h.cfg.Writer != nil && !b.ledger.Read {
 		// A first draw need not wait for a reading of the ledger: the writer
 		// bounds it to a share of the room.
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -179,6 +179,12 @@
 	return p
 }
 
+// roomLocked returns what can be drawn of a budget: what its ledger has, and the
+// failure domain's pool.
+func (h *Holder) roomLocked(b *budget) turmericshed.Tokens {
+	return b.ledger.Room + h.exchanger.pools[b.id]
+}
+
 // knownEmptyLocked reports whether the ledger as last read has no room for a
 // draw, so that it is not asked again: at all for a draw ahead of demand, and
 // for a while for one that requests wait for.
@@ -190,8 +196,7 @@
 	if b.item.Version == 0 || (waiting && now.Sub(at) > trusted) {
 		return false
 	}
-	_, err := tsbudget.Draw(r)(b.item)
-	if turmericshed.KindOf(err) != turmericshed.KindBudgetExhausted {
+	if h.roomLocked(b) >= max(r.Min, 1) {
 		return false
 	}
 	b.nextDraw = now.Add(exhaustedPause)
