--- a/core/tsbudget/holding.go
+++ b/core/tsbudget/holding.go
@@ -117,8 +117,10 @@
 
 // Pool is what a domain has of a budget beside its holders' lots.
 type Pool struct {
-	// Free was drawn from the ledger and is nobody's.
-	Free turmericshed.Tokens `json:"free,omitempty"`
+	// Free was drawn from the ledger and is nobody's, Target what it was when
+	// the ledger was last written.
+	Free   turmericshed.Tokens `json:"free,omitempty"`
+	Target turmericshed.Tokens `json:"target,omitempty"`
 	// Used and Requests are of lots that ended, which the ledger counts as open.
 	Used     turmericshed.Tokens `json:"used,omitempty"`
 	Requests int64               `json:"requests,omitempty"`
@@ -323,7 +325,8 @@
 		_, errs[i] = c.apply(&next)
 	}
 	lots := next.Lots
-	pool = Pool{Free: poolTarget(next.Room(), sumOf(lots).Rate, rest.Rate)}
+	target := poolTarget(next.Room(), sumOf(lots).Rate, rest.Rate)
+	pool = Pool{Free: target, Target: target}
 	pool.Counted = pool.sum(lots)
 	next.Elsewhere, next.Lots = rest.plus(pool.Counted), nil
 	value, err = seal(prev, &next)
@@ -337,7 +340,9 @@
 	// poolSpan is the demand of the domain that its pool should cover, and
 	// poolPart bounds it to a part of the domain's fair share of the room.
 	poolSpan = 4 * time.Second
-	poolPart = 0.4
+	poolPart = 0.25
+	// poolOverflow is the multiple of its target above which a pool goes back.
+	poolOverflow = 2
 )
 
 // poolTarget returns what a domain's pool should have of the room. mine and
@@ -360,6 +365,10 @@
 		}
 	}
 	turmericshed.Assert(pool.sum(lots).Charge == own.pool.sum(own.lots).Charge, "pool_conserved", "pool %+v after %+v", pool, own.pool)
+	// What goes back to a full pool is for all domains.
+	if pool.Free > own.pool.Free && pool.Free > poolOverflow*pool.Target {
+		return own, false
+	}
 	return share{lots: lots, pool: pool}, true
 }
 
