News: one entry VM of a failure domain watches the store, the others hear from it

Longer waits were ruled out earlier (a watch may go deaf). Also: the order of entry VMs and the memory of who failed are shared by both (core/tspreference).

--- a/codec.go
+++ b/codec.go
@@ -26,8 +26,15 @@
 // SnapshotStore is a Store that can be mirrored.
 type SnapshotStore interface {
 	Store
+	Source
+}
+
+// Source is what a mirror follows.
+type Source interface {
 	// Snapshot returns every item with the prefix, and the version from which
 	// a watch continues. Changes made meanwhile may or may not be included;
 	// the watch tells them again.
 	Snapshot(ctx context.Context, prefix string) ([]Item, Version, error)
+	// Watch delivers changes under prefix with versions above after.
+	Watch(ctx context.Context, prefix string, after Version) (Watcher, error)
 }
--- /dev/null
+++ b/core/tspreference/picker.go
@@ -0,0 +1,57 @@
+package tspreference
+
+import (
+	"time"
+
+	"turmericshed"
+)
+
+// Picker chooses among the entry VMs of a failure domain, and passes over those
+// that did not answer lately. It is not safe for concurrent use.
+type Picker struct {
+	// Avoid is how long an entry VM is passed over.
+	Avoid time.Duration
+
+	failed map[string]time.Time
+}
+
+// Failed notes that an entry VM did not answer.
+func (p *Picker) Failed(now time.Time, vm turmericshed.EntryVM) {
+	if p.failed == nil {
+		p.failed = make(map[string]time.Time)
+	}
+	p.failed[vm.Name] = now
+}
+
+// Answered notes that an entry VM answered.
+func (p *Picker) Answered(vm turmericshed.EntryVM) { delete(p.failed, vm.Name) }
+
+// Order returns up to n entry VMs of self's domain in the order in which to ask
+// them. It ends at self, who need not ask others then. Where all before self are
+// passed over, the one that failed longest ago comes first, since a cut may be
+// over.
+func (p *Picker) Order(now time.Time, self turmericshed.EntryVM, others []turmericshed.EntryVM, n int) []turmericshed.EntryVM {
+	var list []turmericshed.EntryVM
+	var oldest *turmericshed.EntryVM
+	for _, vm := range Rank(append(others, self), self.FailureDomain) {
+		if len(list) == n {
+			break
+		}
+		if vm.Name == self.Name {
+			list = append(list, vm)
+			break
+		}
+		at, ok := p.failed[vm.Name]
+		if !ok || now.Sub(at) >= p.Avoid {
+			list = append(list, vm)
+			continue
+		}
+		if oldest == nil || at.Before(p.failed[oldest.Name]) {
+			oldest = &vm
+		}
+	}
+	if oldest != nil && (len(list) == 0 || list[0].Name == self.Name) {
+		list = append([]turmericshed.EntryVM{*oldest}, list...)
+	}
+	return list
+}
--- /dev/null
+++ b/core/tspreference/picker_test.go
@@ -0,0 +1,63 @@
+package tspreference_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tspreference"
+)
+
+func vm(name string, capacity float64) turmericshed.EntryVM {
+	return turmericshed.EntryVM{Name: name, FailureDomain: "east", Capacity: capacity}
+}
+
+func names(list []turmericshed.EntryVM) (s string) {
+	for _, vm := range list {
+		s += vm.Name
+	}
+	return s
+}
+
+func TestRank(t *testing.T) {
+	list := []turmericshed.EntryVM{vm("a", 0.2), vm("b", 0.2), vm("c", 0.8), vm("d", 0.2), {Name: "w", FailureDomain: "west", Capacity: 9}}
+	ranked := tspreference.Rank(list, "east")
+	t.Run("those with room come first, and only the domain's own", func(t *testing.T) {
+		assert.Equal(t, len(ranked), 4)
+		assert.Equal(t, ranked[0].Name, "c")
+	})
+	t.Run("the order does not depend on who lists them", func(t *testing.T) {
+		list[0], list[3] = list[3], list[0]
+		assert.Equal(t, names(tspreference.Rank(list, "east")), names(ranked))
+	})
+}
+
+func TestPicker(t *testing.T) {
+	now := time.Now()
+	// The order is c, b, a.
+	self, others := vm("a", 1), []turmericshed.EntryVM{vm("b", 2), vm("c", 3)}
+	pick := func(p *tspreference.Picker, after time.Duration) string {
+		return names(p.Order(now.Add(after), self, others, 3))
+	}
+	t.Run("by rank, up to self", func(t *testing.T) {
+		p := &tspreference.Picker{Avoid: time.Second}
+		assert.Equal(t, pick(p, 0), "cba")
+		assert.Equal(t, names(p.Order(now, vm("c", 3), []turmericshed.EntryVM{self, others[0]}, 3)), "c")
+	})
+	t.Run("one that failed is passed over for a time", func(t *testing.T) {
+		p := &tspreference.Picker{Avoid: time.Second}
+		p.Failed(now, others[1])
+		assert.Equal(t, pick(p, 500*time.Millisecond), "ba")
+		assert.Equal(t, pick(p, time.Second), "cba")
+		p.Answered(others[1])
+		assert.Equal(t, pick(p, 500*time.Millisecond), "cba")
+	})
+	t.Run("when all failed the one that did so first is tried", func(t *testing.T) {
+		p := &tspreference.Picker{Avoid: time.Second}
+		p.Failed(now, others[0])
+		p.Failed(now.Add(100*time.Millisecond), others[1])
+		assert.Equal(t, pick(p, 500*time.Millisecond), "ba")
+	})
+}
--- a/io/tscommit/client.go
+++ b/io/tscommit/client.go
@@ -40,25 +40,25 @@
 type Client struct {
 	cfg ClientConfig
 
-	mu sync.Mutex
-	// failed is when a peer last did not answer.
-	failed map[string]time.Time
-	writer turmericshed.Incarnation
+	mu     sync.Mutex
+	picker tspreference.Picker
+	// writer is the peer that answered last.
+	writer string
 }
 
 var _ tsbudget.LedgerWriter = (*Client)(nil)
 
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, failed: make(map[string]time.Time)}
+	return &Client{cfg: cfg, picker: tspreference.Picker{Avoid: avoidAfter}}
 }
 
 // Commit makes the request's changes, at the first entry VM that answers.
 func (c *Client) Commit(ctx context.Context, r tsbudget.Request) (tsbudget.Reply, error) {
 	self := c.cfg.Members.Self()
 	unknown := false
-	for n, vm := range c.order(time.Now()) {
-		if vm.Incarnation == self.Incarnation || n >= maxPeers {
+	for _, vm := range c.order(time.Now()) {
+		if vm.Name == self.Name {
 			break
 		}
 		reply, err := c.ask(ctx, vm, r)
@@ -79,33 +79,12 @@
 	return reply, err
 }
 
-// order returns the entry VMs to ask: the preferred ones that are not passed
-// over, and at last the one that failed longest ago.
+// order returns the entry VMs to ask.
 func (c *Client) order(now time.Time) []turmericshed.EntryVM {
-	self := c.cfg.Members.Self()
-	ranked := tspreference.Rank(append(c.cfg.Members.Reachable(), self), self.FailureDomain)
+	others := c.cfg.Members.Reachable()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list, avoided []turmericshed.EntryVM
-	for _, vm := range ranked {
-		if at, ok := c.failed[vm.Name]; ok && now.Sub(at) < avoidAfter {
-			avoided = append(avoided, vm)
-			continue
-		}
-		list = append(list, vm)
-		if len(list) == maxPeers {
-			return list
-		}
-	}
-	for _, vm := range avoided {
-		if c.failed[vm.Name].Before(c.failed[avoided[0].Name]) {
-			avoided[0] = vm
-		}
-	}
-	if len(list) == 0 || (len(list) == 1 && list[0].Incarnation == self.Incarnation && len(avoided) > 0) {
-		return append(avoided[:1], list...)
-	}
-	return list
+	return c.picker.Order(now, c.cfg.Members.Self(), others, maxPeers)
 }
 
 // ask calls one peer.
@@ -125,13 +104,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
-		c.failed[vm.Name] = time.Now()
+		c.picker.Failed(time.Now(), vm)
 		c.cfg.Log.Info("entry VM does not write the ledgers", "entry_vm", vm.Name, "addr", vm.PeerAddr.String(), "error", err.Error())
 		return
 	}
-	delete(c.failed, vm.Name)
-	if c.writer != vm.Incarnation {
-		c.writer = vm.Incarnation
+	c.picker.Answered(vm)
+	if c.writer != vm.Name {
+		c.writer = vm.Name
 		c.cfg.Log.Info("entry VM writes the ledgers", "entry_vm", vm.Name, "addr", vm.PeerAddr.String())
 	}
 }
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -29,6 +29,7 @@
 	"turmericshed/io/tscommit"
 	"turmericshed/io/tsholder"
 	"turmericshed/io/tsmirror"
+	"turmericshed/io/tsnews"
 	"turmericshed/io/tsobserve"
 	"turmericshed/io/tspeer"
 	"turmericshed/io/tsregistry"
@@ -140,14 +141,16 @@
 		}),
 	})
 	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Homes: prefixHomes, Board: g.board, Recorder: events})
+	news := tsnews.New(tsnews.Config{Members: g.registry, Store: store, Peers: transport, Log: tsobserve.Part(g.log, "news")})
+	g.peers.Mount(news.Handler())
 	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: cfg.Dial})
 	g.tables = tsmirror.New(tsmirror.Config{
-		Store: store, Prefix: platform.TableKey, Log: tsobserve.Part(g.log, "table"),
+		Store: news, Prefix: platform.TableKey, Log: tsobserve.Part(g.log, "table"),
 		View: &tableView{log: tsobserve.Part(g.log, "table"), apply: g.applyTable},
 	})
 	g.roster = newServerView(tsobserve.Part(g.log, "servers"), g.board)
 	g.servers = tsmirror.New(tsmirror.Config{
-		Store: store, Prefix: platform.ServerPrefix, Log: tsobserve.Part(g.log, "servers"), View: g.roster,
+		Store: news, Prefix: platform.ServerPrefix, Log: tsobserve.Part(g.log, "servers"), View: g.roster,
 	})
 	g.relay = tsrelay.New(tsrelay.Config{
 		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Metrics: g.metrics,
--- a/io/tsmirror/mirror.go
+++ b/io/tsmirror/mirror.go
@@ -37,7 +37,7 @@
 
 // Config holds what a Mirror needs.
 type Config struct {
-	Store  turmericshed.SnapshotStore
+	Store  turmericshed.Source
 	Prefix string
 	View   View
 	Log    *slog.Logger
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	m.note()
+	m.note(0)
 	m.cfg.Log.Info("store read", "prefix", m.cfg.Prefix, "items", len(items), "version", uint64(at), "after_outage", !*reached)
 	*reached = true
 	m.cfg.View.Reset(items)
@@ -104,7 +104,7 @@
 		if err != nil {
 			return err
 		}
-		m.note()
+		m.note(ev.Age)
 		switch {
 		case ev.Reset:
 			m.cfg.Log.Warn("store dropped its history", "prefix", m.cfg.Prefix)
@@ -115,4 +115,7 @@
 	}
 }
 
-func (m *Mirror) note() { m.heard.Store(int64(time.Since(m.start))) }
+// note keeps when the store last answered, by what was told age ago.
+func (m *Mirror) note(age time.Duration) {
+	m.heard.Store(max(m.heard.Load(), int64(time.Since(m.start)-age)))
+}
--- a/platform.go
+++ b/platform.go
@@ -32,11 +32,13 @@
 
 // WatchEvent is a change of a key. A gap in the stream is told by Reset:
 // the watcher must list again. An event with neither a key nor Reset tells
-// only that the store was reached.
+// only that nothing else changed up to its version.
 type WatchEvent struct {
 	Item
 	Deleted bool
 	Reset   bool
+	// Age is how long ago the store said so, at most; 0 for just now.
+	Age time.Duration
 }
 
 // Watcher delivers changes until it is closed or fails.
