--- /dev/null
+++ b/io/tscommit/service_test.go
@@ -0,0 +1,46 @@
+package tscommit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+)
+
+func TestEncoding(t *testing.T) {
+	at := time.UnixMilli(1_000_123).UTC()
+	t.Run("a request", func(t *testing.T) {
+		r := tsbudget.Request{
+			VM: "vm-1", Incarnation: "in-1", Leave: true, Urgent: true, Count: true, Cursor: tsbudget.Cursor{Writer: "in-2", At: 7},
+			Changes: []tsbudget.Change{{
+				Budget: "b", Profile: "p", Prepaid: 9, Withdraw: "w",
+				Reports: []tsbudget.Report{{Lot: "l", Used: 1, Returned: 2, Requests: 3, Final: true}},
+				Draw:    &tsbudget.DrawRequest{Lot: "n", Holder: "in-1", Want: 4, Min: 5, Share: 0.5, Rate: 6.5, At: at},
+			}},
+			Takeover: &tsbudget.Takeover{From: "in-0", Now: at},
+			Declaration: &tsbudget.Declaration{
+				Sequence: 8, Lease: "77", Since: at, Ceilings: []tsbudget.LotCeiling{{Budget: "b", Lot: "l", Most: 10}},
+			},
+		}
+		assert.DeepEqual(t, requestOf(encodeRequest(r)), r)
+	})
+	t.Run("a reply", func(t *testing.T) {
+		r := tsbudget.Reply{
+			Standing: "in-1", Lease: "77", Declared: true, Next: 300 * time.Millisecond, Cursor: tsbudget.Cursor{Writer: "in-2", At: 7},
+			Ledgers: []turmericshed.Item{{Key: "budgets/b", Value: []byte("{}"), Version: 4}},
+			Lots: map[turmericshed.BudgetID][]tsbudget.Lot{
+				"b": {{ID: "l", Holder: "in-1", Drawn: 9, Returned: 1, Used: 2, Requests: 3, Rate: 4, At: at}},
+			},
+			Pools: map[turmericshed.BudgetID]turmericshed.Tokens{"b": 5},
+			Errs:  map[turmericshed.BudgetID]error{"b": turmericshed.NewError(turmericshed.KindBudgetExhausted, "nothing left")},
+		}
+		got := replyOf(encodeReply(r), "in-1")
+		assert.Equal(t, turmericshed.KindOf(got.Errs["b"]), turmericshed.KindBudgetExhausted)
+		assert.Error(t, got.Errs["b"], "nothing left")
+		got.Errs, r.Errs = nil, nil
+		assert.DeepEqual(t, got, r)
+	})
+}
