--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -141,7 +141,7 @@
 		}),
 	})
 	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Homes: prefixHomes, Board: g.board, Recorder: events})
-	news := tsnews.New(tsnews.Config{Members: g.registry, Store: store, Peers: transport, Log: tsobserve.Part(g.log, "news")})
+	news := tsnews.New(tsnews.Config{Members: g.registry, Await: g.registry.Await, Store: store, Peers: transport, Log: tsobserve.Part(g.log, "news")})
 	g.peers.Mount(news.Handler())
 	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: cfg.Dial})
 	g.tables = tsmirror.New(tsmirror.Config{
--- a/io/tsnews/source.go
+++ b/io/tsnews/source.go
@@ -41,6 +41,8 @@
 	// wantedFor is how long this process watches the store after another one
 	// asked it for news.
 	wantedFor = 5 * time.Second
+	// membersTimeout is how long a first snapshot waits for the members.
+	membersTimeout = 1500 * time.Millisecond
 	// maxPeers is how many peers are asked before the store.
 	maxPeers = 2
 	// directChance is the part of the attempts that go to the store although
@@ -51,9 +53,12 @@
 // Config holds what a Source needs.
 type Config struct {
 	Members turmericshed.Members
-	Store   turmericshed.Source
-	Peers   tspeer.Peers
-	Log     *slog.Logger
+	// Await waits until the members are known, for a time at most; nil does
+	// not wait.
+	Await func(ctx context.Context, most time.Duration)
+	Store turmericshed.Source
+	Peers tspeer.Peers
+	Log   *slog.Logger
 }
 
 // Source is a turmericshed.Source that hears from peers where it can.
@@ -88,6 +93,9 @@
 // Snapshot returns every item with the prefix, and the version from which a
 // watch continues.
 func (s *Source) Snapshot(ctx context.Context, prefix string) ([]turmericshed.Item, turmericshed.Version, error) {
+	if s.cfg.Await != nil {
+		s.cfg.Await(ctx, membersTimeout)
+	}
 	n, direct, err := s.ask(ctx, prefix, 0, 0, snapshotTimeout)
 	if err != nil {
 		return nil, 0, err
--- a/io/tsregistry/registry.go
+++ b/io/tsregistry/registry.go
@@ -33,6 +33,9 @@
 	// firstInterval is the time between the first two readings, doubled until
 	// listInterval: all entry VMs may have started just now.
 	firstInterval = time.Second
+	// gatherPause is the time between the own entry and the first list, so that
+	// entry VMs which start together find each other.
+	gatherPause = 500 * time.Millisecond
 	// retryInterval is the same while the store does not answer.
 	retryInterval = time.Second
 	// storeTimeout bounds one change of the own key.
@@ -57,6 +60,8 @@
 // Registry implements turmericshed.Members from the store alone.
 type Registry struct {
 	cfg Config
+	// listed is closed with the first list.
+	listed chan struct{}
 
 	mu    sync.Mutex
 	known map[string]turmericshed.EntryVM
@@ -65,11 +70,22 @@
 var _ turmericshed.Members = (*Registry)(nil)
 
 // New returns a registry that knows only its own entry VM.
-func New(cfg Config) *Registry { return &Registry{cfg: cfg} }
+func New(cfg Config) *Registry { return &Registry{cfg: cfg, listed: make(chan struct{})} }
 
 // Self returns the own entry VM.
 func (r *Registry) Self() turmericshed.EntryVM { return r.cfg.Self }
 
+// Await waits for the first list, for a time at most.
+func (r *Registry) Await(ctx context.Context, most time.Duration) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-r.listed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // Reachable returns the other entry VMs that are listed.
 func (r *Registry) Reachable() []turmericshed.EntryVM {
 	r.mu.Lock()
@@ -116,6 +132,7 @@
 		if !registered {
 			err := r.put(ctx)
 			registered = err == nil
+			tspause.For(ctx, gatherPause)
 			if err != nil {
 				r.cfg.Log.Warn("entry VM not registered", "error", err.Error())
 				pause = retryInterval
@@ -165,7 +182,9 @@
 func (r *Registry) update(ctx context.Context, m tsupdate.Mutation) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := tsupdate.Run(ctx, r.cfg.Store, tsupdate.New(prefix+r.cfg.Self.Name, m))
+	// Mostly there is no earlier entry. If there is, the conflict tells it.
+	u := tsupdate.NewFrom(turmericshed.Item{Key: prefix + r.cfg.Self.Name}, m)
+	_, err := tsupdate.Run(ctx, r.cfg.Store, u)
 	return err
 }
 
@@ -192,6 +211,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.known == nil {
+		close(r.listed)
+	}
 	if len(known) != len(r.known) {
 		r.cfg.Log.Info("entry VMs listed", "count", len(known), "before", len(r.known))
 	}
