--- a/core/tsbudget/holding.go
+++ b/core/tsbudget/holding.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -133,79 +132,6 @@
 	return sumOf(lots).plus(Elsewhere{Charge: p.Free + p.Used, Used: p.Used, Requests: p.Requests})
 }
 
-// holdingDoc is the stored form: a lot is a short row, since there is one for
-// each entry VM and budget.
-type holdingDoc struct {
-	VMs   map[string]HoldingVM                   `json:"entry_vms"`
-	Lots  map[turmericshed.BudgetID][]holdingRow `json:"lots"`
-	Pools map[turmericshed.BudgetID]Pool         `json:"pools"`
-}
-
-type holdingRow struct {
-	ID       turmericshed.LotID       `json:"i"`
-	Holder   turmericshed.Incarnation `json:"h"`
-	Drawn    turmericshed.Tokens      `json:"d"`
-	Returned turmericshed.Tokens      `json:"b,omitempty"`
-	Used     turmericshed.Tokens      `json:"u,omitempty"`
-	Requests int64                    `json:"n,omitempty"`
-	Rate     int64                    `json:"r,omitempty"`
-	AtMS     int64                    `json:"t"`
-	Most     turmericshed.Tokens      `json:"m,omitempty"`
-}
-
-// DecodeHolding reads a holding; an absent one is empty. KindInternal when it
-// cannot be read.
-func DecodeHolding(item turmericshed.Item) (Holding, error) {
-	h := Holding{
-		VMs: make(map[string]HoldingVM), Lots: make(map[turmericshed.BudgetID][]Lot), Most: make(map[turmericshed.LotID]turmericshed.Tokens),
-		Pools: make(map[turmericshed.BudgetID]Pool),
-	}
-	if item.Version == 0 {
-		return h, nil
-	}
-	var doc holdingDoc
-	if err := json.Unmarshal(item.Value, &doc); err != nil {
-		return h, turmericshed.WrapError(turmericshed.KindInternal, err, "holding %s", item.Key)
-	}
-	maps.Copy(h.VMs, doc.VMs)
-	maps.Copy(h.Pools, doc.Pools)
-	for id, rows := range doc.Lots {
-		lots := make([]Lot, 0, len(rows))
-		for _, r := range rows {
-			lots = append(lots, Lot{
-				ID: r.ID, Holder: r.Holder, Drawn: r.Drawn, Returned: r.Returned, Used: r.Used, Requests: r.Requests, Rate: r.Rate,
-				At: time.UnixMilli(r.AtMS).UTC(),
-			})
-			if r.Most > 0 {
-				h.Most[r.ID] = r.Most
-			}
-		}
-		h.Lots[id] = lots
-	}
-	return h, nil
-}
-
-// Encode returns the value to write. Budgets without lots are left out.
-func (h Holding) Encode() ([]byte, error) {
-	doc := holdingDoc{VMs: h.VMs, Pools: h.Pools, Lots: make(map[turmericshed.BudgetID][]holdingRow, len(h.Lots))}
-	for id, lots := range h.Lots {
-		if len(lots) == 0 {
-			continue
-		}
-		assertLots(lots)
-		rows := make([]holdingRow, 0, len(lots))
-		for _, l := range lots {
-			rows = append(rows, holdingRow{
-				ID: l.ID, Holder: l.Holder, Drawn: l.Drawn, Returned: l.Returned, Used: l.Used, Requests: l.Requests, Rate: l.Rate,
-				AtMS: l.At.UnixMilli(), Most: h.Most[l.ID],
-			})
-		}
-		doc.Lots[id] = rows
-	}
-	value, err := json.Marshal(doc)
-	return value, turmericshed.WrapError(turmericshed.KindInternal, err, "holding")
-}
-
 // clone returns a copy whose maps are its own; the lists of lots are shared
 // and never changed in place.
 func (h Holding) clone() Holding {
--- a/core/tsbudget/holding_test.go
+++ b/core/tsbudget/holding_test.go
@@ -281,6 +281,32 @@
 		_, err = tsbudget.DecodeHolding(turmericshed.Item{Value: []byte("{"), Version: 1})
 		assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindInternal)
 	})
+	t.Run("the holding of a large domain stays small", func(t *testing.T) {
+		const vms, budgets = 40, 40
+		h, err := tsbudget.DecodeHolding(turmericshed.Item{})
+		assert.NilError(t, err)
+		rng := rand.New(rand.NewPCG(1, 1))
+		for v := range vms {
+			in := turmericshed.Incarnation(fmt.Sprintf("inc-%024x", rng.Uint64()))
+			h.VMs[fmt.Sprint("front-my-west-a-", v)] = tsbudget.HoldingVM{Incarnation: in, Sequence: 20, Lease: "1234", Since: time.Unix(1e9, 0)}
+			for b := range budgets {
+				id := turmericshed.BudgetID(fmt.Sprint("account", b))
+				lot := tsbudget.Lot{
+					ID: tsbudget.NewLotID(in, fmt.Sprint(b)), Holder: in, Drawn: toTokens(rng.Int64N(90_000)) + 50_000, Used: toTokens(rng.Int64N(50_000)),
+					Requests: rng.Int64N(10), Rate: rng.Int64N(4000), At: time.UnixMilli(1e12 + rng.Int64N(30_000)),
+				}
+				h.Lots[id] = append(h.Lots[id], lot)
+				h.Most[lot.ID] = lot.Drawn - 9000
+			}
+		}
+		value, err := h.Encode()
+		assert.NilError(t, err)
+		perLot := len(value) / (vms * budgets)
+		assert.Assert(t, perLot <= 24, "%d bytes a lot", perLot)
+		got, err := tsbudget.DecodeHolding(turmericshed.Item{Value: value, Version: 1})
+		assert.NilError(t, err)
+		assert.Equal(t, len(got.Most), vms*budgets)
+	})
 }
 
 // TestPools lets a domain draw within what it has.
--- a/io/tscommit/client.go
+++ b/io/tscommit/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,11 +19,19 @@
 const (
 	// attemptTimeout bounds a call to a peer: a round that waits for the one
 	// before it and makes two transactions.
-	attemptTimeout = 700 * time.Millisecond
+	attemptTimeout = 900 * time.Millisecond
 	// avoidAfter is how long a peer that did not answer is passed over.
 	avoidAfter = 1500 * time.Millisecond
-	// maxPeers is how many peers are asked before the own process writes.
+	// maxPeers is how many peers are asked.
 	maxPeers = 2
+	// writers is how many entry VMs of a domain write for themselves when no
+	// peer does, on average: of all of them, few would get through.
+	writers = 3
+	// aloneAfter is how long no peer must have answered before an entry VM
+	// takes itself for cut off from the others only, and writes with
+	// aloneChance.
+	aloneAfter  = 2 * time.Second
+	aloneChance = 0.3
 )
 
 // ClientConfig holds what a Client needs.
@@ -42,8 +51,9 @@
 
 	mu     sync.Mutex
 	picker tspreference.Picker
-	// writer is the peer that answered last.
-	writer string
+	// writer is the peer that answered last, at answered.
+	writer   string
+	answered time.Time
 }
 
 var _ tsbudget.LedgerWriter = (*Client)(nil)
@@ -72,6 +82,13 @@
 			return reply, err
 		}
 	}
+	if !c.mayWrite(self) {
+		kind := turmericshed.KindStoreUnavailable
+		if unknown {
+			kind = turmericshed.KindStoreUnknown
+		}
+		return tsbudget.Reply{}, turmericshed.NewError(kind, "no entry VM writes the ledgers")
+	}
 	reply, err := c.cfg.Local.Commit(ctx, r)
 	if err != nil && unknown {
 		err = turmericshed.WrapError(turmericshed.KindStoreUnknown, err, "after a peer that did not answer")
@@ -79,6 +96,24 @@
 	return reply, err
 }
 
+// mayWrite reports whether this entry VM writes, where no peer did.
+func (c *Client) mayWrite(self turmericshed.EntryVM) bool {
+	ranked := tspreference.Rank(append(c.cfg.Members.Reachable(), self), self.FailureDomain)
+	for _, vm := range ranked[:min(writers, len(ranked))] {
+		if vm.Name == self.Name {
+			return true
+		}
+	}
+	c.mu.Lock()
+	alone := time.Since(c.answered) > aloneAfter
+	c.mu.Unlock()
+	chance := float64(writers) / float64(len(ranked))
+	if alone {
+		chance = max(chance, aloneChance)
+	}
+	return rand.Float64() < chance
+}
+
 // order returns the entry VMs to ask.
 func (c *Client) order(now time.Time) []turmericshed.EntryVM {
 	others := c.cfg.Members.Reachable()
@@ -109,6 +144,7 @@
 		return
 	}
 	c.picker.Answered(vm)
+	c.answered = time.Now()
 	if c.writer != vm.Name {
 		c.writer = vm.Name
 		c.cfg.Log.Info("entry VM writes the ledgers", "entry_vm", vm.Name, "addr", vm.PeerAddr.String())
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -134,6 +134,8 @@
 	// goneSince is when a lot's holder was first seen gone.
 	goneSince map[turmericshed.Incarnation]time.Time
 	fleet     fleet
+	// lots counts the lots that were asked for.
+	lots int
 	// written is when the exchanger last wrote, toldAt when the ledgers' writer
 	// last told which ledgers changed.
 	written time.Time
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"turmericshed"
@@ -216,11 +217,21 @@
 		return nil
 	}
 	return &unansweredDraw{DrawRequest: tsbudget.DrawRequest{
-		Lot: turmericshed.LotID(h.cfg.NewID("lot-")), Holder: h.cfg.Self.Incarnation, FailureDomain: h.cfg.Self.FailureDomain,
+		Lot: h.newLotLocked(), Holder: h.cfg.Self.Incarnation, FailureDomain: h.cfg.Self.FailureDomain,
 		Want: d.Want, Min: d.Min, Share: d.Share, Rate: max(d.Rate, h.core.View(now, b.id).Rate), At: now,
 	}}
 }
 
+// newLotLocked returns the id of a new lot. In a holding a short one is wanted,
+// and no other process uses this one's incarnation.
+func (h *Holder) newLotLocked() turmericshed.LotID {
+	if h.cfg.Writer == nil {
+		return turmericshed.LotID(h.cfg.NewID("lot-"))
+	}
+	h.lots++
+	return tsbudget.NewLotID(h.cfg.Self.Incarnation, strconv.Itoa(h.lots))
+}
+
 // update runs one change of the ledger and takes in what it read. The reports
 // are acknowledged when the change stands.
 func (h *Holder) update(ctx context.Context, b *budget, m tsupdate.Mutation, reports []tsbudget.Report) (turmericshed.Item, error) {
