Bridging: thin demand holds nothing that serves no request

Each held 1.5 of the largest request, so that ledgers were empty and requests refused: the tokens left are held where nobody can be asked (1,538 of 6,400).

--- a/core/tsbudget/bridging.go
+++ b/core/tsbudget/bridging.go
@@ -14,6 +14,12 @@
 // span, and one without gives back when the ledger runs low. A lot whose
 // holder dies is lost to the account, so Span is the price of a crash as well.
 //
+// In a large fleet an account's demand is spread thin: most entry VMs see a
+// request now and then. What each of them held for the next one would leave
+// nothing to draw where it comes. So what is held for a cut shrinks with the room
+// in the ledger, and less than half a typical request is not held at all: such a
+// request is drawn for when it comes.
+//
 // Example: 900 tokens prepaid, 9 entry VMs, a span of 10 s. Each draws 35 at
 // first, and 585 stay in the ledger. An entry VM that is asked for 12 a second
 // wants 120 for the span and draws 85; one that is asked for nothing gives
@@ -23,6 +29,9 @@
 	// Span is the length of a cut to be served through; 0 takes
 	// defaultCutSpan.
 	Span time.Duration
+	// UsualRequest is what a request may cost where no demand is known yet. An
+	// even part that is smaller serves nobody and stays in the ledger.
+	UsualRequest turmericshed.Tokens
 }
 
 const (
@@ -47,6 +56,12 @@
 	minDrawPart = 4
 	// bridgeDepth is how many of the largest requests should be at hand.
 	bridgeDepth = 1.5
+	// comfortPart of the unspent amount in the ledger is enough for all to hold
+	// what a cut takes; with less they hold less, down to leastSpan of the span.
+	comfortPart = 0.4
+	leastSpan   = 1.0 / 3
+	// usefulPart of a typical request is the least that is held ahead of it.
+	usefulPart = 0.5
 )
 
 var _ Placement = Bridging{}
@@ -74,6 +89,9 @@
 	keep := target + target/4
 	if v.Idle > quietAfter {
 		keep = turmericshed.Tokens(quietPart * p.even(v))
+		if keep < p.UsualRequest {
+			keep = 0
+		}
 	}
 	surplus := v.Available - keep
 	if p.scarce(v) && float64(surplus) > surplusPart*float64(v.Ledger.Unspent)/float64(max(v.EntryVMs, 1)) {
@@ -92,21 +110,27 @@
 // demand.
 func (p Bridging) target(v View) turmericshed.Tokens {
 	if v.Arriving < 1 {
-		if v.Ledger.Mine > 0 || (v.Ledger.Read && p.scarce(v)) {
+		even := turmericshed.Tokens(p.even(v))
+		if v.Ledger.Mine > 0 || (v.Ledger.Read && p.scarce(v)) || even < p.UsualRequest {
 			return 0
 		}
-		return turmericshed.Tokens(p.even(v))
+		return even
 	}
 	span := p.Span
 	if span <= 0 {
 		span = defaultCutSpan
 	}
-	wanted := v.Arriving*span.Seconds() + bridgeDepth*float64(v.Largest)
 	if !v.Ledger.Read {
-		return turmericshed.Tokens(wanted)
+		return turmericshed.Tokens(v.Arriving*span.Seconds() + bridgeDepth*float64(v.Largest))
 	}
+	room := min(float64(v.Ledger.Room)/(comfortPart*float64(max(v.Ledger.Unspent, 1))), 1)
+	wanted := v.Arriving*span.Seconds()*max(room, leastSpan) + bridgeDepth*float64(v.Largest)*max(room, 0)
 	fair := fairPart * float64(v.Ledger.Unspent) * v.Arriving / (v.Arriving + v.Ledger.OthersRate)
-	return turmericshed.Tokens(min(wanted, fair))
+	target := min(wanted, fair)
+	if target < usefulPart*float64(v.Typical) {
+		return 0
+	}
+	return turmericshed.Tokens(target)
 }
 
 // even is an entry VM's equal part of what is unspent.
--- a/core/tsbudget/bridging_test.go
+++ b/core/tsbudget/bridging_test.go
@@ -72,6 +72,41 @@
 			assert.Equal(t, d.Report, want, "room %d", room)
 		}
 	})
+	t.Run("an even part that serves no request stays in the ledger", func(t *testing.T) {
+		for usual, want := range map[int64]bool{35: true, 36: false} {
+			p := tsbudget.Bridging{UsualRequest: toTokens(usual)}
+			d := p.Decide(tsbudget.View{EntryVMs: 9, Ledger: ledgerOf(900, 900, 0)})
+			assert.Equal(t, d.Draw, want, "a usual request of %d", usual)
+		}
+	})
+	t.Run("thin demand holds nothing of a budget that runs low, and gives back what it has", func(t *testing.T) {
+		thin := func(v *tsbudget.View) {
+			v.EntryVMs, v.Available, v.Arriving, v.Typical, v.Largest, v.Ledger = 195, 20, 3, 40, 60, ledgerOf(900, 50, 20)
+			v.Ledger.OthersRate = 300
+		}
+		d := decide(thin)
+		assert.Assert(t, !d.Draw && !d.TopUp)
+		assert.Assert(t, d.Return)
+		assert.Equal(t, d.Keep, toTokens(0))
+	})
+	t.Run("and draws for a request when it comes", func(t *testing.T) {
+		d := decide(func(v *tsbudget.View) {
+			v.EntryVMs, v.Arriving, v.Typical, v.Largest, v.Ledger = 195, 3, 40, 60, ledgerOf(900, 50, 0)
+			v.Waiting, v.Needed = 45, 45
+		})
+		assert.Assert(t, d.Draw)
+		assert.Equal(t, d.Min, toTokens(45))
+	})
+	t.Run("less is held for a cut the less is left to draw", func(t *testing.T) {
+		want := func(room int64) turmericshed.Tokens {
+			return decide(func(v *tsbudget.View) {
+				v.Arriving, v.Largest, v.Typical, v.Ledger = 12, 30, 30, ledgerOf(900, room, 0)
+			}).Want
+		}
+		assert.Equal(t, want(600), toTokens(165))
+		assert.Equal(t, want(180), toTokens(82))
+		assert.Equal(t, want(36), toTokens(44))
+	})
 	t.Run("no dust is drawn ahead of demand", func(t *testing.T) {
 		d := decide(func(v *tsbudget.View) { v.Arriving, v.Largest, v.Ledger = 12, 30, ledgerOf(200, 3, 0) })
 		assert.Assert(t, !d.Draw)
--- a/core/tsbudget/demand.go
+++ b/core/tsbudget/demand.go
@@ -16,6 +16,8 @@
 	// from which that is trusted.
 	recentWindow = 8 * time.Second
 	recentFloor  = 2 * time.Second
+	// typicalWeight is the weight of the newest reservation in the average.
+	typicalWeight = 0.2
 )
 
 // demand estimates how fast a budget is used here, and how large its requests
@@ -31,7 +33,9 @@
 	// it comes.
 	recent float64
 	// largest is the decayed largest reservation.
-	largest  float64
+	largest float64
+	// typical is the moving average of reservations.
+	typical  float64
 	lastSeen time.Time
 }
 
@@ -53,6 +57,10 @@
 func (d *demand) reserve(now time.Time, n turmericshed.Tokens) {
 	d.decay(now)
 	d.largest = max(d.largest, float64(n))
+	if d.typical == 0 {
+		d.typical = float64(n)
+	}
+	d.typical += typicalWeight * (float64(n) - d.typical)
 	d.recent += float64(n)
 	d.lastSeen = now
 }
--- a/core/tsbudget/holder.go
+++ b/core/tsbudget/holder.go
@@ -89,6 +89,7 @@
 			v.Suspended += r.amount
 		}
 	}
+	v.Typical = turmericshed.Tokens(b.demand.typical)
 	v.Rate, v.Largest, v.Arriving = b.demand.rate(now), turmericshed.Tokens(b.demand.largest), b.demand.arriving(now)
 	if !b.demand.lastSeen.IsZero() {
 		v.Idle = now.Sub(b.demand.lastSeen)
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -68,6 +68,8 @@
 	// reservation, Idle the time since the last one.
 	Rate    float64
 	Largest turmericshed.Tokens
+	// Typical is the recent size of reservations.
+	Typical turmericshed.Tokens
 	// Arriving is what was asked for in the last seconds, in tokens per
 	// second at the requests' worst case.
 	Arriving float64
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -56,6 +56,8 @@
 	// inheritTimeout bounds the return of an earlier process's lots, which
 	// callers wait for.
 	inheritTimeout = 1500 * time.Millisecond
+	// usualRequest is what a request may cost before any was seen, in tokens.
+	usualRequest = 10_000
 	// prefixHomes is the number of servers that a prefix may be cached at:
 	// prompts of thousands of tokens cost more than an uneven load.
 	prefixHomes = 1
@@ -135,7 +137,7 @@
 	g.peers.Mount(g.commits.Handler())
 	g.holder = tsholder.New(tsholder.Config{
 		Self: g.self, Store: store, Members: g.registry, Recorder: events,
-		Placement: tsbudget.Bridging{}, Keeper: tsholder.GrantedProfiles{},
+		Placement: tsbudget.Bridging{UsualRequest: usualRequest}, Keeper: tsholder.GrantedProfiles{},
 		Writer: tscommit.NewClient(tscommit.ClientConfig{
 			Members: g.registry, Peers: transport, Local: g.commits, Log: tsobserve.Part(g.log, "ledgers"),
 		}),
