--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -349,6 +349,10 @@
 	if err == nil {
 		h.toldAt = time.Now()
 		x.lots, x.pools = reply.Lots, reply.Pools
+		for _, b := range h.budgets {
+			// The store answers again, also where it tells nothing new.
+			b.storeErr = nil
+		}
 		for _, item := range reply.Ledgers {
 			ledgers[budgetOf(item)] = item
 		}
--- a/io/tsholder/exchanger_test.go
+++ b/io/tsholder/exchanger_test.go
@@ -218,6 +218,36 @@
 		b.use(h, profileOf(0, prepaid), 20_000)
 		assert.Assert(t, time.Since(began) < tsbudget.LeaseLength+500*time.Millisecond, "the lease has ended by then")
 	})
+	t.Run("an account that is asked for all the time is served soon after an outage", func(t *testing.T) {
+		b := newBench(t)
+		h, _ := b.start("vm-1", "a")
+		for i := range 3 {
+			h.Hold(profileOf(i, prepaid))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		b.store.SetDown(true)
+		ask := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+			defer cancel()
+			res, err := h.Reserve(ctx, profileOf(0, prepaid), "r", 2000)
+			if err == nil {
+				h.Settle(res, 2000)
+			}
+			return err
+		}
+		// The outage lasts until all that is at hand is used.
+		for refused := 0; refused < 100; time.Sleep(20 * time.Millisecond) {
+			if turmericshed.KindOf(ask()) == turmericshed.KindBudgetUnavailable {
+				refused++
+			}
+		}
+		b.store.SetDown(false)
+		began := time.Now()
+		for ask() != nil {
+			assert.Assert(t, time.Since(began) < 3*time.Second, "still refused")
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
 	t.Run("the next process returns the lots of all accounts in one transaction", func(t *testing.T) {
 		b := newBench(t)
 		h, kill := b.start("vm-1", "a")
