--- a/core/tsbudget/holding.go
+++ b/core/tsbudget/holding.go
@@ -265,8 +265,8 @@
 const (
 	// poolSpan is the demand of the domain that its pool should cover, and
 	// poolPart bounds it to a part of the domain's fair share of the room.
-	poolSpan = 4 * time.Second
-	poolPart = 0.25
+	poolSpan = 8 * time.Second
+	poolPart = 0.4
 	// poolOverflow is the multiple of its target above which a pool goes back.
 	poolOverflow = 2
 )
--- a/core/tspreference/picker.go
+++ b/core/tspreference/picker.go
@@ -26,17 +26,16 @@
 // Answered notes that an entry VM answered.
 func (p *Picker) Answered(vm turmericshed.EntryVM) { delete(p.failed, vm.Name) }
 
-// Order returns up to n entry VMs of self's domain in the order in which to ask
-// them. It ends at self, who need not ask others then. Where all before self are
-// passed over, the one that failed longest ago comes first, since a cut may be
-// over.
+// Order returns the entry VMs to ask, in order: of the first n of self's domain,
+// those that answered. It ends at self, who need not ask others then. Where all
+// of them are passed over, the one that failed longest ago is asked, since a cut
+// may be over: if each went on to the next ones, a cut would leave as many doing
+// the same as there are entry VMs.
 func (p *Picker) Order(now time.Time, self turmericshed.EntryVM, others []turmericshed.EntryVM, n int) []turmericshed.EntryVM {
 	var list []turmericshed.EntryVM
 	var oldest *turmericshed.EntryVM
-	for _, vm := range Rank(append(others, self), self.FailureDomain) {
-		if len(list) == n {
-			break
-		}
+	ranked := Rank(append(others, self), self.FailureDomain)
+	for _, vm := range ranked[:min(n, len(ranked))] {
 		if vm.Name == self.Name {
 			list = append(list, vm)
 			break
--- a/core/tspreference/picker_test.go
+++ b/core/tspreference/picker_test.go
@@ -54,6 +54,14 @@
 		p.Answered(others[1])
 		assert.Equal(t, pick(p, 500*time.Millisecond), "cba")
 	})
+	t.Run("nobody goes on to those further down", func(t *testing.T) {
+		p := &tspreference.Picker{Avoid: time.Second}
+		p.Failed(now, others[1])
+		assert.Equal(t, names(p.Order(now, vm("a", 1), others, 1)), "c")
+		assert.Equal(t, names(p.Order(now, vm("a", 1), others, 2)), "b")
+		p.Failed(now.Add(time.Millisecond), others[0])
+		assert.Equal(t, names(p.Order(now.Add(time.Millisecond), vm("a", 1), others, 2)), "c")
+	})
 	t.Run("when all failed the one that did so first is tried", func(t *testing.T) {
 		p := &tspreference.Picker{Avoid: time.Second}
 		p.Failed(now, others[0])
--- a/io/tscommit/client.go
+++ b/io/tscommit/client.go
@@ -19,7 +19,7 @@
 const (
 	// attemptTimeout bounds a call to a peer: a round that waits for the one
 	// before it and makes two transactions.
-	attemptTimeout = 900 * time.Millisecond
+	attemptTimeout = 1200 * time.Millisecond
 	// avoidAfter is how long a peer that did not answer is passed over.
 	avoidAfter = 1500 * time.Millisecond
 	// maxPeers is how many peers are asked.
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -104,8 +104,6 @@
 	asked   time.Time
 	granted chan lease
 	failing bool
-	// start is what the beat is counted from.
-	start time.Time
 
 	// ledgers are the newest ones known, in the order in which they came.
 	ledgers   map[turmericshed.BudgetID]noted
@@ -147,7 +145,7 @@
 		cfg: cfg, self: self.Incarnation, domain: self.FailureDomain, queue: make(chan *pending, maxQueue),
 		holding: turmericshed.Item{Key: tsbudget.HoldingKey(self.FailureDomain)},
 		size:    cfg.Store.MaxKeys() - sharedKeys, ledgers: make(map[turmericshed.BudgetID]noted),
-		granted: make(chan lease, 1), start: time.Now(),
+		granted: make(chan lease, 1),
 	}
 }
 
@@ -484,10 +482,7 @@
 	if c.marked {
 		r.Lease = c.lease.id
 	}
-	r.Next = beatInterval - time.Since(c.start)%beatInterval
-	if r.Next < beatMargin {
-		r.Next += beatInterval
-	}
+	r.Next = c.untilBeat(time.Now())
 	if d := p.Declaration; d != nil && vm.Incarnation == p.Incarnation {
 		r.Declared = vm.Sequence == d.Sequence && vm.Lease == d.Lease
 	}
@@ -515,6 +510,30 @@
 	return r
 }
 
+// untilBeat returns the time until the next beat that holders can keep. The
+// beats of the failure domains are spread by the time of day, so that they don't
+// meet at the same ledgers; where clocks differ, some conflict.
+func (c *Committer) untilBeat(now time.Time) time.Duration {
+	wait := (c.phase() - time.Duration(now.UnixNano())%beatInterval + beatInterval) % beatInterval
+	if wait < beatMargin {
+		wait += beatInterval
+	}
+	return wait
+}
+
+// phase is the domain's place in a beat.
+func (c *Committer) phase() time.Duration {
+	before := make(map[turmericshed.FailureDomain]bool)
+	all := map[turmericshed.FailureDomain]bool{c.domain: true}
+	for _, vm := range c.cfg.Members.Reachable() {
+		all[vm.FailureDomain] = true
+		if vm.FailureDomain < c.domain {
+			before[vm.FailureDomain] = true
+		}
+	}
+	return beatInterval * time.Duration(len(before)) / time.Duration(len(all))
+}
+
 // refresh reads all ledgers a little late, unless the last reading is younger
 // than an age. What it misses is told by conflicts.
 func (c *Committer) refresh(ctx context.Context, age time.Duration) {
