--- a/core/tsbudget/commit.go
+++ b/core/tsbudget/commit.go
@@ -378,6 +378,38 @@
 	return ledgers, local
 }
 
+// Choose returns the ledgers that one round writes: all that must not wait, and
+// of the others those that were written longest ago, up to n in all. The rest is
+// put off. Load pattern: after a cut every holder is short of every budget, and
+// all domains want to write all ledgers at once; the callers who wait are served
+// first, and what is held ahead of demand is filled up over the next rounds.
+func Choose(ledgers []turmericshed.BudgetID, requests []Request, n int, written func(id turmericshed.BudgetID) time.Time) (now, later []turmericshed.BudgetID) {
+	must := make(map[turmericshed.BudgetID]bool)
+	for _, r := range requests {
+		for _, ch := range r.Changes {
+			if ch.Urgent || ch.Prepaid > 0 || r.Count || r.Leave {
+				must[ch.Budget] = true
+			}
+		}
+	}
+	var rest []turmericshed.BudgetID
+	for _, id := range ledgers {
+		if must[id] {
+			now = append(now, id)
+		} else {
+			rest = append(rest, id)
+		}
+	}
+	for _, r := range requests {
+		if r.Takeover != nil {
+			return ledgers, nil
+		}
+	}
+	slices.SortStableFunc(rest, func(a, b turmericshed.BudgetID) int { return written(a).Compare(written(b)) })
+	n = min(max(n-len(now), 0), len(rest))
+	return append(now, rest[:n]...), rest[n:]
+}
+
 // Reply is what a holder is told of its request.
 type Reply struct {
 	// Standing is the process that stands for the holder's entry VM.
--- a/core/tsbudget/holding.go
+++ b/core/tsbudget/holding.go
@@ -185,6 +185,8 @@
 	Draw *DrawRequest
 	// Withdraw, if set, ends a lot unused that may have been drawn.
 	Withdraw turmericshed.LotID
+	// Urgent is true when callers wait for the outcome.
+	Urgent bool
 }
 
 // apply makes the change. A draw that is refused does not hold up the rest:
--- a/core/tsbudget/holding_test.go
+++ b/core/tsbudget/holding_test.go
@@ -309,6 +309,34 @@
 	})
 }
 
+func TestChoose(t *testing.T) {
+	ids := func(names ...turmericshed.BudgetID) []turmericshed.BudgetID { return names }
+	written := func(id turmericshed.BudgetID) time.Time { return time.Unix(int64(id[0]), 0) }
+	change := func(id turmericshed.BudgetID, urgent bool) tsbudget.Request {
+		return tsbudget.Request{Changes: []tsbudget.Change{{Budget: id, Urgent: urgent}}}
+	}
+	all := ids("d", "c", "b", "a")
+	t.Run("those that were written longest ago, as many as fit", func(t *testing.T) {
+		now, later := tsbudget.Choose(all, nil, 3, written)
+		assert.DeepEqual(t, now, ids("a", "b", "c"))
+		assert.DeepEqual(t, later, ids("d"))
+	})
+	t.Run("callers who wait go first", func(t *testing.T) {
+		now, later := tsbudget.Choose(all, []tsbudget.Request{change("d", true), change("a", false)}, 2, written)
+		assert.DeepEqual(t, now, ids("d", "a"))
+		assert.DeepEqual(t, later, ids("b", "c"))
+	})
+	t.Run("and are never put off", func(t *testing.T) {
+		now, _ := tsbudget.Choose(all, []tsbudget.Request{change("d", true), change("c", true)}, 1, written)
+		assert.DeepEqual(t, now, ids("d", "c"))
+	})
+	t.Run("a takeover is made whole", func(t *testing.T) {
+		now, later := tsbudget.Choose(all, []tsbudget.Request{{Takeover: &tsbudget.Takeover{}}}, 1, written)
+		assert.Equal(t, len(now), 4)
+		assert.Equal(t, len(later), 0)
+	})
+}
+
 // TestPools lets a domain draw within what it has.
 func TestPools(t *testing.T) {
 	start := func(t *testing.T) *domains {
--- a/io/tscommit/client.go
+++ b/io/tscommit/client.go
@@ -25,13 +25,13 @@
 	// maxPeers is how many peers are asked.
 	maxPeers = 2
 	// writers is how many entry VMs of a domain write for themselves when no
-	// peer does, on average: of all of them, few would get through.
+	// peer does: of all of them, few would get through.
 	writers = 3
-	// aloneAfter is how long no peer must have answered before an entry VM
-	// takes itself for cut off from the others only, and writes with
-	// aloneChance.
-	aloneAfter  = 2 * time.Second
-	aloneChance = 0.3
+	// aloneAfter is how long no peer must have answered before one of the
+	// others takes itself for cut off from its peers only, and writes with
+	// aloneChance. It is longer than the usual cuts, at whose end all would.
+	aloneAfter  = 10 * time.Second
+	aloneChance = 0.2
 )
 
 // ClientConfig holds what a Client needs.
@@ -60,7 +60,7 @@
 
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, picker: tspreference.Picker{Avoid: avoidAfter}}
+	return &Client{cfg: cfg, picker: tspreference.Picker{Avoid: avoidAfter}, answered: time.Now()}
 }
 
 // Commit makes the request's changes, at the first entry VM that answers.
@@ -107,11 +107,7 @@
 	c.mu.Lock()
 	alone := time.Since(c.answered) > aloneAfter
 	c.mu.Unlock()
-	chance := float64(writers) / float64(len(ranked))
-	if alone {
-		chance = max(chance, aloneChance)
-	}
-	return rand.Float64() < chance
+	return alone && rand.Float64() < aloneChance
 }
 
 // order returns the entry VMs to ask.
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -270,6 +270,8 @@
 		requests = append(requests, p.Request)
 	}
 	ledgers, local := tsbudget.Plan(c.decoded, requests, c.due)
+	ledgers, later := tsbudget.Choose(ledgers, requests, c.cfg.Store.MaxKeys()-sharedKeys, func(id turmericshed.BudgetID) time.Time { return c.ledgers[id].wrote })
+	transaction{list: list, ledgers: later}.fail(errPutOff)
 	if len(ledgers) > 0 {
 		c.refresh(ctx, writeRefreshAge)
 	} else {
@@ -309,7 +311,11 @@
 	alive    func(turmericshed.LeaseID) bool
 }
 
-// fail tells the requests that a transaction after the first one was not made.
+// errPutOff is why a change of a ledger is not made in this round. It is told
+// like a conflict: the ledger was read, and nothing of the change stands.
+var errPutOff = turmericshed.NewError(turmericshed.KindConflict, "the ledger is written in a later round")
+
+// fail tells the requests that changes of some ledgers were not made.
 func (t transaction) fail(err error) {
 	for _, p := range t.list {
 		for _, id := range t.ledgers {
--- a/io/tscommit/service.go
+++ b/io/tscommit/service.go
@@ -71,6 +71,7 @@
 func encodeChange(ch tsbudget.Change) *tspeerapi.LedgerChange {
 	m := &tspeerapi.LedgerChange{
 		Budget: string(ch.Budget), Profile: string(ch.Profile), Prepaid: int64(ch.Prepaid), Withdraw: string(ch.Withdraw),
+		Urgent: ch.Urgent,
 	}
 	for _, r := range ch.Reports {
 		m.Reports = append(m.Reports, &tspeerapi.LedgerReport{
@@ -108,7 +109,7 @@
 func changeOf(m *tspeerapi.LedgerChange, holder turmericshed.Incarnation) tsbudget.Change {
 	ch := tsbudget.Change{
 		Budget: turmericshed.BudgetID(m.Budget), Profile: turmericshed.ProfileName(m.Profile), Prepaid: turmericshed.Tokens(m.Prepaid),
-		Withdraw: turmericshed.LotID(m.Withdraw),
+		Withdraw: turmericshed.LotID(m.Withdraw), Urgent: m.Urgent,
 	}
 	for _, r := range m.Reports {
 		ch.Reports = append(ch.Reports, tsbudget.Report{
--- a/io/tscommit/service_test.go
+++ b/io/tscommit/service_test.go
@@ -16,7 +16,7 @@
 		r := tsbudget.Request{
 			VM: "vm-1", Incarnation: "in-1", Leave: true, Urgent: true, Count: true, Cursor: tsbudget.Cursor{Writer: "in-2", At: 7},
 			Changes: []tsbudget.Change{{
-				Budget: "b", Profile: "p", Prepaid: 9, Withdraw: "w",
+				Budget: "b", Profile: "p", Prepaid: 9, Withdraw: "w", Urgent: true,
 				Reports: []tsbudget.Report{{Lot: "l", Used: 1, Returned: 2, Requests: 3, Final: true}},
 				Draw:    &tsbudget.DrawRequest{Lot: "n", Holder: "in-1", Want: 4, Min: 5, Share: 0.5, Rate: 6.5, At: at},
 			}},
--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -207,7 +207,7 @@
 	plan := h.planLocked(now, b, d, waiting)
 	p := part{
 		b: b, blind: !b.ledger.Read, due: plan.mutation != nil || stale, draw: plan.draw,
-		change: tsbudget.Change{Budget: b.id, Profile: b.profile.Name, Reports: plan.reports},
+		change: tsbudget.Change{Budget: b.id, Profile: b.profile.Name, Reports: plan.reports, Urgent: waiting},
 	}
 	if plan.draw != nil {
 		p.change.Draw = &plan.draw.DrawRequest
