--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -96,7 +96,7 @@
 	if s == nil {
 		return turmericshed.BackendServer{}, r.refuse(now, p, req)
 	}
-	turmericshed.Assert(!s.leaving, "no_work_to_leaving", "server %s", s.ID)
+	turmericshed.Assert(s.wants(now), "no_work_to_leaving", "server %s, paused until %s", s.ID, s.paused)
 	s.breaker.lastAttempt = now
 	if s.reach.cut() {
 		s.reach.probed = now
@@ -162,7 +162,7 @@
 		p.groups[d] = p.groups[d][:0]
 	}
 	for _, s := range p.servers {
-		if s.leaving || slices.Contains(req.Excluded, s.ID) || !s.reach.allows(now) || !s.breaker.allows(now, s.inflight) {
+		if !s.wants(now) || slices.Contains(req.Excluded, s.ID) || !s.reach.allows(now) || !s.breaker.allows(now, s.inflight) {
 			continue
 		}
 		c := candidate{server: s, load: (r.estimate(now, s, mean) + 1) / float64(s.Slots)}
@@ -273,7 +273,7 @@
 func (r *Router) lastResort(now time.Time, p *pool, req turmericshed.RouteRequest) *server {
 	var best *server
 	for _, s := range p.servers {
-		if s.leaving || s.breaker.open || s.inflight >= s.Slots || slices.Contains(req.Excluded, s.ID) {
+		if !s.wants(now) || s.breaker.open || s.inflight >= s.Slots || slices.Contains(req.Excluded, s.ID) {
 			continue
 		}
 		if best == nil || s.inflight < best.inflight {
@@ -284,7 +284,7 @@
 		return best
 	}
 	for _, s := range p.servers {
-		if !s.leaving && !slices.Contains(req.Excluded, s.ID) && s.breaker.allowsProbe(now, s.inflight) {
+		if s.wants(now) && !slices.Contains(req.Excluded, s.ID) && s.breaker.allowsProbe(now, s.inflight) {
 			return s
 		}
 	}
@@ -297,6 +297,10 @@
 	for _, s := range p.servers {
 		switch {
 		case s.leaving || slices.Contains(req.Excluded, s.ID):
+		case now.Before(s.paused):
+			if soonest.IsZero() || s.paused.Before(soonest) {
+				soonest = s.paused
+			}
 		case !s.breaker.open:
 			err := turmericshed.NewError(turmericshed.KindOverloaded, "every server is at its allowance")
 			return turmericshed.WithRetryAfter(err, overloadedRetry)
--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -161,6 +161,17 @@
 	}
 }
 
+// Pause keeps new work from a server for a time. A shorter time than one before
+// changes nothing.
+func (r *Router) Pause(now time.Time, id turmericshed.ServerID, d time.Duration) {
+	s := r.servers[id]
+	if s == nil || !now.Add(d).After(s.paused) {
+		return
+	}
+	s.paused = now.Add(d)
+	r.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventServerPaused, Server: s.ID, Reason: "asked for no work for " + d.String()})
+}
+
 func (r *Router) setLeaving(s *server, reason string) {
 	if !s.leaving {
 		r.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventServerLeaving, Server: s.ID, Reason: reason})
--- a/core/tsroute/server.go
+++ b/core/tsroute/server.go
@@ -29,6 +29,8 @@
 	ghosts []time.Time
 	// leaving stays set as long as the server is listed.
 	leaving bool
+	// paused is until when the server asked for no new work.
+	paused  time.Time
 	breaker breaker
 	// reach is shared by the servers of the failure domain.
 	reach   *reach
@@ -58,11 +60,14 @@
 	}
 	s.leaving = b.Leaving || (s.leaving && !moved)
 	if moved {
-		s.breaker, s.heard = breaker{}, time.Time{}
+		s.breaker, s.heard, s.paused = breaker{}, time.Time{}, time.Time{}
 		s.breaker.ramp()
 	}
 }
 
+// wants reports whether the server may get new work at all.
+func (s *server) wants(now time.Time) bool { return !s.leaving && !now.Before(s.paused) }
+
 // serves reports whether s runs the kind of work that r asks for.
 func (s *server) serves(r turmericshed.RouteRequest) bool {
 	return s.Work == r.Work && s.Service == r.Service && (r.Model == "" || slices.Contains(s.Models, r.Model))
--- a/event.go
+++ b/event.go
@@ -79,6 +79,7 @@
 	EventMemberLeft         EventName = "member_left"
 	EventServerAdded        EventName = "server_added"
 	EventServerLeaving      EventName = "server_leaving"
+	EventServerPaused       EventName = "server_paused"
 	EventBreakerOpened      EventName = "breaker_opened"
 	EventBreakerClosed      EventName = "breaker_closed"
 	EventQuarantined        EventName = "quarantined"
--- a/fleet.go
+++ b/fleet.go
@@ -162,6 +162,8 @@
 	Report(now time.Time, r LoadReport)
 	// SetLeaving takes a server out at once.
 	SetLeaving(now time.Time, id ServerID)
+	// Pause keeps new work from a server that asked for it, for a time.
+	Pause(now time.Time, id ServerID, d time.Duration)
 	// Pick chooses a server and counts the request as in flight there.
 	// Errors: KindNoBackend, KindOverloaded.
 	Pick(now time.Time, r RouteRequest) (BackendServer, error)
--- a/io/tsgateway/gateway_test.go
+++ b/io/tsgateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -183,6 +184,47 @@
 	})
 }
 
+// TestServersOwnWord lets a server say with its answers that it wants no work.
+func TestServersOwnWord(t *testing.T) {
+	// after counts the requests that reach the first desk once it has answered.
+	after := func(t *testing.T, how tsmetastore.Behaviour, rounds int) int {
+		t.Helper()
+		r := newRig(t, 1000)
+		r.desks[0].Behave(how)
+		r.eventually("the server has answered", func() bool {
+			assertStatus(t, r.ask(http.MethodGet, "/look/1", ""), http.StatusOK)
+			return len(r.desks[0].Seen()) > 0
+		})
+		time.Sleep(100 * time.Millisecond)
+		before := len(r.desks[0].Seen())
+		for range rounds {
+			assertStatus(t, r.ask(http.MethodGet, "/look/1", ""), http.StatusOK)
+		}
+		return len(r.desks[0].Seen()) - before
+	}
+	t.Run("one that leaves gets nothing more", func(t *testing.T) {
+		assert.Equal(t, after(t, tsmetastore.BehaveLeaving, 30), 0)
+	})
+	t.Run("one that is busy gets nothing for so long", func(t *testing.T) {
+		assert.Equal(t, after(t, tsmetastore.BehaveBusy, 30), 0)
+	})
+	t.Run("and is asked again then", func(t *testing.T) {
+		r := newRig(t, 1000)
+		behave(r.desks, tsmetastore.BehaveBusy)
+		got := r.ask(http.MethodPost, "/book/1", "frame")
+		for range 3 {
+			got = r.ask(http.MethodPost, "/book/1", "frame")
+			assertRefused(t, got, http.StatusServiceUnavailable, turmericshed.OutcomeNotRun)
+		}
+		wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, wait > 1 && wait <= tsmetastore.BusyFor.Seconds(), "advice %v s", wait)
+		behave(r.desks, tsmetastore.BehaveWell)
+		time.Sleep(time.Duration(wait*float64(time.Second)) + 100*time.Millisecond)
+		assertStatus(t, r.ask(http.MethodPost, "/book/1", "frame"), http.StatusOK)
+	})
+}
+
 func TestDesiredState(t *testing.T) {
 	extra := `{"name":"new","host":"corner.example","prefix":"/new/","kind":"safe","service":"desk","maxAttempts":1}`
 	t.Run("a new route is in force at once, and a dropped one is gone", func(t *testing.T) {
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -144,6 +144,7 @@
 		l := reply.Info.Load
 		q.relay.cfg.Router.Report(time.Now(), turmericshed.LoadReport{Server: server.ID, At: began.Add(first / 2), Running: l.Running, Queued: l.Queued})
 	}
+	q.heed(server, reply.Info)
 	if reply.Info.NotRun {
 		return nil, first, q.notRun(server, reply)
 	}
@@ -171,6 +172,16 @@
 	return &wholeAnswer{server: server.ID, status: reply.Status, header: reply.Header, body: body}, first, nil
 }
 
+// heed takes what the server says of itself, whatever its answer is.
+func (q *request) heed(server turmericshed.BackendServer, info turmericshed.BackendReply) {
+	if info.Leaving {
+		q.relay.cfg.Router.SetLeaving(time.Now(), server.ID)
+	}
+	if info.RetryAfter > 0 {
+		q.relay.cfg.Router.Pause(time.Now(), server.ID, info.RetryAfter)
+	}
+}
+
 // promises reports whether callers take the status as a promise that the
 // request did not run.
 func promises(status int) bool {
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -93,6 +93,13 @@
 	p.post(id)
 }
 
+// Pause keeps new work from a server for a time.
+func (p *Pool) Pause(now time.Time, id turmericshed.ServerID, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Pause(now, id, d)
+}
+
 // post marks a server as leaving on the board, from where peers hear of it.
 func (p *Pool) post(id turmericshed.ServerID) {
 	unmarked := func(s turmericshed.BackendServer) bool { return s.ID == id && !s.Leaving }
--- a/load/tsexperiment/routing_policy.go
+++ b/load/tsexperiment/routing_policy.go
@@ -90,6 +90,9 @@
 // SetLeaving does nothing: baselines follow the list alone.
 func (b *routingBaseline) SetLeaving(time.Time, turmericshed.ServerID) {}
 
+// Pause does nothing: the baseline does not listen to servers.
+func (b *routingBaseline) Pause(time.Time, turmericshed.ServerID, time.Duration) {}
+
 // Pick chooses among the listed servers.
 func (b *routingBaseline) Pick(_ time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
 	var cs []*routingChoice
--- a/routing_table.go
+++ b/routing_table.go
@@ -135,6 +135,11 @@
 	NotRun bool
 	// Misdirected tells that another server has the address.
 	Misdirected bool
+	// Leaving is the server's word that it is going away.
+	Leaving bool
+	// RetryAfter is for how long the server wants nothing more from this entry
+	// VM; 0 when not told.
+	RetryAfter time.Duration
 	// Encoded bodies are not the server's own.
 	Encoded bool
 	// KeepAlive is how long the server keeps an idle connection; 0 when not
--- a/standin/tsmetastore/backend.go
+++ b/standin/tsmetastore/backend.go
@@ -32,8 +32,16 @@
 	BehaveCrossed
 	// BehaveSilent runs the request and never answers.
 	BehaveSilent
+	// BehaveBusy refuses without running the request, and wants nothing for
+	// BusyFor.
+	BehaveBusy
+	// BehaveLeaving answers whole and says that it is going away.
+	BehaveLeaving
 )
 
+// BusyFor is for how long a busy Backend wants no request.
+const BusyFor = 3 * time.Second
+
 // Backend stands in for one server of the users' platform: a plain service, or
 // with Events an engine whose streams have so many events.
 type Backend struct {
@@ -157,7 +165,7 @@
 		b.mu.Unlock()
 		return write(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 	}
-	if how != BehaveFull {
+	if how != BehaveFull && how != BehaveBusy {
 		b.runs[id]++
 	}
 	b.mu.Unlock()
@@ -165,6 +173,8 @@
 		return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id + "\r\nServer-Load: 1,0,8\r\n" + extra
 	}
 	switch how {
+	case BehaveBusy:
+		return write(c, head("503 Service Unavailable", fmt.Sprintf("Not-Executed: 1\r\nRetry-After: %.2f\r\nContent-Length: 0\r\n\r\n", BusyFor.Seconds())))
 	case BehaveFull:
 		return write(c, head("503 Service Unavailable", "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
 	case BehaveLosing:
@@ -182,8 +192,11 @@
 	if b.Events > 0 {
 		return b.stream(c, r, head, how == BehaveBreaking)
 	}
-	text := "answer to " + id
-	return write(c, head("200 OK", fmt.Sprintf("Response-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", len(text), text)))
+	text, extra := "answer to "+id, ""
+	if how == BehaveLeaving {
+		extra = "Server-Leaving: 1\r\n"
+	}
+	return write(c, head("200 OK", extra+fmt.Sprintf("Response-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", len(text), text)))
 }
 
 // stream sends the events that follow the last one that the caller has.
