Upstream: the head of an answer is bounded

Cause: net/http's parser reads a head without a bound, informational answers included; bytes without end went into memory until the caller's deadline, on VMs of 112 MB. Test: bytes without end in seven places; four read 128 MB before, now 256 KB at most.

--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -180,7 +180,11 @@
 
 // readHead reads the headers and checks whom they answer.
 func (r *Reply) readHead(call Call) error {
-	resp, err := readResponse(r.conn.br, call.Method)
+	var resp *http.Response
+	err := r.conn.readHead(func() (err error) {
+		resp, err = readResponse(r.conn.br, call.Method)
+		return err
+	})
 	if err != nil {
 		return turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: no answer", call.Server.ID)
 	}
--- a/io/tsupstream/client_test.go
+++ b/io/tsupstream/client_test.go
@@ -276,3 +276,34 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.accepted.Load(), int32(2))
 }
+
+// TestBytesWithoutEnd lets a server send bytes until its connection is closed.
+func TestBytesWithoutEnd(t *testing.T) {
+	const most = 32 << 20
+	for name, c := range map[string]struct{ start, again string }{
+		"in a header's line":       {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nX: ", strings.Repeat("x", 32<<10)},
+		"in headers":               {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n", strings.Repeat("X-Y: z\r\n", 4<<10)},
+		"in the status line":       {"HTTP/1.1 200 ", strings.Repeat("x", 32<<10)},
+		"in informational answers": {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 1<<10)},
+		"in a body":                {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\n", strings.Repeat("x", 32<<10)},
+		"in a chunk's extension":   {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5;", strings.Repeat("x", 32<<10)},
+		"in a trailer":             {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("X-Y: z\r\n", 4<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			s := newRaw(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				n := 0
+				for ok := send(t, c.start, conn); ok && n < 4*most; ok = send(t, c.again, conn) {
+					n += len(c.again)
+				}
+				sent <- n
+				return false
+			})
+			began := time.Now()
+			_, err := fetch(newClient(), call(s, "a"))
+			assertKind(t, err, turmericshed.KindCallUnknown)
+			n := <-sent
+			assert.Assert(t, n < most, "%d MB were read in %s", n>>20, time.Since(began))
+		})
+	}
+}
--- a/io/tsupstream/conn.go
+++ b/io/tsupstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -52,11 +53,41 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// head is what may still be read for an answer's head, and inHead true
+	// while one is read.
+	head   int
+	inHead bool
 	// idleSince and expires are set while the connection is idle.
 	idleSince time.Time
 	expires   time.Time
 }
 
+// maxHeadBytes bounds the head of an answer, with the informational answers
+// before it: a server in trouble may send bytes without end.
+const maxHeadBytes = 256 << 10
+
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
+// readHead runs f, which may read no more than a head's bytes.
+func (c *conn) readHead(f func() error) error {
+	c.head, c.inHead = maxHeadBytes, true
+	defer func() { c.inHead = false }()
+	return f()
+}
+
+// Read bounds the bytes of a head. It is called by br alone.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(p)
+	}
+	if c.head <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.Conn.Read(p)
+	c.head -= n
+	return n, err
+}
+
 // quiet reports whether nothing arrived on an idle connection: neither its
 // end nor bytes that answer nothing.
 func (c *conn) quiet() bool {
@@ -155,7 +186,9 @@
 		cs.forget(k)
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+	c := &conn{Conn: nc}
+	c.br = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 // put keeps an idle connection for as long as the server does.
