--- a/core/tsbudget/commit.go
+++ b/core/tsbudget/commit.go
@@ -1,60 +1,12 @@
 package tsbudget
 
 import (
-	"context"
 	"slices"
-	"time"
 
 	"turmericshed"
 	"turmericshed/core/tsupdate"
 )
 
-// Request is what one holder wants done to the ledgers and to its failure
-// domain's holding.
-type Request struct {
-	VM          string
-	Incarnation turmericshed.Incarnation
-	Changes     []Change
-	// Declaration, if set, is how far the holder's lots may be used.
-	Declaration *Declaration
-	// Takeover makes the process stand for its entry VM. Such a request has no
-	// changes.
-	Takeover *Takeover
-	// Leave takes the entry VM out of the holding, when no lot is left.
-	Leave bool
-	// Urgent is true when callers wait for the outcome.
-	Urgent bool
-	// Count is true when ledgers should count at once what was used.
-	Count bool
-	// Cursor is that of the last reply, so that ledgers are told once.
-	Cursor Cursor
-}
-
-// Cursor is a place in the order in which a LedgerWriter learned of ledgers.
-type Cursor struct {
-	Writer turmericshed.Incarnation
-	At     uint64
-}
-
-// Takeover ends what an earlier process on the entry VM held.
-type Takeover struct {
-	// From is the earlier process; empty where the holding has none.
-	From turmericshed.Incarnation
-	// Now is the entry VM's time of day.
-	Now time.Time
-}
-
-// Declaration is a holder's promise, see Ceilings.
-type Declaration struct {
-	// Sequence grows with each declaration of a process.
-	Sequence int64
-	// Lease is what the promise lasts as long as. The holder learned of it at
-	// Since, by its time of day.
-	Lease    turmericshed.LeaseID
-	Since    time.Time
-	Ceilings []LotCeiling
-}
-
 // Commit makes some of the changes of several holders in one transaction: of
 // some ledgers and of the holding. It is pure; a tsupdate.Batch drives it.
 //
@@ -338,106 +290,3 @@
 		}
 	}
 }
-
-// Plan returns the budgets that the requests change: those whose ledgers must
-// be written, and those that the domain's share is enough for, each in order.
-// due reports whether the ledger should count again what the domain used.
-func Plan(h Holding, requests []Request, due func(id turmericshed.BudgetID) bool) (ledgers, local []turmericshed.BudgetID) {
-	set := make(map[turmericshed.BudgetID]bool)
-	for _, r := range requests {
-		for _, ch := range r.Changes {
-			set[ch.Budget] = true
-		}
-		if r.Takeover != nil && r.Takeover.From != r.Incarnation {
-			for id := range h.Of(r.Takeover.From) {
-				set[id] = true
-			}
-		}
-	}
-	never := func(turmericshed.LeaseID) bool { return false }
-	for _, id := range sortedBudgets(set) {
-		var changes []Change
-		takesOver, counts := false, false
-		for _, r := range requests {
-			if h.Standing(r) != nil {
-				continue
-			}
-			own := h.changesOf(r, id, never)
-			changes = append(changes, own...)
-			takesOver = takesOver || (r.Takeover != nil && len(own) > 0)
-			counts = counts || (r.Count && len(own) > 0)
-		}
-		own, ok := mergeLocal(h.share(id), changes)
-		uncounted := own.pool.sum(own.lots).Used != own.pool.Counted.Used
-		if !ok || takesOver || (due(id) && uncounted) || (counts && (uncounted || own.pool.Used > 0)) {
-			ledgers = append(ledgers, id)
-		} else {
-			local = append(local, id)
-		}
-	}
-	return ledgers, local
-}
-
-// Choose returns the ledgers that one round writes: all that must not wait, and
-// of the others those that were written longest ago, up to n in all. The rest is
-// put off. Load pattern: after a cut every holder is short of every budget, and
-// all domains want to write all ledgers at once; the callers who wait are served
-// first, and what is held ahead of demand is filled up over the next rounds.
-func Choose(ledgers []turmericshed.BudgetID, requests []Request, n int, written func(id turmericshed.BudgetID) time.Time) (now, later []turmericshed.BudgetID) {
-	must := make(map[turmericshed.BudgetID]bool)
-	for _, r := range requests {
-		for _, ch := range r.Changes {
-			if ch.Urgent || ch.Prepaid > 0 || r.Count || r.Leave {
-				must[ch.Budget] = true
-			}
-		}
-	}
-	var rest []turmericshed.BudgetID
-	for _, id := range ledgers {
-		if must[id] {
-			now = append(now, id)
-		} else {
-			rest = append(rest, id)
-		}
-	}
-	for _, r := range requests {
-		if r.Takeover != nil {
-			return ledgers, nil
-		}
-	}
-	slices.SortStableFunc(rest, func(a, b turmericshed.BudgetID) int { return written(a).Compare(written(b)) })
-	n = min(max(n-len(now), 0), len(rest))
-	return append(now, rest[:n]...), rest[n:]
-}
-
-// Reply is what a holder is told of its request.
-type Reply struct {
-	// Standing is the process that stands for the holder's entry VM.
-	Standing turmericshed.Incarnation
-	// Lease is what the next declaration may be bound to; empty for none.
-	Lease turmericshed.LeaseID
-	// Declared is true when the request's declaration stands.
-	Declared bool
-	// Ledgers are those that changed since the request's Cursor, at least, and
-	// Cursor is for the next request.
-	Ledgers []turmericshed.Item
-	Cursor  Cursor
-	// Next is the time until a request that is not urgent is best made: all
-	// holders then ask at once.
-	Next time.Duration
-	// Lots are all of the process.
-	Lots map[turmericshed.BudgetID][]Lot
-	// Pools are what the domain can still give of budgets without their
-	// ledgers.
-	Pools map[turmericshed.BudgetID]turmericshed.Tokens
-	// Errs are why changes were not made.
-	Errs map[turmericshed.BudgetID]error
-}
-
-// LedgerWriter writes the ledgers for the holders of a failure domain.
-type LedgerWriter interface {
-	// Commit makes the request's changes. Repeated, it changes nothing more.
-	// Errors: KindStoreUnavailable (nothing of it was written),
-	// KindStoreUnknown (all, some or nothing was, or may yet be).
-	Commit(ctx context.Context, r Request) (Reply, error)
-}
--- /dev/null
+++ b/core/tsbudget/plan.go
@@ -0,0 +1,79 @@
+package tsbudget
+
+import (
+	"slices"
+	"time"
+
+	"turmericshed"
+)
+
+// Plan returns the budgets that the requests change: those whose ledgers must
+// be written, and those that the domain's share is enough for, each in order.
+// due reports whether the ledger should count again what the domain used.
+func Plan(h Holding, requests []Request, due func(id turmericshed.BudgetID) bool) (ledgers, local []turmericshed.BudgetID) {
+	set := make(map[turmericshed.BudgetID]bool)
+	for _, r := range requests {
+		for _, ch := range r.Changes {
+			set[ch.Budget] = true
+		}
+		if r.Takeover != nil && r.Takeover.From != r.Incarnation {
+			for id := range h.Of(r.Takeover.From) {
+				set[id] = true
+			}
+		}
+	}
+	never := func(turmericshed.LeaseID) bool { return false }
+	for _, id := range sortedBudgets(set) {
+		var changes []Change
+		takesOver, counts := false, false
+		for _, r := range requests {
+			if h.Standing(r) != nil {
+				continue
+			}
+			own := h.changesOf(r, id, never)
+			changes = append(changes, own...)
+			takesOver = takesOver || (r.Takeover != nil && len(own) > 0)
+			counts = counts || (r.Count && len(own) > 0)
+		}
+		own, ok := mergeLocal(h.share(id), changes)
+		uncounted := own.pool.sum(own.lots).Used != own.pool.Counted.Used
+		if !ok || takesOver || (due(id) && uncounted) || (counts && (uncounted || own.pool.Used > 0)) {
+			ledgers = append(ledgers, id)
+		} else {
+			local = append(local, id)
+		}
+	}
+	return ledgers, local
+}
+
+// Choose returns the ledgers that one round writes: all that must not wait, and
+// of the others those that were written longest ago, up to n in all. The rest is
+// put off. Load pattern: after a cut every holder is short of every budget, and
+// all domains want to write all ledgers at once; the callers who wait are served
+// first, and what is held ahead of demand is filled up over the next rounds.
+func Choose(ledgers []turmericshed.BudgetID, requests []Request, n int, written func(id turmericshed.BudgetID) time.Time) (now, later []turmericshed.BudgetID) {
+	must := make(map[turmericshed.BudgetID]bool)
+	for _, r := range requests {
+		for _, ch := range r.Changes {
+			if ch.Urgent || ch.Prepaid > 0 || r.Count || r.Leave {
+				must[ch.Budget] = true
+			}
+		}
+	}
+	var rest []turmericshed.BudgetID
+	for _, id := range ledgers {
+		if must[id] {
+			now = append(now, id)
+		} else {
+			rest = append(rest, id)
+		}
+	}
+	for _, r := range requests {
+		if r.Takeover != nil {
+			return ledgers, nil
+		}
+	}
+	slices.SortStableFunc(rest, func(a, b turmericshed.BudgetID) int { return written(a).Compare(written(b)) })
+	n = min(max(n-len(now), 0), len(rest))
+	return append(now, rest[:n]...), rest[n:]
+}
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -20,7 +20,6 @@
 	"context"
 	"log/slog"
 	"slices"
-	"strings"
 	"time"
 
 	"turmericshed"
@@ -111,20 +110,6 @@
 	refreshed time.Time
 }
 
-// lease is a lease and when it was asked for.
-type lease struct {
-	id turmericshed.LeaseID
-	at time.Time
-}
-
-// noted is a ledger and its place in the order of news.
-type noted struct {
-	turmericshed.Item
-	at uint64
-	// wrote is when this process last wrote it.
-	wrote time.Time
-}
-
 var _ tsbudget.LedgerWriter = (*Committer)(nil)
 
 // pending is a request that waits for its round.
@@ -190,45 +175,6 @@
 	}
 }
 
-// gather waits for the requests that join the first one, until earliest at
-// least, and leaves out those that nobody waits for any more.
-func (c *Committer) gather(ctx context.Context, first *pending, earliest time.Time) []*pending {
-	list := []*pending{first}
-	due := time.Now().Add(first.patience())
-	for wait := true; wait; {
-		until := due
-		if earliest.After(until) {
-			until = earliest
-		}
-		select {
-		case p := <-c.queue:
-			list = append(list, p)
-			if d := time.Now().Add(p.patience()); d.Before(due) {
-				due = d
-			}
-		case <-time.After(time.Until(until)):
-			wait = false
-		case <-ctx.Done():
-			wait = false
-		}
-	}
-	alive := list[:0]
-	for _, p := range list {
-		if p.ctx.Err() == nil {
-			alive = append(alive, p)
-		}
-	}
-	return alive
-}
-
-// patience is how long a request waits for others.
-func (p *pending) patience() time.Duration {
-	if p.Urgent || p.Takeover != nil || p.Leave {
-		return gatherPause
-	}
-	return joinPause
-}
-
 // round serves some requests.
 func (c *Committer) round(ctx context.Context, list []*pending) {
 	if len(list) == 0 {
@@ -324,26 +270,6 @@
 	}
 }
 
-// leases returns which leases are alive, if a request takes an entry VM over.
-func (c *Committer) leases(ctx context.Context, list []*pending) (func(turmericshed.LeaseID) bool, error) {
-	alive := make(map[turmericshed.LeaseID]bool)
-	for _, p := range list {
-		if p.Takeover == nil || p.Takeover.From == "" {
-			continue
-		}
-		prefix := tsbudget.MarkerKey(c.domain, "")
-		items, err := c.cfg.Store.List(ctx, prefix, "", refreshPage)
-		if err != nil {
-			return nil, err
-		}
-		for _, i := range items {
-			alive[turmericshed.LeaseID(strings.TrimPrefix(i.Key, prefix))] = true
-		}
-		break
-	}
-	return func(l turmericshed.LeaseID) bool { return alive[l] }, nil
-}
-
 // prepare reads the holding, once, and takes a lease when the last one is not
 // fresh.
 func (c *Committer) prepare(ctx context.Context) error {
@@ -361,43 +287,6 @@
 	return nil
 }
 
-// takeLease takes a lease that was granted meanwhile, and asks for the next
-// one. Only a round without a fresh lease waits for it.
-func (c *Committer) takeLease(ctx context.Context) {
-	c.pollLease(0)
-	if time.Since(c.asked) >= leaseInterval {
-		c.asked = time.Now()
-		go c.grant(ctx)
-	}
-	if time.Since(c.lease.at) > maxLeaseAge {
-		c.lease, c.marked = lease{}, false
-		c.pollLease(firstLeaseTimeout)
-	}
-}
-
-func (c *Committer) pollLease(wait time.Duration) {
-	select {
-	case l := <-c.granted:
-		c.lease, c.marked = l, false
-	case <-time.After(wait):
-	}
-}
-
-func (c *Committer) grant(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaseInterval)
-	defer cancel()
-	asked := time.Now()
-	id, err := c.cfg.Store.Grant(ctx, tsbudget.LeaseLength)
-	if err != nil {
-		c.cfg.Log.Debug("no lease", "error", err.Error())
-		return
-	}
-	select {
-	case c.granted <- lease{id: id, at: asked}:
-	default: // An earlier one is not taken yet.
-	}
-}
-
 // transact makes one transaction.
 func (c *Committer) transact(ctx context.Context, t transaction) error {
 	commit := tsbudget.NewCommit(tsbudget.CommitConfig{
@@ -462,17 +351,6 @@
 	}
 }
 
-func (c *Committer) note(id turmericshed.BudgetID, item turmericshed.Item) {
-	if item.Version > c.ledgers[id].Version {
-		c.notes++
-		c.ledgers[id] = noted{Item: item, at: c.notes, wrote: c.ledgers[id].wrote}
-	}
-}
-
-func (c *Committer) cached(id turmericshed.BudgetID) turmericshed.Item {
-	return c.ledgers[id].Item
-}
-
 // decode reads a holding, or returns what is known of it.
 func (c *Committer) decode(item turmericshed.Item) (tsbudget.Holding, error) {
 	if item.Version == c.holding.Version {
@@ -515,52 +393,3 @@
 	r.Cursor = tsbudget.Cursor{Writer: c.self, At: c.notes}
 	return r
 }
-
-// untilBeat returns the time until the next beat that holders can keep. The
-// beats of the failure domains are spread by the time of day, so that they don't
-// meet at the same ledgers; where clocks differ, some conflict.
-func (c *Committer) untilBeat(now time.Time) time.Duration {
-	wait := (c.phase() - time.Duration(now.UnixNano())%beatInterval + beatInterval) % beatInterval
-	if wait < beatMargin {
-		wait += beatInterval
-	}
-	return wait
-}
-
-// phase is the domain's place in a beat.
-func (c *Committer) phase() time.Duration {
-	before := make(map[turmericshed.FailureDomain]bool)
-	all := map[turmericshed.FailureDomain]bool{c.domain: true}
-	for _, vm := range c.cfg.Members.Reachable() {
-		all[vm.FailureDomain] = true
-		if vm.FailureDomain < c.domain {
-			before[vm.FailureDomain] = true
-		}
-	}
-	return beatInterval * time.Duration(len(before)) / time.Duration(len(all))
-}
-
-// refresh reads all ledgers a little late, unless the last reading is younger
-// than an age. What it misses is told by conflicts.
-func (c *Committer) refresh(ctx context.Context, age time.Duration) {
-	if c.cfg.Ledgers == nil || time.Since(c.refreshed) < age {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
-	defer cancel()
-	for after := ""; ; {
-		items, err := c.cfg.Ledgers.ListStale(ctx, turmericshed.BudgetPrefix, after, refreshPage)
-		if err != nil {
-			c.cfg.Log.Debug("ledgers not read", "error", err.Error())
-			return
-		}
-		for _, item := range items {
-			after = item.Key
-			c.note(turmericshed.BudgetID(strings.TrimPrefix(item.Key, turmericshed.BudgetPrefix)), item)
-		}
-		if len(items) < refreshPage {
-			break
-		}
-	}
-	c.refreshed = time.Now()
-}
--- /dev/null
+++ b/io/tscommit/lease.go
@@ -0,0 +1,73 @@
+package tscommit
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsbudget"
+)
+
+// lease is a lease and when it was asked for.
+type lease struct {
+	id turmericshed.LeaseID
+	at time.Time
+}
+
+// leases returns which leases are alive, if a request takes an entry VM over.
+func (c *Committer) leases(ctx context.Context, list []*pending) (func(turmericshed.LeaseID) bool, error) {
+	alive := make(map[turmericshed.LeaseID]bool)
+	for _, p := range list {
+		if p.Takeover == nil || p.Takeover.From == "" {
+			continue
+		}
+		prefix := tsbudget.MarkerKey(c.domain, "")
+		items, err := c.cfg.Store.List(ctx, prefix, "", refreshPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, i := range items {
+			alive[turmericshed.LeaseID(strings.TrimPrefix(i.Key, prefix))] = true
+		}
+		break
+	}
+	return func(l turmericshed.LeaseID) bool { return alive[l] }, nil
+}
+
+// takeLease takes a lease that was granted meanwhile, and asks for the next
+// one. Only a round without a fresh lease waits for it.
+func (c *Committer) takeLease(ctx context.Context) {
+	c.pollLease(0)
+	if time.Since(c.asked) >= leaseInterval {
+		c.asked = time.Now()
+		go c.grant(ctx)
+	}
+	if time.Since(c.lease.at) > maxLeaseAge {
+		c.lease, c.marked = lease{}, false
+		c.pollLease(firstLeaseTimeout)
+	}
+}
+
+func (c *Committer) pollLease(wait time.Duration) {
+	select {
+	case l := <-c.granted:
+		c.lease, c.marked = l, false
+	case <-time.After(wait):
+	}
+}
+
+func (c *Committer) grant(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaseInterval)
+	defer cancel()
+	asked := time.Now()
+	id, err := c.cfg.Store.Grant(ctx, tsbudget.LeaseLength)
+	if err != nil {
+		c.cfg.Log.Debug("no lease", "error", err.Error())
+		return
+	}
+	select {
+	case c.granted <- lease{id: id, at: asked}:
+	default: // An earlier one is not taken yet.
+	}
+}
--- a/io/tsholder/controller.go
+++ b/io/tsholder/controller.go
@@ -23,9 +23,6 @@
 	if h.cfg.Writer != nil {
 		return append(list, h.exchanger)
 	}
-	if h.cfg.Ledgers != nil {
-		list = append(list, controller(h.refreshLoop))
-	}
 	for range workers {
 		list = append(list, controller(h.workLoop))
 	}
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -54,11 +54,6 @@
 	// waitingPause while requests wait for a ledger with no room.
 	outagePause  = 500 * time.Millisecond
 	waitingPause = 300 * time.Millisecond
-	// refreshInterval is the time between readings of all ledgers, jittered
-	// by as much again.
-	refreshInterval = time.Second
-	// refreshPage is the most ledgers read in one call.
-	refreshPage = 500
 	// edgeReport is the least time between reports of usage that a placement
 	// asks for while a ledger has no room.
 	edgeReport = 2 * time.Second
@@ -99,13 +94,10 @@
 	// Keeper brings ledgers in line with their profiles; nil takes
 	// EditedProfiles.
 	Keeper Keeper
-	// Ledgers reads all ledgers at once, a little late, so that holders
-	// without demand learn when others run short; nil reads none.
-	Ledgers turmericshed.StaleLister
 	// Writer, when set, writes the ledgers of all budgets together, with the
 	// own lots in a document beside them. It also publishes how far lots may
 	// be used, so that a process that follows on the same machine can give
-	// back the rest. Nothing is borrowed then, and Ledgers is not read.
+	// back the rest. Nothing is borrowed then.
 	Writer tsbudget.LedgerWriter
 	// WritesPerSecond limits the writes to the store that no request waits
 	// for; 0 takes the default.
--- a/io/tsholder/keeper.go
+++ b/io/tsholder/keeper.go
@@ -16,14 +16,7 @@
 	Repair(ctx context.Context, s turmericshed.Store, p turmericshed.Profile) (turmericshed.Item, error)
 }
 
-// Raiser is a Keeper whose repair is one change of the ledger, which can be
-// written together with others.
-type Raiser interface {
-	Raise(p turmericshed.Profile) tsupdate.Mutation
-}
-
 var (
-	_ Raiser = GrantedProfiles{}
 	_ Keeper = EditedProfiles{}
 	_ Keeper = GrantedProfiles{}
 )
@@ -51,11 +44,6 @@
 }
 
 // Repair makes the ledger, or raises its amount.
-func (k GrantedProfiles) Repair(ctx context.Context, s turmericshed.Store, p turmericshed.Profile) (turmericshed.Item, error) {
-	return tsupdate.Run(ctx, s, tsupdate.New(tsbudget.Key(p.Budget), k.Raise(p)))
-}
-
-// Raise returns the mutation that makes the ledger, or raises its amount.
-func (GrantedProfiles) Raise(p turmericshed.Profile) tsupdate.Mutation {
-	return tsbudget.Grant(p.Budget, p.Name, p.Prepaid)
+func (GrantedProfiles) Repair(ctx context.Context, s turmericshed.Store, p turmericshed.Profile) (turmericshed.Item, error) {
+	return tsupdate.Run(ctx, s, tsupdate.New(tsbudget.Key(p.Budget), tsbudget.Grant(p.Budget, p.Name, p.Prepaid)))
 }
