--- a/core/tsbudget/ceiling.go
+++ b/core/tsbudget/ceiling.go
@@ -35,7 +35,7 @@
 	// two declarations, that between two leases, a process's restart (up to
 	// 1.5 s) and its first call. In a cut, requests beyond the ceilings wait
 	// for its end.
-	LeaseLength = 3800 * time.Millisecond
+	LeaseLength = 4 * time.Second
 	// quietCeiling is the part of what is free that may be used without known
 	// demand; it is lost when the holder dies.
 	quietCeiling = 1.0 / 50
--- a/core/tsbudget/holding_test.go
+++ b/core/tsbudget/holding_test.go
@@ -21,11 +21,13 @@
 	alive map[turmericshed.LeaseID]bool
 	// due makes ledgers count again what a domain used.
 	due bool
+	// decoded are the holdings that were read, by version.
+	decoded map[turmericshed.Version]tsbudget.Holding
 }
 
 func newDomains(t *testing.T) *domains {
 	t.Helper()
-	return &domains{t: t, shelf: map[string]turmericshed.Item{}, alive: map[turmericshed.LeaseID]bool{}, due: true}
+	return &domains{t: t, shelf: map[string]turmericshed.Item{}, alive: map[turmericshed.LeaseID]bool{}, due: true, decoded: map[turmericshed.Version]tsbudget.Holding{}}
 }
 
 func (d *domains) MaxKeys() int { return 16 }
@@ -37,7 +39,7 @@
 	key := tsbudget.HoldingKey(turmericshed.FailureDomain(domain))
 	budgets, local := tsbudget.Plan(d.holding(domain), requests, func(turmericshed.BudgetID) bool { return d.due })
 	c := tsbudget.NewCommit(tsbudget.CommitConfig{
-		Requests: requests, Budgets: budgets, Local: local, Decode: tsbudget.DecodeHolding,
+		Requests: requests, Budgets: budgets, Local: local, Decode: d.decode,
 		LeaseAlive: func(l turmericshed.LeaseID) bool { return d.alive[l] },
 	})
 	b := tsupdate.NewBatch(c.Changes(func(id turmericshed.BudgetID) turmericshed.Item { return d.shelf[tsbudget.Key(id)] }, turmericshed.Item{Key: key}))
@@ -78,11 +80,23 @@
 
 func (d *domains) holding(domain string) tsbudget.Holding {
 	d.t.Helper()
-	h, err := tsbudget.DecodeHolding(d.shelf[tsbudget.HoldingKey(turmericshed.FailureDomain(domain))])
+	h, err := d.decode(d.shelf[tsbudget.HoldingKey(turmericshed.FailureDomain(domain))])
 	assert.NilError(d.t, err)
 	return h
 }
 
+// decode reads each version of a holding once.
+func (d *domains) decode(item turmericshed.Item) (tsbudget.Holding, error) {
+	if h, ok := d.decoded[item.Version]; ok && item.Version != 0 {
+		return h, nil
+	}
+	h, err := tsbudget.DecodeHolding(item)
+	if err == nil {
+		d.decoded[item.Version] = h
+	}
+	return h, err
+}
+
 // ledger returns the budget's ledger, after comparing it with the holdings.
 func (d *domains) ledger(names ...string) tsbudget.Ledger {
 	d.t.Helper()
--- a/core/tsbudget/takeover_test.go
+++ b/core/tsbudget/takeover_test.go
@@ -131,11 +131,11 @@
 	}
 	requests := []tsbudget.Request{r}
 	due := s.rng.IntN(3) == 0
-	remembered, err := tsbudget.DecodeHolding(cached)
+	remembered, err := s.decode(cached)
 	assert.NilError(s.t, err)
 	budgets, local := tsbudget.Plan(remembered, requests, func(turmericshed.BudgetID) bool { return due })
 	c := tsbudget.NewCommit(tsbudget.CommitConfig{
-		Requests: requests, Budgets: budgets, Local: local, Decode: tsbudget.DecodeHolding,
+		Requests: requests, Budgets: budgets, Local: local, Decode: s.decode,
 		LeaseAlive: func(l turmericshed.LeaseID) bool { return alive[l] },
 	})
 	b := tsupdate.NewBatch(c.Changes(func(id turmericshed.BudgetID) turmericshed.Item { return s.shelf[tsbudget.Key(id)] }, cached))
--- a/io/tscommit/client_test.go
+++ b/io/tscommit/client_test.go
@@ -203,6 +203,15 @@
 		changed := b.mustCommit(tsbudget.Request{Cursor: again.Cursor})
 		assert.Equal(t, len(changed.Ledgers), 1)
 	})
+	t.Run("the lease that a holder is told of is the newest", func(t *testing.T) {
+		d := newDomain(t, 1)
+		d.stand()
+		for range 3 {
+			time.Sleep(1100 * time.Millisecond)
+			reply := d.vms[0].mustCommit(tsbudget.Request{})
+			assert.Equal(t, string(reply.Lease), fmt.Sprint(d.store.Calls("/kv-lease")))
+		}
+	})
 	t.Run("a process that was replaced is told by whom", func(t *testing.T) {
 		d := newDomain(t, 2)
 		d.stand()
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -40,10 +40,12 @@
 	// are told to wait.
 	beatInterval = time.Second
 	beatMargin   = 400 * time.Millisecond
-	// leaseInterval is the time between leases while there are requests,
-	// maxLeaseAge the age from which one is not told any more, and
-	// firstLeaseTimeout what a round without any waits for one.
-	leaseInterval     = time.Second
+	// leaseInterval is the time between leases while there are requests, a
+	// little less than a beat, and leaseTimeout what a round waits for one.
+	// maxLeaseAge is the age from which one is not told any more, and
+	// firstLeaseTimeout what a round without any waits.
+	leaseInterval     = 900 * time.Millisecond
+	leaseTimeout      = 50 * time.Millisecond
 	maxLeaseAge       = 2 * time.Second
 	firstLeaseTimeout = 400 * time.Millisecond
 	// refreshAge is the age of the last late reading of all ledgers from which
--- a/io/tscommit/lease.go
+++ b/io/tscommit/lease.go
@@ -35,13 +35,15 @@
 	return func(l turmericshed.LeaseID) bool { return alive[l] }, nil
 }
 
-// takeLease takes a lease that was granted meanwhile, and asks for the next
-// one. Only a round without a fresh lease waits for it.
+// takeLease takes a new lease where the last one is not fresh: holders declare
+// for it with their next requests, and its age then is lost to a restart. A
+// round goes on with the last one when the store is slow.
 func (c *Committer) takeLease(ctx context.Context) {
 	c.pollLease(0)
 	if time.Since(c.asked) >= leaseInterval {
 		c.asked = time.Now()
 		go c.grant(ctx)
+		c.pollLease(leaseTimeout)
 	}
 	if time.Since(c.lease.at) > maxLeaseAge {
 		c.lease, c.marked = lease{}, false
