Limits: what servers name is decoded, kept, logged and counted

Nothing is held back yet.

A limit that can't be read is an error in the log, once, and changes nothing; of two the lower one counts. Of answers that overtake each other the lower limit holds, and the end of a limit only counts from a request that was sent after the naming had come.

--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -33,6 +33,7 @@
 	"turmericshed/io/tsnews"
 	"turmericshed/io/tsobserve"
 	"turmericshed/io/tspeer"
+	"turmericshed/io/tspermits"
 	"turmericshed/io/tsregistry"
 	"turmericshed/io/tsrelay"
 	"turmericshed/io/tsrouting"
@@ -93,6 +94,7 @@
 	peers    *tspeer.Server
 	commits  *tscommit.Committer
 	holder   *tsholder.Holder
+	limits   *tspermits.Permits
 	pool     *tsrouting.Pool
 	upstream *tsupstream.Client
 	meter    *tsmeter.Meter
@@ -145,6 +147,7 @@
 			Members: g.registry, Peers: transport, Local: g.commits, Link: g.meter, Log: tsobserve.Part(g.log, "ledgers"),
 		}),
 	})
+	g.limits = tspermits.New(tspermits.Config{Board: g.board, Metrics: g.metrics.Registry(), Log: tsobserve.Part(g.log, "limits")})
 	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Homes: prefixHomes, Board: g.board, Recorder: events})
 	news := tsnews.New(tsnews.Config{
 		Members: g.registry, Await: g.registry.Await, Store: store, Peers: transport, Link: g.meter, Log: tsobserve.Part(g.log, "news"),
@@ -160,7 +163,7 @@
 		Store: news, Prefix: platform.ServerPrefix, Log: tsobserve.Part(g.log, "servers"), View: g.roster,
 	})
 	g.relay = tsrelay.New(tsrelay.Config{
-		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, Metrics: g.metrics,
+		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, Limits: g.limits, Metrics: g.metrics,
 		Log: tsobserve.Part(g.log, "relay"), Retries: retryBounds(s), EntryVMs: g.registry.Count,
 		StaleAfter: staleAfter, TableAge: func() time.Duration { return g.tables.Age(time.Now()) },
 		NewsAge: g.newsAge,
@@ -326,7 +329,7 @@
 	sup := suture.New("gateway", suture.Spec{FailureBackoff: restartPause, EventHook: func(e suture.Event) {
 		g.log.Error("controller ended", "event", e.String())
 	}})
-	parts := []turmericshed.Controller{g.tables, g.servers, g.roster, g.registry, g.upstream, g.meter, peerController{g}}
+	parts := []turmericshed.Controller{g.tables, g.servers, g.roster, g.registry, g.upstream, g.meter, g.limits, peerController{g}}
 	parts = append(parts, g.commits.Controllers()...)
 	parts = append(parts, g.holder.Controllers()...)
 	parts = append(parts, g.pool.Controllers()...)
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -181,7 +181,7 @@
 		l := reply.Info.Load
 		q.relay.cfg.Router.Report(time.Now(), turmericshed.LoadReport{Server: server.ID, At: began.Add(first / 2), Running: l.Running, Queued: l.Queued})
 	}
-	q.heed(server, reply.Info)
+	q.heed(server, began, reply.Info)
 	if reply.Info.NotRun {
 		return nil, first, q.notRun(server, reply)
 	}
@@ -210,7 +210,10 @@
 }
 
 // heed takes what the server says of itself, whatever its answer is.
-func (q *request) heed(server turmericshed.BackendServer, info turmericshed.BackendReply) {
+func (q *request) heed(server turmericshed.BackendServer, asked time.Time, info turmericshed.BackendReply) {
+	if q.relay.cfg.Limits != nil {
+		q.relay.cfg.Limits.Answered(server, asked, info)
+	}
 	if info.Leaving {
 		q.relay.cfg.Router.SetLeaving(time.Now(), server.ID)
 	}
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -76,7 +76,9 @@
 	Budgets  turmericshed.Budgets
 	Upstream *tsupstream.Client
 	// Link tells whether bytes wait at this VM's own link; nil never does.
-	Link    turmericshed.Link
+	Link turmericshed.Link
+	// Limits hears what servers say of their limits; nil hears nothing.
+	Limits  turmericshed.ServerLimits
 	Metrics *tsobserve.Metrics
 	Log     *slog.Logger
 	Retries RetryBounds
--- a/routing_table.go
+++ b/routing_table.go
@@ -140,6 +140,8 @@
 	// RetryAfter is for how long the server wants nothing more from this entry
 	// VM; 0 when not told.
 	RetryAfter time.Duration
+	// Limit is how many requests the server takes.
+	Limit RateLimit
 	// Encoded bodies are not the server's own.
 	Encoded bool
 	// KeepAlive is how long the server keeps an idle connection; 0 when not
