--- a/standin/tsmetastore/backend.go
+++ b/standin/tsmetastore/backend.go
@@ -57,6 +57,9 @@
 	runs      map[string]int
 	canceled  int
 	seen      []http.Header
+	arrivals  []time.Time
+	// limit is what answers name as the requests a second that are taken.
+	limit string
 }
 
 // Start listens on the loopback interface until Close.
@@ -108,6 +111,20 @@
 	return b.canceled
 }
 
+// SetLimit makes the answers that follow name a limit; empty names none.
+func (b *Backend) SetLimit(perSecond string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = perSecond
+}
+
+// Arrivals returns when requests came, in order.
+func (b *Backend) Arrivals() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]time.Time(nil), b.arrivals...)
+}
+
 // Seen returns the headers of the requests, in order.
 func (b *Backend) Seen() []http.Header {
 	b.mu.Lock()
@@ -161,6 +178,11 @@
 	b.mu.Lock()
 	how := b.behaviour
 	b.seen = append(b.seen, r.Header)
+	b.arrivals = append(b.arrivals, time.Now())
+	says := "Server-Load: 1,0,8\r\n"
+	if b.limit != "" {
+		says += "Server-Limit: " + b.limit + "\r\n"
+	}
 	if r.Header.Get("Expect-Instance") != b.ID {
 		b.mu.Unlock()
 		return write(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
@@ -170,7 +192,7 @@
 	}
 	b.mu.Unlock()
 	head := func(status, extra string) string {
-		return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id + "\r\nServer-Load: 1,0,8\r\n" + extra
+		return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id + "\r\n" + says + extra
 	}
 	switch how {
 	case BehaveBusy:
