Limits: entry VMs keep together to the limits that servers name

Callers saw no failure; a server in need that had named a limit of 1.8 requests a second got as much work as the others, 16 requests in 4 s where 15.8 are allowed, and the server is what pays.

Cause: no part of the product read the limit.

Three entry VMs, chosen alike by all by a hash of server and name, hand out 0.9 of the limit, a third each. A request to the server needs a permit of one of them, whatever it is: first attempt, repeat or resumed stream. Who gets none chooses another server, and where there is no other one refuses at once with advice that spreads callers out. Nothing has to be agreed: a holder that is lost takes its third with it, a view that differs by one entry VM adds a third at most, and who reaches no holder keeps to limit/N. Limits go along with the news inside a failure domain, and the first entry VMs of domains tell each other.

Ruled out in the design: a part of limit/N for each entry VM alone (1/9 of it is used where callers keep to one of nine), one entry VM that hands out all (two of them after a change of view are twice the limit).

--- /dev/null
+++ b/core/tslimit/fleet_test.go
@@ -0,0 +1,263 @@
+package tslimit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tslimit"
+)
+
+const (
+	window = 4 * time.Second
+	span   = time.Minute
+	seeds  = 4
+)
+
+// load is the requests of a span that would go to one limited server.
+type load struct {
+	entryVMs int
+	limit    float64
+	// perSecond requests come, spread over the first at entry VMs; 0 means all.
+	perSecond float64
+	at        int
+	// unknown entry VMs joined, of which only they know themselves.
+	unknown int
+	// silent entry VMs answer nobody.
+	silent func(name string) bool
+	// apart entry VMs know of nobody.
+	apart bool
+}
+
+// member is one entry VM's state for the server.
+type member struct {
+	turmericshed.EntryVM
+	draws tslimit.Draws
+	share *tslimit.Share
+	// holders are those of the server in the member's view.
+	holders []turmericshed.EntryVM
+}
+
+// fleet plays a load without a network.
+type fleet struct {
+	load
+	rnd     *rand.Rand
+	members map[string]*member
+	calls   int
+}
+
+func newFleet(l load, seed uint64) (*fleet, []*member) {
+	f := &fleet{load: l, rnd: rand.New(rand.NewPCG(seed, 1)), members: map[string]*member{}}
+	var all []*member
+	var old []turmericshed.EntryVM
+	for i := range l.entryVMs + l.unknown {
+		m := &member{EntryVM: turmericshed.EntryVM{Name: fmt.Sprint("vm-", i)}}
+		f.members[m.Name] = m
+		all = append(all, m)
+		if i < l.entryVMs {
+			old = append(old, m.EntryVM)
+		}
+	}
+	for i, m := range all {
+		known := old
+		if i >= l.entryVMs {
+			known = append(slices.Clone(old), m.EntryVM)
+		}
+		if !l.apart {
+			m.holders = tslimit.Holders(known, "s")
+		}
+	}
+	return f, all
+}
+
+// handOut gives permits of a member's part.
+func (f *fleet) handOut(m *member, now time.Time, want int) (int, time.Duration) {
+	for _, h := range m.holders {
+		if h.Name != m.Name {
+			continue
+		}
+		if m.share == nil {
+			m.share = tslimit.NewShare(now, f.rnd.Float64())
+		}
+		return m.share.Take(now, tslimit.Part(f.limit, len(m.holders)), want)
+	}
+	return 0, 2 * time.Second
+}
+
+// acquire reports whether a request at the member may be sent.
+func (f *fleet) acquire(m *member, now time.Time) bool {
+	for from := f.rnd.IntN(8); ; {
+		taken, open := m.draws.Take(now)
+		if !open {
+			return taken
+		}
+		h, ok := m.draws.Next(now, m.Name, m.holders, from)
+		if !ok {
+			return m.draws.Settle(now, f.limit, f.entryVMs, m.holders, f.rnd.Float64())
+		}
+		if h.Name != m.Name {
+			f.calls++
+		}
+		if f.silent != nil && f.silent(h.Name) {
+			m.draws.Failed(now, h.Name)
+			return false
+		}
+		if n, wait := f.handOut(f.members[h.Name], now, m.draws.Want(now)); n > 0 {
+			m.draws.Granted(now, h.Name, n)
+		} else {
+			m.draws.Refused(now, h.Name, wait)
+		}
+	}
+}
+
+// play returns the most requests in any window, and how much of the limit and
+// how many calls a second there were.
+func (l load) play(seed uint64) (most int, used, calls float64) {
+	f, all := newFleet(l, seed)
+	if l.at > 0 {
+		all = all[:l.at]
+	}
+	var sent []time.Time
+	first := 0
+	for now := epoch; now.Sub(epoch) < span; {
+		now = now.Add(time.Duration(f.rnd.ExpFloat64() / l.perSecond * float64(time.Second)))
+		if !f.acquire(all[f.rnd.IntN(len(all))], now) {
+			continue
+		}
+		sent = append(sent, now)
+		for now.Sub(sent[first]) >= window {
+			first++
+		}
+		most = max(most, len(sent)-first)
+	}
+	return most, float64(len(sent)) / span.Seconds() / l.limit, float64(f.calls) / span.Seconds()
+}
+
+func assertPlays(t *testing.T, l load, leastUse float64) {
+	t.Helper()
+	allowed := 1.5*l.limit*window.Seconds() + 5
+	for seed := range uint64(seeds) {
+		most, used, calls := l.play(seed)
+		assert.Assert(t, float64(most) <= allowed, "seed %d: %d requests, %g are allowed", seed, most, allowed)
+		assert.Assert(t, used >= leastUse, "seed %d: %.2f of the limit is used", seed, used)
+		if seed == 0 {
+			t.Logf("%d of %g allowed, %.2f used, %.1f calls a second", most, allowed, used, calls)
+		}
+	}
+}
+
+// Each entry VM kept a limit for itself, or its part of it, so that together
+// they sent more.
+func TestEntryVMsTogetherKeepALimit(t *testing.T) {
+	const leastUse = 0.4
+	for _, vms := range []int{1, 2, 3, 9, 30, 94, 195} {
+		for _, limit := range []float64{0.5, 1.8, 12, 100} {
+			l := load{entryVMs: vms, limit: limit, perSecond: 10 * limit}
+			t.Run(fmt.Sprintf("%d entry VMs at %g a second", vms, limit), func(t *testing.T) { assertPlays(t, l, leastUse) })
+			t.Run(fmt.Sprintf("%d entry VMs at %g a second, callers at one", vms, limit), func(t *testing.T) {
+				l := l
+				l.at = 1
+				assertPlays(t, l, leastUse)
+			})
+			t.Run(fmt.Sprintf("%d entry VMs at %g a second, thin demand", vms, limit), func(t *testing.T) {
+				l := l
+				l.perSecond = 2 * limit
+				assertPlays(t, l, leastUse)
+			})
+		}
+	}
+	t.Run("one joined that others do not know yet", func(t *testing.T) {
+		assertPlays(t, load{entryVMs: 9, unknown: 1, limit: 1.8, perSecond: 20}, leastUse)
+	})
+	t.Run("a third of them joined", func(t *testing.T) {
+		assertPlays(t, load{entryVMs: 9, unknown: 3, limit: 12, perSecond: 120}, leastUse)
+	})
+	t.Run("one holder is silent", func(t *testing.T) {
+		silent := tslimit.Holders(vmsNamed(9), "s")[0].Name
+		assertPlays(t, load{entryVMs: 9, limit: 1.8, perSecond: 20, silent: func(n string) bool { return n == silent }}, leastUse)
+	})
+	t.Run("nobody answers", func(t *testing.T) {
+		assertPlays(t, load{entryVMs: 9, limit: 1.8, perSecond: 20, silent: func(string) bool { return true }}, leastUse)
+	})
+	t.Run("nobody knows of others", func(t *testing.T) {
+		assertPlays(t, load{entryVMs: 9, limit: 1.8, perSecond: 20, apart: true}, leastUse)
+	})
+}
+
+func vmsNamed(n int) (vms []turmericshed.EntryVM) {
+	for i := range n {
+		vms = append(vms, turmericshed.EntryVM{Name: fmt.Sprint("vm-", i)})
+	}
+	return vms
+}
+
+func names(vms []turmericshed.EntryVM) (list []string) {
+	for _, vm := range vms {
+		list = append(list, vm.Name)
+	}
+	return list
+}
+
+func TestHolders(t *testing.T) {
+	t.Run("the same ones in any order of the list", func(t *testing.T) {
+		vms := vmsNamed(30)
+		want := names(tslimit.Holders(vms, "s"))
+		rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+		assert.DeepEqual(t, names(tslimit.Holders(vms, "s")), want)
+	})
+	t.Run("one that joins takes at most one place", func(t *testing.T) {
+		before := map[string]bool{}
+		for _, h := range tslimit.Holders(vmsNamed(30), "s") {
+			before[h.Name] = true
+		}
+		changed := 0
+		for _, h := range tslimit.Holders(vmsNamed(31), "s") {
+			if !before[h.Name] {
+				changed++
+			}
+		}
+		assert.Assert(t, changed <= 1)
+	})
+}
+
+func TestDraws(t *testing.T) {
+	holders := vmsNamed(3)
+	t.Run("a permit is used once, and in time", func(t *testing.T) {
+		var d tslimit.Draws
+		d.Granted(epoch, "vm-0", 2)
+		taken, _ := d.Take(epoch)
+		assert.Assert(t, taken)
+		taken, open := d.Take(epoch.Add(time.Second))
+		assert.Assert(t, !taken && open)
+	})
+	t.Run("a holder that refused is not asked before its time", func(t *testing.T) {
+		var d tslimit.Draws
+		d.Refused(epoch, "vm-0", time.Second)
+		h, ok := d.Next(epoch, "vm-9", holders[:1], 0)
+		assert.Assert(t, !ok, h.Name)
+		assert.Assert(t, !d.Settle(epoch, 10, 3, holders[:1], 1), "others were alone")
+		assert.Equal(t, d.Closed(), epoch.Add(time.Second))
+		_, ok = d.Next(epoch.Add(time.Second), "vm-9", holders[:1], 0)
+		assert.Assert(t, ok)
+	})
+	t.Run("a raised limit opens what was closed", func(t *testing.T) {
+		var d tslimit.Draws
+		d.Refused(epoch, "vm-0", time.Minute)
+		d.Settle(epoch, 1, 3, holders[:1], 0)
+		d.Reopen()
+		_, open := d.Take(epoch)
+		assert.Assert(t, open)
+	})
+	t.Run("those that are refused come back one after the other", func(t *testing.T) {
+		s := tslimit.NewShare(epoch, 0)
+		_, first := s.Take(epoch, 1, 1)
+		_, second := s.Take(epoch, 1, 1)
+		assert.Equal(t, first, time.Second)
+		assert.Equal(t, second, 2*time.Second)
+	})
+}
--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -314,3 +314,18 @@
 	}
 	return err
 }
+
+// Opens returns the soonest of the times for the servers that could take the
+// request but for them; false when none could.
+func (r *Router) Opens(now time.Time, req turmericshed.RouteRequest, closed map[turmericshed.ServerID]time.Time) (soonest time.Time, ok bool) {
+	for _, s := range r.pool(req).servers {
+		until, is := closed[s.ID]
+		if !is || !s.wants(now) || s.breaker.open || slices.Contains(req.Excluded, s.ID) {
+			continue
+		}
+		if !ok || until.Before(soonest) {
+			soonest, ok = until, true
+		}
+	}
+	return soonest, ok
+}
--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -208,6 +208,16 @@
 	}
 }
 
+// Release takes back a Pick whose request is not sent.
+func (r *Router) Release(now time.Time, id turmericshed.ServerID) {
+	s := r.servers[id]
+	turmericshed.Assert(s != nil, "release_after_pick", "server %s is not known", id)
+	s.add(now, -1)
+	if s.inflight == 0 && !r.listed(s) {
+		delete(r.servers, id)
+	}
+}
+
 // answeredSince reports whether an attempt that began after this one was answered
 // already. What passes the own link keeps its order, so that the link does not
 // explain why there is no answer.
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -147,10 +147,15 @@
 			Members: g.registry, Peers: transport, Local: g.commits, Link: g.meter, Log: tsobserve.Part(g.log, "ledgers"),
 		}),
 	})
-	g.limits = tspermits.New(tspermits.Config{Board: g.board, Metrics: g.metrics.Registry(), Log: tsobserve.Part(g.log, "limits")})
-	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Homes: prefixHomes, Board: g.board, Recorder: events})
+	g.limits = tspermits.New(tspermits.Config{
+		Board: g.board, Members: g.registry, Count: g.registry.Count, Peers: transport, Link: g.meter,
+		Metrics: g.metrics.Registry(), Log: tsobserve.Part(g.log, "limits"),
+	})
+	g.peers.Mount(g.limits.Handler())
+	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Homes: prefixHomes, Board: g.board, Limits: g.limits, Recorder: events})
 	news := tsnews.New(tsnews.Config{
-		Members: g.registry, Await: g.registry.Await, Store: store, Peers: transport, Link: g.meter, Log: tsobserve.Part(g.log, "news"),
+		Members: g.registry, Await: g.registry.Await, Store: store, Peers: transport, Limits: g.limits, Link: g.meter,
+		Log: tsobserve.Part(g.log, "news"),
 	})
 	g.peers.Mount(news.Handler())
 	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: g.meter.Dialer(tsmeter.Servers, cfg.Dial)})
--- a/io/tsnews/service.go
+++ b/io/tsnews/service.go
@@ -16,11 +16,19 @@
 	return tspeerapi.NewNewsServiceHandler(service{s})
 }
 
+// callTime is the time that a call may take on its way here: nobody waits
+// longer for its answer.
+const callTime = followWait + crowdedTimeout
+
 // service answers the peers' calls.
 type service struct{ s *Source }
 
 // Follow returns changes that this process heard of from the store itself.
 func (s service) Follow(ctx context.Context, r *connect.Request[tspeerapi.FollowRequest]) (*connect.Response[tspeerapi.FollowResponse], error) {
+	limits := s.s.cfg.Limits
+	if limits != nil {
+		limits.Hear("", time.Now().Add(-callTime), r.Msg.Limits)
+	}
 	f := s.s.feed(r.Msg.Prefix)
 	n, err := f.follow(ctx, turmericshed.Version(r.Msg.After), min(time.Duration(r.Msg.WaitMs)*time.Millisecond, followWait))
 	if err != nil {
@@ -30,6 +38,9 @@
 	for _, ev := range n.events {
 		m.Items = append(m.Items, &tspeerapi.NewsItem{Key: ev.Key, Value: ev.Value, Version: uint64(ev.Version), Deleted: ev.Deleted})
 	}
+	if limits != nil {
+		m.Limits = limits.Tell()
+	}
 	return connect.NewResponse(m), nil
 }
 
--- a/io/tsnews/source.go
+++ b/io/tsnews/source.go
@@ -61,11 +61,21 @@
 	Await func(ctx context.Context, most time.Duration)
 	Store turmericshed.Source
 	Peers tspeer.Peers
+	// Limits go along with the news; may be nil.
+	Limits Limits
 	// Link tells whether bytes wait at the own link; nil never does.
 	Link turmericshed.Link
 	Log  *slog.Logger
 }
 
+// Limits is what entry VMs tell each other of servers' limits.
+type Limits interface {
+	// Tell returns what other entry VMs should know.
+	Tell() []*tspeerapi.ServerLimit
+	// Hear takes what another entry VM told since then.
+	Hear(from string, since time.Time, limits []*tspeerapi.ServerLimit)
+}
+
 // Source is a turmericshed.Source that hears from peers where it can.
 type Source struct {
 	cfg Config
@@ -170,12 +180,17 @@
 	defer cancel()
 	began := time.Now()
 	hc, base := s.cfg.Peers.Client(vm.PeerAddr)
-	resp, err := tspeerapi.NewNewsServiceClient(hc, base).Follow(ctx, connect.NewRequest(&tspeerapi.FollowRequest{
-		Prefix: prefix, After: uint64(after), WaitMs: wait.Milliseconds(),
-	}))
+	m := &tspeerapi.FollowRequest{Prefix: prefix, After: uint64(after), WaitMs: wait.Milliseconds()}
+	if s.cfg.Limits != nil {
+		m.Limits = s.cfg.Limits.Tell()
+	}
+	resp, err := tspeerapi.NewNewsServiceClient(hc, base).Follow(ctx, connect.NewRequest(m))
 	if err != nil {
 		return news{}, err
 	}
+	if s.cfg.Limits != nil {
+		s.cfg.Limits.Hear(vm.Name, began, resp.Msg.Limits)
+	}
 	n := newsOf(resp.Msg)
 	n.age += time.Since(began)
 	return n, nil
--- a/io/tspermits/metrics.go
+++ b/io/tspermits/metrics.go
@@ -2,12 +2,34 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// register adds the metrics.
+// Results of draws.
+const (
+	drawGranted = "granted"
+	drawRefused = "refused"
+	drawFailed  = "failed"
+	drawnAlone  = "alone"
+)
+
+// counters count what limits cost.
+type counters struct {
+	draws *prometheus.CounterVec
+	sent  prometheus.Counter
+}
+
+// register makes the metrics.
 func (p *Permits) register() {
+	p.counters = counters{
+		draws: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "turmericshed_permit_draws_total", Help: "Draws of permits for limited servers by result; alone where no holder answers.",
+		}, []string{"result"}),
+		sent: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "turmericshed_limited_requests_total", Help: "Permits used to send to limited servers.",
+		}),
+	}
 	if p.cfg.Metrics == nil {
 		return
 	}
-	p.cfg.Metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	p.cfg.Metrics.MustRegister(p.counters.draws, p.counters.sent, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "turmericshed_limited_servers", Help: "Backend servers that name a limit, as far as this entry VM knows.",
 	}, func() float64 {
 		p.mu.Lock()
--- a/io/tspermits/permits.go
+++ b/io/tspermits/permits.go
@@ -1,11 +1,18 @@
 // Package tspermits keeps this entry VM to the limits that backend servers name,
 // together with the other entry VMs.
 //
+// Few entry VMs hand out a server's limit, each a part of it, and all choose
+// the same few. A request to such a server needs a permit of one of them. Who
+// has none chooses another server. Nobody has to agree on anything: an entry VM
+// that is lost only takes its part of the limit with it.
+//
 // # Usage
 //
-//	p := tspermits.New(tspermits.Config{Board: board, Metrics: registry, Log: log})
+//	p := tspermits.New(tspermits.Config{Board: board, Members: members, Peers: peers, Log: log})
+//	server.Mount(p.Handler())
 //	supervisor.Add(p)
 //	p.Answered(server, asked, reply) // of each answer
+//	if p.Acquire(server) { ... }     // before each request
 package tspermits
 
 import (
@@ -19,12 +26,20 @@
 	"turmericshed"
 	"turmericshed/core/tsboard"
 	"turmericshed/core/tslimit"
+	"turmericshed/io/tspeer"
 )
 
 // Config holds what Permits needs.
 type Config struct {
 	// Board tells the listed servers.
-	Board *tsboard.Board
+	Board   *tsboard.Board
+	Members turmericshed.Members
+	// Count returns how many entry VMs there may be, this one included. It is
+	// above the number of Members while these are not known yet.
+	Count func() int
+	Peers tspeer.Peers
+	// Link tells whether bytes wait at the own link; nil never does.
+	Link turmericshed.Link
 	// Metrics takes the metrics; may be nil.
 	Metrics prometheus.Registerer
 	Log     *slog.Logger
@@ -34,8 +49,16 @@
 type Permits struct {
 	cfg Config
 
+	counters counters
+	// news wakes the controller when a limit changed.
+	news chan struct{}
+
 	mu   sync.Mutex
 	book tslimit.Book
+	// draws are this entry VM's draws on limited servers, shares what it hands
+	// out itself.
+	draws  map[turmericshed.ServerID]*draw
+	shares map[turmericshed.ServerID]*tslimit.Share
 	// malformed is what each server named last that could not be read.
 	malformed map[turmericshed.ServerID]string
 }
@@ -44,7 +67,10 @@
 
 // New returns permits that know of no limit.
 func New(cfg Config) *Permits {
-	p := &Permits{cfg: cfg, malformed: make(map[turmericshed.ServerID]string)}
+	p := &Permits{
+		cfg: cfg, news: make(chan struct{}, 1), malformed: make(map[turmericshed.ServerID]string),
+		draws: make(map[turmericshed.ServerID]*draw), shares: make(map[turmericshed.ServerID]*tslimit.Share),
+	}
 	p.setServers(cfg.Board.Servers.Read())
 	p.register()
 	return p
@@ -53,13 +79,18 @@
 // String names the controller in the supervisor's log.
 func (p *Permits) String() string { return "server limits" }
 
-// Serve follows the list of servers until ctx ends.
+// Serve follows the list of servers and tells other failure domains of limits
+// until ctx ends.
 func (p *Permits) Serve(ctx context.Context) error {
+	servers, changed := p.cfg.Board.Servers.Watch()
+	p.setServers(servers)
 	for {
-		servers, changed := p.cfg.Board.Servers.Watch()
-		p.setServers(servers)
 		select {
 		case <-changed:
+			servers, changed = p.cfg.Board.Servers.Watch()
+			p.setServers(servers)
+		case <-p.news:
+			p.tellDomains(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -79,6 +110,16 @@
 			delete(p.malformed, id)
 		}
 	}
+	for id := range p.shares {
+		if !p.book.Knows(id) {
+			delete(p.shares, id)
+		}
+	}
+	for id := range p.draws {
+		if !p.book.Knows(id) {
+			delete(p.draws, id)
+		}
+	}
 }
 
 // Answered takes what an answer says of the server's limit.
@@ -111,6 +152,13 @@
 		msg = "server names no limit any more"
 	}
 	now := time.Now()
+	if d := p.draws[n.Server]; d != nil && (n.PerSecond == 0 || n.PerSecond > before) {
+		d.Reopen()
+	}
+	select {
+	case p.news <- struct{}{}:
+	default:
+	}
 	p.cfg.Log.Info(msg, "server", string(n.Server), "per_second", n.PerSecond, "before", before, "entry_vm", from,
 		"asked_ms_ago", now.Sub(n.Asked).Milliseconds(), "heard_ms_ago", now.Sub(n.Heard).Milliseconds())
 }
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -27,6 +27,8 @@
 	pollTimeout = 500 * time.Millisecond
 	// pollMaxAge is the age of a report that makes a reading due.
 	pollMaxAge = 500 * time.Millisecond
+	// minClosedRetry is the least advice where servers are at their limits.
+	minClosedRetry = 200 * time.Millisecond
 )
 
 // PoolConfig holds what a Pool needs.
@@ -42,6 +44,8 @@
 	Loads    turmericshed.LoadReader
 	Rand     *rand.Rand
 	Recorder turmericshed.Recorder
+	// Limits keeps to the limits that servers name; nil knows of none.
+	Limits turmericshed.ServerLimits
 	// Attempted is told of each ended attempt; may be nil.
 	Attempted func(turmericshed.RouteRequest, turmericshed.DispatchResult)
 }
@@ -117,11 +121,63 @@
 
 // Pick chooses a server. Errors: KindNoBackend, KindOverloaded.
 func (p *Pool) Pick(now time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
+	if p.cfg.Limits == nil {
+		return p.pick(now, r)
+	}
+	closed := p.cfg.Limits.Closed(now)
+	for {
+		open := r
+		open.Excluded = slices.AppendSeq(slices.Clone(r.Excluded), maps.Keys(closed))
+		s, err := p.pick(now, open)
+		if err != nil {
+			return s, p.closedError(now, r, closed, err)
+		}
+		if p.cfg.Limits.Acquire(s) {
+			return s, nil
+		}
+		p.release(now, s.ID)
+		closed = p.cfg.Limits.Closed(time.Now())
+		if _, is := closed[s.ID]; !is {
+			// Its time came just now; this request goes elsewhere.
+			closed = maps.Clone(closed)
+			if closed == nil {
+				closed = make(map[turmericshed.ServerID]time.Time)
+			}
+			closed[s.ID] = now
+		}
+	}
+}
+
+func (p *Pool) pick(now time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.router.Pick(now, r)
 }
 
+func (p *Pool) release(now time.Time, id turmericshed.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Release(now, id)
+}
+
+// closedError tells when a request that only limits keep from servers should
+// come again. Those that are refused at one time are spread over the time that
+// follows.
+func (p *Pool) closedError(now time.Time, r turmericshed.RouteRequest, closed map[turmericshed.ServerID]time.Time, err error) error {
+	if len(closed) == 0 || turmericshed.KindOf(err) != turmericshed.KindNoBackend {
+		return err
+	}
+	p.mu.Lock()
+	until, ok := p.router.Opens(now, r, closed)
+	p.mu.Unlock()
+	if !ok {
+		return err
+	}
+	wait := max(until.Sub(now), minClosedRetry)
+	err = turmericshed.NewError(turmericshed.KindOverloaded, "every server is at the limit that it names")
+	return turmericshed.WithRetryAfter(err, wait+rand.N(wait))
+}
+
 // Done ends an attempt counted by Pick. A refusal that tells that the server
 // is leaving takes it out.
 func (p *Pool) Done(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest, res turmericshed.DispatchResult) {
--- a/limit.go
+++ b/limit.go
@@ -31,4 +31,9 @@
 type ServerLimits interface {
 	// Answered takes what an answer to a request that was sent at asked says.
 	Answered(s BackendServer, asked time.Time, r BackendReply)
+	// Acquire reports whether one request may be sent to the server now. It may
+	// ask another entry VM, for some tenths of a second at most.
+	Acquire(s BackendServer) bool
+	// Closed returns the servers that nothing may be sent to, and until when.
+	Closed(now time.Time) map[ServerID]time.Time
 }
