Limits: the end of one reaches all entry VMs, and nobody waits for a holder that knows of it

An entry VM that was last told of the limit, and whose holders had heard of its end, was refused by them for up to 10 s: nothing it sent could bring the word back. And an end reached other failure domains only if it was told at the right moment, since each call on its way counted as seconds old.

A holder that surely knows of the end now grants, limits are told between failure domains every 2 s while there are any, and a call counts as 0.3 s on its way at most; a later one may lift a limit until the next answer that names it.

--- a/core/tslimit/book.go
+++ b/core/tslimit/book.go
@@ -20,6 +20,10 @@
 )
 
 const (
+	// Transit is the time that a call between entry VMs is taken to have been on
+	// its way at most. Where it was longer, a limit may count as ended until the
+	// next answer that names it.
+	Transit = 300 * time.Millisecond
 	// endedLife is how long the end of a limit is told to others.
 	endedLife = 10 * time.Second
 	// maxNotices bounds the limits that are told at once.
--- a/io/tsnews/service.go
+++ b/io/tsnews/service.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"turmericshed"
+	"turmericshed/core/tslimit"
 	"turmericshed/io/tspeerapi"
 )
 
@@ -16,10 +17,6 @@
 	return tspeerapi.NewNewsServiceHandler(service{s})
 }
 
-// callTime is the time that a call may take on its way here: nobody waits
-// longer for its answer.
-const callTime = followWait + crowdedTimeout
-
 // service answers the peers' calls.
 type service struct{ s *Source }
 
@@ -27,7 +24,7 @@
 func (s service) Follow(ctx context.Context, r *connect.Request[tspeerapi.FollowRequest]) (*connect.Response[tspeerapi.FollowResponse], error) {
 	limits := s.s.cfg.Limits
 	if limits != nil {
-		limits.Hear("", time.Now().Add(-callTime), r.Msg.Limits)
+		limits.Hear("", time.Now().Add(-tslimit.Transit), r.Msg.Limits)
 	}
 	f := s.s.feed(r.Msg.Prefix)
 	n, err := f.follow(ctx, turmericshed.Version(r.Msg.After), min(time.Duration(r.Msg.WaitMs)*time.Millisecond, followWait))
--- a/io/tspermits/draw.go
+++ b/io/tspermits/draw.go
@@ -190,7 +190,8 @@
 }
 
 // handOut gives permits of the part that this entry VM hands out. While it does
-// not count itself among the holders it has none.
+// not count itself among the holders it has none. A limit that has ended, also
+// for who asks, holds nothing back.
 func (p *Permits) handOut(id turmericshed.ServerID, want int) (granted int, wait time.Duration) {
 	holders := p.holders(id)
 	holds := false
@@ -201,7 +202,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rate, limited := p.book.Rate(id)
-	if !holds || !limited {
+	switch {
+	case !limited && p.book.Knows(id):
+		return want, 0
+	case !holds || !limited:
 		return 0, notHolding
 	}
 	s := p.shares[id]
--- a/io/tspermits/permits.go
+++ b/io/tspermits/permits.go
@@ -84,8 +84,12 @@
 func (p *Permits) Serve(ctx context.Context) error {
 	servers, changed := p.cfg.Board.Servers.Watch()
 	p.setServers(servers)
+	again := time.NewTicker(tellInterval)
+	defer again.Stop()
 	for {
 		select {
+		case <-again.C:
+			p.tellDomains(ctx)
 		case <-changed:
 			servers, changed = p.cfg.Board.Servers.Watch()
 			p.setServers(servers)
--- a/io/tspermits/service.go
+++ b/io/tspermits/service.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"turmericshed"
+	"turmericshed/core/tslimit"
 	"turmericshed/core/tspreference"
 	"turmericshed/io/tspeerapi"
 )
@@ -15,11 +16,10 @@
 const (
 	// notHolding is when to ask again an entry VM that has no part of a limit.
 	notHolding = 2 * time.Second
-	// maxTransit is the time that a call may have been on its way: callers wait
-	// no longer.
-	maxTransit = 3 * time.Second
 	// tellTimeout bounds a call that only tells of limits.
 	tellTimeout = time.Second
+	// tellInterval is the time after which limits are told again.
+	tellInterval = 2 * time.Second
 	// tellers is how many entry VMs of a failure domain tell others of limits,
 	// and how many of another one are tried.
 	tellers = 2
@@ -35,18 +35,14 @@
 
 // Draw hands out permits, and takes what the caller knows of limits.
 func (s service) Draw(_ context.Context, r *connect.Request[tspeerapi.DrawLimitRequest]) (*connect.Response[tspeerapi.DrawLimitResponse], error) {
-	s.p.Hear("", time.Now().Add(-maxTransit), r.Msg.Limits)
+	s.p.Hear("", time.Now().Add(-tslimit.Transit), r.Msg.Limits)
 	id := turmericshed.ServerID(r.Msg.Server)
 	m := &tspeerapi.DrawLimitResponse{}
 	if r.Msg.Want > 0 {
 		granted, wait := s.p.handOut(id, int(r.Msg.Want))
 		m.Granted, m.WaitMs = int32(granted), max(wait.Milliseconds(), 1)
 	}
-	s.p.mu.Lock()
-	defer s.p.mu.Unlock()
-	if n, ok := s.p.book.Notice(id); ok {
-		m.Limits = encodeNotices(time.Now(), []turmericshed.LimitNotice{n})
-	}
+	m.Limits = s.p.Tell()
 	return connect.NewResponse(m), nil
 }
 
@@ -106,8 +102,11 @@
 	if !teller {
 		return
 	}
-	told := map[turmericshed.FailureDomain]bool{self.FailureDomain: true}
 	limits := p.Tell()
+	if len(limits) == 0 {
+		return
+	}
+	told := map[turmericshed.FailureDomain]bool{self.FailureDomain: true}
 	for _, vm := range vms {
 		if domain := vm.FailureDomain; !told[domain] {
 			told[domain] = true
