--- a/load/tssoak/book.go
+++ b/load/tssoak/book.go
@@ -39,6 +39,8 @@
 	Calls    int
 	Edits    int
 	Conflict int
+	// Limited counts the requests that were checked against a limit.
+	Limited int
 }
 
 func newBooks() books {
--- a/load/tssoak/caller.go
+++ b/load/tssoak/caller.go
@@ -75,14 +75,19 @@
 	})
 }
 
+// make makes a random request.
 func (c *callers) make() {
+	c.send(profileNames[c.w.rnd.IntN(len(profileNames))], c.w.chance(0.2))
+}
+
+// send makes a request of a profile, a call or a generation.
+func (c *callers) send(profile turmericshed.ProfileName, call bool) {
 	w := c.w
 	w.books.Requests++
 	r := &request{w: w, n: w.books.Requests, account: turmericshed.AccountID(fmt.Sprintf("account-%d", w.rnd.IntN(6)))}
 	r.key = fmt.Sprintf("key-%d", r.n)
 	r.digest = turmericshed.Digest(fmt.Sprintf("digest-%d", r.n))
-	r.profile = profileNames[w.rnd.IntN(len(profileNames))]
-	r.call = w.chance(0.2)
+	r.profile, r.call = profile, call
 	if r.call {
 		w.books.Calls++
 	}
--- a/load/tssoak/engine.go
+++ b/load/tssoak/engine.go
@@ -33,6 +33,8 @@
 	down    bool
 	leaving bool
 	running int
+	// limit is nil while the engine names none.
+	limit   *limit
 	barred  map[turmericshed.StreamID]bool
 	streams map[turmericshed.StreamID]*stream
 	// crossed, late, doubled and missing count the next such frames.
--- a/load/tssoak/fault.go
+++ b/load/tssoak/fault.go
@@ -36,6 +36,7 @@
 		{4, func(w *world) { w.engines[w.rnd.IntN(len(w.engines))].leave() }},
 		{10, (*world).frameFaults},
 		{10, (*world).serviceFaults},
+		{8, (*world).limitEngine},
 	}
 }
 
@@ -74,7 +75,11 @@
 func (w *world) cutWay(from, to place, d time.Duration) {
 	w.net.cut[from][to]++
 	w.disturb(d)
-	w.at(d, func() { w.net.cut[from][to]-- })
+	w.at(d, func() {
+		w.net.cut[from][to]--
+		w.disturbVMs(from)
+		w.disturbVMs(to)
+	})
 }
 
 // cutDomains cuts failure domains from each other, both ways or one.
--- a/load/tssoak/generate.go
+++ b/load/tssoak/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -149,10 +150,19 @@
 // reserved dispatches under a reservation.
 func (g *generation) reserved(res turmericshed.Reservation) {
 	v := g.v
-	err := v.poison.Check(v.w.now, g.req.digest)
-	var e *engine
-	if err == nil && !g.done {
-		e, err = v.pick(g)
+	if err := v.poison.Check(v.w.now, g.req.digest); err != nil {
+		g.picked(res, nil, err)
+		return
+	}
+	v.pick(g, nil, func(e *engine, err error) { g.picked(res, e, err) })
+}
+
+// picked dispatches to an engine, if there is one.
+func (g *generation) picked(res turmericshed.Reservation, e *engine, err error) {
+	v := g.v
+	if e != nil && g.done {
+		v.router.Release(v.w.now, e.id)
+		e = nil
 	}
 	if e == nil {
 		v.holder.Settle(v.w.now, res, 0)
@@ -174,20 +184,35 @@
 
 // route describes the request to the router.
 func (g *generation) route() turmericshed.RouteRequest {
-	return turmericshed.RouteRequest{
-		Work: turmericshed.WorkAssistant, Model: model, Prefix: uint64(len(g.req.profile)), Cost: g.req.maxTokens, Excluded: g.excluded,
-	}
+	r := routeOf(g.req.profile)
+	r.Cost, r.Excluded = g.req.maxTokens, g.excluded
+	return r
+}
+
+// routeOf describes the requests of a profile.
+func routeOf(profile turmericshed.ProfileName) turmericshed.RouteRequest {
+	return turmericshed.RouteRequest{Work: turmericshed.WorkAssistant, Model: model, Prefix: uint64(len(profile))}
 }
 
 // pick chooses an engine. One that told this VM that it is leaving must never
 // be chosen again, also when the platform's list doesn't say so yet.
-func (v *vm) pick(g *generation) (*engine, error) {
-	s, err := v.router.Pick(v.w.now, g.route())
+func (v *vm) pick(g *generation, closed []turmericshed.ServerID, done func(e *engine, err error)) {
+	r := g.route()
+	r.Excluded = append(slices.Clone(r.Excluded), closed...)
+	s, err := v.router.Pick(v.w.now, r)
 	if err != nil {
-		return nil, err
+		done(nil, err)
+		return
 	}
 	turmericshed.Assert(!v.refused[s.ID], "leaving_gets_no_work", "%s sends to %s, which refused as leaving", v.self.Incarnation, s.ID)
-	return v.w.byID[s.ID], nil
+	v.acquire(s.ID, func(ok bool) {
+		if ok {
+			done(v.w.byID[s.ID], nil)
+			return
+		}
+		v.router.Release(v.w.now, s.ID)
+		v.pick(g, append(closed, s.ID), done)
+	})
 }
 
 // routed ends what pick counted.
@@ -215,10 +240,12 @@
 		if t.e.down {
 			return // the connection breaks: silence
 		}
+		t.e.arrived(v)
 		err := t.e.start(t.g, t.stream, t.sink())
 		if turmericshed.KindOf(err) == turmericshed.KindBackendRefused {
 			w.send(t.e.at, v.at, func() { v.do(func() { t.notSent(err) }) })
 		}
+		t.e.tellLimit(v, t.began)
 	})
 	t.watch()
 }
--- /dev/null
+++ b/load/tssoak/limit.go
@@ -0,0 +1,261 @@
+package tssoak
+
+import (
+	"slices"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tslimit"
+)
+
+const (
+	// drawTimeout bounds a call to a holder.
+	drawTimeout = 150 * time.Millisecond
+	// limitSettles is the time from the naming of a limit until it holds,
+	// toldBefore how long ago an entry VM must have been told, and limitWindow
+	// the span in which its requests count.
+	limitSettles = 3 * time.Second
+	toldBefore   = 500 * time.Millisecond
+	limitWindow  = 4 * time.Second
+	// limitFactor times what a limit allows in the window, and limitSlack
+	// requests, may reach an engine.
+	limitFactor = 1.5
+	limitSlack  = 5
+	// rushRequests come within rushSpan, so that the limit matters.
+	rushRequests = 60
+	rushSpan     = 12 * time.Second
+)
+
+// limit is what an engine names in its answers.
+type limit struct {
+	perSecond float64
+	since     time.Time
+	// told is when an incarnation first heard of it.
+	told     map[turmericshed.Incarnation]time.Time
+	arrivals []arrival
+}
+
+type arrival struct {
+	at time.Time
+	v  *vm
+}
+
+// home returns an engine that a VM would send a profile's requests to; nil when
+// there is none.
+func (w *world) home(profile turmericshed.ProfileName) *engine {
+	v := w.vms[w.rnd.IntN(len(w.vms))]
+	s, err := v.router.Pick(w.now, routeOf(profile))
+	if err != nil {
+		return nil
+	}
+	v.router.Release(w.now, s.ID)
+	return w.byID[s.ID]
+}
+
+// limitEngine makes an engine name a limit for a time, under a rush of requests
+// that would go there; it may change it meanwhile.
+func (w *world) limitEngine() {
+	profile := profileNames[w.rnd.IntN(len(profileNames))]
+	e := w.home(profile)
+	if e == nil || e.down || e.limit != nil {
+		return
+	}
+	name := func() {
+		e.limit = &limit{perSecond: 0.1 + 0.7*w.rnd.Float64(), since: w.now, told: map[turmericshed.Incarnation]time.Time{}}
+		w.logf("%s names a limit of %.2f a second", e.id, e.limit.perSecond)
+	}
+	name()
+	for range rushRequests {
+		w.at(w.between(0, rushSpan), func() {
+			if !w.healed {
+				w.callers.send(profile, false)
+			}
+		})
+	}
+	if w.chance(0.3) {
+		w.at(w.between(time.Second, rushSpan), name)
+	}
+	w.at(w.between(rushSpan, 2*rushSpan), func() {
+		e.limit = nil
+		w.logf("%s names no limit any more", e.id)
+	})
+}
+
+// arrived checks an engine's limit over the window that ends now.
+func (e *engine) arrived(v *vm) {
+	l, now := e.limit, e.w.now
+	if l == nil {
+		return
+	}
+	l.arrivals = append(l.arrivals, arrival{at: now, v: v})
+	if now.Sub(l.since) < limitSettles+limitWindow {
+		return
+	}
+	n := 0
+	for _, a := range l.arrivals {
+		told, ok := l.told[a.v.self.Incarnation]
+		if ok && now.Sub(a.at) < limitWindow && a.at.Sub(told) >= toldBefore && !a.v.excused() {
+			n++
+		}
+	}
+	e.w.books.Limited++
+	turmericshed.Assert(float64(n) <= limitFactor*l.perSecond*limitWindow.Seconds()+limitSlack, "limit_is_kept",
+		"%s: %d requests in %s at a limit of %.2f a second", e.id, n, limitWindow, l.perSecond)
+}
+
+// excused reports whether the VM need not keep to limits, since it was paused
+// or cut off from others of late.
+func (v *vm) excused() bool {
+	for other := domainA; other < places; other++ {
+		if !v.w.net.ok(v.at, other) || !v.w.net.ok(other, v.at) {
+			return true
+		}
+	}
+	return v.w.now.Sub(v.disturbed) < limitSettles+limitWindow
+}
+
+// tellLimit tells an entry VM what an answer says of the engine's limit.
+func (e *engine) tellLimit(v *vm, asked time.Time) {
+	l, w := e.limit, e.w
+	perSecond := 0.0
+	if l != nil {
+		perSecond = l.perSecond
+	}
+	w.send(e.at, v.at, func() {
+		v.do(func() {
+			if _, ok := v.limits.Rate(e.id); !ok && perSecond == 0 {
+				return
+			}
+			if l != nil && l.told[v.self.Incarnation].IsZero() {
+				l.told[v.self.Incarnation] = w.now
+			}
+			v.limits.Note(turmericshed.LimitNotice{Server: e.id, PerSecond: perSecond, Asked: asked, Heard: w.now})
+		})
+	})
+}
+
+// draws are a VM's draws on an engine's limit.
+type draws struct {
+	tslimit.Draws
+	asking  bool
+	waiting []func()
+}
+
+// holders returns the VMs that hand out an engine's limit.
+func (v *vm) holders(id turmericshed.ServerID) []turmericshed.EntryVM {
+	return tslimit.Holders(append(v.members.Reachable(), v.self), id)
+}
+
+// acquire tells whether a request may be sent to an engine.
+func (v *vm) acquire(id turmericshed.ServerID, done func(ok bool)) {
+	if _, limited := v.limits.Rate(id); !limited {
+		done(true)
+		return
+	}
+	d := v.draws[id]
+	if d == nil {
+		d = &draws{}
+		v.draws[id] = d
+	}
+	now := v.w.now
+	taken, open := d.Take(now)
+	if !open {
+		done(taken)
+		return
+	}
+	if d.asking {
+		d.waiting = append(d.waiting, func() { v.acquire(id, done) })
+		return
+	}
+	holders := v.holders(id)
+	h, ok := d.Next(now, v.self.Name, holders, v.w.rnd.IntN(8))
+	if !ok {
+		rate, _ := v.limits.Rate(id)
+		done(d.Settle(now, rate, len(v.members.Reachable())+1, holders, v.w.rnd.Float64()))
+		return
+	}
+	d.asking = true
+	v.drawFrom(id, h, d.Want(now), func(granted int, wait time.Duration, answered bool) {
+		d.asking = false
+		switch {
+		case !answered:
+			d.Failed(v.w.now, h.Name)
+		case granted > 0:
+			d.Granted(v.w.now, h.Name, granted)
+		default:
+			d.Refused(v.w.now, h.Name, wait)
+		}
+		waiting := d.waiting
+		d.waiting = nil
+		if answered {
+			v.acquire(id, done)
+		} else {
+			done(false)
+		}
+		for _, next := range waiting {
+			next()
+		}
+	})
+}
+
+// drawFrom draws from a holder, which may be this VM.
+func (v *vm) drawFrom(id turmericshed.ServerID, h turmericshed.EntryVM, want int, done func(granted int, wait time.Duration, answered bool)) {
+	if h.Name == v.self.Name {
+		granted, wait := v.handOut(id, want)
+		done(granted, wait, true)
+		return
+	}
+	over := false
+	once := func(granted int, wait time.Duration, answered bool) {
+		if !over {
+			over = true
+			done(granted, wait, answered)
+		}
+	}
+	v.after(drawTimeout, func() { once(0, 0, false) })
+	to, ok := v.w.find(h.Incarnation)
+	if !ok {
+		return
+	}
+	notice, _ := v.limits.Notice(id)
+	v.send(to, func() {
+		told := notice
+		told.Asked = told.Asked.Add(-tslimit.Transit)
+		to.limits.Note(told)
+		granted, wait := to.handOut(id, want)
+		back, known := to.limits.Notice(id)
+		to.send(v, func() {
+			if known {
+				v.limits.Note(back)
+			}
+			once(granted, wait, true)
+		})
+	})
+}
+
+// handOut gives permits of the part that this VM hands out.
+func (v *vm) handOut(id turmericshed.ServerID, want int) (granted int, wait time.Duration) {
+	holders := v.holders(id)
+	rate, limited := v.limits.Rate(id)
+	switch {
+	case !limited && v.limits.Knows(id):
+		return want, 0
+	case !limited || !slices.ContainsFunc(holders, func(h turmericshed.EntryVM) bool { return h.Name == v.self.Name }):
+		return 0, 2 * time.Second
+	}
+	s := v.shares[id]
+	if s == nil {
+		s = tslimit.NewShare(v.w.now, v.w.rnd.Float64())
+		v.shares[id] = s
+	}
+	return s.Take(v.w.now, tslimit.Part(rate, len(holders)), want)
+}
+
+// disturbVMs marks the VMs at a place, where a cut has ended.
+func (w *world) disturbVMs(at place) {
+	for _, v := range w.vms {
+		if v.at == at {
+			v.disturbed = w.now
+		}
+	}
+}
--- a/load/tssoak/soak.go
+++ b/load/tssoak/soak.go
@@ -67,6 +67,7 @@
 	Calls    int                   `json:"calls"`
 	Edits    int                   `json:"edits"`
 	Lost     int                   `json:"edits_refused"`
+	Limited  int                   `json:"limited_requests"`
 	Consumed turmericshed.Tokens   `json:"consumed_tokens"`
 	// Burnt was charged without a bill.
 	Burnt   turmericshed.Tokens `json:"burnt_tokens"`
@@ -167,7 +168,7 @@
 	b := &w.books
 	r := Report{
 		Seed: w.o.Seed, Duration: turmericshed.Duration(w.o.Duration), Steps: w.steps, Requests: b.Requests, Answered: b.Answered,
-		Refused: b.Refused, Failed: b.Failed, Unknown: b.Unknown, Calls: b.Calls, Edits: b.Edits, Lost: b.Conflict,
+		Refused: b.Refused, Failed: b.Failed, Unknown: b.Unknown, Calls: b.Calls, Edits: b.Edits, Lost: b.Conflict, Limited: b.Limited,
 		Dropped: b.dropped, Joined: b.joined, Failure: failure, Digest: fmt.Sprintf("%016x", w.digest.Sum64()),
 	}
 	for _, n := range b.consumed {
--- a/load/tssoak/vm.go
+++ b/load/tssoak/vm.go
@@ -11,6 +11,7 @@
 	"turmericshed/core/tsbudget"
 	"turmericshed/core/tsclaim"
 	"turmericshed/core/tsdedupe"
+	"turmericshed/core/tslimit"
 	"turmericshed/core/tsmember"
 	"turmericshed/core/tspoison"
 	"turmericshed/core/tsprofile"
@@ -50,10 +51,15 @@
 	list     tsmember.ServerList
 	// refused are the engines that told this VM that they are leaving.
 	refused map[turmericshed.ServerID]bool
-	watch   *tsplatform.Watcher
-	poison  *tspoison.Tracker
-	calls   map[tsclaim.ID]*record
-	dedupe  *tsdedupe.Table[*generation]
+	limits  tslimit.Book
+	draws   map[turmericshed.ServerID]*draws
+	shares  map[turmericshed.ServerID]*tslimit.Share
+	// disturbed is when the VM was last paused or cut off, or came back.
+	disturbed time.Time
+	watch     *tsplatform.Watcher
+	poison    *tspoison.Tracker
+	calls     map[tsclaim.ID]*record
+	dedupe    *tsdedupe.Table[*generation]
 	// running counts the requests that have no answer yet.
 	running int
 }
@@ -71,6 +77,8 @@
 		holder:   tsbudget.NewHolder(in),
 		balances: map[turmericshed.BudgetID]*balance{},
 		profiles: tsprofile.New(tsprofile.Config{}),
+		draws:    map[turmericshed.ServerID]*draws{},
+		shares:   map[turmericshed.ServerID]*tslimit.Share{},
 		refused:  map[turmericshed.ServerID]bool{},
 		poison:   tspoison.NewTracker(),
 		calls:    map[tsclaim.ID]*record{},
@@ -111,6 +119,7 @@
 // wake ends a pause; everything that came meanwhile happens now, in order.
 func (v *vm) wake() {
 	v.paused = false
+	v.disturbed = v.w.now
 	pending := v.backlog
 	v.backlog = nil
 	for _, f := range pending {
