Limits: a holder that answers late is not taken for silent

Beside other load (27 runnable threads on 8 cores) draws took longer than the 150 ms after which a holder counted as silent, and a limited server got 6 requests where 0.4 of its limit are 6.5 (TestServerLimitHoldsForAllEntryVMs, one of two servers, 1 of 1). A request still waits no longer than that, but the call goes on for 1 s and a later request uses the permit.

The test plays three of its loads at a time.

--- a/core/tslimit/draws.go
+++ b/core/tslimit/draws.go
@@ -37,7 +37,7 @@
 // Take uses a permit in hand. Where there is none, open reports whether a
 // holder may be asked.
 func (d *Draws) Take(now time.Time) (taken, open bool) {
-	if d.permits == 0 || !now.Before(d.expires) {
+	if !d.Holds(now) {
 		d.permits = 0
 		return false, !now.Before(d.closed)
 	}
@@ -46,6 +46,9 @@
 	return true, false
 }
 
+// Holds reports whether a permit is in hand.
+func (d *Draws) Holds(now time.Time) bool { return d.permits > 0 && now.Before(d.expires) }
+
 // Want returns how many permits to ask for: one more than were used of late.
 func (d *Draws) Want(now time.Time) int {
 	if now.Sub(d.drawn) > permitLife {
--- a/io/tsgateway/limit_test.go
+++ b/io/tsgateway/limit_test.go
@@ -27,6 +27,9 @@
 	leastUse = 0.4
 	// limitLoad is the time for which callers ask.
 	limitLoad = 12 * time.Second
+	// limitPlays bounds the plays at one time, which other tests share the
+	// machine with.
+	limitPlays = 3
 )
 
 // limitCase is a load on the desks, some of which name a limit from its start.
@@ -106,6 +109,7 @@
 // A server that had named a limit got as many requests as before, from each
 // entry VM.
 func TestServerLimitHoldsForAllEntryVMs(t *testing.T) {
+	plays := make(chan struct{}, limitPlays)
 	for name, c := range map[string]limitCase{
 		"one of two servers":                     {entryVMs: 9, limited: 1, perSecond: 20, limit: 1.8},
 		"all servers":                            {entryVMs: 9, limited: 2, perSecond: 20, limit: 1.8},
@@ -117,6 +121,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			plays <- struct{}{}
+			defer func() { <-plays }()
 			r, named := c.play(t)
 			for _, d := range r.desks[:c.limited] {
 				assertWithinLimit(t, d, c.limit, named)
--- a/io/tspermits/draw.go
+++ b/io/tspermits/draw.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -14,19 +14,25 @@
 )
 
 const (
-	// drawTimeout bounds a call to a holder, while which a request waits;
-	// crowdedDrawTimeout bounds it while the answer has to pass a crowded link.
-	drawTimeout        = 150 * time.Millisecond
-	crowdedDrawTimeout = 500 * time.Millisecond
+	// drawWait is how long a request waits for what a holder says, and
+	// acquireWait for all that are asked.
+	drawWait    = 150 * time.Millisecond
+	acquireWait = 300 * time.Millisecond
+	// drawTimeout bounds a call to a holder, whose permits serve later requests
+	// when it took longer; crowdedDrawTimeout bounds it while the answer has to
+	// pass a crowded link.
+	drawTimeout        = time.Second
+	crowdedDrawTimeout = 3 * time.Second
 )
 
-// draw is this entry VM's draws on the limit of one server.
+// draw is this entry VM's draws on the limit of one server. It is guarded by the
+// mutex of Permits.
 type draw struct {
-	// calling is held while a holder is asked: others wait for what it says.
-	calling sync.Mutex
-
-	// The embedded draws are guarded by the mutex of Permits.
 	tslimit.Draws
+	// ended is closed when the call to a holder ends that began at began; nil
+	// while there is none.
+	ended chan struct{}
+	began time.Time
 }
 
 // Closed returns the servers that nothing may be sent to, and until when.
@@ -35,73 +41,128 @@
 	defer p.mu.Unlock()
 	var closed map[turmericshed.ServerID]time.Time
 	for id, d := range p.draws {
-		if _, limited := p.book.Rate(id); !limited || !now.Before(d.Closed()) {
+		waits := d.ended != nil && now.Sub(d.began) > drawWait && !d.Holds(now)
+		if _, limited := p.book.Rate(id); !limited || (!waits && !now.Before(d.Closed())) {
 			continue
 		}
 		if closed == nil {
 			closed = make(map[turmericshed.ServerID]time.Time)
 		}
 		closed[id] = d.Closed()
+		if waits {
+			closed[id] = now.Add(drawWait)
+		}
 	}
 	return closed
 }
 
-// Acquire reports whether one request may be sent to the server now. A holder
-// that does not answer costs this request the server, and the next one asks
-// another holder.
+// Acquire reports whether one request may be sent to the server now. Where a
+// holder takes its time, the request goes elsewhere and a later one uses the
+// permit.
 func (p *Permits) Acquire(s turmericshed.BackendServer) bool {
-	d, ok := p.take(s.ID)
-	if d == nil {
-		return ok
-	}
-	d.calling.Lock()
-	defer d.calling.Unlock()
 	from := rand.IntN(1 << 10)
-	for {
-		// What an earlier draw brought may be left.
-		if d, ok := p.take(s.ID); d == nil {
+	for until := time.Now().Add(acquireWait); ; {
+		ended, ok := p.acquire(s.ID, from)
+		if ended == nil {
 			return ok
 		}
-		h, holders, ok := p.holder(d, s.ID, from)
-		if !ok {
-			return p.settle(d, s.ID, holders)
-		}
-		if !p.ask(d, s.ID, h) {
+		if !await(ended, until) {
 			return false
 		}
 	}
 }
 
-// take uses a permit in hand. A draw is returned where one has to be drawn.
-func (p *Permits) take(id turmericshed.ServerID) (d *draw, ok bool) {
-	now := time.Now()
+// await waits for the end of a call until a time; it reports whether it came.
+func await(ended <-chan struct{}, until time.Time) bool {
+	t := time.NewTimer(min(time.Until(until), drawWait))
+	defer t.Stop()
+	select {
+	case <-ended:
+		return true
+	case <-t.C:
+		return false
+	}
+}
+
+// acquire uses a permit, or begins to draw one, in which case it returns what
+// is closed at the call's end.
+func (p *Permits) acquire(id turmericshed.ServerID, from int) (ended <-chan struct{}, ok bool) {
+	holders := p.holders(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, limited := p.book.Rate(id); !limited {
-		return nil, true
-	}
-	d = p.draws[id]
-	if d == nil {
-		d = &draw{}
-		p.draws[id] = d
+	for {
+		now := time.Now()
+		rate, limited := p.book.Rate(id)
+		if !limited {
+			return nil, true
+		}
+		d := p.draws[id]
+		if d == nil {
+			d = &draw{}
+			p.draws[id] = d
+		}
+		taken, open := d.Take(now)
+		if !open {
+			return nil, p.sent(taken)
+		}
+		if d.ended != nil {
+			if now.Sub(d.began) > drawWait {
+				return nil, false
+			}
+			return d.ended, false
+		}
+		h, found := d.Next(now, p.cfg.Members.Self().Name, holders, from)
+		switch {
+		case !found:
+			ok := d.Settle(now, rate, p.cfg.Count(), holders, rand.Float64())
+			if ok {
+				p.counters.draws.WithLabelValues(drawnAlone).Inc()
+			}
+			return nil, p.sent(ok)
+		case h.Name == p.cfg.Members.Self().Name:
+			granted, wait := p.handOut(now, id, holders, d.Want(now))
+			p.drawn(d, h.Name, granted, wait)
+		default:
+			d.ended, d.began = make(chan struct{}), now
+			go p.ask(d, id, h, d.Want(now))
+		}
 	}
-	taken, open := d.Take(now)
-	if taken {
+}
+
+// sent counts a request that goes to a limited server, and returns ok.
+func (p *Permits) sent(ok bool) bool {
+	if ok {
 		p.counters.sent.Inc()
 	}
-	if !open {
-		return nil, taken
+	return ok
+}
+
+// drawn takes what a holder said. p.mu is held.
+func (p *Permits) drawn(d *draw, holder string, granted int, wait time.Duration) {
+	now := time.Now()
+	if granted > 0 {
+		d.Granted(now, holder, granted)
+		p.counters.draws.WithLabelValues(drawGranted).Inc()
+		return
 	}
-	return d, false
+	d.Refused(now, holder, wait)
+	p.counters.draws.WithLabelValues(drawRefused).Inc()
 }
 
-// holder returns the holder to ask next, among all of them.
-func (p *Permits) holder(d *draw, id turmericshed.ServerID, from int) (next turmericshed.EntryVM, holders []turmericshed.EntryVM, ok bool) {
-	holders = p.holders(id)
+// ask draws from a holder and ends the draw's call.
+func (p *Permits) ask(d *draw, id turmericshed.ServerID, h turmericshed.EntryVM, want int) {
+	granted, wait, err := p.draw(id, h, want)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next, ok = d.Next(time.Now(), p.cfg.Members.Self().Name, holders, from)
-	return next, holders, ok
+	close(d.ended)
+	d.ended = nil
+	if err == nil {
+		p.drawn(d, h.Name, granted, wait)
+		return
+	}
+	d.Failed(time.Now(), h.Name)
+	p.counters.draws.WithLabelValues(drawFailed).Inc()
+	p.cfg.Log.Info("entry VM hands out no permits", "server", string(id), "entry_vm", h.Name, "addr", h.PeerAddr.String(), "error", err.Error())
 }
 
 // holders returns the entry VMs that hand out a server's limit; none while the
@@ -114,52 +175,8 @@
 	return tslimit.Holders(vms, id)
 }
 
-// settle ends a draw that found no holder to ask.
-func (p *Permits) settle(d *draw, id turmericshed.ServerID, holders []turmericshed.EntryVM) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	rate, limited := p.book.Rate(id)
-	if !limited {
-		return true
-	}
-	if !d.Settle(time.Now(), rate, p.cfg.Count(), holders, rand.Float64()) {
-		return false
-	}
-	p.counters.draws.WithLabelValues(drawnAlone).Inc()
-	p.counters.sent.Inc()
-	return true
-}
-
-// ask draws from one holder and reports whether it answered.
-func (p *Permits) ask(d *draw, id turmericshed.ServerID, h turmericshed.EntryVM) bool {
-	p.mu.Lock()
-	want := d.Want(time.Now())
-	p.mu.Unlock()
-	granted, wait, err := p.draw(id, h, want)
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case err != nil:
-		d.Failed(now, h.Name)
-		p.counters.draws.WithLabelValues(drawFailed).Inc()
-		p.cfg.Log.Info("entry VM hands out no permits", "server", string(id), "entry_vm", h.Name, "addr", h.PeerAddr.String(), "error", err.Error())
-	case granted > 0:
-		d.Granted(now, h.Name, granted)
-		p.counters.draws.WithLabelValues(drawGranted).Inc()
-	default:
-		d.Refused(now, h.Name, wait)
-		p.counters.draws.WithLabelValues(drawRefused).Inc()
-	}
-	return err == nil
-}
-
-// draw takes permits from a holder, which may be this entry VM.
+// draw takes permits from a holder.
 func (p *Permits) draw(id turmericshed.ServerID, h turmericshed.EntryVM, want int) (granted int, wait time.Duration, err error) {
-	if h.Name == p.cfg.Members.Self().Name {
-		granted, wait = p.handOut(id, want)
-		return granted, wait, nil
-	}
 	p.mu.Lock()
 	n, known := p.book.Notice(id)
 	p.mu.Unlock()
@@ -191,16 +208,10 @@
 
 // handOut gives permits of the part that this entry VM hands out. While it does
 // not count itself among the holders it has none. A limit that has ended, also
-// for who asks, holds nothing back.
-func (p *Permits) handOut(id turmericshed.ServerID, want int) (granted int, wait time.Duration) {
-	holders := p.holders(id)
-	holds := false
-	for _, h := range holders {
-		holds = holds || h.Name == p.cfg.Members.Self().Name
-	}
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// for who asks, holds nothing back. p.mu is held.
+func (p *Permits) handOut(now time.Time, id turmericshed.ServerID, holders []turmericshed.EntryVM, want int) (granted int, wait time.Duration) {
+	self := p.cfg.Members.Self().Name
+	holds := slices.ContainsFunc(holders, func(h turmericshed.EntryVM) bool { return h.Name == self })
 	rate, limited := p.book.Rate(id)
 	switch {
 	case !limited && p.book.Knows(id):
--- a/io/tspermits/service.go
+++ b/io/tspermits/service.go
@@ -39,7 +39,10 @@
 	id := turmericshed.ServerID(r.Msg.Server)
 	m := &tspeerapi.DrawLimitResponse{}
 	if r.Msg.Want > 0 {
-		granted, wait := s.p.handOut(id, int(r.Msg.Want))
+		holders := s.p.holders(id)
+		s.p.mu.Lock()
+		granted, wait := s.p.handOut(time.Now(), id, holders, int(r.Msg.Want))
+		s.p.mu.Unlock()
 		m.Granted, m.WaitMs = int32(granted), max(wait.Milliseconds(), 1)
 	}
 	m.Limits = s.p.Tell()
