Limits: an entry VM that reaches no holder sends its even part at once

A holder that does not answer was asked again after 1 s, which is as long as a call takes: of three silent holders one could always be asked, and the even part of limit/N, for whom no holder answers, was never used: 0 requests in 6 s where 9 a second are this entry VM's part (TestAcquire, new: who reaches no holder keeps to an even part). It is used now while holders are asked, which are passed over for 2 s. Tests of io/tspermits: what answers say, silent and late holders, ends and old news of limits.

--- a/core/tslimit/draws.go
+++ b/core/tslimit/draws.go
@@ -12,7 +12,7 @@
 	// maxWant bounds the permits that are asked for at once.
 	maxWant = 16
 	// failedPause is how long a holder that did not answer is not asked.
-	failedPause = time.Second
+	failedPause = 2 * time.Second
 )
 
 // Draws is what one entry VM draws on the limit of one server. Holders are known
@@ -79,17 +79,25 @@
 
 // Granted takes permits from a holder that answered.
 func (d *Draws) Granted(now time.Time, holder string, n int) {
-	delete(d.failed, holder)
+	d.answered(holder)
 	d.permits, d.expires = d.permits+n, now.Add(permitLife)
 	d.taken, d.drawn = 0, now
 }
 
 // Refused notes that a holder has nothing for a time.
 func (d *Draws) Refused(now time.Time, holder string, wait time.Duration) {
-	delete(d.failed, holder)
+	d.answered(holder)
 	d.refuse(now, holder, wait)
 }
 
+// answered ends what was believed of a holder that did not answer.
+func (d *Draws) answered(holder string) {
+	if d.failed[holder] {
+		delete(d.failed, holder)
+		d.closed = time.Time{}
+	}
+}
+
 // Failed notes that a holder did not answer.
 func (d *Draws) Failed(now time.Time, holder string) {
 	if d.failed == nil {
@@ -106,30 +114,39 @@
 	d.refused[holder] = now.Add(wait)
 }
 
-// Settle decides where there is no holder to ask, and reports whether a request
-// may be sent. An entry VM that no holder answers keeps to an even part of the
-// limit by itself; level, from 0 to 1 at random, is what it begins with.
-func (d *Draws) Settle(now time.Time, perSecond float64, entryVMs int, holders []turmericshed.EntryVM, level float64) bool {
-	opens := now.Add(maxWait)
-	alone := true
+// Alone reports whether no holder answered when it was last asked. An entry VM
+// that is alone goes on asking, and keeps to an even part of the limit by itself
+// meanwhile.
+func (d *Draws) Alone(holders []turmericshed.EntryVM) bool {
 	for _, h := range holders {
-		opens = sooner(opens, d.refused[h.Name])
-		alone = alone && d.failed[h.Name]
-	}
-	if !alone {
-		d.closed = opens
-		return false
+		if !d.failed[h.Name] {
+			return false
+		}
 	}
+	return true
+}
+
+// TakeAlone reports whether an entry VM that is alone may send a request. level,
+// from 0 to 1 at random, is what its part begins with.
+func (d *Draws) TakeAlone(now time.Time, perSecond float64, entryVMs int, level float64) bool {
 	if d.lone == nil {
 		d.lone = NewShare(now, level)
 	}
 	granted, wait := d.lone.Take(now, Part(perSecond, entryVMs), 1)
 	if granted == 0 {
-		d.closed = sooner(opens, now.Add(wait))
+		d.closed = now.Add(wait)
 	}
 	return granted > 0
 }
 
+// Close notes that there is no holder to ask now.
+func (d *Draws) Close(now time.Time, holders []turmericshed.EntryVM) {
+	d.closed = now.Add(maxWait)
+	for _, h := range holders {
+		d.closed = sooner(d.closed, d.refused[h.Name])
+	}
+}
+
 // Closed returns until when nothing may be sent.
 func (d *Draws) Closed() time.Time { return d.closed }
 
--- a/core/tslimit/fleet_test.go
+++ b/core/tslimit/fleet_test.go
@@ -96,16 +96,21 @@
 		if !open {
 			return taken
 		}
+		alone := m.draws.Alone(m.holders)
 		h, ok := m.draws.Next(now, m.Name, m.holders, from)
-		if !ok {
-			return m.draws.Settle(now, f.limit, f.entryVMs, m.holders, f.rnd.Float64())
+		switch {
+		case !ok && !alone:
+			m.draws.Close(now, m.holders)
+			return false
+		case !ok:
+			return m.draws.TakeAlone(now, f.limit, f.entryVMs, f.rnd.Float64())
 		}
 		if h.Name != m.Name {
 			f.calls++
 		}
 		if f.silent != nil && f.silent(h.Name) {
 			m.draws.Failed(now, h.Name)
-			return false
+			return alone && m.draws.TakeAlone(now, f.limit, f.entryVMs, f.rnd.Float64())
 		}
 		if n, wait := f.handOut(f.members[h.Name], now, m.draws.Want(now)); n > 0 {
 			m.draws.Granted(now, h.Name, n)
@@ -240,7 +245,8 @@
 		d.Refused(epoch, "vm-0", time.Second)
 		h, ok := d.Next(epoch, "vm-9", holders[:1], 0)
 		assert.Assert(t, !ok, h.Name)
-		assert.Assert(t, !d.Settle(epoch, 10, 3, holders[:1], 1), "others were alone")
+		assert.Assert(t, !d.Alone(holders[:1]))
+		d.Close(epoch, holders[:1])
 		assert.Equal(t, d.Closed(), epoch.Add(time.Second))
 		_, ok = d.Next(epoch.Add(time.Second), "vm-9", holders[:1], 0)
 		assert.Assert(t, ok)
@@ -248,7 +254,7 @@
 	t.Run("a raised limit opens what was closed", func(t *testing.T) {
 		var d tslimit.Draws
 		d.Refused(epoch, "vm-0", time.Minute)
-		d.Settle(epoch, 1, 3, holders[:1], 0)
+		d.Close(epoch, holders[:1])
 		d.Reopen()
 		_, open := d.Take(epoch)
 		assert.Assert(t, open)
--- a/io/tspermits/draw.go
+++ b/io/tspermits/draw.go
@@ -41,7 +41,7 @@
 	defer p.mu.Unlock()
 	var closed map[turmericshed.ServerID]time.Time
 	for id, d := range p.draws {
-		waits := d.ended != nil && now.Sub(d.began) > drawWait && !d.Holds(now)
+		waits := d.ended != nil && now.Sub(d.began) > drawWait && !d.Holds(now) && !d.Alone(p.holders(id))
 		if _, limited := p.book.Rate(id); !limited || (!waits && !now.Before(d.Closed())) {
 			continue
 		}
@@ -105,26 +105,31 @@
 		if !open {
 			return nil, p.sent(taken)
 		}
-		if d.ended != nil {
-			if now.Sub(d.began) > drawWait {
-				return nil, false
-			}
-			return d.ended, false
+		self := p.cfg.Members.Self().Name
+		h, found := d.Next(now, self, holders, from)
+		if found && h.Name == self {
+			granted, wait := p.handOut(now, id, holders, d.Want(now))
+			p.drawn(d, h.Name, granted, wait)
+			continue
+		}
+		if found && d.ended == nil {
+			d.ended, d.began = make(chan struct{}), now
+			go p.ask(d, id, h, d.Want(now))
 		}
-		h, found := d.Next(now, p.cfg.Members.Self().Name, holders, from)
 		switch {
-		case !found:
-			ok := d.Settle(now, rate, p.cfg.Count(), holders, rand.Float64())
+		case d.Alone(holders):
+			ok := d.TakeAlone(now, rate, p.cfg.Count(), rand.Float64())
 			if ok {
 				p.counters.draws.WithLabelValues(drawnAlone).Inc()
 			}
 			return nil, p.sent(ok)
-		case h.Name == p.cfg.Members.Self().Name:
-			granted, wait := p.handOut(now, id, holders, d.Want(now))
-			p.drawn(d, h.Name, granted, wait)
+		case d.ended != nil && now.Sub(d.began) <= drawWait:
+			return d.ended, false
+		case d.ended != nil:
+			return nil, false
 		default:
-			d.ended, d.began = make(chan struct{}), now
-			go p.ask(d, id, h, d.Want(now))
+			d.Close(now, holders)
+			return nil, false
 		}
 	}
 }
--- /dev/null
+++ b/io/tspermits/permits_test.go
@@ -0,0 +1,252 @@
+package tspermits_test
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/core/tslimit"
+	"turmericshed/io/tspermits"
+)
+
+var server = turmericshed.BackendServer{ID: "s", Started: time.UnixMilli(1_800_000_000_000)}
+
+// fleet is entry VMs that call each other without a network.
+type fleet struct {
+	mu  sync.Mutex
+	vms []*vm
+	// delay keeps the calls to an entry VM waiting.
+	delay map[string]time.Duration
+}
+
+type vm struct {
+	f       *fleet
+	self    turmericshed.EntryVM
+	permits *tspermits.Permits
+	mux     *http.ServeMux
+	log     *bytes.Buffer
+	calls   int
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{delay: map[string]time.Duration{}}
+	for i := range n {
+		v := &vm{f: f, mux: http.NewServeMux(), log: &bytes.Buffer{}, self: turmericshed.EntryVM{
+			Name: fmt.Sprint("vm-", i), FailureDomain: "a", PeerAddr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)),
+		}}
+		board := &tsboard.Board{}
+		board.Servers.Write([]turmericshed.BackendServer{server})
+		v.permits = tspermits.New(tspermits.Config{
+			Board: board, Members: v, Count: func() int { return n }, Peers: v, Log: slog.New(slog.NewTextHandler(v.log, nil)),
+		})
+		v.mux.Handle(v.permits.Handler())
+		f.vms = append(f.vms, v)
+	}
+	return f
+}
+
+// other returns an entry VM that holds no part of the server's limit.
+func (f *fleet) other() *vm {
+	holders := map[string]bool{}
+	for _, h := range f.holders() {
+		holders[h.Name] = true
+	}
+	for _, v := range f.vms {
+		if !holders[v.self.Name] {
+			return v
+		}
+	}
+	return nil
+}
+
+func (f *fleet) holders() []turmericshed.EntryVM {
+	var all []turmericshed.EntryVM
+	for _, v := range f.vms {
+		all = append(all, v.self)
+	}
+	return tslimit.Holders(all, server.ID)
+}
+
+func (v *vm) Self() turmericshed.EntryVM { return v.self }
+
+func (v *vm) Reachable() []turmericshed.EntryVM {
+	var list []turmericshed.EntryVM
+	for _, o := range v.f.vms {
+		if o != v {
+			list = append(list, o.self)
+		}
+	}
+	return list
+}
+
+func (*vm) State(turmericshed.Incarnation) turmericshed.MemberState { return turmericshed.MemberAlive }
+
+func (v *vm) Client(addr netip.AddrPort) (connect.HTTPClient, string) {
+	return v, "http://" + addr.String()
+}
+
+// Do carries a call to another entry VM.
+func (v *vm) Do(r *http.Request) (*http.Response, error) {
+	v.f.mu.Lock()
+	to := v.f.vms[netip.MustParseAddrPort(r.URL.Host).Port()-1]
+	delay := v.f.delay[to.self.Name]
+	v.calls++
+	v.f.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+	rec := httptest.NewRecorder()
+	to.mux.ServeHTTP(rec, r)
+	return rec.Result(), nil
+}
+
+// slow makes all holders answer late.
+func (f *fleet) slow(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.holders() {
+		f.delay[h.Name] = d
+	}
+}
+
+func named(perSecond float64) turmericshed.BackendReply {
+	return turmericshed.BackendReply{Signed: true, Limit: turmericshed.RateLimit{PerSecond: perSecond}}
+}
+
+func (v *vm) answered(r turmericshed.BackendReply) { v.permits.Answered(server, time.Now(), r) }
+
+// acquired asks for leave until a time and returns how often it was given.
+func (v *vm) acquired(d time.Duration) (n int) {
+	for began := time.Now(); time.Since(began) < d; time.Sleep(5 * time.Millisecond) {
+		if v.permits.Acquire(server) {
+			n++
+		}
+	}
+	return n
+}
+
+func assertLimited(t *testing.T, v *vm, want bool) {
+	t.Helper()
+	assert.Equal(t, len(v.permits.Tell()) > 0 && v.permits.Tell()[0].PerSecond > 0, want)
+}
+
+func TestAnswered(t *testing.T) {
+	malformed := turmericshed.BackendReply{Signed: true, Limit: turmericshed.RateLimit{Malformed: `"x"`}}
+	for name, c := range map[string]struct {
+		replies []turmericshed.BackendReply
+		want    bool
+	}{
+		"a limit that is named":                         {replies: []turmericshed.BackendReply{named(2)}, want: true},
+		"an answer without it ends it":                  {replies: []turmericshed.BackendReply{named(2), named(0)}},
+		"a refusal without it does not":                 {replies: []turmericshed.BackendReply{named(2), {NotRun: true}}, want: true},
+		"nor does the answer of another server":         {replies: []turmericshed.BackendReply{named(2), {Signed: true, Misdirected: true}}, want: true},
+		"whose limit is not this one's":                 {replies: []turmericshed.BackendReply{{Misdirected: true, Limit: turmericshed.RateLimit{PerSecond: 2}}}},
+		"one that can't be read does not lift the last": {replies: []turmericshed.BackendReply{named(2), malformed}, want: true},
+		"and is none by itself":                         {replies: []turmericshed.BackendReply{malformed}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := newFleet(1).vms[0]
+			for _, r := range c.replies {
+				v.answered(r)
+				time.Sleep(time.Millisecond)
+			}
+			assertLimited(t, v, c.want)
+		})
+	}
+	t.Run("a limit that can't be read is an error in the log, once", func(t *testing.T) {
+		v := newFleet(1).vms[0]
+		for range 5 {
+			v.answered(malformed)
+		}
+		assert.Equal(t, strings.Count(v.log.String(), "level=ERROR"), 1)
+	})
+}
+
+func TestAcquire(t *testing.T) {
+	t.Run("servers without a limit need no permit", func(t *testing.T) {
+		v := newFleet(3).vms[0]
+		assert.Assert(t, v.permits.Acquire(server))
+		assert.Equal(t, v.calls, 0)
+	})
+	t.Run("holders hand out what others draw", func(t *testing.T) {
+		v := newFleet(9).other()
+		v.answered(named(40))
+		n := v.acquired(time.Second)
+		assert.Assert(t, n >= 16 && n <= 65, "%d", n)
+	})
+	t.Run("a silent holder costs a request little, and later ones nothing", func(t *testing.T) {
+		f := newFleet(9)
+		v := f.other()
+		v.answered(named(1))
+		f.slow(time.Minute)
+		began := time.Now()
+		assert.Assert(t, !v.permits.Acquire(server))
+		assert.Assert(t, time.Since(began) < time.Second)
+		assert.Equal(t, len(v.permits.Closed(time.Now())), 1)
+	})
+	t.Run("a late holder's permit serves a later request", func(t *testing.T) {
+		f := newFleet(9)
+		v := f.other()
+		v.answered(named(400))
+		f.slow(400 * time.Millisecond)
+		assert.Assert(t, v.acquired(3*time.Second) > 0)
+	})
+	t.Run("who reaches no holder keeps to an even part", func(t *testing.T) {
+		f := newFleet(9)
+		v := f.other()
+		v.answered(named(90))
+		f.slow(time.Minute)
+		n := v.acquired(6 * time.Second)
+		assert.Assert(t, n > 0 && n <= 9*6+5, "%d", n)
+	})
+	t.Run("holders that know of the end of a limit keep nobody waiting", func(t *testing.T) {
+		f := newFleet(9)
+		v := f.other()
+		v.answered(named(0.01))
+		time.Sleep(time.Millisecond)
+		for _, h := range f.vms {
+			if h != v {
+				h.answered(named(0.01))
+				time.Sleep(time.Millisecond)
+				h.answered(named(0))
+			}
+		}
+		assert.Assert(t, v.acquired(time.Second) > 0)
+	})
+}
+
+func TestTell(t *testing.T) {
+	f := newFleet(2)
+	a, b := f.vms[0], f.vms[1]
+	a.answered(named(2))
+	b.permits.Hear("vm-0", time.Now(), a.permits.Tell())
+	assertLimited(t, b, true)
+	t.Run("its end too", func(t *testing.T) {
+		time.Sleep(time.Millisecond)
+		a.answered(named(0))
+		time.Sleep(time.Millisecond)
+		began := time.Now()
+		b.permits.Hear("vm-0", began, a.permits.Tell())
+		assertLimited(t, b, false)
+	})
+	t.Run("old news does not bring it back", func(t *testing.T) {
+		old := a.permits.Tell()
+		old[0].PerSecond, old[0].HeardAgoUs = 2, 60_000_000
+		b.permits.Hear("vm-0", time.Now(), old)
+		assertLimited(t, b, false)
+	})
+}
--- a/load/tssoak/limit.go
+++ b/load/tssoak/limit.go
@@ -169,9 +169,14 @@
 	}
 	holders := v.holders(id)
 	h, ok := d.Next(now, v.self.Name, holders, v.w.rnd.IntN(8))
-	if !ok {
+	switch {
+	case !ok && d.Alone(holders):
 		rate, _ := v.limits.Rate(id)
-		done(d.Settle(now, rate, len(v.members.Reachable())+1, holders, v.w.rnd.Float64()))
+		done(d.TakeAlone(now, rate, len(v.members.Reachable())+1, v.w.rnd.Float64()))
+		return
+	case !ok:
+		d.Close(now, holders)
+		done(false)
 		return
 	}
 	d.asking = true
