Routing: a request asks for a permit once for each server

A server whose time came while others were asked was asked again, so that a request could go round between servers that each had nothing, waiting at each. Tests of Release and Opens.

--- a/core/tsroute/router_test.go
+++ b/core/tsroute/router_test.go
@@ -109,6 +109,43 @@
 	})
 }
 
+func TestRelease(t *testing.T) {
+	r := newRouter(1, servers(1, 1))
+	s, err := r.Pick(epoch, chat)
+	assert.NilError(t, err)
+	before := r.Pressure(epoch, chat.Work)
+	r.Release(epoch, s.ID)
+	assert.Equal(t, before, 1.0/8)
+	assert.Equal(t, r.Pressure(epoch, chat.Work), 0.0)
+	t.Run("a server that left meanwhile is forgotten", func(t *testing.T) {
+		s, err := r.Pick(epoch, chat)
+		assert.NilError(t, err)
+		r.SetServers(epoch, nil)
+		r.Release(epoch, s.ID)
+		_, err = r.Pick(epoch, chat)
+		assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindNoBackend)
+	})
+}
+
+func TestOpens(t *testing.T) {
+	r := newRouter(1, servers(1, 4))
+	r.SetLeaving(epoch, "s-0")
+	closed := map[turmericshed.ServerID]time.Time{"s-0": epoch, "s-1": epoch.Add(2 * time.Second), "s-2": epoch.Add(time.Second), "other": epoch}
+	at, ok := r.Opens(epoch, chat, closed)
+	assert.Assert(t, ok)
+	assert.Equal(t, at, epoch.Add(time.Second))
+	t.Run("not one that failed the request", func(t *testing.T) {
+		req := chat
+		req.Excluded = []turmericshed.ServerID{"s-2"}
+		at, _ := r.Opens(epoch, req, closed)
+		assert.Equal(t, at, epoch.Add(2*time.Second))
+	})
+	t.Run("nothing is kept back by limits", func(t *testing.T) {
+		_, ok := r.Opens(epoch, chat, nil)
+		assert.Assert(t, !ok)
+	})
+}
+
 func TestBreaker(t *testing.T) {
 	t.Run("a black hole gets little work", func(t *testing.T) {
 		r := newRouter(1, servers(1, 4))
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -136,15 +136,11 @@
 			return s, nil
 		}
 		p.release(now, s.ID)
-		closed = p.cfg.Limits.Closed(time.Now())
-		if _, is := closed[s.ID]; !is {
-			// Its time came just now; this request goes elsewhere.
-			closed = maps.Clone(closed)
-			if closed == nil {
-				closed = make(map[turmericshed.ServerID]time.Time)
-			}
-			closed[s.ID] = now
+		if closed == nil {
+			closed = make(map[turmericshed.ServerID]time.Time)
 		}
+		// A request tries a server's limit once, also when it opens meanwhile.
+		closed[s.ID] = p.cfg.Limits.Closed(now)[s.ID]
 	}
 }
 
--- a/io/tsrouting/pool_test.go
+++ b/io/tsrouting/pool_test.go
@@ -128,3 +128,80 @@
 		}
 	})
 }
+
+// limits has servers with a number of permits each; others need none.
+type limits struct {
+	permits map[turmericshed.ServerID]int
+	until   time.Time
+	asked   int
+}
+
+func (*limits) Answered(turmericshed.BackendServer, time.Time, turmericshed.BackendReply) {}
+
+func (l *limits) Acquire(s turmericshed.BackendServer) bool {
+	l.asked++
+	n, limited := l.permits[s.ID]
+	if limited && n > 0 {
+		l.permits[s.ID] = n - 1
+	}
+	return !limited || n > 0
+}
+
+func (l *limits) Closed(now time.Time) map[turmericshed.ServerID]time.Time {
+	closed := map[turmericshed.ServerID]time.Time{}
+	for id, n := range l.permits {
+		if n == 0 && now.Before(l.until) {
+			closed[id] = l.until
+		}
+	}
+	return closed
+}
+
+func TestServerLimits(t *testing.T) {
+	now := time.Now()
+	look := turmericshed.RouteRequest{Work: turmericshed.WorkService, Service: "desk"}
+	newPool := func(l *limits) *tsrouting.Pool {
+		board := &tsboard.Board{}
+		var list []turmericshed.BackendServer
+		for _, id := range []turmericshed.ServerID{"a", "b"} {
+			list = append(list, turmericshed.BackendServer{ID: id, Work: turmericshed.WorkService, Service: "desk", Slots: 8})
+		}
+		board.Servers.Write(list)
+		return tsrouting.NewPool(tsrouting.PoolConfig{Board: board, Limits: l})
+	}
+	t.Run("who has no permit for a server goes to another", func(t *testing.T) {
+		p := newPool(&limits{permits: map[turmericshed.ServerID]int{"a": 3}})
+		got := map[turmericshed.ServerID]int{}
+		for range 40 {
+			s, err := p.Pick(now, look)
+			assert.NilError(t, err)
+			got[s.ID]++
+			p.Done(now, s.ID, look, turmericshed.DispatchResult{FirstByte: 1, Elapsed: 1})
+		}
+		assert.Equal(t, got["a"], 3)
+	})
+	t.Run("where none has any the request is refused, with the time to come back spread", func(t *testing.T) {
+		p := newPool(&limits{permits: map[turmericshed.ServerID]int{"a": 0, "b": 0}, until: now.Add(2 * time.Second)})
+		least, most := time.Hour, time.Duration(0)
+		for range 50 {
+			_, err := p.Pick(now, look)
+			assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindOverloaded)
+			after := turmericshed.RetryAfterOf(err)
+			least, most = min(least, after), max(most, after)
+		}
+		assert.Assert(t, least >= 2*time.Second && most <= 4*time.Second && most-least > time.Second, "%s to %s", least, most)
+	})
+	t.Run("a request asks once for each server", func(t *testing.T) {
+		l := &limits{permits: map[turmericshed.ServerID]int{"a": 0, "b": 0}}
+		_, err := newPool(l).Pick(now, look)
+		assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindOverloaded)
+		assert.Equal(t, l.asked, 2)
+	})
+	t.Run("a server that was not sent to has no load", func(t *testing.T) {
+		p := newPool(&limits{permits: map[turmericshed.ServerID]int{"a": 0, "b": 0}})
+		_, err := p.Pick(now, look)
+		assert.Assert(t, err != nil)
+		pressure, _ := p.Load(now, turmericshed.WorkService)
+		assert.Equal(t, pressure, 0.0)
+	})
+}
