--- a/io/tsgateway/limit_test.go
+++ b/io/tsgateway/limit_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,8 +41,9 @@
 	at int
 }
 
-// play returns when the limits were first named.
-func (c limitCase) play(t *testing.T) (r *rig, named time.Time) {
+// play returns when the limits were first named, and how many requests were
+// refused.
+func (c limitCase) play(t *testing.T) (r *rig, named time.Time, refused int64) {
 	t.Helper()
 	r = newRig(t, 1_000_000)
 	vms := []*entryVM{r.entryVM}
@@ -58,6 +60,7 @@
 	}
 	named = time.Now()
 	var asked sync.WaitGroup
+	var refusals atomic.Int64
 	tick := time.NewTicker(time.Duration(float64(time.Second) / c.perSecond))
 	defer tick.Stop()
 	for now := range tick.C {
@@ -66,10 +69,14 @@
 		}
 		at := *r
 		at.entryVM = vms[rand.IntN(len(vms))]
-		asked.Go(func() { at.ask(http.MethodGet, "/look/1", "") })
+		asked.Go(func() {
+			if at.ask(http.MethodGet, "/look/1", "").status == http.StatusServiceUnavailable {
+				refusals.Add(1)
+			}
+		})
 	}
 	asked.Wait()
-	return r, named
+	return r, named, refusals.Load()
 }
 
 // assertWithinLimit checks each window from when the limit holds.
@@ -123,7 +130,10 @@
 			t.Parallel()
 			plays <- struct{}{}
 			defer func() { <-plays }()
-			r, named := c.play(t)
+			r, named, refused := c.play(t)
+			if c.limited < len(r.desks) {
+				assert.Equal(t, refused, int64(0), "refused although a server has room")
+			}
 			for _, d := range r.desks[:c.limited] {
 				assertWithinLimit(t, d, c.limit, named)
 				assertUsed(t, d, c.limit, named)
