Limits: a server's limit outlives a lapse of its entry

Entries of servers lapse while the store is away, and come back. The limit of such a server was forgotten with its entry, so that entry VMs which it had told sent freely until the next answer. It is remembered for a minute now. TestBook, an entry that lapses does not lift it, fails when unlisted servers are dropped at once.

--- a/core/tslimit/book.go
+++ b/core/tslimit/book.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	var b tslimit.Book
-//	b.SetServers(servers)
+//	b.SetServers(now, servers)
 //	changed := b.Note(notice)
 //	rate, limited := b.Rate(id)
 //	tell(b.Notices(now))
@@ -26,6 +26,9 @@
 	Transit = 300 * time.Millisecond
 	// endedLife is how long the end of a limit is told to others.
 	endedLife = 10 * time.Second
+	// unlistedLife is how long a limit is remembered of a server that is not
+	// listed.
+	unlistedLife = time.Minute
 	// maxNotices bounds the limits that are told at once.
 	maxNotices = 32
 )
@@ -42,15 +45,17 @@
 	known   map[turmericshed.ServerID]turmericshed.LimitNotice
 }
 
-// SetServers replaces the listed servers. What is known of others, and of
-// earlier processes of the same servers, is forgotten.
-func (b *Book) SetServers(list []turmericshed.BackendServer) {
+// SetServers replaces the listed servers. What is known of earlier processes of
+// the same servers is forgotten, and of those that are not listed after a time,
+// since entries also lapse while the store is away.
+func (b *Book) SetServers(now time.Time, list []turmericshed.BackendServer) {
 	b.started = make(map[turmericshed.ServerID]time.Time, len(list))
 	for _, s := range list {
 		b.started[s.ID] = s.Started
 	}
 	for id, n := range b.known {
-		if at, ok := b.started[id]; !ok || !at.Equal(n.Started) {
+		at, listed := b.started[id]
+		if (listed && !at.Equal(n.Started)) || (!listed && now.Sub(n.Heard) > unlistedLife) {
 			delete(b.known, id)
 		}
 	}
--- a/core/tslimit/book_test.go
+++ b/core/tslimit/book_test.go
@@ -23,7 +23,7 @@
 
 func newBook(notices ...turmericshed.LimitNotice) *tslimit.Book {
 	b := &tslimit.Book{}
-	b.SetServers([]turmericshed.BackendServer{{ID: "s", Started: epoch}})
+	b.SetServers(epoch, []turmericshed.BackendServer{{ID: "s", Started: epoch}})
 	for _, n := range notices {
 		b.Note(n)
 	}
@@ -56,10 +56,21 @@
 	}
 	t.Run("a new start of the server owes nothing to the old one", func(t *testing.T) {
 		b := newBook(notice(2, 0, 10))
-		b.SetServers([]turmericshed.BackendServer{{ID: "s", Started: at(500)}})
+		b.SetServers(at(500), []turmericshed.BackendServer{{ID: "s", Started: at(500)}})
 		assertRate(t, b, 0)
 		assert.Assert(t, !b.Note(notice(2, 0, 10)), "an answer of the old process counts")
 	})
+	t.Run("an entry that lapses does not lift it", func(t *testing.T) {
+		b := newBook(notice(2, 0, 10))
+		b.SetServers(at(1000), nil)
+		b.SetServers(at(5000), []turmericshed.BackendServer{{ID: "s", Started: epoch}})
+		assertRate(t, b, 2)
+	})
+	t.Run("a server that stays away is forgotten", func(t *testing.T) {
+		b := newBook(notice(2, 0, 10))
+		b.SetServers(at(100_000), nil)
+		assert.Assert(t, !b.Knows("s"))
+	})
 	t.Run("servers that are not listed have none", func(t *testing.T) {
 		assert.Assert(t, !(&tslimit.Book{}).Note(notice(2, 0, 10)))
 	})
--- a/io/tspermits/permits.go
+++ b/io/tspermits/permits.go
@@ -108,7 +108,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.book.SetServers(servers)
+	p.book.SetServers(time.Now(), servers)
 	for id := range p.malformed {
 		if !listed[id] {
 			delete(p.malformed, id)
--- a/load/tssoak/member.go
+++ b/load/tssoak/member.go
@@ -28,7 +28,7 @@
 	if v.list.Fresh(snap) {
 		v.servers, _ = v.list.Join(v.servers, snap)
 		v.router.SetServers(v.w.now, v.servers)
-		v.limits.SetServers(v.servers)
+		v.limits.SetServers(v.w.now, v.servers)
 	}
 	for _, s := range v.servers {
 		e := v.w.byID[s.ID]
