Relay: entry VMs together keep to the connections that a server accepts

From 28 entry VMs on 110 connections, and from 158 on 630, the sum could be above what a server accepts, which resets the rest. The floor holds only where there are so many for all; beyond, one each.

Sites of nine entry VMs have the share that they had.

--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -58,7 +58,8 @@
 	// connectionPart of a server's connections is shared by the entry VMs
 	// evenly; the rest is left for uneven loads.
 	connectionPart = 0.8
-	// minConnections is the least share of a server's connections.
+	// minConnections is what each entry VM gets of a server's connections where
+	// there are so many for all of them.
 	minConnections = 4
 )
 
@@ -207,5 +208,6 @@
 	if spec.MaxConnections <= 0 {
 		return 0
 	}
-	return max(int(float64(spec.MaxConnections)*connectionPart)/max(s.cfg.EntryVMs(), 1), minConnections)
+	n := max(s.cfg.EntryVMs(), 1)
+	return max(int(float64(spec.MaxConnections)*connectionPart)/n, min(minConnections, spec.MaxConnections/n), 1)
 }
