--- a/io/tsnews/service.go
+++ b/io/tsnews/service.go
@@ -24,7 +24,7 @@
 func (s service) Follow(ctx context.Context, r *connect.Request[tspeerapi.FollowRequest]) (*connect.Response[tspeerapi.FollowResponse], error) {
 	limits := s.s.cfg.Limits
 	if limits != nil {
-		limits.Hear("", time.Now().Add(-tslimit.Transit), r.Msg.Limits)
+		limits.Hear(r.Peer().Addr, time.Now().Add(-tslimit.Transit), r.Msg.Limits)
 	}
 	f := s.s.feed(r.Msg.Prefix)
 	n, err := f.follow(ctx, turmericshed.Version(r.Msg.After), min(time.Duration(r.Msg.WaitMs)*time.Millisecond, followWait))
--- a/io/tspermits/draw.go
+++ b/io/tspermits/draw.go
@@ -114,7 +114,7 @@
 		}
 		if found && d.ended == nil {
 			d.ended, d.began = make(chan struct{}), now
-			go p.ask(d, id, h, d.Want(now))
+			go p.drawFrom(d, id, h, d.Want(now))
 		}
 		switch {
 		case d.Alone(holders):
@@ -154,9 +154,9 @@
 	p.counters.draws.WithLabelValues(drawRefused).Inc()
 }
 
-// ask draws from a holder and ends the draw's call.
-func (p *Permits) ask(d *draw, id turmericshed.ServerID, h turmericshed.EntryVM, want int) {
-	granted, wait, err := p.draw(id, h, want)
+// drawFrom draws from a holder and tells those who wait for it.
+func (p *Permits) drawFrom(d *draw, id turmericshed.ServerID, h turmericshed.EntryVM, want int) {
+	granted, wait, err := p.askHolder(id, h, want)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	close(d.ended)
@@ -180,8 +180,8 @@
 	return tslimit.Holders(vms, id)
 }
 
-// draw takes permits from a holder.
-func (p *Permits) draw(id turmericshed.ServerID, h turmericshed.EntryVM, want int) (granted int, wait time.Duration, err error) {
+// askHolder asks a holder for permits, and tells it of the limit.
+func (p *Permits) askHolder(id turmericshed.ServerID, h turmericshed.EntryVM, want int) (granted int, wait time.Duration, err error) {
 	p.mu.Lock()
 	n, known := p.book.Notice(id)
 	p.mu.Unlock()
--- a/io/tspermits/service.go
+++ b/io/tspermits/service.go
@@ -35,7 +35,7 @@
 
 // Draw hands out permits, and takes what the caller knows of limits.
 func (s service) Draw(_ context.Context, r *connect.Request[tspeerapi.DrawLimitRequest]) (*connect.Response[tspeerapi.DrawLimitResponse], error) {
-	s.p.Hear("", time.Now().Add(-tslimit.Transit), r.Msg.Limits)
+	s.p.Hear(r.Peer().Addr, time.Now().Add(-tslimit.Transit), r.Msg.Limits)
 	id := turmericshed.ServerID(r.Msg.Server)
 	m := &tspeerapi.DrawLimitResponse{}
 	if r.Msg.Want > 0 {
