--- a/io/tsgateway/limit_test.go
+++ b/io/tsgateway/limit_test.go
@@ -117,6 +117,7 @@
 		"a lower limit":                          {entryVMs: 9, limited: 1, perSecond: 20, limit: 0.5},
 		"callers at one entry VM":                {entryVMs: 9, limited: 2, perSecond: 20, limit: 1.8, at: 1},
 		"as many entry VMs as requests a second": {entryVMs: 20, limited: 1, perSecond: 20, limit: 1.8},
+		"thirty entry VMs":                       {entryVMs: 30, limited: 1, perSecond: 40, limit: 1.8},
 		"one entry VM":                           {entryVMs: 1, limited: 1, perSecond: 20, limit: 1.8},
 	} {
 		t.Run(name, func(t *testing.T) {
