Logs: how old the news of servers was when a request's server was chosen

Cause: of a request that reached a leaving server the logs did not tell when its server was chosen, nor by news of what age; late news and a late send looked the same. Change: picked_ms and servers_age_ms on the request's line, age_ms on a server's change, turmericshed_news_age_seconds at the metrics port. Result: no decision changed; tests of tsrelay and tsgateway as before.

--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 
 	"turmericshed"
@@ -167,11 +168,12 @@
 	g.servers = tsmirror.New(tsmirror.Config{
 		Store: news, Prefix: platform.ServerPrefix, Log: tsobserve.Part(g.log, "servers"), View: g.roster,
 	})
+	g.registerAges()
 	g.relay = tsrelay.New(tsrelay.Config{
 		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, Limits: g.limits, Metrics: g.metrics,
 		Log: tsobserve.Part(g.log, "relay"), Retries: retryBounds(s), EntryVMs: g.registry.Count,
 		StaleAfter: staleAfter, TableAge: func() time.Duration { return g.tables.Age(time.Now()) },
-		NewsAge: g.newsAge,
+		NewsAge: g.newsAge, ServersAge: func() time.Duration { return g.servers.Age(time.Now()) },
 	})
 	return g, nil
 }
@@ -312,6 +314,16 @@
 	return max(g.tables.Age(now), g.servers.Age(now))
 }
 
+// registerAges adds the ages of what is heard to the metrics.
+func (g *Gateway) registerAges() {
+	for name, m := range map[string]*tsmirror.Mirror{"table": g.tables, "servers": g.servers} {
+		g.metrics.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "turmericshed_news_age_seconds", Help: "Time since what is heard of the platform's store was true for certain.",
+			ConstLabels: prometheus.Labels{"of": name},
+		}, func() float64 { return m.Age(time.Now()).Seconds() }))
+	}
+}
+
 // inherit gives back what an earlier process on this machine did not use.
 func (g *Gateway) inherit(ctx context.Context) {
 	if g.cfg.Settings.FirstStart {
--- a/io/tsgateway/views.go
+++ b/io/tsgateway/views.go
@@ -102,7 +102,7 @@
 	}
 	v.mu.Unlock()
 	v.log.Info("server entry changed", "server", string(s.ID), "listed", ok, "leaving", s.Leaving || !ok, "service", s.Service,
-		"addr", s.Addr.String(), "version", uint64(ev.Version))
+		"addr", s.Addr.String(), "version", uint64(ev.Version), "age_ms", ev.Age.Milliseconds())
 	v.notify()
 }
 
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -106,6 +106,10 @@
 	if err != nil {
 		return nil, err
 	}
+	q.pickedAt = now
+	if q.relay.cfg.ServersAge != nil {
+		q.pickedBy = q.relay.cfg.ServersAge()
+	}
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
 	patience := q.watch(cancel)
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -92,6 +92,9 @@
 	// NewsAge tells the age of the oldest of what is heard: the routing table
 	// and the servers. It is asked for with a Link only.
 	NewsAge func() time.Duration
+	// ServersAge tells the age of what is known of the servers; nil where
+	// nobody follows it.
+	ServersAge func() time.Duration
 }
 
 // Relay serves callers' requests.
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -58,6 +58,9 @@
 	actBefore time.Time
 	// picked is false when no server was left to choose.
 	picked bool
+	// pickedAt is when the last server was chosen, by news of the age pickedBy.
+	pickedAt time.Time
+	pickedBy time.Duration
 	// mayHaveRun is true once a server may have begun to work on it.
 	mayHaveRun bool
 	// committed is true once the answer's headers went to the caller, status
@@ -310,6 +313,9 @@
 	if q.table != nil {
 		attrs = append(attrs, slog.Uint64("table_version", q.table.Version))
 	}
+	if !q.pickedAt.IsZero() {
+		attrs = append(attrs, slog.Int64("picked_ms", q.pickedAt.Sub(q.arrived).Milliseconds()), slog.Int64("servers_age_ms", q.pickedBy.Milliseconds()))
+	}
 	msg := "answered"
 	if err != nil {
 		msg, level = "not answered", slog.LevelWarn
