--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -278,7 +278,9 @@
 	g.inherit(ctx)
 	stopTimeout := g.cfg.Settings.Bounds.StopTimeout
 	g.log.Info("serving", "name", g.self.Name, "incarnation", string(g.self.Incarnation), "failure_domain", string(g.self.FailureDomain),
-		"addr", g.callers.Addr().String(), "store", g.cfg.Settings.StoreAddr.String())
+		"addr", g.callers.Addr().String(), "store", g.cfg.Settings.StoreAddr.String(),
+		"drain_timeout", g.cfg.Settings.Bounds.DrainTimeout.String(), "apply_timeout", g.cfg.Settings.Bounds.ApplyTimeout.String(),
+		"contact_timeout", g.cfg.Settings.Bounds.ContactTimeout.String())
 	signals := make(chan time.Time, 1)
 	defer context.AfterFunc(ctx, func() { signals <- time.Now() })()
 	server := tsrelay.NewServer(g.relay, tsobserve.Part(g.log, "callers"))
