--- a/codec.go
+++ b/codec.go
@@ -31,10 +31,20 @@
 
 // Source is what a mirror follows.
 type Source interface {
-	// Snapshot returns every item with the prefix, and the version from which
-	// a watch continues. Changes made meanwhile may or may not be included;
-	// the watch tells them again.
-	Snapshot(ctx context.Context, prefix string) ([]Item, Version, error)
+	// Snapshot returns every item with the prefix.
+	Snapshot(ctx context.Context, prefix string) (Snapshot, error)
 	// Watch delivers changes under prefix with versions above after.
 	Watch(ctx context.Context, prefix string, after Version) (Watcher, error)
 }
+
+// WatchedStore is the platform's store as one that follows it by itself. Its
+// snapshots and changes come over connections of their own, since a kept one
+// that does not answer may just have gone silent.
+type WatchedStore interface {
+	Snapshot(ctx context.Context, prefix string) (Snapshot, error)
+	// Await returns what changed under prefix after a version as soon as
+	// anything did, or nothing after the wait. It uses kept connections.
+	Await(ctx context.Context, prefix string, after Version, wait time.Duration) (Changes, error)
+	// Changes returns what changed under prefix after a version at once.
+	Changes(ctx context.Context, prefix string, after Version) (Changes, error)
+}
--- /dev/null
+++ b/core/tsfreshness/tracker_test.go
@@ -0,0 +1,135 @@
+package tsfreshness_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed/core/tsfreshness"
+)
+
+const (
+	span    = 2 * time.Second
+	contact = 3 * time.Second
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// at returns the time some milliseconds after the start.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func tracker() *tsfreshness.Tracker {
+	b := tsfreshness.Bounds{Contact: contact}
+	for f := range b.Spans {
+		b.Spans[f] = span
+	}
+	return tsfreshness.New(b)
+}
+
+// confirmed returns a tracker that knows everything up to a time.
+func confirmed(ms int) *tsfreshness.Tracker {
+	t := tracker()
+	t.Confirm(tsfreshness.Table, at(ms))
+	t.Confirm(tsfreshness.Servers, at(ms))
+	return t
+}
+
+// assertWithin checks that a time lies between two others.
+func assertWithin(t *testing.T, got, from, to time.Time) {
+	t.Helper()
+	assert.Assert(t, !got.Before(from) && !got.After(to), "%s is not within %s and %s", got.Sub(start), from.Sub(start), to.Sub(start))
+}
+
+func TestUntil(t *testing.T) {
+	t.Run("nothing is acted on before anything is known", func(t *testing.T) {
+		assert.Assert(t, !at(0).Before(tracker().Until()))
+	})
+	t.Run("what is known is acted on for less than the span", func(t *testing.T) {
+		assertWithin(t, confirmed(0).Until(), at(1500), at(1900))
+	})
+	t.Run("the older one of two facts decides", func(t *testing.T) {
+		f := confirmed(0)
+		f.Confirm(tsfreshness.Servers, at(1000))
+		assert.Equal(t, f.Until(), confirmed(0).Until())
+	})
+	t.Run("news that comes late takes nothing back", func(t *testing.T) {
+		f := confirmed(1000)
+		f.Confirm(tsfreshness.Servers, at(0))
+		assert.Equal(t, f.Until(), confirmed(1000).Until())
+	})
+	t.Run("out of reach of the store it goes on for less than the contact time", func(t *testing.T) {
+		f := confirmed(0)
+		f.Unreached(at(1200))
+		assertWithin(t, f.Until(), at(3700), at(4100))
+		f.Unreached(at(100))
+		assertWithin(t, f.Until(), at(3700), at(4100))
+	})
+	t.Run("bounds that nobody told are the shortest ones", func(t *testing.T) {
+		f := tsfreshness.New(tsfreshness.Bounds{})
+		f.Confirm(tsfreshness.Table, at(0))
+		f.Confirm(tsfreshness.Servers, at(0))
+		assert.Equal(t, f.Until(), confirmed(0).Until())
+	})
+}
+
+func TestAsking(t *testing.T) {
+	t.Run("leaves time for the answer", func(t *testing.T) {
+		f := confirmed(0)
+		for _, fact := range []tsfreshness.Fact{tsfreshness.Table, tsfreshness.Servers} {
+			assertWithin(t, f.AskAt(fact), at(1000), at(1200))
+			assert.Assert(t, f.AskAt(fact).Add(f.AskTimeout(fact, false)).Before(f.Until()))
+			assert.Assert(t, f.WatchWait(at(0), fact) < f.AskAt(fact).Sub(at(0)))
+		}
+	})
+	t.Run("a watch ends before the store would be asked", func(t *testing.T) {
+		f := confirmed(0)
+		for ms := 0; ms < 1000; ms += 50 {
+			assert.Assert(t, at(ms).Add(f.WatchWait(at(ms), tsfreshness.Servers)).Before(f.AskAt(tsfreshness.Servers)))
+		}
+	})
+	t.Run("goes on in a cut, often enough for the excuse to last", func(t *testing.T) {
+		f := confirmed(0)
+		now := f.AskAt(tsfreshness.Servers)
+		f.Unreached(now)
+		for range 10 {
+			f.Unanswered(now)
+			assert.Assert(t, !f.MayAsk(now))
+			next := f.AskAt(tsfreshness.Servers)
+			answered := next.Add(f.AskTimeout(tsfreshness.Servers, false))
+			assert.Assert(t, answered.Before(f.Until()), "no excuse for %s", answered.Sub(f.Until()))
+			f.Unreached(next)
+			now = next
+		}
+	})
+	t.Run("an answer makes the next question welcome", func(t *testing.T) {
+		f := confirmed(0)
+		f.Unanswered(at(1200))
+		f.Reached()
+		assert.Assert(t, f.MayAsk(at(1200)))
+	})
+}
+
+func TestOvertaken(t *testing.T) {
+	overtaken := func(exchanges ...[2]int) bool {
+		f := tracker()
+		for _, e := range exchanges {
+			f.Answered(at(e[1]), at(e[0]))
+		}
+		return f.Overtaken(at(1000))
+	}
+	for name, c := range map[string]struct {
+		exchanges [][2]int
+		want      bool
+	}{
+		"by nothing":                                     {nil, false},
+		"not by what began before":                       {[][2]int{{900, 1100}, {950, 1200}}, false},
+		"not by one exchange, as a call takes two":       {[][2]int{{1010, 1100}}, false},
+		"not by two at once":                             {[][2]int{{1010, 1200}, {1020, 1200}}, false},
+		"by two, one after the other":                    {[][2]int{{1010, 1100}, {1110, 1200}}, true},
+		"by two that an older one was answered between":  {[][2]int{{1010, 1100}, {100, 1150}, {1110, 1200}}, true},
+		"not by one that began before, and one that did": {[][2]int{{900, 1100}, {1110, 1200}}, false},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, overtaken(c.exchanges...), c.want) })
+	}
+}
--- a/core/tslink/link.go
+++ b/core/tslink/link.go
@@ -105,6 +105,14 @@
 	return time.Duration(l.out.queue / l.rate * float64(time.Second))
 }
 
+// Delay returns the time until size bytes that are written now have left.
+func (l *Link) Delay(now time.Time, size int) time.Duration {
+	if l.rate <= 0 {
+		return 0
+	}
+	return l.Queue(now) + time.Duration(float64(size)/l.rate*float64(time.Second))
+}
+
 // Load returns the bytes of the last half second over what the link carries in
 // that time. It may be above 1 for what still waits in buffers.
 func (l *Link) Load(now time.Time, d Direction) float64 {
--- a/core/tspreference/picker.go
+++ b/core/tspreference/picker.go
@@ -26,6 +26,12 @@
 // Answered notes that an entry VM answered.
 func (p *Picker) Answered(vm turmericshed.EntryVM) { delete(p.failed, vm.Name) }
 
+// Failing reports whether an entry VM failed and has not answered since.
+func (p *Picker) Failing(vm turmericshed.EntryVM) bool {
+	_, failing := p.failed[vm.Name]
+	return failing
+}
+
 // Order returns the entry VMs to ask, in order: of the first n of self's domain,
 // those that answered. It ends at self, who need not ask others then. Where all
 // of them are passed over, the one that failed longest ago is asked, since a cut
--- a/io/tscommit/client_test.go
+++ b/io/tscommit/client_test.go
@@ -53,6 +53,8 @@
 
 func (*vm) Full() bool { return false }
 
+func (*vm) Delay(int) time.Duration { return 0 }
+
 func (*vm) Await(context.Context, turmericshed.AccountID, int) error { return nil }
 
 func (v *vm) Self() turmericshed.EntryVM { return v.self }
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -26,6 +26,7 @@
 	"turmericshed"
 	"turmericshed/core/tsboard"
 	"turmericshed/core/tsbudget"
+	"turmericshed/core/tsfreshness"
 	"turmericshed/core/tstable"
 	"turmericshed/io/tscommit"
 	"turmericshed/io/tsholder"
@@ -53,9 +54,6 @@
 	// account at once.
 	holdAfter  = 2 * time.Second
 	holdSpread = 1500 * time.Millisecond
-	// staleAfter is the age of the routing table from which it may be out of
-	// date: a little more than a watch waits.
-	staleAfter = 6 * time.Second
 	// inheritTimeout bounds the return of an earlier process's lots, which
 	// callers wait for.
 	inheritTimeout = 1500 * time.Millisecond
@@ -99,10 +97,12 @@
 	pool     *tsrouting.Pool
 	upstream *tsupstream.Client
 	meter    *tsmeter.Meter
-	relay    *tsrelay.Relay
-	tables   *tsmirror.Mirror
-	servers  *tsmirror.Mirror
-	roster   *serverView
+	// freshness tells for how long to act on what is heard from the store.
+	freshness *tsfreshness.Tracker
+	relay     *tsrelay.Relay
+	tables    *tsmirror.Mirror
+	servers   *tsmirror.Mirror
+	roster    *serverView
 
 	callers, checks, operators, others net.Listener
 	// killed ends the process without a graceful stop; for tests.
@@ -154,26 +154,29 @@
 	})
 	g.peers.Mount(g.limits.Handler())
 	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Homes: prefixHomes, Board: g.board, Limits: g.limits, Recorder: events})
+	g.freshness = tsfreshness.New(freshnessBounds(s))
 	news := tsnews.New(tsnews.Config{
 		Members: g.registry, Await: g.registry.Await, Store: store, Peers: transport, Limits: g.limits, Link: g.meter,
+		Freshness: g.freshness, Facts: map[string]tsfreshness.Fact{platform.TableKey: tsfreshness.Table, platform.ServerPrefix: tsfreshness.Servers},
 		Log: tsobserve.Part(g.log, "news"),
 	})
 	g.peers.Mount(news.Handler())
 	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: g.meter.Dialer(tsmeter.Servers, cfg.Dial)})
 	g.tables = tsmirror.New(tsmirror.Config{
 		Store: news, Prefix: platform.TableKey, Log: tsobserve.Part(g.log, "table"),
-		View: &tableView{log: tsobserve.Part(g.log, "table"), apply: g.applyTable},
+		View:      &tableView{log: tsobserve.Part(g.log, "table"), apply: g.applyTable},
+		Confirmed: func(asOf time.Time) { g.freshness.Confirm(tsfreshness.Table, asOf) },
 	})
-	g.roster = newServerView(tsobserve.Part(g.log, "servers"), g.board)
+	g.roster = newServerView(tsobserve.Part(g.log, "servers"), g.board, g.freshness)
 	g.servers = tsmirror.New(tsmirror.Config{
 		Store: news, Prefix: platform.ServerPrefix, Log: tsobserve.Part(g.log, "servers"), View: g.roster,
+		Confirmed: func(asOf time.Time) { g.freshness.Confirm(tsfreshness.Servers, asOf) },
 	})
 	g.registerAges()
 	g.relay = tsrelay.New(tsrelay.Config{
 		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, Limits: g.limits, Metrics: g.metrics,
 		Log: tsobserve.Part(g.log, "relay"), Retries: retryBounds(s), EntryVMs: g.registry.Count,
-		StaleAfter: staleAfter, TableAge: func() time.Duration { return g.tables.Age(time.Now()) },
-		NewsAge: g.newsAge, ServersAge: func() time.Duration { return g.servers.Age(time.Now()) },
+		Freshness: g.freshness,
 	})
 	return g, nil
 }
@@ -242,9 +245,17 @@
 	return tsrelay.RetryBounds{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 }
 
+func freshnessBounds(s platform.Settings) tsfreshness.Bounds {
+	b := tsfreshness.Bounds{Contact: s.Bounds.ContactTimeout}
+	b.Spans[tsfreshness.Table] = s.Bounds.ApplyTimeout
+	b.Spans[tsfreshness.Servers] = s.Bounds.DrainTimeout
+	return b
+}
+
 // Reload takes changed settings. Addresses and names stay until a restart.
 func (g *Gateway) Reload(s platform.Settings) {
 	g.relay.SetRetries(retryBounds(s))
+	g.freshness.SetBounds(freshnessBounds(s))
 	g.log.Info("settings reloaded", "retry_ratio", s.Bounds.RetryRatio, "retry_slack", s.Bounds.RetrySlack)
 }
 
@@ -309,20 +320,13 @@
 	return errors.Join(err, drainErr)
 }
 
-// newsAge is the age of the oldest of what is heard from the store, itself or
-// through another entry VM.
-func (g *Gateway) newsAge() time.Duration {
-	now := time.Now()
-	return max(g.tables.Age(now), g.servers.Age(now))
-}
-
 // registerAges adds the ages of what is heard to the metrics.
 func (g *Gateway) registerAges() {
-	for name, m := range map[string]*tsmirror.Mirror{"table": g.tables, "servers": g.servers} {
+	for _, f := range []tsfreshness.Fact{tsfreshness.Table, tsfreshness.Servers} {
 		g.metrics.Registry().MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "turmericshed_news_age_seconds", Help: "Time since what is heard of the platform's store was true for certain.",
-			ConstLabels: prometheus.Labels{"of": name},
-		}, func() float64 { return m.Age(time.Now()).Seconds() }))
+			ConstLabels: prometheus.Labels{"of": f.String()},
+		}, func() float64 { return g.freshness.Age(time.Now(), f).Seconds() }))
 	}
 }
 
--- a/io/tsgateway/link_test.go
+++ b/io/tsgateway/link_test.go
@@ -49,6 +49,8 @@
 			var late atomic.Bool
 			r.entryVM = r.startWith("vm-2", func(cfg *tsgateway.Config) {
 				cfg.Settings.LinkRate = c.rate
+				// What waits at this link is older than usual bounds.
+				cfg.Settings.Bounds.DrainTimeout, cfg.Settings.Bounds.ApplyTimeout = time.Minute, time.Minute
 				cfg.Dial = r.slowDesks(&late)
 			})
 			late.Store(true)
--- a/io/tsgateway/views.go
+++ b/io/tsgateway/views.go
@@ -8,6 +8,7 @@
 
 	"turmericshed"
 	"turmericshed/core/tsboard"
+	"turmericshed/core/tsfreshness"
 	"turmericshed/core/tsroster"
 	"turmericshed/core/tstable"
 	"turmericshed/platform"
@@ -63,6 +64,8 @@
 type serverView struct {
 	log   *slog.Logger
 	board *tsboard.Board
+	// freshness tells how old what is known of them is.
+	freshness *tsfreshness.Tracker
 
 	mu     sync.Mutex
 	roster *tsroster.Roster
@@ -70,8 +73,8 @@
 	wake chan struct{}
 }
 
-func newServerView(log *slog.Logger, board *tsboard.Board) *serverView {
-	return &serverView{log: log, board: board, roster: tsroster.New(), wake: make(chan struct{}, 1)}
+func newServerView(log *slog.Logger, board *tsboard.Board, freshness *tsfreshness.Tracker) *serverView {
+	return &serverView{log: log, board: board, freshness: freshness, roster: tsroster.New(), wake: make(chan struct{}, 1)}
 }
 
 // Reset replaces the servers.
@@ -102,7 +105,7 @@
 	}
 	v.mu.Unlock()
 	v.log.Info("server entry changed", "server", string(s.ID), "listed", ok, "leaving", s.Leaving || !ok, "service", s.Service,
-		"addr", s.Addr.String(), "version", uint64(ev.Version), "age_ms", ev.Age.Milliseconds())
+		"addr", s.Addr.String(), "version", uint64(ev.Version), "age_ms", v.freshness.Age(time.Now(), tsfreshness.Servers).Milliseconds())
 	v.notify()
 }
 
--- a/io/tsmeter/meter.go
+++ b/io/tsmeter/meter.go
@@ -88,6 +88,14 @@
 // Full reports whether callers should go to other entry VMs.
 func (m *Meter) Full() bool { return m.full.Load() }
 
+// Delay returns how long size bytes that are written now take to leave the
+// link.
+func (m *Meter) Delay(size int) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.link.Delay(time.Now(), size)
+}
+
 // state is how full the link is.
 type state struct {
 	in, out float64
--- a/io/tsmirror/mirror.go
+++ b/io/tsmirror/mirror.go
@@ -40,15 +40,18 @@
 	Store  turmericshed.Source
 	Prefix string
 	View   View
-	Log    *slog.Logger
+	// Confirmed is told the time up to which all changes took effect in the
+	// view; may be nil.
+	Confirmed func(asOf time.Time)
+	Log       *slog.Logger
 }
 
 // Mirror is a supervised controller.
 type Mirror struct {
 	cfg Config
-	// heard is when the store last answered, on the monotonic clock since
-	// start; 0 for never.
-	heard atomic.Int64
+	// asOf is the time up to which all changes took effect, since start; 0 for
+	// none.
+	asOf  atomic.Int64
 	start time.Time
 }
 
@@ -57,10 +60,10 @@
 // New returns a mirror that knows nothing.
 func New(cfg Config) *Mirror { return &Mirror{cfg: cfg, start: time.Now()} }
 
-// Age returns how long ago the store last answered; the time since the start
-// when it never did.
+// Age returns for how long changes may have been made that did not take effect
+// in the view; the time since the start while nothing is known.
 func (m *Mirror) Age(now time.Time) time.Duration {
-	return now.Sub(m.start) - time.Duration(m.heard.Load())
+	return now.Sub(m.start) - time.Duration(m.asOf.Load())
 }
 
 // Serve follows the prefix until ctx ends.
@@ -86,15 +89,16 @@
 // follow takes a snapshot and watches from there until the watch fails or
 // history is lost.
 func (m *Mirror) follow(ctx context.Context, reached *bool) error {
-	items, at, err := m.cfg.Store.Snapshot(ctx, m.cfg.Prefix)
+	snap, err := m.cfg.Store.Snapshot(ctx, m.cfg.Prefix)
 	if err != nil {
 		return err
 	}
-	m.note(0)
-	m.cfg.Log.Info("store read", "prefix", m.cfg.Prefix, "items", len(items), "version", uint64(at), "after_outage", !*reached)
+	m.cfg.Log.Info("store read", "prefix", m.cfg.Prefix, "items", len(snap.Items), "version", uint64(snap.At),
+		"age_ms", time.Since(snap.AsOf).Milliseconds(), "after_outage", !*reached)
 	*reached = true
-	m.cfg.View.Reset(items)
-	w, err := m.cfg.Store.Watch(ctx, m.cfg.Prefix, at)
+	m.cfg.View.Reset(snap.Items)
+	m.confirm(snap.AsOf)
+	w, err := m.cfg.Store.Watch(ctx, m.cfg.Prefix, snap.At)
 	if err != nil {
 		return err
 	}
@@ -104,7 +108,6 @@
 		if err != nil {
 			return err
 		}
-		m.note(ev.Age)
 		switch {
 		case ev.Reset:
 			m.cfg.Log.Warn("store dropped its history", "prefix", m.cfg.Prefix)
@@ -112,10 +115,17 @@
 		case ev.Key != "":
 			m.cfg.View.Change(ev)
 		}
+		m.confirm(ev.AsOf)
 	}
 }
 
-// note keeps when the store last answered, by what was told age ago.
-func (m *Mirror) note(age time.Duration) {
-	m.heard.Store(max(m.heard.Load(), int64(time.Since(m.start)-age)))
+// confirm notes that all changes until then took effect in the view.
+func (m *Mirror) confirm(asOf time.Time) {
+	if asOf.IsZero() {
+		return
+	}
+	m.asOf.Store(max(m.asOf.Load(), int64(asOf.Sub(m.start))))
+	if m.cfg.Confirmed != nil {
+		m.cfg.Confirmed(asOf)
+	}
 }
--- a/io/tsnews/feed.go
+++ b/io/tsnews/feed.go
@@ -12,24 +12,12 @@
 	// maxLog bounds the changes that a Feed can tell; who is further behind
 	// gets all items.
 	maxLog = 4096
-	// maxAge is the time since the store's last answer from which a Feed is not
-	// told to others: a little more than a watch waits.
-	maxAge = 4 * time.Second
 )
 
 // errNotWatching is the answer of an entry VM that does not hear of the prefix
 // from the store itself, or has not lately.
 var errNotWatching = turmericshed.NewError(turmericshed.KindStoreUnavailable, "this entry VM does not hear from the store")
 
-// news is what a Feed tells.
-type news struct {
-	// reset is true when the events are all items, not changes.
-	reset  bool
-	events []turmericshed.WatchEvent
-	at     turmericshed.Version
-	age    time.Duration
-}
-
 // feed is what this process hears of one prefix from the store itself.
 type feed struct {
 	mu    sync.Mutex
@@ -37,8 +25,11 @@
 	// log are the changes above first, in order, up to at.
 	log       []turmericshed.WatchEvent
 	first, at turmericshed.Version
-	// heard is when the store last answered; zero while nothing is known.
-	heard time.Time
+	// asOf is the time up to which items and log are complete; zero while
+	// nothing is known.
+	asOf time.Time
+	// suspended is what suspended returned when asOf was set.
+	suspended time.Duration
 	// changed is closed with the next change.
 	changed chan struct{}
 	// asked is when another entry VM last wanted to follow.
@@ -50,35 +41,45 @@
 }
 
 // reset takes a snapshot.
-func (f *feed) reset(items []turmericshed.Item, at turmericshed.Version) {
+func (f *feed) reset(snap turmericshed.Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.items = make(map[string]turmericshed.Item, len(items))
-	for _, i := range items {
+	f.items = make(map[string]turmericshed.Item, len(snap.Items))
+	for _, i := range snap.Items {
 		f.items[i.Key] = i
 	}
-	f.log, f.first, f.at, f.heard = nil, at, at, time.Now()
+	f.log, f.first, f.at, f.asOf, f.suspended = nil, snap.At, snap.At, snap.AsOf, suspended()
 	f.wakeLocked()
 }
 
-// apply takes a change, or the word that there was none.
-func (f *feed) apply(ev turmericshed.WatchEvent) {
+// apply takes the changes after a version, or the word that there were none.
+// Where they don't follow what is known, nothing is known any more.
+func (f *feed) apply(after turmericshed.Version, c turmericshed.Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.heard.IsZero() {
+	if f.asOf.IsZero() {
 		return
 	}
-	f.heard = time.Now()
-	f.at = max(f.at, ev.Version)
-	if ev.Key == "" {
+	if c.Reset || after > f.at {
+		f.asOf = time.Time{}
+		f.wakeLocked()
 		return
 	}
-	if ev.Deleted {
-		delete(f.items, ev.Key)
-	} else {
-		f.items[ev.Key] = ev.Item
+	if c.AsOf.After(f.asOf) {
+		f.asOf, f.suspended = c.AsOf, suspended()
+	}
+	for _, ev := range c.Events {
+		if ev.Version <= f.at {
+			continue
+		}
+		if ev.Deleted {
+			delete(f.items, ev.Key)
+		} else {
+			f.items[ev.Key] = ev.Item
+		}
+		f.log = append(f.log, ev)
 	}
-	f.log = append(f.log, ev)
+	f.at = max(f.at, c.At)
 	if len(f.log) > maxLog {
 		dropped := len(f.log) - maxLog/2
 		f.first = f.log[dropped-1].Version
@@ -91,7 +92,7 @@
 func (f *feed) lost() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heard = time.Time{}
+	f.asOf = time.Time{}
 	f.wakeLocked()
 }
 
@@ -111,51 +112,58 @@
 func (f *feed) live() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.heard.IsZero()
+	return !f.asOf.IsZero()
 }
 
-// follow returns the changes above a version, all items for 0, and waits for
-// one. Errors: errNotWatching.
-func (f *feed) follow(ctx context.Context, after turmericshed.Version, wait time.Duration) (news, error) {
+// follow returns the changes above a version, all items for 0. It waits until
+// there are any, or until it is known that there were none up to a later time.
+// Errors: errNotWatching for what is older than maxAge.
+func (f *feed) follow(ctx context.Context, after turmericshed.Version, wait, maxAge time.Duration) (turmericshed.Changes, error) {
 	due := time.NewTimer(wait)
 	defer due.Stop()
+	var known time.Time
 	for {
 		f.mu.Lock()
 		f.asked = time.Now()
-		n, ready := f.newsLocked(after)
+		if known.IsZero() {
+			known = f.asOf
+		}
+		c, news := f.changesLocked(after)
 		changed := f.changed
-		fresh := !f.heard.IsZero() && n.age < maxAge
+		fresh := !f.asOf.IsZero() && time.Since(c.AsOf) < maxAge
+		news = news || f.asOf.After(known)
 		f.mu.Unlock()
 		if !fresh {
-			return news{}, errNotWatching
+			return turmericshed.Changes{}, errNotWatching
 		}
-		if ready {
-			return n, nil
+		if news {
+			return c, nil
 		}
 		select {
 		case <-changed:
 		case <-due.C:
-			return n, nil
+			return c, nil
 		case <-ctx.Done():
-			return n, nil
+			return c, nil
 		}
 	}
 }
 
-// newsLocked reports whether there is anything to tell.
-func (f *feed) newsLocked(after turmericshed.Version) (news, bool) {
-	n := news{at: max(f.at, after), age: time.Since(f.heard)}
+// changesLocked reports whether anything changed. All items are returned as
+// Reset.
+func (f *feed) changesLocked(after turmericshed.Version) (turmericshed.Changes, bool) {
+	c := turmericshed.Changes{At: max(f.at, after), AsOf: f.asOf.Add(f.suspended - suspended())}
 	if after < f.first && f.at >= after {
-		n.reset = true
+		c.Reset = true
 		for _, i := range f.items {
-			n.events = append(n.events, turmericshed.WatchEvent{Item: i})
+			c.Events = append(c.Events, turmericshed.WatchEvent{Item: i})
 		}
-		return n, true
+		return c, true
 	}
 	for _, ev := range f.log {
 		if ev.Version > after {
-			n.events = append(n.events, ev)
+			c.Events = append(c.Events, ev)
 		}
 	}
-	return n, len(n.events) > 0
+	return c, len(c.Events) > 0
 }
--- a/io/tsnews/feed_test.go
+++ b/io/tsnews/feed_test.go
@@ -14,60 +14,97 @@
 	return turmericshed.WatchEvent{Item: turmericshed.Item{Key: key, Value: []byte(fmt.Sprint(version)), Version: turmericshed.Version(version)}}
 }
 
+// changes are those after a version, known to be complete now.
+func changes(events ...turmericshed.WatchEvent) turmericshed.Changes {
+	c := turmericshed.Changes{Events: events, AsOf: time.Now()}
+	for _, ev := range events {
+		c.At = max(c.At, ev.Version)
+	}
+	return c
+}
+
 func TestFeed(t *testing.T) {
+	const maxAge = time.Second
 	start := func() *feed {
 		f := newFeed()
-		f.reset([]turmericshed.Item{{Key: "a", Version: 3}}, 5)
+		f.reset(turmericshed.Snapshot{Items: []turmericshed.Item{{Key: "a", Version: 3}}, At: 5, AsOf: time.Now()})
 		return f
 	}
-	follow := func(t *testing.T, f *feed, after uint64) news {
+	follow := func(t *testing.T, f *feed, after uint64) turmericshed.Changes {
 		t.Helper()
-		n, err := f.follow(t.Context(), turmericshed.Version(after), 10*time.Millisecond)
+		c, err := f.follow(t.Context(), turmericshed.Version(after), 10*time.Millisecond, maxAge)
 		assert.NilError(t, err)
-		return n
+		return c
+	}
+	assertSilent := func(t *testing.T, f *feed) {
+		t.Helper()
+		_, err := f.follow(t.Context(), 5, 0, maxAge)
+		assert.ErrorIs(t, err, errNotWatching)
 	}
 	t.Run("nothing is told before a snapshot, or after one was lost", func(t *testing.T) {
 		f := newFeed()
-		f.apply(change("a", 9))
-		_, err := f.follow(t.Context(), 0, 0)
-		assert.ErrorIs(t, err, errNotWatching)
+		f.apply(5, changes(change("a", 9)))
+		assertSilent(t, f)
 		f = start()
 		f.lost()
-		_, err = f.follow(t.Context(), 5, 0)
-		assert.ErrorIs(t, err, errNotWatching)
+		assertSilent(t, f)
 	})
 	t.Run("all items for who knows nothing", func(t *testing.T) {
-		n := follow(t, start(), 0)
-		assert.Assert(t, n.reset)
-		assert.Equal(t, len(n.events), 1)
-		assert.Equal(t, n.at, turmericshed.Version(5))
+		c := follow(t, start(), 0)
+		assert.Assert(t, c.Reset)
+		assert.Equal(t, len(c.Events), 1)
+		assert.Equal(t, c.At, turmericshed.Version(5))
 	})
 	t.Run("changes for who is behind", func(t *testing.T) {
 		f := start()
-		f.apply(change("a", 7))
-		f.apply(change("b", 8))
-		n := follow(t, f, 7)
-		assert.Assert(t, !n.reset)
-		assert.Equal(t, len(n.events), 1)
-		assert.Equal(t, n.at, turmericshed.Version(8))
+		f.apply(5, changes(change("a", 7)))
+		f.apply(7, changes(change("b", 8)))
+		c := follow(t, f, 7)
+		assert.Assert(t, !c.Reset)
+		assert.Equal(t, len(c.Events), 1)
+		assert.Equal(t, c.At, turmericshed.Version(8))
+	})
+	t.Run("changes that don't follow what is known end the telling", func(t *testing.T) {
+		f := start()
+		f.apply(7, changes(change("a", 9)))
+		assertSilent(t, f)
+	})
+	t.Run("changes that are told twice count once", func(t *testing.T) {
+		f := start()
+		f.apply(5, changes(change("a", 7)))
+		f.apply(5, changes(change("a", 7), change("b", 8)))
+		assert.Equal(t, len(follow(t, f, 5).Events), 2)
 	})
 	t.Run("nobody is sent back", func(t *testing.T) {
-		n := follow(t, start(), 9)
-		assert.Assert(t, !n.reset && len(n.events) == 0)
-		assert.Equal(t, n.at, turmericshed.Version(9))
+		c := follow(t, start(), 9)
+		assert.Assert(t, !c.Reset && len(c.Events) == 0)
+		assert.Equal(t, c.At, turmericshed.Version(9))
 	})
 	t.Run("who is too far behind gets all items", func(t *testing.T) {
 		f := start()
 		for n := range uint64(maxLog + 10) {
-			f.apply(change("a", 6+n))
+			f.apply(turmericshed.Version(5+n), changes(change("a", 6+n)))
 		}
-		assert.Assert(t, follow(t, f, 6).reset)
-		assert.Assert(t, !follow(t, f, maxLog).reset)
+		assert.Assert(t, follow(t, f, 6).Reset)
+		assert.Assert(t, !follow(t, f, maxLog).Reset)
 	})
 	t.Run("an old feed is not told", func(t *testing.T) {
 		f := start()
-		f.heard = time.Now().Add(-maxAge)
-		_, err := f.follow(t.Context(), 5, 0)
-		assert.ErrorIs(t, err, errNotWatching)
+		f.asOf = time.Now().Add(-maxAge)
+		assertSilent(t, f)
+	})
+	t.Run("the word that nothing changed is told at once", func(t *testing.T) {
+		f := start()
+		time.AfterFunc(20*time.Millisecond, func() { f.apply(5, changes()) })
+		began := time.Now()
+		c, err := f.follow(t.Context(), 5, 5*time.Second, maxAge)
+		assert.NilError(t, err)
+		assert.Assert(t, c.AsOf.After(began))
+		assert.Assert(t, time.Since(began) < time.Second)
+	})
+	t.Run("time in which the machine was suspended counts", func(t *testing.T) {
+		f := start()
+		f.suspended -= maxAge
+		assertSilent(t, f)
 	})
 }
--- a/io/tsnews/service.go
+++ b/io/tsnews/service.go
@@ -22,17 +22,22 @@
 
 // Follow returns changes that this process heard of from the store itself.
 func (s service) Follow(ctx context.Context, r *connect.Request[tspeerapi.FollowRequest]) (*connect.Response[tspeerapi.FollowResponse], error) {
+	began := time.Now()
 	limits := s.s.cfg.Limits
 	if limits != nil {
-		limits.Hear(r.Peer().Addr, time.Now().Add(-tslimit.Transit), r.Msg.Limits)
+		limits.Hear(r.Peer().Addr, began.Add(-tslimit.Transit), r.Msg.Limits)
 	}
-	f := s.s.feed(r.Msg.Prefix)
-	n, err := f.follow(ctx, turmericshed.Version(r.Msg.After), min(time.Duration(r.Msg.WaitMs)*time.Millisecond, followWait))
+	maxAge := s.s.cfg.Freshness.AskAge(s.s.cfg.Facts[r.Msg.Prefix])
+	wait := min(time.Duration(r.Msg.WaitMs)*time.Millisecond, maxFollowWait)
+	c, err := s.s.feed(r.Msg.Prefix).follow(ctx, turmericshed.Version(r.Msg.After), wait, maxAge)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	m := &tspeerapi.FollowResponse{Reset_: n.reset, At: uint64(n.at), AgeMs: n.age.Milliseconds()}
-	for _, ev := range n.events {
+	now := time.Now()
+	m := &tspeerapi.FollowResponse{
+		Reset_: c.Reset, At: uint64(c.At), AgeMs: ceilMilliseconds(now.Sub(c.AsOf)), HeldMs: now.Sub(began).Milliseconds(),
+	}
+	for _, ev := range c.Events {
 		m.Items = append(m.Items, &tspeerapi.NewsItem{Key: ev.Key, Value: ev.Value, Version: uint64(ev.Version), Deleted: ev.Deleted})
 	}
 	if limits != nil {
@@ -41,14 +46,19 @@
 	return connect.NewResponse(m), nil
 }
 
-// newsOf reads an answer.
-func newsOf(m *tspeerapi.FollowResponse) news {
-	n := news{reset: m.Reset_, at: turmericshed.Version(m.At), age: time.Duration(m.AgeMs) * time.Millisecond}
+// ceilMilliseconds rounds up.
+func ceilMilliseconds(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
+
+// changesOf reads the answer to a call that began at a time.
+func changesOf(m *tspeerapi.FollowResponse, began time.Time) turmericshed.Changes {
+	held := time.Duration(m.HeldMs) * time.Millisecond
+	age := time.Duration(m.AgeMs) * time.Millisecond
+	c := turmericshed.Changes{Reset: m.Reset_, At: turmericshed.Version(m.At), AsOf: began.Add(held - age)}
 	for _, i := range m.Items {
-		n.events = append(n.events, turmericshed.WatchEvent{
+		c.Events = append(c.Events, turmericshed.WatchEvent{
 			Item:    turmericshed.Item{Key: i.Key, Value: i.Value, Version: turmericshed.Version(i.Version)},
 			Deleted: i.Deleted,
 		})
 	}
-	return n
+	return c
 }
--- a/io/tsnews/source.go
+++ b/io/tsnews/source.go
@@ -1,44 +1,46 @@
 // Package tsnews lets the entry VMs of a failure domain hear from one of them
 // what changes in the platform's store, so that not each keeps watches of its
 // own. The one is a hint, as all choose it alike by themselves. Who hears
-// nothing from it in time asks another one, and then the store.
+// nothing in time asks the store itself, so that nothing rests on the one that
+// tells: how late news may be is bounded by the own way to the store alone.
 //
-// What is told carries the time since the store's last answer, so that an entry
+// What is told carries the time up to which it is complete, so that an entry
 // VM which is deaf, frozen or cut off from the store is noticed.
 //
 // # Usage
 //
-//	s := tsnews.New(tsnews.Config{Members: members, Store: store, Peers: peers, Log: log})
+//	s := tsnews.New(tsnews.Config{Members: members, Store: store, Peers: peers, Freshness: tracker, Facts: facts, Log: log})
 //	server.Mount(s.Handler())
-//	m := tsmirror.New(tsmirror.Config{Store: s, Prefix: "servers/", View: view, Log: log})
+//	m := tsmirror.New(tsmirror.Config{Store: s, Prefix: "servers/", View: view, Confirmed: confirmed, Log: log})
 package tsnews
 
 import (
 	"context"
+	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"turmericshed"
+	"turmericshed/core/tsfreshness"
 	"turmericshed/core/tspreference"
 	"turmericshed/io/tspeer"
 	"turmericshed/io/tspeerapi"
 )
 
 const (
-	// followWait is how long a call without news is kept waiting, and
-	// followGrace what the network and the peer may add. Who is not answered
-	// by then has time left to ask others within the operators' bounds.
-	followWait  = time.Second
-	followGrace = 300 * time.Millisecond
-	// snapshotTimeout bounds a call for all items.
+	// maxFollowWait bounds how long a call without news is kept waiting.
+	maxFollowWait = 5 * time.Second
+	// snapshotTimeout bounds the calls of peers for all items.
 	snapshotTimeout = 800 * time.Millisecond
-	// crowdedTimeout takes their place while answers have to pass a crowded
-	// link: asking another one would only wait again.
-	crowdedTimeout = 3 * time.Second
+	// peerRetry is the time between rounds in which no peer told anything,
+	// jittered by as much again.
+	peerRetry = 300 * time.Millisecond
+	// tryTimeout bounds a call to a peer that did not answer the last one.
+	tryTimeout = 300 * time.Millisecond
 	// avoidAfter is how long a peer that did not answer is passed over.
 	avoidAfter = 2 * time.Second
 	// wantedFor is how long this process watches the store after another one
@@ -48,9 +50,12 @@
 	membersTimeout = 1500 * time.Millisecond
 	// maxPeers is how many peers are asked before the store.
 	maxPeers = 2
-	// directChance is the part of the attempts that go to the store although
-	// peers say that it is away: it may turn away some entry VMs only.
-	directChance = 0.15
+	// watchSpacing is the least time between two calls of a watch, so that
+	// changes which come together cost one.
+	watchSpacing = 250 * time.Millisecond
+	// secondTry is the time from which a question is asked once more beside the
+	// first one, whose opening packet or connection may have been lost.
+	secondTry = 120 * time.Millisecond
 )
 
 // Config holds what a Source needs.
@@ -59,8 +64,13 @@
 	// Await waits until the members are known, for a time at most; nil does
 	// not wait.
 	Await func(ctx context.Context, most time.Duration)
-	Store turmericshed.Source
+	Store turmericshed.WatchedStore
 	Peers tspeer.Peers
+	// Freshness tells when the store is to be asked itself, and keeps whether
+	// it answered.
+	Freshness *tsfreshness.Tracker
+	// Facts names what is told under each prefix that is followed.
+	Facts map[string]tsfreshness.Fact
 	// Limits go along with the news; may be nil.
 	Limits Limits
 	// Link tells whether bytes wait at the own link; nil never does.
@@ -85,13 +95,17 @@
 	picker tspreference.Picker
 	// told is the peer that told last, by prefix; empty for the store.
 	told map[string]string
+	// versions are those up to which this process knows the changes, by prefix.
+	versions map[string]turmericshed.Version
+	// lost is true while the store's last answer is a missing one.
+	lost bool
 }
 
 var _ turmericshed.Source = (*Source)(nil)
 
 // New returns a source that has heard nothing.
 func New(cfg Config) *Source {
-	return &Source{cfg: cfg, feeds: make(map[string]*feed), told: make(map[string]string), picker: tspreference.Picker{Avoid: avoidAfter}}
+	return &Source{cfg: cfg, feeds: make(map[string]*feed), told: make(map[string]string), versions: make(map[string]turmericshed.Version), picker: tspreference.Picker{Avoid: avoidAfter}}
 }
 
 func (s *Source) feed(prefix string) *feed {
@@ -105,65 +119,80 @@
 	return f
 }
 
-// Snapshot returns every item with the prefix, and the version from which a
-// watch continues.
-func (s *Source) Snapshot(ctx context.Context, prefix string) ([]turmericshed.Item, turmericshed.Version, error) {
+// Snapshot returns every item with the prefix.
+func (s *Source) Snapshot(ctx context.Context, prefix string) (turmericshed.Snapshot, error) {
 	if s.cfg.Await != nil {
 		s.cfg.Await(ctx, membersTimeout)
 	}
-	n, direct, err := s.ask(ctx, prefix, 0, 0, snapshotTimeout)
-	if err != nil {
-		return nil, 0, err
-	}
-	if !direct {
-		items := make([]turmericshed.Item, 0, len(n.events))
-		for _, ev := range n.events {
-			items = append(items, ev.Item)
+	peersCtx, cancel := context.WithTimeout(ctx, turmericshed.Patience(s.cfg.Link, snapshotTimeout, 2*snapshotTimeout))
+	defer cancel()
+	c, direct, err := s.askPeers(peersCtx, prefix, 0, 0)
+	if err == nil && !direct && c.At >= s.known(prefix) && time.Since(c.AsOf) < s.cfg.Freshness.AskAge(s.cfg.Facts[prefix]) {
+		snap := turmericshed.Snapshot{At: c.At, AsOf: c.AsOf}
+		for _, ev := range c.Events {
+			snap.Items = append(snap.Items, ev.Item)
 		}
-		return items, n.at, nil
+		return snap, nil
 	}
-	items, at, err := s.cfg.Store.Snapshot(ctx, prefix)
+	if !s.cfg.Freshness.MayAsk(time.Now()) {
+		return turmericshed.Snapshot{}, errNotWatching
+	}
+	asked := time.Now()
+	snap, err := question(ctx, s, func(ctx context.Context) (turmericshed.Snapshot, error) { return s.cfg.Store.Snapshot(ctx, prefix) })
+	if ctx.Err() != nil {
+		return snap, turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "news")
+	}
+	s.judge(prefix, asked, err)
 	if err != nil {
 		s.feed(prefix).lost()
-		return nil, 0, err
+		return snap, err
 	}
-	s.feed(prefix).reset(items, at)
-	return items, at, nil
+	s.feed(prefix).reset(snap)
+	return snap, nil
+}
+
+// known returns the version up to which changes are known, which a snapshot
+// must not undo.
+func (s *Source) known(prefix string) turmericshed.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.versions[prefix]
+}
+
+func (s *Source) learn(prefix string, at turmericshed.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions[prefix] = max(s.versions[prefix], at)
 }
 
 // Watch delivers changes under prefix with versions above after.
 func (s *Source) Watch(_ context.Context, prefix string, after turmericshed.Version) (turmericshed.Watcher, error) {
-	return &watcher{s: s, prefix: prefix, at: after}, nil
+	s.learn(prefix, after)
+	return &watcher{s: s, prefix: prefix, fact: s.cfg.Facts[prefix], at: after}, nil
 }
 
-// ask asks the preferred peers for news. direct is true when the store is to be
-// asked. Errors: KindStoreUnavailable when peers say that it is away.
-func (s *Source) ask(ctx context.Context, prefix string, after turmericshed.Version, wait, timeout time.Duration) (n news, direct bool, err error) {
+// askPeers asks the preferred peers for news. direct is true when this process
+// is the one to hear from the store. Errors: errNotWatching when no peer told
+// anything.
+func (s *Source) askPeers(ctx context.Context, prefix string, after turmericshed.Version, wait time.Duration) (c turmericshed.Changes, direct bool, err error) {
 	if s.feed(prefix).wanted(time.Now(), wantedFor) {
-		return news{}, true, nil
+		return c, true, nil
 	}
 	self := s.cfg.Members.Self()
-	away := 0
 	for _, vm := range s.order(self) {
 		if vm.Name == self.Name {
-			return news{}, true, nil
+			return c, true, nil
 		}
-		n, err := s.call(ctx, vm, prefix, after, wait, timeout)
+		c, err := s.callOrTry(ctx, vm, prefix, after, wait)
 		s.note(vm, prefix, err)
 		if err == nil {
-			return n, false, nil
+			return c, false, nil
 		}
 		if ctx.Err() != nil {
-			return news{}, false, turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "news")
-		}
-		if connect.IsWireError(err) && connect.CodeOf(err) == connect.CodeUnavailable {
-			away++
+			break
 		}
 	}
-	if away == maxPeers && rand.Float64() > directChance {
-		return news{}, false, errNotWatching
-	}
-	return news{}, true, nil
+	return c, false, errNotWatching
 }
 
 func (s *Source) order(self turmericshed.EntryVM) []turmericshed.EntryVM {
@@ -173,11 +202,25 @@
 	return s.picker.Order(time.Now(), self, others, maxPeers)
 }
 
-// call makes one call. The age that it returns is at least the true one: it
-// counts from before the call.
-func (s *Source) call(ctx context.Context, vm turmericshed.EntryVM, prefix string, after turmericshed.Version, wait, timeout time.Duration) (news, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+turmericshed.Patience(s.cfg.Link, timeout, crowdedTimeout))
-	defer cancel()
+// callOrTry calls a peer. One that failed is not waited for, so that the next one
+// is asked in time.
+func (s *Source) callOrTry(ctx context.Context, vm turmericshed.EntryVM, prefix string, after turmericshed.Version, wait time.Duration) (turmericshed.Changes, error) {
+	s.mu.Lock()
+	failing := s.picker.Failing(vm)
+	s.mu.Unlock()
+	if failing {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, tryTimeout)
+		defer cancel()
+		wait = 0
+	}
+	return s.call(ctx, vm, prefix, after, wait)
+}
+
+// call makes one call. What it returns is complete up to AsOf at least: to the
+// age that the peer tells it adds all that the call took beyond the time for
+// which the peer held it.
+func (s *Source) call(ctx context.Context, vm turmericshed.EntryVM, prefix string, after turmericshed.Version, wait time.Duration) (turmericshed.Changes, error) {
 	began := time.Now()
 	hc, base := s.cfg.Peers.Client(vm.PeerAddr)
 	m := &tspeerapi.FollowRequest{Prefix: prefix, After: uint64(after), WaitMs: wait.Milliseconds()}
@@ -186,14 +229,79 @@
 	}
 	resp, err := tspeerapi.NewNewsServiceClient(hc, base).Follow(ctx, connect.NewRequest(m))
 	if err != nil {
-		return news{}, err
+		return turmericshed.Changes{}, err
 	}
+	s.cfg.Freshness.Answered(time.Now(), began)
 	if s.cfg.Limits != nil {
 		s.cfg.Limits.Hear(vm.Name, began, resp.Msg.Limits)
 	}
-	n := newsOf(resp.Msg)
-	n.age += time.Since(began)
-	return n, nil
+	return changesOf(resp.Msg, began), nil
+}
+
+func (s *Source) crowded(since time.Time) bool { return s.cfg.Link != nil && s.cfg.Link.Crowded(since) }
+
+// judge notes whether the store answered a question. A missing answer tells of
+// trouble between this process and the store unless it may have waited at the
+// own link or for the own processor.
+func (s *Source) judge(prefix string, asked time.Time, err error) {
+	f := s.cfg.Freshness
+	now := time.Now()
+	if err == nil {
+		f.Reached()
+		f.Answered(now, asked)
+		s.logReached(prefix, now)
+		return
+	}
+	f.Unanswered(asked)
+	proven := turmericshed.KindOf(err) == turmericshed.KindStoreUnavailable && !ownShortage(err)
+	if timedOut(err) {
+		proven = !s.crowded(asked) || f.Overtaken(asked)
+	}
+	if proven {
+		// The trouble may have ended since.
+		f.Unreached(asked)
+	}
+	s.logUnreached(prefix, asked, proven, err)
+}
+
+// timedOut reports whether an exchange ended by time alone: nobody refused or
+// reset anything.
+func timedOut(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// ownShortage reports whether this process could not even ask.
+func ownShortage(err error) bool {
+	for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, own) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Source) logReached(prefix string, now time.Time) {
+	s.mu.Lock()
+	back := s.lost
+	s.lost = false
+	s.mu.Unlock()
+	if back {
+		s.cfg.Log.Info("store is back", "prefix", prefix, "age_ms", s.cfg.Freshness.Age(now, s.cfg.Facts[prefix]).Milliseconds())
+	}
+}
+
+func (s *Source) logUnreached(prefix string, asked time.Time, proven bool, err error) {
+	s.mu.Lock()
+	first := !s.lost
+	s.lost = true
+	s.mu.Unlock()
+	level := slog.LevelInfo
+	if first {
+		level = slog.LevelWarn
+	}
+	s.cfg.Log.Log(context.Background(), level, "store does not answer", "prefix", prefix, "proven", proven, "elapsed_ms", time.Since(asked).Milliseconds(),
+		"age_ms", s.cfg.Freshness.Age(asked, s.cfg.Facts[prefix]).Milliseconds(), "crowded", s.crowded(asked), "error", err.Error())
 }
 
 // note remembers whether a peer answered.
--- a/io/tsnews/source_test.go
+++ b/io/tsnews/source_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
+	"turmericshed/core/tsfreshness"
 	"turmericshed/io/tsmirror"
 	"turmericshed/io/tsnews"
 	"turmericshed/platform"
@@ -31,6 +32,8 @@
 	store *tsmetastore.Store
 	url   netip.AddrPort
 
+	bounds tsfreshness.Bounds
+
 	mu  sync.Mutex
 	vms []*vm
 }
@@ -121,8 +124,17 @@
 }
 
 func newDomain(t *testing.T, n int) *domain {
+	t.Helper()
+	return newDomainWith(t, n, 2*time.Second)
+}
+
+// newDomainWith makes one whose changes take effect within a span.
+func newDomainWith(t *testing.T, n int, span time.Duration) *domain {
 	t.Helper()
 	d := &domain{t: t, store: tsmetastore.New()}
+	for f := range d.bounds.Spans {
+		d.bounds.Spans[f] = span
+	}
 	srv := httptest.NewServer(d.store)
 	t.Cleanup(srv.Close)
 	d.url = netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
@@ -133,9 +145,16 @@
 			PeerAddr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)), Capacity: float64(n - i),
 		}}
 		store := platform.NewStore(d.url, platform.StoreOptions{Dial: v.dial})
-		v.news = tsnews.New(tsnews.Config{Members: v, Store: store, Peers: v, Log: slog.New(slog.DiscardHandler)})
+		fresh := tsfreshness.New(d.bounds)
+		v.news = tsnews.New(tsnews.Config{
+			Members: v, Store: store, Peers: v, Freshness: fresh, Facts: map[string]tsfreshness.Fact{"p/": tsfreshness.Servers},
+			Log: slog.New(slog.DiscardHandler),
+		})
 		v.mux.Handle(v.news.Handler())
-		v.m = tsmirror.New(tsmirror.Config{Store: v.news, Prefix: "p/", View: v.view, Log: slog.New(slog.DiscardHandler)})
+		v.m = tsmirror.New(tsmirror.Config{
+			Store: v.news, Prefix: "p/", View: v.view, Confirmed: func(asOf time.Time) { fresh.Confirm(tsfreshness.Servers, asOf) },
+			Log: slog.New(slog.DiscardHandler),
+		})
 		d.vms = append(d.vms, v)
 	}
 	for _, v := range d.vms {
@@ -206,7 +225,7 @@
 		}
 	})
 	t.Run("the next one takes over the watch", func(t *testing.T) {
-		d := newDomain(t, 5)
+		d := newDomainWith(t, 5, 6*time.Second)
 		d.vms[0].cutStore()
 		d.set(func() { d.vms[0].frozen = true })
 		time.Sleep(9 * time.Second)
@@ -229,7 +248,7 @@
 		d.store.SetDown(false)
 		d.store.Put("p/b", []byte("x"))
 		for _, v := range d.vms {
-			v.assertHears("reset 2", 5*time.Second)
+			v.assertHears("p/b=x", 5*time.Second)
 		}
 	})
 }
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"turmericshed"
+	"turmericshed/core/tsfreshness"
 	"turmericshed/io/tsupstream"
 )
 
@@ -95,11 +96,9 @@
 		return nil, err
 	}
 	now := time.Now()
-	before, err := q.relay.actBefore(now)
-	if err != nil {
+	if err := q.relay.mayAct(now, 0); err != nil {
 		return nil, err
 	}
-	q.actBefore = before
 	rr := q.routeRequest()
 	server, err := q.relay.cfg.Router.Pick(now, rr)
 	q.picked = err == nil
@@ -107,8 +106,8 @@
 		return nil, err
 	}
 	q.pickedAt = now
-	if q.relay.cfg.ServersAge != nil {
-		q.pickedBy = q.relay.cfg.ServersAge()
+	if f := q.relay.cfg.Freshness; f != nil {
+		q.pickedBy = f.Age(now, tsfreshness.Servers)
 	}
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
@@ -168,7 +167,7 @@
 	reply, err := q.relay.cfg.Upstream.Send(ctx, q.call(server))
 	switch turmericshed.KindOf(err) {
 	case turmericshed.KindNone:
-	case turmericshed.KindNoBackend, turmericshed.KindOverloaded:
+	case turmericshed.KindNoBackend, turmericshed.KindOverloaded, turmericshed.KindNotReady:
 		q.dials++
 		return nil, 0, err
 	default:
@@ -178,8 +177,8 @@
 	}
 	q.sent++
 	first := time.Since(began)
-	if first <= quickAnswer {
-		q.relay.quick.Store(time.Now().UnixNano())
+	if f := q.relay.cfg.Freshness; f != nil {
+		f.Answered(time.Now(), began)
 	}
 	if reply.Info.HasLoad {
 		l := reply.Info.Load
@@ -262,10 +261,20 @@
 	return tsupstream.Call{
 		Server: server, ID: q.in.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
 		Header: q.relay.cfg.Codec.EncodeRequest(q.r.Header, out), Body: q.body,
-		Once: !q.route.Repeatable, Before: q.actBefore, Connections: q.relay.connectionShare(q.spec()),
+		Once: !q.route.Repeatable, Ready: q.ready, Connections: q.relay.connectionShare(q.spec()),
 	}
 }
 
+// ready returns nil while the request may reach a server: since the server was
+// chosen the request waited, and what was known grew old.
+func (q *request) ready() error {
+	var delay time.Duration
+	if q.relay.cfg.Link != nil {
+		delay = q.relay.cfg.Link.Delay(len(q.body))
+	}
+	return q.relay.mayAct(time.Now(), delay)
+}
+
 // relayWhole answers the caller with a whole answer.
 func (q *request) relayWhole(a *wholeAnswer) error {
 	if q.committed {
--- a/io/tsrelay/news_test.go
+++ b/io/tsrelay/news_test.go
@@ -7,42 +7,58 @@
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
+	"turmericshed/core/tsfreshness"
 )
 
-func TestOldNewsAtACrowdedLink(t *testing.T) {
+// Routes, keys and servers were acted on by news of any age, unless the own
+// link was crowded and no server answered quickly.
+func TestOldNews(t *testing.T) {
+	const span, contact = 3 * time.Second, 4 * time.Second
 	now := time.Unix(1_000_000, 0)
-	relay := func(crowded bool, age time.Duration) *Relay {
-		l := &link{}
-		l.crowded.Store(crowded)
-		return New(Config{Link: l, NewsAge: func() time.Duration { return age }})
+	bounds := tsfreshness.Bounds{Contact: contact}
+	for f := range bounds.Spans {
+		bounds.Spans[f] = span
 	}
-	t.Run("is not acted on", func(t *testing.T) {
-		_, err := relay(true, maxNewsAge+time.Millisecond).actBefore(now)
-		assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindNotReady)
+	relay := func(tableAge, serversAge time.Duration) (*Relay, *tsfreshness.Tracker) {
+		f := tsfreshness.New(bounds)
+		f.Confirm(tsfreshness.Table, now.Add(-tableAge))
+		f.Confirm(tsfreshness.Servers, now.Add(-serversAge))
+		return New(Config{Freshness: f}), f
+	}
+	assertActs := func(t *testing.T, s *Relay, at time.Time, delay time.Duration, want turmericshed.Kind) {
+		t.Helper()
+		err := s.mayAct(at, delay)
+		assert.Equal(t, turmericshed.KindOf(err), want)
+		if err != nil {
+			assert.Assert(t, turmericshed.RetryAfterOf(err) > 0)
+		}
+	}
+	t.Run("of servers is not acted on", func(t *testing.T) {
+		s, _ := relay(0, span)
+		assertActs(t, s, now, 0, turmericshed.KindNotReady)
 	})
-	t.Run("younger news is, while it is not too old", func(t *testing.T) {
-		before, err := relay(true, time.Second).actBefore(now)
-		assert.NilError(t, err)
-		assert.Equal(t, before, now.Add(maxNewsAge-time.Second))
+	t.Run("nor of routes and keys", func(t *testing.T) {
+		s, _ := relay(span, 0)
+		assertActs(t, s, now, 0, turmericshed.KindNotReady)
 	})
-	for name, s := range map[string]*Relay{
-		"at a link with room":              relay(false, time.Hour),
-		"in a cut, where servers are near": relay(true, time.Hour),
-		"without a link":                   New(Config{}),
-	} {
-		t.Run("any news is acted on "+name, func(t *testing.T) {
-			if s.cfg.Link != nil && s.crowded(now) {
-				s.quick.Store(now.Add(-quickLately / 2).UnixNano())
-			}
-			before, err := s.actBefore(now)
-			assert.NilError(t, err)
-			assert.Assert(t, before.IsZero())
-		})
-	}
-	t.Run("an answer is no proof for long", func(t *testing.T) {
-		s := relay(true, time.Hour)
-		s.quick.Store(now.Add(-2 * quickLately).UnixNano())
-		_, err := s.actBefore(now)
-		assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindNotReady)
+	t.Run("younger news is, while what is done takes effect in time", func(t *testing.T) {
+		s, _ := relay(time.Second, time.Second)
+		assertActs(t, s, now, 0, turmericshed.KindNone)
+		assertActs(t, s, now, 1500*time.Millisecond, turmericshed.KindNone)
+		assertActs(t, s, now, 2*time.Second, turmericshed.KindNotReady)
+		assertActs(t, s, now.Add(2*time.Second), 0, turmericshed.KindNotReady)
+	})
+	t.Run("any news is, in a cut", func(t *testing.T) {
+		s, f := relay(time.Hour, time.Hour)
+		f.Unreached(now)
+		assertActs(t, s, now, 0, turmericshed.KindNone)
+	})
+	t.Run("a cut is no excuse for long", func(t *testing.T) {
+		s, f := relay(time.Hour, time.Hour)
+		f.Unreached(now.Add(-contact))
+		assertActs(t, s, now, 0, turmericshed.KindNotReady)
+	})
+	t.Run("without bounds it is", func(t *testing.T) {
+		assertActs(t, New(Config{}), now, 0, turmericshed.KindNone)
 	})
 }
--- a/io/tsrelay/patience_test.go
+++ b/io/tsrelay/patience_test.go
@@ -18,6 +18,8 @@
 
 func (*link) Full() bool { return false }
 
+func (*link) Delay(int) time.Duration { return 0 }
+
 func (*link) Await(context.Context, turmericshed.AccountID, int) error { return nil }
 
 // newPatience watches an attempt whose objective is 10 ms.
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -27,6 +27,7 @@
 
 	"turmericshed"
 	"turmericshed/core/tsadmit"
+	"turmericshed/core/tsfreshness"
 	"turmericshed/core/tstable"
 	"turmericshed/io/tsobserve"
 	"turmericshed/io/tsupstream"
@@ -45,16 +46,8 @@
 	// pauseFactor times the longest good pause is how long such a stream may
 	// pause; callers give up at eight times that.
 	pauseFactor = 4
-	// maxNewsAge is the age up to which a crowded entry VM acts on what it heard
-	// of routes, keys and servers: a little more than a watch waits, and less
-	// than the time that changes and leaving servers are given.
-	maxNewsAge = 2800 * time.Millisecond
-	// crowdedLately is how long a link counts as crowded after it was.
-	crowdedLately = time.Second
-	// quickAnswer is the time to a server's first byte that rules out a long
-	// queue at the own link, and quickLately how long one such answer does.
-	quickAnswer = time.Second
-	quickLately = time.Second
+	// newsRetry is the advice where what is known is too old to act on.
+	newsRetry = 300 * time.Millisecond
 	// connectionPart of a server's connections is shared by the entry VMs
 	// evenly; the rest is left for uneven loads.
 	connectionPart = 0.8
@@ -85,16 +78,9 @@
 	Retries RetryBounds
 	// EntryVMs returns how many entry VMs there may be, this one included.
 	EntryVMs func() int
-	// StaleAfter is the age of the routing table from which an unknown route
-	// or key is no proof that it does not exist; TableAge tells the age.
-	StaleAfter time.Duration
-	TableAge   func() time.Duration
-	// NewsAge tells the age of the oldest of what is heard: the routing table
-	// and the servers. It is asked for with a Link only.
-	NewsAge func() time.Duration
-	// ServersAge tells the age of what is known of the servers; nil where
-	// nobody follows it.
-	ServersAge func() time.Duration
+	// Freshness tells for how long to act on what is known of routes, keys and
+	// servers; nil allows any time.
+	Freshness *tsfreshness.Tracker
 }
 
 // Relay serves callers' requests.
@@ -103,8 +89,6 @@
 	table atomic.Pointer[tstable.Table]
 	// stopping is true from the start of a graceful stop.
 	stopping atomic.Bool
-	// quick is when a server last answered quickly, in Unix nanoseconds.
-	quick atomic.Int64
 
 	mu      sync.Mutex
 	bounds  RetryBounds
@@ -188,22 +172,16 @@
 // then.
 func (s *Relay) crowded(since time.Time) bool { return s.cfg.Link != nil && s.cfg.Link.Crowded(since) }
 
-// actBefore returns until when this entry VM may act on what it knows now; zero
-// for any time. At a crowded link the news of a change waits behind the bodies
-// of requests. Where servers answer quickly there is no long queue, and news is
-// old for another reason, such as a cut, in which nobody else can serve.
-// KindNotReady when what it knows is too old already.
-func (s *Relay) actBefore(now time.Time) (time.Time, error) {
-	quick := now.Sub(time.Unix(0, s.quick.Load())) < quickLately
-	if quick || !s.crowded(now.Add(-crowdedLately)) {
-		return time.Time{}, nil
+// mayAct returns nil while this entry VM may act on what it knows of routes, keys
+// and servers, in a way that takes effect after the delay. Else KindNotReady.
+func (s *Relay) mayAct(now time.Time, delay time.Duration) error {
+	f := s.cfg.Freshness
+	if f == nil || now.Add(delay).Before(f.Until()) {
+		return nil
 	}
-	age := s.cfg.NewsAge()
-	if age > maxNewsAge {
-		err := turmericshed.NewError(turmericshed.KindNotReady, "the last news is %s old, behind a crowded link", age.Round(time.Millisecond))
-		return time.Time{}, err
-	}
-	return now.Add(maxNewsAge - age), nil
+	err := turmericshed.NewError(turmericshed.KindNotReady, "the table is %s and the servers are %s old, and the store is not known to be out of reach",
+		f.Age(now, tsfreshness.Table).Round(time.Millisecond), f.Age(now, tsfreshness.Servers).Round(time.Millisecond))
+	return turmericshed.WithRetryAfter(err, newsRetry)
 }
 
 // connectionShare is how many connections this entry VM opens to one server.
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"turmericshed"
+	"turmericshed/core/tsfreshness"
 	"turmericshed/core/tstable"
 )
 
@@ -53,9 +54,6 @@
 	sent     int
 	dials    int
 	excluded []turmericshed.ServerID
-	// actBefore is until when the chosen server may be sent to; zero for any
-	// time.
-	actBefore time.Time
 	// picked is false when no server was left to choose.
 	picked bool
 	// pickedAt is when the last server was chosen, by news of the age pickedBy.
@@ -88,7 +86,7 @@
 		return err
 	}
 	q.lastEvent = in.LastEvent
-	if _, err := q.relay.actBefore(q.arrived); err != nil {
+	if err := q.relay.mayAct(q.arrived, 0); err != nil {
 		return err
 	}
 	if limit := q.table.Limits.HeaderBytes; limit > 0 && headerBytes(q.r) > limit {
@@ -123,10 +121,11 @@
 // unknown turns a refusal for something that the routing table lacks into one
 // for now, while the table may be out of date.
 func (q *request) unknown(err error) error {
-	if age := q.relay.cfg.TableAge(); age > q.relay.cfg.StaleAfter {
-		return turmericshed.NewError(turmericshed.KindNotReady, "the routing table is %s old", age.Round(time.Millisecond))
+	f := q.relay.cfg.Freshness
+	if f == nil || f.Fresh(q.arrived, tsfreshness.Table) {
+		return err
 	}
-	return err
+	return turmericshed.NewError(turmericshed.KindNotReady, "the routing table is %s old", f.Age(q.arrived, tsfreshness.Table).Round(time.Millisecond))
 }
 
 // authenticate finds the client account of the request's key.
@@ -319,8 +318,11 @@
 	msg := "answered"
 	if err != nil {
 		msg, level = "not answered", slog.LevelWarn
-		attrs = append(attrs, slog.String("kind", kind.String()), slog.String("outcome", string(q.outcome(err))),
-			slog.Int64("table_age_ms", q.relay.cfg.TableAge().Milliseconds()), slog.String("error", err.Error()))
+		attrs = append(attrs, slog.String("kind", kind.String()), slog.String("outcome", string(q.outcome(err))))
+		if f := q.relay.cfg.Freshness; f != nil {
+			attrs = append(attrs, slog.Int64("table_age_ms", f.Age(time.Now(), tsfreshness.Table).Milliseconds()))
+		}
+		attrs = append(attrs, slog.String("error", err.Error()))
 	}
 	q.relay.cfg.Log.LogAttrs(context.Background(), level, msg, attrs...)
 }
--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -95,8 +95,9 @@
 	// Once requests must not run twice; they avoid connections that the
 	// server may have dropped.
 	Once bool
-	// Before is until when the call may be sent; zero for any time.
-	Before time.Time
+	// Ready is asked right before the first byte is sent; its error ends the
+	// call, which then was not sent. nil sends always.
+	Ready func() error
 	// Connections bounds the connections to the server; 0 means no bound.
 	Connections int
 }
@@ -117,17 +118,19 @@
 }
 
 // Send makes the call. The end of ctx closes its connection, also while the
-// answer is read. Errors: KindNoBackend and KindOverloaded when nothing was
-// sent, KindCallUnknown when the call may run.
+// answer is read. Errors: KindNoBackend, KindOverloaded and those of call.Ready
+// when nothing was sent, KindCallUnknown when the call may run.
 func (c *Client) Send(ctx context.Context, call Call) (*Reply, error) {
 	k := keyOf(call.Server)
 	cn, err := c.connect(ctx, k, call)
 	if err != nil {
 		return nil, err
 	}
-	if !call.Before.IsZero() && time.Now().After(call.Before) {
-		c.conns.discard(k, cn)
-		return nil, turmericshed.NewError(turmericshed.KindNoBackend, "server %s: connected too late to be sent to", k.id)
+	if call.Ready != nil {
+		if err := call.Ready(); err != nil {
+			c.conns.discard(k, cn)
+			return nil, err
+		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	r := &Reply{client: c, key: k, conn: cn, stop: stop, written: make(chan error, 1)}
--- a/io/tsupstream/client_test.go
+++ b/io/tsupstream/client_test.go
@@ -213,14 +213,19 @@
 }
 
 func TestACallWhoseTimeIsOverIsNotSent(t *testing.T) {
-	s := newRaw(t, func(c net.Conn, _ *http.Request, _ int) bool { return send(t, ok("a", "late"), c) })
+	var requests atomic.Int32
+	s := newRaw(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		requests.Add(1)
+		return send(t, ok("a", "late"), c)
+	})
 	late := call(s, "a")
-	late.Before = time.Now().Add(-time.Millisecond)
+	late.Ready = func() error { return turmericshed.NewError(turmericshed.KindNoBackend, "too late") }
 	_, err := fetch(newClient(), late)
 	assertKind(t, err, turmericshed.KindNoBackend)
-	late.Before = time.Now().Add(time.Hour)
+	late.Ready = func() error { return nil }
 	_, err = fetch(newClient(), late)
 	assert.NilError(t, err)
+	assert.Equal(t, requests.Load(), int32(1))
 }
 
 func TestConnectionsAreBounded(t *testing.T) {
--- a/link.go
+++ b/link.go
@@ -13,6 +13,9 @@
 	// Full reports whether callers should go to other entry VMs, since this
 	// one's link does not carry more.
 	Full() bool
+	// Delay returns how long size bytes that are written now take until they
+	// have left the link, behind those written before.
+	Delay(size int) time.Duration
 	// Await waits for the turn of an account's body of size bytes at the link.
 	// Errors: KindOverloaded at once when that would be after the deadline of
 	// ctx, KindCanceled when ctx ends.
--- a/platform.go
+++ b/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -37,8 +38,43 @@
 	Item
 	Deleted bool
 	Reset   bool
-	// Age is how long ago the store said so, at most; 0 for just now.
-	Age time.Duration
+	// AsOf is a time up to which every change under the prefix is known once
+	// this event took effect; zero while more events follow.
+	AsOf time.Time
+}
+
+// Changes are what happened under a prefix after a version.
+type Changes struct {
+	Events []WatchEvent
+	// At is the version up to which they are complete, and AsOf a time.
+	At   Version
+	AsOf time.Time
+	// Reset tells that the changes are not known any more: list again.
+	Reset bool
+}
+
+// Deliver returns the events of a watch that tell the changes, at least one.
+// The last one tells until when they are complete.
+func (c Changes) Deliver() []WatchEvent {
+	if c.Reset {
+		return []WatchEvent{{Reset: true}}
+	}
+	if len(c.Events) == 0 {
+		return []WatchEvent{{Item: Item{Version: c.At}, AsOf: c.AsOf}}
+	}
+	events := slices.Clone(c.Events)
+	events[len(events)-1].AsOf = c.AsOf
+	return events
+}
+
+// Snapshot is every item with a prefix.
+type Snapshot struct {
+	Items []Item
+	// At is the version from which a watch continues. Changes made while the
+	// items were read may or may not be included; the watch tells them again.
+	At Version
+	// AsOf is a time up to which every change is included.
+	AsOf time.Time
 }
 
 // Watcher delivers changes until it is closed or fails.
