Servers: one that left the list without a word is not kept beyond its bound

Cause: an entry that goes is kept for 1.5 or 2.2 s, counted from when the news came, as an outage of the store may have let it lapse; an outage was believed on two peers' word, or of this VM's own link. Change: core/tsroster takes until when the removal must have taken effect (the time up to which the list was known before, + the span) and until when the store's proven trouble excuses it, and keeps nothing beyond. What is missing from a list, and for how long a server is kept, is logged.

--- a/core/tsroster/roster.go
+++ b/core/tsroster/roster.go
@@ -4,15 +4,15 @@
 // A server whose entry goes away is leaving, even when it never said so. But
 // entries also lapse while the store cannot be written, and come back shortly
 // after. So an entry that is missing after an outage keeps its server for
-// returnGrace, and so does each one of many that go away at once.
+// returnGrace, and each one of many that go away at once for lapseGrace, but
+// never beyond the time in which a leaving server must get no more work.
 //
 // # Usage
 //
 //	r := tsroster.New()
-//	r.Reset(now, servers)
+//	r.Reset(now, servers, grace)
 //	r.Put(now, server)
-//	r.Remove(now, id)
-//	r.Lost()
+//	r.Remove(now, id, grace)
 //	list, next := r.List(now) // ask again at next, if it is set
 package tsroster
 
@@ -29,8 +29,7 @@
 	// servers write again within two seconds of the store's return.
 	returnGrace = 2200 * time.Millisecond
 	// lapseGrace is the same for many entries that go away at once without an
-	// outage that was noticed here; shorter than the time in which a leaving
-	// server must get no more work.
+	// outage that was noticed here.
 	lapseGrace = 1500 * time.Millisecond
 	// lapseSpan and lapsePart tell such a lapse: so much of a service's
 	// servers within the span.
@@ -38,11 +37,29 @@
 	lapsePart = 0.5
 )
 
+// Grace bounds for how long a server whose entry is found gone may be kept.
+type Grace struct {
+	// Due is when the removal must have taken effect, whenever it was made
+	// since the list was last known to be complete.
+	Due time.Time
+	// Excused is until when no removal need take effect, since the store or the
+	// way to it was in trouble; zero where it was not.
+	Excused time.Time
+}
+
+// Removal tells of a server whose entry is found gone.
+type Removal struct {
+	ID turmericshed.ServerID
+	// KeptUntil is when it stops getting work; zero for at once.
+	KeptUntil time.Time
+}
+
 // entry is a server with the time of its removal.
 type entry struct {
 	turmericshed.BackendServer
-	// removed is zero while the entry is listed.
-	removed time.Time
+	// removed is zero while the entry is listed, and latest the bound on
+	// keepUntil from then on.
+	removed, latest time.Time
 	// keepUntil is when a removed server stops getting work.
 	keepUntil time.Time
 }
@@ -51,35 +68,29 @@
 // use.
 type Roster struct {
 	entries map[turmericshed.ServerID]*entry
-	// lost is true from an outage until the next list; returned is when that
-	// list came.
-	lost     bool
-	returned time.Time
-	started  bool
 }
 
 // New returns an empty roster.
 func New() *Roster { return &Roster{entries: make(map[turmericshed.ServerID]*entry)} }
 
-// Lost notes that the store stopped answering.
-func (r *Roster) Lost() { r.lost = true }
-
-// Reset replaces the list.
-func (r *Roster) Reset(now time.Time, servers []turmericshed.BackendServer) {
-	if r.lost && r.started {
-		r.returned = now
-	}
-	r.lost, r.started = false, true
+// Reset replaces the list and returns what is missing in the new one.
+func (r *Roster) Reset(now time.Time, servers []turmericshed.BackendServer, g Grace) []Removal {
 	listed := make(map[turmericshed.ServerID]bool, len(servers))
 	for _, s := range servers {
 		listed[s.ID] = true
 		r.Put(now, s)
 	}
-	for id := range r.entries {
-		if !listed[id] {
-			r.Remove(now, id)
+	var removed []Removal
+	for id, e := range r.entries {
+		if !listed[id] && e.removed.IsZero() {
+			r.Remove(now, id, g)
+			removed = append(removed, Removal{ID: id})
 		}
 	}
+	for i := range removed {
+		removed[i].KeptUntil = r.entries[removed[i].ID].keepUntil
+	}
+	return removed
 }
 
 // Put takes a server's newest entry.
@@ -88,22 +99,37 @@
 }
 
 // Remove notes that a server's entry is gone or names no server any more.
-func (r *Roster) Remove(now time.Time, id turmericshed.ServerID) {
+func (r *Roster) Remove(now time.Time, id turmericshed.ServerID, g Grace) Removal {
 	e := r.entries[id]
 	if e == nil || !e.removed.IsZero() {
-		return
+		return Removal{ID: id}
 	}
-	e.removed = now
-	if e.Leaving {
-		return
+	e.removed, e.latest = now, g.Due
+	if !e.Leaving {
+		r.keep(now, e, g)
 	}
-	if !r.returned.IsZero() && now.Sub(r.returned) < returnGrace {
-		e.keepUntil = r.returned.Add(returnGrace)
+	return Removal{ID: id, KeptUntil: e.keepUntil}
+}
+
+// keep decides until when a server that went without a word is kept.
+func (r *Roster) keep(now time.Time, e *entry, g Grace) {
+	if now.Before(g.Excused) {
+		if g.Excused.After(e.latest) {
+			e.latest = g.Excused
+		}
+		e.keepUntil = earlier(now.Add(returnGrace), g.Excused)
 		return
 	}
 	r.noteLapse(now, e.Service)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // noteLapse keeps the servers of a service for a while when too many of them
 // went away at once.
 func (r *Roster) noteLapse(now time.Time, service string) {
@@ -125,7 +151,7 @@
 		return
 	}
 	for _, e := range gone {
-		e.keepUntil = e.removed.Add(lapseGrace)
+		e.keepUntil = earlier(e.removed.Add(lapseGrace), e.latest)
 	}
 }
 
--- a/io/tsgateway/views.go
+++ b/io/tsgateway/views.go
@@ -64,7 +64,7 @@
 type serverView struct {
 	log   *slog.Logger
 	board *tsboard.Board
-	// freshness tells how old what is known of them is.
+	// freshness bounds for how long a server whose entry is gone is kept.
 	freshness *tsfreshness.Tracker
 
 	mu     sync.Mutex
@@ -86,8 +86,11 @@
 		}
 	}
 	v.mu.Lock()
-	v.roster.Reset(time.Now(), servers)
+	removed := v.roster.Reset(time.Now(), servers, v.grace())
 	v.mu.Unlock()
+	for _, r := range removed {
+		v.log.Info("server entry is missing", "server", string(r.ID), "kept_ms", keptFor(r).Milliseconds())
+	}
 	v.notify()
 }
 
@@ -97,23 +100,30 @@
 	if !ev.Deleted {
 		s, ok = v.decode(ev.Item)
 	}
+	var removed tsroster.Removal
 	v.mu.Lock()
 	if ok {
 		v.roster.Put(time.Now(), s)
 	} else {
-		v.roster.Remove(time.Now(), s.ID)
+		removed = v.roster.Remove(time.Now(), s.ID, v.grace())
 	}
 	v.mu.Unlock()
 	v.log.Info("server entry changed", "server", string(s.ID), "listed", ok, "leaving", s.Leaving || !ok, "service", s.Service,
-		"addr", s.Addr.String(), "version", uint64(ev.Version), "age_ms", v.freshness.Age(time.Now(), tsfreshness.Servers).Milliseconds())
+		"addr", s.Addr.String(), "version", uint64(ev.Version), "age_ms", v.freshness.Age(time.Now(), tsfreshness.Servers).Milliseconds(),
+		"kept_ms", keptFor(removed).Milliseconds())
 	v.notify()
 }
 
-// Lost notes the outage, after which entries may be missing for a while.
-func (v *serverView) Lost(error) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.roster.Lost()
+// keptFor returns for how long a server that left the list keeps getting work.
+func keptFor(r tsroster.Removal) time.Duration { return max(time.Until(r.KeptUntil), 0) }
+
+// Lost keeps the servers. What may follow an outage is told by the freshness.
+func (v *serverView) Lost(error) {}
+
+// grace bounds the keeping of a server whose entry is found gone now: the entry
+// may have gone right after the list was last complete.
+func (v *serverView) grace() tsroster.Grace {
+	return tsroster.Grace{Due: v.freshness.Due(tsfreshness.Servers), Excused: v.freshness.GraceUntil(time.Now(), tsfreshness.Servers)}
 }
 
 func (v *serverView) decode(i turmericshed.Item) (turmericshed.BackendServer, bool) {
