--- a/standin/tsmetastore/backend.go
+++ b/standin/tsmetastore/backend.go
@@ -211,14 +211,14 @@
 	case BehaveCrossed:
 		return write(c, strings.Replace(head("200 OK", "Response-Stamp: s\r\nContent-Length: 5\r\n\r\nother"), id, "another", 1))
 	}
+	if how == BehaveLeaving {
+		says += "Server-Leaving: 1\r\n"
+	}
 	if b.Events > 0 {
 		return b.stream(c, r, head, how == BehaveBreaking)
 	}
-	text, extra := "answer to "+id, ""
-	if how == BehaveLeaving {
-		extra = "Server-Leaving: 1\r\n"
-	}
-	return write(c, head("200 OK", extra+fmt.Sprintf("Response-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", len(text), text)))
+	text := "answer to " + id
+	return write(c, head("200 OK", fmt.Sprintf("Response-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", len(text), text)))
 }
 
 // stream sends the events that follow the last one that the caller has.
