Tests of sending: servers that leave while a request waits for something

Cause: a permit is drawn, and a connection opened, after the choice of the server; nobody looks again. Tokens and the turn at the link are waited for before it.

--- /dev/null
+++ b/io/tsrelay/send_test.go
@@ -0,0 +1,210 @@
+package tsrelay_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/core/tstable"
+	"turmericshed/io/tsrelay"
+	"turmericshed/io/tsrouting"
+	"turmericshed/io/tsupstream"
+	"turmericshed/platform"
+	"turmericshed/standin/tsmetastore"
+)
+
+// wait is a place at which a request waits on its way to a server.
+type wait string
+
+// The waits.
+const (
+	forTokens     wait = "tokens"
+	forTurn       wait = "its turn at the link"
+	forPermit     wait = "a permit"
+	forConnection wait = "a connection"
+)
+
+// waits is everything that a request waits for. Each wait ends at once, but one,
+// during which something happens.
+type waits struct {
+	at wait
+	// early is how often that wait ends before something happens.
+	early     atomic.Int32
+	meanwhile func()
+}
+
+func (w *waits) reached(at wait) {
+	if at == w.at && w.early.Add(-1) == -1 {
+		w.meanwhile()
+	}
+}
+
+func (w *waits) Crowded(time.Time) bool { return false }
+func (w *waits) Full() bool             { return false }
+
+func (w *waits) Await(context.Context, turmericshed.AccountID, int) error {
+	w.reached(forTurn)
+	return nil
+}
+
+func (w *waits) Reserve(context.Context, turmericshed.Profile, turmericshed.RequestID, turmericshed.Tokens) (turmericshed.Reservation, error) {
+	w.reached(forTokens)
+	return turmericshed.Reservation{}, nil
+}
+func (*waits) Settle(turmericshed.Reservation, turmericshed.Tokens) {}
+func (*waits) Suspend(turmericshed.Reservation)                     {}
+func (*waits) Drain(context.Context) error                          { return nil }
+
+func (*waits) Answered(turmericshed.BackendServer, time.Time, turmericshed.BackendReply) {}
+
+func (w *waits) Acquire(turmericshed.BackendServer) bool {
+	w.reached(forPermit)
+	return true
+}
+func (*waits) Closed(time.Time) map[turmericshed.ServerID]time.Time { return nil }
+
+// dial opens a connection, after which something may happen.
+func (w *waits) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := tsupstream.Dial(ctx, network, addr)
+	w.reached(forConnection)
+	return c, err
+}
+
+// sender is a relay with two desks.
+type sender struct {
+	t     *testing.T
+	waits *waits
+	desks []*tsmetastore.Backend
+	board *tsboard.Board
+	pool  *tsrouting.Pool
+	url   string
+}
+
+const sendTable = `{"version":1,"services":[{"name":"desk","maxConnections":100}],"tenants":[{"name":"stall","apiKeys":["k1"],"prepaid":1000}],"routes":[
+ {"name":"find","host":"corner.example","prefix":"/find/","kind":"safe","service":"desk","timeoutMs":4000,"maxAttempts":2}]}`
+
+func newSender(t *testing.T, at wait, early int32) *sender {
+	t.Helper()
+	s := &sender{t: t, waits: &waits{at: at}, board: &tsboard.Board{}}
+	s.waits.early.Store(early)
+	for i := range 2 {
+		b := &tsmetastore.Backend{ID: fmt.Sprint("desk-", i)}
+		assert.NilError(t, b.Start())
+		t.Cleanup(func() { _ = b.Close() })
+		s.desks = append(s.desks, b)
+	}
+	s.board.Servers.Write(s.list("ready"))
+	s.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: "a", Board: s.board, Limits: s.waits})
+	relay := tsrelay.New(tsrelay.Config{
+		Codec: platform.Codec{}, Router: s.pool, Budgets: s.waits, Link: s.waits, Limits: s.waits, Log: slog.New(slog.DiscardHandler),
+		Upstream: tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: s.waits.dial}),
+		Retries:  tsrelay.RetryBounds{Ratio: 1, Slack: 100, Window: time.Minute}, EntryVMs: func() int { return 1 },
+		TableAge: func() time.Duration { return 0 }, NewsAge: func() time.Duration { return 0 },
+	})
+	table, err := platform.DecodeTable([]byte(sendTable))
+	assert.NilError(t, err)
+	relay.SetTable(tstable.New(table))
+	srv := httptest.NewServer(relay)
+	t.Cleanup(srv.Close)
+	s.url = srv.URL
+	return s
+}
+
+// list is what the store tells of the desks.
+func (s *sender) list(state string) []turmericshed.BackendServer {
+	var list []turmericshed.BackendServer
+	for _, b := range s.desks {
+		d, err := platform.DecodeServer(turmericshed.Item{Key: platform.ServerPrefix + b.ID, Value: b.Entry("desk", "a", state)})
+		assert.NilError(s.t, err)
+		assert.Equal(s.t, d.Addr, netip.MustParseAddrPort(b.Addr()))
+		list = append(list, d)
+	}
+	return list
+}
+
+// leave lets the entry VM hear in one of the ways that both desks leave.
+func (s *sender) leave(how string) {
+	var list []turmericshed.BackendServer
+	switch how {
+	case "are draining":
+		list = s.list("draining")
+	case "say so themselves":
+		for _, d := range s.desks {
+			s.pool.SetLeaving(time.Now(), turmericshed.ServerID(d.ID))
+		}
+		return
+	}
+	s.board.Servers.Write(list)
+	s.pool.SetServers(time.Now(), list)
+}
+
+// ask sends a request of an account with a budget.
+func (s *sender) ask() int {
+	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, s.url+"/find/1", strings.NewReader("frame"))
+	assert.NilError(s.t, err)
+	req.Host = "corner.example"
+	for k, v := range map[string]string{"Attempt-Id": "a-1", "Credential": "k1", "Deadline-Remaining": "4000", "Token-Counts": "10,5"} {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	assert.NilError(s.t, err)
+	assert.NilError(s.t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+func (s *sender) assertArrivals(want int) {
+	s.t.Helper()
+	got := 0
+	for _, d := range s.desks {
+		got += len(d.Arrivals())
+	}
+	assert.Equal(s.t, got, want, "requests that reached the servers")
+}
+
+// What a request waited for came after its entry VM had heard that the servers
+// leave, and the request was sent to one of them.
+func TestServersThatLeaveWhileARequestWaits(t *testing.T) {
+	for _, at := range []wait{forTokens, forTurn, forPermit, forConnection} {
+		for _, how := range []string{"are draining", "are removed", "say so themselves"} {
+			t.Run(fmt.Sprintf("for %s get no request when they %s", at, how), func(t *testing.T) {
+				s := newSender(t, at, 0)
+				s.waits.meanwhile = func() { s.leave(how) }
+				assert.Equal(t, s.ask(), http.StatusServiceUnavailable)
+				s.assertArrivals(0)
+			})
+			if at == forTokens {
+				// Tokens are waited for once.
+				continue
+			}
+			t.Run(fmt.Sprintf("for %s get no second attempt when they %s", at, how), func(t *testing.T) {
+				s := newSender(t, at, 1)
+				for _, d := range s.desks {
+					d.Behave(tsmetastore.BehaveLosing)
+				}
+				s.waits.meanwhile = func() { s.leave(how) }
+				s.ask()
+				s.assertArrivals(1)
+			})
+		}
+		t.Run(fmt.Sprintf("for %s get it when they stay", at), func(t *testing.T) {
+			s := newSender(t, at, 0)
+			happened := false
+			s.waits.meanwhile = func() { happened = true }
+			assert.Equal(t, s.ask(), http.StatusOK)
+			s.assertArrivals(1)
+			assert.Assert(t, happened)
+		})
+	}
+}
--- a/io/tsrouting/pool_test.go
+++ b/io/tsrouting/pool_test.go
@@ -205,3 +205,39 @@
 		assert.Equal(t, pressure, 0.0)
 	})
 }
+
+// slowLimits have a permit for everything, and something happens while it is
+// drawn.
+type slowLimits struct {
+	limits
+	meanwhile func()
+}
+
+// Acquire takes its time.
+func (l *slowLimits) Acquire(turmericshed.BackendServer) bool {
+	l.meanwhile()
+	return true
+}
+
+// A server that was heard to leave while its permit was drawn was picked.
+func TestPermitForAServerThatLeft(t *testing.T) {
+	now := time.Now()
+	for name, leave := range map[string]func(p *tsrouting.Pool, left turmericshed.BackendServer){
+		"is draining": func(p *tsrouting.Pool, left turmericshed.BackendServer) {
+			left.Leaving = true
+			p.SetServers(now, []turmericshed.BackendServer{left})
+		},
+		"is removed":     func(p *tsrouting.Pool, _ turmericshed.BackendServer) { p.SetServers(now, nil) },
+		"says so itself": func(p *tsrouting.Pool, left turmericshed.BackendServer) { p.SetLeaving(now, left.ID) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			board, l := &tsboard.Board{}, &slowLimits{}
+			list := servers(1)
+			board.Servers.Write(list)
+			p := tsrouting.NewPool(tsrouting.PoolConfig{Board: board, Limits: l})
+			l.meanwhile = func() { leave(p, list[0]) }
+			_, err := p.Pick(now, chat)
+			assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindNoBackend)
+		})
+	}
+}
