Tests of sending: a body that ends too late, and one behind other bytes

Cause: the time until which a request may be sent is looked at before its first byte only; turns at the link are given as if bodies were all that leaves an entry VM.

--- a/io/tsmeter/pace_test.go
+++ b/io/tsmeter/pace_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -51,3 +53,48 @@
 		assert.NilError(t, m.Await(context.Background(), "b", size))
 	})
 }
+
+// sink is a connection that takes everything at once, as a socket's buffer does.
+type sink struct{ net.Conn }
+
+// Write takes all bytes.
+func (sink) Write(p []byte) (int, error) { return len(p), nil }
+
+// Bodies were let go as if nothing else left the entry VM, and their ends waited
+// seconds behind answers to callers.
+func TestAwaitBehindOtherBytes(t *testing.T) {
+	const (
+		// rate is that of a link of 10 Mbit/s, size that of the largest bodies.
+		rate, size = 1_250_000, 300_000
+		// shortQueue is what a body may find at the link when its turn comes.
+		shortQueue = 100 * time.Millisecond
+	)
+	// behind returns a meter on whose link so many bytes wait.
+	behind := func(t *testing.T, p Party, n int) *Meter {
+		t.Helper()
+		m := New(Config{Rate: rate, Log: slog.New(slog.DiscardHandler)})
+		_, err := m.wrap(p, sink{}).Write(make([]byte, n))
+		assert.NilError(t, err)
+		return m
+	}
+	for _, p := range []Party{Callers, EntryVMs} {
+		t.Run(fmt.Sprintf("a body is refused when it would leave too late behind bytes to %s", p), func(t *testing.T) {
+			m := behind(t, p, 2*rate)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			assert.Equal(t, turmericshed.KindOf(m.Await(ctx, "a", size)), turmericshed.KindOverloaded)
+		})
+		t.Run(fmt.Sprintf("a body waits until the queue of bytes to %s is short", p), func(t *testing.T) {
+			m := behind(t, p, rate)
+			assert.NilError(t, m.Await(t.Context(), "a", size))
+			queue := m.state().queue
+			assert.Assert(t, queue <= shortQueue, "%s", queue)
+		})
+	}
+	t.Run("a body goes at once where the link has room", func(t *testing.T) {
+		m := behind(t, Callers, rate/100)
+		began := time.Now()
+		assert.NilError(t, m.Await(t.Context(), "a", size))
+		assert.Assert(t, time.Since(began) < 500*time.Millisecond)
+	})
+}
--- /dev/null
+++ b/io/tsupstream/before_test.go
@@ -0,0 +1,107 @@
+package tsupstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/io/tsupstream"
+)
+
+// lateReader is a server that reads a request's head, and its body from a time
+// on. It tells how many bytes of the body came.
+func lateReader(t *testing.T, from func() time.Time) (s turmericshed.BackendServer, came <-chan int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	all := make(chan int64, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		time.Sleep(time.Until(from()))
+		n, err := io.Copy(io.Discard, r.Body)
+		all <- n
+		if err == nil {
+			_, _ = io.WriteString(c, ok(r.Header.Get("Attempt-Id"), "x"))
+		}
+	}()
+	return turmericshed.BackendServer{ID: "i-1", Addr: netip.MustParseAddrPort(ln.Addr().String())}, all
+}
+
+// bodySize is more than the buffers of both ends take.
+const bodySize = 32 << 20
+
+// sendBefore sends a large body that may be sent until a time.
+func sendBefore(s turmericshed.BackendServer, before time.Time) error {
+	_, err := fetch(newClient(), tsupstream.Call{
+		Server: s, ID: "a", Method: http.MethodPost, Target: "/p", Host: "corner.example",
+		Header: http.Header{"Attempt-Id": {"a"}}, Body: make([]byte, bodySize), Before: before,
+	})
+	return err
+}
+
+// The end of a request's body was written long after the time until which the
+// request might be sent.
+func TestBodyThatEndsTooLate(t *testing.T) {
+	t.Run("is broken off", func(t *testing.T) {
+		t.Parallel()
+		before := time.Now().Add(time.Second)
+		s, came := lateReader(t, func() time.Time { return before.Add(300 * time.Millisecond) })
+		assertKind(t, sendBefore(s, before), turmericshed.KindCallUnknown)
+		assert.Assert(t, <-came < bodySize, "the whole body came")
+	})
+	t.Run("is sent whole where any time will do", func(t *testing.T) {
+		t.Parallel()
+		s, came := lateReader(t, func() time.Time { return time.Now().Add(300 * time.Millisecond) })
+		assert.NilError(t, sendBefore(s, time.Time{}))
+		assert.Equal(t, <-came, int64(bodySize))
+	})
+	t.Run("the connection that opened in time is not kept to that time", func(t *testing.T) {
+		t.Parallel()
+		before := time.Now().Add(time.Second)
+		s := newRaw(t, func(c net.Conn, r *http.Request, _ int) bool { return send(t, ok(r.Header.Get("Attempt-Id"), "x"), c) })
+		client := newClient()
+		first := call(s, "a")
+		first.Before = before
+		_, err := fetch(client, first)
+		assert.NilError(t, err)
+		time.Sleep(time.Until(before.Add(50 * time.Millisecond)))
+		_, err = fetch(client, call(s, "b"))
+		assert.NilError(t, err)
+		assert.Equal(t, s.accepted.Load(), int32(1))
+	})
+}
+
+// What a server answers after the time until which the request might be sent is
+// as good as before.
+func TestAnswerAfterTheTimeToSend(t *testing.T) {
+	t.Parallel()
+	before := time.Now().Add(time.Second)
+	s := newRaw(t, func(c net.Conn, r *http.Request, _ int) bool {
+		time.Sleep(time.Until(before.Add(200 * time.Millisecond)))
+		return send(t, ok(r.Header.Get("Attempt-Id"), "x"), c)
+	})
+	in := call(s, "a")
+	in.Before = before
+	reply, err := newClient().Send(context.Background(), in)
+	assert.NilError(t, err)
+	got, err := reply.ReadAll()
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "x")
+}
