--- a/core/tslink/pacer_test.go
+++ b/core/tslink/pacer_test.go
@@ -54,6 +54,21 @@
 		assert.Assert(t, longestQueue(rate, got) <= 50*time.Millisecond)
 		assert.Assert(t, got[39].at.Sub(start) <= 40*size*time.Second/rate*12/10)
 	})
+	t.Run("the largest bodies at a small link leave its queue below a third of a second", func(t *testing.T) {
+		const rate, size = 1_250_000, 300_000
+		p, accounts := NewPacer(rate), map[Ticket]string{}
+		var got []sent
+		for i := range Ticket(40) {
+			accounts[i] = "a"
+			if _, ready := p.Offer(start, i, "a", size); ready {
+				got = append(got, sent{start, "a", size})
+				delete(accounts, i)
+			}
+		}
+		got = append(got, run(p, accounts, size)...)
+		assert.Equal(t, len(got), 40)
+		assert.Assert(t, longestQueue(rate, got) <= 300*time.Millisecond)
+	})
 	t.Run("an account that sends much does not hold up another one", func(t *testing.T) {
 		p, accounts := NewPacer(rate), map[Ticket]string{}
 		for i := range Ticket(40) {
