Test of sending: a removed server while another entry VM is cut off from the store

Cause: who hears through an entry VM that is cut off takes that for an outage of the store; returnGrace (2.2 s) then keeps a server whose entry was removed meanwhile.

--- a/io/tsgateway/send_test.go
+++ b/io/tsgateway/send_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -198,3 +199,91 @@
 		assert.Equal(t, one, 1)
 	})
 }
+
+// storeCut cuts one entry VM off from the store.
+type storeCut struct {
+	mu   sync.Mutex
+	cut  bool
+	open []net.Conn
+}
+
+// dialer opens connections, none to the store while it is cut off.
+func (s *storeCut) dialer(store string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := tsupstream.Dial(ctx, network, addr)
+		if err != nil || addr != store {
+			return c, err
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.cut {
+			_ = c.Close()
+			return nil, &net.OpError{Op: "dial", Net: network, Err: net.ErrClosed}
+		}
+		s.open = append(s.open, c)
+		return c, nil
+	}
+}
+
+// set resets all connections to the store and refuses new ones, or no longer.
+func (s *storeCut) set(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+	for _, c := range s.open {
+		_ = c.Close()
+	}
+	s.open = nil
+}
+
+// assertLastArrival checks that no request whose id begins so came to a server
+// later than that after a time.
+func assertLastArrival(t *testing.T, b *tsmetastore.Backend, id string, since time.Time, most time.Duration) {
+	t.Helper()
+	last, seen := time.Duration(0), b.Seen()
+	for n, at := range b.Arrivals() {
+		if strings.HasPrefix(seen[n].Get("Attempt-Id"), id) {
+			last = max(last, at.Sub(since))
+		}
+	}
+	assert.Check(t, last <= most, "the last request from %s came after %s", id, last)
+}
+
+// Entry VMs lost the one that they hear through, took that for an outage of the
+// store, and went on sending to a server whose entry had been removed.
+func TestServerThatLeavesWhileAnotherEntryVMIsCutOff(t *testing.T) {
+	const (
+		// drainTimeout is that of the smallest deployments.
+		drainTimeout = 2 * time.Second
+		entryVMs     = 4
+	)
+	for ill := range entryVMs {
+		t.Run(fmt.Sprintf("from entry VM %d", ill), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 1_000_000)
+			cuts, vms := make([]storeCut, entryVMs), make([]*entryVM, entryVMs)
+			for i := range vms {
+				vms[i] = r.startWith(fmt.Sprint("vm-", i+2), func(cfg *tsgateway.Config) { cfg.Dial = cuts[i].dialer(r.url) })
+			}
+			r.kill()
+			// All hear through one of them by then.
+			time.Sleep(6 * time.Second)
+			cuts[ill].set(true)
+			removed := time.Now()
+			r.store.Remove(platform.ServerPrefix + r.desks[0].ID)
+			time.AfterFunc(time.Second, func() { cuts[ill].set(false) })
+			for time.Since(removed) < 2*drainTimeout {
+				for i, vm := range vms {
+					at := *r
+					at.entryVM = vm
+					at.ask(http.MethodGet, "/look/1", "", "Attempt-Id", turmericshed.NewID(fmt.Sprintf("vm-%d-", i)))
+				}
+			}
+			for i := range vms {
+				if i != ill {
+					assertLastArrival(t, r.desks[0], fmt.Sprintf("vm-%d-", i), removed, drainTimeout)
+				}
+			}
+		})
+	}
+}
