Test of sending: a server is told the time left before its connection opened

Cause: the call's headers are made before the connection is open, which may take 1.5 s at a crowded link.

--- a/io/tsgateway/send_test.go
+++ b/io/tsgateway/send_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -200,6 +201,27 @@
 	})
 }
 
+// A server was told the time that was left before its connection opened.
+func TestTimeLeftWhenTheConnectionIsOpen(t *testing.T) {
+	t.Parallel()
+	const (
+		// asked is the caller's time limit, opening what the connection takes of
+		// it, and slack what a server may be told too much.
+		asked, opening, slack = 4 * time.Second, time.Second, 500 * time.Millisecond
+	)
+	r := newSendRig(t, 0)
+	answered := make(chan reply, 1)
+	go func() { answered <- r.ask(http.MethodPost, "/pay/1", "frame", "Attempt-Id", "late") }()
+	chosen := <-r.opening
+	time.Sleep(opening)
+	close(r.release)
+	assertStatus(t, <-answered, http.StatusOK)
+	told, err := strconv.Atoi(chosen.Seen()[0].Get("Deadline-Remaining"))
+	assert.NilError(t, err)
+	left := time.Duration(told) * time.Millisecond
+	assert.Assert(t, left <= asked-opening+slack, "%s are left of %s, %s after it was asked", left, asked, opening)
+}
+
 // storeCut cuts one entry VM off from the store.
 type storeCut struct {
 	mu   sync.Mutex
