--- /dev/null
+++ b/io/tsgateway/send_test.go
@@ -0,0 +1,311 @@
+package tsgateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/io/tsgateway"
+	"turmericshed/io/tsupstream"
+	"turmericshed/platform"
+	"turmericshed/standin/tsmetastore"
+)
+
+// sendRoutes have no objective, so that no attempt ends by impatience, and marks
+// have a service of their own.
+var sendRoutes = []string{
+	`{"name":"pay","host":"corner.example","prefix":"/pay/","kind":"unsafe","service":"desk","timeoutMs":4000,"maxAttempts":1}`,
+	`{"name":"find","host":"corner.example","prefix":"/find/","kind":"safe","service":"desk","timeoutMs":4000,"maxAttempts":2}`,
+	`{"name":"tell","host":"corner.example","prefix":"/tell/","kind":"streaming","service":"pool","timeoutMs":4000,"maxAttempts":2,"resumable":true}`,
+	`{"name":"mark","host":"corner.example","prefix":"/mark/","kind":"safe","service":"mark","timeoutMs":2000,"maxAttempts":1}`,
+}
+
+// sendRig is a rig whose entry VM waits for one connection to a server.
+type sendRig struct {
+	*rig
+	marks int
+	// early is how many connections to servers open at once before the one that
+	// waits.
+	early atomic.Int32
+	// opening is told of the server whose connection waits; release ends that.
+	opening chan *tsmetastore.Backend
+	release chan struct{}
+}
+
+func newSendRig(t *testing.T, early int32) *sendRig {
+	t.Helper()
+	r := &sendRig{rig: newRig(t, 1_000_000), opening: make(chan *tsmetastore.Backend, 1), release: make(chan struct{})}
+	r.early.Store(early)
+	r.engines = append(r.engines, r.backend("engine-2", "pool", events))
+	r.desks = append(r.desks, r.backend("desk-2", "desk", 0))
+	r.setTable(1_000_000, sendRoutes...)
+	servers := slices.Concat(r.desks, r.engines)
+	r.entryVM = r.startWith("vm-2", func(cfg *tsgateway.Config) {
+		cfg.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := tsupstream.Dial(ctx, network, addr)
+			i := slices.IndexFunc(servers, func(b *tsmetastore.Backend) bool { return b.Addr() == addr })
+			if err != nil || i < 0 || r.early.Add(-1) != -1 {
+				return c, err
+			}
+			r.opening <- servers[i]
+			select {
+			case <-r.release:
+				return c, nil
+			case <-ctx.Done():
+				_ = c.Close()
+				return nil, ctx.Err()
+			}
+		}
+	})
+	r.heard()
+	return r
+}
+
+// heard waits until the entry VM acts on all that was written to the store: it
+// sends to a server whose entry is the last one.
+func (r *sendRig) heard() {
+	r.t.Helper()
+	r.marks++
+	mark := r.backend(fmt.Sprint("mark-", r.marks), "mark", 0)
+	r.eventually("the entry VM hears of the last entry", func() bool {
+		r.ask(http.MethodGet, "/mark/1", "")
+		return len(mark.Arrivals()) > 0
+	})
+}
+
+// put writes a server's entry, or one with many slots, which is chosen first.
+func (r *sendRig) put(b *tsmetastore.Backend, state string, slots int) {
+	service := "desk"
+	if b.Events > 0 {
+		service = "pool"
+	}
+	entry := strings.Replace(string(b.Entry(service, "a", state)), `"slots":8`, fmt.Sprintf(`"slots":%d`, slots), 1)
+	r.store.Put(platform.ServerPrefix+b.ID, []byte(entry))
+}
+
+// leave lets the entry VM hear in one of the ways that a server leaves.
+func (r *sendRig) leave(b *tsmetastore.Backend, how string) {
+	r.t.Helper()
+	switch how {
+	case "is draining":
+		r.put(b, "draining", 8)
+		r.heard()
+	case "is removed":
+		r.store.Remove(platform.ServerPrefix + b.ID)
+		r.heard()
+	case "says so itself":
+		r.put(b, "ready", 8000)
+		r.heard()
+		b.Behave(tsmetastore.BehaveLeaving)
+		path := "/find/1"
+		if b.Events > 0 {
+			path = "/tell/1"
+		}
+		r.eventually("the server tells another request that it leaves", func() bool {
+			r.ask(http.MethodPost, path, "")
+			return len(b.Arrivals()) > 0
+		})
+	default:
+		r.t.Fatalf("no way to leave: %s", how)
+	}
+}
+
+// askWhileLeaving sends a request whose server leaves while the connection to
+// it opens, and returns that server.
+func (r *sendRig) askWhileLeaving(path, id, how string, before func(chosen *tsmetastore.Backend)) (*tsmetastore.Backend, reply) {
+	r.t.Helper()
+	answered := make(chan reply, 1)
+	go func() { answered <- r.ask(http.MethodPost, path, "frame", "Attempt-Id", id) }()
+	var chosen *tsmetastore.Backend
+	select {
+	case chosen = <-r.opening:
+	case got := <-answered:
+		r.t.Fatalf("answered before a connection waited: %d %s", got.status, got.body)
+	}
+	before(chosen)
+	r.leave(chosen, how)
+	close(r.release)
+	return chosen, <-answered
+}
+
+func assertNotSent(t *testing.T, b *tsmetastore.Backend, id string) {
+	t.Helper()
+	for _, h := range b.Seen() {
+		assert.Assert(t, h.Get("Attempt-Id") != id, "sent to %s, which leaves", b.ID)
+	}
+}
+
+// A request was sent to a server of which the entry VM had heard, after the
+// choice and before the connection was open, that it leaves.
+func TestOpenedTooLateForALeavingServer(t *testing.T) {
+	nothing := func(*tsmetastore.Backend) {}
+	for _, how := range []string{"is draining", "is removed", "says so itself"} {
+		t.Run("a request goes elsewhere when its server "+how, func(t *testing.T) {
+			t.Parallel()
+			r := newSendRig(t, 0)
+			chosen, got := r.askWhileLeaving("/pay/1", "late", how, nothing)
+			assertNotSent(t, chosen, "late")
+			assertStatus(t, got, http.StatusOK)
+		})
+		t.Run("one is refused when the last server "+how, func(t *testing.T) {
+			t.Parallel()
+			r := newSendRig(t, 0)
+			for _, d := range r.desks[1:] {
+				r.put(d, "draining", 8)
+			}
+			r.heard()
+			chosen, got := r.askWhileLeaving("/pay/1", "late", how, nothing)
+			assertNotSent(t, chosen, "late")
+			assertRefused(t, got, http.StatusServiceUnavailable, turmericshed.OutcomeNotRun)
+		})
+		t.Run("a second attempt goes elsewhere when its server "+how, func(t *testing.T) {
+			t.Parallel()
+			r := newSendRig(t, 1)
+			behave(r.desks, tsmetastore.BehaveLosing)
+			chosen, got := r.askWhileLeaving("/find/1", "late", how, func(*tsmetastore.Backend) { behave(r.desks, tsmetastore.BehaveWell) })
+			assertNotSent(t, chosen, "late")
+			assertStatus(t, got, http.StatusOK)
+		})
+		t.Run("a stream is resumed elsewhere when the server "+how, func(t *testing.T) {
+			t.Parallel()
+			r := newSendRig(t, 1)
+			behave(r.engines, tsmetastore.BehaveBreaking)
+			chosen, got := r.askWhileLeaving("/tell/1", "late", how, func(*tsmetastore.Backend) { behave(r.engines, tsmetastore.BehaveWell) })
+			assertNotSent(t, chosen, "late")
+			assertStatus(t, got, http.StatusOK)
+			assert.Equal(t, got.body, wholeStream(1))
+		})
+	}
+	t.Run("a server that stays gets what waited for its connection", func(t *testing.T) {
+		t.Parallel()
+		r := newSendRig(t, 0)
+		answered := make(chan reply, 1)
+		go func() { answered <- r.ask(http.MethodPost, "/pay/1", "frame", "Attempt-Id", "late") }()
+		chosen := <-r.opening
+		r.heard()
+		time.AfterFunc(100*time.Millisecond, func() { close(r.release) })
+		assertStatus(t, <-answered, http.StatusOK)
+		one, _ := chosen.Runs("late")
+		assert.Equal(t, one, 1)
+	})
+}
+
+// A server was told the time that was left before its connection opened.
+func TestTimeLeftWhenTheConnectionIsOpen(t *testing.T) {
+	t.Parallel()
+	const (
+		// asked is the caller's time limit, opening what the connection takes of
+		// it, and slack what a server may be told too much.
+		asked, opening, slack = 4 * time.Second, time.Second, 500 * time.Millisecond
+	)
+	r := newSendRig(t, 0)
+	answered := make(chan reply, 1)
+	go func() { answered <- r.ask(http.MethodPost, "/pay/1", "frame", "Attempt-Id", "late") }()
+	chosen := <-r.opening
+	time.Sleep(opening)
+	close(r.release)
+	assertStatus(t, <-answered, http.StatusOK)
+	told, err := strconv.Atoi(chosen.Seen()[0].Get("Deadline-Remaining"))
+	assert.NilError(t, err)
+	left := time.Duration(told) * time.Millisecond
+	assert.Assert(t, left <= asked-opening+slack, "%s are left of %s, %s after it was asked", left, asked, opening)
+}
+
+// storeCut cuts one entry VM off from the store.
+type storeCut struct {
+	mu   sync.Mutex
+	cut  bool
+	open []net.Conn
+}
+
+// dialer opens connections, none to the store while it is cut off.
+func (s *storeCut) dialer(store string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := tsupstream.Dial(ctx, network, addr)
+		if err != nil || addr != store {
+			return c, err
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.cut {
+			_ = c.Close()
+			return nil, &net.OpError{Op: "dial", Net: network, Err: net.ErrClosed}
+		}
+		s.open = append(s.open, c)
+		return c, nil
+	}
+}
+
+// set resets all connections to the store and refuses new ones, or no longer.
+func (s *storeCut) set(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+	for _, c := range s.open {
+		_ = c.Close()
+	}
+	s.open = nil
+}
+
+// assertLastArrival checks that no request whose id begins so came to a server
+// later than that after a time.
+func assertLastArrival(t *testing.T, b *tsmetastore.Backend, id string, since time.Time, most time.Duration) {
+	t.Helper()
+	last, seen := time.Duration(0), b.Seen()
+	for n, at := range b.Arrivals() {
+		if strings.HasPrefix(seen[n].Get("Attempt-Id"), id) {
+			last = max(last, at.Sub(since))
+		}
+	}
+	assert.Check(t, last <= most, "the last request from %s came after %s", id, last)
+}
+
+// Entry VMs lost the one that they hear through, took that for an outage of the
+// store, and went on sending to a server whose entry had been removed.
+func TestServerThatLeavesWhileAnotherEntryVMIsCutOff(t *testing.T) {
+	const (
+		// drainTimeout is that of the smallest deployments.
+		drainTimeout = 2 * time.Second
+		entryVMs     = 4
+	)
+	for ill := range entryVMs {
+		t.Run(fmt.Sprintf("from entry VM %d", ill), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, 1_000_000)
+			cuts, vms := make([]storeCut, entryVMs), make([]*entryVM, entryVMs)
+			for i := range vms {
+				vms[i] = r.startWith(fmt.Sprint("vm-", i+2), func(cfg *tsgateway.Config) { cfg.Dial = cuts[i].dialer(r.url) })
+			}
+			r.kill()
+			// All hear through one of them by then.
+			time.Sleep(6 * time.Second)
+			cuts[ill].set(true)
+			removed := time.Now()
+			r.store.Remove(platform.ServerPrefix + r.desks[0].ID)
+			time.AfterFunc(time.Second, func() { cuts[ill].set(false) })
+			for time.Since(removed) < 2*drainTimeout {
+				for i, vm := range vms {
+					at := *r
+					at.entryVM = vm
+					at.ask(http.MethodGet, "/look/1", "", "Attempt-Id", turmericshed.NewID(fmt.Sprintf("vm-%d-", i)))
+				}
+			}
+			for i := range vms {
+				if i != ill {
+					assertLastArrival(t, r.desks[0], fmt.Sprintf("vm-%d-", i), removed, drainTimeout)
+				}
+			}
+		})
+	}
+}
