Link: a body waits for what else was written, not for other bodies alone

What callers saw: the end of a request could leave an entry VM with a small link seconds after it was sent, behind answers to callers. Change: a body whose turn has come waits until at most 100 ms of bytes are in front of it, and is refused at once where that would be after its deadline. Evidence: TestAwaitBehindOtherBytes, 4 of its 5 parts failed before.

--- a/io/tsmeter/pace.go
+++ b/io/tsmeter/pace.go
@@ -7,26 +7,33 @@
 
 	"turmericshed"
 	"turmericshed/core/tslink"
+	"turmericshed/io/tspause"
 )
 
 // pacedSize is the size from which bodies wait for their turn.
 const pacedSize = 2 << 10
 
+// shortQueue is what a body may find at the link when its turn comes.
+const shortQueue = 100 * time.Millisecond
+
 // turns hands out the turns of bodies at the link.
 type turns struct {
 	mu      sync.Mutex
 	pacer   *tslink.Pacer
 	ticket  tslink.Ticket
 	waiting map[tslink.Ticket]chan struct{}
+	// last is held by the body that waits for the link's queue.
+	last chan struct{}
 	// timer runs while something waits.
 	timer *time.Timer
 }
 
 func newTurns(rate float64) *turns {
-	return &turns{pacer: tslink.NewPacer(rate), waiting: make(map[tslink.Ticket]chan struct{})}
+	return &turns{pacer: tslink.NewPacer(rate), waiting: make(map[tslink.Ticket]chan struct{}), last: make(chan struct{}, 1)}
 }
 
-// Await waits until size bytes of a client account may be sent. Errors:
+// Await waits until size bytes of a client account may be sent: for their turn
+// among the bodies, and then until little else waits at the link. Errors:
 // KindOverloaded at once when that would be after the deadline of ctx, with the
 // time to wait as advice; KindCanceled when ctx ends.
 func (m *Meter) Await(ctx context.Context, account turmericshed.AccountID, size int) error {
@@ -36,7 +43,7 @@
 	t := m.turns
 	ticket, turn, wait := t.offer(account, size)
 	if turn == nil {
-		return nil
+		return m.awaitQueue(ctx)
 	}
 	if until, ok := ctx.Deadline(); ok && time.Until(until) <= wait {
 		t.cancel(ticket)
@@ -45,13 +52,38 @@
 	}
 	select {
 	case <-turn:
-		return nil
+		return m.awaitQueue(ctx)
 	case <-ctx.Done():
 		t.cancel(ticket)
 		return turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "waiting for the own link")
 	}
 }
 
+// awaitQueue waits until little waits at the link. Only bodies take turns, and
+// answers to callers may be in front of them. One body at a time waits for the
+// queue, so that each finds what the one before it wrote.
+func (m *Meter) awaitQueue(ctx context.Context) error {
+	select {
+	case m.turns.last <- struct{}{}:
+		defer func() { <-m.turns.last }()
+	case <-ctx.Done():
+		return turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "waiting for the own link")
+	}
+	for {
+		wait := m.state().queue - shortQueue
+		if wait <= 0 {
+			return nil
+		}
+		if until, ok := ctx.Deadline(); ok && time.Until(until) <= wait {
+			err := turmericshed.NewError(turmericshed.KindOverloaded, "the own link is full: %s to wait", wait.Round(time.Millisecond))
+			return turmericshed.WithRetryAfter(err, wait)
+		}
+		if !tspause.For(ctx, wait) {
+			return turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "waiting for the own link")
+		}
+	}
+}
+
 // offer asks for a turn; a nil channel stands for now.
 func (t *turns) offer(account turmericshed.AccountID, size int) (ticket tslink.Ticket, turn chan struct{}, wait time.Duration) {
 	t.mu.Lock()
