Sending: a request is not sent to a server that left since it was chosen

What callers saw: a request given to a server waited for a connection, a permit or its link, and was sent although the entry VM had heard meanwhile that the server leaves; a large body's end left long after that. The server was told the time that was left before the connection opened. Cause: the decision was looked at once, when the server was chosen; the time until which it holds bound the connection alone, and only at a crowded link. Change: right before the first byte the router is asked again (InService) and the freshness looked at; the last byte has to be written until then, or both are looked at again. A permit drawn for a server that left meanwhile counts for nothing. The headers are made when they are sent.

--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -174,6 +174,13 @@
 	r.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventServerPaused, Server: s.ID, Reason: "asked for no work for " + d.String()})
 }
 
+// InService reports whether a server is listed, isn't leaving and has not asked
+// for a pause.
+func (r *Router) InService(now time.Time, id turmericshed.ServerID) bool {
+	s := r.servers[id]
+	return s != nil && !s.leaving && !now.Before(s.paused)
+}
+
 func (r *Router) setLeaving(s *server, reason string) {
 	if !s.leaving {
 		r.cfg.Recorder.Record(turmericshed.Event{Name: turmericshed.EventServerLeaving, Server: s.ID, Reason: reason})
--- a/fleet.go
+++ b/fleet.go
@@ -170,6 +170,9 @@
 	// Pick chooses a server and counts the request as in flight there.
 	// Errors: KindNoBackend, KindOverloaded.
 	Pick(now time.Time, r RouteRequest) (BackendServer, error)
+	// InService reports whether a server that was picked may still be sent to:
+	// it is listed, isn't leaving and has not asked for a pause.
+	InService(now time.Time, id ServerID) bool
 	// Done ends an attempt counted by Pick.
 	Done(now time.Time, id ServerID, r RouteRequest, res DispatchResult)
 }
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -251,28 +252,47 @@
 
 // call is the request as it goes to a server.
 func (q *request) call(server turmericshed.BackendServer) tsupstream.Call {
+	header := make(http.Header)
+	return tsupstream.Call{
+		Server: server, ID: q.in.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
+		Header: header, Body: q.body, Once: !q.route.Repeatable, Connections: q.relay.connectionShare(q.spec()),
+		Ready: func() (time.Time, error) {
+			if len(header) == 0 {
+				maps.Copy(header, q.header(server.ID))
+			}
+			return q.ready(server.ID)
+		},
+	}
+}
+
+// header is the headers of the request as it is sent to a server now.
+func (q *request) header(server turmericshed.ServerID) http.Header {
 	out := turmericshed.Outbound{
-		Server: server.ID, Account: q.account.Account, TimeLimit: time.Until(q.deadline),
+		Server: server, Account: q.account.Account, TimeLimit: time.Until(q.deadline),
 		Urgency: q.urgency(), SetUrgency: q.generates(),
 	}
 	if q.route.Stream && q.lastEvent > 0 {
 		out.LastEvent = q.lastEvent
 	}
-	return tsupstream.Call{
-		Server: server, ID: q.in.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
-		Header: q.relay.cfg.Codec.EncodeRequest(q.r.Header, out), Body: q.body,
-		Once: !q.route.Repeatable, Ready: q.ready, Connections: q.relay.connectionShare(q.spec()),
-	}
+	return q.relay.cfg.Codec.EncodeRequest(q.r.Header, out)
 }
 
-// ready returns nil while the request may reach a server: since the server was
-// chosen the request waited, and what was known grew old.
-func (q *request) ready() error {
+// ready returns until when the request may be sent to the server: since the
+// server was chosen the request waited, and news came or grew old. Errors:
+// KindNoBackend, KindNotReady.
+func (q *request) ready(server turmericshed.ServerID) (until time.Time, err error) {
+	now := time.Now()
+	if !q.relay.cfg.Router.InService(now, server) {
+		return until, turmericshed.NewError(turmericshed.KindNoBackend, "server %s left service before it was sent to", server)
+	}
 	var delay time.Duration
 	if q.relay.cfg.Link != nil {
 		delay = q.relay.cfg.Link.Delay(len(q.body))
 	}
-	return q.relay.mayAct(time.Now(), delay)
+	if f := q.relay.cfg.Freshness; f != nil {
+		until = f.Until()
+	}
+	return until, q.relay.mayAct(now, delay)
 }
 
 // relayWhole answers the caller with a whole answer.
--- a/io/tsrelay/send_test.go
+++ b/io/tsrelay/send_test.go
@@ -66,6 +66,7 @@
 func (*waits) Settle(turmericshed.Reservation, turmericshed.Tokens) {}
 func (*waits) Suspend(turmericshed.Reservation)                     {}
 func (*waits) Drain(context.Context) error                          { return nil }
+func (*waits) Delay(int) time.Duration                              { return 0 }
 
 func (*waits) Answered(turmericshed.BackendServer, time.Time, turmericshed.BackendReply) {}
 
@@ -111,7 +112,6 @@
 		Codec: platform.Codec{}, Router: s.pool, Budgets: s.waits, Link: s.waits, Limits: s.waits, Log: slog.New(slog.DiscardHandler),
 		Upstream: tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: s.waits.dial}),
 		Retries:  tsrelay.RetryBounds{Ratio: 1, Slack: 100, Window: time.Minute}, EntryVMs: func() int { return 1 },
-		TableAge: func() time.Duration { return 0 }, NewsAge: func() time.Duration { return 0 },
 	})
 	table, err := platform.DecodeTable([]byte(sendTable))
 	assert.NilError(t, err)
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -104,6 +104,13 @@
 	p.router.Pause(now, id, d)
 }
 
+// InService reports whether a server may still be sent to.
+func (p *Pool) InService(now time.Time, id turmericshed.ServerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.router.InService(now, id)
+}
+
 // post marks a server as leaving on the board, from where peers hear of it.
 func (p *Pool) post(id turmericshed.ServerID) {
 	unmarked := func(s turmericshed.BackendServer) bool { return s.ID == id && !s.Leaving }
@@ -132,10 +139,16 @@
 		if err != nil {
 			return s, p.closedError(now, r, closed, err)
 		}
-		if p.cfg.Limits.Acquire(s) {
+		acquired := p.cfg.Limits.Acquire(s)
+		if acquired && p.InService(time.Now(), s.ID) {
 			return s, nil
 		}
 		p.release(now, s.ID)
+		if acquired {
+			// It left while the permit was drawn.
+			r.Excluded = append(slices.Clone(r.Excluded), s.ID)
+			continue
+		}
 		if closed == nil {
 			closed = make(map[turmericshed.ServerID]time.Time)
 		}
--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -21,6 +21,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -95,9 +96,11 @@
 	// Once requests must not run twice; they avoid connections that the
 	// server may have dropped.
 	Once bool
-	// Ready is asked right before the first byte is sent; its error ends the
-	// call, which then was not sent. nil sends always.
-	Ready func() error
+	// Ready is asked right before the first byte is sent, and returns until
+	// when the last one may be; zero for any time. It is asked again then. Its
+	// error ends the call, which was not sent if that was the first time. It
+	// may change Header. nil sends always.
+	Ready func() (until time.Time, err error)
 	// Connections bounds the connections to the server; 0 means no bound.
 	Connections int
 }
@@ -126,15 +129,16 @@
 	if err != nil {
 		return nil, err
 	}
+	var until time.Time
 	if call.Ready != nil {
-		if err := call.Ready(); err != nil {
+		if until, err = call.Ready(); err != nil {
 			c.conns.discard(k, cn)
 			return nil, err
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	r := &Reply{client: c, key: k, conn: cn, stop: stop, written: make(chan error, 1)}
-	if err := r.write(call); err != nil {
+	if err := r.write(call, until); err != nil {
 		r.Close()
 		return nil, turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: write", call.Server.ID)
 	}
@@ -163,7 +167,7 @@
 }
 
 // write sends the request, a large body beside the reading of the answer.
-func (r *Reply) write(call Call) error {
+func (r *Reply) write(call Call, until time.Time) error {
 	var head bytes.Buffer
 	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
 	if err := call.Header.Write(&head); err != nil {
@@ -175,18 +179,36 @@
 	head.WriteString("\r\n")
 	if len(call.Body) <= inlineBody {
 		head.Write(call.Body)
-		_, err := r.conn.Write(head.Bytes())
+		err := r.writeUntil(call, until, net.Buffers{head.Bytes()})
 		r.written <- nil
 		return err
 	}
-	go func() {
-		bufs := net.Buffers{head.Bytes(), call.Body}
-		_, err := bufs.WriteTo(r.conn.Conn)
-		r.written <- err
-	}()
+	go func() { r.written <- r.writeUntil(call, until, net.Buffers{head.Bytes(), call.Body}) }()
 	return nil
 }
 
+// writeUntil writes while the call may be sent.
+func (r *Reply) writeUntil(call Call, until time.Time, bufs net.Buffers) error {
+	for {
+		if err := r.conn.SetWriteDeadline(until); err != nil {
+			return err
+		}
+		_, err := bufs.WriteTo(r.conn.Conn)
+		if err == nil {
+			return r.conn.SetWriteDeadline(time.Time{})
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		again, readyErr := call.Ready()
+		if readyErr != nil || !again.After(time.Now()) {
+			// What was not sent must not reach the server later.
+			return errors.Join(err, readyErr, r.conn.Close())
+		}
+		until = again
+	}
+}
+
 // readHead reads the headers and checks whom they answer.
 func (r *Reply) readHead(call Call) error {
 	var resp *http.Response
--- a/io/tsupstream/client_test.go
+++ b/io/tsupstream/client_test.go
@@ -219,10 +219,12 @@
 		return send(t, ok("a", "late"), c)
 	})
 	late := call(s, "a")
-	late.Ready = func() error { return turmericshed.NewError(turmericshed.KindNoBackend, "too late") }
+	late.Ready = func() (time.Time, error) {
+		return time.Time{}, turmericshed.NewError(turmericshed.KindNoBackend, "too late")
+	}
 	_, err := fetch(newClient(), late)
 	assertKind(t, err, turmericshed.KindNoBackend)
-	late.Ready = func() error { return nil }
+	late.Ready = func() (time.Time, error) { return time.Now().Add(time.Hour), nil }
 	_, err = fetch(newClient(), late)
 	assert.NilError(t, err)
 	assert.Equal(t, requests.Load(), int32(1))
--- a/io/tsupstream/ready_test.go
+++ b/io/tsupstream/ready_test.go
@@ -47,11 +47,16 @@
 // bodySize is more than the buffers of both ends take.
 const bodySize = 32 << 20
 
+// readyUntil lets a call be sent until a time.
+func readyUntil(at time.Time) func() (time.Time, error) {
+	return func() (time.Time, error) { return at, nil }
+}
+
 // sendBefore sends a large body that may be sent until a time.
 func sendBefore(s turmericshed.BackendServer, before time.Time) error {
 	_, err := fetch(newClient(), tsupstream.Call{
 		Server: s, ID: "a", Method: http.MethodPost, Target: "/p", Host: "corner.example",
-		Header: http.Header{"Attempt-Id": {"a"}}, Body: make([]byte, bodySize), Before: before,
+		Header: http.Header{"Attempt-Id": {"a"}}, Body: make([]byte, bodySize), Ready: readyUntil(before),
 	})
 	return err
 }
@@ -66,6 +71,18 @@
 		assertKind(t, sendBefore(s, before), turmericshed.KindCallUnknown)
 		assert.Assert(t, <-came < bodySize, "the whole body came")
 	})
+	t.Run("is sent whole where it may go on", func(t *testing.T) {
+		t.Parallel()
+		begun := time.Now()
+		s, came := lateReader(t, func() time.Time { return begun.Add(600 * time.Millisecond) })
+		_, err := fetch(newClient(), tsupstream.Call{
+			Server: s, ID: "a", Method: http.MethodPost, Target: "/p", Host: "corner.example",
+			Header: http.Header{"Attempt-Id": {"a"}}, Body: make([]byte, bodySize),
+			Ready: func() (time.Time, error) { return time.Now().Add(100 * time.Millisecond), nil },
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, <-came, int64(bodySize))
+	})
 	t.Run("is sent whole where any time will do", func(t *testing.T) {
 		t.Parallel()
 		s, came := lateReader(t, func() time.Time { return time.Now().Add(300 * time.Millisecond) })
@@ -78,7 +95,7 @@
 		s := newRaw(t, func(c net.Conn, r *http.Request, _ int) bool { return send(t, ok(r.Header.Get("Attempt-Id"), "x"), c) })
 		client := newClient()
 		first := call(s, "a")
-		first.Before = before
+		first.Ready = readyUntil(before)
 		_, err := fetch(client, first)
 		assert.NilError(t, err)
 		time.Sleep(time.Until(before.Add(50 * time.Millisecond)))
@@ -98,7 +115,7 @@
 		return send(t, ok(r.Header.Get("Attempt-Id"), "x"), c)
 	})
 	in := call(s, "a")
-	in.Before = before
+	in.Ready = readyUntil(before)
 	reply, err := newClient().Send(context.Background(), in)
 	assert.NilError(t, err)
 	got, err := reply.ReadAll()
--- a/load/tsexperiment/routing_policy.go
+++ b/load/tsexperiment/routing_policy.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// InService reports true: a baseline sends to what it chose.
+func (*routingBaseline) InService(time.Time, turmericshed.ServerID) bool { return true }
+
 // routingChoice is one server as a baseline sees it.
 type routingChoice struct {
 	turmericshed.BackendServer
