Sending: bytes of a request that was given up don't leave later

Cause: closing a connection leaves what was written to the kernel, which goes on sending it. Change: the end of a connection drops what was not delivered (SO_LINGER 0). Evidence: TestBytesOfACallThatWasGivenUpDoNotLeaveLater fails without it.

--- a/io/tsupstream/conn.go
+++ b/io/tsupstream/conn.go
@@ -44,7 +44,8 @@
 	Link turmericshed.Link
 }
 
-// Dial opens a connection that notices a silent peer.
+// Dial opens a connection that notices a silent peer, and whose end drops what
+// still waits to be sent.
 func (l Dialer) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         turmericshed.Patience(l.Link, dialTimeout, crowdedDialTimeout),
@@ -60,7 +61,17 @@
 			return err
 		},
 	}
-	return d.DialContext(ctx, network, addr)
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// What was not delivered when the connection is closed must not be later.
+		if err := tcp.SetLinger(0); err != nil {
+			return nil, errors.Join(err, c.Close())
+		}
+	}
+	return c, nil
 }
 
 // conn is a connection to a backend server that carries one request at a time.
--- a/io/tsupstream/ready_test.go
+++ b/io/tsupstream/ready_test.go
@@ -122,3 +122,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got), "x")
 }
+
+// Bytes of a request that had been given up went out as soon as the way to its
+// server was free again, and the server ran it.
+func TestBytesOfACallThatWasGivenUpDoNotLeaveLater(t *testing.T) {
+	t.Parallel()
+	// size is what the buffers of both ends take, so that all of it is written.
+	const size = 2 << 20
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	s, came := lateReader(t, func() time.Time {
+		<-ctx.Done()
+		return time.Now().Add(200 * time.Millisecond)
+	})
+	_, err := newClient().Send(ctx, tsupstream.Call{
+		Server: s, ID: "a", Method: http.MethodPost, Target: "/p", Host: "corner.example",
+		Header: http.Header{"Attempt-Id": {"a"}}, Body: make([]byte, size),
+	})
+	assertKind(t, err, turmericshed.KindCallUnknown)
+	assert.Assert(t, <-came < size, "the whole request came")
+}
