--- a/core/tsstory/tell.go
+++ b/core/tsstory/tell.go
@@ -64,7 +64,7 @@
 			return k.what, true
 		}
 	}
-	if l.VM == id && (l.Message == "serving" || l.Message == "stopped" || strings.HasSuffix(l.Message, "store lost") || strings.HasSuffix(l.Message, "store read")) {
+	if l.VM == id && (l.Message == "serving" || l.Message == "stopped" || isStoreView(l.Message)) {
 		return "the entry VM", true
 	}
 	if version, ok := strings.CutPrefix(id, "version "); ok && strings.HasSuffix(l.Message, "routing table in force") {
@@ -97,7 +97,7 @@
 		switch {
 		case strings.HasSuffix(l.Message, "routing table in force"):
 			once(l, "table", "the routing table then")
-		case strings.HasSuffix(l.Message, "store lost"), strings.HasSuffix(l.Message, "store read"):
+		case isStoreView(l.Message):
 			once(l, "store "+l.Values["prefix"], "the view of the store then")
 		case strings.HasSuffix(l.Message, "store_lost"), strings.HasSuffix(l.Message, "store_back"):
 			once(l, "ledgers", "whether ledgers could be written")
@@ -129,3 +129,9 @@
 		return was
 	})
 }
+
+// isStoreView reports whether a line tells that a VM lost the store or reached
+// it again.
+func isStoreView(msg string) bool {
+	return strings.HasSuffix(msg, "store lost") || strings.HasSuffix(msg, "store read") || strings.HasSuffix(msg, "store back")
+}
--- a/io/tsnews/source.go
+++ b/io/tsnews/source.go
@@ -287,7 +287,7 @@
 	s.lost = false
 	s.mu.Unlock()
 	if back {
-		s.cfg.Log.Info("store is back", "prefix", prefix, "age_ms", s.cfg.Freshness.Age(now, s.cfg.Facts[prefix]).Milliseconds())
+		s.cfg.Log.Info("store back", "prefix", prefix, "age_ms", s.cfg.Freshness.Age(now, s.cfg.Facts[prefix]).Milliseconds())
 	}
 }
 
@@ -296,11 +296,11 @@
 	first := !s.lost
 	s.lost = true
 	s.mu.Unlock()
-	level := slog.LevelInfo
+	level, msg := slog.LevelInfo, "store does not answer"
 	if first {
-		level = slog.LevelWarn
+		level, msg = slog.LevelWarn, "store lost"
 	}
-	s.cfg.Log.Log(context.Background(), level, "store does not answer", "prefix", prefix, "proven", proven, "elapsed_ms", time.Since(asked).Milliseconds(),
+	s.cfg.Log.Log(context.Background(), level, msg, "prefix", prefix, "proven", proven, "elapsed_ms", time.Since(asked).Milliseconds(),
 		"age_ms", s.cfg.Freshness.Age(asked, s.cfg.Facts[prefix]).Milliseconds(), "crowded", s.crowded(asked), "error", err.Error())
 }
 
