--- a/io/tsnews/feed.go
+++ b/io/tsnews/feed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericshed"
+	"turmericshed/io/tsuptime"
 )
 
 const (
@@ -28,7 +29,7 @@
 	// asOf is the time up to which items and log are complete; zero while
 	// nothing is known.
 	asOf time.Time
-	// suspended is what suspended returned when asOf was set.
+	// suspended is what tsuptime.Suspended returned when asOf was set.
 	suspended time.Duration
 	// changed is closed with the next change.
 	changed chan struct{}
@@ -48,7 +49,7 @@
 	for _, i := range snap.Items {
 		f.items[i.Key] = i
 	}
-	f.log, f.first, f.at, f.asOf, f.suspended = nil, snap.At, snap.At, snap.AsOf, suspended()
+	f.log, f.first, f.at, f.asOf, f.suspended = nil, snap.At, snap.At, snap.AsOf, tsuptime.Suspended()
 	f.wakeLocked()
 }
 
@@ -66,7 +67,7 @@
 		return
 	}
 	if c.AsOf.After(f.asOf) {
-		f.asOf, f.suspended = c.AsOf, suspended()
+		f.asOf, f.suspended = c.AsOf, tsuptime.Suspended()
 	}
 	for _, ev := range c.Events {
 		if ev.Version <= f.at {
@@ -152,7 +153,7 @@
 // changesLocked reports whether anything changed. All items are returned as
 // Reset.
 func (f *feed) changesLocked(after turmericshed.Version) (turmericshed.Changes, bool) {
-	c := turmericshed.Changes{At: max(f.at, after), AsOf: f.asOf.Add(f.suspended - suspended())}
+	c := turmericshed.Changes{At: max(f.at, after), AsOf: f.asOf.Add(f.suspended - tsuptime.Suspended())}
 	if after < f.first && f.at >= after {
 		c.Reset = true
 		for _, i := range f.items {
--- /dev/null
+++ b/io/tsuptime/uptime_test.go
@@ -0,0 +1,25 @@
+package tsuptime_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed/io/tsuptime"
+)
+
+func TestUptime(t *testing.T) {
+	t.Run("goes on", func(t *testing.T) {
+		since := tsuptime.Now()
+		time.Sleep(20 * time.Millisecond)
+		passed := tsuptime.Now() - since
+		assert.Assert(t, passed >= 20*time.Millisecond, "%s", passed)
+	})
+	t.Run("a machine that is awake was not suspended meanwhile", func(t *testing.T) {
+		before := tsuptime.Suspended()
+		time.Sleep(20 * time.Millisecond)
+		slept := tsuptime.Suspended() - before
+		assert.Assert(t, slept.Abs() <= 10*time.Millisecond, "%s", slept)
+	})
+}
