Stop: changed settings don't end an entry VM that is stopping

Cause: SIGHUP was taken while settings were followed, which ended with SIGTERM and gave the signal's default back: it ends the process. Change: SIGHUP is taken from the start of the process to its end.

--- a/io/tscommand/gateway.go
+++ b/io/tscommand/gateway.go
@@ -29,6 +29,9 @@
 // runGateway serves as one entry VM on the users' platform until ctx ends,
 // then stops gracefully.
 func runGateway(ctx context.Context, args []string, out, errOut io.Writer) error {
+	// Never given back: its default ends the process, also in a stop.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	o, err := parseGateway(args, errOut)
 	if err != nil {
 		return err
@@ -48,7 +51,7 @@
 	}
 	reloadCtx, stopReload := context.WithCancel(ctx)
 	defer stopReload()
-	go followSettings(reloadCtx, o.config, log, g.Reload)
+	go followSettings(reloadCtx, hangup, o.config, log, g.Reload)
 	err = g.Serve(ctx)
 	if n := lines.Dropped(); n > 0 {
 		log.Warn("log lines dropped", "count", n)
@@ -57,10 +60,7 @@
 }
 
 // followSettings reloads the settings file at SIGHUP and when it changed.
-func followSettings(ctx context.Context, path string, log *slog.Logger, reload func(platform.Settings)) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func followSettings(ctx context.Context, hangup <-chan os.Signal, path string, log *slog.Logger, reload func(platform.Settings)) {
 	t := time.NewTicker(settingsPoll)
 	defer t.Stop()
 	var last []byte
