News: what is listened for outlasts a question that was answered

Cause: an answered question ended the call to the relay that was on its way through the same full link, took that for the relay's failure, and passed it over for two seconds. Change: the call goes on and is taken up again the next time. It ends by its own time. The test prints the logs.

--- a/io/tsnews/source_test.go
+++ b/io/tsnews/source_test.go
@@ -54,6 +54,26 @@
 	// crowded entry VMs take roundTrip for each exchange, on a crowded link.
 	crowded   bool
 	roundTrip time.Duration
+	// log is what the news log.
+	log syncBuffer
+}
+
+// syncBuffer is a buffer that is safe for concurrent use.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
 }
 
 // Crowded implements turmericshed.Link, of which the rest is not asked.
@@ -189,7 +209,7 @@
 		v.fresh = tsfreshness.New(d.bounds)
 		v.news = tsnews.New(tsnews.Config{
 			Members: v, Store: store, Peers: v, Freshness: v.fresh, Link: v, Facts: map[string]tsfreshness.Fact{"p/": tsfreshness.Servers},
-			Log: slog.New(slog.DiscardHandler),
+			Log: slog.New(slog.NewTextHandler(&v.log, nil)),
 		})
 		v.mux.Handle(v.news.Handler())
 		v.m = tsmirror.New(tsmirror.Config{
@@ -322,7 +342,7 @@
 			d.set(func() { v.crowded, v.roundTrip = true, roundTrip })
 			time.Sleep(2 * time.Second)
 			refused := v.refusals(8 * time.Second)
-			assert.Assert(t, refused <= 0.02, "%.2f of the time", refused)
+			assert.Assert(t, refused <= 0.02, "%.2f of the time; its log:\n%s\nthe log of the one that tells:\n%s", refused, &v.log, &d.vms[0].log)
 		})
 	}
 }
--- a/io/tsnews/watcher.go
+++ b/io/tsnews/watcher.go
@@ -21,8 +21,11 @@
 	ready  []turmericshed.WatchEvent
 	// watched is when the store's watch was last called.
 	watched time.Time
-	// asking brings the answer to a question to the store; nil without one.
-	asking <-chan answer
+	// heard brings what is listened for, asking the answer to a question to the
+	// store; nil without one.
+	heard, asking <-chan answer
+	// stop ends what is listened for; nil before the first time.
+	stop context.CancelFunc
 }
 
 // answer is what was heard after a version.
@@ -59,13 +62,13 @@
 }
 
 // hear waits for news, and asks the store itself beside that when it is time to.
+// What is waited for still when it returns is waited for the next time.
 func (w *watcher) hear(ctx context.Context) (turmericshed.Changes, error) {
-	askIn := max(time.Until(w.s.cfg.Freshness.AskAt(w.fact)), 0)
-	listenCtx, cancel := context.WithTimeout(ctx, askIn+listenBeside)
-	defer cancel()
-	heard := w.listen(listenCtx, askIn+listenBeside)
-	ask := time.NewTimer(askIn)
+	ask := time.NewTimer(w.untilAsk())
 	defer ask.Stop()
+	if w.heard == nil {
+		w.heard = w.listen(ctx, w.untilAsk()+listenBeside)
+	}
 	var again <-chan time.Time
 	for {
 		select {
@@ -75,18 +78,13 @@
 			}
 		case a := <-w.asking:
 			w.asking = nil
-			if a.err != nil {
-				ask.Reset(max(time.Until(w.s.cfg.Freshness.AskAt(w.fact)), 0))
-				continue
-			}
-			cancel()
-			if heard != nil {
-				<-heard
+			if a.err == nil {
+				w.s.feed(w.prefix).apply(a.after, a.Changes)
+				return a.Changes, nil
 			}
-			w.s.feed(w.prefix).apply(a.after, a.Changes)
-			return a.Changes, nil
-		case a := <-heard:
-			heard = nil
+			ask.Reset(w.untilAsk())
+		case a := <-w.heard:
+			w.heard = nil
 			if w.isNews(a) {
 				return a.Changes, nil
 			}
@@ -103,21 +101,29 @@
 	}
 }
 
+// untilAsk returns the time until the store is to be asked.
+func (w *watcher) untilAsk() time.Duration {
+	return max(time.Until(w.s.cfg.Freshness.AskAt(w.fact)), 0)
+}
+
 // isNews reports whether anything was heard that is not known.
 func (w *watcher) isNews(a answer) bool {
 	return a.err == nil && (a.Reset || len(a.Events) > 0 || a.AsOf.After(w.s.cfg.Freshness.AsOf(w.fact)))
 }
 
-// listen begins to wait for news from the preferred peer, or from the store where
-// this process is the one to hear of it.
+// listen begins to wait for news, for a time at most: from the preferred peer, or
+// from the store where this process is the one to hear of it.
 func (w *watcher) listen(ctx context.Context, wait time.Duration) <-chan answer {
 	heard := make(chan answer, 1)
+	a := answer{after: w.at}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	w.stop = cancel
 	go func() {
-		a := answer{after: w.at}
-		a.Changes, a.direct, a.err = w.s.askPeers(ctx, w.prefix, w.at, wait)
+		defer cancel()
+		a.Changes, a.direct, a.err = w.s.askPeers(ctx, w.prefix, a.after, wait)
 		switch {
 		case a.direct:
-			a.Changes, a.err = w.watch(ctx)
+			a.Changes, a.err = w.watch(ctx, a.after)
 		case a.err == nil:
 			// What peers tell is not told on, and leaves a gap in what is.
 			w.s.feed(w.prefix).lost()
@@ -129,7 +135,7 @@
 
 // watch waits at the store. Others may follow only what began with a snapshot,
 // see feed.
-func (w *watcher) watch(ctx context.Context) (turmericshed.Changes, error) {
+func (w *watcher) watch(ctx context.Context, after turmericshed.Version) (turmericshed.Changes, error) {
 	f := w.s.feed(w.prefix)
 	if !f.live() && f.wanted(time.Now(), wantedFor) && !time.Now().Before(w.s.cfg.Freshness.Excused()) {
 		return turmericshed.Changes{Reset: true}, nil
@@ -137,14 +143,14 @@
 	tspause.For(ctx, time.Until(w.watched.Add(watchSpacing)))
 	w.watched = time.Now()
 	wait := w.s.cfg.Freshness.WatchWait(w.watched, w.fact, w.s.storeLatency())
-	c, err := w.s.cfg.Store.Await(ctx, w.prefix, w.at, wait)
+	c, err := w.s.cfg.Store.Await(ctx, w.prefix, after, wait)
 	if err != nil {
 		return c, err
 	}
 	if len(c.Events) == 0 {
 		w.s.noteLatency(time.Since(w.watched) - wait)
 	}
-	f.apply(w.at, c)
+	f.apply(after, c)
 	return c, nil
 }
 
@@ -217,6 +223,9 @@
 
 // Close ends the watch.
 func (w *watcher) Close() error {
+	if w.stop != nil {
+		w.stop()
+	}
 	w.s.feed(w.prefix).lost()
 	return nil
 }
