--- a/core/tsbudget/commit.go
+++ b/core/tsbudget/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"turmericshed"
 	"turmericshed/core/tsupdate"
@@ -189,8 +188,7 @@
 //
 // The lease alone does not prove that they hold: it may have stood still while
 // the store was away, and the process went on by its own clock. So the entry
-// VM's time of day must agree, and as that may be set back, the time since the
-// VM started as well, where the process did not end with its VM.
+// VM's time of day must agree.
 func (h Holding) inherited(r Request, id turmericshed.BudgetID, alive func(turmericshed.LeaseID) bool) (Change, bool) {
 	if r.Takeover == nil || r.Takeover.From == "" || r.Takeover.From == r.Incarnation {
 		return Change{}, false
@@ -200,7 +198,8 @@
 		return Change{}, false
 	}
 	vm := h.VMs[r.VM]
-	bound := vm.Lease != "" && alive(vm.Lease) && vm.leaseMayLast(r.Takeover)
+	age := r.Takeover.Now.Sub(vm.Since)
+	bound := vm.Lease != "" && alive(vm.Lease) && age >= 0 && age < LeaseLength
 	ch := Change{Budget: id}
 	for _, l := range lots {
 		charge := l.Charge()
@@ -212,14 +211,6 @@
 	return ch, true
 }
 
-// leaseMayLast reports whether a lease that the process of vm learned of may
-// still last by the clocks of the process that follows it.
-func (vm HoldingVM) leaseMayLast(t *Takeover) bool {
-	lasts := func(age time.Duration) bool { return age >= 0 && age < LeaseLength }
-	restarted := vm.Uptime == 0 || t.Uptime < vm.Uptime
-	return lasts(t.Now.Sub(vm.Since)) && (restarted || lasts(t.Uptime-vm.Uptime))
-}
-
 // enterAll makes the changes of the holding.
 func (c *Commit) enterAll() ([]byte, error) {
 	if c.broken != nil {
@@ -257,7 +248,7 @@
 		c.next.VMs[r.VM] = vm
 	}
 	if d := r.Declaration; d != nil && d.Sequence >= vm.Sequence {
-		vm.Sequence, vm.Lease, vm.Since, vm.Uptime = d.Sequence, d.Lease, d.Since, d.Uptime
+		vm.Sequence, vm.Lease, vm.Since = d.Sequence, d.Lease, d.Since
 		c.next.VMs[r.VM], changed = vm, true
 		c.next.declare(r.Incarnation, d.Ceilings)
 	}
--- a/core/tsbudget/holding.go
+++ b/core/tsbudget/holding.go
@@ -98,11 +98,10 @@
 	Incarnation turmericshed.Incarnation `json:"incarnation"`
 	// Sequence is that of the process's last declaration, Lease the lease that
 	// it is bound to, and Since when the process learned of that lease, by the
-	// entry VM's time of day; Uptime is the same by the time since it started.
+	// entry VM's time of day.
 	Sequence int64                `json:"sequence,omitempty"`
 	Lease    turmericshed.LeaseID `json:"lease,omitempty"`
 	Since    time.Time            `json:"since,omitzero"`
-	Uptime   time.Duration        `json:"uptime,omitempty"`
 }
 
 // Holding is what the holders of one failure domain hold.
--- a/core/tsbudget/writer.go
+++ b/core/tsbudget/writer.go
@@ -38,10 +38,8 @@
 type Takeover struct {
 	// From is the earlier process; empty where the holding has none.
 	From turmericshed.Incarnation
-	// Now is the entry VM's time of day, and Uptime the time since it started;
-	// 0 if that can't be told.
-	Now    time.Time
-	Uptime time.Duration
+	// Now is the entry VM's time of day.
+	Now time.Time
 }
 
 // Declaration is a holder's promise, see Ceilings.
@@ -49,11 +47,9 @@
 	// Sequence grows with each declaration of a process.
 	Sequence int64
 	// Lease is what the promise lasts as long as. The holder learned of it at
-	// Since by its time of day, and at Uptime after its VM started; 0 if that
-	// can't be told.
+	// Since, by its time of day.
 	Lease    turmericshed.LeaseID
 	Since    time.Time
-	Uptime   time.Duration
 	Ceilings []LotCeiling
 }
 
--- a/io/tscommit/service.go
+++ b/io/tscommit/service.go
@@ -57,10 +57,10 @@
 		m.Changes = append(m.Changes, encodeChange(ch))
 	}
 	if t := r.Takeover; t != nil {
-		m.Takeover = &tspeerapi.LedgerTakeover{From: string(t.From), NowMs: millis(t.Now), UptimeMs: t.Uptime.Milliseconds()}
+		m.Takeover = &tspeerapi.LedgerTakeover{From: string(t.From), NowMs: millis(t.Now)}
 	}
 	if d := r.Declaration; d != nil {
-		m.Declaration = &tspeerapi.LedgerDeclaration{Sequence: d.Sequence, Lease: string(d.Lease), SinceMs: millis(d.Since), UptimeMs: d.Uptime.Milliseconds()}
+		m.Declaration = &tspeerapi.LedgerDeclaration{Sequence: d.Sequence, Lease: string(d.Lease), SinceMs: millis(d.Since)}
 		for _, c := range d.Ceilings {
 			m.Declaration.Ceilings = append(m.Declaration.Ceilings, &tspeerapi.LedgerCeiling{Budget: string(c.Budget), Lot: string(c.Lot), Most: int64(c.Most)})
 		}
@@ -93,10 +93,10 @@
 		r.Changes = append(r.Changes, changeOf(ch, r.Incarnation))
 	}
 	if t := m.Takeover; t != nil {
-		r.Takeover = &tsbudget.Takeover{From: turmericshed.Incarnation(t.From), Now: fromMillis(t.NowMs), Uptime: time.Duration(t.UptimeMs) * time.Millisecond}
+		r.Takeover = &tsbudget.Takeover{From: turmericshed.Incarnation(t.From), Now: fromMillis(t.NowMs)}
 	}
 	if d := m.Declaration; d != nil {
-		r.Declaration = &tsbudget.Declaration{Sequence: d.Sequence, Lease: turmericshed.LeaseID(d.Lease), Since: fromMillis(d.SinceMs), Uptime: time.Duration(d.UptimeMs) * time.Millisecond}
+		r.Declaration = &tsbudget.Declaration{Sequence: d.Sequence, Lease: turmericshed.LeaseID(d.Lease), Since: fromMillis(d.SinceMs)}
 		for _, c := range d.Ceilings {
 			r.Declaration.Ceilings = append(r.Declaration.Ceilings, tsbudget.LotCeiling{
 				Budget: turmericshed.BudgetID(c.Budget), Lot: turmericshed.LotID(c.Lot), Most: turmericshed.Tokens(c.Most),
--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -7,7 +7,6 @@
 
 	"turmericshed"
 	"turmericshed/core/tsbudget"
-	"turmericshed/io/tsuptime"
 )
 
 const (
@@ -48,11 +47,9 @@
 	cursor   tsbudget.Cursor
 	// lease is what the next declaration is bound to. It was learned of at
 	// learned, by this process's clock, and at since by the time of day.
-	lease   turmericshed.LeaseID
-	learned time.Time
-	since   time.Time
-	// uptime is since by the time since the entry VM started.
-	uptime   time.Duration
+	lease    turmericshed.LeaseID
+	learned  time.Time
+	since    time.Time
 	sequence int64
 	// next is when the ledgers' writer expects the next request.
 	next time.Time
@@ -317,7 +314,7 @@
 	}
 	list := h.core.WantCeilings(now, ceilingSpan*exchangeInterval, waiting, drawn)
 	x.sequence++
-	r.Declaration = &tsbudget.Declaration{Sequence: x.sequence, Lease: x.lease, Since: x.since, Uptime: x.uptime, Ceilings: list}
+	r.Declaration = &tsbudget.Declaration{Sequence: x.sequence, Lease: x.lease, Since: x.since, Ceilings: list}
 	h.core.Ceilings.Sending(now, list, x.learned.Add(tsbudget.LeaseLength+leaseMargin))
 	return list
 }
@@ -344,7 +341,7 @@
 		return
 	}
 	now := time.Now()
-	x.lease, x.learned, x.since, x.uptime = l, now, now.Round(0), tsuptime.Now()
+	x.lease, x.learned, x.since = l, now, now.Round(0)
 }
 
 // takeLocked takes in the outcome of a request.
--- a/io/tsholder/inherit.go
+++ b/io/tsholder/inherit.go
@@ -6,7 +6,6 @@
 
 	"turmericshed"
 	"turmericshed/core/tsbudget"
-	"turmericshed/io/tsuptime"
 )
 
 // maxTakeovers bounds the requests that take the entry VM over: one to learn
@@ -34,7 +33,7 @@
 			return nil
 		}
 		reply, err := x.h.cfg.Writer.Commit(ctx, tsbudget.Request{
-			VM: self.Name, Incarnation: self.Incarnation, Takeover: &tsbudget.Takeover{From: x.previous, Now: time.Now(), Uptime: tsuptime.Now()},
+			VM: self.Name, Incarnation: self.Incarnation, Takeover: &tsbudget.Takeover{From: x.previous, Now: time.Now()},
 		})
 		if err != nil {
 			return err
