--- a/core/tsfreshness/tracker.go
+++ b/core/tsfreshness/tracker.go
@@ -11,6 +11,12 @@
 //
 // Silence alone proves nothing: the answer may wait at the process's own link.
 //
+//	as of             AskAt            Due              as of + span
+//	  |-- hears in time --|-- asks the store --|-- reserve ---|
+//	                      |-- Excused, if the store does not answer ------>
+//
+// Until is the later one of Due and Excused.
+//
 // # Usage
 //
 //	t := tsfreshness.New(tsfreshness.Bounds{Spans: spans, Contact: 3 * time.Second})
