--- /dev/null
+++ b/io/tsrelay/gone_test.go
@@ -0,0 +1,139 @@
+package tsrelay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed/io/tsrelay"
+	"turmericshed/standin/tsmetastore"
+)
+
+// settles is how long a request that is sent by mistake may take to a server.
+const settles = 100 * time.Millisecond
+
+// keepConnections opens a connection to each desk that later requests use.
+func (s *sender) keepConnections() {
+	for s.arrivals() < 2 || len(s.desks[0].Arrivals()) == 0 || len(s.desks[1].Arrivals()) == 0 {
+		assert.Equal(s.t, s.ask(), http.StatusOK)
+	}
+}
+
+func (s *sender) arrivals() (n int) {
+	for _, d := range s.desks {
+		n += len(d.Arrivals())
+	}
+	return n
+}
+
+// askAndLeave sends a request whose caller can leave, and waits for its end.
+func (s *sender) askAndLeave(ctx context.Context) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.url+"/find/1", strings.NewReader("frame"))
+	assert.NilError(s.t, err)
+	req.Host = "corner.example"
+	for k, v := range map[string]string{"Attempt-Id": "gone", "Credential": "k1", "Deadline-Remaining": "4000", "Token-Counts": "10,5"} {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+// A request was sent on after its caller had left while it waited.
+func TestCallersThatLeaveWhileTheirRequestWaits(t *testing.T) {
+	for _, at := range []wait{forTokens, forTurn, forPermit} {
+		t.Run(fmt.Sprintf("for %s are not sent on", at), func(t *testing.T) {
+			s := newSender(t, "", 0)
+			s.keepConnections()
+			before := s.arrivals()
+			ctx, leave := context.WithCancel(t.Context())
+			s.waits.at = at
+			s.waits.meanwhile = func() {
+				leave()
+				time.Sleep(settles)
+			}
+			s.askAndLeave(ctx)
+			time.Sleep(3 * settles)
+			assert.Equal(t, s.arrivals(), before, "requests that reached the servers")
+		})
+	}
+	t.Run("for a server that is silent get no second attempt", func(t *testing.T) {
+		s := newSender(t, "", 0)
+		s.keepConnections()
+		before := s.arrivals()
+		for _, d := range s.desks {
+			d.Behave(tsmetastore.BehaveSilent)
+		}
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(settles, leave)
+		s.askAndLeave(ctx)
+		time.Sleep(3 * settles)
+		assert.Equal(t, s.arrivals(), before+1, "requests that reached the servers")
+		assert.Equal(t, s.desks[0].Canceled()+s.desks[1].Canceled(), 1, "requests that were cancelled at their server")
+	})
+}
+
+// lateListener accepts connections late, like a VM that was slow or stood still.
+type lateListener struct {
+	net.Listener
+	by time.Duration
+}
+
+// Accept waits.
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		time.Sleep(l.by)
+	}
+	return c, err
+}
+
+// A slow entry VM read requests whose callers had left long before, and sent
+// them on.
+func TestCallersThatLeftBeforeTheirRequestWasRead(t *testing.T) {
+	const callers = 20
+	head := func(id string) string {
+		return "POST /find/1 HTTP/1.1\r\nHost: corner.example\r\nCredential: k1\r\nDeadline-Remaining: 4000\r\nToken-Counts: 10,5\r\nAttempt-Id: " + id + "\r\nContent-Length: 5\r\n\r\nframe"
+	}
+	for name, leave := range map[string]func(c *net.TCPConn) error{
+		"closed their connections":      func(c *net.TCPConn) error { return c.Close() },
+		"closed them for writing alone": func(c *net.TCPConn) error { return c.CloseWrite() },
+		"reset them": func(c *net.TCPConn) error {
+			if err := c.SetLinger(0); err != nil {
+				return err
+			}
+			return c.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSender(t, "", 0)
+			s.keepConnections()
+			before := s.arrivals()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			server := tsrelay.NewServer(s.relay, slog.New(slog.DiscardHandler))
+			go func() { _ = server.Serve(ctx, lateListener{ln, 20 * time.Millisecond}, time.Second) }()
+			defer func() { _ = server.Close() }()
+			for i := range callers {
+				c, err := net.Dial("tcp", ln.Addr().String()) //nolint:noctx // loopback, in a test.
+				assert.NilError(t, err)
+				_, err = io.WriteString(c, head(fmt.Sprint("left-", i)))
+				assert.NilError(t, err)
+				assert.NilError(t, leave(c.(*net.TCPConn)))
+			}
+			time.Sleep(callers*20*time.Millisecond + 3*settles)
+			assert.Equal(t, s.arrivals(), before, "requests that reached the servers")
+		})
+	}
+}
--- a/io/tsrelay/send_test.go
+++ b/io/tsrelay/send_test.go
@@ -90,6 +90,7 @@
 	desks []*tsmetastore.Backend
 	board *tsboard.Board
 	pool  *tsrouting.Pool
+	relay *tsrelay.Relay
 	url   string
 }
 
@@ -116,6 +117,7 @@
 	table, err := platform.DecodeTable([]byte(sendTable))
 	assert.NilError(t, err)
 	relay.SetTable(tstable.New(table))
+	s.relay = relay
 	srv := httptest.NewServer(relay)
 	t.Cleanup(srv.Close)
 	s.url = srv.URL
--- a/standin/tsmetastore/backend.go
+++ b/standin/tsmetastore/backend.go
@@ -49,10 +49,19 @@
 	Events int
 	// Pause is the time between the events of a stream.
 	Pause time.Duration
+	// Poison is the body of requests that end the server when it begins to work
+	// on them; empty for none. It stays away for Down, starts again at its
+	// address and calls Restarted.
+	Poison    string
+	Down      time.Duration
+	Restarted func(b *Backend)
 
 	ln net.Listener
 
 	mu        sync.Mutex
+	conns     map[net.Conn]bool
+	ends      []time.Time
+	born      int64
 	behaviour Behaviour
 	runs      map[string]int
 	canceled  int
@@ -68,24 +77,73 @@
 	if err != nil {
 		return err
 	}
-	b.ln, b.runs = ln, map[string]int{}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(c)
-		}
-	}()
+	b.ln, b.runs, b.born = ln, map[string]int{}, 1
+	b.conns = make(map[net.Conn]bool)
+	go b.accept(ln)
 	return nil
 }
 
+func (b *Backend) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.conns[c] = true
+		b.mu.Unlock()
+		go b.serve(c)
+	}
+}
+
+// End ends the server with all that it works on, and starts it again after
+// Down.
+func (b *Backend) End() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ends = append(b.ends, time.Now())
+	_ = b.ln.Close()
+	for c := range b.conns {
+		_ = c.Close()
+	}
+	time.AfterFunc(b.Down, b.restart)
+}
+
+func (b *Backend) restart() {
+	ln, err := net.Listen("tcp", b.Addr())
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	b.ln = ln
+	b.born++
+	b.mu.Unlock()
+	go b.accept(ln)
+	if b.Restarted != nil {
+		b.Restarted(b)
+	}
+}
+
+// Ends returns when the server ended, in order.
+func (b *Backend) Ends() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]time.Time(nil), b.ends...)
+}
+
 // Close stops listening.
-func (b *Backend) Close() error { return b.ln.Close() }
+func (b *Backend) Close() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ln.Close()
+}
 
 // Addr returns the address.
-func (b *Backend) Addr() string { return b.ln.Addr().String() }
+func (b *Backend) Addr() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ln.Addr().String()
+}
 
 // Behave changes how requests are treated.
 func (b *Backend) Behave(how Behaviour) {
@@ -134,9 +192,12 @@
 
 // Entry returns the server's entry in the store.
 func (b *Backend) Entry(service, domain, state string) []byte {
+	b.mu.Lock()
+	born := b.born
+	b.mu.Unlock()
 	doc := map[string]any{
 		"service": service, "address": b.Addr(), "zone": domain, "version": "v1", "slots": 8, "state": state,
-		"coldRemainingMs": 0, "sequence": 1, "born": 1,
+		"coldRemainingMs": 0, "sequence": 1, "born": born,
 	}
 	if b.Events > 0 {
 		doc["models"] = []map[string]any{{"name": "m", "version": 1}}
@@ -146,7 +207,12 @@
 }
 
 func (b *Backend) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.conns, c)
+	}()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -154,7 +220,14 @@
 			return
 		}
 		body := make([]byte, max(r.ContentLength, 0))
-		if _, err := readFull(br, body); err != nil || !b.answer(c, r) {
+		if _, err := readFull(br, body); err != nil {
+			return
+		}
+		if b.Poison != "" && string(body) == b.Poison {
+			b.End()
+			return
+		}
+		if !b.answer(c, r) {
 			return
 		}
 	}
