--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"maps"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"turmericshed"
@@ -124,6 +126,10 @@
 			err = turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s is silent", server.ID)
 		}
 	}
+	if broke(q.ctx, err) {
+		q.relay.cfg.Log.Info("attempt broke off", "request", string(q.in.ID), "server", string(server.ID), "digest", string(q.identify()),
+			"sent", q.sent, "events", q.events, "elapsed_ms", time.Since(now).Milliseconds(), "error", err.Error())
+	}
 	if err != nil && q.ctx.Err() != nil {
 		err = q.contextError()
 	}
@@ -156,6 +162,20 @@
 	return err
 }
 
+// broke reports whether the server ended its connection before its answer was
+// whole, which nobody here asked for.
+func broke(ctx context.Context, err error) bool {
+	if err == nil || ctx.Err() != nil {
+		return false
+	}
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // timedOut reports whether an attempt ended by time alone: nobody refused or
 // reset anything.
 func timedOut(err error) bool {
@@ -264,6 +284,9 @@
 				maps.Copy(header, q.header(server.ID))
 			}
 			until, err := q.ready(server.ID, unsent)
+			if err == nil {
+				q.sentAt = time.Now()
+			}
 			// What is asked about later is on its way already.
 			unsent = 0
 			return until, err
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -136,6 +136,7 @@
 		var cancel context.CancelFunc
 		req.ctx, cancel = context.WithDeadlineCause(r.Context(), req.deadline, errDeadline)
 		defer cancel()
+		defer context.AfterFunc(r.Context(), func() { req.leftAt.Store(max(int64(time.Since(req.arrived)), 1)) })()
 		err = req.serve()
 	}
 	req.end(err)
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +27,8 @@
 	// defaultHeaderTimeout bounds the reading of a body when the routing
 	// table names no time.
 	defaultHeaderTimeout = 10 * time.Second
+	// digestBytes is the length of a request's digest before it is encoded.
+	digestBytes = 16
 	// readinessRetry is the advice before the first routing table.
 	readinessRetry = 500 * time.Millisecond
 )
@@ -61,6 +67,14 @@
 	// pickedAt is when the last server was chosen, by news of the age pickedBy.
 	pickedAt time.Time
 	pickedBy time.Duration
+	// sentAt is when it was last sent to a server.
+	sentAt time.Time
+	// leftAt is when the caller was seen to leave, in nanoseconds after arrived;
+	// 0 while it was not.
+	leftAt atomic.Int64
+	// digest tells apart requests of one client account that are not the same;
+	// empty until it is needed.
+	digest turmericshed.Digest
 	// mayHaveRun is true once a server may have begun to work on it.
 	mayHaveRun bool
 	// committed is true once the answer's headers went to the caller, status
@@ -228,6 +242,20 @@
 	}
 }
 
+// identify returns what tells requests of one client account apart that are not
+// the same: their path and body.
+func (q *request) identify() turmericshed.Digest {
+	if q.digest == "" {
+		h := sha256.New()
+		for _, part := range []string{string(q.account.Account), q.r.Method, q.r.Host, q.r.RequestURI} {
+			_, _ = io.WriteString(h, strconv.Itoa(len(part))+":"+part)
+		}
+		_, _ = h.Write(q.body)
+		q.digest = turmericshed.Digest(hex.EncodeToString(h.Sum(nil)[:digestBytes]))
+	}
+	return q.digest
+}
+
 // settle bills the prompt and the output that was delivered, once. Where a
 // server may have made more than was relayed, one event more is billed.
 func (q *request) settle() {
@@ -319,6 +347,15 @@
 	if !q.pickedAt.IsZero() {
 		attrs = append(attrs, slog.Int64("picked_ms", q.pickedAt.Sub(q.arrived).Milliseconds()), slog.Int64("servers_age_ms", q.pickedBy.Milliseconds()))
 	}
+	if !q.sentAt.IsZero() {
+		attrs = append(attrs, slog.Int64("sent_ms", q.sentAt.Sub(q.arrived).Milliseconds()))
+	}
+	if left := q.leftAt.Load(); left > 0 {
+		attrs = append(attrs, slog.Int64("left_ms", time.Duration(left).Milliseconds()))
+	}
+	if q.digest != "" {
+		attrs = append(attrs, slog.String("digest", string(q.digest)))
+	}
 	msg := "answered"
 	if err != nil {
 		msg, level = "not answered", slog.LevelWarn
