Sending: a request whose caller has left is not sent

Callers that left while their request waited for a permit, or in the instant before its first byte, had it run at a server: 50 of 50 on a kept connection.

Cause: the end of the request's context closed the connection in a goroutine beside the write, and no step before the first byte asked whether it had ended. On a new connection the dial fails; on a kept one nothing does.

Now the context is asked after everything else that may take time, right before the first byte, and the unused connection is kept.

--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -190,6 +190,8 @@
 	reply, err := q.relay.cfg.Upstream.Send(ctx, q.call(server))
 	switch turmericshed.KindOf(err) {
 	case turmericshed.KindNone:
+	case turmericshed.KindCanceled:
+		return nil, 0, err
 	case turmericshed.KindNoBackend, turmericshed.KindOverloaded, turmericshed.KindNotReady:
 		q.dials++
 		return nil, 0, err
--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -121,20 +121,18 @@
 }
 
 // Send makes the call. The end of ctx closes its connection, also while the
-// answer is read. Errors: KindNoBackend, KindOverloaded and those of call.Ready
-// when nothing was sent, KindCallUnknown when the call may run.
+// answer is read. Errors: KindNoBackend, KindOverloaded, KindCanceled and those
+// of call.Ready when nothing was sent, KindCallUnknown when the call may run.
 func (c *Client) Send(ctx context.Context, call Call) (*Reply, error) {
 	k := keyOf(call.Server)
 	cn, err := c.connect(ctx, k, call)
 	if err != nil {
 		return nil, err
 	}
-	var until time.Time
-	if call.Ready != nil {
-		if until, err = call.Ready(); err != nil {
-			c.conns.put(time.Now(), k, cn, defaultKeep)
-			return nil, err
-		}
+	until, err := call.mayBegin(ctx)
+	if err != nil {
+		c.conns.put(time.Now(), k, cn, defaultKeep)
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	r := &Reply{client: c, key: k, conn: cn, stop: stop, written: make(chan error, 1)}
@@ -149,6 +147,18 @@
 	return r, nil
 }
 
+// mayBegin returns until when the last byte may be sent. The closing of the
+// connection at the end of ctx comes beside the write, and too late to keep the
+// first bytes back.
+func (c Call) mayBegin(ctx context.Context) (until time.Time, err error) {
+	if c.Ready != nil {
+		if until, err = c.Ready(); err != nil {
+			return until, err
+		}
+	}
+	return until, turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "before it was sent")
+}
+
 // connect returns a connection for the call.
 func (c *Client) connect(ctx context.Context, k serverKey, call Call) (*conn, error) {
 	maxIdle := time.Hour
