Limits: the wait for permits is bounded in all, ends with the caller, and costs no permit

Where servers name limits, a request waited up to 0.3 s for a permit of each of them in turn: with 20 limited servers and 140 ms between entry VMs, 2.4 to 3.0 s on a route of 2 s, whether its caller was still there or not. Permits that came meanwhile were used for callers that had left; those of requests that were not sent in the end were lost.

Cause: Pick and Acquire did not know of the request's context, and the bound was one of each server.

Pick takes the context and waits 0.3 s for all servers together; later ones are tried for permits at hand. A permit of a request that is not sent goes back and serves the next one within its life. Router (with a context) is now what entry VMs use; the pure chooser stays in core. TestPermitsAreWaitedForOnce, TestPermitsOfRequestsThatAreNotSent are new and don't compile before.

--- a/core/tslimit/draws.go
+++ b/core/tslimit/draws.go
@@ -46,6 +46,16 @@
 	return true, false
 }
 
+// Return takes back a permit that was not used. It may be used for as long as
+// the others in hand.
+func (d *Draws) Return(now time.Time) {
+	if !now.Before(d.expires) {
+		return
+	}
+	d.permits++
+	d.taken = max(d.taken-1, 0)
+}
+
 // Holds reports whether a permit is in hand.
 func (d *Draws) Holds(now time.Time) bool { return d.permits > 0 && now.Before(d.expires) }
 
--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -61,7 +61,7 @@
 	Recorder turmericshed.Recorder
 }
 
-// Router implements turmericshed.Router.
+// Router chooses among the servers that it was told of.
 type Router struct {
 	cfg     Config
 	servers map[turmericshed.ServerID]*server
@@ -78,8 +78,6 @@
 	answered time.Time
 }
 
-var _ turmericshed.Router = (*Router)(nil)
-
 // New returns a router without servers.
 func New(cfg Config) *Router {
 	if cfg.ReportLife == 0 {
--- a/fleet.go
+++ b/fleet.go
@@ -156,8 +156,7 @@
 	Inconclusive bool
 }
 
-// Router chooses backend servers. It is pure but for its own state; callers
-// serialize access.
+// Router chooses backend servers.
 type Router interface {
 	// SetServers replaces the candidates, keeping state of known ones.
 	SetServers(now time.Time, servers []BackendServer)
@@ -167,9 +166,13 @@
 	SetLeaving(now time.Time, id ServerID)
 	// Pause keeps new work from a server that asked for it, for a time.
 	Pause(now time.Time, id ServerID, d time.Duration)
-	// Pick chooses a server and counts the request as in flight there.
-	// Errors: KindNoBackend, KindOverloaded.
-	Pick(now time.Time, r RouteRequest) (BackendServer, error)
+	// Pick chooses a server and counts the request as in flight there. It waits
+	// some tenths of a second at most, and not after the end of ctx. Errors:
+	// KindNoBackend, KindOverloaded, KindCanceled when ctx ended.
+	Pick(ctx context.Context, now time.Time, r RouteRequest) (BackendServer, error)
+	// Unsent tells that a request was not sent to the server that was picked
+	// for it; Done follows.
+	Unsent(s BackendServer)
 	// InService reports whether a server that was picked may still be sent to:
 	// it is listed, isn't leaving and has not asked for a pause.
 	InService(now time.Time, id ServerID) bool
--- a/io/tsentry/call.go
+++ b/io/tsentry/call.go
@@ -210,7 +210,7 @@
 // dispatch sends the call to one server. The guard, if any, must pass right
 // before sending.
 func (c *serviceCall) dispatch(ctx context.Context, guard func() error) (turmericshed.Answer, error) {
-	server, err := c.e.deps.Router.Pick(time.Now(), c.route)
+	server, err := c.e.deps.Router.Pick(ctx, time.Now(), c.route)
 	if err != nil {
 		return turmericshed.Answer{}, err
 	}
--- a/io/tsentry/fakes_test.go
+++ b/io/tsentry/fakes_test.go
@@ -132,7 +132,7 @@
 
 type fakeRouter struct{ turmericshed.Router }
 
-func (fakeRouter) Pick(_ time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
+func (fakeRouter) Pick(_ context.Context, _ time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
 	return turmericshed.BackendServer{ID: turmericshed.ServerID(fmt.Sprint("s", len(r.Excluded)))}, nil
 }
 
--- a/io/tsentry/generate.go
+++ b/io/tsentry/generate.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server, err := e.deps.Router.Pick(time.Now(), route)
+	server, err := e.deps.Router.Pick(a.ctx, time.Now(), route)
 	if err != nil {
 		e.deps.Budgets.Settle(res, 0)
 		return nil, err
--- a/io/tsentry/refused_test.go
+++ b/io/tsentry/refused_test.go
@@ -1,6 +1,7 @@
 package tsentry_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -25,7 +26,7 @@
 // fullRouter has no room.
 type fullRouter struct{ fakeRouter }
 
-func (fullRouter) Pick(time.Time, turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
+func (fullRouter) Pick(context.Context, time.Time, turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
 	return turmericshed.BackendServer{}, turmericshed.NewError(turmericshed.KindOverloaded, "full")
 }
 
@@ -35,9 +36,9 @@
 	prefixes map[uint64]int
 }
 
-func (p prefixRouter) Pick(now time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
+func (p prefixRouter) Pick(ctx context.Context, now time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
 	p.prefixes[r.Prefix]++
-	return p.fakeRouter.Pick(now, r)
+	return p.fakeRouter.Pick(ctx, now, r)
 }
 
 func TestCallsOfOneBodyKeepToOneServer(t *testing.T) {
--- a/io/tspermits/draw.go
+++ b/io/tspermits/draw.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	// drawWait is how long a request waits for what a holder says, and
-	// acquireWait for all that are asked.
-	drawWait    = 150 * time.Millisecond
-	acquireWait = 300 * time.Millisecond
+	// drawWait is how long a request waits for what a holder says.
+	drawWait = 150 * time.Millisecond
 	// drawTimeout bounds a call to a holder, whose permits serve later requests
 	// when it took longer; crowdedDrawTimeout bounds it while the answer has to
 	// pass a crowded link.
@@ -59,28 +57,42 @@
 // Acquire reports whether one request may be sent to the server now. Where a
 // holder takes its time, the request goes elsewhere and a later one uses the
 // permit.
-func (p *Permits) Acquire(s turmericshed.BackendServer) bool {
+func (p *Permits) Acquire(ctx context.Context, s turmericshed.BackendServer) bool {
 	from := rand.IntN(1 << 10)
-	for until := time.Now().Add(acquireWait); ; {
+	for {
 		ended, ok := p.acquire(s.ID, from)
 		if ended == nil {
 			return ok
 		}
-		if !await(ended, until) {
+		if !await(ctx, ended) {
 			return false
 		}
 	}
 }
 
-// await waits for the end of a call until a time; it reports whether it came.
-func await(ended <-chan struct{}, until time.Time) bool {
-	t := time.NewTimer(min(time.Until(until), drawWait))
+// Return gives back a permit that was not used.
+func (p *Permits) Return(s turmericshed.BackendServer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.draws[s.ID]
+	if _, limited := p.book.Rate(s.ID); !limited || d == nil {
+		return
+	}
+	d.Return(time.Now())
+	p.counters.returned.Inc()
+}
+
+// await waits for the end of a call; it reports whether it came in time.
+func await(ctx context.Context, ended <-chan struct{}) bool {
+	t := time.NewTimer(drawWait)
 	defer t.Stop()
 	select {
 	case <-ended:
 		return true
 	case <-t.C:
 		return false
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/io/tspermits/metrics.go
+++ b/io/tspermits/metrics.go
@@ -12,8 +12,9 @@
 
 // counters count what limits cost.
 type counters struct {
-	draws *prometheus.CounterVec
-	sent  prometheus.Counter
+	draws    *prometheus.CounterVec
+	sent     prometheus.Counter
+	returned prometheus.Counter
 }
 
 // register makes the metrics.
@@ -25,11 +26,14 @@
 		sent: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "turmericshed_limited_requests_total", Help: "Permits used to send to limited servers.",
 		}),
+		returned: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "turmericshed_permits_returned_total", Help: "Permits of requests that were not sent after all.",
+		}),
 	}
 	if p.cfg.Metrics == nil {
 		return
 	}
-	p.cfg.Metrics.MustRegister(p.counters.draws, p.counters.sent, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	p.cfg.Metrics.MustRegister(p.counters.draws, p.counters.sent, p.counters.returned, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "turmericshed_limited_servers", Help: "Backend servers that name a limit, as far as this entry VM knows.",
 	}, func() float64 {
 		p.mu.Lock()
--- a/io/tspermits/permits.go
+++ b/io/tspermits/permits.go
@@ -12,7 +12,7 @@
 //	server.Mount(p.Handler())
 //	supervisor.Add(p)
 //	p.Answered(server, asked, reply) // of each answer
-//	if p.Acquire(server) { ... }     // before each request
+//	if p.Acquire(ctx, server) { ... } // before each request
 package tspermits
 
 import (
--- a/io/tspermits/permits_test.go
+++ b/io/tspermits/permits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -132,7 +133,7 @@
 // acquired asks for leave until a time and returns how often it was given.
 func (v *vm) acquired(d time.Duration) (n int) {
 	for began := time.Now(); time.Since(began) < d; time.Sleep(5 * time.Millisecond) {
-		if v.permits.Acquire(server) {
+		if v.permits.Acquire(context.Background(), server) {
 			n++
 		}
 	}
@@ -179,7 +180,7 @@
 func TestAcquire(t *testing.T) {
 	t.Run("servers without a limit need no permit", func(t *testing.T) {
 		v := newFleet(3).vms[0]
-		assert.Assert(t, v.permits.Acquire(server))
+		assert.Assert(t, v.permits.Acquire(context.Background(), server))
 		assert.Equal(t, v.calls, 0)
 	})
 	t.Run("holders hand out what others draw", func(t *testing.T) {
@@ -194,7 +195,7 @@
 		v.answered(named(1))
 		f.slow(time.Minute)
 		began := time.Now()
-		assert.Assert(t, !v.permits.Acquire(server))
+		assert.Assert(t, !v.permits.Acquire(context.Background(), server))
 		assert.Assert(t, time.Since(began) < time.Second)
 		assert.Equal(t, len(v.permits.Closed(time.Now())), 1)
 	})
@@ -250,3 +251,32 @@
 		assertLimited(t, b, false)
 	})
 }
+
+// Permits of requests that were not sent were lost, and a caller that had left
+// held its request in the queue for them.
+func TestPermitsOfRequestsThatAreNotSent(t *testing.T) {
+	t.Run("serve others", func(t *testing.T) {
+		v := newFleet(9).other()
+		v.answered(named(2))
+		n := 0
+		for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(5 * time.Millisecond) {
+			if v.permits.Acquire(t.Context(), server) {
+				n++
+				v.permits.Return(server)
+			}
+		}
+		// Kept, each would have served one request.
+		assert.Assert(t, n > 50, "%d", n)
+	})
+	t.Run("are not waited for", func(t *testing.T) {
+		f := newFleet(9)
+		v := f.other()
+		v.answered(named(1))
+		f.slow(time.Minute)
+		ctx, leave := context.WithCancel(t.Context())
+		leave()
+		began := time.Now()
+		assert.Assert(t, !v.permits.Acquire(ctx, server))
+		assert.Assert(t, time.Since(began) < 100*time.Millisecond)
+	})
+}
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -105,8 +105,11 @@
 		return nil, err
 	}
 	rr := q.routeRequest()
-	server, err := q.relay.cfg.Router.Pick(now, rr)
+	server, err := q.relay.cfg.Router.Pick(q.ctx, now, rr)
 	q.picked = err == nil
+	if err != nil && q.ctx.Err() != nil {
+		err = q.contextError()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -191,8 +194,10 @@
 	switch turmericshed.KindOf(err) {
 	case turmericshed.KindNone:
 	case turmericshed.KindCanceled:
+		q.relay.cfg.Router.Unsent(server)
 		return nil, 0, err
 	case turmericshed.KindNoBackend, turmericshed.KindOverloaded, turmericshed.KindNotReady:
+		q.relay.cfg.Router.Unsent(server)
 		q.dials++
 		return nil, 0, err
 	default:
--- a/io/tsrelay/send_test.go
+++ b/io/tsrelay/send_test.go
@@ -70,7 +70,9 @@
 
 func (*waits) Answered(turmericshed.BackendServer, time.Time, turmericshed.BackendReply) {}
 
-func (w *waits) Acquire(turmericshed.BackendServer) bool {
+func (*waits) Return(turmericshed.BackendServer) {}
+
+func (w *waits) Acquire(context.Context, turmericshed.BackendServer) bool {
 	w.reached(forPermit)
 	return true
 }
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -27,6 +27,9 @@
 	pollTimeout = 500 * time.Millisecond
 	// pollMaxAge is the age of a report that makes a reading due.
 	pollMaxAge = 500 * time.Millisecond
+	// permitsWait is how long a request waits for permits, at all limited servers
+	// together.
+	permitsWait = 300 * time.Millisecond
 	// minClosedRetry is the least advice where servers are at their limits.
 	minClosedRetry = 200 * time.Millisecond
 )
@@ -126,26 +129,34 @@
 	})
 }
 
-// Pick chooses a server. Errors: KindNoBackend, KindOverloaded.
-func (p *Pool) Pick(now time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
+// Pick chooses a server. It waits for permits of those that name a limit, for
+// permitsWait in all; servers that come later are chosen for permits at hand.
+// Errors: KindNoBackend, KindOverloaded, KindCanceled when ctx ended.
+func (p *Pool) Pick(ctx context.Context, now time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
 	if p.cfg.Limits == nil {
 		return p.pick(now, r)
 	}
+	waitCtx, cancel := context.WithTimeout(ctx, permitsWait)
+	defer cancel()
 	closed := p.cfg.Limits.Closed(now)
 	for {
+		if ctx.Err() != nil {
+			return turmericshed.BackendServer{}, turmericshed.WrapError(turmericshed.KindCanceled, ctx.Err(), "while a server was chosen")
+		}
 		open := r
 		open.Excluded = slices.AppendSeq(slices.Clone(r.Excluded), maps.Keys(closed))
 		s, err := p.pick(now, open)
 		if err != nil {
 			return s, p.closedError(now, r, closed, err)
 		}
-		acquired := p.cfg.Limits.Acquire(s)
+		acquired := p.cfg.Limits.Acquire(waitCtx, s)
 		if acquired && p.InService(time.Now(), s.ID) {
 			return s, nil
 		}
 		p.release(now, s.ID)
 		if acquired {
 			// It left while the permit was drawn.
+			p.cfg.Limits.Return(s)
 			r.Excluded = append(slices.Clone(r.Excluded), s.ID)
 			continue
 		}
@@ -163,6 +174,14 @@
 	return p.router.Pick(now, r)
 }
 
+// Unsent tells that a request was not sent to the server picked for it, whose
+// permit serves another one.
+func (p *Pool) Unsent(s turmericshed.BackendServer) {
+	if p.cfg.Limits != nil {
+		p.cfg.Limits.Return(s)
+	}
+}
+
 func (p *Pool) release(now time.Time, id turmericshed.ServerID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/tsrouting/pool_test.go
+++ b/io/tsrouting/pool_test.go
@@ -68,7 +68,7 @@
 func assertNoWork(t *testing.T, p *tsrouting.Pool, id turmericshed.ServerID) {
 	t.Helper()
 	for range 100 {
-		s, err := p.Pick(time.Now(), chat)
+		s, err := p.Pick(t.Context(), time.Now(), chat)
 		assert.NilError(t, err)
 		assert.Assert(t, s.ID != id, "work to %s", id)
 		p.Done(time.Now(), s.ID, chat, turmericshed.DispatchResult{})
@@ -88,7 +88,7 @@
 	})
 	t.Run("a server that refuses as leaving gets no more work and is posted", func(t *testing.T) {
 		runPool(t, 3, func(board *tsboard.Board, _ *fakeLoads, p *tsrouting.Pool) {
-			s, err := p.Pick(time.Now(), chat)
+			s, err := p.Pick(t.Context(), time.Now(), chat)
 			assert.NilError(t, err)
 			p.Done(time.Now(), s.ID, chat, turmericshed.DispatchResult{
 				Err: turmericshed.WrapError(turmericshed.KindBackendRefused, tsbackend.ErrLeaving, "x"),
@@ -138,7 +138,9 @@
 
 func (*limits) Answered(turmericshed.BackendServer, time.Time, turmericshed.BackendReply) {}
 
-func (l *limits) Acquire(s turmericshed.BackendServer) bool {
+func (*limits) Return(turmericshed.BackendServer) {}
+
+func (l *limits) Acquire(_ context.Context, s turmericshed.BackendServer) bool {
 	l.asked++
 	n, limited := l.permits[s.ID]
 	if limited && n > 0 {
@@ -173,7 +175,7 @@
 		p := newPool(&limits{permits: map[turmericshed.ServerID]int{"a": 3}})
 		got := map[turmericshed.ServerID]int{}
 		for range 40 {
-			s, err := p.Pick(now, look)
+			s, err := p.Pick(t.Context(), now, look)
 			assert.NilError(t, err)
 			got[s.ID]++
 			p.Done(now, s.ID, look, turmericshed.DispatchResult{FirstByte: 1, Elapsed: 1})
@@ -184,7 +186,7 @@
 		p := newPool(&limits{permits: map[turmericshed.ServerID]int{"a": 0, "b": 0}, until: now.Add(2 * time.Second)})
 		least, most := time.Hour, time.Duration(0)
 		for range 50 {
-			_, err := p.Pick(now, look)
+			_, err := p.Pick(t.Context(), now, look)
 			assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindOverloaded)
 			after := turmericshed.RetryAfterOf(err)
 			least, most = min(least, after), max(most, after)
@@ -193,13 +195,13 @@
 	})
 	t.Run("a request asks once for each server", func(t *testing.T) {
 		l := &limits{permits: map[turmericshed.ServerID]int{"a": 0, "b": 0}}
-		_, err := newPool(l).Pick(now, look)
+		_, err := newPool(l).Pick(t.Context(), now, look)
 		assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindOverloaded)
 		assert.Equal(t, l.asked, 2)
 	})
 	t.Run("a server that was not sent to has no load", func(t *testing.T) {
 		p := newPool(&limits{permits: map[turmericshed.ServerID]int{"a": 0, "b": 0}})
-		_, err := p.Pick(now, look)
+		_, err := p.Pick(t.Context(), now, look)
 		assert.Assert(t, err != nil)
 		pressure, _ := p.Load(now, turmericshed.WorkService)
 		assert.Equal(t, pressure, 0.0)
@@ -214,7 +216,7 @@
 }
 
 // Acquire takes its time.
-func (l *slowLimits) Acquire(turmericshed.BackendServer) bool {
+func (l *slowLimits) Acquire(context.Context, turmericshed.BackendServer) bool {
 	l.meanwhile()
 	return true
 }
@@ -236,8 +238,63 @@
 			board.Servers.Write(list)
 			p := tsrouting.NewPool(tsrouting.PoolConfig{Board: board, Limits: l})
 			l.meanwhile = func() { leave(p, list[0]) }
-			_, err := p.Pick(now, chat)
+			_, err := p.Pick(t.Context(), now, chat)
 			assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindNoBackend)
 		})
 	}
 }
+
+// countedLimits take their time for each permit, until their caller leaves, and
+// have none.
+type countedLimits struct {
+	limits
+	returned int
+}
+
+// Acquire waits.
+func (l *countedLimits) Acquire(ctx context.Context, _ turmericshed.BackendServer) bool {
+	l.asked++
+	select {
+	case <-time.After(150 * time.Millisecond):
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// Return counts.
+func (l *countedLimits) Return(turmericshed.BackendServer) { l.returned++ }
+
+// A request waited for permits of one server after another without a bound, and
+// for a caller that had left.
+func TestPermitsAreWaitedForOnce(t *testing.T) {
+	pool := func(l turmericshed.ServerLimits) *tsrouting.Pool {
+		board := &tsboard.Board{}
+		board.Servers.Write(servers(20))
+		return tsrouting.NewPool(tsrouting.PoolConfig{Board: board, Limits: l})
+	}
+	t.Run("at all servers together", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			began, l := time.Now(), &countedLimits{}
+			_, err := pool(l).Pick(t.Context(), began, chat)
+			assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindOverloaded)
+			assert.Assert(t, time.Since(began) <= 300*time.Millisecond, "%s", time.Since(began))
+			assert.Equal(t, l.asked, 20)
+		})
+	})
+	t.Run("until the caller leaves", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, leave := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer leave()
+			began, l := time.Now(), &countedLimits{}
+			_, err := pool(l).Pick(ctx, began, chat)
+			assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindCanceled)
+			assert.Equal(t, time.Since(began), 50*time.Millisecond)
+			assert.Equal(t, l.asked, 1)
+		})
+	})
+	t.Run("and given back when the request is not sent", func(t *testing.T) {
+		l := &countedLimits{}
+		pool(l).Unsent(servers(1)[0])
+		assert.Equal(t, l.returned, 1)
+	})
+}
--- a/io/tsrouting/queue.go
+++ b/io/tsrouting/queue.go
@@ -10,7 +10,7 @@
 //
 //	release, err := queue.Admit(ctx, req)
 //	defer release()
-//	s, err := pool.Pick(time.Now(), route)
+//	s, err := pool.Pick(ctx, time.Now(), route)
 //	defer func() { pool.Done(time.Now(), s.ID, route, result) }()
 package tsrouting
 
--- a/limit.go
+++ b/limit.go
@@ -1,6 +1,9 @@
 package turmericshed
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // RateLimit is what an answer of a backend server says of the requests that the
 // server takes from all entry VMs together.
@@ -32,8 +35,11 @@
 	// Answered takes what an answer to a request that was sent at asked says.
 	Answered(s BackendServer, asked time.Time, r BackendReply)
 	// Acquire reports whether one request may be sent to the server now. It may
-	// ask another entry VM, for some tenths of a second at most.
-	Acquire(s BackendServer) bool
+	// ask another entry VM and wait until ctx ends, some tenths of a second at
+	// most. Where ctx has ended, it takes what is at hand.
+	Acquire(ctx context.Context, s BackendServer) bool
+	// Return gives back an acquired permit of a request that was not sent.
+	Return(s BackendServer)
 	// Closed returns the servers that nothing may be sent to, and until when.
 	Closed(now time.Time) map[ServerID]time.Time
 }
--- a/load/tsexperiment/routing_policy.go
+++ b/load/tsexperiment/routing_policy.go
@@ -19,7 +19,7 @@
 // routingPolicy is one way of routing and admitting, to be compared.
 type routingPolicy struct {
 	name   string
-	router func(self turmericshed.FailureDomain, r *rand.Rand) turmericshed.Router
+	router func(self turmericshed.FailureDomain, r *rand.Rand) routingChooser
 	admit  tsadmit.Config
 	// limited turns overload control on.
 	limited bool
@@ -34,11 +34,11 @@
 // in the router alone; naive differs in admission alone.
 func routingPolicies() []routingPolicy {
 	fair := tsadmit.Config{MaxRunning: routingMaxRunning}
-	ours := func(self turmericshed.FailureDomain, r *rand.Rand) turmericshed.Router {
+	ours := func(self turmericshed.FailureDomain, r *rand.Rand) routingChooser {
 		return tsroute.New(tsroute.Config{Self: self, Rand: r})
 	}
-	baseline := func(choose func(*routingBaseline, []*routingChoice, turmericshed.RouteRequest) *routingChoice) func(turmericshed.FailureDomain, *rand.Rand) turmericshed.Router {
-		return func(_ turmericshed.FailureDomain, r *rand.Rand) turmericshed.Router {
+	baseline := func(choose func(*routingBaseline, []*routingChoice, turmericshed.RouteRequest) *routingChoice) func(turmericshed.FailureDomain, *rand.Rand) routingChooser {
+		return func(_ turmericshed.FailureDomain, r *rand.Rand) routingChooser {
 			return &routingBaseline{choose: choose, rand: r, next: r.IntN(1000)}
 		}
 	}
--- a/load/tsexperiment/routing_sim.go
+++ b/load/tsexperiment/routing_sim.go
@@ -236,11 +236,20 @@
 	return used*10 < slots*9
 }
 
+// routingChooser chooses backend servers without waiting.
+type routingChooser interface {
+	SetServers(now time.Time, servers []turmericshed.BackendServer)
+	Report(now time.Time, r turmericshed.LoadReport)
+	SetLeaving(now time.Time, id turmericshed.ServerID)
+	Pick(now time.Time, r turmericshed.RouteRequest) (turmericshed.BackendServer, error)
+	Done(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest, res turmericshed.DispatchResult)
+}
+
 // routingNode is one entry VM: the real queue, limiter and router.
 type routingNode struct {
 	sim     *routingSim
 	self    turmericshed.FailureDomain
-	router  turmericshed.Router
+	router  routingChooser
 	queue   *tsadmit.Queue
 	control *tsadmit.Control
 	retries tsadmit.Retries
