Sending: requests whose callers left before they were read are not sent

An entry VM that is slow, or stood still, reads requests whose callers have closed their connections long before. It sent 2 to 10 of 20 of them to servers.

Cause: net/http learns of the close in a goroutine that starts when the body was read, and a request with tokens at hand and a kept connection is sent before that has run. The context is a belief about the caller; its age was never asked.

Now the caller's socket itself is looked at right before the first byte, once for each attempt: its end, a reset, and an end behind bytes of a next request. TestCallersThatLeftBeforeTheirRequestWasRead failed in 3 of 3 runs (4 cores) and with one processor; passes 3 of 3.

--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -316,8 +316,12 @@
 // ready returns until when a request of which so many bytes are left may be sent
 // to the server: since the server was chosen the request waited, and news came
 // or grew old. Errors: KindOverloaded where another server may take it,
-// KindNotReady.
+// KindNotReady, KindCanceled.
 func (q *request) ready(server turmericshed.ServerID, size int) (until time.Time, err error) {
+	if err := callerLeft(q.r.Context()); err != nil {
+		q.leave()
+		return until, err
+	}
 	now := time.Now()
 	if !q.relay.cfg.Router.InService(now, server) {
 		return until, turmericshed.NewError(turmericshed.KindOverloaded, "server %s left service before it was sent to", server)
--- /dev/null
+++ b/io/tsrelay/caller.go
@@ -0,0 +1,76 @@
+package tsrelay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"turmericshed"
+)
+
+// callerKey is the key of a caller's connection in the context of its requests.
+type callerKey struct{}
+
+// withCaller adds a caller's connection to the context of its requests.
+func withCaller(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerKey{}, c)
+}
+
+// errCallerLeft tells that the caller's end of the connection is closed.
+var errCallerLeft = errors.New("the caller closed the connection")
+
+// callerLeft returns an error of KindCanceled when the caller of a request has
+// closed its connection. It looks at the socket, since net/http does so only in
+// a goroutine of its own, which may run later: an entry VM that was slow reads
+// requests whose callers left long before.
+func callerLeft(ctx context.Context) error {
+	c, ok := ctx.Value(callerKey{}).(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := c.SyscallConn()
+	if err == nil {
+		ctrlErr := raw.Control(func(fd uintptr) { err = peek(int(fd)) })
+		if err == nil {
+			err = ctrlErr
+		}
+	}
+	return turmericshed.WrapError(turmericshed.KindCanceled, err, "caller")
+}
+
+// peek returns why nothing more can come from a socket's other end; nil while
+// something may.
+func peek(fd int) error {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case err == nil && n == 0:
+		return errCallerLeft
+	case err == nil:
+		return ended(fd)
+	case errors.Is(err, unix.ECONNRESET), errors.Is(err, unix.EPIPE), errors.Is(err, unix.ETIMEDOUT):
+		return err
+	default:
+		// Nothing has come, or the socket can't tell.
+		return nil
+	}
+}
+
+// States of a socket whose other end was closed, as the kernel numbers them.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+)
+
+// ended looks at a socket's state, since an end that follows bytes of a next
+// request can't be read yet.
+func ended(fd int) error {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err == nil && (info.State == tcpClose || info.State == tcpCloseWait) {
+		return errCallerLeft
+	}
+	return nil
+}
--- a/io/tsrelay/gone_test.go
+++ b/io/tsrelay/gone_test.go
@@ -107,6 +107,12 @@
 	for name, leave := range map[string]func(c *net.TCPConn) error{
 		"closed their connections":      func(c *net.TCPConn) error { return c.Close() },
 		"closed them for writing alone": func(c *net.TCPConn) error { return c.CloseWrite() },
+		"closed them within a next request": func(c *net.TCPConn) error {
+			if _, err := io.WriteString(c, "GET /find/2 HTTP/1.1\r\n"); err != nil {
+				return err
+			}
+			return c.Close()
+		},
 		"reset them": func(c *net.TCPConn) error {
 			if err := c.SetLinger(0); err != nil {
 				return err
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -136,7 +136,7 @@
 		var cancel context.CancelFunc
 		req.ctx, cancel = context.WithDeadlineCause(r.Context(), req.deadline, errDeadline)
 		defer cancel()
-		defer context.AfterFunc(r.Context(), func() { req.leftAt.Store(max(int64(time.Since(req.arrived)), 1)) })()
+		defer context.AfterFunc(r.Context(), req.leave)()
 		err = req.serve()
 	}
 	req.end(err)
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -242,6 +242,9 @@
 	}
 }
 
+// leave notes that the caller was seen to leave.
+func (q *request) leave() { q.leftAt.CompareAndSwap(0, max(int64(time.Since(q.arrived)), 1)) }
+
 // identify returns what tells requests of one client account apart that are not
 // the same: their path and body.
 func (q *request) identify() turmericshed.Digest {
--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -40,7 +40,7 @@
 	s := &Server{relay: relay, log: log, idle: make(map[net.Conn]time.Time)}
 	s.http = &http.Server{
 		Handler: relay, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.noteState, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnState: s.noteState, ConnContext: withCaller, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return s
 }
