Connections: one that was taken and not used stays as idle as it was

A connection that a call took and did not use was put back as used just now, and kept for 4 s more, whatever its server keeps: a later request that must not run twice could cross the server's close. TestAConnectionThatIsNotUsedStaysIdle failed before.

--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -131,7 +131,7 @@
 	}
 	until, err := call.mayBegin(ctx)
 	if err != nil {
-		c.conns.put(time.Now(), k, cn, defaultKeep)
+		c.conns.putBack(time.Now(), k, cn)
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
--- a/io/tsupstream/conn.go
+++ b/io/tsupstream/conn.go
@@ -219,6 +219,18 @@
 // put keeps an idle connection for as long as the server does.
 func (cs *connections) put(now time.Time, k serverKey, c *conn, keep time.Duration) {
 	c.idleSince, c.expires = now, now.Add(keep)
+	cs.add(k, c)
+}
+
+// putBack keeps a connection that was taken and not used, for as long as before.
+func (cs *connections) putBack(now time.Time, k serverKey, c *conn) {
+	if c.idleSince.IsZero() {
+		c.idleSince, c.expires = now, now.Add(defaultKeep)
+	}
+	cs.add(k, c)
+}
+
+func (cs *connections) add(k serverKey, c *conn) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	p := cs.pool(k)
--- a/io/tsupstream/gone_test.go
+++ b/io/tsupstream/gone_test.go
@@ -37,3 +37,28 @@
 	}
 	assert.Equal(t, requests.Load(), int32(calls), "requests of callers that stayed")
 }
+
+// A connection that was taken for a call which was not sent counted as used, and
+// was kept for longer than its server keeps it.
+func TestAConnectionThatIsNotUsedStaysIdle(t *testing.T) {
+	const idle = 300 * time.Millisecond
+	s := newRaw(t, func(c net.Conn, r *http.Request, _ int) bool {
+		id := r.Header.Get("Attempt-Id")
+		return send(t, "HTTP/1.1 200 OK\r\nAttempt-Id: "+id+"\r\nKeep-Alive: timeout=0.5\r\nContent-Length: 0\r\n\r\n", c)
+	})
+	c := newClient()
+	_, err := fetch(c, call(s, "a"))
+	assert.NilError(t, err)
+	unsent := call(s, "b")
+	unsent.Ready = func() (time.Time, error) {
+		return time.Time{}, turmericshed.NewError(turmericshed.KindNoBackend, "not now")
+	}
+	for range 3 {
+		time.Sleep(idle / 2)
+		_, err := fetch(c, unsent)
+		assertKind(t, err, turmericshed.KindNoBackend)
+	}
+	_, err = fetch(c, call(s, "c"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.accepted.Load(), int32(2), "connections")
+}
