Crashes: a request under which servers ended in turn is kept from the others, on all entry VMs

A request that ends each server which runs it was sent to one server after another: in the stand-in 35 to 54 servers ended in 7 to 8 s, 18 to 32 of them later than 3 s after the third, where three may.

Cause: nobody counted. Attempts have ids of their own, so that nothing ties them together, and the guard of the product's own interface is not started on the platform. Ruled out: each VM counting for itself (there is no count at all), second attempts alone (the unsafe route has none and showed the same).

--- a/core/tslimit/holders.go
+++ b/core/tslimit/holders.go
@@ -1,12 +1,8 @@
 package tslimit
 
 import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"turmericshed"
+	"turmericshed/core/tspreference"
 )
 
 const (
@@ -21,20 +17,7 @@
 // highest rendezvous hash of server and name. All entry VMs find the same ones
 // by themselves, as far as they know of each other.
 func Holders(vms []turmericshed.EntryVM, id turmericshed.ServerID) []turmericshed.EntryVM {
-	type ranked struct {
-		turmericshed.EntryVM
-		rank uint64
-	}
-	list := make([]ranked, 0, len(vms))
-	for _, vm := range vms {
-		list = append(list, ranked{vm, xxhash.Sum64String(string(id) + "\x00" + vm.Name)})
-	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.Name, b.Name)) })
-	holders := make([]turmericshed.EntryVM, 0, holderCount)
-	for _, r := range list[:min(holderCount, len(list))] {
-		holders = append(holders, r.EntryVM)
-	}
-	return holders
+	return tspreference.Spread(vms, string(id))[:min(holderCount, len(vms))]
 }
 
 // Part returns what one of n entry VMs hands out of a limit, in requests a
--- /dev/null
+++ b/core/tspoison/book_test.go
@@ -0,0 +1,117 @@
+package tspoison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tspoison"
+)
+
+func mortal(i int) turmericshed.BackendServer {
+	return turmericshed.BackendServer{ID: turmericshed.ServerID(fmt.Sprint("s-", i)), Started: time.UnixMilli(int64(i + 1))}
+}
+
+func assertBarred(t *testing.T, b *tspoison.Book, now time.Time, want bool) {
+	t.Helper()
+	_, got := b.Barred(now, "d")
+	assert.Equal(t, got, want)
+}
+
+// A request that ended servers in turn was not barred, or one that did not was.
+func TestBook(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	const second = time.Second
+	for name, c := range map[string]struct {
+		ends []time.Duration
+		// survived is when it was answered whole; 0 for never.
+		survived time.Duration
+		want     bool
+	}{
+		"three in turn":                          {ends: []time.Duration{0, second, 2 * second}, want: true},
+		"two in turn":                            {ends: []time.Duration{0, second}},
+		"five together":                          {ends: []time.Duration{0, 1, 20 * time.Millisecond, 40 * time.Millisecond, 90 * time.Millisecond}},
+		"two groups":                             {ends: []time.Duration{0, 1, second, second + 1}},
+		"answered after the second":              {ends: []time.Duration{0, second, 2 * second}, survived: 1500 * time.Millisecond},
+		"answered after the third":               {ends: []time.Duration{0, second, 2 * second}, survived: 3 * second},
+		"answered before all but one":            {ends: []time.Duration{0, second, 2 * second, 3 * second}, survived: 500 * time.Millisecond, want: true},
+		"in turn, and another close behind each": {ends: []time.Duration{0, 50 * time.Millisecond, second, second + 1, 2 * second, 2*second + 1}, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b tspoison.Book
+			survived := c.survived == 0
+			for i, at := range c.ends {
+				if !survived && at > c.survived {
+					b.Survived(now.Add(c.survived), "d")
+					survived = true
+				}
+				b.Ended(now.Add(at), "d", mortal(i))
+			}
+			if !survived {
+				b.Survived(now.Add(c.survived), "d")
+			}
+			assertBarred(t, &b, now.Add(4*second), c.want)
+			_, other := b.Barred(now.Add(4*second), "other")
+			assert.Assert(t, !other)
+		})
+	}
+	t.Run("one end told by many is one", func(t *testing.T) {
+		var b tspoison.Book
+		for i := range 9 {
+			b.Ended(now.Add(time.Duration(i)*300*time.Millisecond), "d", mortal(0))
+		}
+		assertBarred(t, &b, now.Add(3*second), false)
+	})
+	t.Run("it ends, and comes back for longer with the next one", func(t *testing.T) {
+		var b tspoison.Book
+		for i := range 3 {
+			b.Ended(now.Add(time.Duration(i)*second), "d", mortal(i))
+		}
+		first, _ := b.Barred(now.Add(2*second), "d")
+		assertBarred(t, &b, first, false)
+		b.Ended(first.Add(second), "d", mortal(4))
+		then, ok := b.Barred(first.Add(second), "d")
+		assert.Assert(t, ok)
+		assert.Equal(t, then.Sub(first.Add(second)), 2*first.Sub(now.Add(2*second)))
+	})
+}
+
+func TestBooksOfEntryVMs(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	t.Run("count together", func(t *testing.T) {
+		var keeper tspoison.Book
+		for i := range 3 {
+			var vm tspoison.Book
+			e := vm.Ended(now.Add(time.Duration(i)*time.Second), "d", mortal(i))
+			assert.Equal(t, len(keeper.Merge([]tspoison.Evidence{e})), 1)
+			assert.Equal(t, len(keeper.Merge([]tspoison.Evidence{e})), 0)
+		}
+		assertBarred(t, &keeper, now.Add(3*time.Second), true)
+	})
+	t.Run("take one whole answer told by two clocks for one", func(t *testing.T) {
+		var a, b tspoison.Book
+		e := a.Ended(now, "d", mortal(0))
+		b.Merge([]tspoison.Evidence{e})
+		a.Survived(now.Add(time.Second), "d")
+		told, _ := a.Get("d")
+		assert.Equal(t, len(b.Merge([]tspoison.Evidence{told})), 1)
+		told.PardonedAt = told.PardonedAt.Add(300 * time.Millisecond)
+		assert.Equal(t, len(b.Merge([]tspoison.Evidence{told})), 0)
+	})
+	t.Run("are bounded, and keep what is barred", func(t *testing.T) {
+		var b tspoison.Book
+		for i := range 3 {
+			b.Ended(now.Add(time.Duration(i)*time.Second), "d", mortal(i))
+		}
+		for i := range 10_000 {
+			b.Ended(now.Add(time.Duration(i+4)*time.Second), turmericshed.Digest(fmt.Sprint("x", i)), mortal(i))
+		}
+		assert.Assert(t, b.Len() <= 4096, "%d", b.Len())
+		assertBarred(t, &b, now.Add(time.Minute), true)
+		b.Forget(now.Add(24 * time.Hour))
+		assert.Equal(t, b.Len(), 0)
+	})
+}
--- a/core/tspoison/evidence.go
+++ b/core/tspoison/evidence.go
@@ -26,7 +26,9 @@
 // Crash is a backend server that went away while the request ran there.
 type Crash struct {
 	Server turmericshed.ServerID `json:"server"`
-	At     time.Time             `json:"at"`
+	// Started tells starts of one server apart; zero when not told.
+	Started time.Time `json:"started,omitzero"`
+	At      time.Time `json:"at"`
 }
 
 // Evidence is what is known about one request. Two copies merge to the same
@@ -57,7 +59,7 @@
 // add joins a crash; of reports of the same crash the earliest stays.
 func (e *Evidence) add(c Crash) bool {
 	for i, have := range e.Crashes {
-		if have.Server != c.Server || have.At.Sub(c.At).Abs() > sameCrashWithin {
+		if have.Server != c.Server || !have.Started.Equal(c.Started) || have.At.Sub(c.At).Abs() > sameCrashWithin {
 			continue
 		}
 		if c.At.Before(have.At) {
--- a/core/tspreference/rank.go
+++ b/core/tspreference/rank.go
@@ -7,6 +7,7 @@
 //
 //	ranked := tspreference.Rank(vms, domain)
 //	first := ranked[0]
+//	holders := tspreference.Spread(vms, key)[:3]
 package tspreference
 
 import (
@@ -32,3 +33,22 @@
 	})
 	return list
 }
+
+// Spread returns the entry VMs of all domains in the order of the rendezvous hash
+// of key and name, which differs for each key.
+func Spread(vms []turmericshed.EntryVM, key string) []turmericshed.EntryVM {
+	type ranked struct {
+		turmericshed.EntryVM
+		rank uint64
+	}
+	list := make([]ranked, 0, len(vms))
+	for _, vm := range vms {
+		list = append(list, ranked{vm, xxhash.Sum64String(key + "\x00" + vm.Name)})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.Name, b.Name)) })
+	out := make([]turmericshed.EntryVM, 0, len(list))
+	for _, r := range list {
+		out = append(out, r.EntryVM)
+	}
+	return out
+}
--- a/fleet.go
+++ b/fleet.go
@@ -199,6 +199,21 @@
 	Admit(ctx context.Context, r AdmitRequest) (release func(), err error)
 }
 
+// CrashWatch keeps requests from backend servers after others ended under them,
+// counted over all entry VMs.
+type CrashWatch interface {
+	// Active reports whether any request is suspected. Check and Survived do
+	// nothing while none is.
+	Active() bool
+	// Check returns KindQuarantined for a request that may not be sent.
+	Check(now time.Time, d Digest) error
+	// Broke tells that the connection ended on which a server worked on the
+	// request. Whether the server did is found out later.
+	Broke(s BackendServer, d Digest)
+	// Survived tells that the request was answered whole.
+	Survived(now time.Time, d Digest)
+}
+
 // Quarantine stops requests that crash backend servers.
 type Quarantine interface {
 	// Check returns KindQuarantined for a digest that may not run. It is an
--- /dev/null
+++ b/io/tscrash/fleet_test.go
@@ -0,0 +1,274 @@
+package tscrash_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/io/tscrash"
+)
+
+// memory is a store in memory; while it is down nothing is done.
+type memory struct {
+	turmericshed.Store
+	mu    sync.Mutex
+	items map[string]turmericshed.Item
+	down  bool
+	// writes counts those that were done, reads the lists.
+	writes, reads int
+}
+
+var errDown = turmericshed.NewError(turmericshed.KindStoreUnavailable, "down")
+
+// Get returns an item.
+func (m *memory) Get(_ context.Context, key string) (turmericshed.Item, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return turmericshed.Item{}, errDown
+	}
+	i := m.items[key]
+	i.Key = key
+	return i, nil
+}
+
+// List returns all items with the prefix.
+func (m *memory) List(_ context.Context, prefix, _ string, _ int) ([]turmericshed.Item, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, errDown
+	}
+	m.reads++
+	var list []turmericshed.Item
+	for k, i := range m.items {
+		if strings.HasPrefix(k, prefix) {
+			list = append(list, i)
+		}
+	}
+	return list, nil
+}
+
+// CompareAndSwap writes an item.
+func (m *memory) CompareAndSwap(_ context.Context, w turmericshed.Write) (turmericshed.Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return 0, errDown
+	}
+	if m.items[w.Key].Version != w.Want {
+		return 0, turmericshed.WithCurrent(turmericshed.NewError(turmericshed.KindConflict, "conflict"), m.items[w.Key])
+	}
+	m.writes++
+	m.items[w.Key] = turmericshed.Item{Key: w.Key, Value: w.Value, Version: w.Want + 1}
+	return w.Want + 1, nil
+}
+
+// fleet is entry VMs that call each other without a network, before servers.
+type fleet struct {
+	t     *testing.T
+	store *memory
+
+	mu  sync.Mutex
+	vms []*vm
+	// cut are the entry VMs that no call reaches or leaves, by name.
+	cut map[string]bool
+	// dials is what a connection to a server meets, by its address; nil opens.
+	dials map[string]error
+	calls int
+	looks int
+}
+
+type vm struct {
+	f     *fleet
+	self  turmericshed.EntryVM
+	board *tsboard.Board
+	mux   *http.ServeMux
+	stop  context.CancelFunc
+	*tscrash.Watch
+}
+
+// run plays a test in fake time with n entry VMs.
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, store: &memory{items: map[string]turmericshed.Item{}}, cut: map[string]bool{}, dials: map[string]error{}}
+	for i := range n {
+		v := &vm{f: f, self: turmericshed.EntryVM{
+			Name: fmt.Sprint("vm-", i), Incarnation: turmericshed.Incarnation(fmt.Sprint("inc-", i)), FailureDomain: "a",
+			PeerAddr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)),
+		}}
+		f.vms = append(f.vms, v)
+	}
+	for _, v := range f.vms {
+		v.start(true)
+	}
+	return f
+}
+
+// start runs a process on the VM until the test's end.
+func (v *vm) start(first bool) {
+	if v.stop != nil {
+		v.stop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	v.f.t.Cleanup(cancel)
+	v.board = &tsboard.Board{}
+	v.board.Servers.Write(v.f.servers())
+	v.Watch = tscrash.New(tscrash.Config{
+		Members: v, Peers: v, Board: v.board, Store: v.f.store, FirstStart: first, Dial: v.f.dial, Log: slog.New(slog.DiscardHandler),
+	})
+	mux := http.NewServeMux()
+	mux.Handle(v.Handler())
+	v.f.mu.Lock()
+	v.mux = mux
+	v.f.mu.Unlock()
+	for _, c := range v.Controllers() {
+		go func() { _ = c.Serve(ctx) }()
+	}
+}
+
+func (v *vm) Self() turmericshed.EntryVM { return v.self }
+
+func (v *vm) Reachable() []turmericshed.EntryVM {
+	var list []turmericshed.EntryVM
+	for _, o := range v.f.vms {
+		if o != v {
+			list = append(list, o.self)
+		}
+	}
+	return list
+}
+
+func (*vm) State(turmericshed.Incarnation) turmericshed.MemberState { return turmericshed.MemberAlive }
+
+func (v *vm) Client(addr netip.AddrPort) (connect.HTTPClient, string) {
+	return v, "http://" + addr.String()
+}
+
+// Do carries a call to another entry VM.
+func (v *vm) Do(r *http.Request) (*http.Response, error) {
+	v.f.mu.Lock()
+	to := v.f.vms[netip.MustParseAddrPort(r.URL.Host).Port()-1]
+	lost := v.f.cut[v.self.Name] || v.f.cut[to.self.Name]
+	v.f.calls++
+	mux := to.mux
+	v.f.mu.Unlock()
+	if lost {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	rec := httptest.NewRecorder()
+	mux.ServeHTTP(rec, r)
+	return rec.Result(), nil
+}
+
+// cost is what was done so far.
+type cost struct{ calls, looks, reads, writes int }
+
+func (f *fleet) cost() cost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return cost{f.calls, f.looks, f.store.reads, f.store.writes}
+}
+
+// refuse makes a server refuse connections.
+func (f *fleet) refuse(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dials[f.servers()[i].Addr.String()] = syscall.ECONNREFUSED
+}
+
+// setCut cuts entry VMs off from the others; none ends all cuts.
+func (f *fleet) setCut(vms ...*vm) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.cut)
+	for _, v := range vms {
+		f.cut[v.self.Name] = true
+	}
+}
+
+// setDown makes the store fail.
+func (m *memory) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+func (f *fleet) servers() []turmericshed.BackendServer {
+	var list []turmericshed.BackendServer
+	for i := range 20 {
+		list = append(list, turmericshed.BackendServer{
+			ID: turmericshed.ServerID(fmt.Sprint("s-", i)), Started: time.UnixMilli(1),
+			Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.2"), uint16(i+1)),
+		})
+	}
+	return list
+}
+
+// dial opens a connection to a server.
+func (f *fleet) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	f.mu.Lock()
+	err := f.dials[addr]
+	f.looks++
+	f.mu.Unlock()
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		<-ctx.Done()
+	}
+	if err != nil {
+		return nil, err
+	}
+	c, other := net.Pipe()
+	_ = other.Close()
+	return c, nil
+}
+
+// end lets servers end under a request, a second apart, each seen by another
+// entry VM.
+func (f *fleet) end(d turmericshed.Digest, how error, servers ...int) {
+	for n, i := range servers {
+		s := f.servers()[i]
+		f.mu.Lock()
+		f.dials[s.Addr.String()] = how
+		f.mu.Unlock()
+		f.vms[n%len(f.vms)].Broke(s, d)
+		time.Sleep(time.Second)
+	}
+}
+
+// list writes the list of servers without some of them at all entry VMs.
+func (f *fleet) unlist(servers ...int) {
+	list := f.servers()
+	for _, i := range servers {
+		list[i].Started = time.UnixMilli(2)
+	}
+	for _, v := range f.vms {
+		v.board.Servers.Write(list)
+	}
+	time.Sleep(time.Second)
+}
+
+func assertBarred(t *testing.T, vms []*vm, d turmericshed.Digest, want bool) {
+	t.Helper()
+	for _, v := range vms {
+		kind := turmericshed.KindOf(v.Check(time.Now(), d))
+		assert.Equal(t, kind == turmericshed.KindQuarantined, want, "%s: %s", v.self.Name, kind)
+	}
+}
--- /dev/null
+++ b/io/tscrash/metrics.go
@@ -0,0 +1,39 @@
+package tscrash
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// counters count what is seen and refused.
+type counters struct {
+	ends    prometheus.Counter
+	looks   prometheus.Counter
+	refused prometheus.Counter
+}
+
+// register makes the metrics.
+func (w *Watch) register() {
+	w.counters = counters{
+		ends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "turmericshed_servers_ended_total", Help: "Backend servers that ended while they worked on requests of this entry VM.",
+		}),
+		looks: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "turmericshed_server_looks_total", Help: "Connections opened to see whether a backend server ended.",
+		}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "turmericshed_barred_attempts_total", Help: "Attempts that were not made since servers had ended under the request.",
+		}),
+	}
+	if w.cfg.Metrics == nil {
+		return
+	}
+	w.cfg.Metrics.MustRegister(w.counters.ends, w.counters.looks, w.counters.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "turmericshed_barred_requests", Help: "Requests that are kept from backend servers.",
+	}, func() float64 {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return float64(w.book.BarredCount(time.Now()))
+	}))
+}
--- /dev/null
+++ b/io/tscrash/watch.go
@@ -0,0 +1,164 @@
+// Package tscrash keeps requests from backend servers after others ended under
+// them, on all entry VMs. It implements turmericshed.CrashWatch around the
+// decisions of core/tspoison.
+//
+// A connection that ends without a whole answer proves little: answers are lost,
+// and links fail. The server's address is looked at then: a server that refuses
+// connections has ended, and one that can't be reached has when the list of
+// servers says so. That is reported to a few entry VMs, which all choose alike
+// and which count for all. Once servers ended in turn, with no whole answer in
+// between, they tell every entry VM, and write it to the store for those that
+// start later. See docs/design/crashes.md.
+//
+// # Usage
+//
+//	w := tscrash.New(tscrash.Config{Members: members, Peers: peers, Board: board, Store: store, Dial: dial, Log: log})
+//	server.Mount(w.Handler())
+//	for _, c := range w.Controllers() {
+//		supervisor.Add(c)
+//	}
+//	if err := w.Check(time.Now(), digest); err != nil { ... } // not sent
+//	w.Broke(server, digest)          // the connection ended
+//	w.Survived(time.Now(), digest)   // answered whole
+package tscrash
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/core/tspoison"
+	"turmericshed/io/tspeer"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+const (
+	// forgetInterval is the time between searches for evidence that is spent.
+	forgetInterval = time.Minute
+	// loggedDigests bounds the requests that a line of the log names.
+	loggedDigests = 8
+)
+
+// Config holds what a Watch needs.
+type Config struct {
+	Members turmericshed.Members
+	Peers   tspeer.Peers
+	// Board tells the listed servers.
+	Board *tsboard.Board
+	// Store keeps what is barred for entry VMs that start later.
+	Store turmericshed.Store
+	// FirstStart is true when nothing can be kept yet.
+	FirstStart bool
+	// Dial opens connections to servers.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Link tells whether bytes wait at the own link; nil never does.
+	Link turmericshed.Link
+	// Metrics takes the metrics; may be nil.
+	Metrics prometheus.Registerer
+	Log     *slog.Logger
+}
+
+// Watch implements turmericshed.CrashWatch.
+type Watch struct {
+	cfg      Config
+	counters counters
+	// known is the number of requests with evidence.
+	known atomic.Int64
+	// reports, tells and keeps wake the controllers.
+	reports, tells, keeps chan struct{}
+
+	mu   sync.Mutex
+	book tspoison.Book
+	// broken are the servers whose connections broke and of which it isn't known
+	// whether they ended.
+	broken map[start]*breaks
+	// outbox is the evidence to be reported, unkept what the store lacks.
+	outbox map[turmericshed.Digest]bool
+	unkept map[turmericshed.Digest]bool
+	// changes numbers the changes to be told, change has the last one of each
+	// request, and told how far each entry VM was told, by name.
+	changes uint64
+	change  map[turmericshed.Digest]uint64
+	told    map[string]*told
+}
+
+var _ turmericshed.CrashWatch = (*Watch)(nil)
+
+// New returns a watch without evidence.
+func New(cfg Config) *Watch {
+	w := &Watch{
+		cfg: cfg, reports: make(chan struct{}, 1), tells: make(chan struct{}, 1), keeps: make(chan struct{}, 1),
+		broken: make(map[start]*breaks), outbox: make(map[turmericshed.Digest]bool), unkept: make(map[turmericshed.Digest]bool),
+		change: make(map[turmericshed.Digest]uint64), told: make(map[string]*told),
+	}
+	w.register()
+	return w
+}
+
+// Controllers returns the loops to be supervised.
+func (w *Watch) Controllers() []turmericshed.Controller {
+	return []turmericshed.Controller{lister{w}, reporter{w}, teller{w}, keeper{w}}
+}
+
+// Active reports whether there is any evidence.
+func (w *Watch) Active() bool { return w.known.Load() > 0 }
+
+// Check returns KindQuarantined, with the time to the quarantine's end, for a
+// request that may not be sent.
+func (w *Watch) Check(now time.Time, d turmericshed.Digest) error {
+	if !w.Active() {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	until, barred := w.book.Barred(now, d)
+	if !barred {
+		return nil
+	}
+	w.counters.refused.Inc()
+	err := turmericshed.NewError(turmericshed.KindQuarantined, "backend servers ended one after another under request %s", d)
+	return turmericshed.WithRetryAfter(err, until.Sub(now))
+}
+
+// Survived clears a request that was answered whole.
+func (w *Watch) Survived(now time.Time, d turmericshed.Digest) {
+	if !w.Active() {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.book.Survived(now, d) {
+		return
+	}
+	w.outbox[d] = true
+	wake(w.reports)
+	w.cfg.Log.Info("request cleared", "digest", string(d), "reason", "answered whole")
+}
+
+// noted takes over what the book has learned. w.mu is held.
+func (w *Watch) noted(now time.Time, news []tspoison.Evidence, from string) {
+	w.known.Store(int64(w.book.Len()))
+	for _, e := range news {
+		until := e.BarredUntil()
+		if !now.Before(until) {
+			continue
+		}
+		last := e.Crashes[len(e.Crashes)-1]
+		w.cfg.Log.Warn("request barred", "digest", string(e.Digest), "ends", len(e.Crashes), "for_ms", until.Sub(now).Milliseconds(),
+			"server", string(last.Server), "last_end_ms_ago", now.Sub(last.At).Milliseconds(), "entry_vm", from)
+	}
+}
+
+// wake wakes a controller.
+func wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/io/tsgateway/crash_test.go
+++ b/io/tsgateway/crash_test.go
@@ -108,6 +108,7 @@
 			late++
 		}
 	}
+	r.t.Logf("%d servers ended, %d of them late", len(ends), late)
 	assert.Assert(r.t, late <= crashRetries, "%d servers ended later than %s after the third, %d in all", late, crashContact, len(ends))
 }
 
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -29,6 +29,7 @@
 	"turmericshed/core/tsfreshness"
 	"turmericshed/core/tstable"
 	"turmericshed/io/tscommit"
+	"turmericshed/io/tscrash"
 	"turmericshed/io/tsholder"
 	"turmericshed/io/tsmeter"
 	"turmericshed/io/tsmirror"
@@ -94,6 +95,7 @@
 	commits  *tscommit.Committer
 	holder   *tsholder.Holder
 	limits   *tspermits.Permits
+	crashes  *tscrash.Watch
 	pool     *tsrouting.Pool
 	upstream *tsupstream.Client
 	meter    *tsmeter.Meter
@@ -153,6 +155,12 @@
 		Metrics: g.metrics.Registry(), Log: tsobserve.Part(g.log, "limits"),
 	})
 	g.peers.Mount(g.limits.Handler())
+	serverDial := g.meter.Dialer(tsmeter.Servers, cfg.Dial)
+	g.crashes = tscrash.New(tscrash.Config{
+		Members: g.registry, Peers: transport, Board: g.board, Store: store, FirstStart: s.FirstStart, Dial: serverDial, Link: g.meter,
+		Metrics: g.metrics.Registry(), Log: tsobserve.Part(g.log, "crashes"),
+	})
+	g.peers.Mount(g.crashes.Handler())
 	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: g.self.FailureDomain, Homes: prefixHomes, Board: g.board, Limits: g.limits, Recorder: events})
 	g.freshness = tsfreshness.New(freshnessBounds(s))
 	news := tsnews.New(tsnews.Config{
@@ -161,7 +169,7 @@
 		Log: tsobserve.Part(g.log, "news"),
 	})
 	g.peers.Mount(news.Handler())
-	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: g.meter.Dialer(tsmeter.Servers, cfg.Dial)})
+	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: serverDial})
 	g.tables = tsmirror.New(tsmirror.Config{
 		Store: news, Prefix: platform.TableKey, Log: tsobserve.Part(g.log, "table"),
 		View:      &tableView{log: tsobserve.Part(g.log, "table"), apply: g.applyTable},
@@ -174,7 +182,7 @@
 	})
 	g.registerAges()
 	g.relay = tsrelay.New(tsrelay.Config{
-		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, Limits: g.limits, Metrics: g.metrics,
+		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, Limits: g.limits, Crashes: g.crashes, Metrics: g.metrics,
 		Log: tsobserve.Part(g.log, "relay"), Retries: retryBounds(s), EntryVMs: g.registry.Count,
 		Freshness: g.freshness,
 	})
@@ -353,6 +361,7 @@
 		g.log.Error("controller ended", "event", e.String())
 	}})
 	parts := []turmericshed.Controller{g.tables, g.servers, g.roster, g.registry, g.upstream, g.meter, g.limits, peerController{g}}
+	parts = append(parts, g.crashes.Controllers()...)
 	parts = append(parts, g.commits.Controllers()...)
 	parts = append(parts, g.holder.Controllers()...)
 	parts = append(parts, g.pool.Controllers()...)
--- a/io/tsrelay/answer.go
+++ b/io/tsrelay/answer.go
@@ -40,13 +40,14 @@
 		status = http.StatusGatewayTimeout
 	case q.mayHaveRun:
 		status = http.StatusBadGateway
-	case kind == turmericshed.KindCanceled:
+	case kind == turmericshed.KindCanceled, kind == turmericshed.KindQuarantined:
+		// A quarantine ends by itself.
 		status = http.StatusServiceUnavailable
 	case info.Retryable:
 		status = http.StatusServiceUnavailable
 	}
 	h := q.w.Header()
-	if !q.mayHaveRun && info.Retryable {
+	if !q.mayHaveRun && (info.Retryable || kind == turmericshed.KindQuarantined) {
 		if d := turmericshed.RetryAfterOf(err); d > 0 {
 			h.Set("Retry-After", q.relay.cfg.Codec.RetryAfter(d))
 		}
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -59,7 +59,7 @@
 	}
 	unsent := kind == turmericshed.KindNoBackend || kind == turmericshed.KindOverloaded
 	switch {
-	case kind == turmericshed.KindNotReady:
+	case kind == turmericshed.KindNotReady, kind == turmericshed.KindQuarantined:
 		return err
 	case unsent && q.picked && q.dials < maxDials:
 		return nil
@@ -129,9 +129,12 @@
 			err = turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s is silent", server.ID)
 		}
 	}
-	if broke(q.ctx, err) {
+	if err != nil && (patience.expired() || broke(q.ctx, err)) {
 		q.relay.cfg.Log.Info("attempt broke off", "request", string(q.in.ID), "server", string(server.ID), "digest", string(q.identify()),
 			"sent", q.sent, "events", q.events, "elapsed_ms", time.Since(now).Milliseconds(), "error", err.Error())
+		if q.relay.cfg.Crashes != nil {
+			q.relay.cfg.Crashes.Broke(server, q.identify())
+		}
 	}
 	if err != nil && q.ctx.Err() != nil {
 		err = q.contextError()
@@ -165,13 +168,13 @@
 	return err
 }
 
-// broke reports whether the server ended its connection before its answer was
-// whole, which nobody here asked for.
+// broke reports whether the connection to the server ended, or went silent, before
+// its answer was whole, which nobody here asked for.
 func broke(ctx context.Context, err error) bool {
 	if err == nil || ctx.Err() != nil {
 		return false
 	}
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT} {
 		if errors.Is(err, end) {
 			return true
 		}
@@ -193,7 +196,7 @@
 	reply, err := q.relay.cfg.Upstream.Send(ctx, q.call(server))
 	switch turmericshed.KindOf(err) {
 	case turmericshed.KindNone:
-	case turmericshed.KindCanceled:
+	case turmericshed.KindCanceled, turmericshed.KindQuarantined:
 		q.relay.cfg.Router.Unsent(server)
 		return nil, 0, err
 	case turmericshed.KindNoBackend, turmericshed.KindOverloaded, turmericshed.KindNotReady:
@@ -227,6 +230,9 @@
 	}
 	if q.route.Stream && success {
 		err := q.relayStream(server.ID, reply, p)
+		if err == nil {
+			q.survived()
+		}
 		return nil, first, err
 	}
 	body, err := reply.ReadAll()
@@ -234,6 +240,7 @@
 		q.unfinished = true
 		return nil, first, err
 	}
+	q.survived()
 	if promises(reply.Status) {
 		// The server used a status that promises that nothing ran without
 		// saying so itself.
@@ -316,12 +323,15 @@
 // ready returns until when a request of which so many bytes are left may be sent
 // to the server: since the server was chosen the request waited, and news came
 // or grew old. Errors: KindOverloaded where another server may take it,
-// KindNotReady, KindCanceled.
+// KindNotReady, KindCanceled, KindQuarantined.
 func (q *request) ready(server turmericshed.ServerID, size int) (until time.Time, err error) {
 	if err := callerLeft(q.r.Context()); err != nil {
 		q.leave()
 		return until, err
 	}
+	if err := q.barred(); err != nil {
+		return until, err
+	}
 	now := time.Now()
 	if !q.relay.cfg.Router.InService(now, server) {
 		return until, turmericshed.NewError(turmericshed.KindOverloaded, "server %s left service before it was sent to", server)
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -72,7 +72,9 @@
 	// Link tells whether bytes wait at this VM's own link; nil never does.
 	Link turmericshed.Link
 	// Limits hears what servers say of their limits; nil hears nothing.
-	Limits  turmericshed.ServerLimits
+	Limits turmericshed.ServerLimits
+	// Crashes keeps requests from servers that end others; nil keeps none.
+	Crashes turmericshed.CrashWatch
 	Metrics *tsobserve.Metrics
 	Log     *slog.Logger
 	Retries RetryBounds
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -206,6 +206,9 @@
 
 // serve reserves the request's tokens, sends it and relays the answer.
 func (q *request) serve() error {
+	if err := q.barred(); err != nil {
+		return err
+	}
 	if err := q.reserve(); err != nil {
 		return err
 	}
@@ -245,12 +248,12 @@
 // leave notes that the caller was seen to leave.
 func (q *request) leave() { q.leftAt.CompareAndSwap(0, max(int64(time.Since(q.arrived)), 1)) }
 
-// identify returns what tells requests of one client account apart that are not
-// the same: their path and body.
+// identify returns what a request has in common with its repeats, whatever their
+// ids: client account, path and body.
 func (q *request) identify() turmericshed.Digest {
 	if q.digest == "" {
 		h := sha256.New()
-		for _, part := range []string{string(q.account.Account), q.r.Method, q.r.Host, q.r.RequestURI} {
+		for _, part := range []string{string(q.account.Account), q.r.RequestURI} {
 			_, _ = io.WriteString(h, strconv.Itoa(len(part))+":"+part)
 		}
 		_, _ = h.Write(q.body)
@@ -259,6 +262,22 @@
 	return q.digest
 }
 
+// barred returns why the request is kept from servers; nil when it is not.
+func (q *request) barred() error {
+	w := q.relay.cfg.Crashes
+	if w == nil || !w.Active() {
+		return nil
+	}
+	return w.Check(time.Now(), q.identify())
+}
+
+// survived tells that a server answered the request whole.
+func (q *request) survived() {
+	if w := q.relay.cfg.Crashes; w != nil && w.Active() {
+		w.Survived(time.Now(), q.identify())
+	}
+}
+
 // settle bills the prompt and the output that was delivered, once. Where a
 // server may have made more than was relayed, one event more is billed.
 func (q *request) settle() {
