Refusals: one whose body does not end holds nobody up

A server's refusal was read whole before the request went elsewhere, up to 16 MB and until the request's time was over. A refusal whose body stopped, or had no end, cost the caller its request.

The body of a refusal does not matter: 4 KB or 50 ms of it are read, to keep the connection, else it is closed.

--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -275,9 +275,7 @@
 
 // notRun ends an attempt that the server refused.
 func (q *request) notRun(server turmericshed.BackendServer, reply *tsupstream.Reply) error {
-	if _, err := reply.ReadAll(); err != nil {
-		q.relay.cfg.Log.Debug("refusal broke off", "server", string(server.ID), "error", err.Error())
-	}
+	reply.Discard()
 	if reply.Info.Misdirected {
 		q.relay.cfg.Router.SetLeaving(time.Now(), server.ID)
 		q.relay.cfg.Log.Warn("another server has the address", "server", string(server.ID), "addr", server.Addr.String())
--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -44,6 +44,10 @@
 	inlineBody = 4 << 10
 	// maxBody bounds a whole answer in memory.
 	maxBody = 16 << 20
+	// discardBytes and discardTimeout bound what is read of a body that does not
+	// matter, to keep its connection.
+	discardBytes   = 4 << 10
+	discardTimeout = 50 * time.Millisecond
 	// sweepInterval is the time between searches for expired connections.
 	sweepInterval = time.Second
 )
@@ -264,6 +268,21 @@
 	return data, nil
 }
 
+// Discard ends a call whose body does not matter. The connection is kept where
+// the body ends at once.
+func (r *Reply) Discard() {
+	if !r.framed() || r.resp.ContentLength > discardBytes || r.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		r.Close()
+		return
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.resp.Body, discardBytes+1))
+	if err != nil || n > discardBytes || r.conn.SetReadDeadline(time.Time{}) != nil {
+		r.Close()
+		return
+	}
+	r.Finish()
+}
+
 // Finish ends a call whose body was read to its end; the connection is kept
 // where the server allows it.
 func (r *Reply) Finish() {
@@ -293,10 +312,12 @@
 	default:
 		return false
 	}
-	framed := r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
-	return framed && !r.resp.Close && r.conn.br.Buffered() == 0
+	return r.framed() && !r.resp.Close && r.conn.br.Buffered() == 0
 }
 
+// framed reports whether the body's end does not need the connection's.
+func (r *Reply) framed() bool { return r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0 }
+
 // Close ends a call early and closes its connection, which cancels the
 // request at the server.
 func (r *Reply) Close() {
