Refusals: one without an id on a connection in use again is nobody's

Without an id it was believed: the caller was told 'not run' of a request that the server ran (REFUSED), or it went to a second server (TWICE). With the earlier request's id it was noticed before.

A refusal without an id now counts on the first answer of a connection alone, where it can be nobody else's. What such bytes say of the server's leaving, limit or pause is not heeded, as the answer is an error. One with the request's own id can't be told from the truth.

--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -140,6 +140,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	r := &Reply{client: c, key: k, conn: cn, stop: stop, written: make(chan error, 1)}
+	cn.requests++
 	if err := r.write(call, until); err != nil {
 		r.Close()
 		return nil, turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: write", call.Server.ID)
@@ -235,12 +236,21 @@
 	}
 	r.resp, r.Status, r.Header = resp, resp.StatusCode, resp.Header
 	r.Info = r.client.codec.DecodeReply(resp.StatusCode, resp.Header)
-	if r.Info.ID != call.ID && (r.Info.ID != "" || !r.Info.NotRun) {
+	if !r.answers(call) {
 		return turmericshed.NewError(turmericshed.KindCallUnknown, "server %s: the answer belongs to request %q", call.Server.ID, r.Info.ID)
 	}
 	return nil
 }
 
+// answers reports whether the answer belongs to the call. A refusal need not name
+// the request; on a connection that carried others before it may be one of theirs.
+func (r *Reply) answers(call Call) bool {
+	if r.Info.ID == "" {
+		return r.Info.NotRun && r.conn.requests == 1
+	}
+	return r.Info.ID == call.ID
+}
+
 // readResponse skips informational answers.
 func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
 	for {
--- a/io/tsupstream/conn.go
+++ b/io/tsupstream/conn.go
@@ -82,6 +82,8 @@
 	// while one is read.
 	head   int
 	inHead bool
+	// requests is how many it carried.
+	requests int
 	// idleSince and expires are set while the connection is idle.
 	idleSince time.Time
 	expires   time.Time
--- a/io/tsupstream/refusal_test.go
+++ b/io/tsupstream/refusal_test.go
@@ -8,10 +8,55 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"turmericshed"
 )
 
 const refused = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
 
+// A server wrote an earlier refusal once more on a kept connection, and it was
+// believed of the request that the server had begun to run.
+func TestAnEarlierRefusalOnceMore(t *testing.T) {
+	play := func(t *testing.T, second string) error {
+		t.Helper()
+		s := newRaw(t, func(c net.Conn, r *http.Request, n int) bool {
+			if n == 1 {
+				return send(t, ok(r.Header.Get("Attempt-Id"), "x"), c)
+			}
+			send(t, second, c)
+			return true
+		})
+		c := newClient()
+		_, err := fetch(c, call(s, "a"))
+		assert.NilError(t, err)
+		reply, err := c.Send(context.Background(), call(s, "b"))
+		if err == nil {
+			assert.Assert(t, reply.Info.NotRun)
+			reply.Close()
+		}
+		return err
+	}
+	for name, second := range map[string]string{
+		"with the earlier id":                     refused + "Attempt-Id: a\r\nContent-Length: 0\r\n\r\n",
+		"without an id":                           refused + "Content-Length: 0\r\n\r\n",
+		"without an id, for another server":       "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+		"without an id, as too many":              "HTTP/1.1 429 Too Many Requests\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"without an id, from one that is leaving": refused + "Server-Leaving: 1\r\nRetry-After: 5\r\nServer-Limit: 0.1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { assertKind(t, play(t, second), turmericshed.KindCallUnknown) })
+	}
+	t.Run("but one with the request's own id is believed", func(t *testing.T) {
+		assert.NilError(t, play(t, refused+"Attempt-Id: b\r\nContent-Length: 0\r\n\r\n"))
+	})
+	t.Run("and the first answer on a connection", func(t *testing.T) {
+		s := newRaw(t, func(c net.Conn, _ *http.Request, _ int) bool { return send(t, refused+"Content-Length: 0\r\n\r\n", c) })
+		reply, err := newClient().Send(context.Background(), call(s, "a"))
+		assert.NilError(t, err)
+		assert.Assert(t, reply.Info.NotRun)
+		reply.Close()
+	})
+}
+
 // A refusal whose body did not end held the request until its time was over.
 func TestARefusalWithoutEnd(t *testing.T) {
 	for name, body := range map[string]string{
