Streams: what is no rest of a stream that broke off is not joined to it

Failures, refusals and unsigned answers were kept out before; a signed 2xx was not: text (with or without a length, also when it looks like events), events without ids, a head in a chunk; and an empty text or 204 ended the stream whole.

Cause: only the ids of events that have one were compared, and an answer without events counted as the end.

An answer that goes on with a stream now needs the status and the content type of the first one, and each of its events the next id; comments pass.

--- a/core/tsevents/split.go
+++ b/core/tsevents/split.go
@@ -23,6 +23,9 @@
 	// ID is the event's numeric id; HasID is false for events without one.
 	ID    uint64
 	HasID bool
+	// Comment is true for an event of comments alone, which keep a connection
+	// open.
+	Comment bool
 }
 
 // Splitter collects bytes into whole events.
@@ -48,6 +51,7 @@
 		s.rest = s.rest[n:]
 		e := Event{Raw: raw}
 		e.ID, e.HasID = eventID(raw)
+		e.Comment = isComment(raw)
 		events = append(events, e)
 	}
 	if len(s.rest) > s.limit {
@@ -79,6 +83,16 @@
 	return 0
 }
 
+// isComment reports whether an event holds nothing but comments.
+func isComment(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the id of an event.
 func eventID(raw []byte) (uint64, bool) {
 	for line := range bytes.Lines(raw) {
--- a/io/tsrelay/answer.go
+++ b/io/tsrelay/answer.go
@@ -86,7 +86,7 @@
 // commit sends a backend server's status and headers to the caller.
 func (q *request) commit(server turmericshed.ServerID, status int, header http.Header) {
 	q.committed, q.status, q.server = true, status, server
-	q.firstByte = time.Since(q.arrived)
+	q.firstByte, q.contentType = time.Since(q.arrived), header.Get("Content-Type")
 	h := q.w.Header()
 	for name, values := range q.relay.cfg.Codec.EncodeReply(header) {
 		h[name] = values
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -77,12 +77,13 @@
 	digest turmericshed.Digest
 	// mayHaveRun is true once a server may have begun to work on it.
 	mayHaveRun bool
-	// committed is true once the answer's headers went to the caller, status
-	// and server are the answer's.
-	committed bool
-	status    int
-	server    turmericshed.ServerID
-	firstByte time.Duration
+	// committed is true once the answer's headers went to the caller; status,
+	// contentType and server are the answer's.
+	committed   bool
+	status      int
+	contentType string
+	server      turmericshed.ServerID
+	firstByte   time.Duration
 	// events were relayed, the last one with the id lastEvent.
 	events    int
 	lastEvent uint64
--- /dev/null
+++ b/io/tsrelay/resume_test.go
@@ -0,0 +1,166 @@
+package tsrelay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed"
+	"turmericshed/core/tsboard"
+	"turmericshed/core/tstable"
+	"turmericshed/io/tsrelay"
+	"turmericshed/io/tsrouting"
+	"turmericshed/io/tsupstream"
+	"turmericshed/platform"
+)
+
+const streamTable = `{"version":1,"services":[{"name":"pool","maxConnections":100}],"routes":[
+ {"name":"tell","host":"corner.example","prefix":"/tell/","kind":"streaming","service":"pool","timeoutMs":4000,"maxAttempts":2,"resumable":true}]}`
+
+// begun is what the first server sends before it breaks off.
+const begun = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+func chunked(parts ...string) string {
+	var b strings.Builder
+	for _, p := range parts {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(p), p)
+	}
+	return b.String()
+}
+
+func streamHead(id string) string {
+	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
+// askBroken asks for a stream that breaks off after two events, and goes on with
+// what next returns.
+func askBroken(t *testing.T, next func(id string) string) (body string, err error) {
+	t.Helper()
+	var list []turmericshed.BackendServer
+	for i := range 2 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = ln.Close() })
+		go serveStreams(ln, next)
+		list = append(list, turmericshed.BackendServer{
+			ID: turmericshed.ServerID(fmt.Sprint("e-", i)), Addr: netip.MustParseAddrPort(ln.Addr().String()),
+			Work: turmericshed.WorkService, Service: "pool", Slots: 8,
+		})
+	}
+	board := &tsboard.Board{}
+	board.Servers.Write(list)
+	relay := tsrelay.New(tsrelay.Config{
+		Codec: platform.Codec{}, Router: tsrouting.NewPool(tsrouting.PoolConfig{Board: board}), Log: slog.New(slog.DiscardHandler),
+		Upstream: tsupstream.New(tsupstream.Config{Codec: platform.Codec{}}),
+		Retries:  tsrelay.RetryBounds{Ratio: 1, Slack: 100, Window: time.Minute}, EntryVMs: func() int { return 1 },
+	})
+	table, err := platform.DecodeTable([]byte(streamTable))
+	assert.NilError(t, err)
+	relay.SetTable(tstable.New(table))
+	srv := httptest.NewServer(relay)
+	t.Cleanup(srv.Close)
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, srv.URL+"/tell/1", strings.NewReader("x"))
+	assert.NilError(t, err)
+	req.Host = "corner.example"
+	req.Header.Set("Attempt-Id", "a")
+	req.Header.Set("Deadline-Remaining", "3000")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+func serveStreams(ln net.Listener, next func(id string) string) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			id := r.Header.Get("Attempt-Id")
+			if r.Header.Get("Last-Event-Id") == "" {
+				_, _ = io.WriteString(c, streamHead(id)+chunked(begun, "id: 3\nda"))
+				return
+			}
+			_, _ = io.WriteString(c, next(id))
+		}()
+	}
+}
+
+// A stream that had begun broke off, and what the next server answered was
+// joined to it, or ended it as if it were complete.
+func TestWhatIsNoPartOfAStreamThatBrokeOff(t *testing.T) {
+	plain := func(status, body string) func(string) string {
+		return func(id string) string {
+			return fmt.Sprintf("HTTP/1.1 %s\r\nAttempt-Id: %s\r\nResponse-Stamp: s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", status, id, len(body), body)
+		}
+	}
+	events := func(parts ...string) func(string) string {
+		return func(id string) string { return streamHead(id) + chunked(parts...) + "0\r\n\r\n" }
+	}
+	for name, next := range map[string]func(id string) string{
+		"a failure":                   plain("500 Internal Server Error", "out of memory\n\n"),
+		"a refusal of the request":    plain("400 Bad Request", "id: 3\ndata: no\n\n"),
+		"another place":               plain("302 Found", "id: 3\ndata: no\n\n"),
+		"text":                        plain("200 OK", "out of memory\n\n"),
+		"text that looks like events": plain("200 OK", "id: 3\ndata: no\n\n"),
+		"an empty text":               plain("200 OK", ""),
+		"no content": func(id string) string {
+			return "HTTP/1.1 204 No Content\r\nAttempt-Id: " + id + "\r\nResponse-Stamp: s\r\n\r\n"
+		},
+		"text without a length": func(id string) string {
+			return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Stamp: s\r\n\r\nout of memory\n\n"
+		},
+		"events without ids":      events("data: out of memory\n\n"),
+		"a named event":           events("event: error\ndata: out of memory\n\n"),
+		"the first event again":   events(begun),
+		"a later event":           events("id: 4\ndata: d\n\n"),
+		"the last event again":    events("id: 2\ndata: b\n\n"),
+		"an id that is no number": events("id: x\ndata: d\n\n"),
+		"an unsigned stream": func(id string) string {
+			return strings.Replace(streamHead(id), "Response-Stamp: s\r\n", "", 1) + chunked("id: 3\ndata: c\n\n") + "0\r\n\r\n"
+		},
+		"another request's stream": func(string) string { return streamHead("b") + chunked("id: 3\ndata: c\n\n") + "0\r\n\r\n" },
+		"a head in a chunk":        events("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno\n\n"),
+		"a head":                   func(id string) string { return streamHead(id) + "HTTP/1.1 500 Internal Server Error\r\n\r\n" },
+		"a failure after an event": func(id string) string {
+			return streamHead(id) + chunked("id: 7\ndata: x\n\n") + "HTTP/1.1 500 Internal Server Error\r\n\r\n"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, err := askBroken(t, next)
+			assert.Equal(t, body, begun)
+			assert.Assert(t, err != nil, "the stream looks complete")
+		})
+	}
+	for name, next := range map[string]func(id string) string{
+		"the rest":                           events("id: 3\ndata: c\n\n"),
+		"the rest between comments":          events(": wait\n\n", "id: 3\ndata: c\n\n", ": done\n\n"),
+		"the rest in several pieces":         events("id: 3\nda", "ta: c\n", "\n"),
+		"the rest, with its own new version": events("weight-versions: 2\nid: 3\ndata: c\n\n"),
+	} {
+		t.Run("but "+name+" is", func(t *testing.T) {
+			body, err := askBroken(t, next)
+			assert.NilError(t, err)
+			assert.Assert(t, strings.HasPrefix(body, begun) && strings.Contains(body, "data: c\n"), body)
+		})
+	}
+}
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -21,6 +21,12 @@
 // another server from lastEvent.
 func (q *request) relayStream(server turmericshed.ServerID, reply *tsupstream.Reply, p *patience) error {
 	q.unfinished = true
+	if q.committed {
+		if err := q.continues(server, reply); err != nil {
+			reply.Close()
+			return err
+		}
+	}
 	split := tsevents.NewSplitter(maxEventBytes)
 	buf := make([]byte, streamBuffer)
 	for {
@@ -51,10 +57,23 @@
 	}
 }
 
+// continues returns nil when an answer may be the rest of the stream that the
+// caller has so far.
+func (q *request) continues(server turmericshed.ServerID, reply *tsupstream.Reply) error {
+	if got := reply.Header.Get("Content-Type"); reply.Status != q.status || got != q.contentType {
+		return turmericshed.NewError(turmericshed.KindStreamBroken, "server %s: status %d, %q is no rest of the stream", server, reply.Status, got)
+	}
+	return nil
+}
+
 // relayEvents writes events to the caller at once. An event out of order does
-// not belong to what the caller has so far.
+// not belong to what the caller has so far, nor does one without an id to what
+// another server sent.
 func (q *request) relayEvents(server turmericshed.ServerID, reply *tsupstream.Reply, events []tsevents.Event) error {
 	for _, e := range events {
+		if q.committed && q.server != server && !e.HasID && !e.Comment {
+			return turmericshed.NewError(turmericshed.KindStreamBroken, "server %s: an event without an id after event %d", server, q.lastEvent)
+		}
 		if e.HasID && q.route.Repeatable && e.ID != q.lastEvent+1 {
 			return turmericshed.NewError(turmericshed.KindStreamBroken, "server %s: event %d after %d", server, e.ID, q.lastEvent)
 		}
