Crashes: attempts that follow each other at once are in turn

A caller that repeats at once, beside the entry VM's second attempt, ends four servers within some ten ms. Ends less than 250 ms apart counted once, so that a request which comes so each two seconds would reach servers four times more, later than contactMs after the third end.

An end now tells when its request was sent: sent after the last end, it is the next in turn. Ends of attempts that ran beside each other still count once. TestBook (three that follow each other at once) failed before.

--- a/core/tspoison/book.go
+++ b/core/tspoison/book.go
@@ -12,9 +12,10 @@
 	// endsToBar is the number of servers that end in turn under a request
 	// before it is barred.
 	endsToBar = 3
-	// turnSpacing is the least time between two ends that count as two: servers
-	// that end together have a cause in common, which is none of the requests
-	// that all of them ran.
+	// turnSpacing is the least time between two ends that count as two where the
+	// request had been sent to the second server before the first one ended:
+	// servers that end together have a cause in common, which is none of the
+	// requests that all of them ran.
 	turnSpacing = 250 * time.Millisecond
 	// barFor is how long a request is barred; each further end doubles it, up to
 	// barMax.
@@ -38,10 +39,11 @@
 // Len returns the number of requests with evidence.
 func (b *Book) Len() int { return len(b.evidence) }
 
-// Ended notes that a server ended at a time while the request ran there.
-func (b *Book) Ended(at time.Time, d turmericshed.Digest, s turmericshed.BackendServer) Evidence {
+// Ended notes that a server ended at a time while a request ran there that was
+// sent at began.
+func (b *Book) Ended(began, at time.Time, d turmericshed.Digest, s turmericshed.BackendServer) Evidence {
 	e := b.get(d)
-	e.add(Crash{Server: s.ID, Started: s.Started, At: at})
+	e.add(Crash{Server: s.ID, Started: s.Started, Began: began, At: at})
 	return e.clone()
 }
 
@@ -160,7 +162,8 @@
 	n := 0
 	var last time.Time
 	for _, c := range e.counted() {
-		if n == 0 || c.At.Sub(last) >= turnSpacing {
+		after := !c.Began.IsZero() && !c.Began.Before(last)
+		if n == 0 || after || c.At.Sub(last) >= turnSpacing {
 			n++
 			last = c.At
 		}
--- a/core/tspoison/book_test.go
+++ b/core/tspoison/book_test.go
@@ -48,7 +48,7 @@
 					b.Survived(now.Add(c.survived), "d")
 					survived = true
 				}
-				b.Ended(now.Add(at), "d", mortal(i))
+				b.Ended(now.Add(-time.Minute), now.Add(at), "d", mortal(i))
 			}
 			if !survived {
 				b.Survived(now.Add(c.survived), "d")
@@ -58,21 +58,37 @@
 			assert.Assert(t, !other)
 		})
 	}
+	t.Run("three that follow each other at once are in turn", func(t *testing.T) {
+		var b tspoison.Book
+		for i := range 3 {
+			began := now.Add(time.Duration(i) * 10 * time.Millisecond)
+			b.Ended(began, began.Add(9*time.Millisecond), "d", mortal(i))
+		}
+		assertBarred(t, &b, now.Add(time.Second), true)
+	})
+	t.Run("three that ran beside each other are not", func(t *testing.T) {
+		var b tspoison.Book
+		for i := range 3 {
+			began := now.Add(time.Duration(i) * 10 * time.Millisecond)
+			b.Ended(began, began.Add(25*time.Millisecond), "d", mortal(i))
+		}
+		assertBarred(t, &b, now.Add(time.Second), false)
+	})
 	t.Run("one end told by many is one", func(t *testing.T) {
 		var b tspoison.Book
 		for i := range 9 {
-			b.Ended(now.Add(time.Duration(i)*300*time.Millisecond), "d", mortal(0))
+			b.Ended(now, now.Add(time.Duration(i)*300*time.Millisecond), "d", mortal(0))
 		}
 		assertBarred(t, &b, now.Add(3*second), false)
 	})
 	t.Run("it ends, and comes back for longer with the next one", func(t *testing.T) {
 		var b tspoison.Book
 		for i := range 3 {
-			b.Ended(now.Add(time.Duration(i)*second), "d", mortal(i))
+			b.Ended(now, now.Add(time.Duration(i)*second), "d", mortal(i))
 		}
 		first, _ := b.Barred(now.Add(2*second), "d")
 		assertBarred(t, &b, first, false)
-		b.Ended(first.Add(second), "d", mortal(4))
+		b.Ended(first, first.Add(second), "d", mortal(4))
 		then, ok := b.Barred(first.Add(second), "d")
 		assert.Assert(t, ok)
 		assert.Equal(t, then.Sub(first.Add(second)), 2*first.Sub(now.Add(2*second)))
@@ -85,7 +101,7 @@
 		var keeper tspoison.Book
 		for i := range 3 {
 			var vm tspoison.Book
-			e := vm.Ended(now.Add(time.Duration(i)*time.Second), "d", mortal(i))
+			e := vm.Ended(now, now.Add(time.Duration(i)*time.Second), "d", mortal(i))
 			assert.Equal(t, len(keeper.Merge([]tspoison.Evidence{e})), 1)
 			assert.Equal(t, len(keeper.Merge([]tspoison.Evidence{e})), 0)
 		}
@@ -93,7 +109,7 @@
 	})
 	t.Run("take one whole answer told by two clocks for one", func(t *testing.T) {
 		var a, b tspoison.Book
-		e := a.Ended(now, "d", mortal(0))
+		e := a.Ended(now, now, "d", mortal(0))
 		b.Merge([]tspoison.Evidence{e})
 		a.Survived(now.Add(time.Second), "d")
 		told, _ := a.Get("d")
@@ -104,10 +120,10 @@
 	t.Run("are bounded, and keep what is barred", func(t *testing.T) {
 		var b tspoison.Book
 		for i := range 3 {
-			b.Ended(now.Add(time.Duration(i)*time.Second), "d", mortal(i))
+			b.Ended(now, now.Add(time.Duration(i)*time.Second), "d", mortal(i))
 		}
 		for i := range 10_000 {
-			b.Ended(now.Add(time.Duration(i+4)*time.Second), turmericshed.Digest(fmt.Sprint("x", i)), mortal(i))
+			b.Ended(now, now.Add(time.Duration(i+4)*time.Second), turmericshed.Digest(fmt.Sprint("x", i)), mortal(i))
 		}
 		assert.Assert(t, b.Len() <= 4096, "%d", b.Len())
 		assertBarred(t, &b, now.Add(time.Minute), true)
--- a/core/tspoison/evidence.go
+++ b/core/tspoison/evidence.go
@@ -28,7 +28,9 @@
 	Server turmericshed.ServerID `json:"server"`
 	// Started tells starts of one server apart; zero when not told.
 	Started time.Time `json:"started,omitzero"`
-	At      time.Time `json:"at"`
+	// Began is when the request was sent there; zero when not told.
+	Began time.Time `json:"began,omitzero"`
+	At    time.Time `json:"at"`
 }
 
 // Evidence is what is known about one request. Two copies merge to the same
--- a/fleet.go
+++ b/fleet.go
@@ -208,8 +208,8 @@
 	// Check returns KindQuarantined for a request that may not be sent.
 	Check(now time.Time, d Digest) error
 	// Broke tells that the connection ended on which a server worked on the
-	// request. Whether the server did is found out later.
-	Broke(s BackendServer, d Digest)
+	// request since began. Whether the server did is found out later.
+	Broke(s BackendServer, d Digest, began time.Time)
 	// Survived tells that the request was answered whole.
 	Survived(now time.Time, d Digest)
 }
--- a/io/tscrash/fleet_test.go
+++ b/io/tscrash/fleet_test.go
@@ -248,7 +248,7 @@
 		f.mu.Lock()
 		f.dials[s.Addr.String()] = how
 		f.mu.Unlock()
-		f.vms[n%len(f.vms)].Broke(s, d)
+		f.vms[n%len(f.vms)].Broke(s, d, time.Now())
 		time.Sleep(time.Second)
 	}
 }
--- a/io/tscrash/look.go
+++ b/io/tscrash/look.go
@@ -35,13 +35,16 @@
 // breaks are the requests whose connections to a server ended.
 type breaks struct {
 	server   turmericshed.BackendServer
-	requests map[turmericshed.Digest]time.Time
+	requests map[turmericshed.Digest]run
 	// looking is true while the server is looked at; until is for how long the
 	// list is waited for after that.
 	looking bool
 	until   time.Time
 }
 
+// run is a request's time at a server.
+type run struct{ began, broke time.Time }
+
 // verdict is what a look at a server shows.
 type verdict int
 
@@ -51,9 +54,9 @@
 	verdictAlive
 )
 
-// Broke notes that the connection ended on which a server worked on a request,
-// and looks whether the server did.
-func (w *Watch) Broke(s turmericshed.BackendServer, d turmericshed.Digest) {
+// Broke notes that the connection ended on which a server worked on a request
+// since began, and looks whether the server did.
+func (w *Watch) Broke(s turmericshed.BackendServer, d turmericshed.Digest, began time.Time) {
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -64,11 +67,11 @@
 			w.cfg.Log.Warn("too many servers in doubt", "server", string(s.ID), "digest", string(d))
 			return
 		}
-		b = &breaks{server: s, requests: make(map[turmericshed.Digest]time.Time)}
+		b = &breaks{server: s, requests: make(map[turmericshed.Digest]run)}
 		w.broken[k] = b
 	}
 	if len(b.requests) < maxRequests {
-		b.requests[d] = now
+		b.requests[d] = run{began, now}
 	}
 	if !b.looking {
 		b.looking = true
@@ -93,8 +96,8 @@
 		b.until = time.Now().Add(listWait)
 		w.compare(time.Now(), w.cfg.Board.Servers.Read())
 	case verdictAlive:
-		for d, at := range b.requests {
-			if !at.After(asOf) {
+		for d, r := range b.requests {
+			if !r.broke.After(asOf) {
 				delete(b.requests, d)
 			}
 		}
@@ -137,8 +140,8 @@
 func (w *Watch) ended(k start, b *breaks, how string) {
 	delete(w.broken, k)
 	var names []string
-	for d, at := range b.requests {
-		e := w.book.Ended(at, d, b.server)
+	for d, r := range b.requests {
+		e := w.book.Ended(r.began, r.broke, d, b.server)
 		w.noted(time.Now(), []tspoison.Evidence{e}, "")
 		w.outbox[d] = true
 		if len(names) < loggedDigests {
--- a/io/tscrash/share.go
+++ b/io/tscrash/share.go
@@ -289,13 +289,16 @@
 	for _, e := range evidence {
 		r := &tspeerapi.RequestEvidence{Digest: string(e.Digest)}
 		if !e.PardonedAt.IsZero() {
-			r.Cleared, r.ClearedAgoMs, r.ClearedBy = true, now.Sub(e.PardonedAt).Milliseconds(), e.PardonedBy
+			r.Cleared, r.ClearedAgoUs, r.ClearedBy = true, now.Sub(e.PardonedAt).Microseconds(), e.PardonedBy
 		}
 		for _, c := range e.Crashes {
-			end := &tspeerapi.ServerEnd{Server: string(c.Server), AgoMs: now.Sub(c.At).Milliseconds()}
+			end := &tspeerapi.ServerEnd{Server: string(c.Server), AgoUs: now.Sub(c.At).Microseconds()}
 			if !c.Started.IsZero() {
 				end.StartedMs = c.Started.UnixMilli()
 			}
+			if !c.Began.IsZero() {
+				end.RanUs = c.At.Sub(c.Began).Microseconds()
+			}
 			r.Ends = append(r.Ends, end)
 		}
 		m.Requests = append(m.Requests, r)
@@ -308,10 +311,13 @@
 	for _, r := range m.Requests {
 		e := tspoison.Evidence{Digest: turmericshed.Digest(r.Digest)}
 		if r.Cleared {
-			e.PardonedAt, e.PardonedBy = ago(now, r.ClearedAgoMs), r.ClearedBy
+			e.PardonedAt, e.PardonedBy = ago(now, r.ClearedAgoUs), r.ClearedBy
 		}
 		for _, end := range r.Ends {
-			c := tspoison.Crash{Server: turmericshed.ServerID(end.Server), At: ago(now, end.AgoMs)}
+			c := tspoison.Crash{Server: turmericshed.ServerID(end.Server), At: ago(now, end.AgoUs)}
+			if end.RanUs > 0 {
+				c.Began = c.At.Add(-time.Duration(end.RanUs) * time.Microsecond)
+			}
 			if end.StartedMs != 0 {
 				c.Started = time.UnixMilli(end.StartedMs)
 			}
@@ -322,4 +328,4 @@
 	return evidence
 }
 
-func ago(now time.Time, ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+func ago(now time.Time, us int64) time.Time { return now.Add(-time.Duration(us) * time.Microsecond) }
--- a/io/tscrash/watch.go
+++ b/io/tscrash/watch.go
@@ -18,7 +18,7 @@
 //		supervisor.Add(c)
 //	}
 //	if err := w.Check(time.Now(), digest); err != nil { ... } // not sent
-//	w.Broke(server, digest)          // the connection ended
+//	w.Broke(server, digest, began)   // the connection ended
 //	w.Survived(time.Now(), digest)   // answered whole
 package tscrash
 
--- a/io/tscrash/watch_test.go
+++ b/io/tscrash/watch_test.go
@@ -94,7 +94,7 @@
 	t.Run("one look for all requests of a server", func(t *testing.T) {
 		play(t, 1, func(t *testing.T, f *fleet) {
 			for _, d := range []turmericshed.Digest{"a", "b", "c", "d"} {
-				f.vms[0].Broke(f.servers()[0], d)
+				f.vms[0].Broke(f.servers()[0], d, time.Now())
 			}
 			time.Sleep(time.Second)
 			assert.Assert(t, f.cost().looks <= 2, "%+v", f.cost())
@@ -145,7 +145,7 @@
 			seen := f.counting()[4]
 			for i := range 3 {
 				f.refuse(i)
-				seen.Broke(f.servers()[i], "d")
+				seen.Broke(f.servers()[i], "d", time.Now())
 				time.Sleep(2 * time.Second)
 			}
 			assertBarred(t, f.counting()[2:], "d", true)
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -133,7 +133,7 @@
 		q.relay.cfg.Log.Info("attempt broke off", "request", string(q.in.ID), "server", string(server.ID), "digest", string(q.identify()),
 			"sent", q.sent, "events", q.events, "elapsed_ms", time.Since(now).Milliseconds(), "error", err.Error())
 		if q.relay.cfg.Crashes != nil {
-			q.relay.cfg.Crashes.Broke(server, q.identify())
+			q.relay.cfg.Crashes.Broke(server, q.identify(), q.sentAt)
 		}
 	}
 	if err != nil && q.ctx.Err() != nil {
