--- a/io/tscrash/keep.go
+++ b/io/tscrash/keep.go
@@ -55,7 +55,7 @@
 	began := time.Now()
 	kept, err := tsquarantine.List(ctx, w.cfg.Store)
 	if err != nil {
-		w.cfg.Log.Warn("barred requests not read", "elapsed_ms", time.Since(began).Milliseconds(), "error", err.Error())
+		w.cfg.Log.Warn("quarantines not read", "elapsed_ms", time.Since(began).Milliseconds(), "error", err.Error())
 		return false
 	}
 	w.mu.Lock()
@@ -82,7 +82,7 @@
 		err := tsquarantine.Keep(callCtx, w.cfg.Store, e)
 		cancel()
 		if err != nil {
-			w.cfg.Log.Warn("barred request not kept", "digest", string(d), "kind", turmericshed.KindOf(err).String(), "error", err.Error())
+			w.cfg.Log.Warn("quarantine not kept", "digest", string(d), "kind", turmericshed.KindOf(err).String(), "error", err.Error())
 			w.mu.Lock()
 			w.unkept[d] = true
 			w.mu.Unlock()
--- a/io/tscrash/metrics.go
+++ b/io/tscrash/metrics.go
@@ -23,14 +23,14 @@
 			Name: "turmericshed_server_looks_total", Help: "Connections opened to see whether a backend server ended.",
 		}),
 		refused: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "turmericshed_barred_attempts_total", Help: "Attempts that were not made since servers had ended under the request.",
+			Name: "turmericshed_quarantined_attempts_total", Help: "Attempts that were not made since servers had ended under the request.",
 		}),
 	}
 	if w.cfg.Metrics == nil {
 		return
 	}
 	w.cfg.Metrics.MustRegister(w.counters.ends, w.counters.looks, w.counters.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "turmericshed_barred_requests", Help: "Requests that are kept from backend servers.",
+		Name: "turmericshed_quarantined_requests", Help: "Requests that are kept from backend servers.",
 	}, func() float64 {
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/io/tscrash/share.go
+++ b/io/tscrash/share.go
@@ -275,7 +275,7 @@
 	t.calling = false
 	if err != nil {
 		t.next = time.Now().Add(tellRetry)
-		w.cfg.Log.Info("entry VM not told of barred requests", "entry_vm", vm.Name, "addr", vm.PeerAddr.String(), "requests", len(digests), "error", err.Error())
+		w.cfg.Log.Info("entry VM not told of quarantines", "entry_vm", vm.Name, "addr", vm.PeerAddr.String(), "requests", len(digests), "error", err.Error())
 		return
 	}
 	t.upTo = upTo
--- a/io/tscrash/watch.go
+++ b/io/tscrash/watch.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		last := e.Crashes[len(e.Crashes)-1]
-		w.cfg.Log.Warn("request barred", "digest", string(e.Digest), "ends", len(e.Crashes), "for_ms", until.Sub(now).Milliseconds(),
+		w.cfg.Log.Warn("request quarantined", "digest", string(e.Digest), "ends", len(e.Crashes), "for_ms", until.Sub(now).Milliseconds(),
 			"server", string(last.Server), "last_end_ms_ago", now.Sub(last.At).Milliseconds(), "entry_vm", from)
 	}
 }
