--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -292,11 +292,12 @@
 		Server: server, ID: q.in.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
 		Header: header, Body: q.body, Once: !q.route.Repeatable, Connections: q.relay.connectionShare(q.spec()),
 		Ready: func() (time.Time, error) {
-			if len(header) == 0 {
+			first := len(header) == 0
+			if first {
 				maps.Copy(header, q.header(server.ID))
 			}
 			until, err := q.ready(server.ID, unsent)
-			if err == nil {
+			if first && err == nil {
 				q.sentAt = time.Now()
 			}
 			// What is asked about later is on its way already.
