Streams: one that broke off looks broken without chunks, too

A caller of HTTP/1.0 takes the end of its connection for the end of the answer: a stream that had begun and broke off ended as if it were complete. Its connection now ends with a reset. TestAStreamThatBrokeOffWithoutChunks failed before.

--- a/io/tsrelay/caller.go
+++ b/io/tsrelay/caller.go
@@ -27,18 +27,33 @@
 // a goroutine of its own, which may run later: an entry VM that was slow reads
 // requests whose callers left long before.
 func callerLeft(ctx context.Context) error {
+	return turmericshed.WrapError(turmericshed.KindCanceled, withSocket(ctx, peek), "caller")
+}
+
+// withSocket calls f with the socket of a request's caller, where it has one.
+func withSocket(ctx context.Context, f func(fd int) error) error {
 	c, ok := ctx.Value(callerKey{}).(syscall.Conn)
 	if !ok {
 		return nil
 	}
 	raw, err := c.SyscallConn()
-	if err == nil {
-		ctrlErr := raw.Control(func(fd uintptr) { err = peek(int(fd)) })
-		if err == nil {
-			err = ctrlErr
-		}
+	if err != nil {
+		return err
+	}
+	var callErr error
+	ctrlErr := raw.Control(func(fd uintptr) { callErr = f(int(fd)) })
+	return errors.Join(ctrlErr, callErr)
+}
+
+// resetCaller lets the end of the caller's connection be a reset: without chunks
+// a plain end would be that of a whole answer.
+func (q *request) resetCaller() {
+	err := withSocket(q.r.Context(), func(fd int) error {
+		return unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+	if err != nil {
+		q.relay.cfg.Log.Warn("the end of a broken answer is no reset", "request", string(q.in.ID), "error", err.Error())
 	}
-	return turmericshed.WrapError(turmericshed.KindCanceled, err, "caller")
 }
 
 // peek returns why nothing more can come from a socket's other end; nil while
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -341,6 +341,9 @@
 	q.observe(err)
 	if err != nil && q.committed {
 		// The connection is closed, so that the answer does not look whole.
+		if !q.r.ProtoAtLeast(1, 1) {
+			q.resetCaller()
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/io/tsrelay/resume_test.go
+++ b/io/tsrelay/resume_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,9 +44,9 @@
 	return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 }
 
-// askBroken asks for a stream that breaks off after two events, and goes on with
-// what next returns.
-func askBroken(t *testing.T, next func(id string) string) (body string, err error) {
+// newBroken returns a relay to servers whose streams break off after two events,
+// and go on with what next returns.
+func newBroken(t *testing.T, next func(id string) string) *tsrelay.Relay {
 	t.Helper()
 	var list []turmericshed.BackendServer
 	for i := range 2 {
@@ -68,7 +69,13 @@
 	table, err := platform.DecodeTable([]byte(streamTable))
 	assert.NilError(t, err)
 	relay.SetTable(tstable.New(table))
-	srv := httptest.NewServer(relay)
+	return relay
+}
+
+// askBroken asks for such a stream.
+func askBroken(t *testing.T, next func(id string) string) (body string, err error) {
+	t.Helper()
+	srv := httptest.NewServer(newBroken(t, next))
 	t.Cleanup(srv.Close)
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, srv.URL+"/tell/1", strings.NewReader("x"))
 	assert.NilError(t, err)
@@ -164,3 +171,26 @@
 		})
 	}
 }
+
+// A caller that takes no chunks, to whom the end of the connection is that of the
+// answer, got a stream that broke off as complete.
+func TestAStreamThatBrokeOffWithoutChunks(t *testing.T) {
+	relay := newBroken(t, func(id string) string {
+		return "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := tsrelay.NewServer(relay, slog.New(slog.DiscardHandler))
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = server.Serve(ctx, ln, time.Second) }()
+	defer func() { _ = server.Close() }()
+	c, err := net.Dial("tcp", ln.Addr().String()) //nolint:noctx // loopback, in a test.
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /tell/1 HTTP/1.0\r\nHost: corner.example\r\nAttempt-Id: a\r\nDeadline-Remaining: 3000\r\nContent-Length: 1\r\n\r\nx")
+	assert.NilError(t, err)
+	data, err := io.ReadAll(c)
+	assert.Assert(t, strings.Contains(string(data), "data: a"), "%s", data)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+}
