Crashes: an attempt that was not sent is no evidence

A connection that was reset, or timed out, while it opened counted as one that broke under the request: a server that refuses connections a moment later would have ended under requests that it never got.

--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -121,7 +121,7 @@
 	defer cancel()
 	patience := q.watch(cancel)
 	defer patience.stop()
-	events := q.events
+	events, sent := q.events, q.sent
 	a, first, err := q.exchange(ctx, server, patience)
 	if err != nil {
 		q.excluded = append(q.excluded, server.ID)
@@ -129,12 +129,8 @@
 			err = turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s is silent", server.ID)
 		}
 	}
-	if err != nil && (patience.expired() || broke(q.ctx, err)) {
-		q.relay.cfg.Log.Info("attempt broke off", "request", string(q.in.ID), "server", string(server.ID), "digest", string(q.identify()),
-			"sent", q.sent, "events", q.events, "elapsed_ms", time.Since(now).Milliseconds(), "error", err.Error())
-		if q.relay.cfg.Crashes != nil {
-			q.relay.cfg.Crashes.Broke(server, q.identify(), q.sentAt)
-		}
+	if err != nil && q.sent > sent && (patience.expired() || broke(q.ctx, err)) {
+		q.brokeOff(server, err)
 	}
 	if err != nil && q.ctx.Err() != nil {
 		err = q.contextError()
@@ -156,6 +152,15 @@
 	return a, err
 }
 
+// brokeOff tells of an attempt that a server did not answer whole.
+func (q *request) brokeOff(server turmericshed.BackendServer, err error) {
+	q.relay.cfg.Log.Info("attempt broke off", "request", string(q.in.ID), "server", string(server.ID), "digest", string(q.identify()),
+		"sent", q.sent, "events", q.events, "elapsed_ms", time.Since(q.sentAt).Milliseconds(), "error", err.Error())
+	if q.relay.cfg.Crashes != nil {
+		q.relay.cfg.Crashes.Broke(server, q.identify(), q.sentAt)
+	}
+}
+
 // awaitTurn waits until the link takes the request's body.
 func (q *request) awaitTurn() error {
 	if q.relay.cfg.Link == nil {
--- a/io/tsrelay/send_test.go
+++ b/io/tsrelay/send_test.go
@@ -43,6 +43,8 @@
 	// early is how often that wait ends before something happens.
 	early     atomic.Int32
 	meanwhile func()
+	// dialErr is why no connection opens; nil when they do.
+	dialErr error
 }
 
 func (w *waits) reached(at wait) {
@@ -80,6 +82,9 @@
 
 // dial opens a connection, after which something may happen.
 func (w *waits) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if w.dialErr != nil {
+		return nil, w.dialErr
+	}
 	c, err := tsupstream.Dial(ctx, network, addr)
 	w.reached(forConnection)
 	return c, err
@@ -94,6 +99,8 @@
 	pool  *tsrouting.Pool
 	relay *tsrelay.Relay
 	url   string
+	// crashes is what the relay tells of broken attempts.
+	crashes *crashes
 }
 
 const sendTable = `{"version":1,"services":[{"name":"desk","maxConnections":100}],"tenants":[{"name":"stall","apiKeys":["k1"],"prepaid":1000}],"routes":[
@@ -101,7 +108,7 @@
 
 func newSender(t *testing.T, at wait, early int32) *sender {
 	t.Helper()
-	s := &sender{t: t, waits: &waits{at: at}, board: &tsboard.Board{}}
+	s := &sender{t: t, waits: &waits{at: at}, board: &tsboard.Board{}, crashes: &crashes{}}
 	s.waits.early.Store(early)
 	for i := range 2 {
 		b := &tsmetastore.Backend{ID: fmt.Sprint("desk-", i)}
@@ -112,7 +119,7 @@
 	s.board.Servers.Write(s.list("ready"))
 	s.pool = tsrouting.NewPool(tsrouting.PoolConfig{Self: "a", Board: s.board, Limits: s.waits})
 	relay := tsrelay.New(tsrelay.Config{
-		Codec: platform.Codec{}, Router: s.pool, Budgets: s.waits, Link: s.waits, Limits: s.waits, Log: slog.New(slog.DiscardHandler),
+		Codec: platform.Codec{}, Router: s.pool, Budgets: s.waits, Link: s.waits, Limits: s.waits, Crashes: s.crashes, Log: slog.New(slog.DiscardHandler),
 		Upstream: tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: s.waits.dial}),
 		Retries:  tsrelay.RetryBounds{Ratio: 1, Slack: 100, Window: time.Minute}, EntryVMs: func() int { return 1 },
 	})
