Crashes: a cut that refuses connections is no end of a server

Cause: one entry VM's view was taken for the server's state, the class of DRAIN and SHORT. An entry VM that is refused now asks others, two in the server's own failure domain, which no cut between domains keeps from it, and two in another than its own. All that answer must agree; where none answers, the list of servers tells.

--- a/io/tscrash/look.go
+++ b/io/tscrash/look.go
@@ -81,7 +81,7 @@
 
 // look finds out whether a server ended.
 func (w *Watch) look(k start, b *breaks) {
-	v, asOf := w.verdict(b.server)
+	v, asOf := w.judge(b.server)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.broken[k] != b {
@@ -91,7 +91,7 @@
 	b.looking = false
 	switch v {
 	case verdictEnded:
-		w.ended(k, b, "connection refused")
+		w.ended(k, b, "connections refused")
 	case verdictUnreached:
 		b.until = time.Now().Add(listWait)
 		w.compare(time.Now(), w.cfg.Board.Servers.Read())
--- a/io/tspeerapi/crash.connect.go
+++ b/io/tspeerapi/crash.connect.go
@@ -32,6 +32,8 @@
 // reflection-formatted method names, remove the leading slash and convert the remaining slash to a
 // period.
 const (
+	// CrashServiceLookProcedure is the fully-qualified name of the CrashService's Look RPC.
+	CrashServiceLookProcedure = "/turmericshed.peer.v1.CrashService/Look"
 	// CrashServiceReportProcedure is the fully-qualified name of the CrashService's Report RPC.
 	CrashServiceReportProcedure = "/turmericshed.peer.v1.CrashService/Report"
 	// CrashServiceTellProcedure is the fully-qualified name of the CrashService's Tell RPC.
@@ -40,6 +42,9 @@
 
 // CrashServiceClient is a client for the turmericshed.peer.v1.CrashService service.
 type CrashServiceClient interface {
+	// Look looks whether a backend server ended, for an entry VM that can't tell
+	// its own cut from that.
+	Look(context.Context, *connect.Request[LookRequest]) (*connect.Response[LookResponse], error)
 	// Report brings evidence to an entry VM that counts for all, and returns what
 	// that knows of the same requests.
 	Report(context.Context, *connect.Request[CrashEvidence]) (*connect.Response[CrashEvidence], error)
@@ -58,6 +63,12 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	crashServiceMethods := File_api_crash_proto.Services().ByName("CrashService").Methods()
 	return &crashServiceClient{
+		look: connect.NewClient[LookRequest, LookResponse](
+			httpClient,
+			baseURL+CrashServiceLookProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("Look")),
+			connect.WithClientOptions(opts...),
+		),
 		report: connect.NewClient[CrashEvidence, CrashEvidence](
 			httpClient,
 			baseURL+CrashServiceReportProcedure,
@@ -75,10 +86,16 @@
 
 // crashServiceClient implements CrashServiceClient.
 type crashServiceClient struct {
+	look   *connect.Client[LookRequest, LookResponse]
 	report *connect.Client[CrashEvidence, CrashEvidence]
 	tell   *connect.Client[CrashEvidence, TellResponse]
 }
 
+// Look calls turmericshed.peer.v1.CrashService.Look.
+func (c *crashServiceClient) Look(ctx context.Context, req *connect.Request[LookRequest]) (*connect.Response[LookResponse], error) {
+	return c.look.CallUnary(ctx, req)
+}
+
 // Report calls turmericshed.peer.v1.CrashService.Report.
 func (c *crashServiceClient) Report(ctx context.Context, req *connect.Request[CrashEvidence]) (*connect.Response[CrashEvidence], error) {
 	return c.report.CallUnary(ctx, req)
@@ -91,6 +108,9 @@
 
 // CrashServiceHandler is an implementation of the turmericshed.peer.v1.CrashService service.
 type CrashServiceHandler interface {
+	// Look looks whether a backend server ended, for an entry VM that can't tell
+	// its own cut from that.
+	Look(context.Context, *connect.Request[LookRequest]) (*connect.Response[LookResponse], error)
 	// Report brings evidence to an entry VM that counts for all, and returns what
 	// that knows of the same requests.
 	Report(context.Context, *connect.Request[CrashEvidence]) (*connect.Response[CrashEvidence], error)
@@ -105,6 +125,12 @@
 // and JSON codecs. They also support gzip compression.
 func NewCrashServiceHandler(svc CrashServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	crashServiceMethods := File_api_crash_proto.Services().ByName("CrashService").Methods()
+	crashServiceLookHandler := connect.NewUnaryHandler(
+		CrashServiceLookProcedure,
+		svc.Look,
+		connect.WithSchema(crashServiceMethods.ByName("Look")),
+		connect.WithHandlerOptions(opts...),
+	)
 	crashServiceReportHandler := connect.NewUnaryHandler(
 		CrashServiceReportProcedure,
 		svc.Report,
@@ -119,6 +145,8 @@
 	)
 	return "/turmericshed.peer.v1.CrashService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case CrashServiceLookProcedure:
+			crashServiceLookHandler.ServeHTTP(w, r)
 		case CrashServiceReportProcedure:
 			crashServiceReportHandler.ServeHTTP(w, r)
 		case CrashServiceTellProcedure:
@@ -132,6 +160,10 @@
 // UnimplementedCrashServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedCrashServiceHandler struct{}
 
+func (UnimplementedCrashServiceHandler) Look(context.Context, *connect.Request[LookRequest]) (*connect.Response[LookResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("turmericshed.peer.v1.CrashService.Look is not implemented"))
+}
+
 func (UnimplementedCrashServiceHandler) Report(context.Context, *connect.Request[CrashEvidence]) (*connect.Response[CrashEvidence], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("turmericshed.peer.v1.CrashService.Report is not implemented"))
 }
