--- a/io/tscrash/fleet_test.go
+++ b/io/tscrash/fleet_test.go
@@ -105,7 +105,7 @@
 	*tscrash.Watch
 }
 
-// run plays a test in fake time with n entry VMs.
+// newFleet starts n entry VMs in three failure domains.
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{t: t, store: &memory{items: map[string]turmericshed.Item{}}, cut: map[string]bool{}, refused: map[string]bool{}, dials: map[string]error{}}
 	for i := range n {
@@ -259,7 +259,7 @@
 	}
 }
 
-// list writes the list of servers without some of them at all entry VMs.
+// unlist lets the list name some of the servers as started anew, at all entry VMs.
 func (f *fleet) unlist(servers ...int) {
 	list := f.servers()
 	for _, i := range servers {
--- a/io/tscrash/watch.go
+++ b/io/tscrash/watch.go
@@ -3,12 +3,12 @@
 // decisions of core/tspoison.
 //
 // A connection that ends without a whole answer proves little: answers are lost,
-// and links fail. The server's address is looked at then: a server that refuses
-// connections has ended, and one that can't be reached has when the list of
-// servers says so. That is reported to a few entry VMs, which all choose alike
-// and which count for all. Once servers ended in turn, with no whole answer in
-// between, they tell every entry VM, and write it to the store for those that
-// start later. See docs/design/crashes.md.
+// and links fail. The server's address is looked at then, by this entry VM and by
+// others, since one's own cut may refuse connections as well. A server that can't
+// be reached has ended when the list of servers says so. That is reported to a few
+// entry VMs, which all choose alike and which count for all. Once servers ended in
+// turn, with no whole answer in between, they tell every entry VM, and write it to
+// the store for those that start later. See docs/design/crashes.md.
 //
 // # Usage
 //
@@ -30,12 +30,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"turmericshed"
 	"turmericshed/core/tsboard"
 	"turmericshed/core/tspoison"
 	"turmericshed/io/tspeer"
-
-	"github.com/prometheus/client_golang/prometheus"
 )
 
 const (
