--- a/io/tscrash/watch_test.go
+++ b/io/tscrash/watch_test.go
@@ -240,3 +240,18 @@
 		})
 	})
 }
+
+// Servers that ended without a word, of which the list tells after three of their
+// reports are missing, were known later than all must know.
+func TestSilentEndsAreKnownInTime(t *testing.T) {
+	const reportsMissed = 3600 * time.Millisecond
+	play(t, 9, func(t *testing.T, f *fleet) {
+		began := time.Now()
+		f.end("d", syscall.ETIMEDOUT, 0, 1, 2)
+		for i, gone := range [][]int{{0}, {0, 1}, {0, 1, 2}} {
+			time.AfterFunc(time.Until(began.Add(time.Duration(i)*time.Second+reportsMissed)), func() { f.unlist(gone...) })
+		}
+		time.Sleep(time.Until(began.Add(2*time.Second + contact)))
+		assertBarred(t, f.vms, "d", true)
+	})
+}
--- a/io/tsrelay/gone_test.go
+++ b/io/tsrelay/gone_test.go
@@ -143,3 +143,20 @@
 		})
 	}
 }
+
+// A caller had sent bytes of its next request and left, and its server worked on.
+func TestCallersThatLeaveAfterBytesOfTheirNextRequest(t *testing.T) {
+	s := newSender(t, "", 0)
+	s.behave(tsmetastore.BehaveSilent)
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://")) //nolint:noctx // loopback, in a test.
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, "POST /find/1 HTTP/1.1\r\nHost: corner.example\r\nCredential: k1\r\nDeadline-Remaining: 4000\r\nToken-Counts: 10,5\r\nAttempt-Id: gone\r\nContent-Length: 5\r\n\r\nframe")
+	assert.NilError(t, err)
+	time.Sleep(settles)
+	_, err = io.WriteString(c, "GET /find/2 HTTP/1.1\r\n")
+	assert.NilError(t, err)
+	time.Sleep(settles)
+	assert.NilError(t, c.Close())
+	time.Sleep(5 * settles)
+	assert.Equal(t, s.desks[0].Canceled()+s.desks[1].Canceled(), 1, "requests that were cancelled at their server half a second later")
+}
