Log what attempts share that broke off, and how far their answers had come

Cause: evidence about servers that end is kept by the whole request, and no log line told what different requests have in common or whether the server had begun to answer.

Change: 'attempt ended without a complete answer' has the shared parts of the prompt, the account, head_ms and attempt_events. No logic changes.

--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -134,7 +134,7 @@
 		}
 	}
 	if err != nil && q.sentAttempts > sentBefore && (timer.expired() || connectionBroke(q.ctx, err)) {
-		q.reportBroken(server, err)
+		q.reportBroken(server, err, firstByte, q.events-eventsBefore)
 	}
 	if err != nil && q.ctx.Err() != nil {
 		err = q.contextError()
@@ -157,10 +157,12 @@
 }
 
 // reportBroken logs an attempt whose answer is missing or incomplete, and reports it to the
-// crash watch.
-func (q *request) reportBroken(server turmericshed.BackendServer, err error) {
+// crash watch. firstByte is the time to the answer's headers, 0 when none arrived, and
+// attemptEvents the number of events that the server sent.
+func (q *request) reportBroken(server turmericshed.BackendServer, err error, firstByte time.Duration, attemptEvents int) {
 	q.relay.cfg.Log.Info("attempt ended without a complete answer", "request", string(q.inbound.ID), "server", string(server.ID), "digest", string(q.contentDigest()),
-		"sent", q.sentAttempts, "events", q.events, "elapsed_ms", time.Since(q.sentAt).Milliseconds(), "error", err.Error())
+		"parts", q.sharedParts(), "account", string(q.account.Account), "sent", q.sentAttempts, "head_ms", firstByte.Milliseconds(),
+		"events", q.events, "attempt_events", attemptEvents, "elapsed_ms", time.Since(q.sentAt).Milliseconds(), "error", err.Error())
 	if q.relay.cfg.CrashWatch != nil {
 		q.relay.cfg.CrashWatch.ConnectionLost(server, q.contentDigest(), q.sentAt)
 	}
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -30,6 +30,11 @@
 	defaultHeaderTimeout = 10 * time.Second
 	// digestBytes is the length of a request's digest in bytes, before hex encoding.
 	digestBytes = 16
+	// partDigestPrefix distinguishes the digests of prompt parts from those of requests,
+	// which are hexadecimal.
+	partDigestPrefix = "part-"
+	// maxSharedParts bounds the parts of a prompt that are considered.
+	maxSharedParts = 16
 	// noTableRetryAfter is the Retry-After before the first routing table has arrived.
 	noTableRetryAfter = 500 * time.Millisecond
 )
@@ -77,6 +82,8 @@
 	callerDisconnectNanos atomic.Int64
 	// digest caches the result of contentDigest; empty until it is needed.
 	digest turmericshed.Digest
+	// parts caches the result of sharedParts; nil until it is needed.
+	parts []turmericshed.Digest
 	// mayHaveRun is true once a server may have begun to work on the request.
 	mayHaveRun bool
 	// committed is true once the answer's headers were sent to the caller. status,
@@ -273,6 +280,26 @@
 	return q.digest
 }
 
+// sharedParts returns digests of the prompt's parts without the last one, which no other
+// request has. They don't depend on the client account, the model or the route. Short
+// hexadecimal ids are kept, so that they can be searched for in logs.
+func (q *request) sharedParts() []turmericshed.Digest {
+	n := min(len(q.inbound.Parts)-1, maxSharedParts)
+	if q.parts != nil || n <= 0 {
+		return q.parts
+	}
+	q.parts = make([]turmericshed.Digest, 0, n)
+	for _, p := range q.inbound.Parts[:n] {
+		id := strings.ToLower(p.ID)
+		if len(id) > 2*digestBytes || strings.Trim(id, "0123456789abcdef") != "" {
+			sum := sha256.Sum256([]byte(id))
+			id = "x" + hex.EncodeToString(sum[:digestBytes])
+		}
+		q.parts = append(q.parts, turmericshed.Digest(partDigestPrefix+id))
+	}
+	return q.parts
+}
+
 // checkQuarantine returns KindQuarantined if the request is quarantined, else nil.
 func (q *request) checkQuarantine() error {
 	w := q.relay.cfg.CrashWatch
