--- a/io/tsgateway/crash_test.go
+++ b/io/tsgateway/crash_test.go
@@ -66,11 +66,17 @@
 	return r.startWith(fmt.Sprint("vm-", i), func(cfg *tsgateway.Config) { cfg.Settings.Bounds.ContactTimeout = crashContactTimeout })
 }
 
-// putEntry writes the store entry of a server that started.
-func (r *crashRig) putEntry(b *tsmetastore.Backend) {
-	r.store.Put(platform.ServerPrefix+b.ID, b.Entry("desk", "a", "ready"))
+// putEntry writes the store entry of a desk that started.
+func (r *crashRig) putEntry(b *tsmetastore.Backend) { r.putBackend(b, "desk") }
+
+// putBackend writes the store entry of a server of the given service that started.
+func (r *rig) putBackend(b *tsmetastore.Backend, service string) {
+	r.store.Put(platform.ServerPrefix+b.ID, b.Entry(service, "a", "ready"))
 }
 
+// removeBackend removes a server from the store.
+func (r *rig) removeBackend(b *tsmetastore.Backend) { r.store.Remove(platform.ServerPrefix + b.ID) }
+
 // requestAny sends a request to a random entry VM.
 func (r *crashRig) requestAny(method, path, body string) reply {
 	target := *r.rig
--- a/standin/tsmetastore/backend.go
+++ b/standin/tsmetastore/backend.go
@@ -56,6 +56,10 @@
 	// CrashBody is the body of requests that crash the server when it starts to
 	// process them; empty for none.
 	CrashBody string
+	// CrashPart is the ID of a prompt part whose requests crash the server after the
+	// head of their answer; empty for none. The last part of a prompt does
+	// not count.
+	CrashPart string
 	// RestartAfter is the time from a crash until the server listens at its address
 	// again. It then calls OnRestart, which may be nil.
 	RestartAfter time.Duration
@@ -63,9 +67,11 @@
 
 	ln net.Listener
 
-	mu          sync.Mutex
-	conns       map[net.Conn]bool
-	crashTimes  []time.Time
+	mu         sync.Mutex
+	conns      map[net.Conn]bool
+	crashTimes []time.Time
+	// partRuns holds the arrival times of requests with CrashPart.
+	partRuns    []time.Time
 	incarnation int64
 	behaviour   Behaviour
 	// runsByID counts the runs by Attempt-Id.
@@ -142,6 +148,27 @@
 	return append([]time.Time(nil), b.crashTimes...)
 }
 
+// CrashPartArrivals returns the arrival times of requests with CrashPart, in order.
+func (b *Backend) CrashPartArrivals() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]time.Time(nil), b.partRuns...)
+}
+
+// hasCrashPart reports whether the request's prompt has CrashPart, and records its arrival.
+func (b *Backend) hasCrashPart(r *http.Request) bool {
+	parts := strings.Split(r.Header.Get("Prompt-Prefix"), ",")
+	for _, part := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(part, ":"); b.CrashPart != "" && id == b.CrashPart {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.partRuns = append(b.partRuns, time.Now())
+			return true
+		}
+	}
+	return false
+}
+
 // Close closes the listener. Open connections remain.
 func (b *Backend) Close() error {
 	b.mu.Lock()
@@ -241,6 +268,12 @@
 			b.Crash()
 			return
 		}
+		if b.hasCrashPart(r) {
+			write(c, "HTTP/1.1 200 OK\r\nAttempt-Id: "+r.Header.Get("Attempt-Id")+"\r\nResponse-Stamp: "+b.ID+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			time.Sleep(b.Pause)
+			b.Crash()
+			return
+		}
 		if !b.answer(c, r) {
 			return
 		}
