Block prompt parts that crash servers, on all entry VMs

Cause: the unit of suspicion was the whole request. No two requests with the part are alike, so none reached three terminations.

Change: the evidence of core/tspoison is kept for shared prompt parts as well, with the same reports, aggregators and store. Crashes alone don't block a part: an aggregator first asks every entry VM when it last passed on an answer to a request with it. A part is the cause if nothing with it was answered in between, two different requests had it, and no other blocked part explains its crashes; one that was answered before the crashes needs five. Attempts whose server sent two events are no evidence against parts. Answers that had begun weigh more. Evidence with the fewest terminations is evicted first. Old entry VMs take the evidence for that of a request which never comes, and answer no question; crash.proto only gains fields and a call.

io/tscrash's fake dial takes a millisecond now: connections lost together are known before a probe ends, as on a network; checks are unchanged.

--- a/core/tspoison/book.go
+++ b/core/tspoison/book.go
@@ -26,11 +26,12 @@
 	evictionDivisor = 8
 )
 
-// Book is the evidence, shared by the entry VMs, about requests during which
-// backend servers terminated. Unlike a [Tracker] it does not delay suspects: a
-// request is blocked once several servers terminated consecutively while running
-// it, with no complete answer in between. Other requests that ran on the same
-// servers are cleared by their next complete answer.
+// Book is the evidence, shared by the entry VMs, about requests and prompt parts
+// during which backend servers terminated. Unlike a [Tracker] it does not delay
+// suspects: a request is blocked once several servers terminated consecutively while
+// running it, with no complete answer in between. Other requests that ran on the same
+// servers are cleared by their next complete answer. Prompt parts are blocked in the
+// same way, but only after [Book.Confirm].
 //
 // Merging is commutative and idempotent, so books converge in any order of
 // updates. The zero value is an empty book. A Book is not safe for concurrent use.
@@ -38,7 +39,7 @@
 	evidence map[turmericshed.Digest]*Evidence
 }
 
-// Len returns the number of requests with evidence.
+// Len returns the number of requests and parts with evidence.
 func (b *Book) Len() int { return len(b.evidence) }
 
 // Ended records that server s terminated at the given time while it ran request
@@ -50,6 +51,16 @@
 	return e.clone()
 }
 
+// EndedPart records that server s terminated at the given time while it ran the request of
+// the attempt, whose prompt has the part at the given depth. It returns a copy of the
+// part's evidence.
+func (b *Book) EndedPart(at time.Time, part turmericshed.Digest, depth int, a turmericshed.LostAttempt, s turmericshed.BackendServer) Evidence {
+	e := b.get(part)
+	e.Depth = max(e.Depth, depth)
+	e.addCrash(Crash{Server: s.ID, Started: s.Started, Began: a.Began, At: at, Request: a.Request, HadHead: a.HadHead})
+	return e.clone()
+}
+
 // Survived records a complete answer to the request. It reports whether this
 // cleared any recorded crash.
 func (b *Book) Survived(now time.Time, d turmericshed.Digest) bool {
@@ -90,6 +101,9 @@
 			// The same complete answer, timestamped by another clock.
 			e.ClearedAt = local.ClearedAt
 		}
+		if d := e.ConfirmedAt.Sub(local.ConfirmedAt); d > 0 && d <= sameCrashWindow && local.isConfirmed() {
+			e.ConfirmedAt = local.ConfirmedAt
+		}
 		if local.Merge(e) {
 			changed = append(changed, local.clone())
 		}
@@ -127,26 +141,21 @@
 	return e
 }
 
-// evict drops a fraction of the evidence: first requests that never reached the
-// block threshold, and within each group those with the oldest last crash.
+// evict drops a fraction of the evidence: first that with the fewest consecutive
+// terminations, and of equal evidence that with the oldest last crash. A caller that
+// names many parts adds evidence with one termination each, which evicts no other.
 func (b *Book) evict() {
 	type entry struct {
-		digest turmericshed.Digest
-		barred bool
-		last   time.Time
+		digest       turmericshed.Digest
+		terminations int
+		last         time.Time
 	}
 	entries := make([]entry, 0, len(b.evidence))
 	for d, e := range b.evidence {
-		entries = append(entries, entry{d, e.consecutiveTerminations() >= terminationsToBlock, e.lastCrashAt()})
+		entries = append(entries, entry{d, min(e.consecutiveTerminations(), terminationsToBlock), e.lastCrashAt()})
 	}
 	slices.SortFunc(entries, func(a, b entry) int {
-		if a.barred != b.barred {
-			if a.barred {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(a.last.Compare(b.last), cmp.Compare(a.digest, b.digest))
+		return cmp.Or(cmp.Compare(a.terminations, b.terminations), a.last.Compare(b.last), cmp.Compare(a.digest, b.digest))
 	})
 	for _, e := range entries[:len(entries)/evictionDivisor] {
 		delete(b.evidence, e.digest)
@@ -163,10 +172,14 @@
 
 // consecutiveTerminations counts the terminations since the last complete answer.
 // Terminations that occurred together count once.
-func (e *Evidence) consecutiveTerminations() int {
+func (e *Evidence) consecutiveTerminations() int { return countTerminations(e.activeCrashes()) }
+
+// countTerminations counts crashes, sorted by time. Those that occurred together count
+// once.
+func countTerminations(crashes []Crash) int {
 	n := 0
 	var last time.Time
-	for _, c := range e.activeCrashes() {
+	for _, c := range crashes {
 		after := !c.Began.IsZero() && !c.Began.Before(last)
 		if n == 0 || after || c.At.Sub(last) >= minTerminationSpacing {
 			n++
@@ -176,11 +189,11 @@
 	return n
 }
 
-// BlockedUntil returns the time until which consecutive terminations block the
-// request; zero when there are too few of them.
+// BlockedUntil returns the time until which consecutive terminations block the request
+// or part; zero when there are too few of them, or a part is not confirmed.
 func (e *Evidence) BlockedUntil() time.Time {
 	n := e.consecutiveTerminations()
-	if n < terminationsToBlock {
+	if n < terminationsToBlock || e.Depth > 0 && !e.isConfirmed() {
 		return time.Time{}
 	}
 	d := baseBlockDuration
@@ -202,12 +215,16 @@
 	return out
 }
 
-// BlockedCount returns the number of blocked requests.
-func (b *Book) BlockedCount(now time.Time) (n int) {
+// BlockedCount returns the numbers of blocked requests and prompt parts.
+func (b *Book) BlockedCount(now time.Time) (requests, parts int) {
 	for _, e := range b.evidence {
-		if now.Before(e.BlockedUntil()) {
-			n++
+		switch {
+		case !now.Before(e.BlockedUntil()):
+		case e.Depth > 0:
+			parts++
+		default:
+			requests++
 		}
 	}
-	return n
+	return requests, parts
 }
--- a/core/tspoison/evidence.go
+++ b/core/tspoison/evidence.go
@@ -32,13 +32,24 @@
 	// Began is when the request was sent to the server; zero when unknown.
 	Began time.Time `json:"began,omitzero"`
 	At    time.Time `json:"at"`
+	// Request is a request that ran on the server. It is set in the evidence about a
+	// prompt part, which several requests share.
+	Request turmericshed.Digest `json:"request,omitempty"`
+	// HadHead is true if the server had begun to answer that request.
+	HadHead bool `json:"had_head,omitempty"`
 }
 
-// Evidence is the crash history of one request. Merging copies gives the same
-// value in any order.
+// Evidence is the crash history of one request or of one prompt part. Merging copies
+// gives the same value in any order.
 type Evidence struct {
 	Digest  turmericshed.Digest `json:"digest"`
 	Crashes []Crash             `json:"crashes"`
+	// Depth is the position of a part in its prompt, from 1; 0 for a request. Where
+	// positions differ, it is the highest.
+	Depth int `json:"depth,omitempty"`
+	// ConfirmedAt is when an aggregator last found the part to be the cause of its
+	// crashes; see [Book.Confirm]. Crashes alone do not block a part.
+	ConfirmedAt time.Time `json:"confirmed_at,omitzero"`
 	// ClearedAt is when the request was last cleared, by a complete answer, by an
 	// operator who lifted the quarantine, or because many servers crashed at once.
 	// Crashes up to this time no longer count.
@@ -57,21 +68,30 @@
 		e.ClearedAt, e.ClearedBy = o.ClearedAt, o.ClearedBy
 		changed = true
 	}
+	if o.ConfirmedAt.After(e.ConfirmedAt) {
+		e.ConfirmedAt = o.ConfirmedAt
+		changed = true
+	}
+	e.Depth = max(e.Depth, o.Depth)
 	return changed
 }
 
 // addCrash adds a crash and reports whether the evidence changed. Of several
-// reports of the same crash it keeps the earliest time.
+// reports of the same crash it keeps the earliest time, and a request that the
+// server had begun to answer.
 func (e *Evidence) addCrash(c Crash) bool {
 	for i, have := range e.Crashes {
 		if have.Server != c.Server || !have.Started.Equal(c.Started) || have.At.Sub(c.At).Abs() > sameCrashWindow {
 			continue
 		}
+		isChanged := false
+		if c.HadHead && !have.HadHead {
+			e.Crashes[i].Request, e.Crashes[i].HadHead, isChanged = c.Request, true, true
+		}
 		if c.At.Before(have.At) {
-			e.Crashes[i].At = c.At
-			return true
+			e.Crashes[i].At, isChanged = c.At, true
 		}
-		return false
+		return isChanged
 	}
 	e.Crashes = append(e.Crashes, c)
 	slices.SortFunc(e.Crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
--- a/fleet.go
+++ b/fleet.go
@@ -205,20 +205,42 @@
 	Admit(ctx context.Context, r AdmitRequest) (release func(), err error)
 }
 
-// CrashWatch blocks requests during which backend servers terminated. It counts
-// the terminations seen by all entry VMs.
+// CrashSubject is what a backend server may crash by while it runs a request.
+type CrashSubject struct {
+	// Request identifies the request and its repeats.
+	Request Digest
+	// Parts identify the parts of its prompt that other requests may share, in order.
+	Parts []Digest
+}
+
+// LostAttempt is an attempt to run a request on a server whose connection was lost.
+type LostAttempt struct {
+	// Parts are empty if they can't be the cause of a crash.
+	CrashSubject
+
+	// Began is when the request was sent.
+	Began time.Time
+	// HadHead is true if the server had begun to answer.
+	HadHead bool
+}
+
+// CrashWatch blocks requests, and parts of prompts, during which backend servers
+// terminated. It counts the terminations seen by all entry VMs.
 type CrashWatch interface {
-	// Active reports whether any request is suspected. Check and Survived do
+	// Active reports whether any request or part is suspected. Check and Survived do
 	// nothing while there is none.
 	Active() bool
-	// Check returns KindQuarantined for a request that must not be sent.
-	Check(now time.Time, d Digest) error
+	// Check returns KindQuarantined for a request that must not be sent, because of
+	// itself or of a part of its prompt.
+	Check(now time.Time, c CrashSubject) error
 	// ConnectionLost reports that a connection was lost on which the server had been
-	// running the request since began. Whether the server terminated as well is
-	// determined later.
-	ConnectionLost(s BackendServer, d Digest, began time.Time)
+	// running a request. Whether the server terminated as well is determined later.
+	ConnectionLost(s BackendServer, a LostAttempt)
 	// Survived reports that the request got a complete answer.
 	Survived(now time.Time, d Digest)
+	// PartsSurvived reports that a server got past the beginning of its answer to a
+	// request with the given parts. It is called also while nothing is suspected.
+	PartsSurvived(now time.Time, parts []Digest)
 }
 
 // Quarantine blocks requests that crash backend servers.
--- a/ids.go
+++ b/ids.go
@@ -45,7 +45,7 @@
 	Model string
 	// StreamID identifies one generation at a model engine.
 	StreamID string
-	// Digest is the hex SHA-256 of a request body.
+	// Digest is the hex SHA-256 of a request body, or identifies a prompt part.
 	Digest string
 )
 
--- a/io/tscrash/fleet_test.go
+++ b/io/tscrash/fleet_test.go
@@ -229,6 +229,9 @@
 	return list
 }
 
+// dialTime is how long a connection attempt takes.
+const dialTime = time.Millisecond
+
 // dial opens a connection to a server.
 func (v *vm) dial(ctx context.Context, _, addr string) (net.Conn, error) {
 	f := v.f
@@ -239,6 +242,8 @@
 	}
 	f.probes++
 	f.mu.Unlock()
+	// Connections that were lost together are all known before a probe has an answer.
+	time.Sleep(dialTime)
 	if errors.Is(err, syscall.ETIMEDOUT) {
 		<-ctx.Done()
 	}
@@ -250,6 +255,11 @@
 	return c, nil
 }
 
+// lostAttempt returns an attempt to run a request that was sent now.
+func lostAttempt(d turmericshed.Digest, parts ...turmericshed.Digest) turmericshed.LostAttempt {
+	return turmericshed.LostAttempt{CrashSubject: turmericshed.CrashSubject{Request: d, Parts: parts}, Began: time.Now()}
+}
+
 // loseConnections makes entry VMs lose their connections to the given servers while these
 // run a request, one second apart and each at another entry VM. Later connections to the
 // servers fail with dialErr; nil accepts them.
@@ -259,7 +269,7 @@
 		f.mu.Lock()
 		f.dialErrors[s.Addr.String()] = dialErr
 		f.mu.Unlock()
-		f.vms[n%len(f.vms)].ConnectionLost(s, d, time.Now())
+		f.vms[n%len(f.vms)].ConnectionLost(s, lostAttempt(d))
 		time.Sleep(time.Second)
 	}
 }
@@ -281,7 +291,7 @@
 func assertBlocked(t *testing.T, vms []*vm, d turmericshed.Digest, want bool) {
 	t.Helper()
 	for _, v := range vms {
-		kind := turmericshed.KindOf(v.Check(time.Now(), d))
+		kind := turmericshed.KindOf(v.Check(time.Now(), turmericshed.CrashSubject{Request: d}))
 		assert.Equal(t, kind == turmericshed.KindQuarantined, want, "%s: %s", v.self.Name, kind)
 	}
 }
--- a/io/tscrash/metrics.go
+++ b/io/tscrash/metrics.go
@@ -29,11 +29,20 @@
 	if w.cfg.Metrics == nil {
 		return
 	}
+	blocked := func() (requests, parts int) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.book.BlockedCount(time.Now())
+	}
 	w.cfg.Metrics.MustRegister(w.counters.terminations, w.counters.probes, w.counters.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "turmericshed_quarantined_requests", Help: "Requests that are kept from backend servers.",
 	}, func() float64 {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return float64(w.book.BlockedCount(time.Now()))
+		n, _ := blocked()
+		return float64(n)
+	}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "turmericshed_quarantined_parts", Help: "Prompt parts whose requests are kept from backend servers.",
+	}, func() float64 {
+		_, n := blocked()
+		return float64(n)
 	}))
 }
--- a/io/tscrash/probe.go
+++ b/io/tscrash/probe.go
@@ -22,8 +22,10 @@
 	// maxUndecidedServers bounds the servers that lost a connection and are not yet
 	// known to be running or terminated.
 	maxUndecidedServers = 512
-	// maxRequestsPerServer bounds the requests recorded for each of them.
+	// maxRequestsPerServer bounds the requests recorded for each of them, and
+	// maxPartsPerServer the prompt parts of these requests.
 	maxRequestsPerServer = 256
+	maxPartsPerServer    = 1024
 )
 
 // processKey identifies one process of a backend server by the server ID and the
@@ -49,9 +51,11 @@
 	listDeadline time.Time
 }
 
-// attempt is one attempt to run a request on a server: when it was sent and when its
-// connection was lost.
-type attempt struct{ began, lost time.Time }
+// attempt is one attempt to run a request on a server, and when its connection was lost.
+type attempt struct {
+	turmericshed.LostAttempt
+	lost time.Time
+}
 
 // verdict is the result of probing a server.
 type verdict int
@@ -62,11 +66,11 @@
 	verdictAlive
 )
 
-// ConnectionLost records that the connection to the server was lost while it ran the request,
-// which had been sent at began. It starts a probe, unless one is running, to find out
-// whether the server terminated.
-func (w *Watch) ConnectionLost(s turmericshed.BackendServer, d turmericshed.Digest, began time.Time) {
-	now := time.Now()
+// ConnectionLost records that the connection to the server was lost while it ran the request
+// of the attempt. It starts a probe, unless one is running, to find out whether the server
+// terminated.
+func (w *Watch) ConnectionLost(s turmericshed.BackendServer, a turmericshed.LostAttempt) {
+	now, d := time.Now(), a.Request
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	k := keyOf(s)
@@ -80,7 +84,7 @@
 		w.undecided[k] = u
 	}
 	if len(u.attempts) < maxRequestsPerServer {
-		u.attempts[d] = attempt{began, now}
+		u.attempts[d] = attempt{a, now}
 	}
 	if !u.isProbing {
 		u.isProbing = true
@@ -154,17 +158,26 @@
 func (w *Watch) recordTermination(k processKey, u *undecidedServer, reason string) {
 	delete(w.undecided, k)
 	var digests []string
+	parts := make(map[turmericshed.Digest]bool)
 	for d, a := range u.attempts {
-		e := w.book.Ended(a.began, a.lost, d, u.server)
-		w.recordChanges(time.Now(), []tspoison.Evidence{e}, "")
+		evidence := []tspoison.Evidence{w.book.Ended(a.Began, a.lost, d, u.server)}
 		w.unreported[d] = true
 		if len(digests) < maxLoggedDigests {
 			digests = append(digests, string(d))
 		}
+		for i, part := range a.Parts {
+			if !parts[part] && len(parts) >= maxPartsPerServer {
+				continue
+			}
+			parts[part] = true
+			evidence = append(evidence, w.book.EndedPart(a.lost, part, i+1, a.LostAttempt, u.server))
+			w.unreported[part] = true
+		}
+		w.recordChanges(time.Now(), evidence, "")
 	}
 	w.counters.terminations.Inc()
 	wake(w.reportWake)
-	w.cfg.Log.Info("server terminated while it ran requests; reporting them", "server", string(u.server.ID), "addr", u.server.Addr.String(), "how", reason, "requests", len(u.attempts), "digests", digests)
+	w.cfg.Log.Info("server terminated while it ran requests; reporting them", "server", string(u.server.ID), "addr", u.server.Addr.String(), "how", reason, "requests", len(u.attempts), "digests", digests, "parts", len(parts))
 }
 
 // resolveFromList records the termination of undecided servers whose process is no
--- a/io/tscrash/share.go
+++ b/io/tscrash/share.go
@@ -74,6 +74,7 @@
 	changed := s.w.book.Merge(evidence)
 	s.w.recordChanges(now, changed, r.Peer().Addr)
 	s.w.queueBlocked(now, changed)
+	s.w.wakeConfirmer()
 	digests := make([]turmericshed.Digest, 0, len(evidence))
 	for _, e := range evidence {
 		digests = append(digests, e.Digest)
@@ -160,6 +161,7 @@
 		if vm.Name == self.Name {
 			w.mu.Lock()
 			w.queueBlocked(time.Now(), w.book.Export(digests))
+			w.wakeConfirmer()
 			w.mu.Unlock()
 			accepted[i] = true
 			continue
@@ -298,8 +300,12 @@
 		if !e.ClearedAt.IsZero() {
 			r.Cleared, r.ClearedAgoUs, r.ClearedBy = true, now.Sub(e.ClearedAt).Microseconds(), e.ClearedBy
 		}
+		r.Depth = int32(e.Depth) //nolint:gosec // at most the number of parts in a prompt.
+		if !e.ConfirmedAt.IsZero() {
+			r.Confirmed, r.ConfirmedAgoUs = true, now.Sub(e.ConfirmedAt).Microseconds()
+		}
 		for _, c := range e.Crashes {
-			end := &tspeerapi.ServerEnd{Server: string(c.Server), AgoUs: now.Sub(c.At).Microseconds()}
+			end := &tspeerapi.ServerEnd{Server: string(c.Server), AgoUs: now.Sub(c.At).Microseconds(), Request: string(c.Request), HadHead: c.HadHead}
 			if !c.Started.IsZero() {
 				end.StartedMs = c.Started.UnixMilli()
 			}
@@ -316,12 +322,15 @@
 func decodeEvidence(now time.Time, m *tspeerapi.CrashEvidence) []tspoison.Evidence {
 	var evidence []tspoison.Evidence
 	for _, r := range m.Requests {
-		e := tspoison.Evidence{Digest: turmericshed.Digest(r.Digest)}
+		e := tspoison.Evidence{Digest: turmericshed.Digest(r.Digest), Depth: int(r.Depth)}
 		if r.Cleared {
 			e.ClearedAt, e.ClearedBy = ago(now, r.ClearedAgoUs), r.ClearedBy
 		}
+		if r.Confirmed {
+			e.ConfirmedAt = ago(now, r.ConfirmedAgoUs)
+		}
 		for _, end := range r.Ends {
-			c := tspoison.Crash{Server: turmericshed.ServerID(end.Server), At: ago(now, end.AgoUs)}
+			c := tspoison.Crash{Server: turmericshed.ServerID(end.Server), At: ago(now, end.AgoUs), Request: turmericshed.Digest(end.Request), HadHead: end.HadHead}
 			if end.RanUs > 0 {
 				c.Began = c.At.Add(-time.Duration(end.RanUs) * time.Microsecond)
 			}
--- a/io/tscrash/watch.go
+++ b/io/tscrash/watch.go
@@ -1,5 +1,5 @@
-// Package tscrash blocks requests on all entry VMs after several backend servers
-// terminated consecutively while running them. It implements
+// Package tscrash blocks requests, and prompt parts, on all entry VMs after several
+// backend servers terminated consecutively while running them. It implements
 // turmericshed.CrashWatch; core/tspoison makes the decisions.
 //
 // A connection that is lost before the complete answer is weak evidence: answers
@@ -11,7 +11,9 @@
 // Evidence is reported to a few aggregators, entry VMs that every entry VM selects by
 // the same ranking. Once several servers terminated consecutively under a request,
 // with no complete answer in between, the aggregators notify every entry VM and write
-// the evidence to the store for those that start later. See docs/design/crashes.md.
+// the evidence to the store for those that start later. Before they block a prompt
+// part, they ask every entry VM for answers to requests with it, since most requests of
+// a route may share a part. See docs/design/crashes.md.
 //
 // # Usage
 //
@@ -20,9 +22,10 @@
 //	for _, c := range w.Controllers() {
 //		supervisor.Add(c)
 //	}
-//	if err := w.Check(time.Now(), digest); err != nil { ... } // not sent
-//	w.Broke(server, digest, began)   // the connection was lost
-//	w.Survived(time.Now(), digest)   // the answer was complete
+//	if err := w.Check(time.Now(), subject); err != nil { ... } // not sent
+//	w.ConnectionLost(server, subject, began)
+//	w.PartsSurvived(time.Now(), subject.Parts) // the server got past the beginning
+//	w.Survived(time.Now(), subject.Request)    // the answer was complete
 package tscrash
 
 import (
@@ -46,6 +49,10 @@
 	dropExpiredInterval = time.Minute
 	// maxLoggedDigests bounds the digests in one log line.
 	maxLoggedDigests = 8
+	// maxAnsweredParts bounds the prompt parts whose last answer is remembered, and
+	// answeredPartAge for how long.
+	maxAnsweredParts = 8192
+	answeredPartAge  = 20 * time.Minute
 )
 
 // Config holds the dependencies of a Watch.
@@ -73,9 +80,13 @@
 	counters counters
 	// evidenceCount is the number of requests with evidence in the book.
 	evidenceCount atomic.Int64
-	// reportWake, notifyWake and persistWake wake the reporter, the notifier and the
-	// persister.
-	reportWake, notifyWake, persistWake chan struct{}
+	// reportWake, confirmWake, notifyWake and persistWake wake the reporter, the
+	// confirmer, the notifier and the persister.
+	reportWake, confirmWake, notifyWake, persistWake chan struct{}
+
+	// answeredMu guards answered: when a request with each part was last answered.
+	answeredMu sync.Mutex
+	answered   *tspoison.Recent[turmericshed.Digest]
 
 	mu   sync.Mutex
 	book tspoison.Book
@@ -99,7 +110,8 @@
 // New returns a Watch without evidence.
 func New(cfg Config) *Watch {
 	w := &Watch{
-		cfg: cfg, reportWake: make(chan struct{}, 1), notifyWake: make(chan struct{}, 1), persistWake: make(chan struct{}, 1),
+		cfg: cfg, reportWake: make(chan struct{}, 1), confirmWake: make(chan struct{}, 1), notifyWake: make(chan struct{}, 1), persistWake: make(chan struct{}, 1),
+		answered:  tspoison.NewRecent[turmericshed.Digest](maxAnsweredParts, answeredPartAge),
 		undecided: make(map[processKey]*undecidedServer), unreported: make(map[turmericshed.Digest]bool), unsaved: make(map[turmericshed.Digest]bool),
 		requestChange: make(map[turmericshed.Digest]uint64), deliveries: make(map[string]*delivery),
 	}
@@ -109,46 +121,81 @@
 
 // Controllers returns the controllers to supervise.
 func (w *Watch) Controllers() []turmericshed.Controller {
-	return []turmericshed.Controller{listWatcher{w}, reporter{w}, notifier{w}, persister{w}}
+	return []turmericshed.Controller{listWatcher{w}, reporter{w}, confirmer{w}, notifier{w}, persister{w}}
 }
 
-// Active reports whether there is evidence about any request.
+// Active reports whether there is evidence about any request or part.
 func (w *Watch) Active() bool { return w.evidenceCount.Load() > 0 }
 
 // Check returns an error for a request that may not be sent. Errors: KindQuarantined,
 // with the remaining time of the quarantine as the time to retry after.
-func (w *Watch) Check(now time.Time, d turmericshed.Digest) error {
+func (w *Watch) Check(now time.Time, c turmericshed.CrashSubject) error {
 	if !w.Active() {
 		return nil
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	until, blocked := w.book.BlockedUntil(now, d)
-	if !blocked {
-		return nil
+	if until, blocked := w.book.BlockedUntil(now, c.Request); blocked {
+		return w.refuse(now, until, "backend servers ended one after another under request %s", c.Request)
 	}
+	for _, part := range c.Parts {
+		if until, blocked := w.book.BlockedUntil(now, part); blocked {
+			return w.refuse(now, until, "backend servers ended one after another under requests with prompt part %s", part)
+		}
+	}
+	return nil
+}
+
+// refuse counts a refused attempt and returns its error.
+func (w *Watch) refuse(now, until time.Time, format string, d turmericshed.Digest) error {
 	w.counters.refused.Inc()
-	err := turmericshed.NewError(turmericshed.KindQuarantined, "backend servers ended one after another under request %s", d)
-	return turmericshed.WithRetryAfter(err, until.Sub(now))
+	return turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindQuarantined, format, d), until.Sub(now))
 }
 
 // Survived clears a request that received a complete answer.
 func (w *Watch) Survived(now time.Time, d turmericshed.Digest) {
-	if !w.Active() {
+	if w.Active() {
+		w.clear(now, d)
+	}
+}
+
+// PartsSurvived clears the prompt parts of a request whose answer a server got past the
+// beginning of, and remembers the time for evidence that comes later.
+func (w *Watch) PartsSurvived(now time.Time, parts []turmericshed.Digest) {
+	if len(parts) == 0 {
 		return
 	}
+	w.answeredMu.Lock()
+	for _, part := range parts {
+		w.answered.Set(now, part)
+	}
+	w.answeredMu.Unlock()
+	if w.Active() {
+		w.clear(now, parts...)
+	}
+}
+
+// clear records an answer for requests or parts, and queues it for the aggregators where
+// it clears any evidence.
+func (w *Watch) clear(now time.Time, digests ...turmericshed.Digest) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.book.Survived(now, d) {
-		return
+	for _, d := range digests {
+		if !w.book.Survived(now, d) {
+			continue
+		}
+		w.unreported[d] = true
+		wake(w.reportWake)
+		message := "request cleared; reporting it"
+		if e, _ := w.book.Get(d); e.Depth > 0 {
+			message = "prompt part cleared; reporting it"
+		}
+		w.cfg.Log.Info(message, "digest", string(d), "reason", "answered")
 	}
-	w.unreported[d] = true
-	wake(w.reportWake)
-	w.cfg.Log.Info("request cleared; reporting it", "digest", string(d), "reason", "answered whole")
 }
 
-// recordChanges updates the number of requests with evidence after changes of the book
-// and logs the changed requests that are in quarantine. from is the sender of the
+// recordChanges updates the number of requests and parts with evidence after changes of
+// the book and logs the changed ones that are in quarantine. from is the sender of the
 // evidence, empty for this entry VM. w.mu is held.
 func (w *Watch) recordChanges(now time.Time, changed []tspoison.Evidence, from string) {
 	w.evidenceCount.Store(int64(w.book.Len()))
@@ -158,7 +205,11 @@
 			continue
 		}
 		last := e.Crashes[len(e.Crashes)-1]
-		w.cfg.Log.Warn("request quarantined", "digest", string(e.Digest), "ends", len(e.Crashes), "for_ms", until.Sub(now).Milliseconds(),
+		message := "request quarantined"
+		if e.Depth > 0 {
+			message = "prompt part quarantined"
+		}
+		w.cfg.Log.Warn(message, "digest", string(e.Digest), "ends", len(e.Crashes), "for_ms", until.Sub(now).Milliseconds(),
 			"server", string(last.Server), "last_end_ms_ago", now.Sub(last.At).Milliseconds(), "entry_vm", from)
 	}
 }
--- a/io/tscrash/watch_test.go
+++ b/io/tscrash/watch_test.go
@@ -90,7 +90,7 @@
 			}
 			f.setIsolated(isolated...)
 			for i := range 6 {
-				isolated[i%len(isolated)].ConnectionLost(f.servers()[i], "d", time.Now())
+				isolated[i%len(isolated)].ConnectionLost(f.servers()[i], lostAttempt("d"))
 				time.Sleep(time.Second)
 			}
 			f.setIsolated()
@@ -104,7 +104,7 @@
 			f.refusedVMs["vm-4"] = true
 			f.mu.Unlock()
 			for i := range 6 {
-				f.vms[4].ConnectionLost(f.servers()[i], "d", time.Now())
+				f.vms[4].ConnectionLost(f.servers()[i], lostAttempt("d"))
 				time.Sleep(time.Second)
 			}
 			assertBlocked(t, f.vms, "d", false)
@@ -128,7 +128,7 @@
 	t.Run("one probe serves all requests of a server", func(t *testing.T) {
 		runFleet(t, 1, func(t *testing.T, f *fleet) {
 			for _, d := range []turmericshed.Digest{"a", "b", "c", "d"} {
-				f.vms[0].ConnectionLost(f.servers()[0], d, time.Now())
+				f.vms[0].ConnectionLost(f.servers()[0], lostAttempt(d))
 			}
 			time.Sleep(time.Second)
 			assert.Assert(t, f.cost().probes <= 2, "%+v", f.cost())
@@ -181,7 +181,7 @@
 			reporting := f.aggregators()[4]
 			for i := range 3 {
 				f.refuse(i)
-				reporting.ConnectionLost(f.servers()[i], "d", time.Now())
+				reporting.ConnectionLost(f.servers()[i], lostAttempt("d"))
 				time.Sleep(2 * time.Second)
 			}
 			assertBlocked(t, f.aggregators()[2:], "d", true)
--- a/io/tspeerapi/crash.connect.go
+++ b/io/tspeerapi/crash.connect.go
@@ -38,6 +38,8 @@
 	CrashServiceReportProcedure = "/turmericshed.peer.v1.CrashService/Report"
 	// CrashServiceTellProcedure is the fully-qualified name of the CrashService's Tell RPC.
 	CrashServiceTellProcedure = "/turmericshed.peer.v1.CrashService/Tell"
+	// CrashServiceAnsweredProcedure is the fully-qualified name of the CrashService's Answered RPC.
+	CrashServiceAnsweredProcedure = "/turmericshed.peer.v1.CrashService/Answered"
 )
 
 // CrashServiceClient is a client for the turmericshed.peer.v1.CrashService service.
@@ -50,6 +52,9 @@
 	Report(context.Context, *connect.Request[CrashEvidence]) (*connect.Response[CrashEvidence], error)
 	// Tell tells an entry VM which requests are barred, or cleared.
 	Tell(context.Context, *connect.Request[CrashEvidence]) (*connect.Response[TellResponse], error)
+	// Answered asks an entry VM when it last passed on an answer to a request with
+	// each of the given prompt parts.
+	Answered(context.Context, *connect.Request[AnsweredRequest]) (*connect.Response[AnsweredResponse], error)
 }
 
 // NewCrashServiceClient constructs a client for the turmericshed.peer.v1.CrashService service. By
@@ -81,14 +86,21 @@
 			connect.WithSchema(crashServiceMethods.ByName("Tell")),
 			connect.WithClientOptions(opts...),
 		),
+		answered: connect.NewClient[AnsweredRequest, AnsweredResponse](
+			httpClient,
+			baseURL+CrashServiceAnsweredProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("Answered")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // crashServiceClient implements CrashServiceClient.
 type crashServiceClient struct {
-	look   *connect.Client[LookRequest, LookResponse]
-	report *connect.Client[CrashEvidence, CrashEvidence]
-	tell   *connect.Client[CrashEvidence, TellResponse]
+	look     *connect.Client[LookRequest, LookResponse]
+	report   *connect.Client[CrashEvidence, CrashEvidence]
+	tell     *connect.Client[CrashEvidence, TellResponse]
+	answered *connect.Client[AnsweredRequest, AnsweredResponse]
 }
 
 // Look calls turmericshed.peer.v1.CrashService.Look.
@@ -106,6 +118,11 @@
 	return c.tell.CallUnary(ctx, req)
 }
 
+// Answered calls turmericshed.peer.v1.CrashService.Answered.
+func (c *crashServiceClient) Answered(ctx context.Context, req *connect.Request[AnsweredRequest]) (*connect.Response[AnsweredResponse], error) {
+	return c.answered.CallUnary(ctx, req)
+}
+
 // CrashServiceHandler is an implementation of the turmericshed.peer.v1.CrashService service.
 type CrashServiceHandler interface {
 	// Look looks whether a backend server ended, for an entry VM that can't tell
@@ -116,6 +133,9 @@
 	Report(context.Context, *connect.Request[CrashEvidence]) (*connect.Response[CrashEvidence], error)
 	// Tell tells an entry VM which requests are barred, or cleared.
 	Tell(context.Context, *connect.Request[CrashEvidence]) (*connect.Response[TellResponse], error)
+	// Answered asks an entry VM when it last passed on an answer to a request with
+	// each of the given prompt parts.
+	Answered(context.Context, *connect.Request[AnsweredRequest]) (*connect.Response[AnsweredResponse], error)
 }
 
 // NewCrashServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -143,6 +163,12 @@
 		connect.WithSchema(crashServiceMethods.ByName("Tell")),
 		connect.WithHandlerOptions(opts...),
 	)
+	crashServiceAnsweredHandler := connect.NewUnaryHandler(
+		CrashServiceAnsweredProcedure,
+		svc.Answered,
+		connect.WithSchema(crashServiceMethods.ByName("Answered")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/turmericshed.peer.v1.CrashService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case CrashServiceLookProcedure:
@@ -151,6 +177,8 @@
 			crashServiceReportHandler.ServeHTTP(w, r)
 		case CrashServiceTellProcedure:
 			crashServiceTellHandler.ServeHTTP(w, r)
+		case CrashServiceAnsweredProcedure:
+			crashServiceAnsweredHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -171,3 +199,7 @@
 func (UnimplementedCrashServiceHandler) Tell(context.Context, *connect.Request[CrashEvidence]) (*connect.Response[TellResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("turmericshed.peer.v1.CrashService.Tell is not implemented"))
 }
+
+func (UnimplementedCrashServiceHandler) Answered(context.Context, *connect.Request[AnsweredRequest]) (*connect.Response[AnsweredResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("turmericshed.peer.v1.CrashService.Answered is not implemented"))
+}
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -163,9 +163,14 @@
 	q.relay.cfg.Log.Info("attempt ended without a complete answer", "request", string(q.inbound.ID), "server", string(server.ID), "digest", string(q.contentDigest()),
 		"parts", q.sharedParts(), "account", string(q.account.Account), "sent", q.sentAttempts, "head_ms", firstByte.Milliseconds(),
 		"events", q.events, "attempt_events", attemptEvents, "elapsed_ms", time.Since(q.sentAt).Milliseconds(), "error", err.Error())
-	if q.relay.cfg.CrashWatch != nil {
-		q.relay.cfg.CrashWatch.ConnectionLost(server, q.contentDigest(), q.sentAt)
+	if q.relay.cfg.CrashWatch == nil {
+		return
 	}
+	lost := turmericshed.LostAttempt{CrashSubject: q.crashSubject(), Began: q.sentAt, HadHead: firstByte > 0}
+	if attemptEvents >= eventsPastBeginning {
+		lost.Parts = nil
+	}
+	q.relay.cfg.CrashWatch.ConnectionLost(server, lost)
 }
 
 // awaitTurn waits for the request's turn to send its body over the link.
--- a/io/tsrelay/crash_test.go
+++ b/io/tsrelay/crash_test.go
@@ -29,7 +29,7 @@
 func (*crashRecorder) Active() bool { return true }
 
 // Check returns KindQuarantined for every request after quarantine was called.
-func (c *crashRecorder) Check(time.Time, turmericshed.Digest) error {
+func (c *crashRecorder) Check(time.Time, turmericshed.CrashSubject) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isQuarantined {
@@ -38,13 +38,16 @@
 	return turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindQuarantined, "quarantined by the test"), time.Minute)
 }
 
-// Broke records the digest of the request.
-func (c *crashRecorder) ConnectionLost(_ turmericshed.BackendServer, d turmericshed.Digest, _ time.Time) {
+// ConnectionLost records the digest of the request.
+func (c *crashRecorder) ConnectionLost(_ turmericshed.BackendServer, a turmericshed.LostAttempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.broken = append(c.broken, d)
+	c.broken = append(c.broken, a.Request)
 }
 
+// PartsSurvived does nothing: these requests have no prompt parts.
+func (*crashRecorder) PartsSurvived(time.Time, []turmericshed.Digest) {}
+
 // Survived records the digest of the request.
 func (c *crashRecorder) Survived(_ time.Time, d turmericshed.Digest) {
 	c.mu.Lock()
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -45,6 +45,10 @@
 	// pauseFactor times the route's PauseObjective is how long the stream of such a
 	// request may pause. Callers cancel at eight times the PauseObjective.
 	pauseFactor = 4
+	// eventsPastBeginning is the number of events after which a server has got past the
+	// beginning of its answer: a prompt part that crashes servers does so when they begin
+	// to write, and their first event may still leave.
+	eventsPastBeginning = 2
 	// staleRetryAfter is the Retry-After while the routing table or the server list is
 	// too old to act on.
 	staleRetryAfter = 300 * time.Millisecond
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -33,7 +33,7 @@
 	// partDigestPrefix distinguishes the digests of prompt parts from those of requests,
 	// which are hexadecimal.
 	partDigestPrefix = "part-"
-	// maxSharedParts bounds the parts of a prompt that are considered.
+	// maxSharedParts bounds the parts of a prompt that are watched for crashes.
 	maxSharedParts = 16
 	// noTableRetryAfter is the Retry-After before the first routing table has arrived.
 	noTableRetryAfter = 500 * time.Millisecond
@@ -281,8 +281,9 @@
 }
 
 // sharedParts returns digests of the prompt's parts without the last one, which no other
-// request has. They don't depend on the client account, the model or the route. Short
-// hexadecimal ids are kept, so that they can be searched for in logs.
+// request has. They don't depend on the client account, the model or the route: a part
+// that crashes servers does so whatever else the request holds. Short hexadecimal ids are
+// kept, so that they can be searched for in logs.
 func (q *request) sharedParts() []turmericshed.Digest {
 	n := min(len(q.inbound.Parts)-1, maxSharedParts)
 	if q.parts != nil || n <= 0 {
@@ -300,22 +301,37 @@
 	return q.parts
 }
 
-// checkQuarantine returns KindQuarantined if the request is quarantined, else nil.
+// crashSubject returns what a server may crash by while it runs the request.
+func (q *request) crashSubject() turmericshed.CrashSubject {
+	return turmericshed.CrashSubject{Request: q.contentDigest(), Parts: q.sharedParts()}
+}
+
+// checkQuarantine returns KindQuarantined if the request, or a part of its prompt, is
+// quarantined, else nil.
 func (q *request) checkQuarantine() error {
 	w := q.relay.cfg.CrashWatch
 	if w == nil || !w.Active() {
 		return nil
 	}
-	return w.Check(time.Now(), q.contentDigest())
+	return w.Check(time.Now(), q.crashSubject())
 }
 
 // reportSurvived reports to the crash watch that a server answered the request completely.
 func (q *request) reportSurvived() {
+	q.reportPartsSurvived()
 	if w := q.relay.cfg.CrashWatch; w != nil && w.Active() {
 		w.Survived(time.Now(), q.contentDigest())
 	}
 }
 
+// reportPartsSurvived reports to the crash watch that a server got past the beginning of
+// its answer.
+func (q *request) reportPartsSurvived() {
+	if w := q.relay.cfg.CrashWatch; w != nil {
+		w.PartsSurvived(time.Now(), q.sharedParts())
+	}
+}
+
 // settle bills the prompt and the delivered output, and settles the reservation once.
 // Where a server may have generated more than was relayed, one extra event is billed.
 func (q *request) settle() {
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -28,6 +28,7 @@
 	}
 	split := tsevents.NewSplitter(maxEventBytes)
 	buf := make([]byte, streamBufferBytes)
+	eventsBefore, pastBeginning := q.events, false
 	for {
 		n, err := reply.Read(buf)
 		events, splitErr := split.Push(buf[:n])
@@ -37,6 +38,10 @@
 				reply.Close()
 				return writeErr
 			}
+			if !pastBeginning && q.events-eventsBefore >= eventsPastBeginning {
+				pastBeginning = true
+				q.reportPartsSurvived()
+			}
 		}
 		switch {
 		case splitErr != nil:
