Notify entry VMs of a quarantine in time while others are behind a cut

What callers saw: with half of 195 entry VMs behind a cut, some of the others went on sending requests with a part, or a digest, that was blocked.

Cause: notifications ran 16 at a time in the order of the list. Each entry VM behind the cut takes the call's whole timeout of 0.6 s, again each second.

Change: 64 at a time, and entry VMs that did not answer last come last.

--- a/io/tscrash/confirm.go
+++ b/io/tscrash/confirm.go
@@ -11,10 +11,6 @@
 	"turmericshed/io/tspeerapi"
 )
 
-// maxAnsweredCalls bounds the concurrent calls for answers: entry VMs behind a cut take
-// the whole callTimeout each.
-const maxAnsweredCalls = 64
-
 // Answered returns when this entry VM last passed on an answer to a request with each of
 // the given parts.
 func (s service) Answered(_ context.Context, r *connect.Request[tspeerapi.AnsweredRequest]) (*connect.Response[tspeerapi.AnsweredResponse], error) {
@@ -100,7 +96,7 @@
 	w.answeredMu.Unlock()
 	var mu sync.Mutex
 	var calls sync.WaitGroup
-	slots := make(chan struct{}, maxAnsweredCalls)
+	slots := make(chan struct{}, maxConcurrentCalls)
 	for _, vm := range w.cfg.Members.Reachable() {
 		slots <- struct{}{}
 		calls.Go(func() {
--- a/io/tscrash/part_test.go
+++ b/io/tscrash/part_test.go
@@ -89,6 +89,25 @@
 			assertPart(t, f.vms, "first", false)
 		})
 	})
+	t.Run("entry VMs behind a cut don't delay the block of the others", func(t *testing.T) {
+		runFleet(t, 195, func(t *testing.T, f *fleet) {
+			ranked := f.aggregators()
+			f.setIsolated(ranked[100:]...)
+			for i := range 3 {
+				f.refuse(i)
+				a := lostAttempt(turmericshed.Digest(fmt.Sprint("request-", i)), "dead")
+				ranked[50].ConnectionLost(f.servers()[i], a)
+				time.Sleep(time.Second)
+			}
+			// All witnesses of a server may be behind the cut; then the list shows its end.
+			f.listRestarted(0, 1, 2)
+			time.Sleep(2 * notifyBound)
+			assertPart(t, ranked[:100], "dead", true)
+			f.setIsolated()
+			time.Sleep(2 * notifyBound)
+			assertPart(t, f.vms, "dead", true)
+		})
+	})
 	t.Run("the block survives the termination of all processes", func(t *testing.T) {
 		runFleet(t, 9, func(t *testing.T, f *fleet) {
 			for i := range 3 {
--- a/io/tscrash/share.go
+++ b/io/tscrash/share.go
@@ -38,8 +38,9 @@
 	// notifyRetryDelay is the delay before an entry VM that did not answer is called
 	// again.
 	notifyRetryDelay = time.Second
-	// maxNotifyCalls bounds the concurrent notifications.
-	maxNotifyCalls = 16
+	// maxConcurrentCalls bounds the concurrent notifications, and the concurrent
+	// questions for answers. Those to entry VMs behind a cut take the whole callTimeout.
+	maxConcurrentCalls = 64
 	// maxRequestsPerCall bounds the requests in one call.
 	maxRequestsPerCall = 256
 )
@@ -52,7 +53,8 @@
 	ackedChange uint64
 	// isSending is true while a call to the entry VM runs.
 	isSending bool
-	// retryAt is the earliest time of the next call.
+	// retryAt is the earliest time of the next call after one without an answer; zero
+	// after an answer.
 	retryAt time.Time
 }
 
@@ -217,7 +219,7 @@
 func (c notifier) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(notifyInterval)
 	defer ticker.Stop()
-	slots := make(chan struct{}, maxNotifyCalls)
+	slots := make(chan struct{}, maxConcurrentCalls)
 	for {
 		select {
 		case <-c.w.notifyWake:
@@ -242,7 +244,8 @@
 	if w.lastChange == 0 {
 		return nil
 	}
-	var vms []turmericshed.EntryVM
+	// Entry VMs that did not answer last come last: they must not delay the others.
+	var vms, silent []turmericshed.EntryVM
 	for _, vm := range w.cfg.Members.Reachable() {
 		d := w.deliveries[vm.Name]
 		if d == nil || d.incarnation != vm.Incarnation {
@@ -251,10 +254,14 @@
 		}
 		if d.ackedChange < w.lastChange && !d.isSending && !now.Before(d.retryAt) {
 			d.isSending = true
-			vms = append(vms, vm)
+			if d.retryAt.IsZero() {
+				vms = append(vms, vm)
+			} else {
+				silent = append(silent, vm)
+			}
 		}
 	}
-	return vms
+	return append(vms, silent...)
 }
 
 // notify sends one entry VM the changes that it has not acknowledged, the oldest first.
@@ -287,7 +294,7 @@
 		w.cfg.Log.Info("entry VM did not acknowledge quarantines; retrying", "entry_vm", vm.Name, "addr", vm.PeerAddr.String(), "requests", len(digests), "error", err.Error())
 		return
 	}
-	to.ackedChange = upTo
+	to.ackedChange, to.retryAt = upTo, time.Time{}
 	if to.ackedChange < w.lastChange {
 		wake(w.notifyWake)
 	}
