Answer late requests of a planned stop instead of cutting them off

What callers saw: in a planned stop, a request that came on an open connection after the load balancer had gone on got no answer. Before 3 s it was passed on and cut off at the end of the grace period, also one that may not be repeated; after 3 s it was read and its connection closed.

Cause: the relay took every request until http.Server.Shutdown began, whatever time it had; Shutdown closes a connection on which it has read a request.

Change: while it stops, an entry VM refuses what was not sent to a server before acceptUntil, and before that what may not be repeated and has time beyond the cut: 503, not run, without a delay. The server drains its connections itself and keeps new ones open until running requests have ended.

Why: a refusal lets the caller go to another entry VM at once; resumable streams are still taken, as they can go on there.

--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -62,7 +62,7 @@
 	}
 	wasUnsent := kind == turmericshed.KindNoBackend || kind == turmericshed.KindOverloaded
 	switch {
-	case kind == turmericshed.KindNotReady, kind == turmericshed.KindQuarantined:
+	case kind == turmericshed.KindNotReady, kind == turmericshed.KindQuarantined, kind == turmericshed.KindDraining:
 		return err
 	case wasUnsent && q.hasPicked && q.unsentAttempts < maxUnsentAttempts:
 		return nil
@@ -214,7 +214,7 @@
 	reply, err := q.relay.cfg.Upstream.Send(ctx, q.newCall(server))
 	switch turmericshed.KindOf(err) {
 	case turmericshed.KindNone:
-	case turmericshed.KindCanceled, turmericshed.KindQuarantined:
+	case turmericshed.KindCanceled, turmericshed.KindQuarantined, turmericshed.KindDraining:
 		q.relay.cfg.Router.RequestNotSent(server)
 		return nil, 0, err
 	case turmericshed.KindNoBackend, turmericshed.KindOverloaded, turmericshed.KindNotReady:
@@ -315,6 +315,9 @@
 			isFirst := len(header) == 0
 			if isFirst {
 				maps.Copy(header, q.outboundHeader(server.ID))
+				if err := q.checkFirstSend(); err != nil {
+					return time.Time{}, err
+				}
 			}
 			until, err := q.sendableUntil(server.ID, unsentBytes)
 			if isFirst && err == nil {
@@ -327,6 +330,15 @@
 	}
 }
 
+// checkFirstSend returns KindDraining for a request that is to be sent to its first server
+// while this entry VM stops and might cut off the answer.
+func (q *request) checkFirstSend() error {
+	if q.sentAttempts > 0 {
+		return nil
+	}
+	return q.checkStopping(time.Now())
+}
+
 // outboundHeader returns the headers to send to the server now, with the time limit that
 // remains.
 func (q *request) outboundHeader(server turmericshed.ServerID) http.Header {
@@ -345,7 +357,7 @@
 // waited after the server was picked, the caller may have disconnected, the server may
 // have left service, and the routing table or the server list may have become too old. Errors:
 // KindOverloaded where another server may take the request, KindNotReady, KindCanceled,
-// KindQuarantined.
+// KindQuarantined, KindDraining.
 func (q *request) sendableUntil(server turmericshed.ServerID, size int) (until time.Time, err error) {
 	if err := checkCallerConnected(q.r.Context()); err != nil {
 		q.recordCallerDisconnect()
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -95,8 +95,8 @@
 type Relay struct {
 	cfg   Config
 	table atomic.Pointer[tstable.Table]
-	// isStopping is true from the start of a graceful stop.
-	isStopping atomic.Bool
+	// stop is set from the start of a graceful stop.
+	stop atomic.Pointer[stopTimes]
 
 	mu      sync.Mutex
 	bounds  RetryLimits
@@ -123,12 +123,26 @@
 	s.bounds = b
 }
 
-// Stop begins a graceful stop: from now on every answer closes its connection.
-func (s *Relay) Stop() { s.isStopping.Store(true) }
+// stopTimes are the times of a graceful stop.
+type stopTimes struct {
+	// acceptUntil is until when requests are sent to servers, cutAt when the connections
+	// of running requests are closed.
+	acceptUntil, cutAt time.Time
+}
+
+// Stop begins a graceful stop: from now on every answer closes its connection. Requests
+// that were not sent to a server by acceptUntil are refused, and so are those that may not
+// be repeated and have time beyond cutAt, when the remaining connections are closed.
+func (s *Relay) Stop(acceptUntil, cutAt time.Time) {
+	s.stop.Store(&stopTimes{acceptUntil: acceptUntil, cutAt: cutAt})
+}
+
+// isStopping reports whether a graceful stop has begun.
+func (s *Relay) isStopping() bool { return s.stop.Load() != nil }
 
 // Ready reports whether this entry VM should receive new connections.
 func (s *Relay) Ready() bool {
-	return s.table.Load() != nil && !s.isStopping.Load() && !s.linkFull() && s.checkFreshness(time.Now(), 0) == nil
+	return s.table.Load() != nil && !s.isStopping() && !s.linkFull() && s.checkFreshness(time.Now(), 0) == nil
 }
 
 // linkFull reports whether callers should use other entry VMs because the local link is
@@ -137,7 +151,7 @@
 
 // ServeHTTP serves one request.
 func (s *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.isStopping.Load() || s.linkFull() {
+	if s.isStopping() || s.linkFull() {
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{relay: s, w: w, r: r, rc: http.NewResponseController(w), arrived: time.Now()}
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -132,9 +132,23 @@
 	}
 	q.service = tstable.Service(route, rand.Float64())
 	q.deadline = q.arrived.Add(q.timeLimit())
+	if err := q.checkStopping(time.Now()); err != nil {
+		return err
+	}
 	return q.readBody()
 }
 
+// checkStopping returns KindDraining if this entry VM is stopping and a server's answer to
+// the request might be cut off, else nil.
+func (q *request) checkStopping(now time.Time) error {
+	stop := q.relay.stop.Load()
+	if stop == nil || now.Before(stop.acceptUntil) && (q.route.Repeatable || !q.deadline.After(stop.cutAt)) {
+		return nil
+	}
+	// Another entry VM may serve the request at once.
+	return turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindDraining, "this entry VM is stopping"), 0)
+}
+
 // timeLimit returns the time limit of the caller, or the default, bounded by that of the
 // route.
 func (q *request) timeLimit() time.Duration {
--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -23,6 +24,8 @@
 	// load balancer probes once a second and removes an entry VM after two failed
 	// probes.
 	stopAcceptPeriod = 3 * time.Second
+	// drainPollInterval is the time between checks whether running requests have ended.
+	drainPollInterval = 10 * time.Millisecond
 )
 
 // Server serves a relay on a listener. It closes connections after the routing table's
@@ -33,16 +36,22 @@
 	http  *http.Server
 
 	mu sync.Mutex
-	// idleSince holds the idle connections and when each became idle.
-	idleSince map[net.Conn]time.Time
+	// conns holds the state of each open connection.
+	conns map[net.Conn]connState
+}
+
+// connState is the state of a connection, and since when it has it.
+type connState struct {
+	http.ConnState
+	since time.Time
 }
 
 // NewServer returns a server for the relay.
 func NewServer(relay *Relay, log *slog.Logger) *Server {
-	s := &Server{relay: relay, log: log, idleSince: make(map[net.Conn]time.Time)}
+	s := &Server{relay: relay, log: log, conns: make(map[net.Conn]connState)}
 	s.http = &http.Server{
 		Handler: relay, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.trackIdle, ConnContext: withCallerConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnState: s.trackState, ConnContext: withCallerConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return s
 }
@@ -52,7 +61,8 @@
 
 // Serve accepts connections until ctx ends and then stops gracefully: answers close
 // their connections, new connections are accepted while the load balancer still sends
-// them, and running requests may finish until stopTimeout has passed.
+// them, and running requests may finish until stopTimeout has passed. Requests that come
+// later, on connections that were open, are refused.
 func (s *Server) Serve(ctx context.Context, ln net.Listener, stopTimeout time.Duration) error {
 	served := make(chan error, 1)
 	go func() { served <- s.http.Serve(ln) }()
@@ -65,37 +75,63 @@
 		case now := <-sweep.C:
 			s.closeIdle(now)
 		case <-ctx.Done():
-			return s.shutdown(stopTimeout)
+			return s.shutdown(ln, stopTimeout)
 		}
 	}
 }
 
-// shutdown stops the server gracefully and closes what is left after the timeout.
-func (s *Server) shutdown(timeout time.Duration) error {
+// shutdown stops the server gracefully and closes what is left after the timeout. It does
+// not use [http.Server.Shutdown], which closes a connection without an answer when it has
+// read a request.
+func (s *Server) shutdown(ln net.Listener, timeout time.Duration) error {
 	began := time.Now()
-	s.relay.Stop()
+	acceptPeriod := min(stopAcceptPeriod, timeout/2)
+	cutAt := began.Add(timeout)
+	s.relay.Stop(began.Add(acceptPeriod), cutAt)
 	s.log.Info("stopping", "timeout_ms", timeout.Milliseconds())
-	time.Sleep(min(stopAcceptPeriod, timeout/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(timeout))
-	defer cancel()
-	err := s.http.Shutdown(ctx)
-	if err != nil {
-		err = errors.Join(err, s.http.Close())
+	time.Sleep(acceptPeriod)
+	err := ln.Close()
+	active := s.closeInactive()
+	for ; active > 0 && time.Now().Before(cutAt); active = s.closeInactive() {
+		time.Sleep(drainPollInterval)
+	}
+	if active > 0 {
+		err = errors.Join(err, fmt.Errorf("%d connections with running requests were closed", active))
 	}
+	err = errors.Join(err, s.http.Close())
 	s.log.Info("stopped serving", "elapsed_ms", time.Since(began).Milliseconds(), "whole", err == nil)
 	return err
 }
 
-// trackIdle keeps idleSince up to date; net/http calls it when a connection changes its
-// state.
-func (s *Server) trackIdle(c net.Conn, state http.ConnState) {
+// closeInactive closes the idle connections, and returns the number of those on which a
+// request is read or runs. A connection without a first request stays open, so that a
+// request which is on its way can be refused.
+func (s *Server) closeInactive() (active int) {
+	s.mu.Lock()
+	var idle []net.Conn
+	for c, state := range s.conns {
+		switch state.ConnState {
+		case http.StateActive:
+			active++
+		case http.StateIdle:
+			idle = append(idle, c)
+			delete(s.conns, c)
+		}
+	}
+	s.mu.Unlock()
+	s.closeAll(idle)
+	return active
+}
+
+// trackState keeps conns up to date; net/http calls it when a connection changes its state.
+func (s *Server) trackState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idleSince[c] = time.Now()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(s.conns, c)
 		return
 	}
-	delete(s.idleSince, c)
+	s.conns[c] = connState{state, time.Now()}
 }
 
 // closeIdle closes the connections that exceed the routing table's idle timeout.
@@ -106,14 +142,19 @@
 	}
 	s.mu.Lock()
 	var expired []net.Conn
-	for c, since := range s.idleSince {
-		if now.Sub(since) >= t.Limits.IdleTimeout {
+	for c, state := range s.conns {
+		if state.ConnState == http.StateIdle && now.Sub(state.since) >= t.Limits.IdleTimeout {
 			expired = append(expired, c)
-			delete(s.idleSince, c)
+			delete(s.conns, c)
 		}
 	}
 	s.mu.Unlock()
-	for _, c := range expired {
+	s.closeAll(expired)
+}
+
+// closeAll closes idle connections.
+func (s *Server) closeAll(conns []net.Conn) {
+	for _, c := range conns {
 		if err := c.Close(); err != nil {
 			s.log.Debug("closing an idle connection failed", "error", err.Error())
 		}
