Don't pass on an unframed answer as whole when its server has terminated

What callers saw: a server stopped within an answer that has neither length nor chunks and closed. Callers got a 200 with what had arrived, framed as whole, or a stream that ended as complete, also one without any event; and the request counted as survived.

Cause: such an answer ends with its connection, and an orderly close was taken for its end whatever else was known of the server.

Change: an unframed answer is whole only if the server's address doesn't refuse connections right after its end; a stream without framing that ends before its first event has broken off. Both are reported as lost connections.

Why: the framing can't tell a crash from the end, the server's process can. Answers of servers that can't be reached are passed on as before.

--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -247,7 +247,7 @@
 		return nil, firstByte, turmericshed.NewError(turmericshed.KindCallUnknown, "server %s: the answer lacks the server's signature or its body is encoded", server.ID)
 	}
 	if q.route.Stream && success {
-		err := q.relayStream(server.ID, reply, timer)
+		err := q.relayStream(ctx, server.ID, reply, timer)
 		if err == nil {
 			q.reportSurvived()
 		}
@@ -258,6 +258,10 @@
 		q.mayHaveUnrelayedOutput = true
 		return nil, firstByte, err
 	}
+	if reply.EndedWithServer(ctx) {
+		q.mayHaveUnrelayedOutput = true
+		return nil, firstByte, turmericshed.WrapError(turmericshed.KindCallUnknown, io.ErrUnexpectedEOF, "server %s: terminated with an answer that has no length", server.ID)
+	}
 	q.reportSurvived()
 	if impliesNotRun(reply.Status) {
 		// The status implies that the request did not run, but the server did not
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -1,6 +1,7 @@
 package tsrelay
 
 import (
+	"context"
 	"errors"
 	"io"
 
@@ -18,7 +19,7 @@
 
 // relayStream relays complete events until the stream ends. For an interrupted stream it
 // returns KindStreamBroken; another server may then resume it after lastEvent.
-func (q *request) relayStream(server turmericshed.ServerID, reply *tsupstream.Reply, timer *silenceTimer) error {
+func (q *request) relayStream(ctx context.Context, server turmericshed.ServerID, reply *tsupstream.Reply, timer *silenceTimer) error {
 	q.mayHaveUnrelayedOutput = true
 	if q.committed {
 		if err := q.checkContinuation(server, reply); err != nil {
@@ -48,6 +49,10 @@
 			reply.Close()
 			return splitErr
 		case errors.Is(err, io.EOF) && split.Empty():
+			if !reply.IsFramed() && q.events == eventsBefore || reply.EndedWithServer(ctx) {
+				reply.Close()
+				return turmericshed.WrapError(turmericshed.KindStreamBroken, io.ErrUnexpectedEOF, "server %s: a stream without framing ended before its first event or with its server", server)
+			}
 			reply.Finish()
 			q.mayHaveUnrelayedOutput = false
 			if !q.committed {
--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -22,6 +22,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"turmericshed"
@@ -283,10 +284,24 @@
 	return data, nil
 }
 
+// EndedWithServer reports whether the body of a read answer ended with its connection and
+// the server refuses connections since. The server may then have terminated before the
+// body was complete, which the framing can't show.
+func (r *Reply) EndedWithServer(ctx context.Context) bool {
+	if r.IsFramed() {
+		return false
+	}
+	c, err := r.client.conns.dial(ctx, "tcp", r.key.addr)
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Discard ends a call whose body is not needed. The connection is reused if the remainder
 // of the body is short and arrives promptly, else closed.
 func (r *Reply) Discard() {
-	if !r.isFramed() || r.resp.ContentLength > maxDiscardBytes || r.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+	if !r.IsFramed() || r.resp.ContentLength > maxDiscardBytes || r.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
 		r.Close()
 		return
 	}
@@ -329,12 +344,12 @@
 	default:
 		return false
 	}
-	return r.isFramed() && !r.resp.Close && r.conn.br.Buffered() == 0
+	return r.IsFramed() && !r.resp.Close && r.conn.br.Buffered() == 0
 }
 
-// isFramed reports whether the body has a length or is chunked, rather than ending with
+// IsFramed reports whether the body has a length or is chunked, rather than ending with
 // the connection.
-func (r *Reply) isFramed() bool { return r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0 }
+func (r *Reply) IsFramed() bool { return r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0 }
 
 // Close ends a call early and closes its connection, which cancels the
 // request at the server.
--- a/standin/tsmetastore/backend.go
+++ b/standin/tsmetastore/backend.go
@@ -37,6 +37,14 @@
 	// BehaveRetryLater refuses the request with 503 without running it, and sends
 	// BusyRetryAfter as Retry-After.
 	BehaveRetryLater
+	// BehaveUnframed sends the complete answer without a length or chunks; it ends
+	// with the connection.
+	BehaveUnframed
+	// BehaveCrashingUnframed begins the same answer and crashes before the second
+	// half of the body, or of the events.
+	BehaveCrashingUnframed
+	// BehaveCrashingBeforeBody does so before the first byte of the body.
+	BehaveCrashingBeforeBody
 	// BehaveLeaving sends the complete answer with a header that announces
 	// that the server is leaving.
 	BehaveLeaving
@@ -337,10 +345,13 @@
 	if behaviour == BehaveLeaving {
 		stateHeaders += "Server-Leaving: 1\r\n"
 	}
+	text := "answer to " + id
+	if behaviour >= BehaveUnframed && behaviour <= BehaveCrashingBeforeBody {
+		return b.writeUnframed(c, r, head, text, behaviour)
+	}
 	if b.Events > 0 {
 		return b.stream(c, r, head, behaviour == BehaveBreakingStreams)
 	}
-	text := "answer to " + id
 	return write(c, head("200 OK", fmt.Sprintf("Response-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", len(text), text)))
 }
 
@@ -367,6 +378,36 @@
 	return write(c, "0\r\n\r\n")
 }
 
+// writeUnframed sends an answer that ends with its connection, or crashes on the way as the
+// behaviour requires. It returns false: the connection closes.
+func (b *Backend) writeUnframed(c net.Conn, r *http.Request, head func(status, extra string) string, text string, behaviour Behaviour) bool {
+	extra := "Response-Stamp: " + b.ID + "\r\n"
+	if b.Events > 0 {
+		extra += "Content-Type: text/event-stream\r\n"
+		var events strings.Builder
+		lastReceived, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for n := lastReceived + 1; n <= b.Events; n++ {
+			fmt.Fprintf(&events, "id: %d\ndata: piece %d\n\n", n, n)
+		}
+		text = events.String()
+	}
+	write(c, head("200 OK", extra+"\r\n"))
+	switch behaviour {
+	case BehaveCrashingUnframed:
+		half := strings.Index(text, "\n\n") + 2
+		if half < 2 {
+			half = len(text) / 2
+		}
+		write(c, text[:half])
+		b.Crash()
+	case BehaveCrashingBeforeBody:
+		b.Crash()
+	default:
+		write(c, text)
+	}
+	return false
+}
+
 // countCanceled counts a request that lost its connection while it ran.
 func (b *Backend) countCanceled() {
 	b.mu.Lock()
