--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -75,7 +75,7 @@
 		case now := <-sweep.C:
 			s.closeIdle(now)
 		case <-ctx.Done():
-			return s.shutdown(ln, stopTimeout)
+			return s.shutdown(ln, served, stopTimeout)
 		}
 	}
 }
@@ -83,7 +83,7 @@
 // shutdown stops the server gracefully and closes what is left after the timeout. It does
 // not use [http.Server.Shutdown], which closes a connection without an answer when it has
 // read a request.
-func (s *Server) shutdown(ln net.Listener, timeout time.Duration) error {
+func (s *Server) shutdown(ln net.Listener, served <-chan error, timeout time.Duration) error {
 	began := time.Now()
 	acceptPeriod := min(stopAcceptPeriod, timeout/2)
 	cutAt := began.Add(timeout)
@@ -91,6 +91,8 @@
 	s.log.Info("stopping", "timeout_ms", timeout.Milliseconds())
 	time.Sleep(acceptPeriod)
 	err := ln.Close()
+	// Serve has closed the listener as well when it returns.
+	<-served
 	active := s.closeInactive()
 	for ; active > 0 && time.Now().Before(cutAt); active = s.closeInactive() {
 		time.Sleep(drainPollInterval)
