Drop log lines that come after the log writer was closed

What operators saw: a gateway stopped by SIGTERM ended with exit status 2.

Cause: a goroutine of the store updates logged after AsyncWriter.Close had closed the queue: panic, send on closed channel.

Change: a closed writer drops and counts lines.

--- a/io/tsobserve/async.go
+++ b/io/tsobserve/async.go
@@ -15,7 +15,10 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
-	once    sync.Once
+
+	// mu is held by writers for reading and guards isClosed.
+	mu       sync.RWMutex
+	isClosed bool
 }
 
 // NewAsyncWriter returns a writer that writes to w until Close is called.
@@ -32,9 +35,15 @@
 	return a
 }
 
-// Write queues a copy of one line, or drops it if the queue is full. It never returns
-// an error.
+// Write queues a copy of one line, or drops it if the queue is full or the writer is
+// closed: goroutines may outlive the component that logs last. It never returns an error.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.isClosed {
+		a.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
@@ -47,10 +56,14 @@
 // or because the write failed.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
-// Close writes the queued lines and waits for completion. Write must not be called
-// afterwards.
+// Close writes the queued lines and waits for completion. Later lines are dropped.
 func (a *AsyncWriter) Close() error {
-	a.once.Do(func() { close(a.lines) })
+	a.mu.Lock()
+	if !a.isClosed {
+		a.isClosed = true
+		close(a.lines)
+	}
+	a.mu.Unlock()
 	<-a.done
 	return nil
 }
