--- a/io/tscommand/commands.go
+++ b/io/tscommand/commands.go
@@ -48,6 +48,7 @@
 		{"standin", "stand in for the platform, an engine or a service", runStandin},
 		{"load", "send open-loop load and keep the callers' books", runLoad},
 		{"soak", "drive the decision code through seeded failures", runSoak},
+		{"drill", "run entry VMs as processes through stops, kills and crashes", runDrill},
 		{"timeline", "merge the events of all processes", runTimeline},
 		{"explain", "tell the story of a request, server or account from logs", runExplain},
 		{"experiment", "measure decisions on small fakes", runExperiment},
--- a/io/tsgateway/late_request_test.go
+++ b/io/tsgateway/late_request_test.go
@@ -66,7 +66,7 @@
 					assert.Equal(t, body, completeStream(1))
 				}
 				running.Wait()
-				<-stopped
+				assert.NilError(t, <-stopped)
 			})
 		}
 	}
--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -92,7 +92,9 @@
 	time.Sleep(acceptPeriod)
 	err := ln.Close()
 	// Serve has closed the listener as well when it returns.
-	<-served
+	if serveErr := <-served; !errors.Is(serveErr, net.ErrClosed) {
+		err = errors.Join(err, serveErr)
+	}
 	active := s.closeInactive()
 	for ; active > 0 && time.Now().Before(cutAt); active = s.closeInactive() {
 		time.Sleep(drainPollInterval)
