Drill: entry VMs as processes through stops, kills and deadly parts

'turmericshed drill' runs gateways as separate processes beside a stand-in store and servers. First phase: stops, restarts, reloads and changed routes in series and overlapping. Second: prompt parts that crash servers, beside kills, lost answers, server crashes and an outage of the store. Third: nothing fails. Half of the callers keep using an entry VM until its process is gone. Checked: whole answers, at most once, not run, desired state, nothing cut off in the first phase, late requests with a deadly part, no sound request quarantined, callers served at the end.

--- /dev/null
+++ b/load/tsdrill/check.go
@@ -0,0 +1,161 @@
+package tsdrill
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"turmericshed"
+)
+
+const (
+	// maxViolations bounds the violations that a report describes.
+	maxViolations = 20
+	// freeCrashes is the number of crashes after which a part must be known within
+	// contactTimeout, and maxLateArrivals how many requests with it may reach a server
+	// later than that.
+	freeCrashes     = 5
+	maxLateArrivals = 3
+	// recoveryTime is the time after the last failure from which callers must be served,
+	// and minServedShare the part of their requests.
+	recoveryTime   = settleTime
+	minServedShare = 0.9
+	// A request that was sent up to lateSend after SIGTERM may be cut off if its server
+	// is still at work later than lateAtWork after it.
+	lateAtWork = gracePeriod * 5 / 6
+	lateSend   = 3 * time.Second
+)
+
+// violate records a broken promise.
+func (d *drill) violate(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.violateLocked(format, args...)
+}
+
+// violateLocked is violate with d.mu held.
+func (d *drill) violateLocked(format string, args ...any) {
+	if len(d.report.Violations) < maxViolations {
+		d.report.Violations = append(d.report.Violations, fmt.Sprintf(format, args...))
+	}
+}
+
+// check checks the promises on the records of the whole run.
+func (d *drill) check() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.checkParts()
+	d.checkBudget()
+	served, owed := 0, 0
+	for _, q := range d.requests {
+		d.checkAnswer(q)
+		d.checkPromise(q)
+		d.checkCutOff(q)
+		if q.deadly || q.sentAt.Before(d.faultsUntil.Add(recoveryTime)) {
+			continue
+		}
+		owed++
+		if q.err == nil && q.status == http.StatusOK {
+			served++
+		}
+	}
+	if float64(served) < minServedShare*float64(owed) {
+		d.violateLocked("recovery: %d of %d requests were served later than %s after the last failure", served, owed, recoveryTime)
+	}
+}
+
+// checkParts checks that requests with the deadly part stopped reaching servers.
+func (d *drill) checkParts() {
+	var crashes, arrivals []time.Time
+	for _, e := range d.servers.engines {
+		crashes, arrivals = append(crashes, e.CrashTimes()...), append(arrivals, e.CrashPartArrivals()...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	slices.SortFunc(arrivals, time.Time.Compare)
+	d.report.ServerCrashes, d.report.DeadlyArrivals = len(crashes), len(arrivals)
+	if len(arrivals) < freeCrashes {
+		return
+	}
+	late := 0
+	for _, at := range arrivals {
+		if at.After(arrivals[freeCrashes-1].Add(contactTimeout)) {
+			late++
+		}
+	}
+	if late > maxLateArrivals {
+		d.violateLocked("budget: %d of %d requests with a deadly part reached servers later than %s after the fifth", late, len(arrivals), contactTimeout)
+	}
+}
+
+// checkBudget checks that servers handed out no more tokens than the account prepaid.
+func (d *drill) checkBudget() {
+	used := 0
+	for _, q := range d.requests {
+		if (q.kind == askStream || q.kind == askOnce) && d.servers.runs(q.id) > 0 {
+			used += promptTokens + strings.Count(q.body, "id: ")*tokensPerEvent
+		}
+	}
+	if used > prepaid {
+		d.violateLocked("budget: %d tokens were used, %d are prepaid", used, prepaid)
+	}
+}
+
+// checkAnswer checks that a successful answer is complete and belongs to its request, and
+// that nothing is refused that must be served.
+func (d *drill) checkAnswer(q request) {
+	if strings.Contains(q.body, turmericshed.KindQuarantined.String()) && !q.deadly {
+		d.violateLocked("quarantine: a request without a deadly part was refused: %s", q.id)
+	}
+	if q.err != nil {
+		return
+	}
+	want := "answer to " + q.id
+	if q.kind == askStream || q.kind == askOnce {
+		want = wholeStream
+	}
+	switch {
+	case q.status == http.StatusOK && q.body != want:
+		d.violateLocked("answer: %s got %q", q.id, q.body)
+	case q.status == http.StatusNotFound, q.status == http.StatusUnauthorized, q.status == http.StatusPaymentRequired, q.status == http.StatusForbidden:
+		d.violateLocked("desired state: %s got status %d", q.id, q.status)
+	}
+}
+
+// wholeStream is the body of a complete stream.
+var wholeStream = func() string {
+	var b strings.Builder
+	for n := range streamEvents {
+		_, _ = fmt.Fprintf(&b, "id: %[1]d\ndata: piece %[1]d\n\n", n+1)
+	}
+	return b.String()
+}()
+
+// checkPromise checks that requests which may not be repeated ran at most once, and that
+// those refused as not run did not run.
+func (d *drill) checkPromise(q request) {
+	runs := d.servers.runs(q.id)
+	if (q.kind == askOnce || q.kind == askBooking) && runs > 1 {
+		d.violateLocked("at most once: %s ran %d times", q.id, runs)
+	}
+	if runs > 0 && q.err == nil && (q.status == http.StatusServiceUnavailable || q.status == http.StatusTooManyRequests) {
+		d.violateLocked("not run: %s got status %d and ran %d times", q.id, q.status, runs)
+	}
+}
+
+// checkCutOff checks that no answer was cut off by planned work in the first phase: a
+// server may be at work late in the grace period only on a request that came early.
+func (d *drill) checkCutOff(q request) {
+	if q.err == nil || q.endedAt.After(d.plannedUntil) || d.servers.runs(q.id) == 0 {
+		return
+	}
+	p := q.process
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stoppedAt.IsZero() && q.endedAt.Sub(p.stoppedAt) >= lateAtWork && q.sentAt.Sub(p.stoppedAt) <= lateSend {
+		return
+	}
+	d.violateLocked("cut off: %s, sent %s after the stop began, was passed on and ended after %s: %v",
+		q.id, q.sentAt.Sub(p.stoppedAt).Round(time.Millisecond), q.endedAt.Sub(q.sentAt).Round(time.Millisecond), q.err)
+}
--- /dev/null
+++ b/load/tsdrill/faults.go
@@ -0,0 +1,131 @@
+package tsdrill
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"turmericshed/standin/tsmetastore"
+)
+
+const (
+	// stopInterval, changeInterval and faultInterval are the mean times between stops,
+	// between changes, and between failures.
+	stopInterval   = 900 * time.Millisecond
+	changeInterval = 700 * time.Millisecond
+	faultInterval  = 800 * time.Millisecond
+	// faultDuration is how long a failure of a server or of the store lasts.
+	faultDuration = 700 * time.Millisecond
+	// exitFailed is the exit code of a process that could not finish its stop.
+	exitFailed = 1
+	// settleTime is the time after the last failure of the first phase within which
+	// stopped entry VMs are back.
+	settleTime = gracePeriod + 2*time.Second
+)
+
+// runPlanned stops, restarts and reloads entry VMs and changes the routing table until the
+// end of the second phase.
+func (d *drill) runPlanned(ctx context.Context) {
+	var stops sync.WaitGroup
+	defer stops.Wait()
+	stops.Go(func() {
+		rng := d.newRand(1 << 20)
+		for pause(ctx, rng, changeInterval, d.faultsUntil) {
+			if rng.IntN(2) == 0 {
+				d.servers.addRoute()
+				d.count(&d.report.Changes)
+				continue
+			}
+			if err := d.vms[rng.IntN(len(d.vms))].reload(); err != nil {
+				d.violate("a reload failed: %v", err)
+			}
+			d.count(&d.report.Reloads)
+		}
+	})
+	rng := d.newRand(1 << 21)
+	for pause(ctx, rng, stopInterval, d.faultsUntil) {
+		vm := d.vms[rng.IntN(len(d.vms))]
+		p := vm.current()
+		if p == nil || p.isStopping() || d.downCount() >= int(maxDownShare*float64(len(d.vms))) {
+			continue
+		}
+		isKill := time.Now().After(d.plannedUntil) && rng.IntN(3) == 0
+		stops.Go(func() { d.restart(vm, p, isKill) })
+	}
+}
+
+// downCount returns the number of entry VMs that are down or stopping.
+func (d *drill) downCount() (n int) {
+	for _, vm := range d.vms {
+		if p := vm.current(); p == nil || p.isStopping() {
+			n++
+		}
+	}
+	return n
+}
+
+// restart ends the process of an entry VM and starts the next one.
+func (d *drill) restart(vm *entryVM, p *process, isKill bool) {
+	if isKill {
+		p.kill()
+		d.count(&d.report.Kills)
+	} else {
+		if err := p.stop(); err != nil {
+			d.violate("%s: %v", vm.name, err)
+		}
+		d.count(&d.report.Stops)
+		// While the store is down, a process can't return its tokens and says so.
+		if p.exitErr != nil && (p.cmd.ProcessState.ExitCode() != exitFailed || time.Now().Before(d.plannedUntil)) {
+			d.violate("%s: stopped with %v", vm.name, p.exitErr)
+		}
+	}
+	if err := vm.start(); err != nil {
+		d.violate("%s: %v", vm.name, err)
+	}
+}
+
+// runFaults injects failures and requests with deadly parts during the second phase.
+func (d *drill) runFaults(ctx context.Context) {
+	rng := d.newRand(1 << 22)
+	select {
+	case <-time.After(time.Until(d.plannedUntil)):
+	case <-ctx.Done():
+		return
+	}
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() {
+		// Requests with the deadly part go on to the end: the block must last.
+		c := &caller{d: d, rng: d.newRand(1 << 23)}
+		for pause(ctx, c.rng, deadlyInterval, d.until) {
+			if p := c.pick(); p != nil {
+				deadly := &caller{d: d, rng: d.newRand(c.rng.Uint64())}
+				tasks.Go(func() { deadly.sendDeadly(p) })
+			}
+		}
+	})
+	for pause(ctx, rng, faultInterval, d.faultsUntil) {
+		switch all := d.servers.all(); rng.IntN(5) {
+		case 0:
+			all[rng.IntN(len(all))].Crash()
+		case 1, 2:
+			b := all[rng.IntN(len(all))]
+			how := tsmetastore.BehaveLosingAnswers
+			if b.Events > 0 && rng.IntN(2) == 0 {
+				how = tsmetastore.BehaveBreakingStreams
+			}
+			b.SetBehaviour(how)
+			time.AfterFunc(faultDuration, func() { b.SetBehaviour(tsmetastore.BehaveNormal) })
+		case 3:
+			d.servers.store.SetDown(true)
+			time.AfterFunc(faultDuration, func() { d.servers.store.SetDown(false) })
+		}
+	}
+}
+
+// count adds one to a number of the report.
+func (d *drill) count(n *int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	*n++
+}
--- /dev/null
+++ b/load/tsdrill/servers.go
@@ -0,0 +1,148 @@
+package tsdrill
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	users "turmericshed/platform"
+	"turmericshed/standin/tsmetastore"
+)
+
+const (
+	apiKey = "k1"
+	// prepaid is the client account's budget in tokens.
+	prepaid         = 100_000_000
+	promptTokens    = 100
+	maxOutputTokens = 200
+	tokensPerEvent  = 5
+	streamEvents    = 10
+	engineCount     = 8
+	deskCount       = 3
+	// deadlyPart is the ID of the prompt part that crashes engines.
+	deadlyPart = "dead"
+	// restartDelay is how long a crashed server is down.
+	restartDelay = 400 * time.Millisecond
+)
+
+// servers are the store and the backend servers of a run.
+type servers struct {
+	storeAddr string
+	store     *tsmetastore.Store
+	listener  net.Listener
+	engines   []*tsmetastore.Backend
+	desks     []*tsmetastore.Backend
+
+	mu sync.Mutex
+	// version is the version of the routing table. extraRoutes holds when the store
+	// accepted each route that was added.
+	version     int
+	extraRoutes []time.Time
+}
+
+func startServers() (*servers, error) {
+	s := &servers{store: tsmetastore.New()}
+	var err error
+	if s.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	s.storeAddr = s.listener.Addr().String()
+	go func() {
+		srv := &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
+		_ = srv.Serve(s.listener)
+	}()
+	start := func(id, service string, events int, eventPause time.Duration) (*tsmetastore.Backend, error) {
+		put := func(b *tsmetastore.Backend) { s.store.Put(users.ServerPrefix+b.ID, b.Entry(service, "a", "ready")) }
+		b := &tsmetastore.Backend{ID: id, Events: events, Pause: eventPause, CrashPart: deadlyPart, RestartAfter: restartDelay, OnRestart: put}
+		if err := b.Start(); err != nil {
+			return nil, err
+		}
+		put(b)
+		return b, nil
+	}
+	for i := range engineCount {
+		// The streams of some engines last until late in a grace period.
+		b, err := start(fmt.Sprint("engine-", i), "pool", streamEvents, time.Duration(10+30*i)*time.Millisecond)
+		if err != nil {
+			return nil, err
+		}
+		s.engines = append(s.engines, b)
+	}
+	for i := range deskCount {
+		b, err := start(fmt.Sprint("desk-", i), "desk", 0, 0)
+		if err != nil {
+			return nil, err
+		}
+		s.desks = append(s.desks, b)
+	}
+	s.putTable(0)
+	return s, nil
+}
+
+// all returns all backend servers.
+func (s *servers) all() []*tsmetastore.Backend {
+	return append(append([]*tsmetastore.Backend(nil), s.engines...), s.desks...)
+}
+
+// close ends the store and the servers.
+func (s *servers) close() {
+	_ = s.listener.Close()
+	for _, b := range s.all() {
+		_ = b.Close()
+	}
+}
+
+// addRoute adds a route to the routing table.
+func (s *servers) addRoute() {
+	s.mu.Lock()
+	n := len(s.extraRoutes) + 1
+	s.mu.Unlock()
+	s.putTable(n)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.extraRoutes = append(s.extraRoutes, time.Now())
+}
+
+// newestRoute returns the path of the newest route that must be in force by now.
+func (s *servers) newestRoute(now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.extraRoutes); i > 0; i-- {
+		if now.Sub(s.extraRoutes[i-1]) > applyTimeout {
+			return fmt.Sprintf("/extra-%d/1", i)
+		}
+	}
+	return "/look/1"
+}
+
+// putTable writes a routing table with the given number of extra routes.
+func (s *servers) putTable(extra int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += 2
+	routes := []string{
+		`{"name":"quote","host":"corner.example","prefix":"/quote/","kind":"streaming","service":"pool","timeoutMs":6000,"targetLatencyMs":1000,"gapTargetMs":600,"maxAttempts":2,"resumable":true,"stickySessions":true}`,
+		`{"name":"once","host":"corner.example","prefix":"/once/","kind":"streaming","service":"pool","timeoutMs":6000,"maxAttempts":1,"stickySessions":true}`,
+		`{"name":"book","host":"corner.example","prefix":"/book/","kind":"unsafe","service":"desk","timeoutMs":1500,"maxAttempts":1}`,
+		`{"name":"look","host":"corner.example","prefix":"/look/","kind":"safe","service":"desk","timeoutMs":2000,"targetLatencyMs":200,"maxAttempts":2}`,
+	}
+	for i := range extra {
+		routes = append(routes, fmt.Sprintf(`{"name":"extra-%[1]d","host":"corner.example","prefix":"/extra-%[1]d/","kind":"safe","service":"desk","timeoutMs":2000,"targetLatencyMs":200,"maxAttempts":2}`, i+1))
+	}
+	s.store.Put(users.TableKey, fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[{"name":"pool","maxConnections":2000,"engine":{"stride":%d}},{"name":"desk","maxConnections":2000}],
+ "limits":{"maxHeaderBytes":4000,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"stall","apiKeys":["%s"],"prepaid":%d}]}`, s.version, strings.Join(routes, ","), tokensPerEvent, apiKey, prepaid))
+}
+
+// runs returns how often the servers ran the request with the given id.
+func (s *servers) runs(id string) int {
+	n := 0
+	for _, b := range s.all() {
+		ofID, _ := b.Runs(id)
+		n += ofID
+	}
+	return n
+}
