Block a prompt part after two servers that had begun to answer

Cause: a part was blocked after three or four terminations.

Change: two terminations are enough if both servers had begun to answer a request with the part, two requests differ and none with it was ever answered.

Why: of 174 attempts that broke off between the head of an answer and its first event, 171 had the deadly part; a sound request is hardly ever there when a server crashes, and two of one part even less.

--- a/core/tspoison/book.go
+++ b/core/tspoison/book.go
@@ -193,7 +193,7 @@
 // or part; zero when there are too few of them, or a part is not confirmed.
 func (e *Evidence) BlockedUntil() time.Time {
 	n := e.consecutiveTerminations()
-	if n < terminationsToBlock || e.Depth > 0 && !e.isConfirmed() {
+	if e.Depth == 0 && n < terminationsToBlock || e.Depth > 0 && (n == 0 || !e.isConfirmed()) {
 		return time.Time{}
 	}
 	d := baseBlockDuration
--- a/core/tspoison/part.go
+++ b/core/tspoison/part.go
@@ -29,6 +29,9 @@
 	// answeredTerminationsToBlock replaces terminationsToBlock for a part with which a
 	// request was answered before the crashes.
 	answeredTerminationsToBlock = 5
+	// begunTerminationsToBlock replaces it if so many servers had begun to answer, which
+	// few of the requests on a crashing server have got to.
+	begunTerminationsToBlock = 2
 	// requestsToBlockPart is the number of different requests whose crashes block a
 	// part. A single request that crashes servers is blocked itself.
 	requestsToBlockPart = 2
@@ -52,7 +55,7 @@
 func (b *Book) Unconfirmed() []turmericshed.Digest {
 	var parts []turmericshed.Digest
 	for d, e := range b.evidence {
-		if e.Depth > 0 && !e.isConfirmed() && hasCause(e.activeCrashes(), terminationsToBlock) {
+		if crashes := e.activeCrashes(); e.Depth > 0 && !e.isConfirmed() && hasCause(crashes, terminationsNeeded(crashes)) {
 			parts = append(parts, d)
 		}
 	}
@@ -105,7 +108,7 @@
 	var causes []cause
 	for _, e := range suspects {
 		crashes := slices.DeleteFunc(e.activeCrashes(), func(c Crash) bool { return explained[c.process()] })
-		wasAnswered, needed := !answered[e.Digest].IsZero(), terminationsToBlock
+		wasAnswered, needed := !answered[e.Digest].IsZero(), terminationsNeeded(crashes)
 		if wasAnswered {
 			needed = answeredTerminationsToBlock
 		}
@@ -124,6 +127,15 @@
 	}).Evidence
 }
 
+// terminationsNeeded returns the number of terminations that block a part with which no
+// request was answered.
+func terminationsNeeded(crashes []Crash) int {
+	if countHeads(crashes) >= begunTerminationsToBlock {
+		return begunTerminationsToBlock
+	}
+	return terminationsToBlock
+}
+
 // hasCause reports whether crashes are enough terminations under enough requests to block
 // the part that the requests share.
 func hasCause(crashes []Crash, terminations int) bool {
