Don't send a request on at once whose server crashed when it began to answer

Cause: a request under which a server had just terminated went to a second server at once: up to two crashes a request before any evidence.

Change: after an attempt of a stream that broke off between the head of its answer and the first event, the relay waits up to 0.4 s for the crash watch's verdict; if the server has terminated, the request ends with 502. Lost answers and resets are sent on as before.

Result: TestRequestIsSentOnAfterItsServerCrashed failed before (2 servers) and passes.

--- a/fleet.go
+++ b/fleet.go
@@ -236,6 +236,10 @@
 	// ConnectionLost reports that a connection was lost on which the server had been
 	// running a request. Whether the server terminated as well is determined later.
 	ConnectionLost(s BackendServer, a LostAttempt)
+	// AwaitVerdict waits until it is known whether a server terminated after
+	// ConnectionLost was called for it, and reports whether it did; false if that
+	// is not known when ctx ends.
+	AwaitVerdict(ctx context.Context, s BackendServer) bool
 	// Survived reports that the request got a complete answer.
 	Survived(now time.Time, d Digest)
 	// PartsSurvived reports that a server got past the beginning of its answer to a
--- a/io/tscrash/probe.go
+++ b/io/tscrash/probe.go
@@ -46,6 +46,10 @@
 	attempts map[turmericshed.Digest]attempt
 	// isProbing is true while a probe of the server runs.
 	isProbing bool
+	// decided is closed when it is known whether the server terminated; hasTerminated
+	// holds that.
+	decided       chan struct{}
+	hasTerminated bool
 	// listDeadline is when to stop waiting for the list of servers, after a probe
 	// that could not reach the server.
 	listDeadline time.Time
@@ -80,7 +84,7 @@
 			w.cfg.Log.Warn("too many undecided servers; ignoring a lost connection", "server", string(s.ID), "digest", string(d))
 			return
 		}
-		u = &undecidedServer{server: s, attempts: make(map[turmericshed.Digest]attempt)}
+		u = &undecidedServer{server: s, attempts: make(map[turmericshed.Digest]attempt), decided: make(chan struct{})}
 		w.undecided[k] = u
 	}
 	if len(u.attempts) < maxRequestsPerServer {
@@ -92,6 +96,23 @@
 	}
 }
 
+// AwaitVerdict waits until it is known whether the server terminated, and reports whether
+// it did. It returns false if the server lost no connection, or ctx ends.
+func (w *Watch) AwaitVerdict(ctx context.Context, s turmericshed.BackendServer) bool {
+	w.mu.Lock()
+	u := w.undecided[keyOf(s)]
+	w.mu.Unlock()
+	if u == nil {
+		return false
+	}
+	select {
+	case <-u.decided:
+		return u.hasTerminated
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // resolve probes a server and applies the verdict. It records a termination. It waits for
 // the list of servers if the server is unreachable. If the server is alive, it drops the
 // attempts whose connections were lost before the probe, and probes again if there are
@@ -119,6 +140,7 @@
 		}
 		if len(u.attempts) == 0 {
 			delete(w.undecided, k)
+			close(u.decided)
 			return
 		}
 		u.isProbing = true
@@ -157,6 +179,8 @@
 // termination. w.mu is held.
 func (w *Watch) recordTermination(k processKey, u *undecidedServer, reason string) {
 	delete(w.undecided, k)
+	u.hasTerminated = true
+	close(u.decided)
 	var digests []string
 	parts := make(map[turmericshed.Digest]bool)
 	for d, a := range u.attempts {
@@ -195,6 +219,7 @@
 		case u.isProbing:
 		case now.After(u.listDeadline):
 			delete(w.undecided, k)
+			close(u.decided)
 		case !listed[k]:
 			w.recordTermination(k, u, "not listed any more")
 		}
--- a/io/tsgateway/crash_part_test.go
+++ b/io/tsgateway/crash_part_test.go
@@ -115,3 +115,16 @@
 		})
 	}
 }
+
+// Guards against a second server that crashes under the same request at once: the first
+// one terminated when it had begun to answer.
+func TestRequestIsSentOnAfterItsServerCrashed(t *testing.T) {
+	r := newPartCrashRig(t, 1)
+	got := r.generateAny("/quote/1", deadlyPart)
+	assertStatus(t, got, http.StatusBadGateway)
+	arrivals := 0
+	for _, e := range r.engines {
+		arrivals += len(e.CrashPartArrivals())
+	}
+	assert.Equal(t, arrivals, 1)
+}
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -68,7 +68,7 @@
 		return nil
 	case wasUnsent, kind == turmericshed.KindCanceled, q.mayHaveRun && !q.route.Repeatable:
 		return err
-	case q.sentAttempts >= q.route.MaxAttempts:
+	case q.crashedServer, q.sentAttempts >= q.route.MaxAttempts:
 		return q.errOrServerFailure(err)
 	case !q.relay.allowRepeat(time.Now(), q.service):
 		return q.errOrServerFailure(err)
@@ -171,6 +171,11 @@
 		lost.Parts = nil
 	}
 	q.relay.cfg.CrashWatch.ConnectionLost(server, lost)
+	if lost.HadHead && attemptEvents == 0 && q.route.Stream && q.route.Repeatable {
+		ctx, cancel := context.WithTimeout(q.ctx, verdictTimeout)
+		defer cancel()
+		q.crashedServer = q.relay.cfg.CrashWatch.AwaitVerdict(ctx, server)
+	}
 }
 
 // awaitTurn waits for the request's turn to send its body over the link.
--- a/io/tsrelay/crash_test.go
+++ b/io/tsrelay/crash_test.go
@@ -45,6 +45,9 @@
 	c.broken = append(c.broken, a.Request)
 }
 
+// AwaitVerdict reports that no server terminated.
+func (*crashRecorder) AwaitVerdict(context.Context, turmericshed.BackendServer) bool { return false }
+
 // PartsSurvived does nothing: these requests have no prompt parts.
 func (*crashRecorder) PartsSurvived(time.Time, []turmericshed.Digest) {}
 
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -49,6 +49,9 @@
 	// beginning of its answer: a prompt part that crashes servers does so when they begin
 	// to write, and their first event may still leave.
 	eventsPastBeginning = 2
+	// verdictTimeout bounds the wait for a verdict on a server that may have terminated,
+	// before a request is sent to another one.
+	verdictTimeout = 400 * time.Millisecond
 	// staleRetryAfter is the Retry-After while the routing table or the server list is
 	// too old to act on.
 	staleRetryAfter = 300 * time.Millisecond
