Wait for the verdict on a server by the attempt that reported it

A verdict that came first, as over loopback, was missed, and the request went to a second server.

Change: ConnectionLost returns a function that waits for the verdict. The test has three entry VMs, so that two can confirm the end for the third.

--- a/fleet.go
+++ b/fleet.go
@@ -234,12 +234,10 @@
 	// itself or of a part of its prompt.
 	Check(now time.Time, c CrashSubject) error
 	// ConnectionLost reports that a connection was lost on which the server had been
-	// running a request. Whether the server terminated as well is determined later.
-	ConnectionLost(s BackendServer, a LostAttempt)
-	// AwaitVerdict waits until it is known whether a server terminated after
-	// ConnectionLost was called for it, and reports whether it did; false if that
-	// is not known when ctx ends.
-	AwaitVerdict(ctx context.Context, s BackendServer) bool
+	// running a request. Whether the server terminated as well is determined later:
+	// the returned function waits for that, and returns false if it is not known when
+	// ctx ends.
+	ConnectionLost(s BackendServer, a LostAttempt) (terminated func(ctx context.Context) bool)
 	// Survived reports that the request got a complete answer.
 	Survived(now time.Time, d Digest)
 	// PartsSurvived reports that a server got past the beginning of its answer to a
--- a/io/tscrash/probe.go
+++ b/io/tscrash/probe.go
@@ -72,8 +72,8 @@
 
 // ConnectionLost records that the connection to the server was lost while it ran the request
 // of the attempt. It starts a probe, unless one is running, to find out whether the server
-// terminated.
-func (w *Watch) ConnectionLost(s turmericshed.BackendServer, a turmericshed.LostAttempt) {
+// terminated. The returned function waits for the result.
+func (w *Watch) ConnectionLost(s turmericshed.BackendServer, a turmericshed.LostAttempt) (terminated func(ctx context.Context) bool) {
 	now, d := time.Now(), a.Request
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -82,7 +82,7 @@
 	if u == nil {
 		if len(w.undecided) >= maxUndecidedServers {
 			w.cfg.Log.Warn("too many undecided servers; ignoring a lost connection", "server", string(s.ID), "digest", string(d))
-			return
+			return func(context.Context) bool { return false }
 		}
 		u = &undecidedServer{server: s, attempts: make(map[turmericshed.Digest]attempt), decided: make(chan struct{})}
 		w.undecided[k] = u
@@ -94,17 +94,12 @@
 		u.isProbing = true
 		go w.resolve(k, u)
 	}
+	return u.hasTerminatedWithin
 }
 
-// AwaitVerdict waits until it is known whether the server terminated, and reports whether
-// it did. It returns false if the server lost no connection, or ctx ends.
-func (w *Watch) AwaitVerdict(ctx context.Context, s turmericshed.BackendServer) bool {
-	w.mu.Lock()
-	u := w.undecided[keyOf(s)]
-	w.mu.Unlock()
-	if u == nil {
-		return false
-	}
+// hasTerminatedWithin waits until it is known whether the server terminated, and reports
+// whether it did. It returns false when ctx ends first.
+func (u *undecidedServer) hasTerminatedWithin(ctx context.Context) bool {
 	select {
 	case <-u.decided:
 		return u.hasTerminated
--- a/io/tsgateway/crash_part_test.go
+++ b/io/tsgateway/crash_part_test.go
@@ -119,7 +119,8 @@
 // Guards against a second server that crashes under the same request at once: the first
 // one terminated when it had begun to answer.
 func TestRequestIsSentOnAfterItsServerCrashed(t *testing.T) {
-	r := newPartCrashRig(t, 1)
+	// Two of them see for the third that the server refuses connections.
+	r := newPartCrashRig(t, 3)
 	got := r.generateAny("/quote/1", deadlyPart)
 	assertStatus(t, got, http.StatusBadGateway)
 	arrivals := 0
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -170,11 +170,11 @@
 	if attemptEvents >= eventsPastBeginning {
 		lost.Parts = nil
 	}
-	q.relay.cfg.CrashWatch.ConnectionLost(server, lost)
+	terminated := q.relay.cfg.CrashWatch.ConnectionLost(server, lost)
 	if lost.HadHead && attemptEvents == 0 && q.route.Stream && q.route.Repeatable {
 		ctx, cancel := context.WithTimeout(q.ctx, verdictTimeout)
 		defer cancel()
-		q.crashedServer = q.relay.cfg.CrashWatch.AwaitVerdict(ctx, server)
+		q.crashedServer = terminated(ctx)
 	}
 }
 
--- a/io/tsrelay/crash_test.go
+++ b/io/tsrelay/crash_test.go
@@ -38,16 +38,14 @@
 	return turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindQuarantined, "quarantined by the test"), time.Minute)
 }
 
-// ConnectionLost records the digest of the request.
-func (c *crashRecorder) ConnectionLost(_ turmericshed.BackendServer, a turmericshed.LostAttempt) {
+// ConnectionLost records the digest of the request. No server terminated.
+func (c *crashRecorder) ConnectionLost(_ turmericshed.BackendServer, a turmericshed.LostAttempt) func(context.Context) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.broken = append(c.broken, a.Request)
+	return func(context.Context) bool { return false }
 }
 
-// AwaitVerdict reports that no server terminated.
-func (*crashRecorder) AwaitVerdict(context.Context, turmericshed.BackendServer) bool { return false }
-
 // PartsSurvived does nothing: these requests have no prompt parts.
 func (*crashRecorder) PartsSurvived(time.Time, []turmericshed.Digest) {}
 
