--- a/load/tsdrill/drill.go
+++ b/load/tsdrill/drill.go
@@ -107,10 +107,7 @@
 	defer d.servers.close()
 	defer d.killAll()
 	for i := range o.EntryVMs {
-		vm, err := newEntryVM(o, i, d.servers.storeAddr)
-		if err != nil {
-			return d.report, err
-		}
+		vm := newEntryVM(o, i, d.servers.storeAddr)
 		d.vms = append(d.vms, vm)
 		if err := vm.start(); err != nil {
 			return d.report, err
--- a/load/tsdrill/process.go
+++ b/load/tsdrill/process.go
@@ -18,6 +18,9 @@
 	"time"
 )
 
+// startAttempts is how often a process is started before that fails.
+const startAttempts = 3
+
 // startTimeout bounds the time until a process is ready, exitSlack the time after the
 // grace period until a stopped process must have exited.
 const (
@@ -57,33 +60,50 @@
 	stoppedAt, killedAt time.Time
 }
 
-func newEntryVM(o Options, i int, storeAddr string) (*entryVM, error) {
+func newEntryVM(o Options, i int, storeAddr string) *entryVM {
 	vm := &entryVM{o: o, name: fmt.Sprint("vm-", i), domain: string("abc"[i%3]), storeAddr: storeAddr, slack: 1000}
 	vm.settings = filepath.Join(o.Dir, vm.name+".json")
+	return vm
+}
+
+// writeSettings writes the settings file with a new retry slack.
+func (vm *entryVM) writeSettings() error {
+	vm.slack++
+	text := fmt.Sprintf(settingsFormat, vm.name, vm.domain, vm.peer.Port, vm.started == 0, vm.ready, vm.control, vm.storeAddr,
+		vm.slack, gracePeriod.Seconds(), applyTimeout.Milliseconds(), contactTimeout.Milliseconds())
+	return os.WriteFile(vm.settings, []byte(text), 0o600)
+}
+
+// pickPorts picks free ports for the process. They are free when it returns, but another
+// process may take one before they are used.
+func (vm *entryVM) pickPorts() error {
 	for _, addr := range []**net.TCPAddr{&vm.ready, &vm.control, &vm.peer} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
-			return nil, err
+			return err
 		}
 		defer func() { _ = ln.Close() }()
 		*addr, _ = ln.Addr().(*net.TCPAddr)
 	}
-	return vm, nil
+	return nil
 }
 
-// writeSettings writes the settings file with a new retry slack.
-func (vm *entryVM) writeSettings() error {
-	vm.slack++
-	text := fmt.Sprintf(settingsFormat, vm.name, vm.domain, vm.peer.Port, vm.started == 0, vm.ready, vm.control, vm.storeAddr,
-		vm.slack, gracePeriod.Seconds(), applyTimeout.Milliseconds(), contactTimeout.Milliseconds())
-	return os.WriteFile(vm.settings, []byte(text), 0o600)
+// start starts a process and waits until it listens for callers. It tries again with other
+// ports if the process exits.
+func (vm *entryVM) start() (err error) {
+	for range startAttempts {
+		if err = vm.startOnce(); err == nil {
+			return nil
+		}
+	}
+	return err
 }
 
-// start starts a process and waits until it listens for callers.
-func (vm *entryVM) start() error {
+// startOnce is one attempt of start.
+func (vm *entryVM) startOnce() error {
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
-	if err := vm.writeSettings(); err != nil {
+	if err := errors.Join(vm.pickPorts(), vm.writeSettings()); err != nil {
 		return err
 	}
 	p := &process{cmd: exec.Command(vm.o.Binary, "gateway", "-config", vm.settings), serving: make(chan struct{}), exited: make(chan struct{})}
