Count only crashes right after an answer's head twice, and ask once for each

And parts that were examined and not confirmed made the aggregators ask all entry VMs again at each report.

Change: only_head (was had_head) is set if nothing followed the head. Confirm remembers with how many crashes it examined a part; it is examined again after another crash.

Result: TestExaminedPartsAreNotExaminedAgainWithoutACrash; the tests of core/tspoison, io/tscrash and the part tests of io/tsgateway pass.

--- a/core/tspoison/book.go
+++ b/core/tspoison/book.go
@@ -37,6 +37,9 @@
 // updates. The zero value is an empty book. A Book is not safe for concurrent use.
 type Book struct {
 	evidence map[turmericshed.Digest]*Evidence
+	// examined holds the number of active crashes with which a part was last examined as
+	// a possible cause.
+	examined map[turmericshed.Digest]int
 }
 
 // Len returns the number of requests and parts with evidence.
@@ -57,7 +60,7 @@
 func (b *Book) EndedPart(at time.Time, part turmericshed.Digest, depth int, a turmericshed.LostAttempt, s turmericshed.BackendServer) Evidence {
 	e := b.get(part)
 	e.Depth = max(e.Depth, depth)
-	e.addCrash(Crash{Server: s.ID, Started: s.Started, Began: a.Began, At: at, Request: a.Request, HadHead: a.HadHead})
+	e.addCrash(Crash{Server: s.ID, Started: s.Started, Began: a.Began, At: at, Request: a.Request, OnlyHead: a.OnlyHead})
 	return e.clone()
 }
 
@@ -119,11 +122,17 @@
 			last = e.Crashes[n-1].At
 		}
 		if now.Sub(last) > suspicionDuration && !now.Before(e.BlockedUntil()) {
-			delete(b.evidence, d)
+			b.remove(d)
 		}
 	}
 }
 
+// remove removes the evidence about a request or part.
+func (b *Book) remove(d turmericshed.Digest) {
+	delete(b.evidence, d)
+	delete(b.examined, d)
+}
+
 // get returns the evidence of a request. It adds an empty entry if there is none,
 // and evicts others when the book is full.
 func (b *Book) get(d turmericshed.Digest) *Evidence {
@@ -158,7 +167,7 @@
 		return cmp.Or(cmp.Compare(a.terminations, b.terminations), a.last.Compare(b.last), cmp.Compare(a.digest, b.digest))
 	})
 	for _, e := range entries[:len(entries)/evictionDivisor] {
-		delete(b.evidence, e.digest)
+		b.remove(e.digest)
 	}
 }
 
--- a/core/tspoison/evidence.go
+++ b/core/tspoison/evidence.go
@@ -35,8 +35,9 @@
 	// Request is a request that ran on the server. It is set in the evidence about a
 	// prompt part, which several requests share.
 	Request turmericshed.Digest `json:"request,omitempty"`
-	// HadHead is true if the server had begun to answer that request.
-	HadHead bool `json:"had_head,omitempty"`
+	// OnlyHead is true if the server had sent the head of its answer to that request and
+	// nothing after it.
+	OnlyHead bool `json:"only_head,omitempty"`
 }
 
 // Evidence is the crash history of one request or of one prompt part. Merging copies
@@ -77,16 +78,15 @@
 }
 
 // addCrash adds a crash and reports whether the evidence changed. Of several
-// reports of the same crash it keeps the earliest time, and a request that the
-// server had begun to answer.
+// reports of the same crash it keeps the earliest time, and a request with OnlyHead.
 func (e *Evidence) addCrash(c Crash) bool {
 	for i, have := range e.Crashes {
 		if have.Server != c.Server || !have.Started.Equal(c.Started) || have.At.Sub(c.At).Abs() > sameCrashWindow {
 			continue
 		}
 		isChanged := false
-		if c.HadHead && !have.HadHead {
-			e.Crashes[i].Request, e.Crashes[i].HadHead, isChanged = c.Request, true, true
+		if c.OnlyHead && !have.OnlyHead {
+			e.Crashes[i].Request, e.Crashes[i].OnlyHead, isChanged = c.Request, true, true
 		}
 		if c.At.Before(have.At) {
 			e.Crashes[i].At, isChanged = c.At, true
--- a/core/tspoison/part.go
+++ b/core/tspoison/part.go
@@ -15,8 +15,8 @@
 // no request with it was answered anywhere in between, several requests had it, and no
 // other part that is blocked explains the crashes. Of the parts that may be the cause, the
 // likeliest one is taken first: one with which nothing was ever answered, then the one
-// under which most servers crashed after they had begun to answer, then the most specific
-// one.
+// under which most servers crashed right after the head of an answer, then the most
+// specific one.
 //
 // Example: parts f and d are in the prompts of the same requests, under which servers 1,
 // 2 and 3 crash in turn. Both have three crashes. Requests with f were answered before
@@ -29,9 +29,9 @@
 	// answeredTerminationsToBlock replaces terminationsToBlock for a part with which a
 	// request was answered before the crashes.
 	answeredTerminationsToBlock = 5
-	// begunTerminationsToBlock replaces it if so many servers had begun to answer, which
-	// few of the requests on a crashing server have got to.
-	begunTerminationsToBlock = 2
+	// headTerminationsToBlock replaces it if so many servers had sent the head of an answer
+	// alone, which few of the requests on a crashing server have got to.
+	headTerminationsToBlock = 2
 	// requestsToBlockPart is the number of different requests whose crashes block a
 	// part. A single request that crashes servers is blocked itself.
 	requestsToBlockPart = 2
@@ -51,11 +51,15 @@
 }
 
 // Unconfirmed returns the parts with enough consecutive terminations to block them that
-// are not confirmed, sorted.
+// are not confirmed, sorted. It leaves out those that Confirm has examined and that have
+// no other crashes since.
 func (b *Book) Unconfirmed() []turmericshed.Digest {
 	var parts []turmericshed.Digest
 	for d, e := range b.evidence {
-		if crashes := e.activeCrashes(); e.Depth > 0 && !e.isConfirmed() && hasCause(crashes, terminationsNeeded(crashes)) {
+		if e.Depth == 0 || e.isConfirmed() {
+			continue
+		}
+		if crashes := e.activeCrashes(); len(crashes) != b.examined[d] && hasCause(crashes, terminationsNeeded(crashes)) {
 			parts = append(parts, d)
 		}
 	}
@@ -79,6 +83,10 @@
 			e.ClearedAt, e.ClearedBy = answered[d], "answered at an entry VM"
 			changed = append(changed, e.clone())
 		}
+		if b.examined == nil {
+			b.examined = make(map[turmericshed.Digest]int)
+		}
+		b.examined[d] = len(e.activeCrashes())
 		suspects = append(suspects, e)
 	}
 	explained := b.blockedCrashes(now)
@@ -130,8 +138,8 @@
 // terminationsNeeded returns the number of terminations that block a part with which no
 // request was answered.
 func terminationsNeeded(crashes []Crash) int {
-	if countHeads(crashes) >= begunTerminationsToBlock {
-		return begunTerminationsToBlock
+	if countHeads(crashes) >= headTerminationsToBlock {
+		return headTerminationsToBlock
 	}
 	return terminationsToBlock
 }
@@ -146,10 +154,10 @@
 	return len(requests) >= requestsToBlockPart && countTerminations(crashes) >= terminations
 }
 
-// countHeads counts the crashes in which the server had begun to answer.
+// countHeads counts the crashes right after the head of an answer.
 func countHeads(crashes []Crash) (n int) {
 	for _, c := range crashes {
-		if c.HadHead {
+		if c.OnlyHead {
 			n++
 		}
 	}
--- a/core/tspoison/part_test.go
+++ b/core/tspoison/part_test.go
@@ -26,14 +26,14 @@
 
 // crash records that another server terminated, a second later, under a new request with
 // the given parts.
-func (b *partBook) crash(hadHead bool, parts ...turmericshed.Digest) {
+func (b *partBook) crash(onlyHead bool, parts ...turmericshed.Digest) {
 	b.requests++
-	b.crashUnder(turmericshed.Digest(fmt.Sprint("request-", b.requests)), hadHead, parts...)
+	b.crashUnder(turmericshed.Digest(fmt.Sprint("request-", b.requests)), onlyHead, parts...)
 }
 
-func (b *partBook) crashUnder(d turmericshed.Digest, hadHead bool, parts ...turmericshed.Digest) {
+func (b *partBook) crashUnder(d turmericshed.Digest, onlyHead bool, parts ...turmericshed.Digest) {
 	b.now = b.now.Add(time.Second)
-	a := turmericshed.LostAttempt{CrashSubject: turmericshed.CrashSubject{Request: d}, Began: b.now.Add(-10 * time.Millisecond), HadHead: hadHead}
+	a := turmericshed.LostAttempt{CrashSubject: turmericshed.CrashSubject{Request: d}, Began: b.now.Add(-10 * time.Millisecond), OnlyHead: onlyHead}
 	for i, p := range parts {
 		b.EndedPart(b.now, p, i+1, a, crashedServer(int(b.now.Unix())))
 	}
@@ -182,3 +182,15 @@
 	_, isNewKnown = r.Get(now.Add(61*time.Second), 9999)
 	assert.Assert(t, !isNewKnown)
 }
+
+// Guards against asking all entry VMs again for parts that were examined and not confirmed.
+func TestExaminedPartsAreNotExaminedAgainWithoutACrash(t *testing.T) {
+	b := newPartBook()
+	b.answered["f"] = b.now.Add(-time.Minute)
+	for range 4 {
+		b.crash(true, "f")
+		assert.Equal(t, len(b.Unconfirmed()) > 0, b.requests >= 2)
+		b.confirm(t, false, false)
+		assert.Equal(t, len(b.Unconfirmed()), 0)
+	}
+}
--- a/fleet.go
+++ b/fleet.go
@@ -220,8 +220,8 @@
 
 	// Began is when the request was sent.
 	Began time.Time
-	// HadHead is true if the server had begun to answer.
-	HadHead bool
+	// OnlyHead is true if the server had sent the head of its answer and nothing after it.
+	OnlyHead bool
 }
 
 // CrashWatch blocks requests, and parts of prompts, during which backend servers
--- a/io/tscrash/part_test.go
+++ b/io/tscrash/part_test.go
@@ -15,7 +15,7 @@
 func (f *fleet) crashUnderParts(server, vm int, parts ...turmericshed.Digest) {
 	f.refuse(server)
 	a := lostAttempt(turmericshed.Digest(fmt.Sprint("request-", server, "-", time.Now().UnixNano())), parts...)
-	a.HadHead = true
+	a.OnlyHead = true
 	f.vms[vm%len(f.vms)].ConnectionLost(f.servers()[server], a)
 	time.Sleep(time.Second)
 }
--- a/io/tscrash/share.go
+++ b/io/tscrash/share.go
@@ -312,7 +312,7 @@
 			r.Confirmed, r.ConfirmedAgoUs = true, now.Sub(e.ConfirmedAt).Microseconds()
 		}
 		for _, c := range e.Crashes {
-			end := &tspeerapi.ServerEnd{Server: string(c.Server), AgoUs: now.Sub(c.At).Microseconds(), Request: string(c.Request), HadHead: c.HadHead}
+			end := &tspeerapi.ServerEnd{Server: string(c.Server), AgoUs: now.Sub(c.At).Microseconds(), Request: string(c.Request), OnlyHead: c.OnlyHead}
 			if !c.Started.IsZero() {
 				end.StartedMs = c.Started.UnixMilli()
 			}
@@ -337,7 +337,7 @@
 			e.ConfirmedAt = ago(now, r.ConfirmedAgoUs)
 		}
 		for _, end := range r.Ends {
-			c := tspoison.Crash{Server: turmericshed.ServerID(end.Server), At: ago(now, end.AgoUs), Request: turmericshed.Digest(end.Request), HadHead: end.HadHead}
+			c := tspoison.Crash{Server: turmericshed.ServerID(end.Server), At: ago(now, end.AgoUs), Request: turmericshed.Digest(end.Request), OnlyHead: end.OnlyHead}
 			if end.RanUs > 0 {
 				c.Began = c.At.Add(-time.Duration(end.RanUs) * time.Microsecond)
 			}
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -166,12 +166,12 @@
 	if q.relay.cfg.CrashWatch == nil {
 		return
 	}
-	lost := turmericshed.LostAttempt{CrashSubject: q.crashSubject(), Began: q.sentAt, HadHead: firstByte > 0}
+	lost := turmericshed.LostAttempt{CrashSubject: q.crashSubject(), Began: q.sentAt, OnlyHead: firstByte > 0 && attemptEvents == 0}
 	if attemptEvents >= eventsPastBeginning {
 		lost.Parts = nil
 	}
 	terminated := q.relay.cfg.CrashWatch.ConnectionLost(server, lost)
-	if lost.HadHead && attemptEvents == 0 && q.route.Stream && q.route.Repeatable {
+	if lost.OnlyHead && q.route.Stream && q.route.Repeatable {
 		ctx, cancel := context.WithTimeout(q.ctx, verdictTimeout)
 		defer cancel()
 		q.crashedServer = terminated(ctx)
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -84,8 +84,8 @@
 	digest turmericshed.Digest
 	// parts caches the result of sharedParts; nil until it is needed.
 	parts []turmericshed.Digest
-	// crashedServer is true if a server terminated when it had begun to answer the request,
-	// which is then the likeliest cause. It is not sent to another server at once.
+	// crashedServer is true if a server terminated right after the head of its answer to
+	// the request, which is then the likeliest cause. It is not sent to another server at once.
 	crashedServer bool
 	// mayHaveRun is true once a server may have begun to work on the request.
 	mayHaveRun bool
