Don't clear a prompt part by a server's failure

Cause, found in review: any complete answer cleared the parts of its prompt. A server that answers 504 or 500 before it begins to work on a request would clear a part that crashes servers.

Change: only successful answers clear parts; whole requests as before.

--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -254,7 +254,7 @@
 	if q.route.Stream && success {
 		err := q.relayStream(ctx, server.ID, reply, timer)
 		if err == nil {
-			q.reportSurvived()
+			q.reportSurvived(success)
 		}
 		return nil, firstByte, err
 	}
@@ -267,7 +267,7 @@
 		q.mayHaveUnrelayedOutput = true
 		return nil, firstByte, turmericshed.WrapError(turmericshed.KindCallUnknown, io.ErrUnexpectedEOF, "server %s: terminated with an answer that has no length", server.ID)
 	}
-	q.reportSurvived()
+	q.reportSurvived(success)
 	if impliesNotRun(reply.Status) {
 		// The status implies that the request did not run, but the server did not
 		// state that explicitly.
--- a/io/tsrelay/crash_test.go
+++ b/io/tsrelay/crash_test.go
@@ -17,9 +17,11 @@
 // crashRecorder is a CrashWatch that records the reports it receives, and quarantines
 // every request once quarantine was called.
 type crashRecorder struct {
-	mu            sync.Mutex
-	broken        []turmericshed.Digest
-	survived      []turmericshed.Digest
+	mu       sync.Mutex
+	broken   []turmericshed.Digest
+	survived []turmericshed.Digest
+	// partsSurvived counts the answers that got past their beginning.
+	partsSurvived int
 	isQuarantined bool
 }
 
@@ -46,8 +48,12 @@
 	return func(context.Context) bool { return false }
 }
 
-// PartsSurvived does nothing: these requests have no prompt parts.
-func (*crashRecorder) PartsSurvived(time.Time, []turmericshed.Digest) {}
+// PartsSurvived counts the call.
+func (c *crashRecorder) PartsSurvived(time.Time, []turmericshed.Digest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partsSurvived++
+}
 
 // Survived records the digest of the request.
 func (c *crashRecorder) Survived(_ time.Time, d turmericshed.Digest) {
@@ -101,6 +107,15 @@
 			assertCounts(t, s, c.broken, c.survived)
 		})
 	}
+	t.Run("a server's failure clears no prompt part", func(t *testing.T) {
+		s := newRelayFixture(t, "", 0)
+		s.setBehaviour(tsmetastore.BehaveFailing)
+		s.post()
+		assert.Equal(t, s.crashes.partsSurvived, 0)
+		s.setBehaviour(tsmetastore.BehaveNormal)
+		s.post()
+		assert.Equal(t, s.crashes.partsSurvived, 1)
+	})
 	t.Run("a failed dial is not reported", func(t *testing.T) {
 		s := newRelayFixture(t, "", 0)
 		s.waitPoints.dialErr = syscall.ECONNRESET
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -334,8 +334,12 @@
 }
 
 // reportSurvived reports to the crash watch that a server answered the request completely.
-func (q *request) reportSurvived() {
-	q.reportPartsSurvived()
+// A server may fail, for example at the time limit, before it begins to work on the parts
+// of the prompt.
+func (q *request) reportSurvived(success bool) {
+	if success {
+		q.reportPartsSurvived()
+	}
 	if w := q.relay.cfg.CrashWatch; w != nil && w.Active() {
 		w.Survived(time.Now(), q.contentDigest())
 	}
