--- a/io/tscommand/drill.go
+++ b/io/tscommand/drill.go
@@ -18,8 +18,10 @@
 	if err != nil {
 		return err
 	}
-	if o.Binary, err = os.Executable(); err != nil {
-		return err
+	if o.Binary == "" {
+		if o.Binary, err = os.Executable(); err != nil {
+			return err
+		}
 	}
 	var broken []uint64
 	dir := o.Dir
--- a/io/tscommand/options_drill.go
+++ b/io/tscommand/options_drill.go
@@ -29,6 +29,7 @@
 	f.IntVar(&o.EntryVMs, "entry-vms", 6, "`number` of entry VM processes")
 	f.IntVar(&o.Callers, "callers", 24, "`number` of callers")
 	f.StringVar(&o.Dir, "dir", filepath.Join(os.TempDir(), "turmericshed-drill"), "`directory` for settings files and logs")
+	f.StringVar(&o.Binary, "binary", "", "`file` with the gateway to run; by default, this program")
 	f.BoolVar(&o.Keep, "keep", false, "keep the logs of runs that broke no promise")
 	if err := f.parse(args); err != nil {
 		return o, err
