--- a/io/tsupstream/head_test.go
+++ b/io/tsupstream/head_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -22,20 +23,21 @@
 		"HTTP/1.0":                    "HTTP/1.0 200 OK\r\nAttempt-Id: a\r\nResponse-Stamp: s\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			cut := 0
+			var cut atomic.Int64
 			s := newRawServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
-				send(t, head[:cut], c)
+				send(t, head[:cut.Load()], c)
 				return false
 			})
 			c := newClient()
 			var accepted []string
-			for cut = range len(head) {
+			for n := range len(head) {
+				cut.Store(int64(n))
 				reply, err := c.Send(t.Context(), call(s, "a"))
 				if err != nil {
 					continue
 				}
 				body, err := reply.ReadAll()
-				accepted = append(accepted, fmt.Sprintf("%q: %q, %v", head[:cut], body, err))
+				accepted = append(accepted, fmt.Sprintf("%q: %q, %v", head[:n], body, err))
 			}
 			assert.Equal(t, len(accepted), 0, "%s", strings.Join(accepted, "\n"))
 		})
