--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -181,14 +181,23 @@
 		return err
 	}
 	w.note("gateway %s started, pid %d", g.name, g.cmd.Process.Pid)
+	cmd, exited := g.cmd, g.exited
 	go func() {
-		err := g.cmd.Wait()
+		err := cmd.Wait()
 		w.note("gateway %s ended: %v", g.name, err)
-		close(g.exited)
+		close(exited)
 	}()
 	return nil
 }
 
+// relaunch starts a new process on the same machine.
+func (w *world) relaunch(g *gateway) error {
+	old := g.cmd
+	g.cmd, g.exited = exec.Command(old.Path, old.Args[1:]...), make(chan struct{})
+	g.cmd.Dir, g.cmd.Env, g.cmd.Stdout, g.cmd.Stderr, g.cmd.SysProcAttr = old.Dir, old.Env, old.Stdout, old.Stderr, old.SysProcAttr
+	return w.launch(g)
+}
+
 // startGateways starts n gateways in the zones a and b.
 func (w *world) startGateways(n int) error {
 	for i := range n {
