Review: end the processes of a script when it is interrupted

On SIGINT, SIGTERM and SIGHUP, and after 115 s, the driver ends the gateways that it started, writes the record, removes its temporary folder and exits with 2.

--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -6,9 +6,11 @@
 //
 // # Usage
 //
-//	driver CASE   # TROUBLE=0 leaves the disruption out
+//	driver CASE RECORD   # TROUBLE=0 leaves the disruption out
 //
-// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+// RECORD is the file for what was sent, answered and run. It exits with 1 if the rule was
+// broken, 0 if it held, and 2 if the case couldn't run. When it is interrupted, or after
+// maxDuration, it ends the processes that it started and exits with 2.
 package main
 
 import (
@@ -20,8 +22,8 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -39,14 +41,29 @@
 // cases holds the cases by name. Each returns an exit code.
 var cases = map[string]func(w *world) (int, error){}
 
+// maxDuration bounds a case.
+const maxDuration = 115 * time.Second
+
 func main() {
-	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: driver CASE")
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: driver CASE RECORD")
 		os.Exit(cannotRun)
 	}
-	w, err := newWorld(os.Args[1])
+	w, err := newWorld(os.Args[1], os.Args[2])
 	code := cannotRun
 	if err == nil {
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+		go func() {
+			select {
+			case s := <-stop:
+				fmt.Fprintln(os.Stderr, "the case was interrupted:", s)
+			case <-time.After(maxDuration):
+				fmt.Fprintln(os.Stderr, "the case took too long")
+			}
+			w.close()
+			os.Exit(cannotRun)
+		}()
 		code, err = cases[os.Args[1]](w)
 		w.close()
 	}
@@ -66,17 +83,22 @@
 	storeURL string
 	gateways []*gateway
 
+	closing sync.Once
+	// launching is held while a process starts; none starts once isClosed is true.
+	launching sync.Mutex
+	isClosed  bool
+
 	mu     sync.Mutex
 	record *bufio.Writer
 	file   *os.File
 }
 
-func newWorld(name string) (*world, error) {
+func newWorld(name, record string) (*world, error) {
 	dir, err := os.MkdirTemp("", "review-"+name+"-")
 	if err != nil {
 		return nil, err
 	}
-	file, err := os.Create("record.txt")
+	file, err := os.Create(record)
 	if err != nil {
 		return nil, err
 	}
@@ -103,7 +125,15 @@
 	fmt.Printf(format+"\n", args...)
 }
 
+// close ends the processes and the record, once.
 func (w *world) close() {
+	w.closing.Do(w.closeOnce)
+}
+
+func (w *world) closeOnce() {
+	w.launching.Lock()
+	w.isClosed = true
+	w.launching.Unlock()
 	for _, g := range w.gateways {
 		g.kill()
 	}
@@ -177,6 +207,11 @@
 
 // launch starts the process once its ports are free.
 func (w *world) launch(g *gateway) error {
+	w.launching.Lock()
+	defer w.launching.Unlock()
+	if w.isClosed {
+		return errors.New("the case has ended")
+	}
 	if err := g.cmd.Start(); err != nil {
 		return err
 	}
@@ -192,9 +227,11 @@
 
 // relaunch starts a new process on the same machine.
 func (w *world) relaunch(g *gateway) error {
+	w.launching.Lock()
 	old := g.cmd
 	g.cmd, g.exited = exec.Command(old.Path, old.Args[1:]...), make(chan struct{})
 	g.cmd.Dir, g.cmd.Env, g.cmd.Stdout, g.cmd.Stderr, g.cmd.SysProcAttr = old.Dir, old.Env, old.Stdout, old.Stderr, old.SysProcAttr
+	w.launching.Unlock()
 	return w.launch(g)
 }
 
@@ -305,6 +342,3 @@
 	}
 	calls.Wait()
 }
-
-// lastPathPart returns what follows the last slash.
-func lastPathPart(s string) string { return s[strings.LastIndexByte(s, '/')+1:] }
