Check a desired state before it is sent

An operator learned of a route that can never match, or of a version that entry VMs ignore, only from the behavior of the fleet. turmericshed check reports errors, entries that can never match, limits that contradict each other, and what differs from the desired state in force. Tests of core/tscheck, platform and io/tscommand pass.

--- a/io/tscommand/commands.go
+++ b/io/tscommand/commands.go
@@ -50,6 +50,7 @@
 		{"soak", "drive the decision code through seeded failures", runSoak},
 		{"drill", "run entry VMs as processes through stops, kills and crashes", runDrill},
 		{"timeline", "merge the events of all processes", runTimeline},
+		{"check", "check a desired state before it is sent", runCheck},
 		{"explain", "tell the story of a request, server or account from logs", runExplain},
 		{"experiment", "measure decisions on small fakes", runExperiment},
 	}
