Check: no errors for desired states that work

Cause: tables that entry VMs serve were reported as errors with exit code 1: prefixes without a slash at the end, services that are not listed (limits and tokens per event are zero then, requests are served), several routes of one name, objectives above the timeout, resumable plain routes, a service beside a split. An empty prefix was an error too, and several attempts of a route that may not be repeated were said to have no effect, but such a request is sent again after a server refused it. A "#" in a prefix can match. Change: these are warnings, the empty prefix, the attempts and "#" no finding.

--- a/io/tscommand/check.go
+++ b/io/tscommand/check.go
@@ -78,9 +78,13 @@
 // checkDesiredState returns the findings on a desired state by itself.
 func checkDesiredState(text []byte) checkReport {
 	rep := checkReport{Findings: []tscheck.Finding{}, Changes: []tscheck.Change{}}
-	for _, err := range platform.ValidateTable(text) {
+	invalid, ineffective := platform.ValidateTable(text)
+	for _, err := range invalid {
 		rep.Findings = append(rep.Findings, tscheck.Finding{Severity: tscheck.Error, Code: "invalid_value", Subject: "document", Detail: err.Error()})
 	}
+	for _, err := range ineffective {
+		rep.Findings = append(rep.Findings, tscheck.Finding{Severity: tscheck.Warning, Code: "no_effect", Subject: "document", Detail: err.Error()})
+	}
 	if t, err := platform.DecodeTable(text); err == nil {
 		rep.Findings = append(rep.Findings, tscheck.Check(t)...)
 	}
