Notice a store that came back from an older copy

A store that comes back from a copy some seconds old gives revisions and leases out again. A condition on a remembered revision could hold for another value, a watch could miss changes, and a renewal could extend the lease of another process.

--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -142,7 +142,12 @@
 		return nil, err
 	}
 	g.self.PeerAddr = tcpAddr(g.peerListener)
-	store := platform.NewStore(s.StoreAddr, platform.StoreOptions{Dial: g.meter.Dialer(tsmeter.Store, cfg.Dial)})
+	store := platform.NewStore(s.StoreAddr, platform.StoreOptions{
+		Dial: g.meter.Dialer(tsmeter.Store, cfg.Dial),
+		OnRestored: func(era uint64) {
+			g.log.Warn("store came back from an older copy; reading everything again", "era", era)
+		},
+	})
 	events := eventLogger{log: tsobserve.WithPrefix(g.log, "event")}
 	g.registry = tsregistry.New(tsregistry.Config{Self: g.self, Store: store, StaleLister: store, Log: tsobserve.WithPrefix(g.log, "registry")})
 	peering := tspeer.Config{Dial: g.meter.Dialer(tsmeter.EntryVMs, cfg.Dial), HTTP1: true, StopTimeout: peerStopTimeout}
