Tests of memory limits under callers that nobody controls

Start gateway processes with the memory of the smallest machine (112 MB) and 500 descriptors, and send them crowds of 40 callers with bodies up to and over the limit, whole, in pieces and in chunks, most stopping short of their end. Memory counts resident pages and the kernel's receive buffers of the caller port.

--- a/Makefile
+++ b/Makefile
@@ -9,12 +9,16 @@
 # Tests in which the race detector itself crashes on arm64 (ThreadSanitizer: CHECK failed).
 NORACE := $(if $(filter aarch64 arm64,$(shell uname -m)),turmericshed/io/tsprofiles)
 
+# Tests that measure the memory of processes run apart from other load.
+ALONE := turmericshed/load/tshostile
+
 .PHONY: build test lint format generate model demo bench slopes fuzz known-red tools
 build:
 	$(GO) build -o bin/turmericshed ./cmd/turmericshed
 test:
-	$(GO) test -race -count=1 -timeout 8m $(SKIP) $(filter-out $(NORACE),$(shell $(GO) list ./...))
+	$(GO) test -race -count=1 -timeout 8m $(SKIP) $(filter-out $(NORACE) $(ALONE),$(shell $(GO) list ./...))
 	$(if $(NORACE),$(GO) test -count=1 -timeout 8m $(SKIP) $(NORACE))
+	$(GO) test -count=1 -timeout 8m $(SKIP) $(ALONE)
 lint:
 	golangci-lint run ./...
 format:
