--- a/load/tshostile/callers_test.go
+++ b/load/tshostile/callers_test.go
@@ -16,7 +16,7 @@
 
 const (
 	// crowdCallers times the largest body is well over the memory of the machine.
-	crowdCallers = 40
+	crowdCallers = 60
 	// finishing is the share of the callers, one of so many, that send their body to its end.
 	finishing = 8
 	// missingBytes is how much of its body a caller that stops keeps back.
