Bound the memory and descriptors that callers take up

Cause: a body was read completely with io.ReadAll before anything else was decided, for any number of callers at once, and nothing bounded connections or the kernel's receive buffers.

Change: core/tsintake reserves memory for a body before it is read, a quarter of the machine's for all of them, three quarters of that for bodies over 256 KiB. Where there is no room, bodies that have stalled are evicted, the largest first; else the request is refused with 503 overloaded and nothing ran. Bodies are read into blocks instead of a growing slice. Connections are bounded by descriptors (limits.fileDescriptors) and memory, by state; the receive buffer of each is 64 KiB.

--- /dev/null
+++ b/core/tsintake/budget.go
@@ -0,0 +1,202 @@
+// Package tsintake decides how much an entry VM holds for callers and servers: bytes of bodies,
+// and connections by state. It bounds both by the memory and the descriptors of the machine.
+//
+// The load pattern is a crowd of callers that nobody controls: many bodies of legal size at once,
+// bodies that stop just short of their end, bodies without a length, and connections that send
+// nothing or very slowly.
+//
+// # Usage
+//
+//	b := tsintake.NewBudget(tsintake.BudgetFor(memoryBytes))
+//	evicted, ok := b.Reserve(now, id, n) // before n bytes are read; stop reading the evicted bodies
+//	b.Received(now, id, n)
+//	b.Complete(id, size)
+//	b.Release(id)
+package tsintake
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// bodyMemoryShare is the share of a machine's memory that bodies may take. The process
+	// itself takes about 30 MB, and memory that the garbage collector has yet to free takes
+	// about as much as the bodies.
+	bodyMemoryShare = 0.25
+	// largeShare is the share of the budget that large bodies may take, so that bodies of
+	// usual size find room beside them.
+	largeShare = 0.75
+	// maxUsualBytes is the size up to which a body is not large. Callers usually send up to
+	// 100 KB.
+	maxUsualBytes = 256 << 10
+	// stallTimeout is how long a body may take for progressBytes before it is evicted for
+	// others. A slow link that a hundred bodies share still carries that much.
+	stallTimeout  = time.Second
+	progressBytes = 4 << 10
+)
+
+// BudgetLimits are the limits of a Budget.
+type BudgetLimits struct {
+	// Bytes is the most that all bodies together may reserve; 0 means no limit.
+	Bytes int64
+	// LargeBytes is the most that the bodies over UsualBytes may reserve of that.
+	LargeBytes int64
+	UsualBytes int64
+	// A body that took longer than StallTimeout for its last ProgressBytes, or for the rest if
+	// that is less, has stalled.
+	StallTimeout  time.Duration
+	ProgressBytes int64
+}
+
+// BudgetFor returns the limits for a machine with the given memory; without a limit if it is 0.
+func BudgetFor(memoryBytes int64) BudgetLimits {
+	n := int64(float64(memoryBytes) * bodyMemoryShare)
+	return BudgetLimits{
+		Bytes: n, LargeBytes: int64(float64(n) * largeShare), UsualBytes: maxUsualBytes,
+		StallTimeout: stallTimeout, ProgressBytes: progressBytes,
+	}
+}
+
+// BodyID identifies a body.
+type BodyID uint64
+
+// body is one body that holds a reservation.
+type body struct {
+	id                 BodyID
+	reserved, received int64
+	// progressedAt is when the body last progressed, which is when received reached markedBytes.
+	progressedAt time.Time
+	markedBytes  int64
+	// isComplete is true once the body is no longer read. It is not evicted then.
+	isComplete bool
+}
+
+// Budget reserves memory for bodies. It is not safe for concurrent use.
+type Budget struct {
+	limits BudgetLimits
+	bodies map[BodyID]*body
+	// held and largeHeld are the sums of the reservations of all bodies and of large ones.
+	held, largeHeld int64
+}
+
+// NewBudget returns a budget without reservations.
+func NewBudget(l BudgetLimits) *Budget {
+	return &Budget{limits: l, bodies: make(map[BodyID]*body)}
+}
+
+// Held returns the sum of the reservations.
+func (b *Budget) Held() int64 { return b.held }
+
+// Reserve reserves n more bytes for a body, which is new if its id is. Where there is no room it
+// evicts bodies that have stalled, if that makes enough room: the largest first, and of the same
+// size the one that has received least. It returns the evicted bodies, which are released, and
+// whether the bytes are reserved; if not, nothing is evicted and nothing has changed.
+func (b *Budget) Reserve(now time.Time, id BodyID, n int64) (evicted []BodyID, ok bool) {
+	c := b.bodies[id]
+	if c == nil {
+		c = &body{id: id, progressedAt: now}
+	}
+	victims, ok := b.makeRoom(now, c, n)
+	if !ok {
+		return nil, false
+	}
+	for _, v := range victims {
+		b.Release(v.id)
+		evicted = append(evicted, v.id)
+	}
+	b.bodies[id] = c
+	b.resize(c, c.reserved+n)
+	return evicted, true
+}
+
+// makeRoom returns the bodies to evict so that n more bytes fit, and whether they fit then.
+func (b *Budget) makeRoom(now time.Time, c *body, n int64) (victims []*body, ok bool) {
+	if b.limits.Bytes <= 0 {
+		return nil, true
+	}
+	size := c.reserved + n
+	excess := b.held + n - b.limits.Bytes
+	largeExcess := int64(0)
+	if b.isLarge(size) {
+		largeExcess = b.largeHeld - b.largePart(c.reserved) + size - b.limits.LargeBytes
+	}
+	if excess <= 0 && largeExcess <= 0 {
+		return nil, true
+	}
+	for _, v := range b.stalled(now, c) {
+		if excess <= 0 && largeExcess <= 0 {
+			break
+		}
+		if excess <= 0 && !b.isLarge(v.reserved) {
+			continue
+		}
+		victims = append(victims, v)
+		excess -= v.reserved
+		largeExcess -= b.largePart(v.reserved)
+	}
+	return victims, excess <= 0 && largeExcess <= 0
+}
+
+// stalled returns the bodies other than c that have stalled, in the order of eviction.
+func (b *Budget) stalled(now time.Time, c *body) (all []*body) {
+	for _, v := range b.bodies {
+		if v != c && !v.isComplete && now.Sub(v.progressedAt) >= b.limits.StallTimeout {
+			all = append(all, v)
+		}
+	}
+	slices.SortFunc(all, func(x, y *body) int {
+		return cmp.Or(cmp.Compare(y.reserved, x.reserved), cmp.Compare(x.received, y.received), cmp.Compare(x.id, y.id))
+	})
+	return all
+}
+
+func (b *Budget) isLarge(size int64) bool { return size > b.limits.UsualBytes }
+
+// largePart returns what a body with the given reservation counts among the large ones.
+func (b *Budget) largePart(size int64) int64 {
+	if b.isLarge(size) {
+		return size
+	}
+	return 0
+}
+
+func (b *Budget) resize(c *body, size int64) {
+	b.held += size - c.reserved
+	b.largeHeld += b.largePart(size) - b.largePart(c.reserved)
+	c.reserved = size
+}
+
+// Received records that n bytes of a body were received.
+func (b *Budget) Received(now time.Time, id BodyID, n int64) {
+	c := b.bodies[id]
+	if c == nil {
+		return
+	}
+	c.received += n
+	if c.received-c.markedBytes >= b.limits.ProgressBytes {
+		c.markedBytes, c.progressedAt = c.received, now
+	}
+}
+
+// Complete records that a body is read to its end and has the given size. What was reserved
+// beyond that is free again. The body is not evicted any more.
+func (b *Budget) Complete(id BodyID, size int64) {
+	c := b.bodies[id]
+	if c == nil {
+		return
+	}
+	c.isComplete = true
+	b.resize(c, min(size, c.reserved))
+}
+
+// Release frees the reservation of a body.
+func (b *Budget) Release(id BodyID) {
+	c := b.bodies[id]
+	if c == nil {
+		return
+	}
+	b.resize(c, 0)
+	delete(b.bodies, id)
+}
--- /dev/null
+++ b/core/tsintake/conns.go
@@ -0,0 +1,204 @@
+package tsintake
+
+import "container/list"
+
+const (
+	// reservedDescriptors are the descriptors of files, listeners and the store.
+	reservedDescriptors = 200
+	// callerDescriptorShare is the share of the other descriptors for connections of callers.
+	// The rest is for connections to backend servers, of which a request needs one, and to
+	// other entry VMs.
+	callerDescriptorShare = 0.6
+	// connMemoryShare is the share of a machine's memory for callers' connections, and
+	// connBytes what one takes: a goroutine, two buffers of 4 KiB and a request's headers.
+	connMemoryShare = 0.33
+	connBytes       = 24 << 10
+	// awaitingShare is the share of the connections that may be without a complete head.
+	awaitingShare = 0.5
+	// headMemoryShare is the share of a machine's memory for heads that are being read.
+	headMemoryShare = 0.06
+	// refusedMemoryShare is the share of a machine's memory for bytes that wait unread, in the
+	// kernel, on connections that are about to be closed.
+	refusedMemoryShare = 0.1
+	// minConns is the least number of connections in any limit.
+	minConns = 16
+	// ReceiveBufferBytes is the size of the kernel's receive buffer of a caller's connection.
+	// The kernel doubles it for its own overhead, and does not enlarge it, to up to
+	// 32 MiB, for callers that send faster than they are read.
+	ReceiveBufferBytes = 64 << 10
+)
+
+// ConnState is what a caller's connection is used for.
+type ConnState int
+
+// The states of a connection. connStates is their number.
+const (
+	// AwaitingHead means that the head of the first request is not complete.
+	AwaitingHead ConnState = iota
+	// Running means that a request is read or served.
+	Running
+	// Refused means that the request is refused and its body is not read to its end. The
+	// connection is about to be closed.
+	Refused
+	// Idle means that the next request on the connection is awaited.
+	Idle
+	connStates
+)
+
+// String returns the snake-case name used in logs and metrics.
+func (s ConnState) String() string {
+	return [connStates]string{"awaiting_head", "running", "refused", "idle"}[s]
+}
+
+// ConnLimits are the limits of a Conns; 0 means no limit.
+type ConnLimits struct {
+	// Total is the most connections, Awaiting the most in AwaitingHead and Refused the most in
+	// Refused.
+	Total, Awaiting, Refused int
+	// HeadBytes is the most bytes of heads that are being read on all connections.
+	HeadBytes int64
+}
+
+// ConnsFor returns the limits for a machine with the given memory and descriptors; 0 means that
+// they are unknown.
+func ConnsFor(memoryBytes int64, descriptors int) ConnLimits {
+	var l ConnLimits
+	if memoryBytes > 0 {
+		m := float64(memoryBytes)
+		l.Total = max(int(m*connMemoryShare/connBytes), minConns)
+		l.HeadBytes = int64(m * headMemoryShare)
+		l.Refused = max(int(m*refusedMemoryShare/(2*ReceiveBufferBytes)), minConns)
+	}
+	if descriptors > 0 {
+		n := max(int(float64(descriptors-reservedDescriptors)*callerDescriptorShare), minConns)
+		if l.Total == 0 || n < l.Total {
+			l.Total = n
+		}
+	}
+	l.Awaiting = int(float64(l.Total) * awaitingShare)
+	return l
+}
+
+// ConnID identifies a connection.
+type ConnID uint64
+
+// callerConn is one connection.
+type callerConn struct {
+	id        ConnID
+	state     ConnState
+	headBytes int64
+	element   *list.Element
+}
+
+// Conns decides which connections are closed so that the others stay within the limits. It is not
+// safe for concurrent use.
+type Conns struct {
+	limits ConnLimits
+	conns  map[ConnID]*callerConn
+	// byState holds the connections of each state, the one that is in it for longest first.
+	byState   [connStates]list.List
+	headBytes int64
+}
+
+// NewConns returns a Conns without connections.
+func NewConns(l ConnLimits) *Conns { return &Conns{limits: l, conns: make(map[ConnID]*callerConn)} }
+
+// Count returns the number of connections in a state.
+func (c *Conns) Count(s ConnState) int { return c.byState[s].Len() }
+
+// Open adds a connection. It returns the connections to close, which are removed, and whether the
+// new one may stay; if not, it is not added. Of the connections it gives up first those that are
+// about to be closed, then those without a complete head, then idle ones, and of each the one that
+// is in its state for longest. Connections with a running request are not closed.
+func (c *Conns) Open(id ConnID) (toClose []ConnID, ok bool) {
+	if c.limits.Total > 0 && len(c.conns) >= c.limits.Total {
+		for _, s := range []ConnState{Refused, AwaitingHead, Idle} {
+			if v, found := c.oldest(s); found {
+				c.Close(v)
+				toClose = append(toClose, v)
+				break
+			}
+		}
+		if len(toClose) == 0 {
+			return nil, false
+		}
+	}
+	cc := &callerConn{id: id, state: AwaitingHead}
+	c.conns[id] = cc
+	cc.element = c.byState[AwaitingHead].PushBack(cc)
+	return append(toClose, c.trim(AwaitingHead, c.limits.Awaiting)...), true
+}
+
+// SetState records the state of a connection, and returns the connections to close, which are
+// removed.
+func (c *Conns) SetState(id ConnID, s ConnState) []ConnID {
+	cc := c.conns[id]
+	if cc == nil || cc.state == s {
+		return nil
+	}
+	c.byState[cc.state].Remove(cc.element)
+	cc.state = s
+	cc.element = c.byState[s].PushBack(cc)
+	c.headBytes -= cc.headBytes
+	cc.headBytes = 0
+	if s == Refused {
+		return c.trim(Refused, c.limits.Refused)
+	}
+	return nil
+}
+
+// HeadReceived records n bytes of a head that is being read, and returns the connections to close,
+// which are removed: those with the most bytes of a head, while the heads together exceed their
+// limit.
+func (c *Conns) HeadReceived(id ConnID, n int) (toClose []ConnID) {
+	cc := c.conns[id]
+	if cc == nil || cc.state == Running || cc.state == Refused {
+		return nil
+	}
+	cc.headBytes += int64(n)
+	c.headBytes += int64(n)
+	for c.limits.HeadBytes > 0 && c.headBytes > c.limits.HeadBytes {
+		largest := cc
+		for _, o := range c.conns {
+			if o.headBytes > largest.headBytes || o.headBytes == largest.headBytes && o.id < largest.id {
+				largest = o
+			}
+		}
+		c.Close(largest.id)
+		toClose = append(toClose, largest.id)
+		if largest == cc {
+			break
+		}
+	}
+	return toClose
+}
+
+// Close removes a connection.
+func (c *Conns) Close(id ConnID) {
+	cc := c.conns[id]
+	if cc == nil {
+		return
+	}
+	c.byState[cc.state].Remove(cc.element)
+	c.headBytes -= cc.headBytes
+	delete(c.conns, id)
+}
+
+// trim removes the oldest connections of a state until at most limit are left, and returns them.
+func (c *Conns) trim(s ConnState, limit int) (removed []ConnID) {
+	for limit > 0 && c.byState[s].Len() > limit {
+		v, _ := c.oldest(s)
+		c.Close(v)
+		removed = append(removed, v)
+	}
+	return removed
+}
+
+func (c *Conns) oldest(s ConnState) (ConnID, bool) {
+	e := c.byState[s].Front()
+	if e == nil {
+		return 0, false
+	}
+	cc, _ := e.Value.(*callerConn)
+	return cc.id, true
+}
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -32,6 +32,7 @@
 	"turmericshed/io/tscrash"
 	"turmericshed/io/tsfeed"
 	"turmericshed/io/tsholder"
+	"turmericshed/io/tsintake"
 	"turmericshed/io/tsmeter"
 	"turmericshed/io/tsmirror"
 	"turmericshed/io/tsobserve"
@@ -188,10 +189,13 @@
 		OnConfirmed: func(asOf time.Time) { g.freshness.Confirm(tsfreshness.Servers, asOf) },
 	})
 	g.registerAgeGauges()
+	intake := tsintake.New(tsintake.Config{
+		MemoryBytes: s.MemoryBytes, Descriptors: s.FileDescriptors, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "intake"),
+	})
 	g.relay = tsrelay.New(tsrelay.Config{
 		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
 		Log: tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
-		Freshness: g.freshness,
+		Freshness: g.freshness, Intake: intake,
 	})
 	return g, nil
 }
--- /dev/null
+++ b/io/tsintake/conn.go
@@ -0,0 +1,202 @@
+package tsintake
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"turmericshed/core/tsintake"
+)
+
+// Reasons for closing a connection, the values of the label "reason".
+const (
+	reasonConnections = "connections"
+	reasonHeadBytes   = "head_bytes"
+)
+
+// Listener returns a listener that closes connections over the limits: others than the new one
+// where that is possible. The kernel's receive buffers of its connections are bounded.
+func (in *Intake) Listener(ln net.Listener) net.Listener {
+	if in == nil {
+		return ln
+	}
+	return &listener{ln, in}
+}
+
+type listener struct {
+	net.Listener
+	in *Intake
+}
+
+// Accept returns the next connection that may stay.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if cc, ok := l.in.add(c); ok {
+			return cc, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// add counts a new connection, and reports whether it may stay.
+func (in *Intake) add(c net.Conn) (*conn, bool) {
+	in.mu.Lock()
+	in.lastID++
+	cc := &conn{Conn: c, in: in, id: tsintake.ConnID(in.lastID), readsHead: true}
+	toClose, ok := in.conns.Open(cc.id)
+	if ok {
+		in.open[cc.id] = cc
+	}
+	victims := in.takeOut(toClose)
+	in.mu.Unlock()
+	in.closeAll(victims, reasonConnections)
+	if !ok {
+		in.noteClosed(1, reasonConnections)
+		return nil, false
+	}
+	if err := in.boundReceiveBuffer(cc); err != nil && in.log != nil {
+		in.log.Debug("cannot bound the receive buffer of a connection", "error", err.Error())
+	}
+	return cc, true
+}
+
+// boundReceiveBuffer sets the size of the kernel's receive buffer where the machine's memory is
+// known.
+func (in *Intake) boundReceiveBuffer(c *conn) error {
+	if in.limits.HeadBytes <= 0 {
+		return nil
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, tsintake.ReceiveBufferBytes)
+	})
+	return errors.Join(err, setErr)
+}
+
+// takeOut removes the connections with the ids. in.mu must be held.
+func (in *Intake) takeOut(ids []tsintake.ConnID) (victims []*conn) {
+	for _, id := range ids {
+		if c := in.open[id]; c != nil {
+			victims = append(victims, c)
+			delete(in.open, id)
+		}
+	}
+	return victims
+}
+
+// closeAll closes connections to stay within the limits.
+func (in *Intake) closeAll(victims []*conn, reason string) {
+	if len(victims) == 0 {
+		return
+	}
+	for _, c := range victims {
+		_ = c.Close()
+	}
+	in.noteClosed(len(victims), reason)
+}
+
+// noteClosed counts closed connections, and logs them at most once per logInterval.
+func (in *Intake) noteClosed(n int, reason string) {
+	in.closed.WithLabelValues(reason).Add(float64(n))
+	in.mu.Lock()
+	in.closedSince += n
+	total, now := in.closedSince, time.Now()
+	isDue := now.Sub(in.loggedAt) >= logInterval
+	if isDue {
+		in.loggedAt, in.closedSince = now, 0
+	}
+	var open [4]int
+	for s := range open {
+		open[s] = in.conns.Count(tsintake.ConnState(s))
+	}
+	in.mu.Unlock()
+	if isDue && in.log != nil {
+		in.log.Warn("closed connections of callers to stay within the limits", "closed", total, "reason", reason,
+			"awaiting_head", open[tsintake.AwaitingHead], "running", open[tsintake.Running], "idle", open[tsintake.Idle])
+	}
+}
+
+// conn is a caller's connection that counts toward the limits.
+type conn struct {
+	net.Conn
+	in   *Intake
+	id   tsintake.ConnID
+	once sync.Once
+
+	mu sync.Mutex
+	// readsHead is true while the bytes that are read belong to the head of a request.
+	readsHead bool
+}
+
+// SetState records what a connection is used for. It does nothing for a connection that no
+// listener of this package accepted.
+func SetState(c net.Conn, s tsintake.ConnState) {
+	cc, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	cc.mu.Lock()
+	cc.readsHead = s == tsintake.AwaitingHead || s == tsintake.Idle
+	cc.mu.Unlock()
+	in := cc.in
+	in.mu.Lock()
+	victims := in.takeOut(in.conns.SetState(cc.id, s))
+	in.mu.Unlock()
+	in.closeAll(victims, reasonConnections)
+}
+
+// Read reads from the connection. Bytes of a head count toward the limit of all heads.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	readsHead := c.readsHead
+	c.mu.Unlock()
+	if readsHead && n > 0 {
+		in := c.in
+		in.mu.Lock()
+		victims := in.takeOut(in.conns.HeadReceived(c.id, n))
+		in.mu.Unlock()
+		in.closeAll(victims, reasonHeadBytes)
+	}
+	return n, err
+}
+
+// Close closes the connection and removes it from the count.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		c.in.mu.Lock()
+		defer c.in.mu.Unlock()
+		c.in.conns.Close(c.id)
+		delete(c.in.open, c.id)
+	})
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the writing side, if the connection supports it.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// SyscallConn returns the raw connection. Error: EINVAL if the connection has none.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return sc.SyscallConn()
+}
--- /dev/null
+++ b/io/tsintake/intake.go
@@ -0,0 +1,218 @@
+// Package tsintake bounds the memory and the descriptors that callers and servers take up, as
+// core/tsintake decides: it reserves memory for bodies before they are read, interrupts the
+// reading of bodies that are evicted, and closes connections over the limits.
+//
+// # Usage
+//
+//	in := tsintake.New(tsintake.Config{MemoryBytes: settings.MemoryBytes, Metrics: registry, Log: log})
+//	ln = in.Listener(ln)
+//	b := in.NewBody(interrupt)
+//	defer b.Release()
+//	parts, err := b.ReadAll(r, length)
+package tsintake
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"turmericshed"
+	"turmericshed/core/tsintake"
+)
+
+// fullRetryAfter is the Retry-After of a request whose body found no room: several bodies of usual
+// size are sent on within that time.
+const fullRetryAfter = 500 * time.Millisecond
+
+// logInterval is the least time between two log lines about connections that were closed.
+const logInterval = time.Second
+
+// Config holds the limits and dependencies of an Intake.
+type Config struct {
+	// MemoryBytes is the memory of the machine and Descriptors the most open files of the
+	// process; 0 means unknown and sets no limit.
+	MemoryBytes int64
+	Descriptors int
+	// Metrics is the registry for the metrics; may be nil.
+	Metrics prometheus.Registerer
+	Log     *slog.Logger
+}
+
+// Intake bounds what a process holds for callers and servers. A nil *Intake sets no bounds.
+type Intake struct {
+	log     *slog.Logger
+	limits  tsintake.ConnLimits
+	refused *prometheus.CounterVec
+	closed  *prometheus.CounterVec
+
+	mu     sync.Mutex
+	budget *tsintake.Budget
+	bodies map[tsintake.BodyID]*Body
+	conns  *tsintake.Conns
+	open   map[tsintake.ConnID]*conn
+	lastID uint64
+	// loggedAt is when closed connections were last logged, closedSince how many were closed
+	// since then.
+	loggedAt    time.Time
+	closedSince int
+}
+
+// New returns an Intake without bodies and connections.
+func New(cfg Config) *Intake {
+	limits := tsintake.ConnsFor(cfg.MemoryBytes, cfg.Descriptors)
+	in := &Intake{
+		log: cfg.Log, limits: limits,
+		budget: tsintake.NewBudget(tsintake.BudgetFor(cfg.MemoryBytes)), bodies: make(map[tsintake.BodyID]*Body),
+		conns: tsintake.NewConns(limits), open: make(map[tsintake.ConnID]*conn),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "turmericshed_bodies_refused_total", Help: "Bodies that were not held, by reason: full, stalled (evicted for others) or too_large.",
+		}, []string{"reason"}),
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "turmericshed_caller_connections_closed_total", Help: "Connections of callers that were closed to stay within the limits, by reason.",
+		}, []string{"reason"}),
+	}
+	if cfg.Metrics != nil {
+		in.register(cfg.Metrics)
+	}
+	return in
+}
+
+func (in *Intake) register(r prometheus.Registerer) {
+	r.MustRegister(in.refused, in.closed, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "turmericshed_body_bytes_held", Help: "Bytes reserved for bodies of requests and answers.",
+	}, func() float64 {
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		return float64(in.budget.Held())
+	}))
+	for _, s := range []tsintake.ConnState{tsintake.AwaitingHead, tsintake.Running, tsintake.Refused, tsintake.Idle} {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "turmericshed_caller_connections", Help: "Open connections of callers by state.",
+			ConstLabels: prometheus.Labels{"state": s.String()},
+		}, func() float64 {
+			in.mu.Lock()
+			defer in.mu.Unlock()
+			return float64(in.conns.Count(s))
+		}))
+	}
+}
+
+// Reasons of refusals, the values of the label "reason".
+const (
+	reasonFull     = "full"
+	reasonStalled  = "stalled"
+	reasonTooLarge = "too_large"
+)
+
+// Body is the memory reserved for one body. A nil *Body sets no bounds.
+type Body struct {
+	in        *Intake
+	id        tsintake.BodyID
+	interrupt func()
+	// isEvicted is true once the reservation was given to others. in.mu must be held.
+	isEvicted bool
+}
+
+// NewBody returns a Body without a reservation. interrupt ends the reading of the body; it must
+// not block. It is called at most once, and not after Complete or Release.
+func (in *Intake) NewBody(interrupt func()) *Body {
+	if in == nil {
+		return nil
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.lastID++
+	b := &Body{in: in, id: tsintake.BodyID(in.lastID), interrupt: interrupt}
+	in.bodies[b.id] = b
+	return b
+}
+
+// errStalled reports that a body was evicted.
+func errStalled() error {
+	return turmericshed.NewError(turmericshed.KindOverloaded, "the body stalled while others needed its memory")
+}
+
+// Reserve reserves n more bytes. Error: KindOverloaded if there is no room for them, or if the
+// body was evicted.
+func (b *Body) Reserve(n int64) error {
+	if b == nil {
+		return nil
+	}
+	in := b.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if b.isEvicted {
+		return errStalled()
+	}
+	evicted, ok := in.budget.Reserve(time.Now(), b.id, n)
+	for _, id := range evicted {
+		v := in.bodies[id]
+		v.isEvicted = true
+		v.interrupt()
+		in.refused.WithLabelValues(reasonStalled).Inc()
+	}
+	if ok {
+		return nil
+	}
+	in.refused.WithLabelValues(reasonFull).Inc()
+	err := turmericshed.NewError(turmericshed.KindOverloaded, "no memory for a body of %d bytes: %d bytes are held", n, in.budget.Held())
+	return turmericshed.WithRetryAfter(err, fullRetryAfter)
+}
+
+// received records that n bytes were received.
+func (b *Body) received(n int) {
+	if b == nil || n == 0 {
+		return
+	}
+	b.in.mu.Lock()
+	defer b.in.mu.Unlock()
+	b.in.budget.Received(time.Now(), b.id, int64(n))
+}
+
+// complete records that the body was read to its end. Error: KindOverloaded if it was evicted.
+func (b *Body) complete(size int64) error {
+	if b == nil {
+		return nil
+	}
+	b.in.mu.Lock()
+	defer b.in.mu.Unlock()
+	if b.isEvicted {
+		return errStalled()
+	}
+	b.in.budget.Complete(b.id, size)
+	return nil
+}
+
+// evictedError returns KindOverloaded if the body was evicted, else nil.
+func (b *Body) evictedError() error {
+	if b == nil {
+		return nil
+	}
+	b.in.mu.Lock()
+	defer b.in.mu.Unlock()
+	if b.isEvicted {
+		return errStalled()
+	}
+	return nil
+}
+
+// Release frees the reservation. The memory must not be in use any more, except by the garbage
+// collector.
+func (b *Body) Release() {
+	if b == nil {
+		return
+	}
+	b.in.mu.Lock()
+	defer b.in.mu.Unlock()
+	b.in.budget.Release(b.id)
+	delete(b.in.bodies, b.id)
+}
+
+// CountTooLarge counts a body over the size limit.
+func (in *Intake) CountTooLarge() {
+	if in != nil {
+		in.refused.WithLabelValues(reasonTooLarge).Inc()
+	}
+}
--- a/io/tsrelay/answer.go
+++ b/io/tsrelay/answer.go
@@ -58,6 +58,7 @@
 	if marshalErr != nil {
 		q.relay.cfg.Log.Error("cannot encode the body of an error response; sending an empty body", "request", string(q.inbound.ID), "error", marshalErr.Error())
 	}
+	q.refuseBody(kind)
 	h.Set("Content-Type", "application/json")
 	q.status = status
 	q.setWriteDeadline()
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -183,7 +183,7 @@
 	if q.relay.cfg.Link == nil {
 		return nil
 	}
-	err := q.relay.cfg.Link.Await(q.ctx, q.account.Account, len(q.body))
+	err := q.relay.cfg.Link.Await(q.ctx, q.account.Account, q.bodyBytes)
 	if q.ctx.Err() != nil {
 		return q.contextError()
 	}
@@ -316,7 +316,7 @@
 // newCall returns the request in the form in which it is sent to the server.
 func (q *request) newCall(server turmericshed.BackendServer) tsupstream.Call {
 	header := make(http.Header)
-	unsentBytes := len(q.body)
+	unsentBytes := q.bodyBytes
 	return tsupstream.Call{
 		Server: server, ID: q.inbound.ID, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host,
 		Header: header, Body: q.body, AtMostOnce: !q.route.Repeatable, MaxConnections: q.relay.connectionShare(q.serviceSpec()),
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -28,6 +28,7 @@
 	"turmericshed/core/tsadmit"
 	"turmericshed/core/tsfreshness"
 	"turmericshed/core/tstable"
+	"turmericshed/io/tsintake"
 	"turmericshed/io/tsobserve"
 	"turmericshed/io/tsupstream"
 )
@@ -89,6 +90,8 @@
 	RetryLimits RetryLimits
 	// EntryVMs returns an upper bound on the number of entry VMs, this one included.
 	EntryVMs func() int
+	// Intake bounds the memory and connections of callers; nil sets no bounds.
+	Intake *tsintake.Intake
 	// Freshness bounds the age of the routes, keys and servers that the relay acts
 	// on; nil sets no bound.
 	Freshness *tsfreshness.Tracker
@@ -158,6 +161,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{relay: s, w: w, r: r, rc: http.NewResponseController(w), arrived: time.Now()}
+	defer req.releaseBody()
 	err := req.prepare()
 	if err == nil {
 		var cancel context.CancelFunc
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"io"
 	"log/slog"
 	"math/rand/v2"
@@ -19,6 +18,7 @@
 	"turmericshed"
 	"turmericshed/core/tsfreshness"
 	"turmericshed/core/tstable"
+	"turmericshed/io/tsintake"
 )
 
 const (
@@ -56,7 +56,13 @@
 	route        turmericshed.Route
 	service      string
 	account      turmericshed.AccountGrant
-	body         []byte
+	// body holds the parts of the body, bodyBytes is their size.
+	body      [][]byte
+	bodyBytes int
+	// memory is what the intake reserves for the body. hasWholeBody is true once the body was
+	// read to its end.
+	memory       *tsintake.Body
+	hasWholeBody bool
 	// deadline is arrived plus the time limit of the request.
 	deadline time.Time
 
@@ -192,38 +198,6 @@
 	return q.errOrStaleTable(turmericshed.NewError(turmericshed.KindUnauthenticated, "the key belongs to no client account"))
 }
 
-// readBody reads the complete body into memory, so that it can be sent more than once.
-func (q *request) readBody() error {
-	limit := q.table.Limits.BodyBytes
-	if limit > 0 && q.r.ContentLength > limit {
-		return turmericshed.NewError(turmericshed.KindTooLarge, "the body exceeds %d bytes", limit)
-	}
-	if q.r.ContentLength == 0 {
-		return nil
-	}
-	timeout := q.table.Limits.HeaderTimeout
-	if timeout <= 0 {
-		timeout = defaultHeaderTimeout
-	}
-	if err := q.rc.SetReadDeadline(time.Now().Add(timeout + q.timeLimit())); err != nil {
-		return turmericshed.WrapError(turmericshed.KindInternal, err, "setting the read deadline failed")
-	}
-	body := io.Reader(q.r.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(q.w, q.r.Body, limit)
-	}
-	data, err := io.ReadAll(body)
-	if err == nil {
-		err = q.rc.SetReadDeadline(time.Time{})
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return turmericshed.NewError(turmericshed.KindTooLarge, "the body exceeds %d bytes", limit)
-	}
-	q.body = data
-	return turmericshed.WrapError(turmericshed.KindCanceled, err, "reading the request body failed")
-}
-
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
@@ -291,7 +265,9 @@
 		for _, part := range []string{string(q.account.Account), q.r.RequestURI} {
 			_, _ = io.WriteString(h, strconv.Itoa(len(part))+":"+part)
 		}
-		_, _ = h.Write(q.body)
+		for _, part := range q.body {
+			_, _ = h.Write(part)
+		}
 		q.digest = turmericshed.Digest(hex.EncodeToString(h.Sum(nil)[:digestBytes]))
 	}
 	return q.digest
@@ -439,7 +415,7 @@
 		slog.String("request", string(q.inbound.ID)), slog.String("route", q.route.Name), slog.String("account", string(q.account.Account)),
 		slog.String("service", q.service), slog.String("server", string(q.server)), slog.Int("status", q.status),
 		slog.Int("sent", q.sentAttempts), slog.Int("dials", q.unsentAttempts), slog.Int("events", q.events),
-		slog.Int64("billed", int64(q.billed)), slog.Int("body_bytes", len(q.body)), slog.Int64("limit_ms", q.inbound.TimeLimit.Milliseconds()),
+		slog.Int64("billed", int64(q.billed)), slog.Int("body_bytes", q.bodyBytes), slog.Int64("limit_ms", q.inbound.TimeLimit.Milliseconds()),
 		slog.Int64("first_byte_ms", q.firstByte.Milliseconds()), slog.Int64("elapsed_ms", elapsed.Milliseconds()),
 	}
 	if q.table != nil {
--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -9,6 +9,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"turmericshed/core/tsintake"
+	intake "turmericshed/io/tsintake"
 )
 
 const (
@@ -65,6 +68,7 @@
 // later, on connections that were open, are refused.
 func (s *Server) Serve(ctx context.Context, ln net.Listener, stopTimeout time.Duration) error {
 	served := make(chan error, 1)
+	ln = s.relay.cfg.Intake.Listener(ln)
 	go func() { served <- s.http.Serve(ln) }()
 	sweep := time.NewTicker(idleSweepInterval)
 	defer sweep.Stop()
@@ -129,6 +133,12 @@
 
 // trackState keeps conns up to date; net/http calls it when a connection changes its state.
 func (s *Server) trackState(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		intake.SetState(c, tsintake.Running)
+	case http.StateIdle:
+		intake.SetState(c, tsintake.Idle)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -96,7 +96,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body holds the parts of the body.
+	Body [][]byte
 	// AtMostOnce marks a request that must not run twice. It is not sent on a connection
 	// that the server may have dropped.
 	AtMostOnce bool
@@ -192,17 +193,23 @@
 	if err := call.Header.Write(&head); err != nil {
 		return err
 	}
-	if len(call.Body) > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	size := 0
+	for _, part := range call.Body {
+		size += len(part)
+	}
+	if size > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
+		head.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(call.Body) <= maxInlineBodyBytes {
-		head.Write(call.Body)
+	if size <= maxInlineBodyBytes {
+		for _, part := range call.Body {
+			head.Write(part)
+		}
 		err := r.writeUntil(call, until, net.Buffers{head.Bytes()})
 		r.writeDone <- nil
 		return err
 	}
-	go func() { r.writeDone <- r.writeUntil(call, until, net.Buffers{head.Bytes(), call.Body}) }()
+	go func() { r.writeDone <- r.writeUntil(call, until, append(net.Buffers{head.Bytes()}, call.Body...)) }()
 	return nil
 }
 
--- a/io/tsupstream/client_test.go
+++ b/io/tsupstream/client_test.go
@@ -65,7 +65,7 @@
 func call(s *rawServer, id string) tsupstream.Call {
 	return tsupstream.Call{
 		Server: s.server(), ID: turmericshed.RequestID(id), Method: http.MethodPost, Target: "/p?q=1", Host: "corner.example",
-		Header: http.Header{"Attempt-Id": {id}}, Body: []byte("body"),
+		Header: http.Header{"Attempt-Id": {id}}, Body: [][]byte{[]byte("body")},
 	}
 }
 
@@ -262,7 +262,7 @@
 		return send(t, ok(r.Header.Get("Attempt-Id"), "early"), c)
 	})
 	long := call(s, "a")
-	long.Body = []byte(strings.Repeat("x", 8<<20))
+	long.Body = [][]byte{[]byte(strings.Repeat("x", 8<<20))}
 	got, err := fetch(newClient(), long)
 	assert.NilError(t, err)
 	assert.Equal(t, got, "early")
--- a/io/tsupstream/ready_test.go
+++ b/io/tsupstream/ready_test.go
@@ -56,7 +56,7 @@
 func sendLargeBody(s turmericshed.BackendServer, deadline time.Time) error {
 	_, err := fetch(newClient(), tsupstream.Call{
 		Server: s, ID: "a", Method: http.MethodPost, Target: "/p", Host: "corner.example",
-		Header: http.Header{"Attempt-Id": {"a"}}, Body: make([]byte, largeBodySize), BeforeSend: readyUntil(deadline),
+		Header: http.Header{"Attempt-Id": {"a"}}, Body: [][]byte{make([]byte, largeBodySize)}, BeforeSend: readyUntil(deadline),
 	})
 	return err
 }
@@ -77,7 +77,7 @@
 		s, bodyBytes := newLateReader(t, func() time.Time { return start.Add(600 * time.Millisecond) })
 		_, err := fetch(newClient(), tsupstream.Call{
 			Server: s, ID: "a", Method: http.MethodPost, Target: "/p", Host: "corner.example",
-			Header: http.Header{"Attempt-Id": {"a"}}, Body: make([]byte, largeBodySize),
+			Header: http.Header{"Attempt-Id": {"a"}}, Body: [][]byte{make([]byte, largeBodySize)},
 			BeforeSend: func() (time.Time, error) { return time.Now().Add(100 * time.Millisecond), nil },
 		})
 		assert.NilError(t, err)
@@ -137,7 +137,7 @@
 	})
 	_, err := newClient().Send(ctx, tsupstream.Call{
 		Server: s, ID: "a", Method: http.MethodPost, Target: "/p", Host: "corner.example",
-		Header: http.Header{"Attempt-Id": {"a"}}, Body: make([]byte, size),
+		Header: http.Header{"Attempt-Id": {"a"}}, Body: [][]byte{make([]byte, size)},
 	})
 	assertKind(t, err, turmericshed.KindCallUnknown)
 	assert.Assert(t, <-bodyBytes < size, "the whole request came")
