--- a/io/tsintake/conn.go
+++ b/io/tsintake/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,7 +51,8 @@
 func (in *Intake) add(c net.Conn) (*conn, bool) {
 	in.mu.Lock()
 	in.lastID++
-	cc := &conn{Conn: c, in: in, id: tsintake.ConnID(in.lastID), readsHead: true}
+	cc := &conn{Conn: c, in: in, id: tsintake.ConnID(in.lastID)}
+	cc.readsHead.Store(true)
 	toClose, ok := in.conns.Open(cc.id)
 	if ok {
 		in.open[cc.id] = cc
@@ -134,10 +136,8 @@
 	in   *Intake
 	id   tsintake.ConnID
 	once sync.Once
-
-	mu sync.Mutex
 	// readsHead is true while the bytes that are read belong to the head of a request.
-	readsHead bool
+	readsHead atomic.Bool
 }
 
 // SetState records what a connection is used for. It does nothing for a connection that no
@@ -147,9 +147,7 @@
 	if !ok {
 		return
 	}
-	cc.mu.Lock()
-	cc.readsHead = s == tsintake.AwaitingHead || s == tsintake.Idle
-	cc.mu.Unlock()
+	cc.readsHead.Store(s == tsintake.AwaitingHead || s == tsintake.Idle)
 	in := cc.in
 	in.mu.Lock()
 	victims := in.takeOut(in.conns.SetState(cc.id, s))
@@ -160,10 +158,7 @@
 // Read reads from the connection. Bytes of a head count toward the limit of all heads.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	readsHead := c.readsHead
-	c.mu.Unlock()
-	if readsHead && n > 0 {
+	if n > 0 && c.readsHead.Load() {
 		in := c.in
 		in.mu.Lock()
 		victims := in.takeOut(in.conns.HeadReceived(c.id, n))
--- a/io/tsrelay/answer.go
+++ b/io/tsrelay/answer.go
@@ -82,6 +82,10 @@
 	if now := time.Now(); at.Before(now) {
 		at = now
 	}
+	if q.hasUnreadBody() {
+		// The answer may be written only once the rest of the body is read.
+		at = at.Add(unreadTimeout)
+	}
 	if err := q.rc.SetWriteDeadline(at.Add(writeGrace)); err != nil {
 		q.relay.cfg.Log.Warn("cannot set the write deadline of an answer", "request", string(q.inbound.ID), "error", err.Error())
 	}
--- a/io/tsrelay/body.go
+++ b/io/tsrelay/body.go
@@ -64,6 +64,9 @@
 	return nil
 }
 
+// hasUnreadBody reports whether the request has a body that is not read to its end.
+func (q *request) hasUnreadBody() bool { return !q.hasWholeBody && q.r.ContentLength != 0 }
+
 // releaseBody frees the memory reserved for the body.
 func (q *request) releaseBody() {
 	q.body = nil
@@ -74,7 +77,7 @@
 // free for others at once, the rest is read only in a small part and for a short time, and a
 // connection on which memory was refused, or whose body is too large, is closed.
 func (q *request) refuseBody(kind turmericshed.Kind) {
-	if q.hasWholeBody || q.r.ContentLength == 0 {
+	if !q.hasUnreadBody() {
 		return
 	}
 	q.releaseBody()
