Tests of memory limits under answers of servers without an end

Processes with the memory of the smallest machine get answers of servers without an end, and large ones for callers that don't read. The receive buffers of connections to the server count.

--- a/load/tshostile/memory_test.go
+++ b/load/tshostile/memory_test.go
@@ -28,8 +28,11 @@
 // sampler records the peaks of a process's usage until it is stopped.
 type sampler struct {
 	pid, port int
-	stop      chan struct{}
-	done      chan struct{}
+	// serverPort is the port of a backend server, 0 for none. The receive buffers of connections
+	// to it count as well.
+	serverPort int
+	stop       chan struct{}
+	done       chan struct{}
 
 	peak usage
 	// peakTotal is the largest sum of resident and receive bytes at one time.
@@ -39,8 +42,11 @@
 
 // startSampler samples the process until stopped. port is the caller port, whose sockets'
 // receive buffers count.
-func startSampler(pid, port int) *sampler {
-	s := &sampler{pid: pid, port: port, stop: make(chan struct{}), done: make(chan struct{})}
+func startSampler(pid, port int) *sampler { return startSamplerWith(pid, port, 0) }
+
+// startSamplerWith is startSampler with the port of a backend server, whose connections count.
+func startSamplerWith(pid, port, serverPort int) *sampler {
+	s := &sampler{pid: pid, port: port, serverPort: serverPort, stop: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		for {
@@ -56,7 +62,12 @@
 }
 
 func (s *sampler) sample() {
-	received, err := receiveBytes(s.port)
+	received, err := receiveBytes(s.port, 0)
+	if err == nil && s.serverPort != 0 {
+		var fromServers int64
+		fromServers, err = receiveBytes(0, s.serverPort)
+		received += fromServers
+	}
 	if err != nil {
 		s.err = err
 	}
@@ -106,8 +117,8 @@
 )
 
 // receiveBytes returns the memory that the kernel holds for received bytes that are not read yet,
-// in all TCP sockets of a local port.
-func receiveBytes(port int) (int64, error) {
+// in all TCP sockets of a local and of a remote port; 0 stands for any.
+func receiveBytes(port, remotePort int) (int64, error) {
 	fd, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_RAW|unix.SOCK_CLOEXEC, unix.NETLINK_SOCK_DIAG)
 	if err != nil {
 		return 0, err
@@ -115,7 +126,7 @@
 	defer func() { _ = unix.Close(fd) }()
 	var sum int64
 	for _, family := range []byte{unix.AF_INET, unix.AF_INET6} {
-		n, err := receiveBytesOf(fd, family, port)
+		n, err := receiveBytesOf(fd, family, port, remotePort)
 		if err != nil {
 			return 0, err
 		}
@@ -124,7 +135,7 @@
 	return sum, nil
 }
 
-func receiveBytesOf(fd int, family byte, port int) (sum int64, err error) {
+func receiveBytesOf(fd int, family byte, port, remotePort int) (sum int64, err error) {
 	order := binary.NativeEndian
 	req := make([]byte, unix.NLMSG_HDRLEN+diagRequestBytes)
 	order.PutUint32(req, uint32(len(req)))
@@ -134,6 +145,7 @@
 	body[0], body[1], body[2] = family, unix.IPPROTO_TCP, 1<<(inetDiagSkMemInfo-1)
 	order.PutUint32(body[4:], ^uint32(0))
 	binary.BigEndian.PutUint16(body[8:], uint16(port))
+	binary.BigEndian.PutUint16(body[10:], uint16(remotePort))
 	if err := unix.Sendto(fd, req, 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}); err != nil {
 		return 0, err
 	}
--- a/load/tshostile/rig_test.go
+++ b/load/tshostile/rig_test.go
@@ -46,8 +46,10 @@
 
 const table = `{"version":3,"routes":[
  {"name":"look","host":"corner.example","prefix":"/look/","kind":"safe","service":"desk","timeoutMs":8000,"maxAttempts":2},
- {"name":"book","host":"corner.example","prefix":"/book/","kind":"unsafe","service":"desk","timeoutMs":8000,"maxAttempts":1}],
- "services":[{"name":"desk","maxConnections":2000}],
+ {"name":"book","host":"corner.example","prefix":"/book/","kind":"unsafe","service":"desk","timeoutMs":8000,"maxAttempts":1},
+ {"name":"odd","host":"corner.example","prefix":"/odd/","kind":"safe","service":"odd","timeoutMs":8000,"maxAttempts":1},
+ {"name":"oddstream","host":"corner.example","prefix":"/oddstream/","kind":"streaming","service":"odd","timeoutMs":8000,"maxAttempts":1}],
+ "services":[{"name":"desk","maxConnections":2000},{"name":"odd","maxConnections":2000}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
  "tenants":[{"name":"stall","apiKeys":["k1"],"prepaid":1000000}]}`
 
@@ -139,11 +141,18 @@
 
 // startWithDesk starts a gateway process with one sound backend server.
 func startWithDesk(t *testing.T) *gateway {
+	t.Helper()
+	return startWithDeskAnd(t, map[string][]byte{})
+}
+
+// startWithDeskAnd starts a gateway process with one sound backend server and others.
+func startWithDeskAnd(t *testing.T, others map[string][]byte) *gateway {
 	t.Helper()
 	b := &tsmetastore.Backend{ID: "desk-0"}
 	assert.NilError(t, b.Start())
 	t.Cleanup(func() { _ = b.Close() })
-	g := startGateway(t, map[string][]byte{b.ID: b.Entry("desk", "a", "ready")})
+	others[b.ID] = b.Entry("desk", "a", "ready")
+	g := startGateway(t, others)
 	g.servers = []*tsmetastore.Backend{b}
 	return g
 }
