Answers that end with a reset during the upload, and invalid statuses

Cause: when a server resets the connection while the request is being written, the failed write takes up the socket's error and the reader sees an orderly end; an answer without a length was then complete as long as its server could be reached. net/http's parser accepts every status of three digits, and those below 200 were taken for informational ones.

Change: an answer without a length is complete only if the request was written completely. Statuses below 100 and above 599, and 101, are errors (call_unknown, 502).

--- a/io/tsgateway/mixed_test.go
+++ b/io/tsgateway/mixed_test.go
@@ -56,6 +56,9 @@
 	r.eventually("the limit is in force", func() bool {
 		return r.request(http.MethodPost, "/look/1", strings.Repeat("x", 2000)).status == http.StatusOK
 	})
+	r.eventually("the server is listed", func() bool {
+		return r.request(http.MethodGet, "/odd-once/1", "").status != http.StatusServiceUnavailable
+	})
 }
 
 // Guards against passing on a part of an answer without a length as the whole answer: the server
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -263,9 +263,9 @@
 		q.mayHaveUnrelayedOutput = true
 		return nil, firstByte, err
 	}
-	if reply.EndedWithServer(ctx) {
+	if reply.EndedEarly(ctx) {
 		q.mayHaveUnrelayedOutput = true
-		return nil, firstByte, turmericshed.WrapError(turmericshed.KindCallUnknown, io.ErrUnexpectedEOF, "server %s: terminated with an answer that has no length", server.ID)
+		return nil, firstByte, turmericshed.WrapError(turmericshed.KindCallUnknown, io.ErrUnexpectedEOF, "server %s: the answer has no length and may not be complete", server.ID)
 	}
 	q.reportSurvived(success)
 	if impliesNotRun(reply.Status) {
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -49,9 +49,9 @@
 			reply.Close()
 			return splitErr
 		case errors.Is(err, io.EOF) && split.Empty():
-			if !reply.IsFramed() && q.events == eventsBefore || reply.EndedWithServer(ctx) {
+			if !reply.IsFramed() && q.events == eventsBefore || reply.EndedEarly(ctx) {
 				reply.Close()
-				return turmericshed.WrapError(turmericshed.KindStreamBroken, io.ErrUnexpectedEOF, "server %s: a stream without framing ended before its first event or with its server", server)
+				return turmericshed.WrapError(turmericshed.KindStreamBroken, io.ErrUnexpectedEOF, "server %s: a stream without framing ended before its first event, before the request was written or with its server", server)
 			}
 			reply.Finish()
 			q.mayHaveUnrelayedOutput = false
--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -17,6 +17,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -48,6 +49,9 @@
 	// allows its connection to be reused.
 	maxDiscardBytes = 4 << 10
 	discardTimeout  = 50 * time.Millisecond
+	// writeResultTimeout bounds the wait for the result of a write after the answer has ended.
+	// A server that has read the whole request has left nothing to write.
+	writeResultTimeout = 200 * time.Millisecond
 	// sweepInterval is the time between checks for expired connections.
 	sweepInterval = time.Second
 )
@@ -120,8 +124,11 @@
 	key    serverKey
 	conn   *conn
 	resp   *http.Response
-	// writeDone receives the result of writing the request.
+	// writeDone receives the result of writing the request. Once it was received, isWritten is
+	// true and writeErr the result.
 	writeDone     chan error
+	isWritten     bool
+	writeErr      error
 	stopAfterFunc func() bool
 	isClosed      bool
 }
@@ -264,16 +271,29 @@
 	return r.Info.ID == call.ID
 }
 
-// readResponse returns the first answer that is not informational (1xx).
+// readResponse returns the first answer that is not informational (1xx). net/http accepts every
+// number of three digits as a status; those that HTTP does not define are errors, and so is 101,
+// after which another protocol would follow that no request asks for.
 func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(br, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		switch s := resp.StatusCode; {
+		case s < http.StatusContinue, s == http.StatusSwitchingProtocols, s > maxStatus:
+			return nil, fmt.Errorf("%w %03d", errBadStatus, s)
+		case s >= http.StatusOK:
+			return resp, nil
 		}
 	}
 }
 
+// maxStatus is the largest status that HTTP defines a class for.
+const maxStatus = 599
+
+var errBadStatus = errors.New("the answer has the invalid status")
+
 // Read reads the body. It returns io.EOF only after a complete body.
 func (r *Reply) Read(p []byte) (int, error) { return r.resp.Body.Read(p) }
 
@@ -291,13 +311,18 @@
 	return data, nil
 }
 
-// EndedWithServer reports whether the body of a read answer ended with its connection and
-// the server refuses connections since. The server may then have terminated before the
-// body was complete, which the framing can't show.
-func (r *Reply) EndedWithServer(ctx context.Context) bool {
+// EndedEarly reports whether the body of a read answer ended with its connection, and may not be
+// complete, which the framing can't show: the request was not written to its end, or the server
+// refuses connections since and may have terminated. When the server resets the connection
+// while the request is being written, the failed write takes up the socket's error, and the
+// reader sees an orderly end.
+func (r *Reply) EndedEarly(ctx context.Context) bool {
 	if r.IsFramed() {
 		return false
 	}
+	if !r.wroteRequest(writeResultTimeout) {
+		return true
+	}
 	c, err := r.client.conns.dial(ctx, "tcp", r.key.addr)
 	if err == nil {
 		_ = c.Close()
@@ -343,15 +368,29 @@
 // written completely, the answer's end is known from its framing, the server does not
 // close the connection, and no bytes follow.
 func (r *Reply) isReusable() bool {
-	select {
-	case err := <-r.writeDone:
-		if err != nil {
-			return false
+	return r.wroteRequest(0) && r.IsFramed() && !r.resp.Close && r.conn.br.Buffered() == 0
+}
+
+// wroteRequest reports whether the request was written completely. It waits for the result for
+// the given time.
+func (r *Reply) wroteRequest(wait time.Duration) bool {
+	if !r.isWritten {
+		select {
+		case r.writeErr = <-r.writeDone:
+			r.isWritten = true
+		default:
+		}
+	}
+	if !r.isWritten && wait > 0 {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		select {
+		case r.writeErr = <-r.writeDone:
+			r.isWritten = true
+		case <-t.C:
 		}
-	default:
-		return false
 	}
-	return r.IsFramed() && !r.resp.Close && r.conn.br.Buffered() == 0
+	return r.isWritten && r.writeErr == nil
 }
 
 // IsFramed reports whether the body has a length or is chunked, rather than ending with
