Hold answers within the memory budget, and relay the rest piecewise

Cause: up to 16 MiB of every answer that is not a stream were held, and twice that while the slice grew, for any number of answers at once.

Change: answers reserve memory in steps, half of the budget for bodies at most. Where it is taken, an answer below 500 is relayed piecewise: a length or chunks as its server sends it, and a broken connection where it breaks off. It can't be repeated at another server then. The body of an error (5xx, or one that implies that the request did not run) is 256 KiB at most. An incomplete event over 8 KiB reserves memory as well. The kernel's buffers of connections to callers and backend servers are 64 KiB each way.

--- a/core/tsevents/split.go
+++ b/core/tsevents/split.go
@@ -61,6 +61,9 @@
 	return events, nil
 }
 
+// Buffered returns the number of bytes of an incomplete event.
+func (s *Splitter) Buffered() int { return len(s.pending) }
+
 // Empty reports whether no incomplete event is buffered.
 func (s *Splitter) Empty() bool { return len(s.pending) == 0 }
 
--- a/core/tsintake/budget.go
+++ b/core/tsintake/budget.go
@@ -25,9 +25,11 @@
 	// itself takes about 30 MB, and memory that the garbage collector has yet to free takes
 	// about as much as the bodies.
 	bodyMemoryShare = 0.25
-	// largeShare is the share of the budget that large bodies may take, so that bodies of
-	// usual size find room beside them.
+	// largeShare is the share of the budget that large bodies and all answers may take, so that
+	// bodies of usual size find room beside them.
 	largeShare = 0.75
+	// answerShare is the share of the budget that answers may take. Others are relayed piecewise.
+	answerShare = 0.5
 	// maxUsualBytes is the size up to which a body is not large. Callers usually send up to
 	// 100 KB.
 	maxUsualBytes = 256 << 10
@@ -41,9 +43,11 @@
 type BudgetLimits struct {
 	// Bytes is the most that all bodies together may reserve; 0 means no limit.
 	Bytes int64
-	// LargeBytes is the most that the bodies over UsualBytes may reserve of that.
-	LargeBytes int64
-	UsualBytes int64
+	// LargeBytes is the most that answers and the bodies over UsualBytes may reserve of that, and
+	// AnswerBytes the most that answers may.
+	LargeBytes  int64
+	AnswerBytes int64
+	UsualBytes  int64
 	// A body that took longer than StallTimeout for its last ProgressBytes, or for the rest if
 	// that is less, has stalled.
 	StallTimeout  time.Duration
@@ -54,7 +58,7 @@
 func BudgetFor(memoryBytes int64) BudgetLimits {
 	n := int64(float64(memoryBytes) * bodyMemoryShare)
 	return BudgetLimits{
-		Bytes: n, LargeBytes: int64(float64(n) * largeShare), UsualBytes: maxUsualBytes,
+		Bytes: n, LargeBytes: int64(float64(n) * largeShare), AnswerBytes: int64(float64(n) * answerShare), UsualBytes: maxUsualBytes,
 		StallTimeout: stallTimeout, ProgressBytes: progressBytes,
 	}
 }
@@ -71,14 +75,17 @@
 	markedBytes  int64
 	// isComplete is true once the body is no longer read. It is not evicted then.
 	isComplete bool
+	// isAnswer is true for the body of an answer. It is not evicted: its request has run.
+	isAnswer bool
 }
 
 // Budget reserves memory for bodies. It is not safe for concurrent use.
 type Budget struct {
 	limits BudgetLimits
 	bodies map[BodyID]*body
-	// held and largeHeld are the sums of the reservations of all bodies and of large ones.
-	held, largeHeld int64
+	// held, largeHeld and answerHeld are the sums of the reservations of all bodies, of those that
+	// count toward LargeBytes, and of answers.
+	held, largeHeld, answerHeld int64
 }
 
 // NewBudget returns a budget without reservations.
@@ -111,6 +118,22 @@
 	return evicted, true
 }
 
+// ReserveAnswer reserves n more bytes for the body of an answer, and reports whether they are
+// reserved. It evicts nothing.
+func (b *Budget) ReserveAnswer(id BodyID, n int64) bool {
+	l := b.limits
+	if l.Bytes > 0 && (b.held+n > l.Bytes || b.largeHeld+n > l.LargeBytes || b.answerHeld+n > l.AnswerBytes) {
+		return false
+	}
+	c := b.bodies[id]
+	if c == nil {
+		c = &body{id: id, isAnswer: true}
+		b.bodies[id] = c
+	}
+	b.resize(c, c.reserved+n)
+	return true
+}
+
 // makeRoom returns the bodies to evict so that n more bytes fit, and whether they fit then.
 func (b *Budget) makeRoom(now time.Time, c *body, n int64) (victims []*body, ok bool) {
 	if b.limits.Bytes <= 0 {
@@ -120,7 +143,7 @@
 	excess := b.held + n - b.limits.Bytes
 	largeExcess := int64(0)
 	if b.isLarge(size) {
-		largeExcess = b.largeHeld - b.largePart(c.reserved) + size - b.limits.LargeBytes
+		largeExcess = b.largeHeld - b.largePart(c, c.reserved) + size - b.limits.LargeBytes
 	}
 	if excess <= 0 && largeExcess <= 0 {
 		return nil, true
@@ -134,7 +157,7 @@
 		}
 		victims = append(victims, v)
 		excess -= v.reserved
-		largeExcess -= b.largePart(v.reserved)
+		largeExcess -= b.largePart(v, v.reserved)
 	}
 	return victims, excess <= 0 && largeExcess <= 0
 }
@@ -142,7 +165,7 @@
 // stalled returns the bodies other than c that have stalled, in the order of eviction.
 func (b *Budget) stalled(now time.Time, c *body) (all []*body) {
 	for _, v := range b.bodies {
-		if v != c && !v.isComplete && now.Sub(v.progressedAt) >= b.limits.StallTimeout {
+		if v != c && !v.isComplete && !v.isAnswer && now.Sub(v.progressedAt) >= b.limits.StallTimeout {
 			all = append(all, v)
 		}
 	}
@@ -154,9 +177,9 @@
 
 func (b *Budget) isLarge(size int64) bool { return size > b.limits.UsualBytes }
 
-// largePart returns what a body with the given reservation counts among the large ones.
-func (b *Budget) largePart(size int64) int64 {
-	if b.isLarge(size) {
+// largePart returns what a body with the given reservation counts toward LargeBytes.
+func (b *Budget) largePart(c *body, size int64) int64 {
+	if c.isAnswer || b.isLarge(size) {
 		return size
 	}
 	return 0
@@ -164,7 +187,10 @@
 
 func (b *Budget) resize(c *body, size int64) {
 	b.held += size - c.reserved
-	b.largeHeld += b.largePart(size) - b.largePart(c.reserved)
+	b.largeHeld += b.largePart(c, size) - b.largePart(c, c.reserved)
+	if c.isAnswer {
+		b.answerHeld += size - c.reserved
+	}
 	c.reserved = size
 }
 
--- a/core/tsintake/budget_test.go
+++ b/core/tsintake/budget_test.go
@@ -133,6 +133,27 @@
 	assert.Assert(t, fill(b, start, 1000, usualBody) >= 50, "usual bodies find room")
 }
 
+// Guards against answers that take the memory of requests' bodies, and against evicting one: its
+// request has run.
+func TestAnswersLeaveRoomForBodies(t *testing.T) {
+	b := budgetWith(t, 0, 0)
+	n := 0
+	for b.ReserveAnswer(tsintake.BodyID(n%60+1), 65536) {
+		n++
+	}
+	held := b.Held()
+	assert.Assert(t, held > smallestMachine/4/2-65536 && held <= smallestMachine/4/2)
+	fill(b, start, 100, largestBody)
+	assert.Assert(t, fill(b, start, 1000, usualBody) >= 50)
+	assert.Assert(t, b.Held() <= smallestMachine/4)
+	for i := range tsintake.BodyID(1000) {
+		b.Release(i + 100)
+	}
+	assert.Equal(t, b.Held(), held)
+	evicted, _ := b.Reserve(start.Add(timeToStall), 5000, smallestMachine)
+	assert.Equal(t, len(evicted), 0)
+}
+
 // Guards against a body that ends shorter than it grew keeping the difference.
 func TestCompleteFreesTheRest(t *testing.T) {
 	b := budgetWith(t, 1, 8192)
--- a/core/tsintake/conns.go
+++ b/core/tsintake/conns.go
@@ -22,10 +22,11 @@
 	refusedMemoryShare = 0.1
 	// minConns is the least number of connections in any limit.
 	minConns = 16
-	// ReceiveBufferBytes is the size of the kernel's receive buffer of a caller's connection.
-	// The kernel doubles it for its own overhead, and does not enlarge it, to up to
-	// 32 MiB, for callers that send faster than they are read.
-	ReceiveBufferBytes = 64 << 10
+	// SocketBufferBytes is the size of each of the kernel's two buffers of a connection to a
+	// caller or a backend server. The kernel doubles it for its own overhead, and does not
+	// enlarge it, to up to 32 MiB, for a party that sends faster than it is read, or that
+	// reads slowly. It lets a connection carry 10 MB/s at a round trip of 6 ms.
+	SocketBufferBytes = 64 << 10
 )
 
 // ConnState is what a caller's connection is used for.
@@ -67,7 +68,7 @@
 		m := float64(memoryBytes)
 		l.Total = max(int(m*connMemoryShare/connBytes), minConns)
 		l.HeadBytes = int64(m * headMemoryShare)
-		l.Refused = max(int(m*refusedMemoryShare/(2*ReceiveBufferBytes)), minConns)
+		l.Refused = max(int(m*refusedMemoryShare/(2*SocketBufferBytes)), minConns)
 	}
 	if descriptors > 0 {
 		n := max(int(float64(descriptors-reservedDescriptors)*callerDescriptorShare), minConns)
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -136,6 +136,9 @@
 		},
 	}
 	g.meter = tsmeter.New(tsmeter.Config{BytesPerSecond: s.LinkRate, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "link")})
+	intake := tsintake.New(tsintake.Config{
+		MemoryBytes: s.MemoryBytes, Descriptors: s.FileDescriptors, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "intake"),
+	})
 	if cfg.Dial == nil {
 		cfg.Dial = tsupstream.Dialer{Link: g.meter}.Dial
 	}
@@ -163,7 +166,7 @@
 		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "limits"),
 	})
 	g.peerServer.Mount(g.permits.Handler())
-	serverDial := g.meter.Dialer(tsmeter.Servers, cfg.Dial)
+	serverDial := g.meter.Dialer(tsmeter.Servers, intake.Dialer(cfg.Dial))
 	g.crashWatch = tscrash.New(tscrash.Config{
 		Members: g.registry, Peers: transport, Board: g.board, Store: store, FirstStart: s.FirstStart, Dial: serverDial, Link: g.meter,
 		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "crashes"),
@@ -189,9 +192,6 @@
 		OnConfirmed: func(asOf time.Time) { g.freshness.Confirm(tsfreshness.Servers, asOf) },
 	})
 	g.registerAgeGauges()
-	intake := tsintake.New(tsintake.Config{
-		MemoryBytes: s.MemoryBytes, Descriptors: s.FileDescriptors, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "intake"),
-	})
 	g.relay = tsrelay.New(tsrelay.Config{
 		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
 		Log: tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
--- a/io/tsintake/conn.go
+++ b/io/tsintake/conn.go
@@ -1,6 +1,7 @@
 package tsintake
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -40,15 +41,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if cc, ok := l.in.add(c); ok {
+		if cc, ok := l.in.addConn(c); ok {
 			return cc, nil
 		}
 		_ = c.Close()
 	}
 }
 
-// add counts a new connection, and reports whether it may stay.
-func (in *Intake) add(c net.Conn) (*conn, bool) {
+// addConn counts a new connection, and reports whether it may stay.
+func (in *Intake) addConn(c net.Conn) (*conn, bool) {
 	in.mu.Lock()
 	in.lastID++
 	cc := &conn{Conn: c, in: in, id: tsintake.ConnID(in.lastID)}
@@ -64,25 +65,52 @@
 		in.noteClosed(1, reasonConnections)
 		return nil, false
 	}
-	if err := in.boundReceiveBuffer(cc); err != nil && in.log != nil {
-		in.log.Debug("cannot bound the receive buffer of a connection", "error", err.Error())
-	}
+	in.boundBuffers(cc)
 	return cc, true
 }
 
-// boundReceiveBuffer sets the size of the kernel's receive buffer where the machine's memory is
-// known.
-func (in *Intake) boundReceiveBuffer(c *conn) error {
+// Dialer wraps dial so that the kernel's buffers of the connections that it opens are bounded.
+func (in *Intake) Dialer(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		in.boundBuffers(c)
+		return c, nil
+	}
+}
+
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// boundBuffers sets the sizes of a connection's buffers in the kernel where the machine's memory
+// is known.
+func (in *Intake) boundBuffers(c net.Conn) {
 	if in.limits.HeadBytes <= 0 {
+		return
+	}
+	err := setBuffers(c, tsintake.SocketBufferBytes)
+	if err != nil && in.log != nil {
+		in.log.Debug("cannot bound the buffers of a connection", "error", err.Error())
+	}
+}
+
+// setBuffers sets the sizes of both buffers; the kernel adds as much for its own overhead.
+func setBuffers(c net.Conn, bytes int) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
 		return nil
 	}
-	raw, err := c.SyscallConn()
+	raw, err := sc.SyscallConn()
 	if err != nil {
 		return err
 	}
 	var setErr error
 	err = raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, tsintake.ReceiveBufferBytes)
+		for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
+			setErr = errors.Join(setErr, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, bytes))
+		}
 	})
 	return errors.Join(err, setErr)
 }
--- a/io/tsintake/intake.go
+++ b/io/tsintake/intake.go
@@ -67,7 +67,7 @@
 		budget: tsintake.NewBudget(tsintake.BudgetFor(cfg.MemoryBytes)), bodies: make(map[tsintake.BodyID]*Body),
 		conns: tsintake.NewConns(limits), open: make(map[tsintake.ConnID]*conn),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "turmericshed_bodies_refused_total", Help: "Bodies that were not held, by reason: full, stalled (evicted for others) or too_large.",
+			Name: "turmericshed_bodies_refused_total", Help: "Bodies that were not held, by reason: full, stalled (evicted for others), too_large, or answer (not held whole).",
 		}, []string{"reason"}),
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "turmericshed_caller_connections_closed_total", Help: "Connections of callers that were closed to stay within the limits, by reason.",
@@ -102,6 +102,7 @@
 // Reasons of refusals, the values of the label "reason".
 const (
 	reasonFull     = "full"
+	reasonAnswer   = "answer"
 	reasonStalled  = "stalled"
 	reasonTooLarge = "too_large"
 )
@@ -111,6 +112,8 @@
 	in        *Intake
 	id        tsintake.BodyID
 	interrupt func()
+	// isAnswer is true for an answer, which is not evicted.
+	isAnswer bool
 	// isEvicted is true once the reservation was given to others. in.mu must be held.
 	isEvicted bool
 }
@@ -121,10 +124,23 @@
 	if in == nil {
 		return nil
 	}
+	return in.add(&Body{interrupt: interrupt})
+}
+
+// NewAnswer returns a Body for the answer of a server, without a reservation. It is not evicted,
+// since its request has run.
+func (in *Intake) NewAnswer() *Body {
+	if in == nil {
+		return nil
+	}
+	return in.add(&Body{isAnswer: true})
+}
+
+func (in *Intake) add(b *Body) *Body {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.lastID++
-	b := &Body{in: in, id: tsintake.BodyID(in.lastID), interrupt: interrupt}
+	b.in, b.id = in, tsintake.BodyID(in.lastID)
 	in.bodies[b.id] = b
 	return b
 }
@@ -146,7 +162,13 @@
 	if b.isEvicted {
 		return errStalled()
 	}
-	evicted, ok := in.budget.Reserve(time.Now(), b.id, n)
+	var evicted []tsintake.BodyID
+	var ok bool
+	if b.isAnswer {
+		ok = in.budget.ReserveAnswer(b.id, n)
+	} else {
+		evicted, ok = in.budget.Reserve(time.Now(), b.id, n)
+	}
 	for _, id := range evicted {
 		v := in.bodies[id]
 		v.isEvicted = true
@@ -156,7 +178,11 @@
 	if ok {
 		return nil
 	}
-	in.refused.WithLabelValues(reasonFull).Inc()
+	reason := reasonFull
+	if b.isAnswer {
+		reason = reasonAnswer
+	}
+	in.refused.WithLabelValues(reason).Inc()
 	err := turmericshed.NewError(turmericshed.KindOverloaded, "no memory for a body of %d bytes: %d bytes are held", n, in.budget.Held())
 	return turmericshed.WithRetryAfter(err, fullRetryAfter)
 }
--- a/io/tsintake/read.go
+++ b/io/tsintake/read.go
@@ -52,6 +52,31 @@
 	}
 }
 
+// ReadPart reads r to its end, or until the memory or limit is used up, and reports whether it has
+// read all. The first block needs no reservation: it counts as a part of its connection. Errors
+// of r.
+func (b *Body) ReadPart(r io.Reader, limit int64) (parts [][]byte, isWhole bool, err error) {
+	size := int64(0)
+	for next := int64(firstBlockBytes); ; next = min(2*next, maxBlockBytes) {
+		next = min(next, limit-size)
+		if next <= 0 || size > 0 && b.Reserve(next) != nil {
+			return parts, false, nil
+		}
+		block := make([]byte, next)
+		n, err := b.fill(r, block)
+		size += int64(n)
+		if n > 0 {
+			parts = append(parts, block[:n])
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return parts, true, b.complete(size)
+		case err != nil:
+			return nil, false, err
+		}
+	}
+}
+
 // firstSize returns the size of a body's first block.
 func firstSize(length int64) int64 {
 	if length > 0 && length <= maxSingleBytes {
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -24,7 +24,7 @@
 	server turmericshed.ServerID
 	status int
 	header http.Header
-	body   []byte
+	body   [][]byte
 }
 
 // run sends the request to one server after another until the caller has an answer
@@ -66,7 +66,7 @@
 		return err
 	case wasUnsent && q.hasPicked && q.unsentAttempts < maxUnsentAttempts:
 		return nil
-	case wasUnsent, kind == turmericshed.KindCanceled, q.mayHaveRun && !q.route.Repeatable:
+	case wasUnsent, kind == turmericshed.KindCanceled, q.mayHaveRun && !q.route.Repeatable, q.committed && !q.route.Stream:
 		return err
 	case q.crashedServer, q.sentAttempts >= q.route.MaxAttempts:
 		return q.errOrServerFailure(err)
@@ -258,22 +258,18 @@
 		}
 		return nil, firstByte, err
 	}
-	body, err := reply.ReadAll()
+	a, err := q.readAnswer(ctx, server.ID, reply, timer)
 	if err != nil {
 		q.mayHaveUnrelayedOutput = true
 		return nil, firstByte, err
 	}
-	if reply.EndedEarly(ctx) {
-		q.mayHaveUnrelayedOutput = true
-		return nil, firstByte, turmericshed.WrapError(turmericshed.KindCallUnknown, io.ErrUnexpectedEOF, "server %s: the answer has no length and may not be complete", server.ID)
-	}
 	q.reportSurvived(success)
 	if impliesNotRun(reply.Status) {
 		// The status implies that the request did not run, but the server did not
 		// state that explicitly.
 		return nil, firstByte, turmericshed.NewError(turmericshed.KindCallUnknown, "server %s: status %d implies that the request did not run, but the answer does not state it", server.ID, reply.Status)
 	}
-	return &completeAnswer{server: server.ID, status: reply.Status, header: reply.Header, body: body}, firstByte, nil
+	return a, firstByte, nil
 }
 
 // applyReplyInfo passes on the limits, the leaving notice and the Retry-After that the
@@ -393,12 +389,13 @@
 // relayed it returns KindStreamBroken instead.
 func (q *request) relayAnswer(a *completeAnswer) error {
 	if q.committed {
-		return turmericshed.NewError(turmericshed.KindStreamBroken, "the stream was not resumed: status %d", a.status)
+		return errNotResumed(a.status)
 	}
-	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	q.commit(a.server, a.status, a.header)
-	if _, err := q.w.Write(a.body); err != nil {
-		return turmericshed.WrapError(turmericshed.KindCanceled, err, "writing to the caller failed")
+	size := 0
+	for _, part := range a.body {
+		size += len(part)
 	}
-	return nil
+	q.w.Header().Set("Content-Length", strconv.Itoa(size))
+	q.commit(a.server, a.status, a.header)
+	return q.writeParts(a.body)
 }
--- a/io/tsrelay/body.go
+++ b/io/tsrelay/body.go
@@ -73,6 +73,14 @@
 	q.memory.Release()
 }
 
+// releaseMemory frees the memory reserved for the body and the answers.
+func (q *request) releaseMemory() {
+	q.releaseBody()
+	for _, a := range q.answers {
+		a.Release()
+	}
+}
+
 // refuseBody prepares the refusal of a request whose body is not read to its end: the memory is
 // free for others at once, the rest is read only in a small part and for a short time, and a
 // connection on which memory was refused, or whose body is too large, is closed.
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -161,7 +161,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{relay: s, w: w, r: r, rc: http.NewResponseController(w), arrived: time.Now()}
-	defer req.releaseBody()
+	defer req.releaseMemory()
 	err := req.prepare()
 	if err == nil {
 		var cancel context.CancelFunc
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -63,6 +63,8 @@
 	// read to its end.
 	memory       *tsintake.Body
 	hasWholeBody bool
+	// answers are the reservations for the answers of the attempts.
+	answers []*tsintake.Body
 	// deadline is arrived plus the time limit of the request.
 	deadline time.Time
 
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -13,6 +13,9 @@
 const (
 	// maxEventBytes is the largest accepted size of one event.
 	maxEventBytes = 1 << 20
+	// freeEventBytes is the size up to which an incomplete event needs no reservation: it counts
+	// as a part of its connection.
+	freeEventBytes = 8 << 10
 	// streamBufferBytes is the size of one read; a few events fit.
 	streamBufferBytes = 4 << 10
 )
@@ -28,11 +31,19 @@
 		}
 	}
 	split := tsevents.NewSplitter(maxEventBytes)
+	memory := q.relay.cfg.Intake.NewAnswer()
+	defer memory.Release()
+	reserved := freeEventBytes
 	buf := make([]byte, streamBufferBytes)
 	eventsBefore, pastBeginning := q.events, false
 	for {
 		n, err := reply.Read(buf)
 		events, splitErr := split.Push(buf[:n])
+		if more := split.Buffered() - reserved; more > 0 && splitErr == nil {
+			// The buffer grows to twice its size at most.
+			splitErr = turmericshed.WrapError(turmericshed.KindStreamBroken, memory.Reserve(int64(2*more+reserved)), "server %s: a long event", server)
+			reserved += 2*more + reserved
+		}
 		if len(events) > 0 {
 			timer.eventReceived()
 			if writeErr := q.relayEvents(server, reply, events); writeErr != nil {
--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -9,7 +9,7 @@
 //
 //	c := tsupstream.New(tsupstream.Config{Codec: codec})
 //	reply, err := c.Send(ctx, call) // KindNoBackend, KindOverloaded: not sent
-//	body, err := reply.ReadAll()    // or reply.Read, then reply.Close
+//	body, isWhole, err := reply.ReadBody(memory, limit) // or reply.Read, then reply.Close
 package tsupstream
 
 import (
@@ -27,6 +27,7 @@
 	"time"
 
 	"turmericshed"
+	"turmericshed/io/tsintake"
 )
 
 const (
@@ -43,8 +44,8 @@
 	// maxInlineBodyBytes is the largest body that is written before the answer is
 	// read. A larger one is written concurrently, since a server may answer early.
 	maxInlineBodyBytes = 4 << 10
-	// maxBodyBytes bounds the body that ReadAll holds in memory.
-	maxBodyBytes = 16 << 20
+	// MaxBodyBytes bounds the body of an answer that is not a stream of events.
+	MaxBodyBytes = 16 << 20
 	// maxDiscardBytes and discardTimeout bound the reading of an unneeded body, which
 	// allows its connection to be reused.
 	maxDiscardBytes = 4 << 10
@@ -297,18 +298,35 @@
 // Read reads the body. It returns io.EOF only after a complete body.
 func (r *Reply) Read(p []byte) (int, error) { return r.resp.Body.Read(p) }
 
-// ReadAll reads the complete body and ends the call. Errors: KindCallUnknown.
+// ReadBody reads the body into memory. If it is complete, the call has ended. It is not if limit
+// or the memory is used up; the rest can then be read with Read. Errors: KindCallUnknown.
+func (r *Reply) ReadBody(memory *tsintake.Body, limit int64) (parts [][]byte, isWhole bool, err error) {
+	parts, isWhole, err = memory.ReadPart(r.resp.Body, limit)
+	if err != nil {
+		r.Close()
+		return nil, false, turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: reading the body failed", r.key.id)
+	}
+	if isWhole {
+		r.Finish()
+	}
+	return parts, isWhole, nil
+}
+
+// ContentLength returns the announced length of the body; -1 if there is none.
+func (r *Reply) ContentLength() int64 { return r.resp.ContentLength }
+
+// ReadAll reads the complete body of up to MaxBodyBytes and ends the call, without a bound by the
+// memory of the machine. Errors: KindCallUnknown.
 func (r *Reply) ReadAll() ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.resp.Body, maxBodyBytes+1))
-	if err == nil && len(data) > maxBodyBytes {
-		err = errors.New("the body exceeds the size limit")
+	parts, isWhole, err := r.ReadBody(nil, MaxBodyBytes+1)
+	if err == nil && !isWhole {
+		r.Close()
+		err = turmericshed.NewError(turmericshed.KindCallUnknown, "server %s: the body exceeds %d bytes", r.key.id, MaxBodyBytes)
 	}
 	if err != nil {
-		r.Close()
-		return nil, turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: reading the body failed", r.key.id)
+		return nil, err
 	}
-	r.Finish()
-	return data, nil
+	return bytes.Join(parts, nil), nil
 }
 
 // EndedEarly reports whether the body of a read answer ended with its connection, and may not be
