Use a server again whose entry was missing for a moment

Cause: a server that is not in the list but has requests in flight was marked as leaving, and the mark stayed when the same process was listed again.

Change: it is marked as not listed, which the next list that has it clears. A server that said itself that it is leaving stays so.

Measured: TestServerIsUsedAgainAfterItsEntryWasMissing fails before and passes now.

--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -135,7 +135,7 @@
 	}
 	for id, s := range previous {
 		if r.servers[id] == nil && s.inflight > 0 {
-			s.leaving = true
+			s.unlisted = true
 			r.servers[id] = s
 		}
 	}
@@ -183,7 +183,7 @@
 // paused.
 func (r *Router) InService(now time.Time, id turmericshed.ServerID) bool {
 	s := r.servers[id]
-	return s != nil && !s.leaving && !now.Before(s.pausedUntil)
+	return s != nil && s.acceptsWork(now)
 }
 
 func (r *Router) setLeaving(s *server, reason string) {
--- a/core/tsroute/router_test.go
+++ b/core/tsroute/router_test.go
@@ -110,6 +110,27 @@
 	})
 }
 
+// Guards against a server that is never used again: its entry was unusable for a moment while a
+// request of this entry VM ran on it, and the same process is listed again.
+func TestServerIsUsedAgainAfterItsEntryWasMissing(t *testing.T) {
+	list := servers(1, 1)
+	r := newRouter(1, list)
+	s, err := r.Pick(epoch, chat)
+	assert.NilError(t, err)
+	r.SetServers(epoch, nil)
+	assert.Assert(t, !r.InService(epoch, s.ID), "a server that is not listed")
+	r.SetServers(epoch, list)
+	assert.Assert(t, r.InService(epoch, s.ID))
+	assert.DeepEqual(t, spread(t, r, epoch, chat, 2), map[turmericshed.ServerID]int{"s-0": 2})
+	r.Done(epoch, s.ID, chat, success)
+	t.Run("not if it said that it is leaving", func(t *testing.T) {
+		r.SetLeaving(epoch, s.ID)
+		r.SetServers(epoch, nil)
+		r.SetServers(epoch, list)
+		assert.Assert(t, !r.InService(epoch, s.ID))
+	})
+}
+
 func TestRelease(t *testing.T) {
 	r := newRouter(1, servers(1, 1))
 	s, err := r.Pick(epoch, chat)
--- a/core/tsroute/server.go
+++ b/core/tsroute/server.go
@@ -30,6 +30,8 @@
 	failureExpiries []time.Time
 	// leaving stays set for as long as the server is listed.
 	leaving bool
+	// unlisted is true for a server that is not in the list and kept for its requests in flight.
+	unlisted bool
 	// pausedUntil is the end of the pause that the server requested.
 	pausedUntil time.Time
 	breaker     breaker
@@ -62,6 +64,7 @@
 	if s.Slots <= 0 {
 		s.Slots = defaultSlots
 	}
+	s.unlisted = false
 	s.leaving = b.Leaving || (s.leaving && !isNewProcess)
 	if isNewProcess {
 		s.breaker, s.reportReceivedAt, s.pausedUntil = breaker{}, time.Time{}, time.Time{}
@@ -70,7 +73,9 @@
 }
 
 // acceptsWork reports whether the server may get new work at all.
-func (s *server) acceptsWork(now time.Time) bool { return !s.leaving && !now.Before(s.pausedUntil) }
+func (s *server) acceptsWork(now time.Time) bool {
+	return !s.leaving && !s.unlisted && !now.Before(s.pausedUntil)
+}
 
 // serves reports whether s does the kind of work that r requests.
 func (s *server) serves(r turmericshed.RouteRequest) bool {
