Connections whose body stalls give way to new ones

Cause: connections with bodies that never end count as running, so that as many as the limit kept every new caller out until their time was over.

--- a/core/tsintake/conns.go
+++ b/core/tsintake/conns.go
@@ -1,6 +1,9 @@
 package tsintake
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
 const (
 	// reservedDescriptors are the descriptors of files, listeners and the store.
@@ -32,23 +35,25 @@
 // ConnState is what a caller's connection is used for.
 type ConnState int
 
-// The states of a connection. connStates is their number.
+// The states of a connection. ConnStates is their number.
 const (
 	// AwaitingHead means that the head of the first request is not complete.
 	AwaitingHead ConnState = iota
-	// Running means that a request is read or served.
+	// ReadingBody means that the body of a request is not complete.
+	ReadingBody
+	// Running means that a request is served.
 	Running
 	// Refused means that the request is refused and its body is not read to its end. The
 	// connection is about to be closed.
 	Refused
 	// Idle means that the next request on the connection is awaited.
 	Idle
-	connStates
+	ConnStates
 )
 
 // String returns the snake-case name used in logs and metrics.
 func (s ConnState) String() string {
-	return [connStates]string{"awaiting_head", "running", "refused", "idle"}[s]
+	return [ConnStates]string{"awaiting_head", "reading_body", "running", "refused", "idle"}[s]
 }
 
 // ConnLimits are the limits of a Conns; 0 means no limit.
@@ -87,6 +92,7 @@
 type callerConn struct {
 	id        ConnID
 	state     ConnState
+	since     time.Time
 	headBytes int64
 	element   *list.Element
 }
@@ -97,7 +103,7 @@
 	limits ConnLimits
 	conns  map[ConnID]*callerConn
 	// byState holds the connections of each state, the one that is in it for longest first.
-	byState   [connStates]list.List
+	byState   [ConnStates]list.List
 	headBytes int64
 }
 
@@ -109,36 +115,44 @@
 
 // Open adds a connection. It returns the connections to close, which are removed, and whether the
 // new one may stay; if not, it is not added. Of the connections it gives up first those that are
-// about to be closed, then those without a complete head, then idle ones, and of each the one that
-// is in its state for longest. Connections with a running request are not closed.
-func (c *Conns) Open(id ConnID) (toClose []ConnID, ok bool) {
+// about to be closed, then those without a complete head, then idle ones, then those whose body is
+// not complete after the stall timeout, and of each the one that is in its state for longest.
+// Connections with a running request are not closed.
+func (c *Conns) Open(now time.Time, id ConnID) (toClose []ConnID, ok bool) {
 	if c.limits.Total > 0 && len(c.conns) >= c.limits.Total {
-		for _, s := range []ConnState{Refused, AwaitingHead, Idle} {
-			if v, found := c.oldest(s); found {
-				c.Close(v)
-				toClose = append(toClose, v)
-				break
-			}
-		}
-		if len(toClose) == 0 {
+		v, found := c.dispensable(now)
+		if !found {
 			return nil, false
 		}
+		c.Close(v)
+		toClose = append(toClose, v)
 	}
-	cc := &callerConn{id: id, state: AwaitingHead}
+	cc := &callerConn{id: id, state: AwaitingHead, since: now}
 	c.conns[id] = cc
 	cc.element = c.byState[AwaitingHead].PushBack(cc)
 	return append(toClose, c.trim(AwaitingHead, c.limits.Awaiting)...), true
 }
 
+// dispensable returns the connection to give up for a new one.
+func (c *Conns) dispensable(now time.Time) (ConnID, bool) {
+	for _, s := range []ConnState{Refused, AwaitingHead, Idle, ReadingBody} {
+		v, found := c.oldest(s)
+		if found && (s != ReadingBody || now.Sub(v.since) >= stallTimeout) {
+			return v.id, true
+		}
+	}
+	return 0, false
+}
+
 // SetState records the state of a connection, and returns the connections to close, which are
 // removed.
-func (c *Conns) SetState(id ConnID, s ConnState) []ConnID {
+func (c *Conns) SetState(now time.Time, id ConnID, s ConnState) []ConnID {
 	cc := c.conns[id]
 	if cc == nil || cc.state == s {
 		return nil
 	}
 	c.byState[cc.state].Remove(cc.element)
-	cc.state = s
+	cc.state, cc.since = s, now
 	cc.element = c.byState[s].PushBack(cc)
 	c.headBytes -= cc.headBytes
 	cc.headBytes = 0
@@ -153,7 +167,7 @@
 // limit.
 func (c *Conns) HeadReceived(id ConnID, n int) (toClose []ConnID) {
 	cc := c.conns[id]
-	if cc == nil || cc.state == Running || cc.state == Refused {
+	if cc == nil || cc.state != AwaitingHead && cc.state != Idle {
 		return nil
 	}
 	cc.headBytes += int64(n)
@@ -189,17 +203,18 @@
 func (c *Conns) trim(s ConnState, limit int) (removed []ConnID) {
 	for limit > 0 && c.byState[s].Len() > limit {
 		v, _ := c.oldest(s)
-		c.Close(v)
-		removed = append(removed, v)
+		c.Close(v.id)
+		removed = append(removed, v.id)
 	}
 	return removed
 }
 
-func (c *Conns) oldest(s ConnState) (ConnID, bool) {
+// oldest returns the connection that is in the state for longest.
+func (c *Conns) oldest(s ConnState) (*callerConn, bool) {
 	e := c.byState[s].Front()
 	if e == nil {
-		return 0, false
+		return nil, false
 	}
-	cc, _ := e.Value.(*callerConn)
-	return cc.id, true
+	cc, ok := e.Value.(*callerConn)
+	return cc, ok
 }
--- a/core/tsintake/conns_test.go
+++ b/core/tsintake/conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -16,9 +17,9 @@
 	t.Helper()
 	c := tsintake.NewConns(limits)
 	for i := range n {
-		_, ok := c.Open(tsintake.ConnID(i + 1))
+		_, ok := c.Open(start, tsintake.ConnID(i+1))
 		assert.Assert(t, ok)
-		c.SetState(tsintake.ConnID(i+1), s)
+		c.SetState(start, tsintake.ConnID(i+1), s)
 	}
 	return c
 }
@@ -44,7 +45,7 @@
 // have waited for longest go.
 func TestConnectionsWithoutAHeadAreClosed(t *testing.T) {
 	c := connsIn(t, 5, tsintake.AwaitingHead)
-	toClose, ok := c.Open(6)
+	toClose, ok := c.Open(start, 6)
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, toClose, []tsintake.ConnID{1})
 	assert.Equal(t, c.Count(tsintake.AwaitingHead), 5)
@@ -53,7 +54,7 @@
 // Guards against closing a connection whose request may run.
 func TestRunningConnectionsStay(t *testing.T) {
 	c := connsIn(t, 10, tsintake.Running)
-	toClose, ok := c.Open(11)
+	toClose, ok := c.Open(start, 11)
 	assert.Assert(t, !ok)
 	assert.Equal(t, len(toClose), 0)
 	assert.Equal(t, c.Count(tsintake.Running), 10)
@@ -64,27 +65,39 @@
 func TestNewConnectionsReplaceUnusedOnes(t *testing.T) {
 	t.Run("the one that is idle for longest", func(t *testing.T) {
 		c := connsIn(t, 10, tsintake.Idle)
-		c.SetState(1, tsintake.Running)
-		toClose, ok := c.Open(11)
+		c.SetState(start, 1, tsintake.Running)
+		toClose, ok := c.Open(start, 11)
 		assert.Assert(t, ok)
 		assert.DeepEqual(t, toClose, []tsintake.ConnID{2})
 	})
 	t.Run("a refused one first", func(t *testing.T) {
 		c := connsIn(t, 10, tsintake.Idle)
-		c.SetState(7, tsintake.Refused)
-		toClose, ok := c.Open(11)
+		c.SetState(start, 7, tsintake.Refused)
+		toClose, ok := c.Open(start, 11)
 		assert.Assert(t, ok)
 		assert.DeepEqual(t, toClose, []tsintake.ConnID{7})
 	})
 }
 
+// Guards against callers that occupy all connections with bodies that never end, and against
+// closing one whose body arrives.
+func TestConnectionsWithAStalledBodyGiveWay(t *testing.T) {
+	c := connsIn(t, 10, tsintake.ReadingBody)
+	_, ok := c.Open(start.Add(10*time.Millisecond), 11)
+	assert.Assert(t, !ok)
+	c.SetState(start, 1, tsintake.Running)
+	toClose, ok := c.Open(start.Add(timeToStall), 11)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, toClose, []tsintake.ConnID{2})
+}
+
 // Guards against unread bytes of many refused bodies in the kernel's buffers.
 func TestRefusedConnectionsAreBounded(t *testing.T) {
 	c := connsIn(t, 4, tsintake.Running)
 	for id := range tsintake.ConnID(3) {
-		assert.Equal(t, len(c.SetState(id+1, tsintake.Refused)), 0)
+		assert.Equal(t, len(c.SetState(start, id+1, tsintake.Refused)), 0)
 	}
-	assert.DeepEqual(t, c.SetState(4, tsintake.Refused), []tsintake.ConnID{1})
+	assert.DeepEqual(t, c.SetState(start, 4, tsintake.Refused), []tsintake.ConnID{1})
 }
 
 // Guards against heads that are never complete and hold memory on many connections.
@@ -93,7 +106,7 @@
 	assert.Equal(t, len(c.HeadReceived(1, 400)), 0)
 	assert.Equal(t, len(c.HeadReceived(2, 500)), 0)
 	assert.DeepEqual(t, c.HeadReceived(3, 300), []tsintake.ConnID{2})
-	c.SetState(1, tsintake.Running)
+	c.SetState(start, 1, tsintake.Running)
 	assert.Equal(t, len(c.HeadReceived(1, 5000)), 0, "a body is no head")
 	assert.Equal(t, len(c.HeadReceived(3, 700)), 0)
 	assert.DeepEqual(t, c.HeadReceived(3, 1), []tsintake.ConnID{3})
@@ -108,7 +121,7 @@
 		c.Close(id + 1)
 	}
 	assert.Equal(t, c.Count(tsintake.AwaitingHead), 0)
-	_, ok := c.Open(6)
+	_, ok := c.Open(start, 6)
 	assert.Assert(t, ok)
 	assert.Equal(t, len(c.HeadReceived(6, 1000)), 0)
 }
--- a/io/tsintake/conn.go
+++ b/io/tsintake/conn.go
@@ -54,7 +54,7 @@
 	in.lastID++
 	cc := &conn{Conn: c, in: in, id: tsintake.ConnID(in.lastID)}
 	cc.readsHead.Store(true)
-	toClose, ok := in.conns.Open(cc.id)
+	toClose, ok := in.conns.Open(time.Now(), cc.id)
 	if ok {
 		in.open[cc.id] = cc
 	}
@@ -147,14 +147,14 @@
 	if isDue {
 		in.loggedAt, in.closedSince = now, 0
 	}
-	var open [4]int
+	var open [tsintake.ConnStates]int
 	for s := range open {
 		open[s] = in.conns.Count(tsintake.ConnState(s))
 	}
 	in.mu.Unlock()
 	if isDue && in.log != nil {
 		in.log.Warn("closed connections of callers to stay within the limits", "closed", total, "reason", reason,
-			"awaiting_head", open[tsintake.AwaitingHead], "running", open[tsintake.Running], "idle", open[tsintake.Idle])
+			"awaiting_head", open[tsintake.AwaitingHead], "reading_body", open[tsintake.ReadingBody], "running", open[tsintake.Running], "idle", open[tsintake.Idle])
 	}
 }
 
@@ -178,7 +178,7 @@
 	cc.readsHead.Store(s == tsintake.AwaitingHead || s == tsintake.Idle)
 	in := cc.in
 	in.mu.Lock()
-	victims := in.takeOut(in.conns.SetState(cc.id, s))
+	victims := in.takeOut(in.conns.SetState(time.Now(), cc.id, s))
 	in.mu.Unlock()
 	in.closeAll(victims, reasonConnections)
 }
--- a/io/tsintake/intake.go
+++ b/io/tsintake/intake.go
@@ -87,7 +87,7 @@
 		defer in.mu.Unlock()
 		return float64(in.budget.Held())
 	}))
-	for _, s := range []tsintake.ConnState{tsintake.AwaitingHead, tsintake.Running, tsintake.Refused, tsintake.Idle} {
+	for _, s := range []tsintake.ConnState{tsintake.AwaitingHead, tsintake.ReadingBody, tsintake.Running, tsintake.Refused, tsintake.Idle} {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "turmericshed_caller_connections", Help: "Open connections of callers by state.",
 			ConstLabels: prometheus.Labels{"state": s.String()},
--- a/io/tsrelay/body.go
+++ b/io/tsrelay/body.go
@@ -40,6 +40,7 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(q.w, q.r.Body, limit)
 	}
+	q.setConnState(tsintake.ReadingBody)
 	q.memory = q.relay.cfg.Intake.NewBody(func() { _ = q.rc.SetReadDeadline(time.Unix(1, 0)) })
 	parts, err := q.memory.ReadAll(body, q.r.ContentLength)
 	if err == nil {
@@ -56,6 +57,7 @@
 	default:
 		return turmericshed.WrapError(turmericshed.KindCanceled, err, "reading the request body failed")
 	}
+	q.setConnState(tsintake.Running)
 	q.hasWholeBody = true
 	q.body = parts
 	for _, part := range parts {
@@ -81,6 +83,13 @@
 	}
 }
 
+// setConnState records what the caller's connection is used for.
+func (q *request) setConnState(s tsintake.ConnState) {
+	if c, ok := q.r.Context().Value(callerConnKey{}).(net.Conn); ok {
+		intake.SetState(c, s)
+	}
+}
+
 // refuseBody prepares the refusal of a request whose body is not read to its end: the memory is
 // free for others at once, the rest is read only in a small part and for a short time, and a
 // connection on which memory was refused, or whose body is too large, is closed.
@@ -89,9 +98,7 @@
 		return
 	}
 	q.releaseBody()
-	if c, ok := q.r.Context().Value(callerConnKey{}).(net.Conn); ok {
-		intake.SetState(c, tsintake.Refused)
-	}
+	q.setConnState(tsintake.Refused)
 	if err := q.rc.SetReadDeadline(time.Now().Add(unreadTimeout)); err != nil {
 		q.relay.cfg.Log.Debug("cannot bound the reading of an unneeded body", "request", string(q.inbound.ID), "error", err.Error())
 	}
--- a/load/tshostile/callers_test.go
+++ b/load/tshostile/callers_test.go
@@ -179,6 +179,17 @@
 
 // Guards against connections that use up the descriptors without sending a request.
 func TestConnectionsWithoutARequest(t *testing.T) {
+	connectionCrowd(t, []byte("POST /look/1 HTTP/1.1\r\nHost: corner.example\r\n"))
+}
+
+// Guards against connections that use up the descriptors with small bodies that never end.
+func TestConnectionsWithASmallBodyThatStopsShort(t *testing.T) {
+	connectionCrowd(t, append(lengthHead(1000), "first bytes"...))
+}
+
+// connectionCrowd opens many connections that send the same bytes.
+func connectionCrowd(t *testing.T, sent []byte) {
+	t.Helper()
 	g := startWithDesk(t)
 	s := startSampler(g.cmd.Process.Pid, g.callerPort)
 	var c crowd
@@ -187,7 +198,7 @@
 		if conn == nil {
 			break
 		}
-		_, err := conn.Write([]byte("POST /look/1 HTTP/1.1\r\nHost: corner.example\r\n"))
+		_, err := conn.Write(sent)
 		_ = err // The gateway may have closed the connection.
 	}
 	time.Sleep(stallPeriod)
