Tests: the scripted server says that it closes its connections

Once, with -race beside a load of 29, the next request went out on a connection that the server was closing: 502 no_backend.

--- a/io/tsgateway/answers_test.go
+++ b/io/tsgateway/answers_test.go
@@ -22,7 +22,7 @@
 	r := newRig(t, 1_000_000)
 	r.entryVM = r.startWith("vm-tiny", func(cfg *tsgateway.Config) { cfg.Settings.MemoryBytes = tinyMachine })
 	r.startScripted(func(c *net.TCPConn, id string) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\nResponse-Stamp: s\r\n", head, id)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\nResponse-Stamp: s\r\nConnection: close\r\n", head, id)
 		send(c)
 	})
 	return r
