--- /dev/null
+++ b/io/tsintake/conn.go
@@ -0,0 +1,225 @@
+package tsintake
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"turmericshed/core/tsintake"
+)
+
+// Reasons for closing a connection, the values of the label "reason".
+const (
+	reasonConnections = "connections"
+	reasonHeadBytes   = "head_bytes"
+)
+
+// Listener returns a listener that closes connections over the limits: others than the new one
+// where that is possible. The kernel's receive buffers of its connections are bounded.
+func (in *Intake) Listener(ln net.Listener) net.Listener {
+	if in == nil {
+		return ln
+	}
+	return &listener{ln, in}
+}
+
+type listener struct {
+	net.Listener
+	in *Intake
+}
+
+// Accept returns the next connection that may stay.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if cc, ok := l.in.addConn(c); ok {
+			return cc, nil
+		}
+		_ = c.Close()
+	}
+}
+
+// addConn counts a new connection, and reports whether it may stay.
+func (in *Intake) addConn(c net.Conn) (*conn, bool) {
+	in.mu.Lock()
+	in.lastID++
+	cc := &conn{Conn: c, in: in, id: tsintake.ConnID(in.lastID)}
+	cc.readsHead.Store(true)
+	toClose, ok := in.conns.Open(time.Now(), cc.id)
+	if ok {
+		in.open[cc.id] = cc
+	}
+	victims := in.takeOut(toClose)
+	in.mu.Unlock()
+	in.closeAll(victims, reasonConnections)
+	if !ok {
+		in.noteClosed(1, reasonConnections)
+		return nil, false
+	}
+	in.boundBuffers(cc)
+	return cc, true
+}
+
+// Dialer wraps dial so that the kernel's buffers of the connections that it opens are bounded.
+func (in *Intake) Dialer(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		in.boundBuffers(c)
+		return c, nil
+	}
+}
+
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// boundBuffers sets the sizes of a connection's buffers in the kernel where the machine's memory
+// is known.
+func (in *Intake) boundBuffers(c net.Conn) {
+	if in.limits.HeadBytes <= 0 {
+		return
+	}
+	err := setBuffers(c, tsintake.SocketBufferBytes)
+	if err != nil && in.log != nil {
+		in.log.Debug("cannot bound the buffers of a connection", "error", err.Error())
+	}
+}
+
+// setBuffers sets the sizes of both buffers; the kernel adds as much for its own overhead.
+func setBuffers(c net.Conn, bytes int) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
+			setErr = errors.Join(setErr, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, bytes))
+		}
+	})
+	return errors.Join(err, setErr)
+}
+
+// takeOut removes the connections with the ids. in.mu must be held.
+func (in *Intake) takeOut(ids []tsintake.ConnID) (victims []*conn) {
+	for _, id := range ids {
+		if c := in.open[id]; c != nil {
+			victims = append(victims, c)
+			delete(in.open, id)
+		}
+	}
+	return victims
+}
+
+// closeAll closes connections to stay within the limits.
+func (in *Intake) closeAll(victims []*conn, reason string) {
+	if len(victims) == 0 {
+		return
+	}
+	for _, c := range victims {
+		_ = c.Close()
+	}
+	in.noteClosed(len(victims), reason)
+}
+
+// noteClosed counts closed connections, and logs them at most once per logInterval.
+func (in *Intake) noteClosed(n int, reason string) {
+	in.closed.WithLabelValues(reason).Add(float64(n))
+	in.mu.Lock()
+	in.closedSince += n
+	total, now := in.closedSince, time.Now()
+	isDue := now.Sub(in.loggedAt) >= logInterval
+	if isDue {
+		in.loggedAt, in.closedSince = now, 0
+	}
+	var open [tsintake.ConnStates]int
+	for s := range open {
+		open[s] = in.conns.Count(tsintake.ConnState(s))
+	}
+	in.mu.Unlock()
+	if isDue && in.log != nil {
+		in.log.Warn("closed connections of callers to stay within the limits", "closed", total, "reason", reason,
+			"awaiting_head", open[tsintake.AwaitingHead], "reading_body", open[tsintake.ReadingBody], "running", open[tsintake.Running], "idle", open[tsintake.Idle])
+	}
+}
+
+// conn is a caller's connection that counts toward the limits.
+type conn struct {
+	net.Conn
+	in   *Intake
+	id   tsintake.ConnID
+	once sync.Once
+	// readsHead is true while the bytes that are read belong to the head of a request.
+	readsHead atomic.Bool
+}
+
+// SetState records what a connection is used for. It does nothing for a connection that no
+// listener of this package accepted.
+func SetState(c net.Conn, s tsintake.ConnState) {
+	cc, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	cc.readsHead.Store(s == tsintake.AwaitingHead || s == tsintake.Idle)
+	in := cc.in
+	in.mu.Lock()
+	victims := in.takeOut(in.conns.SetState(time.Now(), cc.id, s))
+	in.mu.Unlock()
+	in.closeAll(victims, reasonConnections)
+}
+
+// Read reads from the connection. Bytes of a head count toward the limit of all heads.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.readsHead.Load() {
+		in := c.in
+		in.mu.Lock()
+		victims := in.takeOut(in.conns.HeadReceived(c.id, n))
+		in.mu.Unlock()
+		in.closeAll(victims, reasonHeadBytes)
+	}
+	return n, err
+}
+
+// Close closes the connection and removes it from the count.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		c.in.mu.Lock()
+		defer c.in.mu.Unlock()
+		c.in.conns.Close(c.id)
+		delete(c.in.open, c.id)
+	})
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the writing side, if the connection supports it.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// SyscallConn returns the raw connection. Error: EINVAL if the connection has none.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return sc.SyscallConn()
+}
--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -9,7 +9,7 @@
 //
 //	c := tsupstream.New(tsupstream.Config{Codec: codec})
 //	reply, err := c.Send(ctx, call) // KindNoBackend, KindOverloaded: not sent
-//	body, err := reply.ReadAll()    // or reply.Read, then reply.Close
+//	body, isWhole, err := reply.ReadBody(memory, limit) // or reply.Read, then reply.Close
 package tsupstream
 
 import (
@@ -17,6 +17,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -26,6 +27,7 @@
 	"time"
 
 	"turmericshed"
+	"turmericshed/io/tsintake"
 )
 
 const (
@@ -42,12 +44,15 @@
 	// maxInlineBodyBytes is the largest body that is written before the answer is
 	// read. A larger one is written concurrently, since a server may answer early.
 	maxInlineBodyBytes = 4 << 10
-	// maxBodyBytes bounds the body that ReadAll holds in memory.
-	maxBodyBytes = 16 << 20
+	// MaxBodyBytes bounds the body of an answer that is not a stream of events.
+	MaxBodyBytes = 16 << 20
 	// maxDiscardBytes and discardTimeout bound the reading of an unneeded body, which
 	// allows its connection to be reused.
 	maxDiscardBytes = 4 << 10
 	discardTimeout  = 50 * time.Millisecond
+	// writeResultTimeout bounds the wait for the result of a write after the answer has ended.
+	// A server that has read the whole request has left nothing to write.
+	writeResultTimeout = 200 * time.Millisecond
 	// sweepInterval is the time between checks for expired connections.
 	sweepInterval = time.Second
 )
@@ -96,7 +101,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body holds the parts of the body.
+	Body [][]byte
 	// AtMostOnce marks a request that must not run twice. It is not sent on a connection
 	// that the server may have dropped.
 	AtMostOnce bool
@@ -119,8 +125,11 @@
 	key    serverKey
 	conn   *conn
 	resp   *http.Response
-	// writeDone receives the result of writing the request.
+	// writeDone receives the result of writing the request. Once it was received, isWritten is
+	// true and writeErr the result.
 	writeDone     chan error
+	isWritten     bool
+	writeErr      error
 	stopAfterFunc func() bool
 	isClosed      bool
 }
@@ -192,17 +201,23 @@
 	if err := call.Header.Write(&head); err != nil {
 		return err
 	}
-	if len(call.Body) > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	size := 0
+	for _, part := range call.Body {
+		size += len(part)
+	}
+	if size > 0 || (call.Method != http.MethodGet && call.Method != http.MethodHead) {
+		head.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(call.Body) <= maxInlineBodyBytes {
-		head.Write(call.Body)
+	if size <= maxInlineBodyBytes {
+		for _, part := range call.Body {
+			head.Write(part)
+		}
 		err := r.writeUntil(call, until, net.Buffers{head.Bytes()})
 		r.writeDone <- nil
 		return err
 	}
-	go func() { r.writeDone <- r.writeUntil(call, until, net.Buffers{head.Bytes(), call.Body}) }()
+	go func() { r.writeDone <- r.writeUntil(call, until, append(net.Buffers{head.Bytes()}, call.Body...)) }()
 	return nil
 }
 
@@ -257,40 +272,75 @@
 	return r.Info.ID == call.ID
 }
 
-// readResponse returns the first answer that is not informational (1xx).
+// readResponse returns the first answer that is not informational (1xx). net/http accepts every
+// number of three digits as a status; those that HTTP does not define are errors, and so is 101,
+// after which another protocol would follow that no request asks for.
 func readResponse(br *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(br, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		switch s := resp.StatusCode; {
+		case s < http.StatusContinue, s == http.StatusSwitchingProtocols, s > maxStatus:
+			return nil, fmt.Errorf("%w %03d", errBadStatus, s)
+		case s >= http.StatusOK:
+			return resp, nil
 		}
 	}
 }
 
+// maxStatus is the largest status that HTTP defines a class for.
+const maxStatus = 599
+
+var errBadStatus = errors.New("the answer has the invalid status")
+
 // Read reads the body. It returns io.EOF only after a complete body.
 func (r *Reply) Read(p []byte) (int, error) { return r.resp.Body.Read(p) }
 
-// ReadAll reads the complete body and ends the call. Errors: KindCallUnknown.
+// ReadBody reads the body into memory. If it is complete, the call has ended. It is not if limit
+// or the memory is used up; the rest can then be read with Read. Errors: KindCallUnknown.
+func (r *Reply) ReadBody(memory *tsintake.Body, limit int64) (parts [][]byte, isWhole bool, err error) {
+	parts, isWhole, err = memory.ReadPart(r.resp.Body, limit)
+	if err != nil {
+		r.Close()
+		return nil, false, turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: reading the body failed", r.key.id)
+	}
+	if isWhole {
+		r.Finish()
+	}
+	return parts, isWhole, nil
+}
+
+// ContentLength returns the announced length of the body; -1 if there is none.
+func (r *Reply) ContentLength() int64 { return r.resp.ContentLength }
+
+// ReadAll reads the complete body of up to MaxBodyBytes and ends the call, without a bound by the
+// memory of the machine. Errors: KindCallUnknown.
 func (r *Reply) ReadAll() ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(r.resp.Body, maxBodyBytes+1))
-	if err == nil && len(data) > maxBodyBytes {
-		err = errors.New("the body exceeds the size limit")
+	parts, isWhole, err := r.ReadBody(nil, MaxBodyBytes+1)
+	if err == nil && !isWhole {
+		r.Close()
+		err = turmericshed.NewError(turmericshed.KindCallUnknown, "server %s: the body exceeds %d bytes", r.key.id, MaxBodyBytes)
 	}
 	if err != nil {
-		r.Close()
-		return nil, turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: reading the body failed", r.key.id)
+		return nil, err
 	}
-	r.Finish()
-	return data, nil
+	return bytes.Join(parts, nil), nil
 }
 
-// EndedWithServer reports whether the body of a read answer ended with its connection and
-// the server refuses connections since. The server may then have terminated before the
-// body was complete, which the framing can't show.
-func (r *Reply) EndedWithServer(ctx context.Context) bool {
+// EndedEarly reports whether the body of a read answer ended with its connection, and may not be
+// complete, which the framing can't show: the request was not written to its end, or the server
+// refuses connections since and may have terminated. When the server resets the connection
+// while the request is being written, the failed write takes up the socket's error, and the
+// reader sees an orderly end.
+func (r *Reply) EndedEarly(ctx context.Context) bool {
 	if r.IsFramed() {
 		return false
 	}
+	if !r.wroteRequest(writeResultTimeout) {
+		return true
+	}
 	c, err := r.client.conns.dial(ctx, "tcp", r.key.addr)
 	if err == nil {
 		_ = c.Close()
@@ -336,15 +386,29 @@
 // written completely, the answer's end is known from its framing, the server does not
 // close the connection, and no bytes follow.
 func (r *Reply) isReusable() bool {
-	select {
-	case err := <-r.writeDone:
-		if err != nil {
-			return false
+	return r.wroteRequest(0) && r.IsFramed() && !r.resp.Close && r.conn.br.Buffered() == 0
+}
+
+// wroteRequest reports whether the request was written completely. It waits for the result for
+// the given time.
+func (r *Reply) wroteRequest(wait time.Duration) bool {
+	if !r.isWritten {
+		select {
+		case r.writeErr = <-r.writeDone:
+			r.isWritten = true
+		default:
+		}
+	}
+	if !r.isWritten && wait > 0 {
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		select {
+		case r.writeErr = <-r.writeDone:
+			r.isWritten = true
+		case <-t.C:
 		}
-	default:
-		return false
 	}
-	return r.IsFramed() && !r.resp.Close && r.conn.br.Buffered() == 0
+	return r.isWritten && r.writeErr == nil
 }
 
 // IsFramed reports whether the body has a length or is chunked, rather than ending with
