Load of a server: fourth figure, contracts and token memory

Servers of newer deployments report a fourth figure in Server-Load, how long work takes now. The decoder dropped the whole header for anything but three figures. It now reads three or four, ignores later ones, and keeps the counts when only the work time is malformed. The relay logs a malformed load once per server until it changes.

PoolConfig.ServeTime and tsroute.Config.ServeTime are off and not used yet.

--- a/backend.go
+++ b/backend.go
@@ -123,7 +123,9 @@
 	Queued  int       `json:"queued"`
 	// TokensPerSecond is the recent generation rate.
 	TokensPerSecond float64 `json:"tokens_per_second"`
-	Leaving         bool    `json:"leaving,omitempty"`
+	// WorkTime is ServerLoad.WorkTime at that time; 0 if not reported.
+	WorkTime float64 `json:"work_time,omitempty"`
+	Leaving  bool    `json:"leaving,omitempty"`
 }
 
 // LoadReader reads a backend server's published load.
--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -58,6 +58,9 @@
 	// failure domain and another region must be less loaded.
 	RemotePenalty float64
 	RegionPenalty float64
+	// ServeTime makes Pick weigh servers by the time to serve a request instead of by
+	// requests per slot, see serve_time.go.
+	ServeTime bool
 	// Recorder receives events about leaving servers and circuit breakers. It
 	// may be nil.
 	Recorder turmericshed.Recorder
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -236,10 +236,7 @@
 	if f := q.relay.cfg.Freshness; f != nil {
 		f.RecordExchange(time.Now(), began)
 	}
-	if reply.Info.HasLoad {
-		l := reply.Info.Load
-		q.relay.cfg.Router.Report(time.Now(), turmericshed.LoadReport{Server: server.ID, At: began.Add(firstByte / 2), Running: l.Running, Queued: l.Queued})
-	}
+	q.relay.reportLoad(server.ID, began.Add(firstByte/2), reply.Info)
 	q.applyReplyInfo(server, began, reply.Info)
 	if reply.Info.NotRun {
 		return nil, firstByte, q.handleRefusal(server, reply)
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -104,6 +104,8 @@
 	mu      sync.Mutex
 	bounds  RetryLimits
 	retries map[string]*tsadmit.RetryWindow
+
+	malformedLoads malformedLoads
 }
 
 // New returns a relay without a routing table, which refuses every request until
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -46,6 +46,9 @@
 	// Homes is the number of servers at which the same prefix may be cached; 0
 	// means the router's default.
 	Homes int
+	// ServeTime makes the router weigh servers by the time to serve a request instead of
+	// by requests per slot.
+	ServeTime bool
 	// LoadReader reads a server's load; nil disables polling.
 	LoadReader turmericshed.LoadReader
 	Rand       *rand.Rand
@@ -74,6 +77,7 @@
 	}
 	p := &Pool{cfg: cfg, router: tsroute.New(tsroute.Config{
 		FailureDomain: cfg.FailureDomain, Region: cfg.Region, Homes: cfg.Homes, Rand: cfg.Rand, Recorder: cfg.Recorder,
+		ServeTime: cfg.ServeTime,
 	})}
 	p.router.SetServers(time.Now(), cfg.Board.Servers.Read())
 	return p
--- a/routing_table.go
+++ b/routing_table.go
@@ -59,6 +59,9 @@
 	// TokensPerEvent is the maximum number of tokens in a stream event; 0 for
 	// plain services.
 	TokensPerEvent Tokens
+	// MemoryTokens is the number of tokens of running requests, prompt and output, that
+	// one server can hold in memory; 0 if unknown.
+	MemoryTokens Tokens
 }
 
 // CallerLimits limits the requests and connections of callers.
@@ -155,6 +158,9 @@
 	// Load is set if HasLoad is true.
 	Load    ServerLoad
 	HasLoad bool
+	// MalformedLoad is the beginning of a malformed load, quoted for the log; empty if
+	// the load is absent or well-formed.
+	MalformedLoad string
 }
 
 // ServerLoad is the load that a backend server reports with an answer.
@@ -162,4 +168,7 @@
 	Running int
 	Queued  int
 	Slots   int
+	// WorkTime is how long work takes on the server now, relative to usual: 2 means twice
+	// as long. 0 if not reported.
+	WorkTime float64
 }
