Choice of a server by time to serve, and load shared between entry VMs

Servers of one service differ in speed and slow down for moments, which requests per slot do not show. Where a server reports its work time, or the deployment asks for admission, core/tsroute/serve_time.go chooses by the expected time to serve.

core/tsload and io/tsload exchange load readings within a failure domain through one gatherer, and thinned between failure domains.

--- a/backend.go
+++ b/backend.go
@@ -125,7 +125,10 @@
 	TokensPerSecond float64 `json:"tokens_per_second"`
 	// WorkTime is ServerLoad.WorkTime at that time; 0 if not reported.
 	WorkTime float64 `json:"work_time,omitempty"`
-	Leaving  bool    `json:"leaving,omitempty"`
+	// Relayed is true if another entry VM took the reading. It then tells nothing about
+	// the path from this entry VM to the server.
+	Relayed bool `json:"-"`
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // LoadReader reads a backend server's published load.
--- a/core/tspreference/picker.go
+++ b/core/tspreference/picker.go
@@ -32,6 +32,12 @@
 	return failing
 }
 
+// Skips reports whether an entry VM is skipped now because it failed recently.
+func (p *Picker) Skips(now time.Time, vm turmericshed.EntryVM) bool {
+	at, ok := p.failedAt[vm.Name]
+	return ok && now.Sub(at) < p.SkipDuration
+}
+
 // Order returns the entry VMs to query, in order: those of the first n of
 // self's failure domain that are not skipped. The list ends at self, which
 // needs no other entry VM from there on. If all of those before self are
--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -59,6 +59,8 @@
 	// groups and homes are buffers that are reused between picks.
 	groups [distanceCount][]candidate
 	homes  []candidate
+	// choices is such a buffer as well.
+	choices []choice
 }
 
 // candidate is a server that may be chosen, with its load per slot.
@@ -91,7 +93,15 @@
 // that does is at its allowance.
 func (r *Router) Pick(now time.Time, req turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
 	p := r.poolFor(req)
-	s := r.choose(now, p, req)
+	if req.Estimate != nil {
+		*req.Estimate = turmericshed.RouteEstimate{}
+	}
+	var s *server
+	if r.weighsServeTime(req) {
+		s = r.chooseByServeTime(now, p, req)
+	} else {
+		s = r.choose(now, p, req)
+	}
 	if s == nil {
 		s = r.fallback(now, p, req)
 	}
@@ -104,6 +114,7 @@
 		s.reachability.lastProbe = now
 	}
 	s.addInflight(now, 1)
+	s.beginServing(now, req)
 	return s.BackendServer, nil
 }
 
--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -79,6 +79,10 @@
 	// when the list changes.
 	pools      map[poolKey]*pool
 	popularity popularity
+	// learnt is what serve_time.go learnt, by kind of request.
+	learnt map[poolKey]*serveTimes
+	// familiarSeed makes the preferred servers differ between entry VMs.
+	familiarSeed uint64
 	// isInitialized is true once a list with servers was set.
 	isInitialized bool
 	// latestAnsweredStart is the latest start time of an attempt that got a
@@ -108,7 +112,7 @@
 	}
 	return &Router{
 		cfg: cfg, servers: map[turmericshed.ServerID]*server{}, domains: map[turmericshed.FailureDomain]*reachability{},
-		pools: map[poolKey]*pool{},
+		pools: map[poolKey]*pool{}, learnt: map[poolKey]*serveTimes{},
 	}
 }
 
@@ -160,8 +164,13 @@
 		return
 	}
 	s.report, s.reportReceivedAt = rep, now
-	r.updateReachabilityFromReport(s)
+	if !rep.Relayed {
+		r.updateReachabilityFromReport(s)
+	}
 	s.othersReported = float64(max(rep.Running+rep.Queued-s.history.countAt(rep.At), 0))
+	if rep.WorkTime > 0 {
+		r.markReporting(s)
+	}
 }
 
 // SetLeaving immediately stops new work to a server for as long as it is
@@ -197,10 +206,12 @@
 }
 
 // Done records the result of an attempt that Pick counted.
-func (r *Router) Done(now time.Time, id turmericshed.ServerID, _ turmericshed.RouteRequest, res turmericshed.DispatchResult) {
+func (r *Router) Done(now time.Time, id turmericshed.ServerID, req turmericshed.RouteRequest, res turmericshed.DispatchResult) {
 	s := r.servers[id]
 	turmericshed.Assert(s != nil, "done_after_pick", "server %s is not known", id)
 	s.addInflight(now, -1)
+	s.endServing(req)
+	r.recordServed(req, res)
 	res.Inconclusive = res.Inconclusive && !r.laterAttemptAnswered(now, res)
 	r.updateReachability(now, s, res)
 	switch classify(res) {
--- a/core/tsroute/server.go
+++ b/core/tsroute/server.go
@@ -42,6 +42,9 @@
 	othersReported float64
 	// reportReceivedAt is zero if there is no report.
 	reportReceivedAt time.Time
+	// pace is the server's speed, and reportsWorkTime is true if it reports its work time.
+	pace            servePace
+	reportsWorkTime bool
 }
 
 func newServer(b turmericshed.BackendServer) *server {
@@ -66,6 +69,8 @@
 	if isNewProcess {
 		s.breaker, s.reportReceivedAt, s.pausedUntil = breaker{}, time.Time{}, time.Time{}
 		s.breaker.startRamp()
+		// Requests in flight at the earlier process still end what they counted.
+		s.pace = servePace{unread: s.pace.unread, memory: s.pace.memory}
 	}
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -144,6 +144,32 @@
 	Cost Tokens
 	// Excluded lists the servers that already failed this request.
 	Excluded []ServerID
+	// PromptTokens and MaxOutput limit the tokens of a generation, and PrefixTokens is the
+	// part of the prompt that Prefix stands for; 0 for plain services.
+	PromptTokens Tokens
+	PrefixTokens Tokens
+	MaxOutput    Tokens
+	// MemoryTokens is ServiceSpec.MemoryTokens of the service; 0 if unknown.
+	MemoryTokens Tokens
+	// Estimate receives what Pick expected of the chosen server. It may be nil; a router
+	// that weighs servers by time to serve then learns nothing from the attempt.
+	Estimate *RouteEstimate
+}
+
+// RouteEstimate is what a router expected when it chose a server for an attempt. The
+// router that fills it also reads it; others only log it.
+type RouteEstimate struct {
+	// UnreadTokens are the request's own prompt tokens that the server has to read, and
+	// ReadTokens those together with what it has to read before them.
+	UnreadTokens Tokens
+	ReadTokens   Tokens
+	// ServeTime is the expected time to serve the request; 0 if servers were not weighed
+	// by it.
+	ServeTime time.Duration
+	// Began is when the server was chosen, and IsReading is true until its first byte, or
+	// the end of the attempt.
+	Began     time.Time
+	IsReading bool
 }
 
 // DispatchResult is the result of one attempt at a backend server.
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -32,6 +32,7 @@
 	"turmericshed/io/tscrash"
 	"turmericshed/io/tsfeed"
 	"turmericshed/io/tsholder"
+	"turmericshed/io/tsload"
 	"turmericshed/io/tsmeter"
 	"turmericshed/io/tsmirror"
 	"turmericshed/io/tsobserve"
@@ -103,6 +104,7 @@
 	permits    *tspermits.Permits
 	crashWatch *tscrash.Watch
 	pool       *tsrouting.Pool
+	loads      *tsload.Sharer
 	upstream   *tsupstream.Client
 	meter      *tsmeter.Meter
 	// freshness decides for how long store updates may be acted on.
@@ -168,7 +170,17 @@
 		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "crashes"),
 	})
 	g.peerServer.Mount(g.crashWatch.Handler())
-	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{FailureDomain: g.self.FailureDomain, Homes: serversPerPrefix, Board: g.board, Limits: g.permits, Recorder: events})
+	g.loads = tsload.New(tsload.Config{
+		Board: g.board, Members: g.registry, Peers: transport, Link: g.meter, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "loads"),
+	})
+	g.peerServer.Mount(g.loads.Handler())
+	if s.ShareLoad {
+		g.loads.Enable("settings")
+	}
+	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{
+		FailureDomain: g.self.FailureDomain, Homes: serversPerPrefix, Board: g.board, Limits: g.permits, Recorder: events,
+		ServeTime: s.ShareLoad, OnReport: g.loads.Record,
+	})
 	g.freshness = tsfreshness.New(freshnessBounds(s))
 	feed := tsfeed.New(tsfeed.Config{
 		Members: g.registry, AwaitMembers: g.registry.AwaitFirstList, Store: store, Peers: transport, Limits: g.permits, Link: g.meter,
@@ -190,7 +202,8 @@
 	g.registerAgeGauges()
 	g.relay = tsrelay.New(tsrelay.Config{
 		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
-		Log: tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
+		OnFirstByte: g.pool.FirstByte,
+		Log:         tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
 		Freshness: g.freshness,
 	})
 	return g, nil
@@ -372,7 +385,7 @@
 	sup := suture.New("gateway", suture.Spec{FailureBackoff: restartBackoff, EventHook: func(e suture.Event) {
 		g.log.Error("supervisor event", "event", e.String())
 	}})
-	controllers := []turmericshed.Controller{g.tableMirror, g.serverMirror, g.roster, g.registry, g.upstream, g.meter, g.permits, peerController{g}}
+	controllers := []turmericshed.Controller{g.tableMirror, g.serverMirror, g.roster, g.registry, g.upstream, g.meter, g.permits, g.loads, peerController{g}}
 	controllers = append(controllers, g.crashWatch.Controllers()...)
 	controllers = append(controllers, g.committer.Controllers()...)
 	controllers = append(controllers, g.holder.Controllers()...)
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -109,6 +109,7 @@
 		return nil, err
 	}
 	rr := q.routeRequest()
+	q.attemptRoute = rr
 	server, err := q.relay.cfg.Router.Pick(q.ctx, now, rr)
 	q.hasPicked = err == nil
 	if err != nil && q.ctx.Err() != nil {
@@ -242,6 +243,9 @@
 		return nil, firstByte, q.handleRefusal(server, reply)
 	}
 	q.mayHaveRun = true
+	if !q.route.Stream {
+		q.reportFirstByte(server.ID)
+	}
 	success := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
 	if success && (!reply.Info.Signed || reply.Info.HasContentEncoding) {
 		reply.Close()
--- a/io/tsrelay/load.go
+++ b/io/tsrelay/load.go
@@ -12,6 +12,10 @@
 // are forgotten and may be logged again.
 const maxMalformedLoads = 1024
 
+// maxHeadAge is the assumed age of a reading with a work time when it arrives: that of the
+// head of the answer, on a link with some load.
+const maxHeadAge = 10 * time.Millisecond
+
 // malformedLoads remembers the last malformed load of each server, so that it is logged
 // once until it changes.
 type malformedLoads struct {
@@ -44,6 +48,25 @@
 	return malformed != ""
 }
 
+// reportFirstByte reports once for each attempt that the server has begun to answer.
+func (q *request) reportFirstByte(id turmericshed.ServerID) {
+	if f := q.relay.cfg.OnFirstByte; f != nil && q.attemptRoute.Estimate.IsReading {
+		f(time.Now(), id, q.attemptRoute)
+	}
+}
+
+// prefixTokens returns the tokens of the prompt's parts that prefixHash covers.
+func (q *request) prefixTokens() (n turmericshed.Tokens) {
+	parts := q.inbound.Parts
+	if len(parts) == 1 {
+		return q.inbound.PromptTokens
+	}
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		n += max(p.Tokens, 0)
+	}
+	return min(max(n, 0), q.inbound.PromptTokens)
+}
+
 // reportLoad passes the load that a server sent with an answer to the router. at is the
 // estimated time of the reading.
 func (s *Relay) reportLoad(id turmericshed.ServerID, at time.Time, info turmericshed.BackendReply) {
@@ -54,5 +77,9 @@
 		return
 	}
 	l := info.Load
+	if now := time.Now(); l.WorkTime > 0 && now.Sub(at) > maxHeadAge {
+		// These servers take the reading when they write the head of the answer.
+		at = now.Add(-maxHeadAge)
+	}
 	s.cfg.Router.Report(time.Now(), turmericshed.LoadReport{Server: id, At: at, Running: l.Running, Queued: l.Queued, WorkTime: l.WorkTime})
 }
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -82,6 +82,10 @@
 	Link turmericshed.Link
 	// ServerLimits receives the limits that servers send with their answers; may be nil.
 	ServerLimits turmericshed.ServerLimits
+	// OnFirstByte is called when the first byte of an answer, or the first event of a
+	// stream, arrived from the server of an attempt. It may be called again for the same
+	// attempt. nil means that nobody needs it.
+	OnFirstByte func(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest)
 	// CrashWatch quarantines requests that crash servers; nil quarantines none.
 	CrashWatch  turmericshed.CrashWatch
 	Metrics     *tsobserve.Metrics
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -69,6 +69,8 @@
 	sentAttempts   int
 	unsentAttempts int
 	excluded       []turmericshed.ServerID
+	// attemptRoute is what the server of the current attempt was chosen for.
+	attemptRoute turmericshed.RouteRequest
 	// hasPicked is true if the router picked a server for the current attempt.
 	hasPicked bool
 	// pickedAt is when the last server was picked, from a server list of the age
@@ -377,6 +379,8 @@
 	return turmericshed.RouteRequest{
 		Work: turmericshed.WorkService, Service: q.service, Model: q.inbound.Model,
 		Prefix: q.prefixHash(), Cost: q.inbound.PromptTokens + q.inbound.MaxOutput, Excluded: q.excluded,
+		PromptTokens: q.inbound.PromptTokens, PrefixTokens: q.prefixTokens(), MaxOutput: q.inbound.MaxOutput,
+		MemoryTokens: q.serviceSpec().MemoryTokens, Estimate: &turmericshed.RouteEstimate{},
 	}
 }
 
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -49,6 +49,9 @@
 	// ServeTime makes the router weigh servers by the time to serve a request instead of
 	// by requests per slot.
 	ServeTime bool
+	// OnReport is called with each report of this entry VM's own, to share it with others;
+	// may be nil.
+	OnReport func(time.Time, turmericshed.LoadReport)
 	// LoadReader reads a server's load; nil disables polling.
 	LoadReader turmericshed.LoadReader
 	Rand       *rand.Rand
@@ -93,6 +96,13 @@
 // Report applies a load report. If the server is leaving, it is also published as
 // leaving.
 func (p *Pool) Report(now time.Time, r turmericshed.LoadReport) {
+	if p.cfg.OnReport != nil {
+		p.cfg.OnReport(now, r)
+	}
+	p.applyReport(now, r)
+}
+
+func (p *Pool) applyReport(now time.Time, r turmericshed.LoadReport) {
 	p.mu.Lock()
 	p.router.Report(now, r)
 	p.mu.Unlock()
@@ -164,7 +174,7 @@
 		if acquired && p.InService(time.Now(), s.ID) {
 			return s, nil
 		}
-		p.release(now, s.ID)
+		p.unassign(now, s.ID, open)
 		if acquired {
 			// The server left while its permit was acquired.
 			p.cfg.Limits.Return(s)
@@ -194,10 +204,18 @@
 	}
 }
 
-func (p *Pool) release(now time.Time, id turmericshed.ServerID) {
+func (p *Pool) unassign(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Unassign(now, id, r)
+}
+
+// FirstByte reports that the first byte of an answer, or the first event of a stream,
+// arrived from a server that Pick returned.
+func (p *Pool) FirstByte(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.router.Release(now, id)
+	p.router.FirstByte(now, id, r)
 }
 
 // limitError returns KindOverloaded with a retry-after time if only limits exclude
@@ -280,7 +298,7 @@
 	for {
 		loads, changed := c.pool.cfg.Board.Loads.Watch()
 		for _, r := range loads {
-			c.pool.Report(time.Now(), r)
+			c.pool.applyReport(time.Now(), r)
 		}
 		select {
 		case <-changed:
