Choice by time to serve: penalties in time, failures, tests

The penalty for another failure domain was 0.15 of the time to the first byte, some 15 ms, so that large prompts left it for little. It is now 0.15 of the time of a request. A server that fails requests at once counted as idle.

--- a/core/tsload/replay_test.go
+++ b/core/tsload/replay_test.go
@@ -135,6 +135,8 @@
 	readings   int
 	digests    int
 	distant    int
+	// left counts the requests that went to a server of another failure domain.
+	left int
 }
 
 func (r replayResult) quantile(q float64) time.Duration {
@@ -152,8 +154,8 @@
 }
 
 func (r replayResult) String() string {
-	return fmt.Sprintf("asked %d, in time %.4f, first byte mean %s p50 %s p95 %s p99 %s; calls %d, readings %d, digests %d with %d readings", r.asked, r.share(),
-		r.mean().Round(time.Millisecond), r.quantile(0.5).Round(time.Millisecond), r.quantile(0.95).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond), r.calls, r.readings, r.digests, r.distant)
+	return fmt.Sprintf("asked %d, in time %.4f, first byte mean %s p50 %s p95 %s p99 %s; calls %d, readings %d, digests %d with %d readings, left %.2f", r.asked, r.share(),
+		r.mean().Round(time.Millisecond), r.quantile(0.5).Round(time.Millisecond), r.quantile(0.95).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond), r.calls, r.readings, r.digests, r.distant, float64(r.left)/float64(r.asked))
 }
 
 func (r replayResult) share() float64 { return float64(r.inTime) / float64(r.asked) }
@@ -328,6 +330,9 @@
 		return
 	}
 	s := w.fleet[slices.IndexFunc(w.fleet, func(s *replayServer) bool { return s.ID == b.ID })]
+	if b.FailureDomain != v.self.FailureDomain {
+		w.result.left++
+	}
 	w.after(networkDelay, func() { w.arrive(v, s, req, kd, began) })
 }
 
--- a/core/tsroute/serve_time.go
+++ b/core/tsroute/serve_time.go
@@ -59,6 +59,11 @@
 	// generationWeight is the weight of the time to generate against the time to the first
 	// byte: callers read the events while they are generated.
 	generationWeight = 0.1
+	// minRequestTime is the least time that a request is assumed to take, in penalties.
+	minRequestTime = 100 * time.Millisecond
+	// maxTokens bounds the tokens of one request, as callers state them, to what sums
+	// represent exactly.
+	maxTokens = 1 << 40
 	// stepTime is the assumed time to the first byte of an empty prompt.
 	stepTime = 5 * time.Millisecond
 	// initialTokenTime is the time per prompt token that is assumed before any answer.
@@ -162,7 +167,7 @@
 		if len(cs) == 0 {
 			continue
 		}
-		penalty := r.penalty(distance(d)) * e.averageTime()
+		penalty := r.penalty(distance(d)) * e.timePerLoad()
 		for _, c := range r.serveTimeCandidates(p, cs, req) {
 			c.seconds += e.serveTime(c.server, c.unread) + penalty
 			if best.server == nil || c.seconds < best.seconds {
@@ -187,8 +192,8 @@
 
 // serveTimeCandidates returns the homes of the request's prefix and some random servers.
 func (r *Router) serveTimeCandidates(p *pool, cs []candidate, req turmericshed.RouteRequest) []choice {
-	shared := float64(min(req.PrefixTokens, req.PromptTokens))
-	own := float64(req.PromptTokens) - shared
+	shared := float64(min(req.PrefixTokens, req.PromptTokens, maxTokens))
+	own := float64(min(req.PromptTokens, maxTokens)) - shared
 	choices := p.choices[:0]
 	if req.Prefix != 0 {
 		atHome := own + shared*r.missingPart(req)
@@ -288,9 +293,10 @@
 	return sum / float64(n)
 }
 
-// averageTime returns the time to serve an average request, in seconds.
-func (e estimator) averageTime() float64 {
-	return max(e.learnt.firstByte.value, stepTime.Seconds())
+// timePerLoad returns the time in seconds that a load of 1 per slot stands for: that of an
+// average request.
+func (e estimator) timePerLoad() float64 {
+	return max(e.learnt.elapsed.value, minRequestTime.Seconds())
 }
 
 // pace returns the server's speed now: the time that work takes, relative to the average
@@ -334,6 +340,8 @@
 		t += over / float64(s.Slots) * e.learnt.elapsed.value
 	}
 	t += e.memoryWait(s, others)
+	// A server that fails requests quickly must not look idle.
+	t += float64(len(s.failureExpiries)) * e.timePerLoad()
 	t += generationWeight * float64(e.req.MaxOutput) * e.learnt.generation.value
 	return stepTime.Seconds() + e.pace(s)*t
 }
@@ -354,7 +362,7 @@
 
 // memoryOf returns the tokens that a request holds in a server's memory at most.
 func memoryOf(req turmericshed.RouteRequest) float64 {
-	return float64(req.PromptTokens + req.MaxOutput)
+	return float64(min(req.PromptTokens, maxTokens)) + float64(min(req.MaxOutput, maxTokens))
 }
 
 // fill records what is expected of the chosen server.
