--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -58,6 +58,9 @@
 	// failure domain and another region must be less loaded.
 	RemotePenalty float64
 	RegionPenalty float64
+	// ServeTime makes Pick weigh servers by the time to serve a request instead of by
+	// requests per slot, see serve_time.go.
+	ServeTime bool
 	// Recorder receives events about leaving servers and circuit breakers. It
 	// may be nil.
 	Recorder turmericshed.Recorder
@@ -76,6 +79,10 @@
 	// when the list changes.
 	pools      map[poolKey]*pool
 	popularity popularity
+	// learnt is what serve_time.go learnt, by kind of request.
+	learnt map[poolKey]*serveTimes
+	// familiarSeed makes the preferred servers differ between entry VMs.
+	familiarSeed uint64
 	// isInitialized is true once a list with servers was set.
 	isInitialized bool
 	// latestAnsweredStart is the latest start time of an attempt that got a
@@ -105,7 +112,7 @@
 	}
 	return &Router{
 		cfg: cfg, servers: map[turmericshed.ServerID]*server{}, domains: map[turmericshed.FailureDomain]*reachability{},
-		pools: map[poolKey]*pool{},
+		pools: map[poolKey]*pool{}, learnt: map[poolKey]*serveTimes{},
 	}
 }
 
@@ -157,8 +164,13 @@
 		return
 	}
 	s.report, s.reportReceivedAt = rep, now
-	r.updateReachabilityFromReport(s)
+	if !rep.Relayed {
+		r.updateReachabilityFromReport(s)
+	}
 	s.othersReported = float64(max(rep.Running+rep.Queued-s.history.countAt(rep.At), 0))
+	if rep.WorkTime > 0 {
+		r.markReporting(s)
+	}
 }
 
 // SetLeaving immediately stops new work to a server for as long as it is
@@ -194,10 +206,12 @@
 }
 
 // Done records the result of an attempt that Pick counted.
-func (r *Router) Done(now time.Time, id turmericshed.ServerID, _ turmericshed.RouteRequest, res turmericshed.DispatchResult) {
+func (r *Router) Done(now time.Time, id turmericshed.ServerID, req turmericshed.RouteRequest, res turmericshed.DispatchResult) {
 	s := r.servers[id]
 	turmericshed.Assert(s != nil, "done_after_pick", "server %s is not known", id)
 	s.addInflight(now, -1)
+	s.endServing(req)
+	r.recordServed(req, res)
 	res.Inconclusive = res.Inconclusive && !r.laterAttemptAnswered(now, res)
 	r.updateReachability(now, s, res)
 	switch classify(res) {
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -109,6 +109,7 @@
 		return nil, err
 	}
 	rr := q.routeRequest()
+	q.attemptRoute = rr
 	server, err := q.relay.cfg.Router.Pick(q.ctx, now, rr)
 	q.hasPicked = err == nil
 	if err != nil && q.ctx.Err() != nil {
@@ -236,15 +237,15 @@
 	if f := q.relay.cfg.Freshness; f != nil {
 		f.RecordExchange(time.Now(), began)
 	}
-	if reply.Info.HasLoad {
-		l := reply.Info.Load
-		q.relay.cfg.Router.Report(time.Now(), turmericshed.LoadReport{Server: server.ID, At: began.Add(firstByte / 2), Running: l.Running, Queued: l.Queued})
-	}
+	q.relay.reportLoad(server.ID, began.Add(firstByte/2), reply.Info)
 	q.applyReplyInfo(server, began, reply.Info)
 	if reply.Info.NotRun {
 		return nil, firstByte, q.handleRefusal(server, reply)
 	}
 	q.mayHaveRun = true
+	if !q.route.Stream {
+		q.reportFirstByte(server.ID)
+	}
 	success := reply.Status >= http.StatusOK && reply.Status < http.StatusMultipleChoices
 	if success && (!reply.Info.Signed || reply.Info.HasContentEncoding) {
 		reply.Close()
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -46,6 +46,7 @@
 		}
 		if len(events) > 0 {
 			timer.eventReceived()
+			q.reportFirstByte(server)
 			if writeErr := q.relayEvents(server, reply, events); writeErr != nil {
 				reply.Close()
 				return writeErr
