Spillover between failure domains decided by measurements

The router added a fixed penalty of 0.15 requests per slot to servers of other failure domains, and none for requests with a prompt prefix. core/tsspill decides per service by loads, measured time to first byte and bytes; tsroute queries it where the deployment asks for it or servers report a fourth load figure.

--- a/backend.go
+++ b/backend.go
@@ -123,6 +123,9 @@
 	Queued  int       `json:"queued"`
 	// TokensPerSecond is the recent generation rate.
 	TokensPerSecond float64 `json:"tokens_per_second"`
+	// WorkTime is how long work takes on the server's machine now, relative to
+	// usual; 0 if not reported.
+	WorkTime float64 `json:"work_time,omitempty"`
 	Leaving         bool    `json:"leaving,omitempty"`
 }
 
--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -33,7 +33,8 @@
 // these requests than the average server.
 //
 // A more distant group of servers is chosen if its load is lower by more than a
-// penalty. The cost is linear in the number of candidates.
+// penalty. The penalty is fixed unless spillover is enabled, see spill.go. The cost
+// is linear in the number of candidates.
 
 // poolKey identifies a pool by the work that its servers do.
 type poolKey struct {
@@ -59,6 +60,8 @@
 	// groups and homes are buffers that are reused between picks.
 	groups [distanceCount][]candidate
 	homes  []candidate
+	// region is such a buffer for the candidates of the whole region.
+	region []candidate
 }
 
 // candidate is a server that may be chosen, with its load per slot.
@@ -110,6 +113,9 @@
 // choose returns the best candidate, or nil if there is none.
 func (r *Router) choose(now time.Time, p *pool, req turmericshed.RouteRequest) *server {
 	r.collectCandidates(now, p, req)
+	if r.spillApplies(p) {
+		return r.chooseWithSpill(now, p, req)
+	}
 	if req.Prefix != 0 {
 		p.groups[sameDomain] = append(p.groups[sameDomain], p.groups[sameRegion]...)
 		p.groups[sameRegion] = p.groups[sameRegion][:0]
--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -76,6 +76,8 @@
 	// when the list changes.
 	pools      map[poolKey]*pool
 	popularity popularity
+	// spill is nil until spillover is enabled.
+	spill *spill
 	// isInitialized is true once a list with servers was set.
 	isInitialized bool
 	// latestAnsweredStart is the latest start time of an attempt that got a
@@ -194,12 +196,13 @@
 }
 
 // Done records the result of an attempt that Pick counted.
-func (r *Router) Done(now time.Time, id turmericshed.ServerID, _ turmericshed.RouteRequest, res turmericshed.DispatchResult) {
+func (r *Router) Done(now time.Time, id turmericshed.ServerID, req turmericshed.RouteRequest, res turmericshed.DispatchResult) {
 	s := r.servers[id]
 	turmericshed.Assert(s != nil, "done_after_pick", "server %s is not known", id)
 	s.addInflight(now, -1)
 	res.Inconclusive = res.Inconclusive && !r.laterAttemptAnswered(now, res)
 	r.updateReachability(now, s, res)
+	r.observeSpill(now, s, req, res)
 	switch classify(res) {
 	case verdictSuccess:
 		if began := now.Add(-res.Elapsed); began.After(r.latestAnsweredStart) {
--- a/core/tsroute/server.go
+++ b/core/tsroute/server.go
@@ -40,6 +40,9 @@
 	// othersReported is the number of requests in the report that were not from
 	// this entry VM.
 	othersReported float64
+	// loadAtPick is the load per slot when the server was last picked while
+	// spillover was enabled.
+	loadAtPick float64
 	// reportReceivedAt is zero if there is no report.
 	reportReceivedAt time.Time
 }
--- a/fleet.go
+++ b/fleet.go
@@ -139,6 +139,10 @@
 	Service string
 	// Prefix is a hash of the prompt's prefix; 0 for none.
 	Prefix uint64
+	// PrefixTokens is the number of prompt tokens of the prefix; 0 if unknown.
+	PrefixTokens Tokens
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
 	// Cost is the worst-case cost in tokens, which is the request's weight in the
 	// server's load.
 	Cost Tokens
@@ -152,8 +156,14 @@
 	Err error
 	// FirstByte is the time from dispatch to the first byte; 0 for none.
 	FirstByte time.Duration
-	Elapsed   time.Duration
+	// FirstOutput is the time from the choice of the server to the first event of a
+	// stream or the headers of another answer; 0 for none.
+	FirstOutput time.Duration
+	Elapsed     time.Duration
 	Tokens    Tokens
+	// RequestBytes are the bytes of the body that were sent, AnswerBytes those of the
+	// answer's body that were received.
+	RequestBytes, AnswerBytes int64
 	// Inconclusive is true for an attempt that timed out while bytes were queued
 	// on this VM's local link, so that the timeout alone does not indicate a fault
 	// of the server.
--- a/io/tscommand/gateway.go
+++ b/io/tscommand/gateway.go
@@ -47,7 +47,7 @@
 	}
 	logWriter := tsobserve.NewAsyncWriter(out)
 	log := tsobserve.NewLogger(logWriter, o.logs.format, o.logs.level).With("vm", settings.Name)
-	g, err := tsgateway.New(tsgateway.Config{Settings: settings, MetricsPort: o.metricsPort, Log: log})
+	g, err := tsgateway.New(tsgateway.Config{Settings: settings, MetricsPort: o.metricsPort, Spill: &o.spill, Log: log})
 	if err != nil {
 		return errors.Join(err, logWriter.Close())
 	}
--- a/io/tscommand/options_gateway.go
+++ b/io/tscommand/options_gateway.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"strconv"
 
+	"turmericshed/core/tsspill"
 	"turmericshed/io/tsobserve"
 )
 
@@ -16,6 +17,7 @@
 	// metricsPort is the port for metrics on the entry VM's address. If it is 0,
 	// metrics are served on the control address that the platform sets.
 	metricsPort uint16
+	spill       tsspill.Settings
 	logs        logOptions
 }
 
@@ -32,11 +34,16 @@
 		o.metricsPort = uint16(n)
 		return nil
 	})
+	f.DurationVar(&o.spill.CostPerMegabyte, "spill-cost", tsspill.DefaultCostPerMegabyte,
+		"`time` to first byte that a megabyte between failure domains is worth, where measurements decide about spillover; 0: bytes cost nothing")
 	f.Func("log-format", "log `format`: json (default) or text", o.logs.setFormat)
 	f.TextVar(&o.logs.level, "log-level", slog.LevelInfo, "log `level`: debug, info, warn or error")
 	if err := f.parse(args); err != nil {
 		return o, err
 	}
+	if o.spill.CostPerMegabyte < 0 {
+		return o, &SettingError{Setting: "-spill-cost", Value: o.spill.CostPerMegabyte.String(), Want: "0 or more"}
+	}
 	if o.config == "" {
 		return o, &SettingError{Setting: "-config", Want: "the path of the settings file"}
 	}
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -27,6 +27,7 @@
 	"turmericshed/core/tsboard"
 	"turmericshed/core/tsbudget"
 	"turmericshed/core/tsfreshness"
+	"turmericshed/core/tsspill"
 	"turmericshed/core/tstable"
 	"turmericshed/io/tscommit"
 	"turmericshed/io/tscrash"
@@ -83,7 +84,10 @@
 	// MetricsPort replaces the port of the settings' MetricsAddr; 0 keeps that
 	// port.
 	MetricsPort uint16
-	Log         *slog.Logger
+	// Spill are the settings of spillover between failure domains; nil means the
+	// defaults.
+	Spill *tsspill.Settings
+	Log   *slog.Logger
 	// Dial opens connections to the store, to backend servers and to other
 	// entry VMs; nil uses a [tsupstream.Dialer].
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -168,7 +172,9 @@
 		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "crashes"),
 	})
 	g.peerServer.Mount(g.crashWatch.Handler())
-	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{FailureDomain: g.self.FailureDomain, Homes: serversPerPrefix, Board: g.board, Limits: g.permits, Recorder: events})
+	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{
+		FailureDomain: g.self.FailureDomain, Homes: serversPerPrefix, Board: g.board, Limits: g.permits, Recorder: events, Spill: g.spillConfig(),
+	})
 	g.freshness = tsfreshness.New(freshnessBounds(s))
 	feed := tsfeed.New(tsfeed.Config{
 		Members: g.registry, AwaitMembers: g.registry.AwaitFirstList, Store: store, Peers: transport, Limits: g.permits, Link: g.meter,
@@ -270,6 +276,17 @@
 	return b
 }
 
+// spillConfig returns the settings of spillover between failure domains.
+func (g *Gateway) spillConfig() *tsrouting.SpillConfig {
+	settings := tsspill.Settings{CostPerMegabyte: tsspill.DefaultCostPerMegabyte}
+	if g.cfg.Spill != nil {
+		settings = *g.cfg.Spill
+	}
+	return &tsrouting.SpillConfig{
+		Enabled: g.cfg.Settings.ShareLoad, Settings: settings, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "spill"),
+	}
+}
+
 // Reload applies changed settings. Addresses and names change only on a restart.
 func (g *Gateway) Reload(s platform.Settings) {
 	g.relay.SetRetryLimits(retryBounds(s))
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -126,6 +126,7 @@
 	timer := q.startSilenceTimer(cancel)
 	defer timer.stop()
 	eventsBefore, sentBefore := q.events, q.sentAttempts
+	q.measured = measurement{began: now}
 	a, firstByte, err := q.exchange(ctx, server, timer)
 	if err != nil {
 		q.excluded = append(q.excluded, server.ID)
@@ -140,6 +141,9 @@
 		err = q.contextError()
 	}
 	res := turmericshed.DispatchResult{Err: err, FirstByte: firstByte, Elapsed: time.Since(now), Tokens: turmericshed.Tokens(q.events - eventsBefore)}
+	if q.sentAttempts > sentBefore {
+		q.measured.addTo(&res, len(q.body))
+	}
 	if a != nil && a.status >= http.StatusInternalServerError {
 		res.Err = turmericshed.NewError(turmericshed.KindInternal, "the server answered with status %d", a.status)
 		q.excluded = append(q.excluded, server.ID)
@@ -258,7 +262,9 @@
 		}
 		return nil, firstByte, err
 	}
+	q.measured.record(0, true)
 	body, err := reply.ReadAll()
+	q.measured.record(len(body), true)
 	if err != nil {
 		q.mayHaveUnrelayedOutput = true
 		return nil, firstByte, err
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -77,6 +77,8 @@
 	serversAge time.Duration
 	// sentAt is when the request was last sent to a server.
 	sentAt time.Time
+	// measured is what was measured of the current attempt.
+	measured measurement
 	// callerDisconnectNanos is when the relay noticed that the caller disconnected, in
 	// nanoseconds after arrived; 0 if it has not.
 	callerDisconnectNanos atomic.Int64
@@ -376,7 +378,7 @@
 func (q *request) routeRequest() turmericshed.RouteRequest {
 	return turmericshed.RouteRequest{
 		Work: turmericshed.WorkService, Service: q.service, Model: q.inbound.Model,
-		Prefix: q.prefixHash(), Cost: q.inbound.PromptTokens + q.inbound.MaxOutput, Excluded: q.excluded,
+		Prefix: q.prefixHash(), PrefixTokens: q.prefixTokens(), BodyBytes: int64(len(q.body)), Cost: q.inbound.PromptTokens + q.inbound.MaxOutput, Excluded: q.excluded,
 	}
 }
 
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -33,6 +33,7 @@
 	for {
 		n, err := reply.Read(buf)
 		events, splitErr := split.Push(buf[:n])
+		q.measured.record(n, len(events) > 0)
 		if len(events) > 0 {
 			timer.eventReceived()
 			if writeErr := q.relayEvents(server, reply, events); writeErr != nil {
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -54,6 +54,9 @@
 	Limits turmericshed.ServerLimits
 	// OnAttempt is called with the result of each attempt; may be nil.
 	OnAttempt func(turmericshed.RouteRequest, turmericshed.DispatchResult)
+	// Spill decides about requests to other failure domains; nil keeps the router's
+	// fixed penalty.
+	Spill *SpillConfig
 }
 
 // Pool is a router that is safe for concurrent use and follows the servers and load
@@ -63,6 +66,7 @@
 
 	mu     sync.Mutex
 	router *tsroute.Router
+	spill  *spillMetrics
 }
 
 var _ turmericshed.Router = (*Pool)(nil)
@@ -76,6 +80,7 @@
 		FailureDomain: cfg.FailureDomain, Region: cfg.Region, Homes: cfg.Homes, Rand: cfg.Rand, Recorder: cfg.Recorder,
 	})}
 	p.router.SetServers(time.Now(), cfg.Board.Servers.Read())
+	p.setUpSpill()
 	return p
 }
 
@@ -91,6 +96,7 @@
 func (p *Pool) Report(now time.Time, r turmericshed.LoadReport) {
 	p.mu.Lock()
 	p.router.Report(now, r)
+	p.enableSpillFor(r)
 	p.mu.Unlock()
 	if r.Leaving {
 		p.publishLeaving(r.Server)
@@ -225,6 +231,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.countSpill(id, r, res)
 	p.router.Done(now, id, r, res)
 }
 
