--- a/backend.go
+++ b/backend.go
@@ -126,7 +126,7 @@
 	// WorkTime is how long work takes on the server's machine now, relative to
 	// usual; 0 if not reported.
 	WorkTime float64 `json:"work_time,omitempty"`
-	Leaving         bool    `json:"leaving,omitempty"`
+	Leaving  bool    `json:"leaving,omitempty"`
 }
 
 // LoadReader reads a backend server's published load.
--- a/core/tsroute/spill.go
+++ b/core/tsroute/spill.go
@@ -73,19 +73,18 @@
 // chooseWithSpill returns the best candidate.
 func (r *Router) chooseWithSpill(now time.Time, p *pool, req turmericshed.RouteRequest) *server {
 	c := r.controller(req)
-	if c.Due(now) && len(req.Excluded) == 0 {
-		r.updateSpill(now, c, p, req)
+	loads := r.estimateByDomain(now, p)
+	if len(req.Excluded) == 0 && c.Due(now) && c.Update(now, loads) {
+		r.spill.onChange(SpillChange{Service: req.Service, Loads: loads, Decision: c.Decision()})
 	}
 	var best candidate
 	if req.Prefix != 0 {
 		best = r.chooseHomeWithSpill(now, c, p, req)
 	} else {
 		best = r.chooseInGroup(p, p.groups[sameDomain], 0)
-		if fraction := c.Decision().Fraction; fraction > 0 && r.cfg.Rand.Float64() < fraction {
-			other := r.chooseInGroup(p, p.groups[sameRegion], 0)
-			if other.load+c.Penalty(req.BodyBytes) < best.load {
-				best = other
-			}
+		other := r.chooseInGroup(p, p.groups[sameRegion], 0)
+		if c.Leave(best.load, other.load, req.BodyBytes) {
+			best = other
 		}
 	}
 	if far := p.groups[otherRegion]; len(far) > 0 {
@@ -115,27 +114,61 @@
 	return stay
 }
 
-// updateSpill decides by the current loads.
-func (r *Router) updateSpill(now time.Time, c *tsspill.Controller, p *pool, req turmericshed.RouteRequest) {
-	var l tsspill.Loads
-	l.Local, l.LocalSlots = meanLoad(p.groups[sameDomain])
-	l.Remote, l.RemoteSlots = meanLoad(p.groups[sameRegion])
-	if c.Update(now, l) {
-		r.spill.onChange(SpillChange{Service: req.Service, Loads: l, Decision: c.Decision()})
+// estimateByDomain replaces the estimated loads of the candidates in the region, and
+// returns the mean loads of both sides. What is assumed for servers with an old reading
+// or none is the mean of their own side instead of that of all servers, which would hide
+// the difference between the failure domains. Without recent readings of a side, the
+// estimates stay and the loads are not known.
+func (r *Router) estimateByDomain(now time.Time, p *pool) tsspill.Loads {
+	local, localKnown := meanRecent(now, p.groups[sameDomain])
+	remote, remoteKnown := meanRecent(now, p.groups[sameRegion])
+	if !localKnown || !remoteKnown {
+		return tsspill.Loads{}
 	}
+	l := tsspill.Loads{AreKnown: true}
+	l.Local, l.LocalSlots = r.estimateSide(now, p.groups[sameDomain], local)
+	l.Remote, l.RemoteSlots = r.estimateSide(now, p.groups[sameRegion], remote)
+	return l
+}
+
+// estimateSide estimates the loads of one side's candidates, whose servers have mean
+// requests of other entry VMs per slot. It returns the mean load per slot and the slots.
+func (r *Router) estimateSide(now time.Time, cs []candidate, mean float64) (load float64, slots int) {
+	for i := range cs {
+		n := r.estimatedLoad(now, cs[i].server, mean)
+		cs[i].load = (n + 1) / float64(cs[i].Slots)
+		load += n
+		slots += cs[i].Slots
+	}
+	return load / float64(slots), slots
 }
 
-// meanLoad returns the mean load per slot of candidates, and their slots.
-func meanLoad(cs []candidate) (load float64, slots int) {
+// fullWeightAge is the age up to which a reading counts fully for the mean of its side,
+// and noWeightAge that from which it doesn't count. A mean of many servers changes more
+// slowly than a single one.
+const (
+	fullWeightAge = 1500 * time.Millisecond
+	noWeightAge   = 5 * time.Second
+)
+
+// meanRecent returns the requests of other entry VMs per slot by the recent readings of
+// candidates. isKnown is false if there is less than one recent reading.
+func meanRecent(now time.Time, cs []candidate) (mean float64, isKnown bool) {
+	var requests, slots, weight float64
 	for _, c := range cs {
-		// Without the request that is to be sent.
-		load += c.load*float64(c.Slots) - 1
-		slots += c.Slots
+		if c.reportReceivedAt.IsZero() {
+			continue
+		}
+		w := 1 - float64(now.Sub(c.report.At)-fullWeightAge)/float64(noWeightAge-fullWeightAge)
+		w = min(max(w, 0), 1)
+		requests += w * c.othersReported
+		slots += w * float64(c.Slots)
+		weight += w
 	}
-	if slots == 0 {
-		return 0, 0
+	if weight < 1 {
+		return 0, false
 	}
-	return load / float64(slots), slots
+	return requests / slots, true
 }
 
 // observeSpill measures an attempt. An attempt of which the local link may have been
--- a/core/tsspill/prefix.go
+++ b/core/tsspill/prefix.go
@@ -54,8 +54,7 @@
 type prefixes struct {
 	states map[uint64]*prefixState
 	// repeat is the share of requests whose prefix had been seen before.
-	repeat   float64
-	measured bool
+	repeat float64
 }
 
 // get returns the state of a prefix, with its payments decayed, and whether the
@@ -122,15 +121,15 @@
 	} else {
 		s.isLocal = known && s.paidMs >= readMs
 	}
-	penalty := c.Penalty(r.RequestBytes)
 	if s.isLocal {
-		return c.rng.Float64() < c.decision.Fraction && r.Home+penalty < r.Stay
+		return c.Leave(r.Stay, r.Home, r.RequestBytes)
 	}
 	cached := c.prefixes.repeat
 	if known {
 		cached = 1
 	}
 	var leave bool
+	penalty := c.Penalty(r.RequestBytes)
 	if c.estimate.weight < minWeight {
 		// Until there are measurements, a cached prefix decides, as without spillover.
 		leave = penalty < maxPenalty
--- a/core/tsspill/spill.go
+++ b/core/tsspill/spill.go
@@ -6,10 +6,9 @@
 //
 //	c := tsspill.New(tsspill.Settings{CostPerMegabyte: tsspill.DefaultCostPerMegabyte}, rng)
 //	if c.Due(now) {
-//		changed := c.Update(now, tsspill.Loads{Local: 0.9, Remote: 0.3, LocalSlots: 640, RemoteSlots: 1280})
+//		changed := c.Update(now, tsspill.Loads{Local: 0.9, Remote: 0.3, LocalSlots: 640, RemoteSlots: 1280, AreKnown: true})
 //	}
-//	d := c.Decision()                           // d.Fraction of the requests may leave
-//	leave := remoteLoad+c.Penalty(bodyBytes) < localLoad
+//	leave := c.Leave(localLoad, remoteLoad, bodyBytes)
 //	c.Observe(now, sample)                      // after an answer
 //
 // See model.go for the estimate of what leaving costs, and prefix.go for
@@ -31,7 +30,8 @@
 // difference in the time to first byte plus the cost of the bytes, divided by
 // what one more request per slot costs in time. The fraction follows the
 // difference of the loads: it moves by a part of what would even them out, at
-// most maxStep at once, and each entry VM decides at its own random times.
+// most maxStep at once, and each entry VM decides at its own random times. Beyond the
+// fraction, a request leaves whose local server is worse by urgentExcess.
 
 // DefaultCostPerMegabyte is the time to first byte that one megabyte between
 // failure domains is worth. It is what a megabyte takes on the smallest entry
@@ -42,9 +42,11 @@
 const (
 	// DefaultPenalty is the penalty while nothing is measured.
 	DefaultPenalty = 0.15
-	// minPenalty bounds how much worse the local servers may count at equal load
-	// because they were measured to be slower; maxPenalty keeps sums finite.
-	minPenalty, maxPenalty = -0.5, 1e6
+	// maxPenalty keeps sums finite. The least penalty is 0: local servers that are
+	// slower at equal load fill up and lose requests by their load. With a least of
+	// -0.5 the replay of the second deployment moved 137 instead of 82 MB for the
+	// same first token.
+	maxPenalty = 1e6
 	// minWeight is the weight of the measurements below which there are none.
 	minWeight = 3
 	// decisionInterval is the mean time between decisions. Single ones are half
@@ -60,6 +62,16 @@
 	// which requests begin to leave, and holdMargin that up to which the fraction
 	// stays as it is.
 	openMargin, holdMargin = 0.05, 0.02
+	// urgentExcess is the difference in load per slot, beyond the penalty, from which
+	// on a request leaves whatever the fraction is: a wave of demand outruns the
+	// fraction's steps. Differences up to 0.3 are noise of old readings: with 0.3 the
+	// first token of the oscillation replay came after 398 ms, with 0.8 after 129.
+	urgentExcess = 0.8
+	// drawnSlack is by how much a request that the fraction lets leave may miss the
+	// penalty. If it had to be met by each request, all entry VMs would turn back at
+	// the same reading: in that replay the share that leaves changed by 0.18 from one
+	// second to the next, with the slack by 0.07.
+	drawnSlack = 0.3
 	// maxFraction leaves some requests to the local servers, so that their
 	// recovery is measured.
 	maxFraction = 0.95
@@ -74,8 +86,9 @@
 	bytesWeight = 0.05
 	bytesPerMB  = 1e6
 	// reportStep is the change of the fraction from which on a decision counts as
-	// changed.
-	reportStep = 0.2
+	// changed, and reportInterval the least time between two such decisions.
+	reportStep     = 0.2
+	reportInterval = 2 * time.Second
 )
 
 // Settings are the operators' settings.
@@ -90,12 +103,14 @@
 type Loads struct {
 	Local, Remote           float64
 	LocalSlots, RemoteSlots int
+	// AreKnown is false without recent readings of both sides.
+	AreKnown bool
 }
 
 // Decision is how requests leave the local failure domain.
 type Decision struct {
-	// Fraction of the requests may leave, and does so if the other server's load
-	// per slot is lower by more than Penalty.
+	// Fraction of the requests may leave. Penalty is the load per slot by which the
+	// other servers must be less loaded, for a mean request.
 	Fraction float64
 	Penalty  float64
 	// Delay is the measured extra time to first byte of other failure domains at
@@ -103,8 +118,10 @@
 	// of a request and its answer.
 	Delay, Slope time.Duration
 	Bytes        int64
-	// IsMeasured is false while the measurements are too few.
-	IsMeasured bool
+	// IsMeasured is false while the measurements are too few, and LoadsKnown without
+	// recent readings of both sides; then the difference of two servers' loads decides
+	// alone, with at least DefaultPenalty.
+	IsMeasured, LoadsKnown bool
 }
 
 // Controller decides for one service in one failure domain.
@@ -118,6 +135,7 @@
 	decision                  Decision
 	// reported is the fraction when a decision was last reported as changed.
 	reported     float64
+	reportedAt   time.Time
 	decidedAt    time.Time
 	nextDecision time.Time
 	prefixes     prefixes
@@ -157,6 +175,7 @@
 // that operators are told.
 func (c *Controller) Update(now time.Time, l Loads) (changed bool) {
 	c.estimate = c.model.estimate(now)
+	c.decision.LoadsKnown = l.AreKnown
 	c.decision.IsMeasured = c.estimate.weight >= minWeight
 	c.decision.Delay, c.decision.Slope = duration(c.estimate.delayMs), duration(c.estimate.slopeMs)
 	c.decision.Bytes = int64(c.requestBytes + c.answerBytes)
@@ -165,11 +184,22 @@
 	c.decidedAt = now
 	c.nextDecision = now.Add(decisionInterval/2 + time.Duration(c.rng.Int64N(int64(decisionInterval))))
 	opened := (c.decision.Fraction > 0) != (c.reported > 0)
-	if opened || math.Abs(c.decision.Fraction-c.reported) >= reportStep {
-		c.reported = c.decision.Fraction
-		return true
+	if now.Sub(c.reportedAt) < reportInterval || !opened && math.Abs(c.decision.Fraction-c.reported) < reportStep {
+		return false
 	}
-	return false
+	c.reported, c.reportedAt = c.decision.Fraction, now
+	return true
+}
+
+// Leave reports whether a request with a body of that many bytes leaves the local
+// failure domain. The loads are those of the best server on each side.
+func (c *Controller) Leave(local, remote float64, requestBytes int64) bool {
+	penalty := c.Penalty(requestBytes)
+	if !c.decision.LoadsKnown {
+		return local-remote > max(penalty, DefaultPenalty)
+	}
+	excess := local - remote - penalty
+	return excess > urgentExcess || excess > -drawnSlack && c.rng.Float64() < c.decision.Fraction
 }
 
 // nextFraction returns the fraction that follows from the loads.
@@ -180,7 +210,7 @@
 	}
 	excess := l.Local - l.Remote - c.decision.Penalty
 	switch {
-	case l.RemoteSlots == 0 || l.LocalSlots == 0:
+	case !l.AreKnown:
 		return 0
 	case f == 0 && excess < openMargin:
 		return 0
@@ -209,7 +239,7 @@
 		}
 		return DefaultPenalty
 	}
-	return min(max(cost/c.estimate.slopeMs, minPenalty), maxPenalty)
+	return min(max(cost/c.estimate.slopeMs, 0), maxPenalty)
 }
 
 // leavingMs returns what leaving costs a request in time to first byte.
--- a/fleet.go
+++ b/fleet.go
@@ -160,7 +160,7 @@
 	// stream or the headers of another answer; 0 for none.
 	FirstOutput time.Duration
 	Elapsed     time.Duration
-	Tokens    Tokens
+	Tokens      Tokens
 	// RequestBytes are the bytes of the body that were sent, AnswerBytes those of the
 	// answer's body that were received.
 	RequestBytes, AnswerBytes int64
