--- a/core/tsroute/spill_replay_test.go
+++ b/core/tsroute/spill_replay_test.go
@@ -385,6 +385,7 @@
 // Load pattern: a failure domain gets four times its usual demand for 8 s, more than
 // its servers can read.
 func TestWaveOfDemand(t *testing.T) {
+	t.Parallel()
 	p := usualPlan()
 	p.rate = scaled(80, during(10*time.Second, 18*time.Second, 4))
 	assertBetter(t, p, 1.05, 1)
@@ -397,6 +398,7 @@
 
 // Load pattern: the servers of a failure domain take 2.5 times as long for 8 s.
 func TestLocalServersSlow(t *testing.T) {
+	t.Parallel()
 	p := usualPlan()
 	p.rate, p.slow = steady(120), during(10*time.Second, 18*time.Second, 2.5)
 	assertBetter(t, p, 1.05, 1.1)
@@ -408,6 +410,7 @@
 // Load pattern: both failure domains get more than they can serve. Requests that
 // leave gain nothing.
 func TestRemoteServersFullToo(t *testing.T) {
+	t.Parallel()
 	p := usualPlan()
 	p.rate = steady(260)
 	assertBetter(t, p, 1.02, 0.25)
@@ -417,6 +420,7 @@
 // VMs on each side see the same readings, which are up to 1.6 s old. Guards against
 // entry VMs that move together and back.
 func TestNoOscillationWithStaleReadings(t *testing.T) {
+	t.Parallel()
 	p := usualPlan()
 	p.rate = func(d int, _ time.Duration) float64 { return []float64{240, 120}[d] }
 	p.readInterval, p.readDelay, p.remoteReadDelay = 800*time.Millisecond, 400*time.Millisecond, 800*time.Millisecond
@@ -437,6 +441,7 @@
 // Load pattern: as the wave of demand. Guards against routing that is worse than
 // the fixed penalty where measurements are missing.
 func TestMeasurementMissing(t *testing.T) {
+	t.Parallel()
 	for name, hide := range map[string]func(*replayPlan){
 		"no output is measured":                      func(p *replayPlan) { p.hideOutput = true },
 		"no readings of other failure domains":       func(p *replayPlan) { p.remoteReadDelay = -1 },
@@ -444,6 +449,7 @@
 		"neither output nor readings of any servers": func(p *replayPlan) { p.hideOutput, p.readDelay, p.remoteReadDelay = true, -1, -1 },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := usualPlan()
 			p.rate = scaled(80, during(10*time.Second, 18*time.Second, 4))
 			hide(&p)
@@ -455,6 +461,7 @@
 // Load pattern: as the wave of demand, while the other failure domain can't be
 // reached for 4 s of it.
 func TestRemoteUnreachable(t *testing.T) {
+	t.Parallel()
 	p := usualPlan()
 	p.rate = scaled(80, during(10*time.Second, 18*time.Second, 4))
 	p.unreachableFrom, p.unreachableTo = 12*time.Second, 16*time.Second
@@ -463,6 +470,7 @@
 
 // Load pattern: as the wave of demand, with bytes that cost nothing or very much.
 func TestCostOfBytes(t *testing.T) {
+	t.Parallel()
 	p := usualPlan()
 	p.rate = scaled(80, during(10*time.Second, 18*time.Second, 4))
 	t.Run("bytes that cost very much stay in the failure domain", func(t *testing.T) {
@@ -491,8 +499,10 @@
 // Load pattern: as the wave of demand, with entry VMs of the version before among
 // those of a failure domain. Guards against a rollout that is worse than either.
 func TestRollout(t *testing.T) {
+	t.Parallel()
 	for _, plain := range []int{1, 10, 19} {
 		t.Run(fmt.Sprintf("%d of 20 entry VMs without spillover", plain), func(t *testing.T) {
+			t.Parallel()
 			p := usualPlan()
 			p.rate = scaled(80, during(10*time.Second, 18*time.Second, 4))
 			p.plain = plain
@@ -504,6 +514,7 @@
 // Load pattern: prompts that share 13,300 tokens, of 60 kinds, at a low load. Guards
 // against most requests leaving their failure domain for a cached prefix.
 func TestSharedPromptsAtLowLoad(t *testing.T) {
+	t.Parallel()
 	p := usualPlan()
 	p.prefixes, p.sharedTokens, p.rate = 60, 13300, steady(40)
 	assertBetter(t, p, 1.15, 0.3)
@@ -514,6 +525,7 @@
 // Load pattern: prompts that share 13,300 tokens, of 2,000 kinds, each of them rare.
 // Reading them once in each failure domain would cost more than leaving.
 func TestRarePrefixesKeepOneHome(t *testing.T) {
+	t.Parallel()
 	p := usualPlan()
 	p.domains, p.prefixes, p.sharedTokens, p.rate = 3, 2000, 13300, steady(15)
 	assertBetter(t, p, 1.1, 1)
@@ -523,6 +535,7 @@
 // docs/design/hard-load.md, a quarter of its entry VMs' number each; a wave of twice
 // the demand in one of them.
 func TestFirstDeployment(t *testing.T) {
+	t.Parallel()
 	p := usualPlan()
 	p.domains, p.serversPerDomain, p.slots, p.memoryTokens = 4, 15, 128, 486_250
 	p.prefixes, p.sharedTokens, p.ownTokens = 40, 13300, 3720
@@ -534,6 +547,7 @@
 // speeds that differ between the failure domains; a wave of 1.6 times the demand in the
 // slowest of them.
 func TestSecondDeployment(t *testing.T) {
+	t.Parallel()
 	p := usualPlan()
 	p.domains, p.serversPerDomain, p.slots, p.tokensPerMs, p.memoryTokens = 3, 30, 48, 93, 401_557
 	p.step, p.events, p.ownTokens = 3290*time.Microsecond, 17, 17_020
