Spillover: homes of prefixes in the region stay the rule

The home in the region is now taken to have it unless first outputs show otherwise for 20 s; a local home needs payments of this entry VM's own requests that reach the reading cost, counted once for each request that is held up; a busy home is left if that clearly pays. A prefix's share of requests was counted twice where a local home was looked up.

--- a/core/tsroute/spill.go
+++ b/core/tsroute/spill.go
@@ -1,6 +1,7 @@
 package tsroute
 
 import (
+	"slices"
 	"time"
 
 	"turmericshed"
@@ -73,13 +74,18 @@
 // chooseWithSpill returns the best candidate.
 func (r *Router) chooseWithSpill(now time.Time, p *pool, req turmericshed.RouteRequest) *server {
 	c := r.controller(req)
+	var home candidate
+	hasHome := false
+	if req.Prefix != 0 {
+		home, hasHome = r.regionHome(p, req.Prefix)
+	}
 	loads := r.estimateByDomain(now, p)
 	if len(req.Excluded) == 0 && c.Due(now) && c.Update(now, loads) {
 		r.spill.onChange(SpillChange{Service: req.Service, Loads: loads, Decision: c.Decision()})
 	}
 	var best candidate
-	if req.Prefix != 0 {
-		best = r.chooseHomeWithSpill(now, c, p, req)
+	if hasHome {
+		best = r.chooseHomeWithSpill(now, c, p, home, req)
 	} else {
 		best = r.chooseInGroup(p, p.groups[sameDomain], 0)
 		other := r.chooseInGroup(p, p.groups[sameRegion], 0)
@@ -96,22 +102,69 @@
 	return best.server
 }
 
-// chooseHomeWithSpill chooses between the prefix's home in the region and that among
-// the local servers.
-func (r *Router) chooseHomeWithSpill(now time.Time, c *tsspill.Controller, p *pool, req turmericshed.RouteRequest) candidate {
+// regionHome returns the server that the prefix goes to without spillover. It has to be
+// called before the loads are replaced. ok is false if that server is not a home of the
+// prefix, since none of them may take the request.
+func (r *Router) regionHome(p *pool, prefix uint64) (home candidate, ok bool) {
 	p.region = append(append(p.region[:0], p.groups[sameDomain]...), p.groups[sameRegion]...)
-	home := r.chooseInGroup(p, p.region, req.Prefix)
-	if home.FailureDomain == r.cfg.FailureDomain {
-		return home
+	home = r.chooseInGroup(p, p.region, prefix)
+	return home, slices.ContainsFunc(p.homes, func(c candidate) bool { return c.server == home.server })
+}
+
+// chooseHomeWithSpill chooses between the prefix's home in the region and the best one
+// on the other side of the border of the failure domain.
+func (r *Router) chooseHomeWithSpill(now time.Time, c *tsspill.Controller, p *pool, home candidate, req turmericshed.RouteRequest) candidate {
+	own, others := p.groups[sameRegion], p.groups[sameDomain]
+	isLocal := home.FailureDomain == r.cfg.FailureDomain
+	if isLocal {
+		own, others = others, own
 	}
-	stay := r.chooseInGroup(p, p.groups[sameDomain], req.Prefix)
-	leave := c.LeaveForPrefix(now, tsspill.PrefixedRequest{
-		Prefix: req.Prefix, SharedTokens: int64(req.PrefixTokens), RequestBytes: req.BodyBytes, Home: home.load, Stay: stay.load,
-	})
-	if leave {
+	home = own[slices.IndexFunc(own, func(c candidate) bool { return c.server == home.server })]
+	other := r.boundedHome(p, others, req.Prefix)
+	asked := tsspill.PrefixedRequest{
+		Prefix: req.Prefix, SharedTokens: int64(req.PrefixTokens), RequestBytes: req.BodyBytes,
+		Home: home.load, Other: other.load, OtherServer: other.hash, OtherRunning: other.load*float64(other.Slots) - 1,
+	}
+	switch {
+	case isLocal && c.LeaveHome(now, asked), !isLocal && !c.LeaveForHome(now, asked):
+		return other
+	default:
 		return home
 	}
-	return stay
+}
+
+// boundedHome returns the candidate within the load bound that has the highest rank for
+// the prefix. Unlike chooseInGroup it doesn't count the request for the prefix's share.
+func (r *Router) boundedHome(p *pool, cs []candidate, prefix uint64) candidate {
+	mean := 0.0
+	for _, c := range cs {
+		mean += c.load / float64(len(cs))
+	}
+	if mean > crowdedLoad {
+		return r.fewestInflight(p, cs, 0)
+	}
+	bound := max(r.cfg.Bound*mean, minLoadBound)
+	var best candidate
+	for _, c := range cs {
+		if c.rank = splitMix64(prefix ^ c.hash); c.load <= bound && (best.server == nil || c.rank > best.rank) {
+			best = c
+		}
+	}
+	if best.server == nil {
+		return r.leastLoadedOfTwo(cs)
+	}
+	return best
+}
+
+// isHome reports whether s is a home of the prefix among the servers that take work.
+func (r *Router) isHome(now time.Time, s *server, req turmericshed.RouteRequest) bool {
+	higher := 0
+	for _, o := range r.poolFor(req).servers {
+		if o.acceptsWork(now) && r.distanceTo(o) != otherRegion && splitMix64(req.Prefix^o.hash) > splitMix64(req.Prefix^s.hash) {
+			higher++
+		}
+	}
+	return higher < r.cfg.Homes
 }
 
 // estimateByDomain replaces the estimated loads of the candidates in the region, and
@@ -187,12 +240,18 @@
 		return
 	}
 	c := r.controller(req)
-	unread := int64(req.Cost)
-	if req.Prefix != 0 && c.Answered(now, req.Prefix, s.hash) {
-		unread = max(unread-int64(req.PrefixTokens), 0)
+	unread, assumed := int64(req.Cost), int64(0)
+	if req.Prefix != 0 {
+		shared := min(int64(req.PrefixTokens), unread)
+		switch {
+		case c.Answered(now, req.Prefix, s.hash):
+			unread -= shared
+		case r.isHome(now, s, req):
+			unread, assumed = unread-shared, shared
+		}
 	}
 	c.Observe(now, tsspill.Sample{
-		Remote: s.FailureDomain != r.cfg.FailureDomain, Load: s.loadAtPick, Unread: unread, FirstByte: wait,
+		Remote: s.FailureDomain != r.cfg.FailureDomain, Load: s.loadAtPick, Unread: unread, Assumed: assumed, FirstByte: wait,
 		RequestBytes: res.RequestBytes, AnswerBytes: res.AnswerBytes,
 	})
 }
--- a/core/tsspill/spill.go
+++ b/core/tsspill/spill.go
@@ -139,11 +139,23 @@
 	decidedAt    time.Time
 	nextDecision time.Time
 	prefixes     prefixes
+	// prefixModel and prefixEstimate are what prefixes are decided by.
+	prefixModel    model
+	prefixEstimate estimate
+	// homes are what the homes' caches are judged by, unreadSince since when they are
+	// measured to read prefixes that they were taken to have; zero if they are not.
+	homes       homeShares
+	unreadSince time.Time
 }
 
 // New returns a controller that lets no request leave yet.
 func New(s Settings, rng *rand.Rand) *Controller {
-	c := &Controller{settings: s, rng: rng, estimate: estimate{readMs: priorReadMs, delayMs: priorDelayMs}}
+	assumed := estimate{readMs: priorReadMs, delayMs: priorDelayMs}
+	c := &Controller{
+		settings: s, rng: rng, estimate: assumed, prefixEstimate: assumed,
+		model: model{span: memorySpan, priors: priorWeights}, prefixModel: model{span: prefixMemorySpan, priors: prefixPriorWeights},
+		homes: homeShares{early: 1},
+	}
 	c.decision.Penalty = DefaultPenalty
 	return c
 }
@@ -157,6 +169,8 @@
 		return
 	}
 	c.model.add(now, s)
+	c.prefixModel.add(now, s)
+	c.homes.observe(s, c.readMs())
 	c.requestBytes = smooth(c.requestBytes, float64(s.RequestBytes))
 	c.answerBytes = smooth(c.answerBytes, float64(s.AnswerBytes))
 }
@@ -174,9 +188,10 @@
 // Update decides by the loads. It reports whether the decision changed so much
 // that operators are told.
 func (c *Controller) Update(now time.Time, l Loads) (changed bool) {
-	c.estimate = c.model.estimate(now)
+	c.estimate, c.prefixEstimate = c.model.estimate(now), c.prefixModel.estimate(now)
 	c.decision.LoadsKnown = l.AreKnown
 	c.decision.IsMeasured = c.estimate.weight >= minWeight
+	c.updateUnshared(now)
 	c.decision.Delay, c.decision.Slope = duration(c.estimate.delayMs), duration(c.estimate.slopeMs)
 	c.decision.Bytes = int64(c.requestBytes + c.answerBytes)
 	c.decision.Penalty = c.Penalty(int64(c.requestBytes))
@@ -244,7 +259,12 @@
 
 // leavingMs returns what leaving costs a request in time to first byte.
 func (c *Controller) leavingMs(requestBytes int64) float64 {
-	return c.estimate.delayMs + (float64(requestBytes)+c.answerBytes)/bytesPerMB*milliseconds(c.settings.CostPerMegabyte)
+	return c.estimate.delayMs + c.bytesMs(requestBytes)
+}
+
+// bytesMs returns what the bytes of a request and its answer cost.
+func (c *Controller) bytesMs(requestBytes int64) float64 {
+	return (float64(requestBytes) + c.answerBytes) / bytesPerMB * milliseconds(c.settings.CostPerMegabyte)
 }
 
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
