--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -83,6 +83,8 @@
 	learnt map[poolKey]*serveTimes
 	// familiarSeed makes the preferred servers differ between entry VMs.
 	familiarSeed uint64
+	// spill is nil until spillover is enabled.
+	spill *spill
 	// isInitialized is true once a list with servers was set.
 	isInitialized bool
 	// latestAnsweredStart is the latest start time of an attempt that got a
@@ -214,6 +216,7 @@
 	r.recordServed(req, res)
 	res.Inconclusive = res.Inconclusive && !r.laterAttemptAnswered(now, res)
 	r.updateReachability(now, s, res)
+	r.observeSpill(now, s, req, res)
 	switch classify(res) {
 	case verdictSuccess:
 		if began := now.Add(-res.Elapsed); began.After(r.latestAnsweredStart) {
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -127,6 +127,7 @@
 	timer := q.startSilenceTimer(cancel)
 	defer timer.stop()
 	eventsBefore, sentBefore := q.events, q.sentAttempts
+	q.measured = measurement{began: now}
 	a, firstByte, err := q.exchange(ctx, server, timer)
 	if err != nil {
 		q.excluded = append(q.excluded, server.ID)
@@ -141,6 +142,9 @@
 		err = q.contextError()
 	}
 	res := turmericshed.DispatchResult{Err: err, FirstByte: firstByte, Elapsed: time.Since(now), Tokens: turmericshed.Tokens(q.events - eventsBefore)}
+	if q.sentAttempts > sentBefore {
+		q.measured.addTo(&res, q.bodyBytes)
+	}
 	if a != nil && a.status >= http.StatusInternalServerError {
 		res.Err = turmericshed.NewError(turmericshed.KindInternal, "the server answered with status %d", a.status)
 		q.excluded = append(q.excluded, server.ID)
@@ -259,6 +263,7 @@
 		}
 		return nil, firstByte, err
 	}
+	q.measured.record(0, true)
 	a, err := q.readAnswer(ctx, server.ID, reply, timer)
 	if err != nil {
 		q.mayHaveUnrelayedOutput = true
--- a/io/tsrelay/plain.go
+++ b/io/tsrelay/plain.go
@@ -38,6 +38,7 @@
 	for _, part := range parts {
 		size += int64(len(part))
 	}
+	q.measured.record(int(size), true)
 	switch {
 	case size > limit, !isWhole && !canRelay:
 		reply.Close()
@@ -74,6 +75,7 @@
 	buf := make([]byte, relayBufferBytes)
 	for {
 		n, err := reply.Read(buf)
+		q.measured.record(n, true)
 		if limit -= int64(n); limit < 0 {
 			return turmericshed.NewError(turmericshed.KindCallUnknown, "server %s: the body exceeds %d bytes", server, tsupstream.MaxBodyBytes)
 		}
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -44,6 +44,7 @@
 			splitErr = turmericshed.WrapError(turmericshed.KindStreamBroken, memory.Reserve(int64(2*more+reserved)), "server %s: a long event", server)
 			reserved += 2*more + reserved
 		}
+		q.measured.record(n, len(events) > 0)
 		if len(events) > 0 {
 			timer.eventReceived()
 			q.reportFirstByte(server)
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -60,6 +60,9 @@
 	Limits turmericshed.ServerLimits
 	// OnAttempt is called with the result of each attempt; may be nil.
 	OnAttempt func(turmericshed.RouteRequest, turmericshed.DispatchResult)
+	// Spill decides about requests to other failure domains; nil keeps the router's
+	// fixed penalty.
+	Spill *SpillConfig
 }
 
 // Pool is a router that is safe for concurrent use and follows the servers and load
@@ -69,6 +72,7 @@
 
 	mu     sync.Mutex
 	router *tsroute.Router
+	spill  *spillMetrics
 }
 
 var _ turmericshed.Router = (*Pool)(nil)
@@ -83,6 +87,7 @@
 		ServeTime: cfg.ServeTime,
 	})}
 	p.router.SetServers(time.Now(), cfg.Board.Servers.Read())
+	p.setUpSpill()
 	return p
 }
 
@@ -105,6 +110,7 @@
 func (p *Pool) applyReport(now time.Time, r turmericshed.LoadReport) {
 	p.mu.Lock()
 	p.router.Report(now, r)
+	p.enableSpillFor(r)
 	p.mu.Unlock()
 	if r.Leaving {
 		p.publishLeaving(r.Server)
@@ -247,6 +253,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.countSpill(id, r, res)
 	p.router.Done(now, id, r, res)
 }
 
