--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -183,6 +183,29 @@
 		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "crashes"),
 	})
 	g.peerServer.Mount(g.crashWatch.Handler())
+	g.newRouting(transport, events)
+	g.freshness = tsfreshness.New(freshnessBounds(s))
+	feed := tsfeed.New(tsfeed.Config{
+		Members: g.registry, AwaitMembers: g.registry.AwaitFirstList, Store: store, Peers: transport, Limits: g.permits, Link: g.meter,
+		Freshness: g.freshness, FactsByPrefix: map[string]tsfreshness.Fact{platform.TableKey: tsfreshness.Table, platform.ServerPrefix: tsfreshness.Servers},
+		Log: tsobserve.WithPrefix(g.log, "news"),
+	})
+	g.peerServer.Mount(feed.Handler())
+	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: serverDial})
+	g.newMirrors(feed)
+	g.registerAgeGauges()
+	g.relay = tsrelay.New(tsrelay.Config{
+		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
+		OnFirstByte: g.pool.FirstByte,
+		Log:         tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
+		Freshness: g.freshness, Intake: intake,
+	})
+	return g, nil
+}
+
+// newRouting builds the router and the sharing of load reports.
+func (g *Gateway) newRouting(transport tspeer.Peers, events turmericshed.Recorder) {
+	s := g.cfg.Settings
 	g.loads = tsload.New(tsload.Config{
 		Board: g.board, Members: g.registry, Peers: transport, Link: g.meter, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "loads"),
 	})
@@ -194,14 +217,10 @@
 		FailureDomain: g.self.FailureDomain, Homes: serversPerPrefix, Board: g.board, Limits: g.permits, Recorder: events,
 		ServeTime: s.ShareLoad, OnReport: g.loads.Record, Spill: g.spillConfig(),
 	})
-	g.freshness = tsfreshness.New(freshnessBounds(s))
-	feed := tsfeed.New(tsfeed.Config{
-		Members: g.registry, AwaitMembers: g.registry.AwaitFirstList, Store: store, Peers: transport, Limits: g.permits, Link: g.meter,
-		Freshness: g.freshness, FactsByPrefix: map[string]tsfreshness.Fact{platform.TableKey: tsfreshness.Table, platform.ServerPrefix: tsfreshness.Servers},
-		Log: tsobserve.WithPrefix(g.log, "news"),
-	})
-	g.peerServer.Mount(feed.Handler())
-	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: serverDial})
+}
+
+// newMirrors builds the mirrors of the routing table and of the servers.
+func (g *Gateway) newMirrors(feed turmericshed.Source) {
 	g.tableMirror = tsmirror.New(tsmirror.Config{
 		Store: feed, Prefix: platform.TableKey, Log: tsobserve.WithPrefix(g.log, "table"),
 		View:        &tableView{log: tsobserve.WithPrefix(g.log, "table"), apply: g.applyTable},
@@ -212,14 +231,6 @@
 		Store: feed, Prefix: platform.ServerPrefix, Log: tsobserve.WithPrefix(g.log, "servers"), View: g.roster,
 		OnConfirmed: func(asOf time.Time) { g.freshness.Confirm(tsfreshness.Servers, asOf) },
 	})
-	g.registerAgeGauges()
-	g.relay = tsrelay.New(tsrelay.Config{
-		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
-		OnFirstByte: g.pool.FirstByte,
-		Log:         tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
-		Freshness: g.freshness, Intake: intake,
-	})
-	return g, nil
 }
 
 // listen opens all listeners, or closes the opened ones and returns an error.
