--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -33,7 +33,8 @@
 // these requests than the average server.
 //
 // A more distant group of servers is chosen if its load is lower by more than a
-// penalty. The cost is linear in the number of candidates.
+// penalty. The penalty is fixed unless spillover is enabled, see spill.go. The cost
+// is linear in the number of candidates.
 
 // poolKey identifies a pool by the work that its servers do.
 type poolKey struct {
@@ -59,6 +60,10 @@
 	// groups and homes are buffers that are reused between picks.
 	groups [distanceCount][]candidate
 	homes  []candidate
+	// choices is such a buffer as well.
+	choices []choice
+	// region is such a buffer for the candidates of the whole region.
+	region []candidate
 }
 
 // candidate is a server that may be chosen, with its load per slot.
@@ -91,7 +96,15 @@
 // that does is at its allowance.
 func (r *Router) Pick(now time.Time, req turmericshed.RouteRequest) (turmericshed.BackendServer, error) {
 	p := r.poolFor(req)
-	s := r.choose(now, p, req)
+	if req.Estimate != nil {
+		*req.Estimate = turmericshed.RouteEstimate{}
+	}
+	var s *server
+	if r.weighsServeTime(req) {
+		s = r.chooseByServeTime(now, p, req)
+	} else {
+		s = r.choose(now, p, req)
+	}
 	if s == nil {
 		s = r.fallback(now, p, req)
 	}
@@ -104,12 +117,16 @@
 		s.reachability.lastProbe = now
 	}
 	s.addInflight(now, 1)
+	s.beginServing(now, req)
 	return s.BackendServer, nil
 }
 
 // choose returns the best candidate, or nil if there is none.
 func (r *Router) choose(now time.Time, p *pool, req turmericshed.RouteRequest) *server {
 	r.collectCandidates(now, p, req)
+	if r.spillApplies(p) {
+		return r.chooseWithSpill(now, p, req)
+	}
 	if req.Prefix != 0 {
 		p.groups[sameDomain] = append(p.groups[sameDomain], p.groups[sameRegion]...)
 		p.groups[sameRegion] = p.groups[sameRegion][:0]
--- a/core/tsroute/server.go
+++ b/core/tsroute/server.go
@@ -30,6 +30,8 @@
 	failureExpiries []time.Time
 	// leaving stays set for as long as the server is listed.
 	leaving bool
+	// unlisted is true for a server that is not in the list and kept for its requests in flight.
+	unlisted bool
 	// pausedUntil is the end of the pause that the server requested.
 	pausedUntil time.Time
 	breaker     breaker
@@ -40,8 +42,14 @@
 	// othersReported is the number of requests in the report that were not from
 	// this entry VM.
 	othersReported float64
+	// loadAtPick is the load per slot when the server was last picked while
+	// spillover was enabled.
+	loadAtPick float64
 	// reportReceivedAt is zero if there is no report.
 	reportReceivedAt time.Time
+	// pace is the server's speed, and reportsWorkTime is true if it reports its work time.
+	pace            servePace
+	reportsWorkTime bool
 }
 
 func newServer(b turmericshed.BackendServer) *server {
@@ -62,15 +70,20 @@
 	if s.Slots <= 0 {
 		s.Slots = defaultSlots
 	}
+	s.unlisted = false
 	s.leaving = b.Leaving || (s.leaving && !isNewProcess)
 	if isNewProcess {
 		s.breaker, s.reportReceivedAt, s.pausedUntil = breaker{}, time.Time{}, time.Time{}
 		s.breaker.startRamp()
+		// Requests in flight at the earlier process still end what they counted.
+		s.pace = servePace{unread: s.pace.unread, memory: s.pace.memory}
 	}
 }
 
 // acceptsWork reports whether the server may get new work at all.
-func (s *server) acceptsWork(now time.Time) bool { return !s.leaving && !now.Before(s.pausedUntil) }
+func (s *server) acceptsWork(now time.Time) bool {
+	return !s.leaving && !s.unlisted && !now.Before(s.pausedUntil)
+}
 
 // serves reports whether s does the kind of work that r requests.
 func (s *server) serves(r turmericshed.RouteRequest) bool {
--- a/fleet.go
+++ b/fleet.go
@@ -139,11 +139,39 @@
 	Service string
 	// Prefix is a hash of the prompt's prefix; 0 for none.
 	Prefix uint64
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
 	// Cost is the worst-case cost in tokens, which is the request's weight in the
 	// server's load.
 	Cost Tokens
 	// Excluded lists the servers that already failed this request.
 	Excluded []ServerID
+	// PromptTokens and MaxOutput limit the tokens of a generation, and PrefixTokens is the
+	// part of the prompt that Prefix stands for; 0 for plain services.
+	PromptTokens Tokens
+	PrefixTokens Tokens
+	MaxOutput    Tokens
+	// MemoryTokens is ServiceSpec.MemoryTokens of the service; 0 if unknown.
+	MemoryTokens Tokens
+	// Estimate receives what Pick expected of the chosen server. It may be nil; a router
+	// that weighs servers by time to serve then learns nothing from the attempt.
+	Estimate *RouteEstimate
+}
+
+// RouteEstimate is what a router expected when it chose a server for an attempt. The
+// router that fills it also reads it; others only log it.
+type RouteEstimate struct {
+	// UnreadTokens are the request's own prompt tokens that the server has to read, and
+	// ReadTokens those together with what it has to read before them.
+	UnreadTokens Tokens
+	ReadTokens   Tokens
+	// ServeTime is the expected time to serve the request; 0 if servers were not weighed
+	// by it.
+	ServeTime time.Duration
+	// Began is when the server was chosen, and IsReading is true until its first byte, or
+	// the end of the attempt.
+	Began     time.Time
+	IsReading bool
 }
 
 // DispatchResult is the result of one attempt at a backend server.
@@ -152,8 +180,14 @@
 	Err error
 	// FirstByte is the time from dispatch to the first byte; 0 for none.
 	FirstByte time.Duration
-	Elapsed   time.Duration
-	Tokens    Tokens
+	// FirstOutput is the time from the choice of the server to the first event of a
+	// stream or the headers of another answer; 0 for none.
+	FirstOutput time.Duration
+	Elapsed     time.Duration
+	Tokens      Tokens
+	// RequestBytes are the bytes of the body that were sent, AnswerBytes those of the
+	// answer's body that were received.
+	RequestBytes, AnswerBytes int64
 	// Inconclusive is true for an attempt that timed out while bytes were queued
 	// on this VM's local link, so that the timeout alone does not indicate a fault
 	// of the server.
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -27,11 +27,14 @@
 	"turmericshed/core/tsboard"
 	"turmericshed/core/tsbudget"
 	"turmericshed/core/tsfreshness"
+	"turmericshed/core/tsspill"
 	"turmericshed/core/tstable"
 	"turmericshed/io/tscommit"
 	"turmericshed/io/tscrash"
 	"turmericshed/io/tsfeed"
 	"turmericshed/io/tsholder"
+	"turmericshed/io/tsintake"
+	"turmericshed/io/tsload"
 	"turmericshed/io/tsmeter"
 	"turmericshed/io/tsmirror"
 	"turmericshed/io/tsobserve"
@@ -83,7 +86,10 @@
 	// MetricsPort replaces the port of the settings' MetricsAddr; 0 keeps that
 	// port.
 	MetricsPort uint16
-	Log         *slog.Logger
+	// Spill are the settings of spillover between failure domains; nil means the
+	// defaults.
+	Spill *tsspill.Settings
+	Log   *slog.Logger
 	// Dial opens connections to the store, to backend servers and to other
 	// entry VMs; nil uses a [tsupstream.Dialer].
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -103,6 +109,7 @@
 	permits    *tspermits.Permits
 	crashWatch *tscrash.Watch
 	pool       *tsrouting.Pool
+	loads      *tsload.Sharer
 	upstream   *tsupstream.Client
 	meter      *tsmeter.Meter
 	// freshness decides for how long store updates may be acted on.
@@ -135,6 +142,9 @@
 		},
 	}
 	g.meter = tsmeter.New(tsmeter.Config{BytesPerSecond: s.LinkRate, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "link")})
+	intake := tsintake.New(tsintake.Config{
+		MemoryBytes: s.MemoryBytes, Descriptors: s.FileDescriptors, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "intake"),
+	})
 	if cfg.Dial == nil {
 		cfg.Dial = tsupstream.Dialer{Link: g.meter}.Dial
 	}
@@ -142,7 +152,12 @@
 		return nil, err
 	}
 	g.self.PeerAddr = tcpAddr(g.peerListener)
-	store := platform.NewStore(s.StoreAddr, platform.StoreOptions{Dial: g.meter.Dialer(tsmeter.Store, cfg.Dial)})
+	store := platform.NewStore(s.StoreAddr, platform.StoreOptions{
+		Dial: g.meter.Dialer(tsmeter.Store, cfg.Dial),
+		OnRestored: func(era uint64) {
+			g.log.Warn("store came back from an older copy; reading everything again", "era", era)
+		},
+	})
 	events := eventLogger{log: tsobserve.WithPrefix(g.log, "event")}
 	g.registry = tsregistry.New(tsregistry.Config{Self: g.self, Store: store, StaleLister: store, Log: tsobserve.WithPrefix(g.log, "registry")})
 	peering := tspeer.Config{Dial: g.meter.Dialer(tsmeter.EntryVMs, cfg.Dial), HTTP1: true, StopTimeout: peerStopTimeout}
@@ -162,13 +177,13 @@
 		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "limits"),
 	})
 	g.peerServer.Mount(g.permits.Handler())
-	serverDial := g.meter.Dialer(tsmeter.Servers, cfg.Dial)
+	serverDial := g.meter.Dialer(tsmeter.Servers, intake.Dialer(cfg.Dial))
 	g.crashWatch = tscrash.New(tscrash.Config{
 		Members: g.registry, Peers: transport, Board: g.board, Store: store, FirstStart: s.FirstStart, Dial: serverDial, Link: g.meter,
 		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "crashes"),
 	})
 	g.peerServer.Mount(g.crashWatch.Handler())
-	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{FailureDomain: g.self.FailureDomain, Homes: serversPerPrefix, Board: g.board, Limits: g.permits, Recorder: events})
+	g.newRouting(transport, events)
 	g.freshness = tsfreshness.New(freshnessBounds(s))
 	feed := tsfeed.New(tsfeed.Config{
 		Members: g.registry, AwaitMembers: g.registry.AwaitFirstList, Store: store, Peers: transport, Limits: g.permits, Link: g.meter,
@@ -177,6 +192,35 @@
 	})
 	g.peerServer.Mount(feed.Handler())
 	g.upstream = tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: serverDial})
+	g.newMirrors(feed)
+	g.registerAgeGauges()
+	g.relay = tsrelay.New(tsrelay.Config{
+		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
+		OnFirstByte: g.pool.FirstByte,
+		Log:         tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
+		Freshness: g.freshness, Intake: intake,
+	})
+	return g, nil
+}
+
+// newRouting builds the router and the sharing of load reports.
+func (g *Gateway) newRouting(transport tspeer.Peers, events turmericshed.Recorder) {
+	s := g.cfg.Settings
+	g.loads = tsload.New(tsload.Config{
+		Board: g.board, Members: g.registry, Peers: transport, Link: g.meter, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "loads"),
+	})
+	g.peerServer.Mount(g.loads.Handler())
+	if s.ShareLoad {
+		g.loads.Enable("settings")
+	}
+	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{
+		FailureDomain: g.self.FailureDomain, Homes: serversPerPrefix, Board: g.board, Limits: g.permits, Recorder: events,
+		ServeTime: s.ShareLoad, OnReport: g.loads.Record, Spill: g.spillConfig(),
+	})
+}
+
+// newMirrors builds the mirrors of the routing table and of the servers.
+func (g *Gateway) newMirrors(feed turmericshed.Source) {
 	g.tableMirror = tsmirror.New(tsmirror.Config{
 		Store: feed, Prefix: platform.TableKey, Log: tsobserve.WithPrefix(g.log, "table"),
 		View:        &tableView{log: tsobserve.WithPrefix(g.log, "table"), apply: g.applyTable},
@@ -187,13 +231,6 @@
 		Store: feed, Prefix: platform.ServerPrefix, Log: tsobserve.WithPrefix(g.log, "servers"), View: g.roster,
 		OnConfirmed: func(asOf time.Time) { g.freshness.Confirm(tsfreshness.Servers, asOf) },
 	})
-	g.registerAgeGauges()
-	g.relay = tsrelay.New(tsrelay.Config{
-		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
-		Log: tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
-		Freshness: g.freshness,
-	})
-	return g, nil
 }
 
 // listen opens all listeners, or closes the opened ones and returns an error.
@@ -270,6 +307,17 @@
 	return b
 }
 
+// spillConfig returns the settings of spillover between failure domains.
+func (g *Gateway) spillConfig() *tsrouting.SpillConfig {
+	settings := tsspill.Settings{CostPerMegabyte: tsspill.DefaultCostPerMegabyte}
+	if g.cfg.Spill != nil {
+		settings = *g.cfg.Spill
+	}
+	return &tsrouting.SpillConfig{
+		Enabled: g.cfg.Settings.ShareLoad, Settings: settings, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "spill"),
+	}
+}
+
 // Reload applies changed settings. Addresses and names change only on a restart.
 func (g *Gateway) Reload(s platform.Settings) {
 	g.relay.SetRetryLimits(retryBounds(s))
@@ -372,7 +420,7 @@
 	sup := suture.New("gateway", suture.Spec{FailureBackoff: restartBackoff, EventHook: func(e suture.Event) {
 		g.log.Error("supervisor event", "event", e.String())
 	}})
-	controllers := []turmericshed.Controller{g.tableMirror, g.serverMirror, g.roster, g.registry, g.upstream, g.meter, g.permits, peerController{g}}
+	controllers := []turmericshed.Controller{g.tableMirror, g.serverMirror, g.roster, g.registry, g.upstream, g.meter, g.permits, g.loads, peerController{g}}
 	controllers = append(controllers, g.crashWatch.Controllers()...)
 	controllers = append(controllers, g.committer.Controllers()...)
 	controllers = append(controllers, g.holder.Controllers()...)
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -28,6 +28,7 @@
 	"turmericshed/core/tsadmit"
 	"turmericshed/core/tsfreshness"
 	"turmericshed/core/tstable"
+	"turmericshed/io/tsintake"
 	"turmericshed/io/tsobserve"
 	"turmericshed/io/tsupstream"
 )
@@ -82,6 +83,10 @@
 	Link turmericshed.Link
 	// ServerLimits receives the limits that servers send with their answers; may be nil.
 	ServerLimits turmericshed.ServerLimits
+	// OnFirstByte is called when the first byte of an answer, or the first event of a
+	// stream, arrived from the server of an attempt. It may be called again for the same
+	// attempt. nil means that nobody needs it.
+	OnFirstByte func(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest)
 	// CrashWatch quarantines requests that crash servers; nil quarantines none.
 	CrashWatch  turmericshed.CrashWatch
 	Metrics     *tsobserve.Metrics
@@ -89,6 +94,8 @@
 	RetryLimits RetryLimits
 	// EntryVMs returns an upper bound on the number of entry VMs, this one included.
 	EntryVMs func() int
+	// Intake bounds the memory and connections of callers; nil sets no bounds.
+	Intake *tsintake.Intake
 	// Freshness bounds the age of the routes, keys and servers that the relay acts
 	// on; nil sets no bound.
 	Freshness *tsfreshness.Tracker
@@ -104,6 +111,8 @@
 	mu      sync.Mutex
 	bounds  RetryLimits
 	retries map[string]*tsadmit.RetryWindow
+
+	malformedLoads malformedLoads
 }
 
 // New returns a relay without a routing table, which refuses every request until
@@ -158,6 +167,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{relay: s, w: w, r: r, rc: http.NewResponseController(w), arrived: time.Now()}
+	defer req.releaseMemory()
 	err := req.prepare()
 	if err == nil {
 		var cancel context.CancelFunc
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -46,6 +46,12 @@
 	// Homes is the number of servers at which the same prefix may be cached; 0
 	// means the router's default.
 	Homes int
+	// ServeTime makes the router weigh servers by the time to serve a request instead of
+	// by requests per slot.
+	ServeTime bool
+	// OnReport is called with each report of this entry VM's own, to share it with others;
+	// may be nil.
+	OnReport func(time.Time, turmericshed.LoadReport)
 	// LoadReader reads a server's load; nil disables polling.
 	LoadReader turmericshed.LoadReader
 	Rand       *rand.Rand
@@ -54,6 +60,9 @@
 	Limits turmericshed.ServerLimits
 	// OnAttempt is called with the result of each attempt; may be nil.
 	OnAttempt func(turmericshed.RouteRequest, turmericshed.DispatchResult)
+	// Spill decides about requests to other failure domains; nil keeps the router's
+	// fixed penalty.
+	Spill *SpillConfig
 }
 
 // Pool is a router that is safe for concurrent use and follows the servers and load
@@ -63,6 +72,7 @@
 
 	mu     sync.Mutex
 	router *tsroute.Router
+	spill  *spillMetrics
 }
 
 var _ turmericshed.Router = (*Pool)(nil)
@@ -74,8 +84,10 @@
 	}
 	p := &Pool{cfg: cfg, router: tsroute.New(tsroute.Config{
 		FailureDomain: cfg.FailureDomain, Region: cfg.Region, Homes: cfg.Homes, Rand: cfg.Rand, Recorder: cfg.Recorder,
+		ServeTime: cfg.ServeTime,
 	})}
 	p.router.SetServers(time.Now(), cfg.Board.Servers.Read())
+	p.setUpSpill()
 	return p
 }
 
@@ -89,8 +101,16 @@
 // Report applies a load report. If the server is leaving, it is also published as
 // leaving.
 func (p *Pool) Report(now time.Time, r turmericshed.LoadReport) {
+	if p.cfg.OnReport != nil {
+		p.cfg.OnReport(now, r)
+	}
+	p.applyReport(now, r)
+}
+
+func (p *Pool) applyReport(now time.Time, r turmericshed.LoadReport) {
 	p.mu.Lock()
 	p.router.Report(now, r)
+	p.enableSpillFor(r)
 	p.mu.Unlock()
 	if r.Leaving {
 		p.publishLeaving(r.Server)
@@ -160,7 +180,7 @@
 		if acquired && p.InService(time.Now(), s.ID) {
 			return s, nil
 		}
-		p.release(now, s.ID)
+		p.unassign(now, s.ID, open)
 		if acquired {
 			// The server left while its permit was acquired.
 			p.cfg.Limits.Return(s)
@@ -190,10 +210,18 @@
 	}
 }
 
-func (p *Pool) release(now time.Time, id turmericshed.ServerID) {
+func (p *Pool) unassign(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Unassign(now, id, r)
+}
+
+// FirstByte reports that the first byte of an answer, or the first event of a stream,
+// arrived from a server that Pick returned.
+func (p *Pool) FirstByte(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.router.Release(now, id)
+	p.router.FirstByte(now, id, r)
 }
 
 // limitError returns KindOverloaded with a retry-after time if only limits exclude
@@ -225,6 +253,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.countSpill(id, r, res)
 	p.router.Done(now, id, r, res)
 }
 
@@ -276,7 +305,7 @@
 	for {
 		loads, changed := c.pool.cfg.Board.Loads.Watch()
 		for _, r := range loads {
-			c.pool.Report(time.Now(), r)
+			c.pool.applyReport(time.Now(), r)
 		}
 		select {
 		case <-changed:
