Choice by time to serve: prefixes keep their homes

Measured on the score-engraving deployment, tokens of shared prompt parts that were read again doubled. The preferred servers differ between entry VMs and were candidates for prompts with a prefix too, and the factor on reading again counted as tokens that were read: servers away from the home then looked faster in what was learnt, and got more. Candidates are now the homes and the next server in hash order; later homes cost a part of reading again; the best home is kept while it needs less than half of the objective, and another server must stay below 0.7 of its time, twice the reading included. Shared parts of less than 300 tokens don't bind.

Also: requests that are not weighed by time to serve are not counted or learnt from, and unknown models of callers are not remembered (learnt grew with each model named). A garbled work time is limited to 10, as it changed the average that all servers are measured by. A younger reading of another entry VM no longer hides that this one reached a failure domain.

--- a/core/tsload/replay_test.go
+++ b/core/tsload/replay_test.go
@@ -61,6 +61,9 @@
 	digest      bool
 	workTime    bool
 	evenServers bool
+	// skew is the exponent by which requests concentrate on the first entry VMs; 0 spreads
+	// them evenly. With 4 one entry VM of 62 receives 36%.
+	skew float64
 	// disturb is called at every exchange of an entry VM; false means that the exchange
 	// fails. It may be nil.
 	disturb func(now time.Duration, from, to int) bool
@@ -123,7 +126,9 @@
 	seq    int
 	vms    []*replayVM
 	fleet  []*replayServer
-	result replayResult
+	// hasBeenRead holds the shared prompt parts that a server has read.
+	hasBeenRead map[uint64]bool
+	result      replayResult
 }
 
 // replayResult is what callers and the network saw.
@@ -137,6 +142,9 @@
 	distant    int
 	// left counts the requests that went to a server of another failure domain.
 	left int
+	// reread counts the tokens of shared prompt parts that a server read although another
+	// server, or itself, had read them before.
+	reread turmericshed.Tokens
 }
 
 func (r replayResult) quantile(q float64) time.Duration {
@@ -154,8 +162,8 @@
 }
 
 func (r replayResult) String() string {
-	return fmt.Sprintf("asked %d, in time %.4f, first byte mean %s p50 %s p95 %s p99 %s; calls %d, readings %d, digests %d with %d readings, left %.2f", r.asked, r.share(),
-		r.mean().Round(time.Millisecond), r.quantile(0.5).Round(time.Millisecond), r.quantile(0.95).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond), r.calls, r.readings, r.digests, r.distant, float64(r.left)/float64(r.asked))
+	return fmt.Sprintf("asked %d, in time %.4f, first byte mean %s p50 %s p95 %s p99 %s; calls %d, readings %d, digests %d with %d readings, left %.2f, reread %d tokens", r.asked, r.share(),
+		r.mean().Round(time.Millisecond), r.quantile(0.5).Round(time.Millisecond), r.quantile(0.95).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond), r.calls, r.readings, r.digests, r.distant, float64(r.left)/float64(r.asked), r.reread)
 }
 
 func (r replayResult) share() float64 { return float64(r.inTime) / float64(r.asked) }
@@ -170,7 +178,7 @@
 }
 
 func runReplay(o replayOptions) replayResult {
-	w := &replay{o: o, rng: rand.New(rand.NewPCG(o.seed, 2))}
+	w := &replay{o: o, rng: rand.New(rand.NewPCG(o.seed, 2)), hasBeenRead: map[uint64]bool{}}
 	var list []turmericshed.BackendServer
 	for i := range o.servers {
 		s := &replayServer{BackendServer: turmericshed.BackendServer{
@@ -304,6 +312,9 @@
 // request is the arrival of one caller's request.
 func (w *replay) request() {
 	i := w.rng.IntN(len(w.vms))
+	if w.o.skew > 0 {
+		i = int(float64(len(w.vms)) * math.Pow(w.rng.Float64(), w.o.skew))
+	}
 	v := w.vms[i]
 	v.active = true
 	x, k := w.rng.Float64(), 0
@@ -314,7 +325,7 @@
 	kd := replayKinds[k]
 	req := turmericshed.RouteRequest{
 		Work: turmericshed.WorkService, Service: "pool", Cost: kd.own + kd.shared + kd.output, PromptTokens: kd.own + kd.shared, PrefixTokens: kd.shared,
-		MaxOutput: kd.output, MemoryTokens: serverMemory, Estimate: &turmericshed.RouteEstimate{},
+		MaxOutput: kd.output, MemoryTokens: serverMemory, FirstByteWithin: kd.objective, Estimate: &turmericshed.RouteEstimate{},
 	}
 	if kd.shared > 0 {
 		// Popular prefixes are asked for more often.
@@ -358,7 +369,10 @@
 	if kd.shared > 0 {
 		if _, ok := s.cache[req.Prefix]; ok {
 			unread -= kd.shared
+		} else if w.hasBeenRead[req.Prefix] {
+			w.result.reread += kd.shared
 		}
+		w.hasBeenRead[req.Prefix] = true
 		s.store(req.Prefix, kd.shared)
 	}
 	readAt := s.advance(max(w.now, s.readFree), time.Duration(float64(unread)/tokensPerMilli*float64(time.Millisecond)))
@@ -455,12 +469,31 @@
 			for _, r := range []replayResult{alone, shared} {
 				assert.Assert(t, 1-r.share() < 0.6*(1-before.share()), "late first bytes: %.4f, before %.4f", 1-r.share(), 1-before.share())
 				assert.Assert(t, r.mean() < before.mean()*4/5, "mean time to the first byte: %s, before %s", r.mean(), before.mean())
+				assertFewRereads(t, r, before)
 			}
 			assert.Assert(t, 1-shared.share() < 1.25*(1-alone.share())+0.003, "sharing must not make entry VMs choose the same servers together")
 		})
 	}
 }
 
+// assertFewRereads checks that servers don't read clearly more tokens of shared prompt parts
+// a second time than with the choice by requests per slot.
+func assertFewRereads(t *testing.T, r, before replayResult) {
+	t.Helper()
+	assert.Assert(t, float64(r.reread) <= 1.15*float64(before.reread), "tokens read again: %d, before %d", r.reread, before.reread)
+}
+
+// Guards against prefixes that leave their homes when an entry VM knows of much work there:
+// reading them again delays all requests at the other server.
+func TestSkewedDemandKeepsHomes(t *testing.T) {
+	before := runReplay(replayOf(func(o *replayOptions) { o.skew, o.perSecond = 4, 600 }))
+	after := runReplay(replayOf(func(o *replayOptions) { o.skew, o.perSecond, o.workTime, o.share, o.digest = 4, 600, true, true, true }))
+	t.Log("before: ", before)
+	t.Log("after:  ", after)
+	assertFewRereads(t, after, before)
+	assert.Assert(t, after.mean() < before.mean()*4/5 && 1-after.share() < 0.6*(1-before.share()))
+}
+
 // Guards against a choice that relies on the work time: servers of a deployment that asks
 // for admission may not report it.
 func TestUnevenServersWithoutWorkTime(t *testing.T) {
@@ -469,6 +502,7 @@
 	t.Log("before: ", before)
 	t.Log("after:  ", after)
 	assert.Assert(t, 1-after.share() < 0.7*(1-before.share()), "%.4f, before %.4f", 1-after.share(), 1-before.share())
+	assertFewRereads(t, after, before)
 }
 
 // Guards against harm where servers do not differ.
--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -42,6 +42,10 @@
 	service string
 }
 
+func keyOf(req turmericshed.RouteRequest) poolKey {
+	return poolKey{work: req.Work, model: req.Model, service: req.Service}
+}
+
 // distance classifies servers by their network distance.
 type distance int
 
@@ -74,7 +78,7 @@
 // poolFor returns the pool of servers that can serve req, and builds it on
 // first use.
 func (r *Router) poolFor(req turmericshed.RouteRequest) *pool {
-	key := poolKey{work: req.Work, model: req.Model, service: req.Service}
+	key := keyOf(req)
 	if p := r.pools[key]; p != nil {
 		return p
 	}
@@ -97,7 +101,8 @@
 		*req.Estimate = turmericshed.RouteEstimate{}
 	}
 	var s *server
-	if r.weighsServeTime(req) {
+	weighsServeTime := r.weighsServeTime(req)
+	if weighsServeTime {
 		s = r.chooseByServeTime(now, p, req)
 	} else {
 		s = r.choose(now, p, req)
@@ -114,7 +119,9 @@
 		s.reachability.lastProbe = now
 	}
 	s.addInflight(now, 1)
-	s.beginServing(now, req)
+	if weighsServeTime {
+		s.beginServing(now, req)
+	}
 	return s.BackendServer, nil
 }
 
--- a/core/tsroute/reach.go
+++ b/core/tsroute/reach.go
@@ -52,9 +52,9 @@
 }
 
 // updateReachabilityFromReport marks the failure domain of s as reachable if
-// the load report of s was taken after the last failed connection or probe.
-func (r *Router) updateReachabilityFromReport(s *server) {
-	if s.reachability.isUnreachable() && s.report.At.After(s.reachability.lastProbe) && s.reachability.recordAnswer() {
+// the load report of s was taken by this entry VM after the last failed connection or probe.
+func (r *Router) updateReachabilityFromReport(s *server, rep turmericshed.LoadReport) {
+	if !rep.Relayed && s.reachability.isUnreachable() && rep.At.After(s.reachability.lastProbe) && s.reachability.recordAnswer() {
 		r.recordReachability(turmericshed.EventBreakerClosed, s, "load report from failure domain "+string(s.FailureDomain))
 	}
 }
--- a/core/tsroute/router.go
+++ b/core/tsroute/router.go
@@ -160,13 +160,15 @@
 	if rep.Leaving {
 		r.setLeaving(s, "load report")
 	}
+	rep.WorkTime = min(rep.WorkTime, maxWorkTime)
 	if !s.reportReceivedAt.IsZero() && !rep.At.After(s.report.At) {
+		if s.report.Relayed {
+			r.updateReachabilityFromReport(s, rep)
+		}
 		return
 	}
 	s.report, s.reportReceivedAt = rep, now
-	if !rep.Relayed {
-		r.updateReachabilityFromReport(s)
-	}
+	r.updateReachabilityFromReport(s, rep)
 	s.othersReported = float64(max(rep.Running+rep.Queued-s.history.countAt(rep.At), 0))
 	if rep.WorkTime > 0 {
 		r.markReporting(s)
--- a/core/tsroute/serve_time.go
+++ b/core/tsroute/serve_time.go
@@ -37,8 +37,10 @@
 // together (docs/design/load-sharing.md).
 //
 // Each entry VM chooses among ten servers of its failure domain, which differ between entry
-// VMs, and three random ones. A request with a prompt prefix has its homes as candidates as
-// well, and leaves them only if they are slower by more than reading the prompt again costs.
+// VMs, and three random ones. A request with a prompt prefix has its homes and the next
+// server in hash order as candidates instead, and leaves the homes only if the best of them
+// endangers the latency objective and the other server is clearly faster, reading the prefix
+// again included: reading it delays all requests there.
 
 const (
 	// familiarServers is the number of servers that are always candidates, and
@@ -50,9 +52,22 @@
 	// and are candidates as well: entry VMs that pass over a home meet at the same servers,
 	// which then cache the prefix.
 	spareHomes = 1
-	// rereadFactor is by how much more the prompt's shared part counts at servers that
-	// have not cached it: reading it there delays other requests too.
-	rereadFactor = 1.5
+	// rereadFactor is the cost of reading the shared part again, in times to read it, on top
+	// of the time that the request itself takes: it delays all other requests there.
+	rereadFactor = 2
+	// keepHomePart is the part of the latency objective up to which the best home is kept
+	// whatever other servers promise, and leaveHomePart the part of its time to serve that
+	// another server's cost must stay below beyond that. A home that is slow for a moment
+	// thus keeps its requests.
+	keepHomePart  = 0.5
+	leaveHomePart = 0.7
+	// laterHomeMissingPart is the part of the shared part that homes after the first in hash
+	// order are assumed to lack. Without it each entry VM spreads a prefix over all its homes
+	// at any load, and each of them reads it (docs/design/load-sharing.md).
+	laterHomeMissingPart = 0.5
+	// minSharedTokens is the number of tokens below which a shared part is not worth keeping
+	// to its homes: they are read in about 3 ms.
+	minSharedTokens = 300
 	// unseenMissingPart is the part of a prefix that a home is assumed to read if this entry
 	// VM has not seen the prefix: other entry VMs may have.
 	unseenMissingPart = 0.3
@@ -87,6 +102,9 @@
 	recentPaceWeight = 0.5
 	// workTimeLife is the age at which a reported work time no longer counts.
 	workTimeLife = 600 * time.Millisecond
+	// maxWorkTime bounds a reported work time, so that one garbled report doesn't change the
+	// average by which all other servers are measured. Slow servers report 2.5.
+	maxWorkTime = 10
 	// maxReadTime is the time to the first byte above which an answer tells nothing about
 	// speed: something else delayed it.
 	maxReadTime = 10 * time.Second
@@ -130,15 +148,17 @@
 
 // weighsServeTime reports whether a server for the request is chosen by time to serve.
 func (r *Router) weighsServeTime(req turmericshed.RouteRequest) bool {
-	return req.Estimate != nil && req.PromptTokens > 0 && (r.cfg.ServeTime || r.serveTimesFor(req).isOn)
+	if req.Estimate == nil || req.PromptTokens <= 0 {
+		return false
+	}
+	m := r.learnt[keyOf(req)]
+	return r.cfg.ServeTime || m != nil && m.isOn
 }
 
-// SetServeTime makes Pick weigh servers by time to serve from now on.
-func (r *Router) SetServeTime() { r.cfg.ServeTime = true }
-
-// serveTimesFor returns what was learnt about the kind of request.
+// serveTimesFor returns what was learnt about the kind of request. Callers choose the model,
+// so it is called only for requests that a listed server serves.
 func (r *Router) serveTimesFor(req turmericshed.RouteRequest) *serveTimes {
-	key := poolKey{work: req.Work, model: req.Model, service: req.Service}
+	key := keyOf(req)
 	m := r.learnt[key]
 	if m == nil {
 		m = &serveTimes{tokenTime: average{value: math.Log(initialTokenTime.Seconds())}}
@@ -150,7 +170,13 @@
 // chooseByServeTime returns the candidate with the shortest time to serve, or nil if there
 // is none.
 func (r *Router) chooseByServeTime(now time.Time, p *pool, req turmericshed.RouteRequest) *server {
+	if len(p.servers) == 0 {
+		return nil
+	}
 	r.collectCandidates(now, p, req)
+	if req.PrefixTokens > 0 && req.PrefixTokens < minSharedTokens {
+		req.Prefix, req.PrefixTokens = 0, 0
+	}
 	if r.missingPart(req) == 1 {
 		// No server has the prompt: the request is free to stay in its failure domain. It is
 		// counted, as it may come again.
@@ -162,41 +188,58 @@
 		p.groups[sameRegion] = p.groups[sameRegion][:0]
 	}
 	e := r.newEstimator(now, p, req)
-	var best choice
+	var best, home choice
 	for d, cs := range p.groups {
 		if len(cs) == 0 {
 			continue
 		}
 		penalty := r.penalty(distance(d)) * e.timePerLoad()
 		for _, c := range r.serveTimeCandidates(p, cs, req) {
-			c.seconds += e.serveTime(c.server, c.unread) + penalty
-			if best.server == nil || c.seconds < best.seconds {
+			c.seconds = e.serveTime(c.server, c.unread) + penalty
+			c.cost = c.seconds + c.reread*rereadFactor*e.tokenTime()
+			if c.isHome && (home.server == nil || c.cost < home.cost) {
+				home = c
+			}
+			if best.server == nil || c.cost < best.cost {
 				best = c
 			}
 		}
 	}
+	if home.server != nil && !e.leavesHome(home, best) {
+		best = home
+	}
 	if best.server != nil {
 		e.fill(best)
 	}
 	return best.server
 }
 
+// leavesHome reports whether a request goes to the server other instead of to the best home
+// of its prefix.
+func (e estimator) leavesHome(home, other choice) bool {
+	return home.seconds > keepHomePart*e.req.FirstByteWithin.Seconds() && other.cost < leaveHomePart*home.seconds
+}
+
 // choice is a server that may be chosen by time to serve.
 type choice struct {
 	*server
-	// unread is the number of the request's prompt tokens that the server has to read.
-	unread float64
-	// seconds is the time to serve, with penalties.
-	seconds float64
+	// unread is the number of the request's prompt tokens that the server has to read, and
+	// reread those that it reads, or may read, although a home has read them.
+	unread, reread float64
+	isHome         bool
+	// seconds is the time to serve, with the penalty for distance, and cost that with what
+	// reading tokens again costs other requests.
+	seconds, cost float64
 }
 
-// serveTimeCandidates returns the homes of the request's prefix and some random servers.
+// serveTimeCandidates returns the homes of the request's prefix and the servers that follow
+// them, or for a request without a prefix the familiar servers and some random ones.
 func (r *Router) serveTimeCandidates(p *pool, cs []candidate, req turmericshed.RouteRequest) []choice {
-	shared := float64(min(req.PrefixTokens, req.PromptTokens, maxTokens))
-	own := float64(min(req.PromptTokens, maxTokens)) - shared
-	choices := p.choices[:0]
+	p.choices = p.choices[:0]
+	tokens := float64(min(req.PromptTokens, maxTokens))
 	if req.Prefix != 0 {
-		atHome := own + shared*r.missingPart(req)
+		shared := float64(min(req.PrefixTokens, req.PromptTokens, maxTokens))
+		missing := shared * r.missingPart(req)
 		homes := r.popularity.homeCount(req.Prefix, len(cs), r.cfg.Homes)
 		p.homes = p.homes[:0]
 		for _, c := range cs {
@@ -204,17 +247,20 @@
 			p.homes = insertHome(p.homes, c, homes+spareHomes)
 		}
 		for i, c := range p.homes {
-			unread := atHome
-			if i >= homes {
-				unread = own + shared
+			switch {
+			case i == 0:
+				p.choices = append(p.choices, choice{server: c.server, unread: tokens - shared + missing, isHome: true})
+			case i < homes:
+				p.choices = append(p.choices, choice{server: c.server, unread: tokens - shared + missing, reread: laterHomeMissingPart * shared, isHome: true})
+			default:
+				p.choices = append(p.choices, choice{server: c.server, unread: tokens, reread: shared - missing})
 			}
-			choices = append(choices, choice{server: c.server, unread: unread})
 		}
-		shared *= rereadFactor
+		return p.choices
 	}
 	add := func(s *server) {
-		if !slices.ContainsFunc(choices, func(c choice) bool { return c.server == s }) {
-			choices = append(choices, choice{server: s, unread: own + shared})
+		if !slices.ContainsFunc(p.choices, func(c choice) bool { return c.server == s }) {
+			p.choices = append(p.choices, choice{server: s, unread: tokens})
 		}
 	}
 	for _, c := range r.familiar(p, cs) {
@@ -223,8 +269,7 @@
 	for range serveTimeChoices {
 		add(cs[r.cfg.Rand.IntN(len(cs))].server)
 	}
-	p.choices = choices
-	return choices
+	return p.choices
 }
 
 // familiar returns the servers of the nearest failure domain among the candidates that this
@@ -293,6 +338,9 @@
 	return sum / float64(n)
 }
 
+// tokenTime returns the time in seconds that the average server needs to read a token.
+func (e estimator) tokenTime() float64 { return math.Exp(e.learnt.tokenTime.value) }
+
 // timePerLoad returns the time in seconds that a load of 1 per slot stands for: that of an
 // average request.
 func (e estimator) timePerLoad() float64 {
@@ -335,7 +383,7 @@
 // tokens of its prompt.
 func (e estimator) serveTime(s *server, unread float64) float64 {
 	others := e.router.estimatedOthers(e.now, s, e.meanOthers)
-	t := (s.pace.unread + unread) * math.Exp(e.learnt.tokenTime.value)
+	t := (s.pace.unread + unread) * e.tokenTime()
 	if over := float64(s.ownLoad(e.now)) + others + 1 - float64(s.Slots); over > 0 {
 		t += over / float64(s.Slots) * e.learnt.elapsed.value
 	}
@@ -369,7 +417,7 @@
 func (e estimator) fill(c choice) {
 	*e.req.Estimate = turmericshed.RouteEstimate{
 		UnreadTokens: turmericshed.Tokens(c.unread), ReadTokens: turmericshed.Tokens(c.unread + c.pace.unread),
-		ServeTime: time.Duration(c.seconds * float64(time.Second)), Began: e.now,
+		ServeTime: time.Duration(c.seconds * float64(time.Second)),
 	}
 }
 
@@ -382,11 +430,8 @@
 	r.Release(now, id)
 }
 
-// beginServing counts a request that was assigned to s.
+// beginServing counts a request that was assigned to s by time to serve.
 func (s *server) beginServing(now time.Time, req turmericshed.RouteRequest) {
-	if req.Estimate == nil {
-		return
-	}
 	req.Estimate.Began, req.Estimate.IsReading = now, true
 	s.pace.unread += float64(req.Estimate.UnreadTokens)
 	s.pace.memory += memoryOf(req)
@@ -400,9 +445,14 @@
 	}
 }
 
+// isWeighed reports whether beginServing counted the request.
+func isWeighed(req turmericshed.RouteRequest) bool {
+	return req.Estimate != nil && !req.Estimate.Began.IsZero()
+}
+
 // endServing ends a request that beginServing counted.
 func (s *server) endServing(req turmericshed.RouteRequest) {
-	if req.Estimate == nil {
+	if !isWeighed(req) {
 		return
 	}
 	s.endReading(req)
@@ -466,7 +516,7 @@
 
 // recordServed learns from a complete answer.
 func (r *Router) recordServed(req turmericshed.RouteRequest, res turmericshed.DispatchResult) {
-	if req.Estimate == nil || res.Err != nil || res.FirstByte <= 0 {
+	if !isWeighed(req) || res.Err != nil || res.FirstByte <= 0 {
 		return
 	}
 	m := r.serveTimesFor(req)
--- a/core/tsroute/serve_time_test.go
+++ b/core/tsroute/serve_time_test.go
@@ -222,6 +222,22 @@
 		assert.Assert(t, pickServer(t, r, now, req) != home)
 		assert.Assert(t, req.Estimate.UnreadTokens > 10_000)
 	})
+	t.Run("only what the server has to read is learnt from", func(t *testing.T) {
+		req := shared()
+		req.Excluded = []turmericshed.ServerID{home}
+		id := pickServer(t, r, now, req)
+		assert.Assert(t, req.Estimate.UnreadTokens <= 10_500, "%d: the cost for other requests is not work of this one", req.Estimate.UnreadTokens)
+		r.Unassign(now, id, req)
+	})
+	t.Run("a small shared part does not bind the request to its homes", func(t *testing.T) {
+		seen := map[turmericshed.ServerID]bool{}
+		for range 30 {
+			req := shared()
+			req.PrefixTokens = minSharedTokens - 1
+			seen[pickServer(t, r, now, req)] = true
+		}
+		assert.Assert(t, len(seen) > 2)
+	})
 	t.Run("a prompt that nobody sent before stays in the failure domain", func(t *testing.T) {
 		r := serveRouter(true, serveServers(9, "a", "b", "c"))
 		for i := range 20 {
@@ -235,6 +251,60 @@
 	})
 }
 
+// Guards against a prefix that leaves its home for a delay that the objective allows, and
+// against one that stays at a home which is clearly too slow.
+func TestHomeIsKeptWithinTheObjective(t *testing.T) {
+	for name, c := range map[string]struct {
+		within time.Duration
+		keeps  bool
+	}{
+		"the objective allows the delay":  {within: 3 * time.Second, keeps: true},
+		"the objective does not allow it": {within: 600 * time.Millisecond},
+		"no objective":                    {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := serveRouter(true, serveServers(3, "a", "b", "c"))
+			now := complete(t, r, sameTime)
+			req := generation(10_500)
+			req.Prefix, req.PrefixTokens = 99, 10_000
+			home := pickServer(t, r, now, req)
+			r.FirstByte(now, home, req)
+			// The home has to read for about 0.6 s.
+			r.servers[home].pace.unread = 60_000
+			req.Estimate, req.FirstByteWithin = &turmericshed.RouteEstimate{}, c.within
+			assert.Equal(t, pickServer(t, r, now, req) == home, c.keeps)
+		})
+	}
+}
+
+// Guards against memory that grows with the models that callers name.
+func TestUnknownModelsAreNotRemembered(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		r := serveRouter(on, serveServers(1, "a"))
+		for i := range 100 {
+			req := generation(100)
+			req.Model = turmericshed.Model(fmt.Sprint("unknown-", i))
+			_, err := r.Pick(serveEpoch, req)
+			assert.Assert(t, err != nil)
+		}
+		assert.Equal(t, len(r.learnt), 0)
+	}
+}
+
+// Guards against one garbled work time that changes the measure for all other servers.
+func TestGarbledWorkTime(t *testing.T) {
+	r := serveRouter(true, serveServers(90, "a"))
+	for i := range 90 {
+		rep := turmericshed.LoadReport{Server: turmericshed.ServerID(fmt.Sprint("s-", i)), At: serveEpoch, WorkTime: 1}
+		if i == 0 {
+			rep.WorkTime = 1e4
+		}
+		r.Report(serveEpoch, rep)
+	}
+	mean := meanWorkTime(serveEpoch, r.ordered)
+	assert.Assert(t, mean < 1.2, "average work time %v", mean)
+}
+
 // Guards against work that stays counted at a server after its request ended, whatever ends
 // it, and against values that are not numbers.
 func TestServingIsCountedExactly(t *testing.T) {
@@ -296,7 +366,7 @@
 }
 
 // Guards against a failure domain that is taken for reachable because another entry VM
-// reaches it.
+// reaches it, and against one that this entry VM reaches and takes for unreachable.
 func TestRelayedReportsTellNothingOfThePath(t *testing.T) {
 	r := serveRouter(true, serveServers(2, "b"))
 	for _, id := range []turmericshed.ServerID{"s-0", "s-1"} {
@@ -309,8 +379,8 @@
 	later := serveEpoch.Add(time.Second)
 	r.Report(later, turmericshed.LoadReport{Server: "s-0", At: later, WorkTime: 1, Relayed: true})
 	assert.Assert(t, r.domains["b"].isUnreachable())
-	later = later.Add(time.Second)
-	r.Report(later, turmericshed.LoadReport{Server: "s-0", At: later, WorkTime: 1})
+	// A younger relayed report must not hide it.
+	r.Report(later, turmericshed.LoadReport{Server: "s-0", At: later.Add(-time.Millisecond), WorkTime: 1})
 	assert.Assert(t, !r.domains["b"].isUnreachable())
 }
 
--- a/fleet.go
+++ b/fleet.go
@@ -149,6 +149,9 @@
 	PromptTokens Tokens
 	PrefixTokens Tokens
 	MaxOutput    Tokens
+	// FirstByteWithin is the time until which the first byte, or the first event of a
+	// stream, is due; 0 if there is no objective or it has passed.
+	FirstByteWithin time.Duration
 	// MemoryTokens is ServiceSpec.MemoryTokens of the service; 0 if unknown.
 	MemoryTokens Tokens
 	// Estimate receives what Pick expected of the chosen server. It may be nil; a router
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -380,7 +380,8 @@
 		Work: turmericshed.WorkService, Service: q.service, Model: q.inbound.Model,
 		Prefix: q.prefixHash(), Cost: q.inbound.PromptTokens + q.inbound.MaxOutput, Excluded: q.excluded,
 		PromptTokens: q.inbound.PromptTokens, PrefixTokens: q.prefixTokens(), MaxOutput: q.inbound.MaxOutput,
-		MemoryTokens: q.serviceSpec().MemoryTokens, Estimate: &turmericshed.RouteEstimate{},
+		FirstByteWithin: max(time.Until(q.arrived.Add(q.route.LatencyObjective)), 0),
+		MemoryTokens:    q.serviceSpec().MemoryTokens, Estimate: &turmericshed.RouteEstimate{},
 	}
 }
 
