Load sharing: bounded size of messages between entry VMs

The number of readings was checked only after a message had been read whole. Messages are now limited to 64 KiB; 512 readings need at most 15 KB.

--- a/io/tsload/share.go
+++ b/io/tsload/share.go
@@ -268,7 +268,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, turmericshed.LinkTimeout(s.cfg.Link, callTimeout, congestedCallTimeout))
 	defer cancel()
 	hc, base := s.cfg.Peers.Client(vm.PeerAddr)
-	client := tspeerapi.NewLoadServiceClient(hc, base, connect.WithAcceptCompression("gzip", nil, nil))
+	client := tspeerapi.NewLoadServiceClient(hc, base, connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessageBytes))
 	resp, err := client.Exchange(callCtx, connect.NewRequest(m))
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/tsload/wire.go
+++ b/io/tsload/wire.go
@@ -17,6 +17,8 @@
 const (
 	// maxReadings bounds the readings of one message.
 	maxReadings = 512
+	// maxMessageBytes bounds a message, uncompressed. maxReadings need at most 15 KB.
+	maxMessageBytes = 64 << 10
 	// percent converts work times.
 	percent = 100
 )
@@ -100,7 +102,7 @@
 
 // Handler returns the path and handler of the calls from other entry VMs.
 func (s *Sharer) Handler() (string, http.Handler) {
-	return tspeerapi.NewLoadServiceHandler(service{s})
+	return tspeerapi.NewLoadServiceHandler(service{s}, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // service answers the calls from other entry VMs.
