--- a/io/tsload/share_test.go
+++ b/io/tsload/share_test.go
@@ -397,6 +397,15 @@
 	}
 }
 
+// Guards against memory taken by a huge message of another entry VM.
+func TestHugeMessagesAreRefused(t *testing.T) {
+	runFleet(t, 2, 1, 0, func(t *testing.T, f *fleet) {
+		hc, base := f.vms[1].Client(f.vms[0].self.PeerAddr)
+		_, err := tspeerapi.NewLoadServiceClient(hc, base).Exchange(context.Background(), connect.NewRequest(&tspeerapi.LoadExchange{Server: make([]uint32, 1<<20)}))
+		assert.Equal(t, connect.CodeOf(err), connect.CodeResourceExhausted)
+	})
+}
+
 // Guards against sharing that costs more than docs/CAPACITY.md says.
 func TestCost(t *testing.T) {
 	const span = 10 * time.Second
