Keep connections that were just opened rather than idle ones

At the limit of connections every new connection closed the one opened before it if that had sent no head yet, also in calm with idle ones in plenty: callers that open connections at the same time lost them.

--- a/core/tsintake/conns.go
+++ b/core/tsintake/conns.go
@@ -18,6 +18,9 @@
 	connBytes       = 24 << 10
 	// awaitingShare is the share of the connections that may be without a complete head.
 	awaitingShare = 0.5
+	// crowdShare is the share of the connections that may be without a complete head before they
+	// count as a crowd. Heads of callers inside the limits usually arrive within milliseconds.
+	crowdShare = 0.125
 	// headMemoryShare is the share of a machine's memory for heads that are being read.
 	headMemoryShare = 0.06
 	// refusedMemoryShare is the share of a machine's memory for bytes that wait unread, in the
@@ -115,9 +118,10 @@
 
 // Open adds a connection. It returns the connections to close, which are removed, and whether the
 // new one may stay; if not, it is not added. Of the connections it gives up first those that are
-// about to be closed, then those without a complete head, then idle ones, then those whose body is
-// not complete after the stall timeout, and of each the one that is in its state for longest.
-// Connections with a running request are not closed.
+// about to be closed, then those without a complete head if they are many or late, then idle ones,
+// then the others without a complete head, then those whose body is not complete after the stall
+// timeout, and of each the one that is in its state for longest. Connections with a running request
+// are not closed.
 func (c *Conns) Open(now time.Time, id ConnID) (toClose []ConnID, ok bool) {
 	if c.limits.Total > 0 && len(c.conns) >= c.limits.Total {
 		v, found := c.dispensable(now)
@@ -133,11 +137,23 @@
 	return append(toClose, c.trim(AwaitingHead, c.limits.Awaiting)...), true
 }
 
-// dispensable returns the connection to give up for a new one.
+// dispensable returns the connection to give up for a new one. A connection that was opened a moment
+// ago is about to carry a request, and is kept rather than an idle one.
 func (c *Conns) dispensable(now time.Time) (ConnID, bool) {
-	for _, s := range []ConnState{Refused, AwaitingHead, Idle, ReadingBody} {
-		v, found := c.oldest(s)
-		if found && (s != ReadingBody || now.Sub(v.since) >= stallTimeout) {
+	hasStalled := func(v *callerConn) bool { return now.Sub(v.since) >= stallTimeout }
+	isCrowd := float64(c.Count(AwaitingHead)) > float64(c.limits.Total)*crowdShare
+	for _, choice := range []struct {
+		state ConnState
+		mayGo func(v *callerConn) bool
+	}{
+		{Refused, nil},
+		{AwaitingHead, func(v *callerConn) bool { return isCrowd || hasStalled(v) }},
+		{Idle, nil},
+		{AwaitingHead, nil},
+		{ReadingBody, hasStalled},
+	} {
+		v, found := c.oldest(choice.state)
+		if found && (choice.mayGo == nil || choice.mayGo(v)) {
 			return v.id, true
 		}
 	}
--- a/core/tsintake/conns_test.go
+++ b/core/tsintake/conns_test.go
@@ -70,6 +70,32 @@
 		assert.Assert(t, ok)
 		assert.DeepEqual(t, toClose, []tsintake.ConnID{2})
 	})
+	t.Run("an idle one before one that was just opened", func(t *testing.T) {
+		c := connsIn(t, 9, tsintake.Idle)
+		_, ok := c.Open(start, 10)
+		assert.Assert(t, ok)
+		toClose, ok := c.Open(start.Add(10*time.Millisecond), 11)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, toClose, []tsintake.ConnID{1})
+	})
+	t.Run("one whose head is late before an idle one", func(t *testing.T) {
+		c := connsIn(t, 9, tsintake.Idle)
+		_, ok := c.Open(start, 10)
+		assert.Assert(t, ok)
+		toClose, ok := c.Open(start.Add(timeToStall), 11)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, toClose, []tsintake.ConnID{10})
+	})
+	t.Run("one of many without a head before an idle one", func(t *testing.T) {
+		c := connsIn(t, 8, tsintake.Idle)
+		for id := range tsintake.ConnID(2) {
+			_, ok := c.Open(start, 9+id)
+			assert.Assert(t, ok)
+		}
+		toClose, ok := c.Open(start, 11)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, toClose, []tsintake.ConnID{9})
+	})
 	t.Run("a refused one first", func(t *testing.T) {
 		c := connsIn(t, 10, tsintake.Idle)
 		c.SetState(start, 7, tsintake.Refused)
