Wait for the writer before the connection of a whole answer is closed

An answer without a length ends with its connection. ReadBody closed the connection at once; a writer that had sent all but was not scheduled yet then failed in SetWriteDeadline, and EndedEarly took the whole answer for an incomplete one: 502 after the request ran. The new test failed before (EndedEarly is true) and passes; go test ./io/tsupstream passes.

--- a/io/tsupstream/client.go
+++ b/io/tsupstream/client.go
@@ -307,6 +307,10 @@
 		return nil, false, turmericshed.WrapError(turmericshed.KindCallUnknown, err, "server %s: reading the body failed", r.key.id)
 	}
 	if isWhole {
+		if !r.IsFramed() {
+			// Finish closes the connection, and a write that has not returned would fail.
+			r.wroteRequest(writeResultTimeout)
+		}
 		r.Finish()
 	}
 	return parts, isWhole, nil
--- a/io/tsupstream/client_test.go
+++ b/io/tsupstream/client_test.go
@@ -354,3 +354,35 @@
 		})
 	}
 }
+
+// lateWriter is a connection whose writes return a while after their bytes were sent.
+type lateWriter struct{ net.Conn }
+
+func (c lateWriter) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	time.Sleep(40 * time.Millisecond)
+	return n, err
+}
+
+// Guards against taking a whole answer without a length for an incomplete one: the server has read
+// the request and answers before the writer of the request has noticed that it is done.
+func TestUnframedAnswerBeforeTheWriteReturns(t *testing.T) {
+	s := newRawServer(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, _ = io.Copy(io.Discard, r.Body)
+		send(t, "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nResponse-Stamp: s\r\n\r\nwhole", c)
+		return false
+	})
+	c := tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := tsupstream.Dial(ctx, network, addr)
+		return lateWriter{conn}, err
+	}})
+	large := call(s, "1")
+	large.Body = [][]byte{make([]byte, 100<<10)}
+	reply, err := c.Send(t.Context(), large)
+	assert.NilError(t, err)
+	parts, isWhole, err := reply.ReadBody(nil, 1000)
+	assert.NilError(t, err)
+	assert.Assert(t, isWhole)
+	assert.Equal(t, string(parts[0]), "whole")
+	assert.Assert(t, !reply.EndedEarly(t.Context()))
+}
