Admission control in front of overloaded services

Cause: requests that servers can't begin in time were sent anyway, so that all requests of a burst begin late. Change: core/tsadmit.Shedder refuses a share of a service's requests, least urgent first, io/tsrouting.Shedding runs it, io/tsrelay asks it where the settings list the contract pressure.

--- a/core/tstable/table.go
+++ b/core/tstable/table.go
@@ -25,6 +25,8 @@
 	routesByHost  map[string][]turmericshed.Route
 	accountsByKey map[string]turmericshed.AccountGrant
 	specsByName   map[string]turmericshed.ServiceSpec
+	// urgencies are the urgencies of the requests to each service, most urgent first.
+	urgencies map[string][]int
 }
 
 // New indexes a routing table.
@@ -50,9 +52,44 @@
 	for _, s := range t.Services {
 		x.specsByName[s.Name] = s
 	}
+	x.urgencies = urgenciesByService(t)
 	return x
 }
 
+// urgenciesByService returns the urgencies that the requests to each service can have:
+// those of the accounts, and those of the routes if an account has none.
+func urgenciesByService(t turmericshed.RoutingTable) map[string][]int {
+	var ofAccounts []int
+	usesRoutes := len(t.Accounts) == 0
+	for _, a := range t.Accounts {
+		if a.HasPriority {
+			ofAccounts = append(ofAccounts, a.Priority)
+		} else {
+			usesRoutes = true
+		}
+	}
+	urgencies := make(map[string][]int)
+	for _, r := range t.Routes {
+		for _, target := range r.Targets {
+			list := append(urgencies[target.Service], ofAccounts...)
+			if usesRoutes || r.Anonymous {
+				list = append(list, r.Priority)
+			}
+			slices.Sort(list)
+			urgencies[target.Service] = slices.Compact(list)
+		}
+	}
+	return urgencies
+}
+
+// UrgencyRank returns the rank of an urgency among those of the requests to a service,
+// 0 for the most urgent, and the number of ranks.
+func (t *Table) UrgencyRank(service string, urgency int) (rank, ranks int) {
+	list := t.urgencies[service]
+	rank, _ = slices.BinarySearch(list, urgency)
+	return min(rank, max(len(list)-1, 0)), max(len(list), 1)
+}
+
 // Route returns the route of the host with the longest prefix of path. host may
 // include a port and is not case-sensitive.
 func (t *Table) Route(host, path string) (turmericshed.Route, bool) {
--- a/fleet.go
+++ b/fleet.go
@@ -190,12 +190,33 @@
 type AdmitRequest struct {
 	Account AccountID
 	// Profile separates the limits that an account has under its profiles.
-	Profile  ProfileName
-	Limit    AccountLimit
-	Work     WorkKind
+	Profile ProfileName
+	Limit   AccountLimit
+	Work    WorkKind
+	// Priority orders requests in the queue; the weight grows with the number.
 	Priority int
 	Cost     Tokens
 	Deadline time.Time
+
+	// Service names the servers that the request competes for; empty if requests
+	// compete by kind of work only. The fields below describe the request to
+	// them.
+	Service string
+	// PromptTokens and MaxOutput are the token memory that the request needs.
+	// CachedTokens is the part of the prompt that is probably cached.
+	PromptTokens Tokens
+	MaxOutput    Tokens
+	CachedTokens Tokens
+	// ServerMemory is the token memory of each server; 0 if unknown.
+	ServerMemory Tokens
+	// Objective is the time within which the request should begin; 0 for none.
+	Objective time.Duration
+	// Class is the rank of the request's urgency among the Classes ranks of the
+	// service; 0 is the most urgent.
+	Class   int
+	Classes int
+	// Content is a hash of account and content, which a repeat shares.
+	Content uint64
 }
 
 // Admission is a deadline-aware queue with fair shares.
@@ -205,6 +226,32 @@
 	Admit(ctx context.Context, r AdmitRequest) (release func(), err error)
 }
 
+// AttemptResult is the result of one attempt, for admission.
+type AttemptResult struct {
+	Elapsed time.Duration
+	// Complete is true after a complete answer.
+	Complete bool
+	// Refused is true if the server refused the request because it was full.
+	Refused bool
+}
+
+// AdmissionFeedback is implemented by an Admission that learns from attempts at
+// backend servers.
+type AdmissionFeedback interface {
+	// FullServers returns the servers whose token memory can't hold r, unless every
+	// server that is not excluded is full.
+	FullServers(now time.Time, r AdmitRequest, excluded []ServerID) []ServerID
+	// AttemptStarted reports that a server was picked for r; AttemptEnded follows.
+	AttemptStarted(now time.Time, id ServerID, r AdmitRequest)
+	// AttemptBegan reports how long the server took until the first event of a
+	// stream or the answer.
+	AttemptBegan(now time.Time, r AdmitRequest, elapsed time.Duration)
+	AttemptEnded(now time.Time, id ServerID, r AdmitRequest, res AttemptResult)
+	// RetryAfter returns after how long a request that the server refused is worth
+	// another attempt.
+	RetryAfter(now time.Time, id ServerID, r AdmitRequest) time.Duration
+}
+
 // CrashSubject is what a backend server may crash by while it runs a request.
 type CrashSubject struct {
 	// Request identifies the request and its repeats.
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -103,8 +103,10 @@
 	permits    *tspermits.Permits
 	crashWatch *tscrash.Watch
 	pool       *tsrouting.Pool
-	upstream   *tsupstream.Client
-	meter      *tsmeter.Meter
+	// shedding is the admission control; nil if it is off.
+	shedding *tsrouting.Shedding
+	upstream *tsupstream.Client
+	meter    *tsmeter.Meter
 	// freshness decides for how long store updates may be acted on.
 	freshness    *tsfreshness.Tracker
 	relay        *tsrelay.Relay
@@ -168,7 +170,9 @@
 		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "crashes"),
 	})
 	g.peerServer.Mount(g.crashWatch.Handler())
-	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{FailureDomain: g.self.FailureDomain, Homes: serversPerPrefix, Board: g.board, Limits: g.permits, Recorder: events})
+	pool := tsrouting.PoolConfig{FailureDomain: g.self.FailureDomain, Homes: serversPerPrefix, Board: g.board, Limits: g.permits, Recorder: events}
+	admission := g.newAdmission(&pool)
+	g.pool = tsrouting.NewPool(pool)
 	g.freshness = tsfreshness.New(freshnessBounds(s))
 	feed := tsfeed.New(tsfeed.Config{
 		Members: g.registry, AwaitMembers: g.registry.AwaitFirstList, Store: store, Peers: transport, Limits: g.permits, Link: g.meter,
@@ -191,11 +195,22 @@
 	g.relay = tsrelay.New(tsrelay.Config{
 		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
 		Log: tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
-		Freshness: g.freshness,
+		Freshness: g.freshness, Admission: admission,
 	})
 	return g, nil
 }
 
+// newAdmission returns the admission control, which receives the load reports of the
+// pool, or nil if the settings don't ask for it.
+func (g *Gateway) newAdmission(pool *tsrouting.PoolConfig) turmericshed.Admission {
+	if !g.cfg.Settings.Admission {
+		return nil
+	}
+	g.shedding = tsrouting.NewShedding(tsrouting.SheddingConfig{Board: g.board, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "admission")})
+	pool.OnReport = g.shedding.Report
+	return g.shedding
+}
+
 // listen opens all listeners, or closes the opened ones and returns an error.
 func (g *Gateway) listen() error {
 	metrics := g.metricsAddr()
@@ -377,6 +392,9 @@
 	controllers = append(controllers, g.committer.Controllers()...)
 	controllers = append(controllers, g.holder.Controllers()...)
 	controllers = append(controllers, g.pool.Controllers()...)
+	if g.shedding != nil {
+		controllers = append(controllers, g.shedding.Controllers()...)
+	}
 	for _, c := range controllers {
 		sup.Add(c)
 	}
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -16,7 +16,7 @@
 )
 
 // refusedRetryAfter is the Retry-After that callers receive after a backend server
-// refused the request.
+// refused the request, without admission control.
 const refusedRetryAfter = 300 * time.Millisecond
 
 // completeAnswer is a non-streaming answer whose body was read completely.
@@ -109,7 +109,7 @@
 		return nil, err
 	}
 	rr := q.routeRequest()
-	server, err := q.relay.cfg.Router.Pick(q.ctx, now, rr)
+	server, err := q.pick(now, rr)
 	q.hasPicked = err == nil
 	if err != nil && q.ctx.Err() != nil {
 		err = q.contextError()
@@ -118,6 +118,7 @@
 		return nil, err
 	}
 	q.pickedAt = now
+	q.attemptStarted(now, server.ID)
 	if f := q.relay.cfg.Freshness; f != nil {
 		q.serversAge = f.Age(now, tsfreshness.Servers)
 	}
@@ -149,6 +150,11 @@
 		q.relay.cfg.Log.Info("attempt timed out while the local link was congested; not counting it against the server", "request", string(q.inbound.ID), "server", string(server.ID),
 			"elapsed_ms", res.Elapsed.Milliseconds(), "error", res.Err.Error())
 	}
+	if q.refusedAsFull && q.feedback != nil {
+		// A full server is not at fault, so its circuit breaker must not open.
+		res.Err = turmericshed.WrapError(turmericshed.KindOverloaded, err, "the server is full")
+	}
+	q.attemptEnded(server.ID, res, timer.expired())
 	q.relay.cfg.Router.Done(time.Now(), server.ID, rr, res)
 	if q.relay.cfg.Metrics != nil {
 		q.relay.cfg.Metrics.Attempt(rr, res)
@@ -258,6 +264,7 @@
 		}
 		return nil, firstByte, err
 	}
+	q.attemptBegan()
 	body, err := reply.ReadAll()
 	if err != nil {
 		q.mayHaveUnrelayedOutput = true
@@ -309,8 +316,9 @@
 		q.relay.cfg.Router.SetLeaving(time.Now(), server.ID)
 		q.relay.cfg.Log.Warn("another server answers at the address; treating the server as leaving", "server", string(server.ID), "addr", server.Addr.String())
 	}
+	q.refusedAsFull = isFull(reply.Info)
 	err := turmericshed.NewError(turmericshed.KindBackendRefused, "server %s refused with status %d", server.ID, reply.Status)
-	return turmericshed.WithRetryAfter(err, refusedRetryAfter)
+	return turmericshed.WithRetryAfter(err, q.refusalRetryAfter(server.ID))
 }
 
 // newCall returns the request in the form in which it is sent to the server.
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -83,7 +83,10 @@
 	// ServerLimits receives the limits that servers send with their answers; may be nil.
 	ServerLimits turmericshed.ServerLimits
 	// CrashWatch quarantines requests that crash servers; nil quarantines none.
-	CrashWatch  turmericshed.CrashWatch
+	CrashWatch turmericshed.CrashWatch
+	// Admission refuses requests that the servers can't serve in time; nil admits
+	// all. One that implements turmericshed.AdmissionFeedback learns from attempts.
+	Admission   turmericshed.Admission
 	Metrics     *tsobserve.Metrics
 	Log         *slog.Logger
 	RetryLimits RetryLimits
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -60,6 +60,16 @@
 	// deadline is arrived plus the time limit of the request.
 	deadline time.Time
 
+	// admission describes the request to the admission control, which learns from its
+	// attempts through feedback; nil if there is none.
+	admission turmericshed.AdmitRequest
+	feedback  turmericshed.AdmissionFeedback
+	// hasBegun is true once the current attempt was reported as begun.
+	hasBegun bool
+	// refusedAsFull is true if the server of the current attempt refused the request
+	// because it was full.
+	refusedAsFull bool
+
 	reservation turmericshed.Reservation
 	reserved    bool
 	billed      turmericshed.Tokens
@@ -239,11 +249,16 @@
 	if err := q.checkQuarantine(); err != nil {
 		return err
 	}
+	release, err := q.admit()
+	if err != nil {
+		return err
+	}
+	defer release()
 	if err := q.reserve(); err != nil {
 		return err
 	}
 	q.relay.countRequest(q.arrived, q.service)
-	err := q.run()
+	err = q.run()
 	q.settle()
 	return err
 }
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -35,6 +35,7 @@
 		events, splitErr := split.Push(buf[:n])
 		if len(events) > 0 {
 			timer.eventReceived()
+			q.attemptBegan()
 			if writeErr := q.relayEvents(server, reply, events); writeErr != nil {
 				reply.Close()
 				return writeErr
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -54,6 +54,8 @@
 	Limits turmericshed.ServerLimits
 	// OnAttempt is called with the result of each attempt; may be nil.
 	OnAttempt func(turmericshed.RouteRequest, turmericshed.DispatchResult)
+	// OnReport is called with each load report, in addition to the router; may be nil.
+	OnReport func(turmericshed.LoadReport)
 }
 
 // Pool is a router that is safe for concurrent use and follows the servers and load
@@ -92,6 +94,9 @@
 	p.mu.Lock()
 	p.router.Report(now, r)
 	p.mu.Unlock()
+	if p.cfg.OnReport != nil {
+		p.cfg.OnReport(r)
+	}
 	if r.Leaving {
 		p.publishLeaving(r.Server)
 	}
--- a/routing_table.go
+++ b/routing_table.go
@@ -59,6 +59,9 @@
 	// TokensPerEvent is the maximum number of tokens in a stream event; 0 for
 	// plain services.
 	TokensPerEvent Tokens
+	// MemoryTokens is the number of tokens that one server can hold for its
+	// requests; 0 if unknown.
+	MemoryTokens Tokens
 }
 
 // CallerLimits limits the requests and connections of callers.
