--- a/core/tsadmit/shed.go
+++ b/core/tsadmit/shed.go
@@ -36,13 +36,13 @@
 	maxClassShare = 0.9
 	// targetBegin is the aim for the time until a request begins, relative to its
 	// objective.
-	targetBegin = 0.6
+	targetBegin = 0.45
 	// shedInterval is the time between steps of the controller.
 	shedInterval = 250 * time.Millisecond
 	// shedIntegral and shedProportional are the gains of one step. With these
 	// gains a burst of twice the capacity is met within about a second.
-	shedIntegral     = 0.25
-	shedProportional = 0.5
+	shedIntegral     = 0.5
+	shedProportional = 1.0
 	// maxShedError bounds the deviation that one step reacts to.
 	maxShedError = 1.5
 	// shedDecay is the factor of the share per step once nothing waits at the
@@ -131,7 +131,7 @@
 		return refuse(now, r, RefusedLate, l.drainTime(e), "the request can't begin in its remaining time")
 	}
 	if l.isMemoryFull(now, r) {
-		return refuse(now, r, RefusedMemory, l.releaseTime(), "no server has memory for the request")
+		return refuse(now, r, RefusedMemory, max(l.meanWorkTime(), l.queueTime(e)), "no server has memory for the request")
 	}
 	share := l.shareFor(now, r)
 	rotation := rotationPeriod(objective)
@@ -185,7 +185,7 @@
 func (s *Shedder) RetryAfter(now time.Time, id turmericshed.ServerID, r turmericshed.AdmitRequest) time.Duration {
 	l := s.service(r.Service)
 	wait := l.drainTime(l.evidence(now))
-	if x := s.byServer[id]; x != nil && now.Sub(x.report.At) <= evidenceLife {
+	if x := s.byServer[id]; x != nil && x.isRecent(now) {
 		wait = max(wait, l.queueTime(loadEvidence{running: x.report.Running, queued: x.report.Queued}))
 	}
 	return jitteredRetryAfter(now, r, wait)
--- a/core/tsadmit/shed_load.go
+++ b/core/tsadmit/shed_load.go
@@ -18,7 +18,7 @@
 	// beginDecay is the time constant of the mean time until requests begin.
 	beginDecay = time.Second
 	// minBeginWeight is the weight of recent samples from which the mean counts.
-	minBeginWeight = 1.0
+	minBeginWeight = 0.5
 	// refusedBegin is the value that counts for a request that a server refused.
 	refusedBegin = 1.5
 	// workWeight is the weight of one attempt in the mean of times and sizes.
@@ -45,7 +45,8 @@
 	// objectives are the last objective of each class.
 	objectives [maxClasses]time.Duration
 	classes    int
-	// workTime is the mean time of an attempt, size its mean tokens.
+	// workTime is the mean time of a complete attempt in seconds, size the mean tokens
+	// of a request that was sent.
 	workTime, size float64
 	// share is the refused share in classes, signal the last deviation.
 	share, signal       float64
@@ -156,6 +157,8 @@
 		x.inflight++
 		x.tokens += tokensOf(r)
 	}
+	l := s.service(r.Service)
+	l.size = movingMean(l.size, float64(tokensOf(r)))
 }
 
 // AttemptBegan records the time until a request began at a server: until the first
@@ -178,7 +181,6 @@
 	}
 	if res.Complete {
 		l.workTime = movingMean(l.workTime, res.Elapsed.Seconds())
-		l.size = movingMean(l.size, float64(tokensOf(r)))
 	}
 }
 
@@ -222,6 +224,11 @@
 	}
 }
 
+// isRecent reports whether the server's report still counts.
+func (x *serverLoad) isRecent(now time.Time) bool {
+	return !x.report.At.IsZero() && now.Sub(x.report.At) <= evidenceLife
+}
+
 // loadEvidence is the load of the servers with a recent report.
 type loadEvidence struct {
 	servers, running, queued, slots int
@@ -231,7 +238,7 @@
 func (l *serviceLoad) evidence(now time.Time) loadEvidence {
 	var e loadEvidence
 	for _, x := range l.servers {
-		if x.report.At.IsZero() || now.Sub(x.report.At) > evidenceLife {
+		if !x.isRecent(now) {
 			continue
 		}
 		e.servers++
@@ -280,10 +287,13 @@
 }
 
 // beginRatio returns the expected time until a request of a class begins, relative
-// to its objective: the larger one of what recent requests took and what the
-// servers' queues suggest.
+// to its objective. For the least urgent class, which servers begin last, it is at
+// least what the servers' queues suggest.
 func (l *serviceLoad) beginRatio(now time.Time, class int, e loadEvidence, objective time.Duration) float64 {
-	ratio := l.queueTime(e).Seconds() / max(objective.Seconds(), 0.001)
+	ratio := 0.0
+	if class >= l.classes-1 {
+		ratio = l.queueTime(e).Seconds() / max(objective.Seconds(), 0.001)
+	}
 	m := &l.begins[class]
 	m.decay(now)
 	if m.weight >= minBeginWeight {
@@ -304,16 +314,24 @@
 		l.share *= shedDecay
 		return
 	}
-	deviation := -targetBegin
-	for class := range l.classes {
+	// A class is refused only while it, or a more urgent one, begins late.
+	deviation, limit := -targetBegin, 0.0
+	for class := l.classes - 1; class >= 0; class-- {
 		if o := l.objectives[class]; o > 0 {
-			deviation = max(deviation, l.beginRatio(now, class, e, o)-targetBegin)
+			d := l.beginRatio(now, class, e, o) - targetBegin
+			deviation = max(deviation, d)
+			if d > 0 {
+				limit = float64(l.classes-class) * maxClassShare
+			}
 		}
 	}
 	deviation = min(deviation, maxShedError)
-	l.share += shedIntegral*deviation + shedProportional*(deviation-l.signal)
+	change := shedIntegral*deviation + shedProportional*(deviation-l.signal)
 	l.signal = deviation
-	l.share = min(max(l.share, 0), float64(l.classes)*maxClassShare)
+	if change > 0 {
+		change = max(min(change, limit-l.share), 0)
+	}
+	l.share = min(max(l.share+change, 0), float64(l.classes)*maxClassShare)
 }
 
 // shareFor returns the refused share that applies to r.
--- a/core/tsadmit/shed_memory.go
+++ b/core/tsadmit/shed_memory.go
@@ -9,8 +9,12 @@
 
 // usableMemory is the part of a server's token memory that is used: a server that
 // holds requests beyond its memory terminates, and what other entry VMs have sent
-// since its last report is not known.
-const usableMemory = 0.95
+// since its last report is not known. The least urgent class leaves memoryReserve of
+// it to the more urgent ones.
+const (
+	usableMemory  = 0.95
+	memoryReserve = 0.5
+)
 
 // FullServers returns the servers whose token memory can't hold r in addition to
 // what is known to be there, unless every server that is not excluded is full.
@@ -20,11 +24,11 @@
 		return nil
 	}
 	var full []turmericshed.ServerID
-	hasRoom := false
+	hasRoom, others := false, l.othersAt(now)
 	for _, x := range l.servers {
 		switch {
 		case slices.Contains(excluded, x.id):
-		case l.hasMemory(now, x, r):
+		case hasMemory(x, r, l.usableMemory(r), others):
 			hasRoom = true
 		default:
 			full = append(full, x.id)
@@ -41,20 +45,66 @@
 	if r.ServerMemory <= 0 || len(l.servers) == 0 {
 		return false
 	}
+	others := l.othersAt(now)
 	for _, x := range l.servers {
-		if l.hasMemory(now, x, r) {
+		if hasMemory(x, r, l.usableMemory(r), others) {
 			return false
 		}
 	}
 	return true
 }
 
-// hasMemory reports whether a server has token memory for r. The requests of other
-// entry VMs are assumed to have the mean size.
-func (l *serviceLoad) hasMemory(now time.Time, x *serverLoad, r turmericshed.AdmitRequest) bool {
-	known := float64(x.tokens)
-	if now.Sub(x.report.At) <= evidenceLife {
-		known += float64(x.othersReported) * l.size
+// minSizeSamples is the number of requests at the servers from which their mean size
+// counts.
+const minSizeSamples = 4
+
+// sizeAtServers returns the assumed tokens of another entry VM's request at a server.
+// Large and less urgent requests stay longer, so that the mean of those that are
+// there can be above the mean of those that were sent.
+func (l *serviceLoad) sizeAtServers() float64 {
+	var inflight int
+	var tokens turmericshed.Tokens
+	for _, x := range l.servers {
+		inflight += x.inflight
+		tokens += x.tokens
+	}
+	if inflight < minSizeSamples {
+		return l.size
+	}
+	return max(l.size, float64(tokens)/float64(inflight))
+}
+
+// othersAt returns a function that estimates the tokens of other entry VMs at a server:
+// the reported requests of the assumed size. A server without a recent report is
+// assumed to have as many as the others on average.
+func (l *serviceLoad) othersAt(now time.Time) func(*serverLoad) float64 {
+	var requests, reports int
+	for _, x := range l.servers {
+		if x.isRecent(now) {
+			requests += x.othersReported
+			reports++
+		}
+	}
+	size, mean := l.sizeAtServers(), float64(requests)/float64(max(reports, 1))
+	return func(x *serverLoad) float64 {
+		if x.isRecent(now) {
+			return float64(x.othersReported) * size
+		}
+		return mean * size
+	}
+}
+
+// usableMemory returns the tokens that a server may hold, r included.
+func (l *serviceLoad) usableMemory(r turmericshed.AdmitRequest) float64 {
+	usable := usableMemory
+	if l.classes > 1 {
+		usable -= memoryReserve * float64(min(classOf(r), l.classes-1)) / float64(l.classes-1)
 	}
-	return known+float64(tokensOf(r)) <= usableMemory*float64(r.ServerMemory)
+	return usable * float64(r.ServerMemory)
+}
+
+// hasMemory reports whether a server can hold r in addition to the requests of this and
+// of other entry VMs.
+func hasMemory(x *serverLoad, r turmericshed.AdmitRequest, usable float64, others func(*serverLoad) float64) bool {
+	return float64(x.tokens+tokensOf(r))+others(x) <= usable
 }
