--- a/core/tsadmit/shed.go
+++ b/core/tsadmit/shed.go
@@ -123,27 +123,32 @@
 	l.step(now)
 	l.offered(now, r)
 	e := l.evidence(now)
+	objective := objectiveOf(now, r)
 	if !e.mayRefuse() {
+		if s.held < maxHeld && l.memoryShare(now, r) >= 1 {
+			// It may not be refused, but a server that it is sent to now may terminate.
+			s.held++
+			return ShedDecision{Verdict: Queued, HoldUntil: now.Add(objective / holdFraction)}
+		}
 		return ShedDecision{Verdict: Admitted}
 	}
-	objective := objectiveOf(now, r)
 	if left := r.Deadline.Sub(now); !r.Deadline.IsZero() && l.expectedBegin(now, r, objective, e) > left {
 		return refuse(now, r, RefusedLate, l.drainTime(e), "the request can't begin in its remaining time")
 	}
-	if l.isMemoryFull(now, r) {
-		return refuse(now, r, RefusedMemory, max(l.meanWorkTime(), l.queueTime(e)), "no server has memory for the request")
+	share, reason := l.shareFor(now, r), RefusedShare
+	if m := l.memoryShare(now, r); m > share {
+		share, reason = m, RefusedMemory
 	}
-	share := l.shareFor(now, r)
 	rotation := rotationPeriod(objective)
 	wait := time.Duration((share - position(now, r.Content, rotation)) * float64(rotation))
 	switch {
 	case share < minShare || wait <= 0:
 		return ShedDecision{Verdict: Admitted}
-	case wait <= objective/holdFraction && s.held < maxHeld:
+	case wait <= objective/holdFraction && s.held < maxHeld && share < 1:
 		s.held++
 		return ShedDecision{Verdict: Queued, HoldUntil: now.Add(wait)}
 	default:
-		return refuse(now, r, RefusedShare, wait, "the servers are overloaded")
+		return refuse(now, r, reason, wait, "the servers are overloaded")
 	}
 }
 
--- a/core/tsadmit/shed_sim_test.go
+++ b/core/tsadmit/shed_sim_test.go
@@ -25,6 +25,7 @@
 	simDelay      = 3 * time.Millisecond
 	// simShareInterval is the interval at which entry VMs share reports.
 	simShareInterval = 400 * time.Millisecond
+	simRestart       = 3 * time.Second
 )
 
 // simKind is a kind of request.
@@ -56,6 +57,9 @@
 	length   time.Duration
 	// admission turns the shedders on, share the exchange of reports between entry VMs.
 	admission, share bool
+	// crashesOverMemory makes a server that holds more than its memory, waiting requests
+	// included, lose them all and stay away for simRestart.
+	crashesOverMemory bool
 	// noReports removes the load from all answers.
 	noReports bool
 	// crashAt is when the first crashed servers stop for good.
@@ -94,8 +98,8 @@
 	queue   []*simRequest
 	running []*simRequest
 	down    bool
-	// overMemory counts the steps in which the server held more than its memory.
-	overMemory int
+	// backAt is when a server that is down returns; 0 for never.
+	backAt time.Duration
 }
 
 type simVM struct {
@@ -108,13 +112,13 @@
 type simResult struct {
 	offered, served, inTime, refusedFirst []int
 	serverRefusals                        int
-	crashes                               int
-	maxRetryAfter                         time.Duration
-	refusalsBeforeEvidence                int
-	inTimeByAccount, offeredByAccount     map[string]int
-	hastyServed, hastyOffered             int
-	refusals                              int
-	reasons                               map[string]int
+	// overMemory counts the samples, one per server and step, with more tokens at a
+	// server than its memory.
+	overMemory                        int
+	maxRetryAfter, lastRefusal        time.Duration
+	inTimeByAccount, offeredByAccount map[string]int
+	refusals                          int
+	reasons                           map[string]int
 }
 
 func (r simResult) inTimeTotal() (n int) {
@@ -317,6 +321,7 @@
 func (s *sim) refused(r *simRequest, after time.Duration) {
 	kind := &s.cfg.kinds[r.kind]
 	s.res.refusals++
+	s.res.lastRefusal = s.now
 	s.res.maxRetryAfter = max(s.res.maxRetryAfter, after)
 	if !r.wasRefused {
 		r.wasRefused = true
@@ -425,6 +430,9 @@
 // serve advances a server by one step.
 func (s *sim) serve(i int) {
 	x := s.servers[i]
+	if x.down && x.backAt > 0 && s.now >= x.backAt {
+		x.down, x.backAt = false, 0
+	}
 	if x.down {
 		return
 	}
@@ -448,8 +456,12 @@
 		held += s.cfg.kinds[r.kind].prompt + s.cfg.kinds[r.kind].output
 	}
 	if s.cfg.memory > 0 && held > s.cfg.memory {
-		x.overMemory++
-		s.res.crashes++
+		s.res.overMemory++
+		if s.cfg.crashesOverMemory {
+			s.crash(i)
+			x.backAt = s.now + simRestart
+			return
+		}
 	}
 	slices.SortStableFunc(x.running, byUrgency)
 	read := simReadsPerMs * float64(simStep.Milliseconds())
