--- a/core/tsadmit/shed.go
+++ b/core/tsadmit/shed.go
@@ -26,7 +26,9 @@
 // refused arc are refused. Every entry VM thus decides alike on a repeat. A
 // repeat that comes at once is in the arc as well, and the Retry-After is the time
 // until the position has left the arc, so that a caller that waits is admitted
-// and a caller that was refused earlier is admitted earlier.
+// and, of two that have as long to wait, the one that was refused earlier comes first.
+// The arc ends at the same place however large it is, so that a growing share does
+// not break what a caller was told.
 //
 // Nothing is refused without evidence: while no load report is recent, or while
 // less than half of the reported places are taken and nothing waits.
@@ -125,30 +127,28 @@
 	e := l.evidence(now)
 	objective := objectiveOf(now, r)
 	if !e.mayRefuse() {
-		if s.held < maxHeld && l.memoryShare(now, r) >= 1 {
-			// It may not be refused, but a server that it is sent to now may terminate.
-			s.held++
-			return ShedDecision{Verdict: Queued, HoldUntil: now.Add(objective / holdFraction)}
-		}
 		return ShedDecision{Verdict: Admitted}
 	}
 	if left := r.Deadline.Sub(now); !r.Deadline.IsZero() && l.expectedBegin(now, r, objective, e) > left {
-		return refuse(now, r, RefusedLate, l.drainTime(e), "the request can't begin in its remaining time")
+		return refuse(now, r, RefusedLate, l.drainTime(e), l.drainTime(e), "the request can't begin in its remaining time")
 	}
 	share, reason := l.shareFor(now, r), RefusedShare
 	if m := l.memoryShare(now, r); m > share {
 		share, reason = m, RefusedMemory
 	}
 	rotation := rotationPeriod(objective)
-	wait := time.Duration((share - position(now, r.Content, rotation)) * float64(rotation))
+	pos := position(now, r.Content, rotation)
+	wait := time.Duration((1 - pos) * float64(rotation))
 	switch {
-	case share < minShare || wait <= 0:
+	case share < minShare || pos < 1-share:
 		return ShedDecision{Verdict: Admitted}
 	case wait <= objective/holdFraction && s.held < maxHeld && share < 1:
 		s.held++
 		return ShedDecision{Verdict: Queued, HoldUntil: now.Add(wait)}
 	default:
-		return refuse(now, r, reason, wait, "the servers are overloaded")
+		// A longer wait than the free arc would end in the refused arc again.
+		free := time.Duration((1 - share) * float64(rotation))
+		return refuse(now, r, reason, wait, free/2, "the servers are overloaded")
 	}
 }
 
@@ -193,7 +193,7 @@
 	if x := s.byServer[id]; x != nil && x.isRecent(now) {
 		wait = max(wait, l.queueTime(loadEvidence{running: x.report.Running, queued: x.report.Queued}))
 	}
-	return jitteredRetryAfter(now, r, wait)
+	return jitteredRetryAfter(now, r, wait, wait)
 }
 
 // Share returns the refused share of a service, in classes.
@@ -241,8 +241,8 @@
 
 // refuse returns a refusal with the given wait, jitter added, bounded by what the
 // caller can wait.
-func refuse(now time.Time, r turmericshed.AdmitRequest, reason RefusalReason, wait time.Duration, msg string) ShedDecision {
-	d := jitteredRetryAfter(now, r, wait)
+func refuse(now time.Time, r turmericshed.AdmitRequest, reason RefusalReason, wait, maxJitter time.Duration, msg string) ShedDecision {
+	d := jitteredRetryAfter(now, r, wait, maxJitter)
 	return ShedDecision{
 		Verdict: Refused, Reason: reason, RetryAfter: d,
 		Err: turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindOverloaded, "%s", msg), d),
@@ -251,11 +251,11 @@
 
 // jitteredRetryAfter returns a Retry-After for r from the expected wait: longer by
 // jitter, and at most what the caller can wait.
-func jitteredRetryAfter(now time.Time, r turmericshed.AdmitRequest, wait time.Duration) time.Duration {
+func jitteredRetryAfter(now time.Time, r turmericshed.AdmitRequest, wait, maxJitter time.Duration) time.Duration {
 	const jitterBits = 16
 	jitter := float64(mix(r.Content^uint64(now.UnixNano()))>>(64-jitterBits)) / (1 << jitterBits) //nolint:gosec // Only mixed into a hash.
 	wait = max(wait, minRetryAfter)
-	wait += time.Duration(retryJitter * jitter * float64(wait))
+	wait += time.Duration(jitter * min(retryJitter*float64(wait), float64(maxJitter)))
 	if !r.Deadline.IsZero() {
 		wait = min(wait, max(r.Deadline.Sub(now), 0)/waitFraction)
 	}
