Relay: bound what is held for callers that read slowly

Cause: each stream held an event of up to 1 MiB, and each answer its body, for as long as the caller did not read. Change: above an eighth of the memory in total the caller whose write is blocked for the longest time is cut off.

--- a/core/tsevents/split.go
+++ b/core/tsevents/split.go
@@ -64,6 +64,9 @@
 // Empty reports whether no incomplete event is buffered.
 func (s *Splitter) Empty() bool { return len(s.pending) == 0 }
 
+// Buffered returns the number of buffered bytes of an incomplete event.
+func (s *Splitter) Buffered() int { return len(s.pending) }
+
 // eventEnd returns the length of the first complete event, or 0 if there is none.
 func eventEnd(b []byte) int {
 	n := 0
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -66,6 +66,9 @@
 	// to: computing a prompt of thousands of tokens on a second server costs
 	// more than an uneven load.
 	serversPerPrefix = 1
+	// callerBufferFraction is the part of the memory for what is held for callers that
+	// read slowly.
+	callerBufferFraction = 0.125
 	// restartBackoff is the supervisor's backoff after repeated controller
 	// failures.
 	restartBackoff = 200 * time.Millisecond
@@ -195,7 +198,7 @@
 	g.relay = tsrelay.New(tsrelay.Config{
 		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
 		Log: tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
-		Freshness: g.freshness, Admission: admission,
+		Freshness: g.freshness, Admission: admission, CallerBufferBytes: int64(float64(s.MemoryBytes) * callerBufferFraction),
 	})
 	return g, nil
 }
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -403,6 +403,11 @@
 	if q.committed {
 		return turmericshed.NewError(turmericshed.KindStreamBroken, "the stream was not resumed: status %d", a.status)
 	}
+	buffer := q.callerBuffer()
+	defer buffer.release()
+	if err := buffer.hold(time.Now(), len(a.body), true); err != nil {
+		return turmericshed.WrapError(turmericshed.KindCallUnknown, err, "the answer was given up")
+	}
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	q.commit(a.server, a.status, a.header)
 	if _, err := q.w.Write(a.body); err != nil {
--- a/io/tsrelay/caller.go
+++ b/io/tsrelay/caller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -58,6 +59,16 @@
 	}
 }
 
+// callerBuffer returns the buffer of what is held for the caller.
+func (q *request) callerBuffer() *callerBuffer {
+	return q.relay.buffers.buffer(func() {
+		q.relay.cfg.Log.Warn("cutting off a caller that reads slowly; the buffers for callers are full", "request", string(q.inbound.ID))
+		if err := q.rc.SetWriteDeadline(time.Now()); err != nil {
+			q.relay.cfg.Log.Warn("cannot cut off a caller that reads slowly", "request", string(q.inbound.ID), "error", err.Error())
+		}
+	})
+}
+
 // checkPeerOpen returns an error when the peer has closed or reset the connection of
 // the socket, nil while the peer may still send.
 func checkPeerOpen(fd int) error {
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -24,6 +24,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"turmericshed"
 	"turmericshed/core/tsadmit"
 	"turmericshed/core/tsfreshness"
@@ -95,6 +97,9 @@
 	// Freshness bounds the age of the routes, keys and servers that the relay acts
 	// on; nil sets no bound.
 	Freshness *tsfreshness.Tracker
+	// CallerBufferBytes bounds the bytes that are held for callers, see callerBuffers; 0
+	// means a default.
+	CallerBufferBytes int64
 }
 
 // Relay serves callers' requests.
@@ -102,7 +107,8 @@
 	cfg   Config
 	table atomic.Pointer[tstable.Table]
 	// stop is set from the start of a graceful stop.
-	stop atomic.Pointer[stopTimes]
+	stop    atomic.Pointer[stopTimes]
+	buffers *callerBuffers
 
 	mu      sync.Mutex
 	bounds  RetryLimits
@@ -112,7 +118,14 @@
 // New returns a relay without a routing table, which refuses every request until
 // SetTable is called.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, bounds: cfg.RetryLimits, retries: make(map[string]*tsadmit.RetryWindow)}
+	var metrics prometheus.Registerer
+	if cfg.Metrics != nil {
+		metrics = cfg.Metrics.Registry()
+	}
+	return &Relay{
+		cfg: cfg, bounds: cfg.RetryLimits, retries: make(map[string]*tsadmit.RetryWindow),
+		buffers: newCallerBuffers(cfg.CallerBufferBytes, metrics),
+	}
 }
 
 // SetTable sets the routing table for later requests.
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"turmericshed"
 	"turmericshed/core/tsevents"
@@ -28,6 +29,8 @@
 		}
 	}
 	split := tsevents.NewSplitter(maxEventBytes)
+	buffer := q.callerBuffer()
+	defer buffer.release()
 	buf := make([]byte, streamBufferBytes)
 	eventsBefore, pastBeginning := q.events, false
 	for {
@@ -36,7 +39,7 @@
 		if len(events) > 0 {
 			timer.eventReceived()
 			q.attemptBegan()
-			if writeErr := q.relayEvents(server, reply, events); writeErr != nil {
+			if writeErr := q.relayHeldEvents(server, reply, events, split.Buffered(), buffer); writeErr != nil {
 				reply.Close()
 				return writeErr
 			}
@@ -45,6 +48,10 @@
 				q.reportPartsSurvived()
 			}
 		}
+		if holdErr := buffer.hold(time.Now(), split.Buffered(), false); holdErr != nil {
+			reply.Close()
+			return turmericshed.WrapError(turmericshed.KindStreamBroken, holdErr, "server %s: an incomplete event", server)
+		}
 		switch {
 		case splitErr != nil:
 			reply.Close()
@@ -76,6 +83,18 @@
 	return nil
 }
 
+// relayHeldEvents is relayEvents while the buffer holds the events and the given number of
+// bytes after them.
+func (q *request) relayHeldEvents(server turmericshed.ServerID, reply *tsupstream.Reply, events []tsevents.Event, pending int, buffer *callerBuffer) error {
+	for _, e := range events {
+		pending += len(e.Raw)
+	}
+	if err := buffer.hold(time.Now(), pending, true); err != nil {
+		return turmericshed.WrapError(turmericshed.KindCanceled, err, "writing to the caller was given up")
+	}
+	return q.relayEvents(server, reply, events)
+}
+
 // relayEvents writes events to the caller and flushes them. It returns KindStreamBroken
 // for an event that does not continue the stream: one that is out of sequence, or, after
 // another server began the stream, one without an id.
