--- a/core/tsadmit/shed_load.go
+++ b/core/tsadmit/shed_load.go
@@ -19,6 +19,8 @@
 	beginDecay = time.Second
 	// minBeginWeight is the weight of recent samples from which the mean counts.
 	minBeginWeight = 0.5
+	// usualBeginFactor times the usual time without load is the least aim.
+	usualBeginFactor = 1.5
 	// refusedBegin is the value that counts for a request that a server refused.
 	refusedBegin = 1.5
 	// workWeight is the weight of one attempt in the mean of times and sizes.
@@ -39,9 +41,11 @@
 
 // serviceLoad is what this entry VM knows about the servers of a service.
 type serviceLoad struct {
-	servers  []*serverLoad
-	begins   [maxClasses]decayingMean
-	accounts map[turmericshed.AccountID]*accountRate
+	servers []*serverLoad
+	begins  [maxClasses]decayingMean
+	// usualBegins are the means of the same while the servers were not loaded.
+	usualBegins [maxClasses]float64
+	accounts    map[turmericshed.AccountID]*accountRate
 	// objectives are the last objective of each class.
 	objectives [maxClasses]time.Duration
 	classes    int
@@ -164,11 +168,22 @@
 // AttemptBegan records the time until a request began at a server: until the first
 // event of a stream, or the answer.
 func (s *Shedder) AttemptBegan(now time.Time, r turmericshed.AdmitRequest, elapsed time.Duration) {
-	if r.Objective > 0 {
-		s.service(r.Service).begins[classOf(r)].add(now, elapsed.Seconds()/r.Objective.Seconds())
+	if r.Objective <= 0 {
+		return
+	}
+	l, class, ratio := s.service(r.Service), classOf(r), elapsed.Seconds()/r.Objective.Seconds()
+	l.begins[class].add(now, ratio)
+	if !l.evidence(now).mayRefuse() {
+		l.usualBegins[class] = movingMean(l.usualBegins[class], ratio)
 	}
 }
 
+// targetFor returns the aim for the time until a request of a class begins, relative to
+// its objective. Work that takes most of its objective without load is not late.
+func (l *serviceLoad) targetFor(class int) float64 {
+	return max(targetBegin, usualBeginFactor*l.usualBegins[class])
+}
+
 // AttemptEnded reverts AttemptStarted and records the result.
 func (s *Shedder) AttemptEnded(now time.Time, id turmericshed.ServerID, r turmericshed.AdmitRequest, res turmericshed.AttemptResult) {
 	if x := s.byServer[id]; x != nil {
@@ -318,7 +333,7 @@
 	deviation, limit := -targetBegin, 0.0
 	for class := l.classes - 1; class >= 0; class-- {
 		if o := l.objectives[class]; o > 0 {
-			d := l.beginRatio(now, class, e, o) - targetBegin
+			d := l.beginRatio(now, class, e, o) - l.targetFor(class)
 			deviation = max(deviation, d)
 			if d > 0 {
 				limit = float64(l.classes-class) * maxClassShare
--- a/core/tsadmit/shed_test.go
+++ b/core/tsadmit/shed_test.go
@@ -105,6 +105,22 @@
 	}
 }
 
+// Guards against refusals because work takes most of its objective without load as well.
+func TestWorkThatTakesLongIsNotLate(t *testing.T) {
+	s := tsadmit.NewShedder()
+	s.SetServers([]turmericshed.BackendServer{{ID: "s", Service: simService, Slots: 10}})
+	for i := range uint64(400) {
+		now := shedStart.Add(time.Duration(i) * 50 * time.Millisecond)
+		queued := 0
+		if i > 200 && i%10 == 0 {
+			queued = 1
+		}
+		s.Report(turmericshed.LoadReport{Server: "s", At: now, Running: 4, Queued: queued})
+		s.AttemptBegan(now, shedRequest(i), 800*time.Millisecond)
+		assert.Equal(t, s.Decide(now, shedRequest(i)).Verdict, tsadmit.Admitted)
+	}
+}
+
 // Guards against the places and the queue of a server that terminated: they must not
 // count any more.
 func TestLostServerIsNoEvidence(t *testing.T) {
@@ -195,3 +211,26 @@
 		assert.Equal(t, len(full(s)), 0)
 	})
 }
+
+// BenchmarkDecide decides on requests to an overloaded service of 64 servers for 24 accounts.
+func BenchmarkDecide(b *testing.B) {
+	s := tsadmit.NewShedder()
+	var servers []turmericshed.BackendServer
+	for i := range 64 {
+		servers = append(servers, turmericshed.BackendServer{ID: turmericshed.ServerID(rune('A' + i)), Service: simService, Slots: 128})
+	}
+	s.SetServers(servers)
+	r := shedRequest(0)
+	r.ServerMemory = 486_250
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now := shedStart.Add(time.Duration(i) * 5 * time.Millisecond)
+		s.Report(turmericshed.LoadReport{Server: servers[i%64].ID, At: now, Running: 100, Queued: 30})
+		r.Content, r.Account = uint64(i), turmericshed.AccountID(rune('a'+i%24))
+		r.Deadline = now.Add(time.Minute)
+		s.FullServers(now, r, nil)
+		if d := s.Decide(now, r); d.Verdict == tsadmit.Queued {
+			s.HoldEnded()
+		}
+	}
+}
--- a/core/tstable/table_test.go
+++ b/core/tstable/table_test.go
@@ -53,3 +53,24 @@
 	}
 	assert.Equal(t, tstable.Service(turmericshed.Route{}, 0.5), "")
 }
+
+// Guards against a class of a less urgent request that comes before a more urgent one.
+func TestUrgencyRank(t *testing.T) {
+	rank := func(accounts []turmericshed.AccountGrant, urgency int) [2]int {
+		t := tstable.New(turmericshed.RoutingTable{Accounts: accounts, Routes: []turmericshed.Route{
+			{Priority: 2, Targets: []turmericshed.RouteTarget{{Service: "pool"}}},
+			{Priority: 0, Targets: []turmericshed.RouteTarget{{Service: "pool"}}},
+			{Priority: 7, Targets: []turmericshed.RouteTarget{{Service: "desk"}}},
+			{Priority: 2, Targets: []turmericshed.RouteTarget{{Service: "pool"}}},
+		}})
+		i, n := t.UrgencyRank("pool", urgency)
+		return [2]int{i, n}
+	}
+	assert.Equal(t, rank(nil, 0), [2]int{0, 2})
+	assert.Equal(t, rank(nil, 2), [2]int{1, 2})
+	assert.Equal(t, rank(nil, 9), [2]int{1, 2}, "an urgency that no route has")
+	accounts := []turmericshed.AccountGrant{{Account: "a", Priority: 1, HasPriority: true}}
+	assert.Equal(t, rank(accounts, 1), [2]int{0, 1}, "accounts with a priority replace the routes'")
+	accounts = append(accounts, turmericshed.AccountGrant{Account: "b"})
+	assert.Equal(t, rank(accounts, 1), [2]int{1, 3})
+}
--- a/io/tsrelay/send_test.go
+++ b/io/tsrelay/send_test.go
@@ -110,6 +110,12 @@
 // newRelayFixture starts the relay and its servers. The test's hook is called at the wait
 // point at, after it was passed skip times.
 func newRelayFixture(t *testing.T, at waitPoint, skip int32) *relayFixture {
+	t.Helper()
+	return newRelayFixtureWith(t, at, skip, nil)
+}
+
+// newRelayFixtureWith is newRelayFixture with an admission control; nil admits all.
+func newRelayFixtureWith(t *testing.T, at waitPoint, skip int32, admission turmericshed.Admission) *relayFixture {
 	t.Helper()
 	s := &relayFixture{t: t, waitPoints: &fakeWaits{hookAt: at}, board: &tsboard.Board{}, crashes: &crashRecorder{}}
 	s.waitPoints.skip.Store(skip)
@@ -122,7 +128,7 @@
 	s.board.Servers.Write(s.serverList("ready"))
 	s.pool = tsrouting.NewPool(tsrouting.PoolConfig{FailureDomain: "a", Board: s.board, Limits: s.waitPoints})
 	relay := tsrelay.New(tsrelay.Config{
-		Codec: platform.Codec{}, Router: s.pool, Budgets: s.waitPoints, Link: s.waitPoints, ServerLimits: s.waitPoints, CrashWatch: s.crashes, Log: slog.New(slog.DiscardHandler),
+		Codec: platform.Codec{}, Router: s.pool, Budgets: s.waitPoints, Link: s.waitPoints, ServerLimits: s.waitPoints, CrashWatch: s.crashes, Admission: admission, Log: slog.New(slog.DiscardHandler),
 		Upstream:    tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: s.waitPoints.dial}),
 		RetryLimits: tsrelay.RetryLimits{Ratio: 1, Slack: 100, Window: time.Minute}, EntryVMs: func() int { return 1 },
 	})
--- a/standin/tsmetastore/backend.go
+++ b/standin/tsmetastore/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -88,6 +89,8 @@
 	// headers and arrivals have one entry per request received.
 	headers  []http.Header
 	arrivals []time.Time
+	// load is the Server-Load header of answers; empty for a lightly loaded server.
+	load string
 	// limitPerSecond is the Server-Limit header of answers, in requests per
 	// second; empty for none.
 	limitPerSecond string
@@ -191,6 +194,13 @@
 	return b.ln.Addr().String()
 }
 
+// SetLoad changes the Server-Load header of subsequent answers.
+func (b *Backend) SetLoad(load string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load = load
+}
+
 // SetBehaviour changes how subsequent requests are handled.
 func (b *Backend) SetBehaviour(behaviour Behaviour) {
 	b.mu.Lock()
@@ -310,7 +320,7 @@
 	behaviour := b.behaviour
 	b.headers = append(b.headers, r.Header)
 	b.arrivals = append(b.arrivals, time.Now())
-	stateHeaders := "Server-Load: 1,0,8\r\n"
+	stateHeaders := "Server-Load: " + cmp.Or(b.load, "1,0,8") + "\r\n"
 	if b.limitPerSecond != "" {
 		stateHeaders += "Server-Limit: " + b.limitPerSecond + "\r\n"
 	}
