--- a/core/tsadmit/shed_replay_test.go
+++ b/core/tsadmit/shed_replay_test.go
@@ -54,6 +54,7 @@
 	for _, share := range []bool{false, true} {
 		for seed := uint64(1); seed <= 3; seed++ {
 			t.Run(fmt.Sprintf("shared reports %v, seed %d", share, seed), func(t *testing.T) {
+				t.Parallel()
 				cfg := cfg
 				cfg.share, cfg.seed = share, seed
 				off := runSim(cfg)
