--- a/io/tsrelay/admission_test.go
+++ b/io/tsrelay/admission_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
+	"turmericshed/io/tsrelay"
 	"turmericshed/standin/tsmetastore"
 )
 
@@ -70,6 +71,10 @@
 	return 1250 * time.Millisecond
 }
 
+func withAdmission(a turmericshed.Admission) func(*tsrelay.Config) {
+	return func(c *tsrelay.Config) { c.Admission = a }
+}
+
 // postAnswer sends a request and returns the answer without its body.
 func (s *relayFixture) postAnswer() *http.Response {
 	req, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, s.url+"/find/1", strings.NewReader("frame"))
@@ -87,7 +92,7 @@
 func TestAdmission(t *testing.T) {
 	t.Run("a refused request reaches no server and is told when to retry", func(t *testing.T) {
 		f := &fakeAdmission{err: turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindOverloaded, "full"), 700*time.Millisecond)}
-		s := newRelayFixtureWith(t, "", 0, f)
+		s := newRelayFixture(t, "", 0, withAdmission(f))
 		resp := s.postAnswer()
 		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 		assert.Equal(t, resp.Header.Get("Retry-After"), "0.70")
@@ -95,7 +100,7 @@
 	})
 	t.Run("an admitted request is described, reported and released", func(t *testing.T) {
 		f := &fakeAdmission{}
-		s := newRelayFixtureWith(t, "", 0, f)
+		s := newRelayFixture(t, "", 0, withAdmission(f))
 		assert.Equal(t, s.post(), http.StatusOK)
 		s.post()
 		f.mu.Lock()
@@ -110,7 +115,7 @@
 	})
 	t.Run("a server without memory is left out", func(t *testing.T) {
 		f := &fakeAdmission{full: []turmericshed.ServerID{"desk-0"}}
-		s := newRelayFixtureWith(t, "", 0, f)
+		s := newRelayFixture(t, "", 0, withAdmission(f))
 		for range 6 {
 			assert.Equal(t, s.post(), http.StatusOK)
 		}
@@ -118,7 +123,7 @@
 	})
 	t.Run("a server without memory serves if the others take no work", func(t *testing.T) {
 		f := &fakeAdmission{full: []turmericshed.ServerID{"desk-0"}}
-		s := newRelayFixtureWith(t, "", 0, f)
+		s := newRelayFixture(t, "", 0, withAdmission(f))
 		s.pool.SetLeaving(time.Now(), "desk-1")
 		assert.Equal(t, s.post(), http.StatusOK)
 	})
@@ -128,7 +133,7 @@
 // breakers that open because servers are full.
 func TestRefusalsOfFullServers(t *testing.T) {
 	f := &fakeAdmission{}
-	s := newRelayFixtureWith(t, "", 0, f)
+	s := newRelayFixture(t, "", 0, withAdmission(f))
 	for _, b := range s.backends {
 		b.SetBehaviour(tsmetastore.BehaveRefusing)
 		b.SetLoad("8,4,8")
@@ -162,7 +167,7 @@
 // control held it.
 func TestStopWhileARequestIsHeld(t *testing.T) {
 	f := &fakeAdmission{}
-	s := newRelayFixtureWith(t, "", 0, f)
+	s := newRelayFixture(t, "", 0, withAdmission(f))
 	f.onAdmit = func() { s.relay.Stop(time.Now(), time.Now().Add(time.Second)) }
 	assert.Equal(t, s.postAnswer().StatusCode, http.StatusServiceUnavailable)
 	s.assertArrivals(0)
--- a/io/tsrelay/caller.go
+++ b/io/tsrelay/caller.go
@@ -61,12 +61,7 @@
 
 // callerBuffer returns the buffer of what is held for the caller.
 func (q *request) callerBuffer() *callerBuffer {
-	return q.relay.buffers.buffer(func() {
-		q.relay.cfg.Log.Warn("cutting off a caller that reads slowly; the buffers for callers are full", "request", string(q.inbound.ID))
-		if err := q.rc.SetWriteDeadline(time.Now()); err != nil {
-			q.relay.cfg.Log.Warn("cannot cut off a caller that reads slowly", "request", string(q.inbound.ID), "error", err.Error())
-		}
-	})
+	return q.relay.buffers.buffer(q.inbound.ID, func() error { return q.rc.SetWriteDeadline(time.Now()) })
 }
 
 // checkPeerOpen returns an error when the peer has closed or reset the connection of
--- a/io/tsrelay/caller_buffers.go
+++ b/io/tsrelay/caller_buffers.go
@@ -1,6 +1,7 @@
 package tsrelay
 
 import (
+	"log/slog"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 // time is cut off.
 type callerBuffers struct {
 	limit int64
+	log   *slog.Logger
 	cuts  prometheus.Counter
 
 	mu      sync.Mutex
@@ -39,9 +41,10 @@
 
 // callerBuffer is what one connection holds.
 type callerBuffer struct {
-	owner *callerBuffers
+	owner   *callerBuffers
+	request turmericshed.RequestID
 	// cut makes the blocked write fail.
-	cut func()
+	cut func() error
 	// isUsed is true once the connection has held more than uncountedBytes; only its
 	// own goroutine uses it.
 	isUsed bool
@@ -53,11 +56,11 @@
 	isCut        bool
 }
 
-func newCallerBuffers(limit int64, metrics prometheus.Registerer) *callerBuffers {
+func newCallerBuffers(limit int64, metrics prometheus.Registerer, log *slog.Logger) *callerBuffers {
 	if limit <= 0 {
 		limit = defaultCallerBufferBytes
 	}
-	b := &callerBuffers{limit: limit, buffers: make(map[*callerBuffer]struct{}), cuts: prometheus.NewCounter(prometheus.CounterOpts{
+	b := &callerBuffers{limit: limit, log: log, buffers: make(map[*callerBuffer]struct{}), cuts: prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "turmericshed_slow_readers_cut_total", Help: "Callers cut off because the buffers for callers were full and they read most slowly.",
 	})}
 	if metrics != nil {
@@ -74,8 +77,12 @@
 	return b.used
 }
 
-// buffer returns an empty buffer. cut must be safe for concurrent use.
-func (b *callerBuffers) buffer(cut func()) *callerBuffer { return &callerBuffer{owner: b, cut: cut} }
+// buffer returns an empty buffer for a request. cut must be safe for concurrent use and
+// must not block: it is called with the lock held, so that it never concerns a later
+// request on the connection.
+func (b *callerBuffers) buffer(request turmericshed.RequestID, cut func() error) *callerBuffer {
+	return &callerBuffer{owner: b, request: request, cut: cut}
+}
 
 // hold records that the connection holds n bytes, and that it begins to write them if
 // isWriting is true. It returns KindOverloaded if the connection must be given up.
@@ -84,6 +91,25 @@
 		return nil
 	}
 	c.isUsed = true
+	cut, isCut := c.update(now, n, isWriting)
+	for _, other := range cut {
+		c.owner.log.Warn("cutting off a caller that reads slowly; the buffers for callers are full", "request", string(other.request), "error", other.err)
+	}
+	if isCut {
+		return turmericshed.NewError(turmericshed.KindOverloaded, "the buffers for callers are full")
+	}
+	return nil
+}
+
+// cutCaller is a caller that was cut off, and the error of doing so.
+type cutCaller struct {
+	request turmericshed.RequestID
+	err     error
+}
+
+// update implements hold. It returns the other callers that it cut off, and whether the
+// connection itself must be given up.
+func (c *callerBuffer) update(now time.Time, n int, isWriting bool) (cut []cutCaller, isCut bool) {
 	b := c.owner
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -104,13 +130,10 @@
 		victim.set(0)
 		b.cuts.Inc()
 		if victim != c {
-			victim.cut()
+			cut = append(cut, cutCaller{victim.request, victim.cut()})
 		}
 	}
-	if c.isCut {
-		return turmericshed.NewError(turmericshed.KindOverloaded, "the buffers for callers are full")
-	}
-	return nil
+	return cut, c.isCut
 }
 
 // release records that the connection holds nothing any more.
--- a/io/tsrelay/caller_buffers_test.go
+++ b/io/tsrelay/caller_buffers_test.go
@@ -1,6 +1,7 @@
 package tsrelay
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -12,10 +13,13 @@
 // testBuffers returns buffers with a bound of 1 MiB, and a function that returns a
 // connection's buffer and how often it was cut off.
 func testBuffers() (*callerBuffers, func() (*callerBuffer, *int)) {
-	b := newCallerBuffers(1<<20, nil)
+	b := newCallerBuffers(1<<20, nil, slog.New(slog.DiscardHandler))
 	return b, func() (*callerBuffer, *int) {
 		cuts := 0
-		return b.buffer(func() { cuts++ }), &cuts
+		return b.buffer("r", func() error {
+			cuts++
+			return nil
+		}), &cuts
 	}
 }
 
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -124,7 +124,7 @@
 	}
 	return &Relay{
 		cfg: cfg, bounds: cfg.RetryLimits, retries: make(map[string]*tsadmit.RetryWindow),
-		buffers: newCallerBuffers(cfg.CallerBufferBytes, metrics),
+		buffers: newCallerBuffers(cfg.CallerBufferBytes, metrics, cfg.Log),
 	}
 }
 
--- a/io/tsrelay/send_test.go
+++ b/io/tsrelay/send_test.go
@@ -108,14 +108,8 @@
  {"name":"find","host":"corner.example","prefix":"/find/","kind":"safe","service":"desk","timeoutMs":4000,"maxAttempts":2}]}`
 
 // newRelayFixture starts the relay and its servers. The test's hook is called at the wait
-// point at, after it was passed skip times.
-func newRelayFixture(t *testing.T, at waitPoint, skip int32) *relayFixture {
-	t.Helper()
-	return newRelayFixtureWith(t, at, skip, nil)
-}
-
-// newRelayFixtureWith is newRelayFixture with an admission control; nil admits all.
-func newRelayFixtureWith(t *testing.T, at waitPoint, skip int32, admission turmericshed.Admission) *relayFixture {
+// point at, after it was passed skip times. configure changes the relay's configuration.
+func newRelayFixture(t *testing.T, at waitPoint, skip int32, configure ...func(*tsrelay.Config)) *relayFixture {
 	t.Helper()
 	s := &relayFixture{t: t, waitPoints: &fakeWaits{hookAt: at}, board: &tsboard.Board{}, crashes: &crashRecorder{}}
 	s.waitPoints.skip.Store(skip)
@@ -127,11 +121,15 @@
 	}
 	s.board.Servers.Write(s.serverList("ready"))
 	s.pool = tsrouting.NewPool(tsrouting.PoolConfig{FailureDomain: "a", Board: s.board, Limits: s.waitPoints})
-	relay := tsrelay.New(tsrelay.Config{
-		Codec: platform.Codec{}, Router: s.pool, Budgets: s.waitPoints, Link: s.waitPoints, ServerLimits: s.waitPoints, CrashWatch: s.crashes, Admission: admission, Log: slog.New(slog.DiscardHandler),
+	cfg := tsrelay.Config{
+		Codec: platform.Codec{}, Router: s.pool, Budgets: s.waitPoints, Link: s.waitPoints, ServerLimits: s.waitPoints, CrashWatch: s.crashes, Log: slog.New(slog.DiscardHandler),
 		Upstream:    tsupstream.New(tsupstream.Config{Codec: platform.Codec{}, Dial: s.waitPoints.dial}),
 		RetryLimits: tsrelay.RetryLimits{Ratio: 1, Slack: 100, Window: time.Minute}, EntryVMs: func() int { return 1 },
-	})
+	}
+	for _, f := range configure {
+		f(&cfg)
+	}
+	relay := tsrelay.New(cfg)
 	table, err := platform.DecodeTable([]byte(sendTable))
 	assert.NilError(t, err)
 	relay.SetTable(tstable.New(table))
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -50,7 +50,8 @@
 		}
 		if holdErr := buffer.hold(time.Now(), split.Buffered(), false); holdErr != nil {
 			reply.Close()
-			return turmericshed.WrapError(turmericshed.KindStreamBroken, holdErr, "server %s: an incomplete event", server)
+			// The server is not at fault, and another one could not help.
+			return turmericshed.WrapError(turmericshed.KindCanceled, holdErr, "an incomplete event was given up")
 		}
 		switch {
 		case splitErr != nil:
--- a/standin/tsmetastore/backend.go
+++ b/standin/tsmetastore/backend.go
@@ -60,6 +60,9 @@
 	ID string
 	// Events is the number of events per stream; 0 for a plain service.
 	Events int
+	// Answer is the body of a plain service's answers; empty for a short text with
+	// the request's ID.
+	Answer string
 	// Pause is the time between the events of a stream.
 	Pause time.Duration
 	// CrashBody is the body of requests that crash the server when it starts to
@@ -355,7 +358,7 @@
 	if behaviour == BehaveLeaving {
 		stateHeaders += "Server-Leaving: 1\r\n"
 	}
-	text := "answer to " + id
+	text := cmp.Or(b.Answer, "answer to "+id)
 	if behaviour >= BehaveUnframed && behaviour <= BehaveCrashingBeforeBody {
 		return b.writeUnframed(c, r, head, text, behaviour)
 	}
