Admission: reports from the future end to count; remove SheddingConfig.Next

Cause: a report of an entry VM whose clock is ahead, or any shared report after the clock was set back, counted as recent for the difference and kept later ones out, so that requests could be refused by old load. Its negative age also gave a weight above 1. The controller logged with its lock held. Next was never set and not tested.

--- a/core/tsadmit/shed_load.go
+++ b/core/tsadmit/shed_load.go
@@ -146,10 +146,12 @@
 	}
 }
 
-// Report applies a load report.
-func (s *Shedder) Report(r turmericshed.LoadReport) {
+// Report applies a load report, unless a later one is recent. Where the clock was set
+// back, or that of the report's sender is ahead, a report can be from the future; one
+// that would count for long is ignored.
+func (s *Shedder) Report(now time.Time, r turmericshed.LoadReport) {
 	x := s.byServer[r.Server]
-	if x == nil || !r.At.After(x.report.At) {
+	if x == nil || r.At.Sub(now) > evidenceLife || !r.At.After(x.report.At) && x.isRecent(now) {
 		return
 	}
 	x.report, x.othersReported = r, max(r.Running+r.Queued-x.inflight, 0)
@@ -241,7 +243,7 @@
 
 // isRecent reports whether the server's report still counts.
 func (x *serverLoad) isRecent(now time.Time) bool {
-	return !x.report.At.IsZero() && now.Sub(x.report.At) <= evidenceLife
+	return !x.report.At.IsZero() && now.Sub(x.report.At).Abs() <= evidenceLife
 }
 
 // loadEvidence is the load of the servers with a recent report.
--- a/core/tsadmit/shed_memory.go
+++ b/core/tsadmit/shed_memory.go
@@ -92,7 +92,8 @@
 		if !x.isRecent(now) {
 			return mean * size
 		}
-		weight := max(1-float64(now.Sub(x.report.At))/float64(serverReportLife), 0)
+		age := max(now.Sub(x.report.At), 0)
+		weight := max(1-float64(age)/float64(serverReportLife), 0)
 		return (weight*float64(x.othersReported) + (1-weight)*mean) * size
 	}
 }
--- a/core/tsadmit/shed_sim_test.go
+++ b/core/tsadmit/shed_sim_test.go
@@ -419,7 +419,7 @@
 	rep := turmericshed.LoadReport{Server: x.id, At: s.at(at), Running: len(x.running), Queued: len(x.queue)}
 	s.vms[v].loads[x.id] = rep
 	s.vms[v].others[x.id] = math.Max(float64(rep.Running+rep.Queued-s.vms[v].own[i]), 0)
-	s.vms[v].shedder.Report(rep)
+	s.vms[v].shedder.Report(rep.At, rep)
 }
 
 // end ends the attempt of a request.
--- a/core/tsadmit/shed_test.go
+++ b/core/tsadmit/shed_test.go
@@ -19,7 +19,7 @@
 	s := tsadmit.NewShedder()
 	s.SetServers([]turmericshed.BackendServer{{ID: "s", Service: simService, Slots: 10}})
 	for now := shedStart; now.Before(until); now = now.Add(250 * time.Millisecond) {
-		s.Report(turmericshed.LoadReport{Server: "s", At: now, Running: 10, Queued: 20})
+		s.Report(now, turmericshed.LoadReport{Server: "s", At: now, Running: 10, Queued: 20})
 		s.AttemptBegan(now, shedRequest(1), time.Second)
 		s.Decide(now, shedRequest(1))
 	}
@@ -92,7 +92,7 @@
 			refused := false
 			for i := range uint64(400) {
 				now := shedStart.Add(time.Duration(i) * 50 * time.Millisecond)
-				s.Report(turmericshed.LoadReport{Server: "s", At: now, Running: load.running, Queued: load.queued})
+				s.Report(now, turmericshed.LoadReport{Server: "s", At: now, Running: load.running, Queued: load.queued})
 				s.AttemptBegan(now, shedRequest(i), 3*time.Second)
 				d := s.Decide(now, shedRequest(i))
 				if d.Verdict == tsadmit.Queued {
@@ -115,7 +115,7 @@
 		if i > 200 && i%10 == 0 {
 			queued = 1
 		}
-		s.Report(turmericshed.LoadReport{Server: "s", At: now, Running: 4, Queued: queued})
+		s.Report(now, turmericshed.LoadReport{Server: "s", At: now, Running: 4, Queued: queued})
 		s.AttemptBegan(now, shedRequest(i), 800*time.Millisecond)
 		assert.Equal(t, s.Decide(now, shedRequest(i)).Verdict, tsadmit.Admitted)
 	}
@@ -142,6 +142,37 @@
 	}
 }
 
+// Guards against old load that counts as recent after the clock was set back, or since the
+// clock of a report's sender is ahead, and against such a report that keeps out later ones.
+func TestReportsFromTheFuture(t *testing.T) {
+	const ahead = 10 * time.Second
+	mayRefuse := func(s *tsadmit.Shedder, now time.Time) bool {
+		r := shedRequest(1)
+		r.Deadline = now.Add(time.Millisecond)
+		return s.Decide(now, r).Verdict == tsadmit.Refused
+	}
+	loaded := turmericshed.LoadReport{Server: "s", Running: 10, Queued: 20}
+	t.Run("the clock of the sender is ahead", func(t *testing.T) {
+		s := overloadedShedder(t, shedStart.Add(time.Second))
+		now := shedStart.Add(5 * time.Second)
+		assert.Assert(t, !mayRefuse(s, now))
+		loaded.At = now.Add(ahead)
+		s.Report(now, loaded)
+		assert.Assert(t, !mayRefuse(s, now))
+		loaded.At = now
+		s.Report(now, loaded)
+		assert.Assert(t, mayRefuse(s, now))
+	})
+	t.Run("the clock was set back", func(t *testing.T) {
+		s := overloadedShedder(t, shedStart.Add(time.Second))
+		now := shedStart.Add(-ahead)
+		assert.Assert(t, !mayRefuse(s, now))
+		loaded.At = now
+		s.Report(now, loaded)
+		assert.Assert(t, mayRefuse(s, now))
+	})
+}
+
 // Guards against requests that begin after their callers have left.
 func TestRequestWithoutTimeIsRefusedAtOnce(t *testing.T) {
 	now := shedStart.Add(2 * time.Second)
@@ -161,7 +192,7 @@
 	r := shedRequest(1)
 	s.AttemptStarted("s", r)
 	s.AttemptEnded(shedStart, "s", r, turmericshed.AttemptResult{Elapsed: 2 * time.Second, Complete: true})
-	s.Report(turmericshed.LoadReport{Server: "s", At: shedStart, Running: 10, Queued: 10})
+	s.Report(shedStart, turmericshed.LoadReport{Server: "s", At: shedStart, Running: 10, Queued: 10})
 	got := s.RetryAfter(shedStart, "s", r)
 	assert.Assert(t, got >= 2*time.Second && got <= 2500*time.Millisecond, "%s", got)
 	r.Deadline = shedStart.Add(3 * time.Second)
@@ -190,8 +221,8 @@
 	})
 	t.Run("with those of others in the report", func(t *testing.T) {
 		s := start(6)
-		s.Report(turmericshed.LoadReport{Server: "one", At: shedStart, Running: 26})
-		s.Report(turmericshed.LoadReport{Server: "two", At: shedStart, Running: 10})
+		s.Report(shedStart, turmericshed.LoadReport{Server: "one", At: shedStart, Running: 26})
+		s.Report(shedStart, turmericshed.LoadReport{Server: "two", At: shedStart, Running: 10})
 		assert.DeepEqual(t, full(s), []turmericshed.ServerID{"one"})
 	})
 	t.Run("not if no other server is left", func(t *testing.T) {
@@ -225,7 +256,7 @@
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		now := shedStart.Add(time.Duration(i) * 5 * time.Millisecond)
-		s.Report(turmericshed.LoadReport{Server: servers[i%64].ID, At: now, Running: 100, Queued: 30})
+		s.Report(now, turmericshed.LoadReport{Server: servers[i%64].ID, At: now, Running: 100, Queued: 30})
 		r.Content, r.Account = uint64(i), turmericshed.AccountID(rune('a'+i%24))
 		r.Deadline = now.Add(time.Minute)
 		s.FullServers(now, r, nil)
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -55,7 +55,7 @@
 	// OnAttempt is called with the result of each attempt; may be nil.
 	OnAttempt func(turmericshed.RouteRequest, turmericshed.DispatchResult)
 	// OnReport is called with each load report, in addition to the router; may be nil.
-	OnReport func(turmericshed.LoadReport)
+	OnReport func(now time.Time, r turmericshed.LoadReport)
 }
 
 // Pool is a router that is safe for concurrent use and follows the servers and load
@@ -95,7 +95,7 @@
 	p.router.Report(now, r)
 	p.mu.Unlock()
 	if p.cfg.OnReport != nil {
-		p.cfg.OnReport(r)
+		p.cfg.OnReport(now, r)
 	}
 	if r.Leaving {
 		p.publishLeaving(r.Server)
--- a/io/tsrouting/shedding.go
+++ b/io/tsrouting/shedding.go
@@ -19,16 +19,14 @@
 
 // SheddingConfig holds the dependencies of a Shedding.
 type SheddingConfig struct {
-	Board *tsboard.Board
-	// Next admits the requests that are not refused; nil admits them at once.
-	Next    turmericshed.Admission
+	Board   *tsboard.Board
 	Metrics prometheus.Registerer
 	Log     *slog.Logger
 }
 
 // Shedding implements turmericshed.Admission: it refuses requests that the servers
 // of their service can't serve in time, see tsadmit.Shedder. Requests without a
-// service are passed to Next.
+// service are admitted.
 type Shedding struct {
 	cfg       SheddingConfig
 	decisions *prometheus.CounterVec
@@ -68,18 +66,15 @@
 }
 
 // Admit decides on a request and returns at once, unless a short wait admits it. The
-// caller calls the returned function when the request is done. Errors: those of Next,
-// KindOverloaded, KindDeadline, KindCanceled; each of them means that nothing was sent.
+// caller calls the returned function when the request is done. Errors: KindOverloaded,
+// KindDeadline, KindCanceled; each of them means that nothing was sent.
 func (s *Shedding) Admit(ctx context.Context, r turmericshed.AdmitRequest) (func(), error) {
 	if r.Service != "" {
 		if err := s.shed(ctx, r); err != nil {
 			return nil, err
 		}
 	}
-	if s.cfg.Next == nil {
-		return func() {}, nil
-	}
-	return s.cfg.Next.Admit(ctx, r)
+	return func() {}, nil
 }
 
 // shed refuses or holds a request of a service.
@@ -118,10 +113,10 @@
 }
 
 // Report applies a load report.
-func (s *Shedding) Report(r turmericshed.LoadReport) {
+func (s *Shedding) Report(now time.Time, r turmericshed.LoadReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.shedder.Report(r)
+	s.shedder.Report(now, r)
 }
 
 // FullServers returns the servers whose token memory can't hold r, unless every
@@ -199,15 +194,7 @@
 
 // step runs the controller and logs which services begin and end to be overloaded.
 func (s *Shedding) step(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.maxShare = 0
-	for _, st := range s.shedder.Step(now) {
-		s.maxShare = max(s.maxShare, st.Share)
-		if st.Refusing == s.refusing[st.Service] {
-			continue
-		}
-		s.refusing[st.Service] = st.Refusing
+	for _, st := range s.changedStatuses(now) {
 		attrs := []any{"service", st.Service, "share", st.Share, "running", st.Running, "queued", st.Queued, "slots", st.Slots}
 		if st.Refusing {
 			s.cfg.Log.Warn("service is overloaded; refusing a share of its requests", attrs...)
@@ -216,3 +203,19 @@
 		}
 	}
 }
+
+// changedStatuses runs the controller and returns the states of the services that have
+// begun or ended to be overloaded.
+func (s *Shedding) changedStatuses(now time.Time) (changed []tsadmit.ServiceStatus) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxShare = 0
+	for _, st := range s.shedder.Step(now) {
+		s.maxShare = max(s.maxShare, st.Share)
+		if st.Refusing != s.refusing[st.Service] {
+			s.refusing[st.Service] = st.Refusing
+			changed = append(changed, st)
+		}
+	}
+	return changed
+}
