Relay: name the error of a cut-off only where there is one

Cause: the line on a caller that is cut off had an empty error field. Measured: go test -race of the tests of slow readers, buffers, admission and streams in io/tsrelay passes; golangci-lint run: 0 issues.

--- a/io/tsrelay/caller_buffers.go
+++ b/io/tsrelay/caller_buffers.go
@@ -93,7 +93,11 @@
 	c.isUsed = true
 	cut, isCut := c.update(now, n, isWriting)
 	for _, other := range cut {
-		c.owner.log.Warn("cutting off a caller that reads slowly; the buffers for callers are full", "request", string(other.request), "error", other.err)
+		attrs := []any{"request", string(other.request)}
+		if other.err != nil {
+			attrs = append(attrs, "error", other.err.Error())
+		}
+		c.owner.log.Warn("cutting off a caller that reads slowly; the buffers for callers are full", attrs...)
 	}
 	if isCut {
 		return turmericshed.NewError(turmericshed.KindOverloaded, "the buffers for callers are full")
