Admission: replay tests check that no kind starves by share

Cause: with the new aim the pattern of TestShedNobodyStarves refuses by memory only, so that starvation by the refused share was not checked.

Change: in the three patterns without a bound by memory each kind must have answers to 0.3 of its requests.

--- a/core/tsadmit/shed_replay_test.go
+++ b/core/tsadmit/shed_replay_test.go
@@ -207,11 +207,20 @@
 	return cfg
 }
 
+// assertNoneStarves asserts that each kind has answers where refusals are by share only.
+func assertNoneStarves(t *testing.T, r simResult) {
+	t.Helper()
+	for i := range r.offered {
+		assert.Assert(t, r.servedRatio(i) >= 0.3, "kind %d %.3f", i, r.servedRatio(i))
+	}
+}
+
 // Guards against requests that wait at servers until their callers cancel, while the
 // servers' queues have room.
 func TestShedCancelledInLongQueues(t *testing.T) {
 	compare(t, longBurst(2.5, 1000), func(t *testing.T, off, on simResult) {
 		assert.Assert(t, on.cancelled*10 <= off.cancelled*9, "%d cancelled, %d without", on.cancelled, off.cancelled)
+		assertNoneStarves(t, on)
 	})
 }
 
@@ -223,12 +232,15 @@
 		assertMoreWorth(t, off, on, 0.03)
 		assert.Assert(t, on.servedTotal() > off.servedTotal(), "%d served, %d without", on.servedTotal(), off.servedTotal())
 		assert.Assert(t, on.servedRatio(0) >= off.servedRatio(0), "urgent %.3f, %.3f without", on.servedRatio(0), off.servedRatio(0))
+		assertNoneStarves(t, on)
 	})
 }
 
 // Guards against a loss where the servers' queues are so short that nothing waits for long.
 func TestShedShortQueues(t *testing.T) {
-	compare(t, longBurst(1.7, 8), func(*testing.T, simResult, simResult) {})
+	compare(t, longBurst(1.7, 8), func(t *testing.T, _, on simResult) {
+		assertNoneStarves(t, on)
+	})
 }
 
 // Guards against refusals without evidence: a fleet that knows no load must behave as
