--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -69,6 +69,9 @@
 	// to: computing a prompt of thousands of tokens on a second server costs
 	// more than an uneven load.
 	serversPerPrefix = 1
+	// callerBufferFraction is the part of the memory for what is held for callers that
+	// read slowly.
+	callerBufferFraction = 0.125
 	// restartBackoff is the supervisor's backoff after repeated controller
 	// failures.
 	restartBackoff = 200 * time.Millisecond
@@ -110,8 +113,10 @@
 	crashWatch *tscrash.Watch
 	pool       *tsrouting.Pool
 	loads      *tsload.Sharer
-	upstream   *tsupstream.Client
-	meter      *tsmeter.Meter
+	// shedding is the admission control; nil if it is off.
+	shedding *tsrouting.Shedding
+	upstream *tsupstream.Client
+	meter    *tsmeter.Meter
 	// freshness decides for how long store updates may be acted on.
 	freshness    *tsfreshness.Tracker
 	relay        *tsrelay.Relay
@@ -183,7 +188,7 @@
 		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "crashes"),
 	})
 	g.peerServer.Mount(g.crashWatch.Handler())
-	g.newRouting(transport, events)
+	admission := g.newRouting(transport, events)
 	g.freshness = tsfreshness.New(freshnessBounds(s))
 	feed := tsfeed.New(tsfeed.Config{
 		Members: g.registry, AwaitMembers: g.registry.AwaitFirstList, Store: store, Peers: transport, Limits: g.permits, Link: g.meter,
@@ -198,13 +203,14 @@
 		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
 		OnFirstByte: g.pool.FirstByte,
 		Log:         tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
-		Freshness: g.freshness, Intake: intake,
+		Freshness: g.freshness, Intake: intake, Admission: admission, CallerBufferBytes: int64(float64(s.MemoryBytes) * callerBufferFraction),
 	})
 	return g, nil
 }
 
-// newRouting builds the router and the sharing of load reports.
-func (g *Gateway) newRouting(transport tspeer.Peers, events turmericshed.Recorder) {
+// newRouting builds the router, the sharing of load reports and the admission control,
+// which it returns; nil if the settings don't ask for it.
+func (g *Gateway) newRouting(transport tspeer.Peers, events turmericshed.Recorder) turmericshed.Admission {
 	s := g.cfg.Settings
 	g.loads = tsload.New(tsload.Config{
 		Board: g.board, Members: g.registry, Peers: transport, Link: g.meter, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "loads"),
@@ -213,10 +219,13 @@
 	if s.ShareLoad {
 		g.loads.Enable("settings")
 	}
-	g.pool = tsrouting.NewPool(tsrouting.PoolConfig{
+	pool := tsrouting.PoolConfig{
 		FailureDomain: g.self.FailureDomain, Homes: serversPerPrefix, Board: g.board, Limits: g.permits, Recorder: events,
 		ServeTime: s.ShareLoad, OnReport: g.loads.Record, Spill: g.spillConfig(),
-	})
+	}
+	admission := g.newAdmission(&pool)
+	g.pool = tsrouting.NewPool(pool)
+	return admission
 }
 
 // newMirrors builds the mirrors of the routing table and of the servers.
@@ -233,6 +242,17 @@
 	})
 }
 
+// newAdmission returns the admission control, which receives the load reports of the
+// pool, or nil if the settings don't ask for it.
+func (g *Gateway) newAdmission(pool *tsrouting.PoolConfig) turmericshed.Admission {
+	if !g.cfg.Settings.Admission {
+		return nil
+	}
+	g.shedding = tsrouting.NewShedding(tsrouting.SheddingConfig{Board: g.board, Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "admission")})
+	pool.OnApplied = g.shedding.Report
+	return g.shedding
+}
+
 // listen opens all listeners, or closes the opened ones and returns an error.
 func (g *Gateway) listen() error {
 	metrics := g.metricsAddr()
@@ -425,6 +445,9 @@
 	controllers = append(controllers, g.committer.Controllers()...)
 	controllers = append(controllers, g.holder.Controllers()...)
 	controllers = append(controllers, g.pool.Controllers()...)
+	if g.shedding != nil {
+		controllers = append(controllers, g.shedding.Controllers()...)
+	}
 	for _, c := range controllers {
 		sup.Add(c)
 	}
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -24,6 +24,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"turmericshed"
 	"turmericshed/core/tsadmit"
 	"turmericshed/core/tsfreshness"
@@ -88,7 +90,10 @@
 	// attempt. nil means that nobody needs it.
 	OnFirstByte func(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest)
 	// CrashWatch quarantines requests that crash servers; nil quarantines none.
-	CrashWatch  turmericshed.CrashWatch
+	CrashWatch turmericshed.CrashWatch
+	// Admission refuses requests that the servers can't serve in time; nil admits
+	// all. One that implements turmericshed.AdmissionFeedback learns from attempts.
+	Admission   turmericshed.Admission
 	Metrics     *tsobserve.Metrics
 	Log         *slog.Logger
 	RetryLimits RetryLimits
@@ -99,6 +104,9 @@
 	// Freshness bounds the age of the routes, keys and servers that the relay acts
 	// on; nil sets no bound.
 	Freshness *tsfreshness.Tracker
+	// CallerBufferBytes bounds the bytes that are held for callers, see callerBuffers; 0
+	// means a default.
+	CallerBufferBytes int64
 }
 
 // Relay serves callers' requests.
@@ -106,7 +114,8 @@
 	cfg   Config
 	table atomic.Pointer[tstable.Table]
 	// stop is set from the start of a graceful stop.
-	stop atomic.Pointer[stopTimes]
+	stop    atomic.Pointer[stopTimes]
+	buffers *callerBuffers
 
 	mu      sync.Mutex
 	bounds  RetryLimits
@@ -118,7 +127,14 @@
 // New returns a relay without a routing table, which refuses every request until
 // SetTable is called.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, bounds: cfg.RetryLimits, retries: make(map[string]*tsadmit.RetryWindow)}
+	var metrics prometheus.Registerer
+	if cfg.Metrics != nil {
+		metrics = cfg.Metrics.Registry()
+	}
+	return &Relay{
+		cfg: cfg, bounds: cfg.RetryLimits, retries: make(map[string]*tsadmit.RetryWindow),
+		buffers: newCallerBuffers(cfg.CallerBufferBytes, metrics, cfg.Log),
+	}
 }
 
 // SetTable sets the routing table for later requests.
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"turmericshed"
 	"turmericshed/core/tsevents"
@@ -34,6 +35,8 @@
 	memory := q.relay.cfg.Intake.NewAnswer()
 	defer memory.Release()
 	reserved := freeEventBytes
+	buffer := q.callerBuffer()
+	defer buffer.release()
 	buf := make([]byte, streamBufferBytes)
 	eventsBefore, pastBeginning := q.events, false
 	for {
@@ -48,7 +51,8 @@
 		if len(events) > 0 {
 			timer.eventReceived()
 			q.reportFirstByte(server)
-			if writeErr := q.relayEvents(server, reply, events); writeErr != nil {
+			q.attemptBegan()
+			if writeErr := q.relayHeldEvents(server, reply, events, split.Buffered(), buffer); writeErr != nil {
 				reply.Close()
 				return writeErr
 			}
@@ -57,6 +61,11 @@
 				q.reportPartsSurvived()
 			}
 		}
+		if holdErr := buffer.hold(time.Now(), split.Buffered(), false); holdErr != nil {
+			reply.Close()
+			// The server is not at fault, and another one could not help.
+			return turmericshed.WrapError(turmericshed.KindCanceled, holdErr, "an incomplete event was given up")
+		}
 		switch {
 		case splitErr != nil:
 			reply.Close()
@@ -88,6 +97,18 @@
 	return nil
 }
 
+// relayHeldEvents is relayEvents while the buffer holds the events and the given number of
+// bytes after them.
+func (q *request) relayHeldEvents(server turmericshed.ServerID, reply *tsupstream.Reply, events []tsevents.Event, pending int, buffer *callerBuffer) error {
+	for _, e := range events {
+		pending += len(e.Raw)
+	}
+	if err := buffer.hold(time.Now(), pending, true); err != nil {
+		return turmericshed.WrapError(turmericshed.KindCanceled, err, "writing to the caller was given up")
+	}
+	return q.relayEvents(server, reply, events)
+}
+
 // relayEvents writes events to the caller and flushes them. It returns KindStreamBroken
 // for an event that does not continue the stream: one that is out of sequence, or, after
 // another server began the stream, one without an id.
