Free the memory of failed answers, and don't repeat a broken error

The answer of a failed attempt kept its reservation until its request ended, so that the next attempt's answer found no memory and was relayed piecewise. And on a resumable route of streams a request ran again after a part of an error was relayed, although no answer could follow.

--- a/io/tsgateway/answers_test.go
+++ b/io/tsgateway/answers_test.go
@@ -1,16 +1,20 @@
 package tsgateway_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
 	"turmericshed/io/tsgateway"
+	"turmericshed/platform"
 )
 
 // largeAnswer is more than the budget of tinyMachine holds for answers.
@@ -79,3 +83,96 @@
 	})
 	assertRefused(t, r.request(http.MethodGet, "/odd-once/1", ""), http.StatusBadGateway, turmericshed.OutcomeUnknown)
 }
+
+// listScriptedTwice lists the server of startScripted under a second name and address, and waits
+// until a request for path, which has to succeed, has reached it there.
+func (r *rig) listScriptedTwice(path string) {
+	r.t.Helper()
+	item, ok := r.store.Get(platform.ServerPrefix + "odd-0")
+	assert.Assert(r.t, ok)
+	var entry struct{ Address string }
+	assert.NilError(r.t, json.Unmarshal(item.Value, &entry))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(r.t, err)
+	r.t.Cleanup(func() { _ = ln.Close() })
+	var accepted atomic.Int32
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go forward(c, entry.Address)
+		}
+	}()
+	r.store.Put(platform.ServerPrefix+"odd-1", []byte(strings.Replace(string(item.Value), entry.Address, ln.Addr().String(), 1)))
+	r.eventually("the second address is used", func() bool {
+		_ = r.request(http.MethodGet, path, "")
+		return accepted.Load() > 0
+	})
+}
+
+// forward copies the bytes between c and a connection to the address, until the latter ends.
+func forward(c net.Conn, address string) {
+	defer func() { _ = c.Close() }()
+	s, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = s.Close() }()
+	go func() { _, _ = io.Copy(s, c) }()
+	_, _ = io.Copy(c, s)
+}
+
+// Guards against counting the answer of a failed attempt until its request ends, so that the next
+// attempt's answer is not held and can't be replaced.
+func TestFailedAnswerFreesItsMemory(t *testing.T) {
+	t.Parallel()
+	var attempts atomic.Int32
+	var breaksFirst atomic.Bool
+	// The blocks of two such answers are more than the budget holds.
+	half := largeAnswer[:29_000]
+	r := newAnswerRig(t, "200 OK", func(c *net.TCPConn) {
+		_, _ = fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", 2*len(half), half)
+		if attempts.Add(1) > 1 || !breaksFirst.Load() {
+			_, _ = c.Write([]byte(half))
+		}
+	})
+	r.listScriptedTwice("/odd-safe/1")
+	attempts.Store(0)
+	breaksFirst.Store(true)
+	got := r.request(http.MethodGet, "/odd-safe/1", "")
+	assertStatus(t, got, http.StatusOK)
+	assert.Assert(t, got.body == half+half, "%d bytes", len(got.body))
+	assert.Equal(t, attempts.Load(), int32(2))
+	assert.Assert(t, !strings.Contains(r.metrics(), `turmericshed_bodies_refused_total{reason="answer"}`), "both answers are held")
+}
+
+// Guards against running a request again whose answer can't be relayed any more, since a part of
+// an error was relayed on a route of streams.
+func TestErrorThatBreaksOffOnARouteOfStreamsIsNotRepeated(t *testing.T) {
+	t.Parallel()
+	var attempts atomic.Int32
+	var isLong atomic.Bool
+	r := newAnswerRig(t, "404 Not Found", func(c *net.TCPConn) {
+		attempts.Add(1)
+		if !isLong.Load() {
+			_, _ = c.Write([]byte("Content-Length: 0\r\n\r\n"))
+			return
+		}
+		_, _ = fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", 2*len(largeAnswer), largeAnswer)
+	})
+	item, ok := r.store.Get(platform.TableKey)
+	assert.Assert(t, ok)
+	table := strings.Replace(string(item.Value), fmt.Sprintf(`"version":%d,`, r.tableVersion), fmt.Sprintf(`"version":%d,`, r.tableVersion+1), 1)
+	r.tableVersion++
+	table = strings.ReplaceAll(table, `"timeoutMs":3000,"maxAttempts":1}`, `"timeoutMs":3000,"maxAttempts":2,"resumable":true}`)
+	r.store.Put(platform.TableKey, []byte(strings.Replace(table, `"prefix":"/odd-stream/"`, `"prefix":"/odd-again/"`, 1)))
+	r.listScriptedTwice("/odd-again/1")
+	attempts.Store(0)
+	isLong.Store(true)
+	got := r.request(http.MethodGet, "/odd-again/1", "")
+	assert.Assert(t, got.err != nil || len(got.body) < 2*len(largeAnswer))
+	assert.Equal(t, attempts.Load(), int32(1))
+}
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -66,7 +66,7 @@
 		return err
 	case wasUnsent && q.hasPicked && q.unsentAttempts < maxUnsentAttempts:
 		return nil
-	case wasUnsent, kind == turmericshed.KindCanceled, q.mayHaveRun && !q.route.Repeatable, q.committed && !q.route.Stream:
+	case wasUnsent, kind == turmericshed.KindCanceled, q.mayHaveRun && !q.route.Repeatable, q.isPartOfAnswerRelayed():
 		return err
 	case q.crashedServer, q.sentAttempts >= q.route.MaxAttempts:
 		return q.errOrServerFailure(err)
@@ -77,6 +77,12 @@
 	return nil
 }
 
+// isPartOfAnswerRelayed reports whether a part of an answer was relayed that is not a stream, which
+// no other attempt can continue.
+func (q *request) isPartOfAnswerRelayed() bool {
+	return q.committed && (!q.route.Stream || q.status >= http.StatusMultipleChoices)
+}
+
 // errOrServerFailure returns err, or an error for a server's 5xx answer if err is nil.
 func (q *request) errOrServerFailure(err error) error {
 	if err != nil {
--- a/io/tsrelay/plain.go
+++ b/io/tsrelay/plain.go
@@ -22,7 +22,7 @@
 // readAnswer reads an answer that is not a stream of events. It returns nil for one that it has
 // relayed to its end: where the memory for answers is taken, the answer is relayed piecewise, and
 // can't be replaced by that of another attempt any more.
-func (q *request) readAnswer(ctx context.Context, server turmericshed.ServerID, reply *tsupstream.Reply, timer *silenceTimer) (*completeAnswer, error) {
+func (q *request) readAnswer(ctx context.Context, server turmericshed.ServerID, reply *tsupstream.Reply, timer *silenceTimer) (a *completeAnswer, err error) {
 	limit := int64(tsupstream.MaxBodyBytes)
 	canRelay := reply.Status < http.StatusInternalServerError && !impliesNotRun(reply.Status)
 	if !canRelay {
@@ -30,6 +30,12 @@
 	}
 	memory := q.relay.cfg.Intake.NewAnswer()
 	q.answers = append(q.answers, memory)
+	defer func() {
+		if a == nil {
+			// Another attempt may need the memory.
+			memory.Release()
+		}
+	}()
 	parts, isWhole, err := reply.ReadBody(memory, limit+1)
 	if err != nil {
 		return nil, err
