--- a/core/tsbudget/ceiling.go
+++ b/core/tsbudget/ceiling.go
@@ -93,10 +93,20 @@
 	return c.byLot[id], true
 }
 
+// SetAllowance sets the least of a budget's free amount that PlanCeilings permits to use.
+func (h *Holder) SetAllowance(budget turmericshed.BudgetID, n turmericshed.Tokens) {
+	if b, ok := h.balances[budget]; ok || n > 0 {
+		if !ok {
+			b = h.balance(budget)
+		}
+		b.allowance = n
+	}
+}
+
 // PlanCeilings returns the ceilings to declare, sorted by budget and lot. They cover the waiting
 // requests and the demand expected within span, but at least minAllowanceFraction of the free
-// amount, for demand that is not known yet. Lots that are drawn in the same transaction count as
-// held.
+// amount and the amount of SetAllowance, for demand that is not known yet. Lots that are drawn in
+// the same transaction count as held.
 func (h *Holder) PlanCeilings(now time.Time, span time.Duration, waiting map[turmericshed.BudgetID]turmericshed.Tokens, drawn map[turmericshed.BudgetID]Lot) []LotCeiling {
 	for id := range drawn {
 		h.balance(id)
@@ -112,6 +122,7 @@
 			// At an entry VM with a small part of an account's demand, requests are few and large.
 			allowance = max(allowance, b.demand.largest)
 		}
+		allowance = max(allowance, float64(b.allowance))
 		var free turmericshed.Tokens
 		for _, l := range lots {
 			free += l.free()
--- a/core/tsbudget/holder.go
+++ b/core/tsbudget/holder.go
@@ -68,6 +68,8 @@
 	endedLoans      []turmericshed.LotID
 	demand          demand
 	lastReservation int
+	// allowance is the least of the free amount that the ceilings permit to use.
+	allowance turmericshed.Tokens
 }
 
 // View returns the input of a placement, as far as the holder has it.
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -80,6 +80,9 @@
 	Home     bool
 	EntryVMs int
 	Peers    int
+	// Order is the holder's place for this budget among the entry VMs of its failure domain, from 0
+	// to 1. Places are spread evenly and differ between budgets.
+	Order float64
 	Edge     turmericshed.EdgePreference
 	Bridge   time.Duration
 }
@@ -173,6 +176,8 @@
 	// Return requests that the available tokens beyond Keep are returned.
 	Return bool
 	Keep   turmericshed.Tokens
+	// Allowance is the least of the available tokens that the ceilings should permit to use.
+	Allowance turmericshed.Tokens
 }
 
 // Placement decides where the tokens of a budget are held, and the size of lots.
@@ -359,6 +364,23 @@
 	}), true
 }
 
+// Order returns the place of self among candidates for a budget, as a fraction of their number in
+// the middle of the place. It is chosen by rendezvous hashing over names, so that a restart keeps
+// the place.
+func Order(budget turmericshed.BudgetID, self turmericshed.EntryVM, candidates []turmericshed.EntryVM) float64 {
+	before, own := 0, nameWeight(budget, self)
+	for _, vm := range candidates {
+		if vm.Name != self.Name && cmp.Or(cmp.Compare(nameWeight(budget, vm), own), cmp.Compare(vm.Name, self.Name)) > 0 {
+			before++
+		}
+	}
+	return (float64(before) + 0.5) / float64(max(len(candidates), before+1))
+}
+
+func nameWeight(budget turmericshed.BudgetID, vm turmericshed.EntryVM) uint64 {
+	return xxhash.Sum64String(string(budget) + "\x00" + vm.Name)
+}
+
 func rendezvousWeight(budget turmericshed.BudgetID, vm turmericshed.EntryVM) uint64 {
 	return xxhash.Sum64String(string(budget) + "\x00" + string(vm.Incarnation))
 }
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -152,7 +152,7 @@
 	g.peerServer.Mount(g.committer.Handler())
 	g.holder = tsholder.New(tsholder.Config{
 		Self: g.self, Store: store, Members: g.registry, Recorder: events,
-		Placement: tsbudget.Bridging{UsualRequest: usualRequestTokens}, Reconciler: tsholder.RoutingTableProfiles{}, Link: g.meter,
+		Placement: placement(), Reconciler: tsholder.RoutingTableProfiles{}, Link: g.meter,
 		Writer: tscommit.NewClient(tscommit.ClientConfig{
 			Members: g.registry, Peers: transport, LocalWriter: g.committer, Link: g.meter, Log: tsobserve.WithPrefix(g.log, "ledgers"),
 		}),
@@ -196,6 +196,11 @@
 	return g, nil
 }
 
+// placement returns the policy that decides which tokens this entry VM holds.
+func placement() tsbudget.Placement {
+	return tsbudget.Forecast{UsualRequest: usualRequestTokens, Small: tsbudget.Bridging{UsualRequest: usualRequestTokens}}
+}
+
 // listen opens all listeners, or closes the opened ones and returns an error.
 func (g *Gateway) listen() error {
 	metrics := g.metricsAddr()
--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -310,6 +310,7 @@
 		var v tsbudget.View
 		b.queue.Fill(&v)
 		waiting[id] = v.Waiting
+		h.core.SetAllowance(id, h.cfg.Placement.Decide(h.viewLocked(now, b)).Allowance)
 	}
 	ceilings := h.core.PlanCeilings(now, ceilingSpanIntervals*exchangeInterval, waiting, drawn)
 	x.declarationSequence++
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -172,6 +172,8 @@
 	// computed for the fleet generation homeGeneration.
 	home           turmericshed.EntryVM
 	homeGeneration int
+	// order is the place of this entry VM for the budget, computed at the same time.
+	order float64
 
 	// pendingDraw and pendingLoan are requests whose answer was lost. They are repeated with the
 	// same id until the outcome is known.
@@ -395,8 +397,10 @@
 	v.EntryVMs = h.fleet.size
 	if b.homeGeneration != h.fleet.generation {
 		b.home, _ = tsbudget.Home(b.id, h.fleet.domainVMs)
+		b.order = tsbudget.Order(b.id, h.cfg.Self, h.fleet.domainVMs)
 		b.homeGeneration = h.fleet.generation
 	}
+	v.Order = b.order
 	v.Home = b.home.Incarnation == h.cfg.Self.Incarnation
 	return v
 }
