Forecast: spread of demand, reserve, and returns that were not written

Holders without demand kept tokens of accounts whose callers use one or two entry VMs, and a return whose ledger was not among the 14 of a round was not reported again until the next draw or report: its tokens were available to nobody. Change: the ledger also counts the squares of the holders' rates, from which the number of entry VMs with callers follows; a return is repeated until it is written; a reserve stays undrawn and targets shrink while it is not; ceilings permit two large requests and twice a lease of demand.

--- a/core/tsbudget/demand.go
+++ b/core/tsbudget/demand.go
@@ -16,6 +16,9 @@
 	// from which that estimate is trusted; a younger one is computed as if it had this age.
 	recentWindow = 8 * time.Second
 	recentMinAge = 2 * time.Second
+	// steadyWindow is the time constant of the estimate of steady demand, which tells entry VMs with
+	// an account's callers from those that received a request by chance.
+	steadyWindow = 20 * time.Second
 	// typicalWeight is the weight of the newest reservation in the average.
 	typicalWeight = 0.2
 )
@@ -32,6 +35,8 @@
 	// recentSum is a decayed sum of reserved tokens, so that it includes a request as soon as it
 	// arrives.
 	recentSum float64
+	// steadySum is the same over steadyWindow.
+	steadySum float64
 	// largest is the size of the largest reservation, decayed over slowWindow.
 	largest float64
 	// typical is the moving average of the size of reservations.
@@ -46,6 +51,7 @@
 		}
 		f := math.Exp(-float64(dt) / float64(fastWindow))
 		d.fastSum *= f
+		d.steadySum *= math.Exp(-float64(dt) / float64(steadyWindow))
 		d.recentSum *= math.Exp(-float64(dt) / float64(recentWindow))
 		slower := math.Exp(-float64(dt) / float64(slowWindow))
 		d.slowSum *= slower
@@ -62,6 +68,7 @@
 	}
 	d.typical += typicalWeight * (float64(n) - d.typical)
 	d.recentSum += float64(n)
+	d.steadySum += float64(n)
 	d.lastSeen = now
 }
 
@@ -84,6 +91,13 @@
 	return d.recentSum / effectiveWindow(recentWindow, max(now.Sub(d.startedAt), recentMinAge))
 }
 
+// steadyRate returns the reserved tokens per second within steadyWindow. It does not allow for a
+// younger estimate, so that it grows with what is known.
+func (d *demand) steadyRate(now time.Time) float64 {
+	d.decay(now)
+	return d.steadySum / steadyWindow.Seconds()
+}
+
 // effectiveWindow returns the seconds of demand that a decayed sum covers at its age.
 func effectiveWindow(window, age time.Duration) float64 {
 	return window.Seconds() * (1 - math.Exp(-float64(age)/float64(window)))
--- a/core/tsbudget/forecast.go
+++ b/core/tsbudget/forecast.go
@@ -1,75 +1,105 @@
 package tsbudget
 
 import (
+	"math"
 	"time"
 
 	"turmericshed"
 )
 
-// Forecast places nearly all unspent tokens of a budget at the entry VMs where its next requests
-// are expected. It is for large fleets, in which an account has less than one request per entry VM
-// and partition; in a small fleet Small decides.
+// Forecast holds nearly all unspent tokens of a budget where its next requests are expected. It is
+// for large fleets, in which most entry VMs receive less than one request of an account during a
+// partition. In a smaller fleet Small decides.
 //
-// In a partition an entry VM spends only what it holds, and an undrawn token serves nobody. Each
-// holder therefore holds its part of the unspent amount, by a weight: the demand that it has seen
-// recently, plus a prior of a few requests, since most requests of a widely spread account arrive
-// at entry VMs that it has not used before. The other holders' weights follow from the demand that
-// their lots record and from the size of the fleet.
+// In a partition an entry VM spends only what it holds, and undrawn tokens serve nobody. Each
+// holder therefore holds a part of the unspent amount in proportion to a weight: the demand that it
+// has seen, plus a prior of a few requests, since a widely spread account mostly sends requests to
+// entry VMs that it has not used before. The weights of the others follow from the demand that
+// their lots record and from the size of the fleet. An account whose callers use a few entry VMs
+// has no prior at the others.
 //
-// A part that is smaller than a request serves nobody. Holders that would have such a part and have
-// seen no demand then draw lots, in both senses: a few of each failure domain, chosen by rendezvous
-// hashing, hold a request each, and the others nothing.
+// A part that is much smaller than a request serves nobody. Instead, some of the holders without
+// demand have a slot that is large enough for a request, and the others have nothing. Which ones
+// is decided by rendezvous hashing in each failure domain.
 //
-// The amount is limited by what the holder can use within Span, so that a holder that is lost with
-// its machine costs an account little. What is above the target goes back in calm, while the ledger
-// is written anyway.
+// A holder that is lost with its machine loses its lots. A lot is therefore limited to a multiple
+// of what the holder's own demand uses within Span, plus a few large requests.
 //
-// Example: 2,400,000 tokens unspent, 80 entry VMs, requests of 10,000. Without demand each holds
-// 27,000. One entry VM that receives 20,000 a second has the weight 200,000 of 1,780,000 and holds
-// 243,000. Of an account with 240,000 unspent, an entry VM would hold 2,700; 18 of the 80 hold
-// 12,000 instead.
+// Tokens above the target are returned at once, not only when the ledger runs low. A reserve stays
+// undrawn for requests that arrive where nothing is held. While less is undrawn, all holders reduce
+// their targets.
+//
+// Example: 2,400,000 tokens unspent, 80 entry VMs, requests of 10,000. Before any demand each holds
+// 27,000. If one of them then receives 200,000 and the others a request now and then, it holds
+// about 230,000. Of a budget with 240,000 unspent a part would be 2,700, so 18 of the 80 hold
+// 12,000 each.
 type Forecast struct {
 	// Span is the length of a partition that an entry VM should bridge; 0 means the default,
 	// defaultPartitionSpan.
 	Span time.Duration
 	// UsualRequest is the expected cost of a request while no demand is known.
 	UsualRequest turmericshed.Tokens
-	// Small decides in a fleet of fewer than minForecastFleet entry VMs.
+	// Small decides in fleets of fewer than minForecastFleet entry VMs; nil means Bridging.
 	Small Placement
 }
 
+// The fractions and factors below gave the fewest refusals in TestReplay at 82 and 195 entry VMs;
+// the result changes little with most of them.
 const (
 	// minForecastFleet is the number of entry VMs from which Forecast decides itself.
 	minForecastFleet = 40
-	// priorRequests is the demand that is assumed of every entry VM, in typical requests per span.
-	// The coverage of recorded partitions is flat from 1 to 4.
+	// priorRequests is the prior of an entry VM, in typical requests.
 	priorRequests = 2
-	// placedFraction is the fraction of the unspent amount that is held; the rest stays in the
-	// ledger for requests that arrive elsewhere.
+	// callerRequests is the recent demand, in typical requests, from which an entry VM counts as
+	// one with callers.
+	callerRequests = 0.3
+	// sizeVariance is the mean square of a request's size divided by the square of its mean. It is
+	// about 2 in the recordings; more makes the estimate of the spread less sensitive to chance.
+	sizeVariance = 3
+	// placedFraction is the fraction of the unspent amount that is held.
 	placedFraction = 0.9
-	// undrawnFraction is the fraction of the unspent amount that draws ahead of demand leave in the
-	// ledger.
-	undrawnFraction = 0.05
-	// spanSafety is the multiple of the forecast demand up to which tokens are held, and
-	// headroomRequests the number of large requests that are added.
-	spanSafety       = 1.5
+	// reserveFraction and reserveUsualRequests are the reserve that stays undrawn: a fraction of
+	// the unspent amount or a number of typical requests, whichever is larger. maxReserveFraction
+	// limits the latter.
+	reserveFraction      = 0.05
+	reserveUsualRequests = 12
+	maxReserveFraction   = 0.4
+	// scarceReserveFraction is the fraction of the reserve below which targets are reduced, down
+	// to minScarceFactor of them.
+	scarceReserveFraction = 0.8
+	minScarceFactor       = 0.7
+	// ampleReserves is the number of reserves above which holders with demand divide what is
+	// undrawn beyond it, of which they take ampleDrawFraction at a time.
+	ampleReserves     = 2
+	ampleDrawFraction = 0.7
+	// maxDemandSpans is the number of spans of the holder's own demand up to which tokens are held,
+	// since demand may triple within a partition. headroomRequests large requests are added.
+	maxDemandSpans   = 3
 	headroomRequests = 2
-	// largeRequestFactor is the size of a large request in typical requests, while none was seen.
+	// largeRequestFactor is the size of a large request in typical ones while none was seen.
 	largeRequestFactor = 1.5
-	// minPartRequests is the least useful part, in typical requests: 6 of 10 requests fit into
-	// it. A holder without demand that would have less holds slotRequests or nothing.
-	minPartRequests = 0.6
+	// minPartRequests is the least useful part in typical requests, slotRequests the size of a
+	// slot.
+	minPartRequests = 0.8
 	slotRequests    = 1.2
 	// refillBelowFraction is the fraction of the target below which a lot is drawn, and
-	// joinBelowFraction that below which it is drawn if the ledgers are written anyway.
+	// joinBelowFraction that below which it is drawn if the store is written anyway.
 	refillBelowFraction = 0.7
 	joinBelowFraction   = 0.9
-	// surplusFactor is the multiple of the target above which tokens are returned, if they are
-	// also more than surplusRequests typical requests.
+	// surplusFactor is the multiple of the target above which tokens are returned, if there are
+	// also surplusRequests typical requests more.
 	surplusFactor   = 1.25
 	surplusRequests = 0.4
-	// maxDrawFraction limits one draw ahead of demand to a fraction of the undrawn amount.
+	// maxDrawFraction limits a draw ahead of demand to a fraction of the undrawn amount.
 	maxDrawFraction = 0.8
+	// reportFraction is the fraction of the unspent amount from which unreported usage is reported,
+	// since the others compute their parts from it.
+	reportFraction = 0.03
+	// allowanceSpan is the time for which ceilings permit the holder's own demand, and
+	// allowanceRequests the number of large requests that they permit in addition. It is twice the
+	// length of a lease, as demand may rise meanwhile.
+	allowanceSpan     = 2 * LeaseLength
+	allowanceRequests = 2
 )
 
 var _ Placement = Forecast{}
@@ -79,60 +109,118 @@
 
 // Decide draws up to the target and returns what is above it.
 func (p Forecast) Decide(v View) Decision {
-	if v.EntryVMs < minForecastFleet && p.Small != nil {
-		return p.Small.Decide(v)
+	if v.EntryVMs < minForecastFleet {
+		return p.small().Decide(v)
 	}
 	target := p.target(v)
-	size := p.requestSize(v)
-	d := Decision{Min: v.minDraw(), Share: maxDrawFraction, Rate: v.RecentRate, Allowance: p.allowance(v)}
-	d.Report = v.HasUnreported && v.Ledger.Read && v.Ledger.Undrawn < v.LargestRequest
+	d := Decision{Min: v.minDraw(), Share: maxDrawFraction, Rate: v.SteadyRate, Allowance: p.allowance(v)}
+	d.Report = v.HasUnreported && v.Ledger.Read &&
+		(v.Ledger.Undrawn < v.LargestRequest || float64(v.Unreported) > reportFraction*float64(v.Ledger.Unspent))
 	lack := target + v.Waiting - v.Available
 	if v.Waiting > v.Available {
 		d.Draw, d.Share, d.Want = true, 1, max(lack, d.Min)
 		return d
 	}
-	room := v.Ledger.Undrawn - toAmount(undrawnFraction*float64(v.Ledger.Unspent))
+	room := v.Ledger.Undrawn - toTokens(p.reserve(v))
 	if !v.Ledger.Read {
 		// The writer limits the draw to what is left.
 		room = lack
 	}
-	useful := max(toAmount(float64(target)/minDrawDivisor), 1)
+	useful := max(target/minDrawDivisor, 1)
 	d.Want, d.Min = min(lack, room), min(useful, max(lack, 1))
 	if room >= useful {
 		d.Draw = float64(v.Available) < refillBelowFraction*float64(target)
 		d.TopUp = !d.Draw && float64(v.Available) < joinBelowFraction*float64(target)
 	}
-	keep := toAmount(surplusFactor * float64(target))
-	if surplus := v.Available - keep; !d.Draw && !d.TopUp && v.Ledger.Read && float64(surplus) > surplusRequests*size {
+	surplus := float64(v.Available) - surplusFactor*float64(target)
+	switch {
+	case !d.Draw && !d.TopUp && v.Ledger.Read && surplus > surplusRequests*p.requestSize(v):
 		d.Return, d.Keep = true, target
+	case v.Returning > 0:
+		// An earlier return was not written: each round writes a few ledgers only.
+		d.Return, d.Keep = true, v.Available
 	}
 	return d
 }
 
+func (p Forecast) small() Placement {
+	if p.Small != nil {
+		return p.Small
+	}
+	return Bridging{Span: p.Span, UsualRequest: p.UsualRequest}
+}
+
 // target returns the amount that should be available.
 func (p Forecast) target(v View) turmericshed.Tokens {
 	size := p.requestSize(v)
-	own := v.RecentRate * p.span().Seconds()
-	prior := priorRequests * size
-	weights := own + v.Ledger.OthersRate*p.span().Seconds() + prior*float64(max(v.EntryVMs, 1))
-	placed := placedFraction * float64(max(v.Ledger.Unspent, 0))
-	part := placed * (own + prior) / weights
-	usable := spanSafety*own + headroomRequests*max(float64(v.LargestRequest), largeRequestFactor*size)
+	part := p.part(v)
 	if part < minPartRequests*size {
-		// The fraction of holders that get a slot grows with their demand.
+		// The fraction of holders that have a slot grows with the part.
 		slot := slotRequests * size
 		if v.Order >= part/slot {
 			return 0
 		}
 		part = slot
 	}
-	return toAmount(min(part, usable))
+	usable := maxDemandSpans*v.RecentRate*p.span().Seconds() + headroomRequests*max(float64(v.LargestRequest), largeRequestFactor*size)
+	return toTokens(min(part, usable))
+}
+
+// part returns this holder's part of the unspent amount.
+func (p Forecast) part(v View) float64 {
+	size, window := p.requestSize(v), steadyWindow.Seconds()
+	seen, others := v.SteadyRate*window, v.Ledger.OthersRate*window
+	callers, quiet := p.spread(v)
+	prior := priorRequests * size
+	weights := seen + others + prior*(callers+(float64(v.EntryVMs)-callers)*quiet)
+	if seen < callerRequests*size {
+		prior *= quiet
+	}
+	placed := placedFraction * float64(max(v.Ledger.Unspent, 1))
+	if !v.Ledger.Read {
+		return placed * (seen + prior) / weights
+	}
+	undrawn, reserve := float64(v.Ledger.Undrawn), p.reserve(v)
+	part := placed * (seen + prior) / weights * max(min(undrawn/(scarceReserveFraction*reserve), 1), minScarceFactor)
+	if ample := undrawn - ampleReserves*reserve; ample > 0 && seen > 0 {
+		part = max(part, float64(v.Available)+ampleDrawFraction*ample*seen/(seen+others))
+	}
+	return part
+}
+
+// spread estimates the number of entry VMs with callers of the account, and the probability that
+// one without demand is among them.
+//
+// If m requests are spread evenly over n entry VMs, the squares of the entry VMs' fractions of the
+// demand add up to about 1/n + sizeVariance/m. Unless n is significantly lower than the size of
+// the fleet, the account is assumed to use all of it.
+func (p Forecast) spread(v View) (callers, quiet float64) {
+	fleet := float64(v.EntryVMs)
+	sum := v.SteadyRate + v.Ledger.OthersRate
+	if sum <= 0 || v.Ledger.OthersRateSquares < v.Ledger.OthersRate*v.Ledger.OthersRate/fleet/2 {
+		// Nothing is known, or an earlier version wrote the ledger without the squares.
+		return fleet, 1
+	}
+	requests := sum * steadyWindow.Seconds() / p.requestSize(v)
+	inverse := (v.SteadyRate*v.SteadyRate+v.Ledger.OthersRateSquares)/(sum*sum) - sizeVariance/requests
+	callers = 1 / max(inverse, 1/fleet)
+	// An entry VM with callers has received none of requests/callers requests with the probability
+	// exp(-requests/callers).
+	missed := callers * math.Exp(-requests/callers)
+	return callers, missed / (missed + fleet - callers)
+}
+
+// reserve returns the amount that should stay undrawn.
+func (p Forecast) reserve(v View) float64 {
+	unspent := float64(max(v.Ledger.Unspent, 1))
+	return max(reserveFraction*unspent, min(reserveUsualRequests*p.requestSize(v), maxReserveFraction*unspent))
 }
 
-// allowance returns the least that the ceilings should permit: the largest request, so that the
-// first one of a partition does not have to wait until the lease has expired.
+// allowance returns the least that the ceilings should permit. A request above the ceilings waits
+// for up to the length of a lease when a partition begins.
 func (p Forecast) allowance(v View) turmericshed.Tokens {
-	return max(v.LargestRequest, toAmount(largeRequestFactor*p.requestSize(v)))
+	large := max(float64(v.LargestRequest), largeRequestFactor*p.requestSize(v))
+	return toTokens(v.RecentRate*allowanceSpan.Seconds() + allowanceRequests*large)
 }
 
 func (p Forecast) requestSize(v View) float64 {
@@ -146,4 +234,4 @@
 	return p.Span
 }
 
-func toAmount(tokens float64) turmericshed.Tokens { return turmericshed.Tokens(max(tokens, 0)) }
+func toTokens(n float64) turmericshed.Tokens { return turmericshed.Tokens(max(n, 0)) }
--- a/core/tsbudget/holder.go
+++ b/core/tsbudget/holder.go
@@ -83,6 +83,8 @@
 		v.Available += l.available()
 		v.Reserved += l.reserved
 		v.Lent += l.lent
+		v.Unreported += l.Used - l.reported.Used
+		v.Returning += l.Returned - l.reported.Returned
 		v.HasUnreported = v.HasUnreported || l.Used != l.reported.Used || l.Returned != l.reported.Returned
 	}
 	for _, r := range b.reservations {
@@ -92,6 +94,7 @@
 	}
 	v.TypicalRequest = turmericshed.Tokens(b.demand.typical)
 	v.Rate, v.LargestRequest, v.RecentRate = b.demand.rate(now), turmericshed.Tokens(b.demand.largest), b.demand.recentRate(now)
+	v.SteadyRate = b.demand.steadyRate(now)
 	if !b.demand.lastSeen.IsZero() {
 		v.Idle = now.Sub(b.demand.lastSeen)
 	}
--- a/core/tsbudget/holding.go
+++ b/core/tsbudget/holding.go
@@ -52,6 +52,9 @@
 	Requests int64               `json:"requests,omitempty"`
 	// Rate is the holders' demand in tokens per second.
 	Rate int64 `json:"rate,omitempty"`
+	// RateSquares is the sum of the squares of the holders' rates. It tells demand at a few entry
+	// VMs from demand that is spread widely. It is a hint: a process of an earlier version drops it.
+	RateSquares int64 `json:"rate_squares,omitempty"`
 	// Holders counts the holders with lots.
 	Holders int `json:"holders,omitempty"`
 }
@@ -69,6 +72,7 @@
 	}
 	for _, r := range rates {
 		e.Rate += r
+		e.RateSquares += r * r
 	}
 	e.Holders = len(rates)
 	return e
@@ -76,13 +80,13 @@
 
 func (e HoldingTotals) plus(o HoldingTotals) HoldingTotals {
 	return HoldingTotals{
-		Charge: e.Charge + o.Charge, Used: e.Used + o.Used, Requests: e.Requests + o.Requests, Rate: e.Rate + o.Rate, Holders: e.Holders + o.Holders,
+		Charge: e.Charge + o.Charge, Used: e.Used + o.Used, Requests: e.Requests + o.Requests, Rate: e.Rate + o.Rate, RateSquares: e.RateSquares + o.RateSquares, Holders: e.Holders + o.Holders,
 	}
 }
 
 func (e HoldingTotals) minus(o HoldingTotals) HoldingTotals {
 	return HoldingTotals{
-		Charge: e.Charge - o.Charge, Used: e.Used - o.Used, Requests: e.Requests - o.Requests, Rate: e.Rate - o.Rate, Holders: e.Holders - o.Holders,
+		Charge: e.Charge - o.Charge, Used: e.Used - o.Used, Requests: e.Requests - o.Requests, Rate: e.Rate - o.Rate, RateSquares: max(e.RateSquares-o.RateSquares, 0), Holders: e.Holders - o.Holders,
 	}
 }
 
@@ -166,7 +170,7 @@
 	l = l.clone()
 	rest := l.InHoldings.minus(sumLots(lots))
 	l.InHoldings = HoldingTotals{
-		Charge: max(rest.Charge, 0), Used: max(rest.Used, 0), Requests: max(rest.Requests, 0), Rate: max(rest.Rate, 0), Holders: max(rest.Holders, 0),
+		Charge: max(rest.Charge, 0), Used: max(rest.Used, 0), Requests: max(rest.Requests, 0), Rate: max(rest.Rate, 0), RateSquares: rest.RateSquares, Holders: max(rest.Holders, 0),
 	}
 	l.Lots = append(l.Lots, lots...)
 	return l
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -63,6 +63,10 @@
 	Starved bool
 	// HasUnreported is true if settled usage or returned tokens are not yet in the ledger.
 	HasUnreported bool
+	// Unreported is the settled usage that is not yet in the ledger.
+	Unreported turmericshed.Tokens
+	// Returning is the amount that was returned here and is not yet in the ledger.
+	Returning turmericshed.Tokens
 	// Rate is the usage in tokens per second, LargestRequest the largest recent reservation, Idle the
 	// time since the last reservation.
 	Rate           float64
@@ -72,6 +76,8 @@
 	// RecentRate is the recent demand in tokens per second, with each request counted at its worst
 	// case.
 	RecentRate float64
+	// SteadyRate is the same over a longer time.
+	SteadyRate float64
 	Idle       time.Duration
 	// Ledger is the ledger as last read.
 	Ledger Summary
@@ -82,9 +88,9 @@
 	Peers    int
 	// Order is the holder's place for this budget among the entry VMs of its failure domain, from 0
 	// to 1. Places are spread evenly and differ between budgets.
-	Order float64
-	Edge     turmericshed.EdgePreference
-	Bridge   time.Duration
+	Order  float64
+	Edge   turmericshed.EdgePreference
+	Bridge time.Duration
 }
 
 // Summary is the part of a ledger that a holder caches.
@@ -105,6 +111,8 @@
 	Mine turmericshed.Tokens
 	// OthersRate is the demand of the other holders in tokens per second.
 	OthersRate float64
+	// OthersRateSquares is the sum of the squares of these rates, 0 if it is not known.
+	OthersRateSquares float64
 }
 
 // Summarize returns the summary of a ledger for the holder self.
@@ -112,7 +120,7 @@
 	e := l.InHoldings
 	s := Summary{
 		Read: true, At: at, Limit: l.Limit(), Undrawn: l.Undrawn(), Unspent: l.Limit() - l.Spent - e.Used,
-		Others: e.Charge, OthersUnused: e.Charge - e.Used, OthersRate: float64(e.Rate),
+		Others: e.Charge, OthersUnused: e.Charge - e.Used, OthersRate: float64(e.Rate), OthersRateSquares: float64(e.RateSquares),
 	}
 	rates := make(map[turmericshed.Incarnation]int64, len(l.Lots))
 	for _, lot := range l.Lots {
@@ -129,6 +137,7 @@
 	for holder, rate := range rates {
 		if holder != self {
 			s.OthersRate += float64(rate)
+			s.OthersRateSquares += float64(rate) * float64(rate)
 		}
 	}
 	return s
