Forecast: undrawn reserve, waiting for returns, larger pools, review fixes

Cause: draws ahead of demand of many holders took the reserve at once, so that requests at other entry VMs were refused while the fleet held a multiple of what they needed; refusals in calm came after the first round without tokens; in large fleets the small pools made nearly every urgent draw and every return a write of the ledger. Found in review: an entry VM that is cut off sees no other one and would decide as in a small fleet; surplus was returned while the store did not answer, and served nobody; after a rollout the sums of squared rates would have been wrong for good, since a process of an earlier version drops them from the ledger and from the holding; squares could overflow. Change: a draw ahead of demand names what it leaves undrawn (KeepUndrawn, also in the call of the ledger writer); a request waits for a tenth of its time for tokens that others return; pools take all of the domain's fair share and keep returned tokens up to twelve times of that. All of it from 40 entry VMs. The placement uses the largest fleet of the last 2 minutes and returns nothing while the store does not answer. The sums of squares have an epoch, which changes when an earlier version dropped them. The replay is closer to the holder: top-ups join only other changes, an empty ledger is believed for 500 ms, requests without a change send nothing. Its baseline is Bridging without the changes for large fleets. TestHoldings and TestEncoding cover the new fields.

--- a/core/tsbudget/commit.go
+++ b/core/tsbudget/commit.go
@@ -18,6 +18,7 @@
 	ledgerBudgets []turmericshed.BudgetID
 	localBudgets  []turmericshed.BudgetID
 	leaseAlive    func(l turmericshed.LeaseID) bool
+	entryVMs      int
 	decode        func(item turmericshed.Item) (Holding, error)
 	// currentItem returns the holding's item that the current attempt replaces.
 	currentItem func() turmericshed.Item
@@ -44,11 +45,13 @@
 	LeaseAlive func(l turmericshed.LeaseID) bool
 	// Decode reads a holding; it may cache the last one.
 	Decode func(item turmericshed.Item) (Holding, error)
+	// EntryVMs is the size of the fleet. It decides the size of pools.
+	EntryVMs int
 }
 
 // NewCommit returns the transaction for a configuration.
 func NewCommit(cfg CommitConfig) *Commit {
-	return &Commit{requests: cfg.Requests, ledgerBudgets: cfg.Budgets, localBudgets: cfg.Local, leaseAlive: cfg.LeaseAlive, decode: cfg.Decode}
+	return &Commit{requests: cfg.Requests, ledgerBudgets: cfg.Budgets, localBudgets: cfg.Local, leaseAlive: cfg.LeaseAlive, entryVMs: cfg.EntryVMs, decode: cfg.Decode}
 }
 
 // Changes returns the transaction's changes: the ledgers in the order of the budgets, then the
@@ -117,7 +120,7 @@
 	if len(changes) == 0 {
 		return nil, nil
 	}
-	value, after, errs, err := applyToLedger(cur, c.current.share(id), changes)
+	value, after, errs, err := applyToLedger(cur, c.current.share(id), changes, c.entryVMs)
 	for n, i := range owners {
 		if err != nil {
 			c.errs[i][id] = err
--- a/core/tsbudget/forecast.go
+++ b/core/tsbudget/forecast.go
@@ -26,8 +26,12 @@
 // of what the holder's own demand uses within Span, plus a few large requests.
 //
 // Tokens above the target are returned at once, not only when the ledger runs low. A reserve stays
-// undrawn for requests that arrive where nothing is held. While less is undrawn, all holders reduce
-// their targets.
+// undrawn for requests that arrive where nothing is held: draws ahead of demand leave it, and a
+// draw for waiting requests takes little more than they lack. While less is undrawn, all holders
+// reduce their targets.
+//
+// An entry VM that is cut off sees no other one. The size of the fleet is therefore the largest one
+// of the last time, and nothing is returned while the store does not answer.
 //
 // Example: 2,400,000 tokens unspent, 80 entry VMs, requests of 10,000. Before any demand each holds
 // 27,000. If one of them then receives 200,000 and the others a request now and then, it holds
@@ -67,7 +71,10 @@
 	// scarceReserveFraction is the fraction of the reserve below which targets are reduced, down
 	// to minScarceFactor of them.
 	scarceReserveFraction = 0.8
-	minScarceFactor       = 0.7
+	minScarceFactor       = 0.5
+	// waitingReserveFraction is the fraction of the reserve that a draw with waiting requests leaves
+	// undrawn beyond what those requests lack.
+	waitingReserveFraction = 0.75
 	// ampleReserves is the number of reserves above which holders with demand divide what is
 	// undrawn beyond it, of which they take ampleDrawFraction at a time.
 	ampleReserves     = 2
@@ -80,7 +87,7 @@
 	largeRequestFactor = 1.5
 	// minPartRequests is the least useful part in typical requests, slotRequests the size of a
 	// slot.
-	minPartRequests = 0.8
+	minPartRequests = 0.55
 	slotRequests    = 1.2
 	// refillBelowFraction is the fraction of the target below which a lot is drawn, and
 	// joinBelowFraction that below which it is drawn if the store is written anyway.
@@ -94,7 +101,7 @@
 	maxDrawFraction = 0.8
 	// reportFraction is the fraction of the unspent amount from which unreported usage is reported,
 	// since the others compute their parts from it.
-	reportFraction = 0.03
+	reportFraction = 0.06
 	// allowanceSpan is the time for which ceilings permit the holder's own demand, and
 	// allowanceRequests the number of large requests that they permit in addition. It is twice the
 	// length of a lease, as demand may rise meanwhile.
@@ -109,18 +116,24 @@
 
 // Decide draws up to the target and returns what is above it.
 func (p Forecast) Decide(v View) Decision {
-	if v.EntryVMs < minForecastFleet {
+	if !v.largeFleet() {
 		return p.small().Decide(v)
 	}
+	v.EntryVMs = max(v.EntryVMs, v.RecentEntryVMs)
 	target := p.target(v)
 	d := Decision{Min: v.minDraw(), Share: maxDrawFraction, Rate: v.SteadyRate, Allowance: p.allowance(v)}
 	d.Report = v.HasUnreported && v.Ledger.Read &&
 		(v.Ledger.Undrawn < v.LargestRequest || float64(v.Unreported) > reportFraction*float64(v.Ledger.Unspent))
 	lack := target + v.Waiting - v.Available
 	if v.Waiting > v.Available {
-		d.Draw, d.Share, d.Want = true, 1, max(lack, d.Min)
+		d.Draw, d.Share = true, 1
+		ample := toTokens(float64(v.Ledger.Undrawn) - waitingReserveFraction*p.reserve(v))
+		d.Want = max(v.Waiting-v.Available, min(lack, ample), d.Min)
 		return d
 	}
+	if v.Ledger.Read {
+		d.KeepUndrawn = toTokens(p.reserve(v))
+	}
 	room := v.Ledger.Undrawn - toTokens(p.reserve(v))
 	if !v.Ledger.Read {
 		// The writer limits the draw to what is left.
@@ -134,6 +147,8 @@
 	}
 	surplus := float64(v.Available) - surplusFactor*float64(target)
 	switch {
+	case v.Unreachable:
+		// A return would not be written, and its tokens would serve nobody.
 	case !d.Draw && !d.TopUp && v.Ledger.Read && surplus > surplusRequests*p.requestSize(v):
 		d.Return, d.Keep = true, target
 	case v.Returning > 0:
@@ -234,4 +249,9 @@
 	return p.Span
 }
 
+// largeFleet reports whether Forecast decides instead of its Small placement.
+func (v View) largeFleet() bool { return isLargeFleet(max(v.EntryVMs, v.RecentEntryVMs)) }
+
+func isLargeFleet(entryVMs int) bool { return entryVMs >= minForecastFleet }
+
 func toTokens(n float64) turmericshed.Tokens { return turmericshed.Tokens(max(n, 0)) }
--- a/core/tsbudget/holding.go
+++ b/core/tsbudget/holding.go
@@ -55,6 +55,9 @@
 	// RateSquares is the sum of the squares of the holders' rates. It tells demand at a few entry
 	// VMs from demand that is spread widely. It is a hint: a process of an earlier version drops it.
 	RateSquares int64 `json:"rate_squares,omitempty"`
+	// SquaresEpoch tells which domains RateSquares counts: those with the same epoch in their
+	// Counted. It changes when an earlier version dropped the sum.
+	SquaresEpoch int64 `json:"squares_epoch,omitempty"`
 	// Holders counts the holders with lots.
 	Holders int `json:"holders,omitempty"`
 }
@@ -72,7 +75,7 @@
 	}
 	for _, r := range rates {
 		e.Rate += r
-		e.RateSquares += r * r
+		e.RateSquares += min(r, maxSquaredRate) * min(r, maxSquaredRate)
 	}
 	e.Holders = len(rates)
 	return e
@@ -80,13 +83,15 @@
 
 func (e HoldingTotals) plus(o HoldingTotals) HoldingTotals {
 	return HoldingTotals{
-		Charge: e.Charge + o.Charge, Used: e.Used + o.Used, Requests: e.Requests + o.Requests, Rate: e.Rate + o.Rate, RateSquares: e.RateSquares + o.RateSquares, Holders: e.Holders + o.Holders,
+		Charge: e.Charge + o.Charge, Used: e.Used + o.Used, Requests: e.Requests + o.Requests, Rate: e.Rate + o.Rate, RateSquares: e.RateSquares + o.RateSquares, SquaresEpoch: e.SquaresEpoch,
+		Holders: e.Holders + o.Holders,
 	}
 }
 
 func (e HoldingTotals) minus(o HoldingTotals) HoldingTotals {
 	return HoldingTotals{
-		Charge: e.Charge - o.Charge, Used: e.Used - o.Used, Requests: e.Requests - o.Requests, Rate: e.Rate - o.Rate, RateSquares: max(e.RateSquares-o.RateSquares, 0), Holders: e.Holders - o.Holders,
+		Charge: e.Charge - o.Charge, Used: e.Used - o.Used, Requests: e.Requests - o.Requests, Rate: e.Rate - o.Rate, RateSquares: max(e.RateSquares-o.RateSquares, 0),
+		SquaresEpoch: e.SquaresEpoch, Holders: e.Holders - o.Holders,
 	}
 }
 
@@ -95,6 +100,27 @@
 	return e.Charge >= 0 && e.Used >= 0 && e.Used <= e.Charge && e.Requests >= 0 && e.Holders >= 0
 }
 
+// maxSquaredRate bounds the rates that RateSquares counts, so that the sum over maxOpenLots holders
+// does not overflow.
+const maxSquaredRate = 1 << 25
+
+// othersSquares returns the squares of the rates of the other domains, and their epoch. counted is
+// what the sums have of this domain, and version that of the ledger to replace.
+//
+// A process of an earlier version drops the squares of a ledger, or of all that is counted in a
+// domain's holding. Differences would then be wrong for good, so a new epoch begins, and each domain
+// is counted again with its next write.
+func (e HoldingTotals) othersSquares(counted HoldingTotals, version turmericshed.Version) (squares, epoch int64) {
+	switch {
+	case e.SquaresEpoch != 0 && counted.SquaresEpoch == e.SquaresEpoch:
+		return max(e.RateSquares-counted.RateSquares, 0), e.SquaresEpoch
+	case e.SquaresEpoch != 0 && (counted.SquaresEpoch != 0 || counted.Holders == 0):
+		return e.RateSquares, e.SquaresEpoch
+	default:
+		return 0, int64(version) + 1 //nolint:gosec // Versions are far below the limit.
+	}
+}
+
 // HoldingVM is a holding's record of one entry VM.
 type HoldingVM struct {
 	// Incarnation is the current process of the entry VM.
@@ -170,7 +196,8 @@
 	l = l.clone()
 	rest := l.InHoldings.minus(sumLots(lots))
 	l.InHoldings = HoldingTotals{
-		Charge: max(rest.Charge, 0), Used: max(rest.Used, 0), Requests: max(rest.Requests, 0), Rate: max(rest.Rate, 0), RateSquares: rest.RateSquares, Holders: max(rest.Holders, 0),
+		Charge: max(rest.Charge, 0), Used: max(rest.Used, 0), Requests: max(rest.Requests, 0), Rate: max(rest.Rate, 0), RateSquares: rest.RateSquares,
+		SquaresEpoch: rest.SquaresEpoch, Holders: max(rest.Holders, 0),
 	}
 	l.Lots = append(l.Lots, lots...)
 	return l
--- a/core/tsbudget/holding_test.go
+++ b/core/tsbudget/holding_test.go
@@ -23,7 +23,7 @@
 		l := d.ledger("east", "west")
 		pools := d.holding("east").Pools["b"].Free + d.holding("west").Pools["b"].Free
 		assert.Equal(t, l.Undrawn(), 400-pools)
-		assert.DeepEqual(t, l.InHoldings, tsbudget.HoldingTotals{Charge: 600 + pools, Rate: 14, RateSquares: 98, Holders: 2})
+		assert.DeepEqual(t, l.InHoldings, tsbudget.HoldingTotals{Charge: 600 + pools, Rate: 14, RateSquares: 98, SquaresEpoch: 1, Holders: 2})
 		s := tsbudget.Summarize(l.WithLots(d.holding("east").LotsOf("x1", "b")), "x1", time.Now())
 		assert.Equal(t, s.Mine, toTokens(300))
 		assert.Equal(t, s.Others, 300+pools)
--- a/core/tsbudget/mutation.go
+++ b/core/tsbudget/mutation.go
@@ -53,6 +53,9 @@
 	// Share limits the lot to this fraction of the undrawn amount, unless that would be less than
 	// Min.
 	Share float64
+	// KeepUndrawn is the amount that a draw ahead of demand leaves undrawn. It is a hint: a
+	// writer of an earlier version draws without it.
+	KeepUndrawn turmericshed.Tokens
 	// Rate is the holder's demand in tokens per second.
 	Rate float64
 	At   time.Time
@@ -104,6 +107,7 @@
 // request's minimum is left.
 func drawAmount(room turmericshed.Tokens, r DrawRequest) turmericshed.Tokens {
 	least := max(r.Min, 1)
+	room -= max(r.KeepUndrawn, 0)
 	if room < least {
 		return 0
 	}
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -85,7 +85,11 @@
 	// the number of entry VMs in the fleet, Peers the number of others in the failure domain.
 	Home     bool
 	EntryVMs int
-	Peers    int
+	// RecentEntryVMs is the largest EntryVMs of the last time.
+	RecentEntryVMs int
+	// Unreachable is true if the store did not answer the last write.
+	Unreachable bool
+	Peers       int
 	// Order is the holder's place for this budget among the entry VMs of its failure domain, from 0
 	// to 1. Places are spread evenly and differ between budgets.
 	Order  float64
@@ -176,6 +180,8 @@
 	Want   turmericshed.Tokens
 	Min    turmericshed.Tokens
 	Share  float64
+	// KeepUndrawn is the amount that the draw leaves undrawn.
+	KeepUndrawn turmericshed.Tokens
 	// Rate is the demand that is recorded in the lot; 0 means View.Rate.
 	Rate float64
 	// TopUp is true if a draw is only worth making when other budgets are written anyway.
--- a/core/tsbudget/queue.go
+++ b/core/tsbudget/queue.go
@@ -15,6 +15,8 @@
 	// arrived. Only the outcome of later rounds applies to it.
 	Round    int
 	Deadline time.Time
+	// Since is when the request arrived.
+	Since time.Time
 }
 
 // Queue holds the requests that wait for tokens of one budget, in order of arrival. E identifies a
@@ -105,6 +107,9 @@
 	// unavailableRetryAfter is the retry delay sent to callers while tokens are unavailable here:
 	// the balancer sends a retry to another entry VM, which may hold some.
 	unavailableRetryAfter = 250 * time.Millisecond
+	// returnWaitFraction is the fraction of its time for which a request waits for tokens that other
+	// holders return. Callers lose nothing by a wait of up to an eighth of their time.
+	returnWaitFraction = 0.1
 )
 
 // Situation is the state from which a waiting request is judged.
@@ -147,7 +152,7 @@
 	if s.StoreErr == nil {
 		mayFree = mayFree || inUse+s.Ledger.Undrawn+s.Ledger.Others >= w.Amount
 	}
-	if w.Profile.Edge != turmericshed.PreferNoSurprise && mayFree && !s.nearDeadline(w) {
+	if (w.Profile.Edge != turmericshed.PreferNoSurprise || s.mayReturn(w)) && mayFree && !s.nearDeadline(w) {
 		return nil
 	}
 	switch {
@@ -174,6 +179,17 @@
 	return unavailable("budget of %s: nothing can be drawn now", p)
 }
 
+// mayReturn reports whether the request should wait for tokens that other holders return. In a large
+// fleet most tokens are held by entry VMs that do not need them now, and a retry does not reach a
+// particular one.
+func (s Situation) mayReturn(w Waiter) bool {
+	if !s.largeFleet() || s.StoreErr != nil || w.Since.IsZero() || w.Deadline.IsZero() {
+		return false
+	}
+	patience := time.Duration(returnWaitFraction * float64(w.Deadline.Sub(w.Since)))
+	return s.Now.Before(w.Since.Add(patience))
+}
+
 func (s Situation) nearDeadline(w Waiter) bool {
 	return !w.Deadline.IsZero() && !s.Now.Before(w.Deadline.Add(-deadlineMargin))
 }
--- a/core/tsbudget/replay_test.go
+++ b/core/tsbudget/replay_test.go
@@ -135,14 +135,17 @@
 	*domainFixture
 	recording
 	placement tsbudget.Placement
-	now       time.Duration
-	holders   []*replayHolder
-	domains   []*replayDomain
-	ends      []runningRequest
-	arrivals  []arrival
-	rng       *rand.Rand
-	result    replayResult
-	ledgers   map[turmericshed.BudgetID]ledgerVersion
+	// isBaseline is true for the behavior before large fleets were treated differently: no request
+	// waits for returned tokens, and pools are small.
+	isBaseline bool
+	now        time.Duration
+	holders    []*replayHolder
+	domains    []*replayDomain
+	ends       []runningRequest
+	arrivals   []arrival
+	rng        *rand.Rand
+	result     replayResult
+	ledgers    map[turmericshed.BudgetID]ledgerVersion
 }
 
 // replayResult is what a replay counts.
@@ -221,8 +224,10 @@
 	replayPause    = time.Second
 	minRetryDelay  = 80 * time.Millisecond
 	replayRoundGap = 100 * time.Millisecond
-	// replayPatience is how long a request waits for tokens.
-	replayPatience = 2500 * time.Millisecond
+	// replayEmptyMaxAge is the age up to which a waiting request relies on an empty ledger.
+	replayEmptyMaxAge = 500 * time.Millisecond
+	// replayLimit is the time limit of a request, the shortest of the deployments.
+	replayLimit = 8 * time.Second
 )
 
 var replayEpoch = time.Unix(1_000_000, 0)
@@ -396,7 +401,11 @@
 		r.serve(i, res, false)
 		return
 	}
-	b.queue.Add(i, tsbudget.Waiter{Profile: b.profile, Amount: a.most, Round: b.round, Deadline: replayEpoch.Add(a.at + replayPatience)})
+	w := tsbudget.Waiter{Profile: b.profile, Amount: a.most, Round: b.round, Deadline: replayEpoch.Add(a.at + replayLimit), Since: replayEpoch.Add(a.at)}
+	if r.isBaseline {
+		w.Since = time.Time{}
+	}
+	b.queue.Add(i, w)
 }
 
 func (r *replay) serve(i int, res turmericshed.Reservation, late bool) {
@@ -495,12 +504,12 @@
 		if waiting {
 			pause = b.nextDraw - 700*time.Millisecond
 		}
-		isEmpty := b.ledger.Read && !waiting && b.ledger.Undrawn < max(d.Min, 1)
+		isEmpty := b.ledger.Read && b.ledger.Undrawn < max(d.Min, 1) && (!waiting || r.clock().Sub(b.ledger.At) <= replayEmptyMaxAge)
 		if r.now >= pause && !isEmpty {
 			h.lots++
 			ch.Draw = &tsbudget.DrawRequest{
 				Lot: tsbudget.NewLotID(h.vm.Incarnation, strconv.Itoa(h.lots)), Holder: h.vm.Incarnation, FailureDomain: h.vm.FailureDomain,
-				Want: d.Want, Min: d.Min, Share: d.Share, Rate: max(d.Rate, v.Rate), At: r.clock(),
+				Want: d.Want, Min: d.Min, Share: d.Share, KeepUndrawn: d.KeepUndrawn, Rate: max(d.Rate, v.Rate), At: r.clock(),
 			}
 		}
 		if isEmpty {
@@ -513,6 +522,22 @@
 	return ch, ch.Draw != nil || len(ch.Reports) > 0 || (ch.Prepaid > 0 && ch.Draw != nil)
 }
 
+// needsCeilings reports whether a request of the holder waits for higher ceilings.
+func (r *replay) needsCeilings(h *replayHolder) bool {
+	return slices.ContainsFunc(budgetIDs(h), func(id turmericshed.BudgetID) bool {
+		return h.budgets[id].queue.Len() > 0 && h.core.Spendable(r.clock(), id) < h.core.Available(id)
+	})
+}
+
+// hasRound reports whether a budget of the holder has more to write than a top-up.
+func (r *replay) hasRound(h *replayHolder) bool {
+	return slices.ContainsFunc(budgetIDs(h), func(id turmericshed.BudgetID) bool {
+		b := h.budgets[id]
+		d := r.placement.Decide(r.view(h, id))
+		return b.queue.Len() > 0 || d.Return || d.Report || (d.Draw && r.now >= b.nextDraw)
+	})
+}
+
 // roundOf runs a round of a failure domain's writer.
 func (r *replay) roundOf(d *replayDomain, isTick bool) {
 	r.t.Helper()
@@ -525,13 +550,14 @@
 		}
 		req := tsbudget.Request{VM: h.vm.Name, Incarnation: h.vm.Incarnation, Urgent: h.hasWaiting()}
 		drawn, waiting := map[turmericshed.BudgetID]tsbudget.Lot{}, map[turmericshed.BudgetID]turmericshed.Tokens{}
+		join := r.hasRound(h)
 		for _, id := range budgetIDs(h) {
 			b := h.budgets[id]
 			if !isTick && b.queue.Len() == 0 {
 				continue
 			}
 			b.round++
-			ch, ok := r.plan(h, id, true)
+			ch, ok := r.plan(h, id, join)
 			if ok {
 				req.Changes = append(req.Changes, ch)
 			}
@@ -542,6 +568,9 @@
 			b.queue.Fill(&v)
 			waiting[id] = v.Waiting
 		}
+		if !isTick && len(req.Changes) == 0 && !r.needsCeilings(h) {
+			continue
+		}
 		if h.lease != "" {
 			h.sequence++
 			list := h.core.PlanCeilings(r.clock(), 3*time.Second, waiting, drawn)
@@ -551,6 +580,9 @@
 		}
 		requests, senders = append(requests, req), append(senders, h)
 	}
+	if len(requests) == 0 {
+		return
+	}
 	errs := r.commitRound(d, requests)
 	for i, h := range senders {
 		h.lease, h.learnedAt = turmericshed.LeaseID(fmt.Sprint("l", d.lease)), r.now
@@ -576,7 +608,7 @@
 		n := min(len(ledgers), r.MaxKeys()-2)
 		c := tsbudget.NewCommit(tsbudget.CommitConfig{
 			Requests: requests, Budgets: ledgers[:n], Local: local, Decode: r.decode,
-			LeaseAlive: func(turmericshed.LeaseID) bool { return true },
+			LeaseAlive: func(turmericshed.LeaseID) bool { return true }, EntryVMs: r.commitVMs(),
 		})
 		b := tsupdate.NewBatch(c.Changes(func(id turmericshed.BudgetID) turmericshed.Item { return r.stored[tsbudget.Key(id)] }, r.stored[tsbudget.HoldingKey(turmericshed.FailureDomain(d.name))]))
 		c.Run(b)
@@ -599,6 +631,14 @@
 	return errs
 }
 
+// commitVMs returns the size of the fleet by which pools are sized.
+func (r *replay) commitVMs() int {
+	if r.isBaseline {
+		return 0
+	}
+	return r.vms
+}
+
 var errDeferredReplay = turmericshed.NewError(turmericshed.KindConflict, "later")
 
 // cachedLedger returns a ledger, decoded once a version.
@@ -664,7 +704,9 @@
 				t.Skip("not recorded")
 			}
 			bridging := tsbudget.Bridging{UsualRequest: 10_000}
-			before := newReplay(t, rec, bridging).run(arrivals, edits)
+			baseline := newReplay(t, rec, bridging)
+			baseline.isBaseline = true
+			before := baseline.run(arrivals, edits)
 			after := newReplay(t, rec, tsbudget.Forecast{UsualRequest: 10_000, Small: bridging}).run(arrivals, edits)
 			t.Logf("bridging: %v", before)
 			t.Logf("forecast: %v", after)
--- a/core/tsbudget/share.go
+++ b/core/tsbudget/share.go
@@ -18,7 +18,7 @@
 // pool. It returns the ledger's new value, nil if that is unchanged, the domain's share after the
 // changes, and an error for each change. Errors: KindNotFound without a ledger, KindInternal if
 // ledger and holding are inconsistent.
-func applyToLedger(cur turmericshed.Item, own domainShare, changes []Change) (value []byte, after domainShare, errs []error, err error) {
+func applyToLedger(cur turmericshed.Item, own domainShare, changes []Change, entryVMs int) (value []byte, after domainShare, errs []error, err error) {
 	var prev *Ledger
 	var next Ledger
 	if cur.Version != 0 {
@@ -35,6 +35,7 @@
 		next = Ledger{Budget: changes[i].Budget, Profile: changes[i].Profile}
 	}
 	others := next.InHoldings.minus(own.pool.Counted)
+	others.RateSquares, others.SquaresEpoch = next.InHoldings.othersSquares(own.pool.Counted, cur.Version)
 	if !others.valid() || own.pool.totals(own.lots).Charge != own.pool.Counted.Charge {
 		// The ledger and the holding are from different revisions.
 		return nil, own, nil, turmericshed.NewError(turmericshed.KindInternal, "ledger %s does not count what a holding has: %+v are left for the others",
@@ -49,9 +50,13 @@
 		_, errs[i] = c.apply(&next)
 	}
 	lots := next.Lots
-	target := poolTarget(next.Undrawn(), sumLots(lots).Rate, others.Rate)
+	target := poolTarget(next.Undrawn(), sumLots(lots).Rate, others.Rate, entryVMs)
 	pool = Pool{Free: target, Target: target}
+	if isLargeFleet(entryVMs) {
+		pool.Target *= largePoolOverflowFactor
+	}
 	pool.Counted = pool.totals(lots)
+	pool.Counted.SquaresEpoch = others.SquaresEpoch
 	next.InHoldings, next.Lots = others.plus(pool.Counted), nil
 	value, err = seal(prev, &next)
 	if bytes.Equal(value, cur.Value) {
@@ -69,15 +74,24 @@
 	// poolOverflowFactor is the multiple of its target above which a pool's surplus is returned to
 	// the ledger.
 	poolOverflowFactor = 2
+	// In a large fleet most requests draw, and holders return tokens all the time. Larger pools, and
+	// a higher limit from which their surplus is returned, keep both within the domain: in TestReplay
+	// with 195 entry VMs, 2,900 instead of 3,400 ledgers are written.
+	largePoolFraction       = 1
+	largePoolOverflowFactor = 6
 )
 
 // poolTarget returns the size that a domain's pool should have, given the undrawn amount of the
 // ledger. mine and others are rates of demand in tokens per second.
-func poolTarget(room turmericshed.Tokens, mine, others int64) turmericshed.Tokens {
+func poolTarget(room turmericshed.Tokens, mine, others int64, entryVMs int) turmericshed.Tokens {
 	if mine <= 0 || room <= 0 {
 		return 0
 	}
-	fair := poolFairShareFraction * float64(room) * float64(mine) / float64(mine+max(others, 0))
+	fraction := poolFairShareFraction
+	if isLargeFleet(entryVMs) {
+		fraction = largePoolFraction
+	}
+	fair := fraction * float64(room) * float64(mine) / float64(mine+max(others, 0))
 	return turmericshed.Tokens(min(float64(mine)*poolDemandSpan.Seconds(), fair))
 }
 
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -306,6 +306,7 @@
 func (c *Committer) transact(ctx context.Context, t transaction) error {
 	commit := tsbudget.NewCommit(tsbudget.CommitConfig{
 		Requests: t.requests, Budgets: t.ledgers, Local: t.local, LeaseAlive: t.isLeaseAlive, Decode: c.decodeHolding,
+		EntryVMs: 1 + len(c.cfg.Members.Reachable()),
 	})
 	changes := commit.Changes(c.cachedItem, c.holdingItem)
 	if c.lease.id != "" && !c.isLeaseMarked {
--- a/io/tscommit/service.go
+++ b/io/tscommit/service.go
@@ -81,7 +81,10 @@
 		})
 	}
 	if d := ch.Draw; d != nil {
-		m.Draw = &tspeerapi.LedgerDraw{Lot: string(d.Lot), Want: int64(d.Want), Min: int64(d.Min), Share: d.Share, Rate: d.Rate, AtMs: toMillis(d.At)}
+		m.Draw = &tspeerapi.LedgerDraw{
+			Lot: string(d.Lot), Want: int64(d.Want), Min: int64(d.Min), Share: d.Share, Rate: d.Rate, AtMs: toMillis(d.At),
+			KeepUndrawn: int64(d.KeepUndrawn),
+		}
 	}
 	return m
 }
@@ -121,7 +124,7 @@
 	if d := m.Draw; d != nil {
 		ch.Draw = &tsbudget.DrawRequest{
 			Lot: turmericshed.LotID(d.Lot), Holder: holder, Want: turmericshed.Tokens(d.Want), Min: turmericshed.Tokens(d.Min),
-			Share: d.Share, Rate: d.Rate, At: fromMillis(d.AtMs),
+			Share: d.Share, KeepUndrawn: turmericshed.Tokens(d.KeepUndrawn), Rate: d.Rate, At: fromMillis(d.AtMs),
 		}
 	}
 	return ch
--- a/io/tscommit/service_test.go
+++ b/io/tscommit/service_test.go
@@ -18,7 +18,7 @@
 			Changes: []tsbudget.Change{{
 				Budget: "b", Profile: "p", Prepaid: 9, Withdraw: "w", Urgent: true,
 				Reports: []tsbudget.Report{{Lot: "l", Used: 1, Returned: 2, Requests: 3, Final: true}},
-				Draw:    &tsbudget.DrawRequest{Lot: "n", Holder: "in-1", Want: 4, Min: 5, Share: 0.5, Rate: 6.5, At: at},
+				Draw:    &tsbudget.DrawRequest{Lot: "n", Holder: "in-1", Want: 4, Min: 5, Share: 0.5, KeepUndrawn: 7, Rate: 6.5, At: at},
 			}},
 			Takeover: &tsbudget.Takeover{From: "in-0", Now: at},
 			Declaration: &tsbudget.Declaration{
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -74,6 +74,9 @@
 	// its holder.
 	closeLotAfterGone        = 2 * time.Minute
 	closeLotUnknownHolderAge = time.Hour
+	// recentFleetAge is how long the largest size of the fleet is remembered. It is longer than a
+	// partition, in which an entry VM sees no other one.
+	recentFleetAge = 2 * time.Minute
 )
 
 // Config holds the dependencies and settings of a holder.
@@ -303,7 +306,7 @@
 	}
 	w := &waiter{done: make(chan struct{})}
 	deadline, _ := ctx.Deadline()
-	b.queue.Add(w, tsbudget.Waiter{Profile: p, Request: request, Amount: n, Round: b.roundsStarted, Deadline: deadline})
+	b.queue.Add(w, tsbudget.Waiter{Profile: p, Request: request, Amount: n, Round: b.roundsStarted, Deadline: deadline, Since: now})
 	if h.core.Available(b.id) >= n {
 		// Only the ceilings block the request.
 		h.requestWrite()
@@ -394,7 +397,7 @@
 	}
 	v.Edge, v.Bridge = b.profile.Edge, time.Duration(b.profile.PartitionTolerance)
 	h.refreshFleetLocked(now)
-	v.EntryVMs = h.fleet.size
+	v.EntryVMs, v.RecentEntryVMs, v.Unreachable = h.fleet.size, h.fleet.recentSize, b.storeErr != nil
 	if b.homeGeneration != h.fleet.generation {
 		b.home, _ = tsbudget.Home(b.id, h.fleet.domainVMs)
 		b.order = tsbudget.Order(b.id, h.cfg.Self, h.fleet.domainVMs)
@@ -411,6 +414,9 @@
 	// generation increases with each refresh.
 	generation int
 	size       int
+	// recentSize is the largest size since recentAt, which is at most recentFleetAge ago.
+	recentSize int
+	recentAt   time.Time
 	// domainVMs are the entry VMs of this failure domain, including this one.
 	domainVMs []turmericshed.EntryVM
 }
@@ -427,5 +433,9 @@
 			f.domainVMs = append(f.domainVMs, vm)
 		}
 	}
+	f.recentSize, f.recentAt = h.fleet.recentSize, h.fleet.recentAt
+	if f.size >= f.recentSize || now.Sub(f.recentAt) > recentFleetAge {
+		f.recentSize, f.recentAt = f.size, now
+	}
 	h.fleet = f
 }
--- a/io/tsholder/round.go
+++ b/io/tsholder/round.go
@@ -223,7 +223,7 @@
 	}
 	return &unansweredDraw{DrawRequest: tsbudget.DrawRequest{
 		Lot: h.newLotLocked(), Holder: h.cfg.Self.Incarnation, FailureDomain: h.cfg.Self.FailureDomain,
-		Want: d.Want, Min: d.Min, Share: d.Share, Rate: max(d.Rate, h.core.View(now, b.id).Rate), At: now,
+		Want: d.Want, Min: d.Min, Share: d.Share, KeepUndrawn: d.KeepUndrawn, Rate: max(d.Rate, h.core.View(now, b.id).Rate), At: now,
 	}}
 }
 
