Forecast: tests of failures, metrics of held tokens and refusals

Cause: the failures of the placement had no tests, and neither what an entry VM holds nor what it refuses for tokens showed in the metrics. Metrics turmericshed_tokens_held and turmericshed_token_refusals_total by error kind and whether the store answered.

--- a/core/tsbudget/domains_test.go
+++ b/core/tsbudget/domains_test.go
@@ -76,6 +76,12 @@
 	return d.rev, nil
 }
 
+// put writes a value without a check of its version.
+func (d *domainFixture) put(key string, value []byte) {
+	d.rev++
+	d.stored[key] = turmericshed.Item{Key: key, Value: value, Version: d.rev}
+}
+
 func (d *domainFixture) holding(domain string) tsbudget.Holding {
 	d.t.Helper()
 	h, err := d.decode(d.stored[tsbudget.HoldingKey(turmericshed.FailureDomain(domain))])
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -153,6 +153,7 @@
 	g.holder = tsholder.New(tsholder.Config{
 		Self: g.self, Store: store, Members: g.registry, Recorder: events,
 		Placement: placement(), Reconciler: tsholder.RoutingTableProfiles{}, Link: g.meter,
+		Metrics: g.metrics.Registry(),
 		Writer: tscommit.NewClient(tscommit.ClientConfig{
 			Members: g.registry, Peers: transport, LocalWriter: g.committer, Link: g.meter, Log: tsobserve.WithPrefix(g.log, "ledgers"),
 		}),
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -28,6 +28,7 @@
 
 	"turmericshed/io/tspeer"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
 	"turmericshed"
@@ -100,6 +101,8 @@
 	Writer tsbudget.LedgerWriter
 	// Link reports whether bytes wait at the local link; nil means that they never do.
 	Link turmericshed.Link
+	// Metrics, if set, gets the metrics of the holder.
+	Metrics prometheus.Registerer
 	// WritesPerSecond limits the rate of store writes that no request waits for; 0 means the
 	// default.
 	WritesPerSecond float64
@@ -115,6 +118,7 @@
 	// writeRequested signals the exchanger to write without waiting for its interval.
 	writeRequested chan struct{}
 	exchanger      *exchanger
+	refusals       *prometheus.CounterVec
 
 	mu       sync.Mutex
 	core     *tsbudget.Holder
@@ -222,6 +226,7 @@
 		cfg.NewID = turmericshed.NewID
 	}
 	h := &Holder{
+		refusals:         newRefusalCounter(),
 		writeRequested:   make(chan struct{}, 1),
 		cfg:              cfg,
 		limiter:          rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), writeBurst),
@@ -233,6 +238,7 @@
 		goneSince:        make(map[turmericshed.Incarnation]time.Time),
 	}
 	h.exchanger = newExchanger(h)
+	h.registerMetrics()
 	return h
 }
 
@@ -292,7 +298,9 @@
 	}
 	if b.ledger.Read && b.ledger.Limit >= p.Prepaid && b.ledger.Unspent < n && h.cfg.Writer != nil {
 		// Even if the cached ledger is stale, no more than this can be left.
-		return nil, none, tsbudget.Exhausted(p.Name, b.ledger.Unspent, n)
+		err := tsbudget.Exhausted(p.Name, b.ledger.Unspent, n)
+		h.countRefusalLocked(b, err)
+		return nil, none, err
 	}
 	if b.storeErr != nil && p.Edge == turmericshed.PreferNoSurprise && h.core.Available(b.id) < n {
 		// The store is unavailable. A round retries it from time to time; this request does not
@@ -302,7 +310,9 @@
 			h.scheduleRoundLocked(b)
 		}
 		h.core.CountRefused(now, b.id, n)
-		return nil, none, tsbudget.Unavailable(p.Name)
+		err := tsbudget.Unavailable(p.Name)
+		h.countRefusalLocked(b, err)
+		return nil, none, err
 	}
 	w := &waiter{done: make(chan struct{})}
 	deadline, _ := ctx.Deadline()
@@ -377,6 +387,7 @@
 	}
 	for _, r := range b.queue.Refuse(s) {
 		h.core.CountRefused(now, b.id, r.Amount)
+		h.countRefusalLocked(b, r.Err)
 		r.Owner.err = r.Err
 		close(r.Owner.done)
 	}
