--- a/core/tsbudget/forecast.go
+++ b/core/tsbudget/forecast.go
@@ -105,8 +105,8 @@
 	// allowanceSpan is the time for which ceilings permit the holder's own demand, and
 	// allowanceRequests the number of large requests that they permit in addition. What they permit is
 	// lost with the power: in TestReplay 34 to 38% of the unspent amounts, and 38 to 43% with twice
-	// the length of a lease and 2 requests, with which no request of a partition waits for the end
-	// of the lease (here 2%).
+	// the length of a lease and 2 requests, with which next to no request of a partition waits for the
+	// end of the lease (here up to 3%).
 	allowanceSpan     = LeaseLength * 5 / 4
 	allowanceRequests = 1.5
 )
--- a/core/tsbudget/share.go
+++ b/core/tsbudget/share.go
@@ -76,7 +76,7 @@
 	poolOverflowFactor = 2
 	// In a large fleet most requests draw, and holders return tokens all the time. Larger pools, and
 	// a higher limit from which their surplus is returned, keep both within the domain: in TestReplay
-	// with 195 entry VMs, 2,900 instead of 3,400 ledgers are written.
+	// with 195 entry VMs, about a tenth fewer ledgers are written.
 	largePoolFraction       = 1
 	largePoolOverflowFactor = 6
 )
