Forecast: return small rests when little is undrawn

Change: a holder without a target returns any rest while less than a fifth of the reserve is undrawn; the reserve is 14 typical requests instead of 12, which saves the writes that this costs.

--- a/core/tsbudget/forecast.go
+++ b/core/tsbudget/forecast.go
@@ -66,7 +66,7 @@
 	// the unspent amount or a number of typical requests, whichever is larger. maxReserveFraction
 	// limits the latter.
 	reserveFraction      = 0.05
-	reserveUsualRequests = 12
+	reserveUsualRequests = 14
 	maxReserveFraction   = 0.4
 	// scarceReserveFraction is the fraction of the reserve below which targets are reduced, down
 	// to minScarceFactor of them.
@@ -97,6 +97,9 @@
 	// also surplusRequests typical requests more.
 	surplusFactor   = 1.25
 	surplusRequests = 0.4
+	// restReserveFraction is the fraction of the reserve below which a holder without a target
+	// returns any rest, since many rests together serve requests when an account is nearly spent.
+	restReserveFraction = 0.2
 	// maxDrawFraction limits a draw ahead of demand to a fraction of the undrawn amount.
 	maxDrawFraction = 0.8
 	// reportFraction is the fraction of the unspent amount from which unreported usage is reported,
@@ -151,7 +154,7 @@
 	switch {
 	case v.Unreachable:
 		// A return would not be written, and its tokens would serve nobody.
-	case !d.Draw && !d.TopUp && v.Ledger.Read && surplus > surplusRequests*p.requestSize(v):
+	case !d.Draw && !d.TopUp && v.Ledger.Read && (surplus > surplusRequests*p.requestSize(v) || p.isRest(v, target)):
 		d.Return, d.Keep = true, target
 	case v.Returning > 0:
 		// An earlier return was not written: each round writes a few ledgers only.
@@ -240,6 +243,11 @@
 	return toTokens(v.RecentRate*allowanceSpan.Seconds() + allowanceRequests*large)
 }
 
+// isRest reports whether what is available is a rest that should be returned however small it is.
+func (p Forecast) isRest(v View, target turmericshed.Tokens) bool {
+	return target == 0 && v.Available > 0 && float64(v.Ledger.Undrawn) < restReserveFraction*p.reserve(v)
+}
+
 func (p Forecast) requestSize(v View) float64 {
 	return float64(max(v.TypicalRequest, p.UsualRequest, 1))
 }
