--- a/core/tsbudget/holder.go
+++ b/core/tsbudget/holder.go
@@ -68,6 +68,8 @@
 	endedLoans      []turmericshed.LotID
 	demand          demand
 	lastReservation int
+	// allowance is the least of the free amount that the ceilings permit to use.
+	allowance turmericshed.Tokens
 }
 
 // View returns the input of a placement, as far as the holder has it.
@@ -81,6 +83,8 @@
 		v.Available += l.available()
 		v.Reserved += l.reserved
 		v.Lent += l.lent
+		v.Unreported += l.Used - l.reported.Used
+		v.Returning += l.Returned - l.reported.Returned
 		v.HasUnreported = v.HasUnreported || l.Used != l.reported.Used || l.Returned != l.reported.Returned
 	}
 	for _, r := range b.reservations {
@@ -90,6 +94,7 @@
 	}
 	v.TypicalRequest = turmericshed.Tokens(b.demand.typical)
 	v.Rate, v.LargestRequest, v.RecentRate = b.demand.rate(now), turmericshed.Tokens(b.demand.largest), b.demand.recentRate(now)
+	v.SteadyRate = b.demand.steadyRate(now)
 	if !b.demand.lastSeen.IsZero() {
 		v.Idle = now.Sub(b.demand.lastSeen)
 	}
--- a/core/tsbudget/placement.go
+++ b/core/tsbudget/placement.go
@@ -63,6 +63,10 @@
 	Starved bool
 	// HasUnreported is true if settled usage or returned tokens are not yet in the ledger.
 	HasUnreported bool
+	// Unreported is the settled usage that is not yet in the ledger.
+	Unreported turmericshed.Tokens
+	// Returning is the amount that was returned here and is not yet in the ledger.
+	Returning turmericshed.Tokens
 	// Rate is the usage in tokens per second, LargestRequest the largest recent reservation, Idle the
 	// time since the last reservation.
 	Rate           float64
@@ -72,6 +76,8 @@
 	// RecentRate is the recent demand in tokens per second, with each request counted at its worst
 	// case.
 	RecentRate float64
+	// SteadyRate is the same over a longer time.
+	SteadyRate float64
 	Idle       time.Duration
 	// Ledger is the ledger as last read.
 	Ledger Summary
@@ -79,9 +85,16 @@
 	// the number of entry VMs in the fleet, Peers the number of others in the failure domain.
 	Home     bool
 	EntryVMs int
-	Peers    int
-	Edge     turmericshed.EdgePreference
-	Bridge   time.Duration
+	// RecentEntryVMs is the largest EntryVMs of the last time.
+	RecentEntryVMs int
+	// Unreachable is true if the store did not answer the last write.
+	Unreachable bool
+	Peers       int
+	// Order is the holder's place for this budget among the entry VMs of its failure domain, from 0
+	// to 1. Places are spread evenly and differ between budgets.
+	Order  float64
+	Edge   turmericshed.EdgePreference
+	Bridge time.Duration
 }
 
 // Summary is the part of a ledger that a holder caches.
@@ -102,6 +115,8 @@
 	Mine turmericshed.Tokens
 	// OthersRate is the demand of the other holders in tokens per second.
 	OthersRate float64
+	// OthersRateSquares is the sum of the squares of these rates, 0 if it is not known.
+	OthersRateSquares float64
 }
 
 // Summarize returns the summary of a ledger for the holder self.
@@ -109,7 +124,7 @@
 	e := l.InHoldings
 	s := Summary{
 		Read: true, At: at, Limit: l.Limit(), Undrawn: l.Undrawn(), Unspent: l.Limit() - l.Spent - e.Used,
-		Others: e.Charge, OthersUnused: e.Charge - e.Used, OthersRate: float64(e.Rate),
+		Others: e.Charge, OthersUnused: e.Charge - e.Used, OthersRate: float64(e.Rate), OthersRateSquares: float64(e.RateSquares),
 	}
 	rates := make(map[turmericshed.Incarnation]int64, len(l.Lots))
 	for _, lot := range l.Lots {
@@ -126,6 +141,7 @@
 	for holder, rate := range rates {
 		if holder != self {
 			s.OthersRate += float64(rate)
+			s.OthersRateSquares += float64(rate) * float64(rate)
 		}
 	}
 	return s
@@ -164,6 +180,8 @@
 	Want   turmericshed.Tokens
 	Min    turmericshed.Tokens
 	Share  float64
+	// KeepUndrawn is the amount that the draw leaves undrawn.
+	KeepUndrawn turmericshed.Tokens
 	// Rate is the demand that is recorded in the lot; 0 means View.Rate.
 	Rate float64
 	// TopUp is true if a draw is only worth making when other budgets are written anyway.
@@ -173,6 +191,8 @@
 	// Return requests that the available tokens beyond Keep are returned.
 	Return bool
 	Keep   turmericshed.Tokens
+	// Allowance is the least of the available tokens that the ceilings should permit to use.
+	Allowance turmericshed.Tokens
 }
 
 // Placement decides where the tokens of a budget are held, and the size of lots.
@@ -359,6 +379,23 @@
 	}), true
 }
 
+// Order returns the place of self among candidates for a budget, as a fraction of their number in
+// the middle of the place. It is chosen by rendezvous hashing over names, so that a restart keeps
+// the place.
+func Order(budget turmericshed.BudgetID, self turmericshed.EntryVM, candidates []turmericshed.EntryVM) float64 {
+	before, own := 0, nameWeight(budget, self)
+	for _, vm := range candidates {
+		if vm.Name != self.Name && cmp.Or(cmp.Compare(nameWeight(budget, vm), own), cmp.Compare(vm.Name, self.Name)) > 0 {
+			before++
+		}
+	}
+	return (float64(before) + 0.5) / float64(max(len(candidates), before+1))
+}
+
+func nameWeight(budget turmericshed.BudgetID, vm turmericshed.EntryVM) uint64 {
+	return xxhash.Sum64String(string(budget) + "\x00" + vm.Name)
+}
+
 func rendezvousWeight(budget turmericshed.BudgetID, vm turmericshed.EntryVM) uint64 {
 	return xxhash.Sum64String(string(budget) + "\x00" + string(vm.Incarnation))
 }
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -28,6 +28,7 @@
 
 	"turmericshed/io/tspeer"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
 	"turmericshed"
@@ -74,6 +75,9 @@
 	// its holder.
 	closeLotAfterGone        = 2 * time.Minute
 	closeLotUnknownHolderAge = time.Hour
+	// recentFleetAge is how long the largest size of the fleet is remembered. It is longer than a
+	// partition, in which an entry VM sees no other one.
+	recentFleetAge = 2 * time.Minute
 )
 
 // Config holds the dependencies and settings of a holder.
@@ -97,6 +101,8 @@
 	Writer tsbudget.LedgerWriter
 	// Link reports whether bytes wait at the local link; nil means that they never do.
 	Link turmericshed.Link
+	// Metrics, if set, gets the metrics of the holder.
+	Metrics prometheus.Registerer
 	// WritesPerSecond limits the rate of store writes that no request waits for; 0 means the
 	// default.
 	WritesPerSecond float64
@@ -112,6 +118,7 @@
 	// writeRequested signals the exchanger to write without waiting for its interval.
 	writeRequested chan struct{}
 	exchanger      *exchanger
+	refusals       *prometheus.CounterVec
 
 	mu       sync.Mutex
 	core     *tsbudget.Holder
@@ -172,6 +179,8 @@
 	// computed for the fleet generation homeGeneration.
 	home           turmericshed.EntryVM
 	homeGeneration int
+	// order is the place of this entry VM for the budget, computed at the same time.
+	order float64
 
 	// pendingDraw and pendingLoan are requests whose answer was lost. They are repeated with the
 	// same id until the outcome is known.
@@ -217,6 +226,7 @@
 		cfg.NewID = turmericshed.NewID
 	}
 	h := &Holder{
+		refusals:         newRefusalCounter(),
 		writeRequested:   make(chan struct{}, 1),
 		cfg:              cfg,
 		limiter:          rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), writeBurst),
@@ -228,6 +238,7 @@
 		goneSince:        make(map[turmericshed.Incarnation]time.Time),
 	}
 	h.exchanger = newExchanger(h)
+	h.registerMetrics()
 	return h
 }
 
@@ -287,7 +298,9 @@
 	}
 	if b.ledger.Read && b.ledger.Limit >= p.Prepaid && b.ledger.Unspent < n && h.cfg.Writer != nil {
 		// Even if the cached ledger is stale, no more than this can be left.
-		return nil, none, tsbudget.Exhausted(p.Name, b.ledger.Unspent, n)
+		err := tsbudget.Exhausted(p.Name, b.ledger.Unspent, n)
+		h.countRefusalLocked(b, err)
+		return nil, none, err
 	}
 	if b.storeErr != nil && p.Edge == turmericshed.PreferNoSurprise && h.core.Available(b.id) < n {
 		// The store is unavailable. A round retries it from time to time; this request does not
@@ -297,7 +310,9 @@
 			h.scheduleRoundLocked(b)
 		}
 		h.core.CountRefused(now, b.id, n)
-		return nil, none, tsbudget.Unavailable(p.Name)
+		err := tsbudget.Unavailable(p.Name)
+		h.countRefusalLocked(b, err)
+		return nil, none, err
 	}
 	w := &waiter{done: make(chan struct{})}
 	deadline, _ := ctx.Deadline()
@@ -372,6 +387,7 @@
 	}
 	for _, r := range b.queue.Refuse(s) {
 		h.core.CountRefused(now, b.id, r.Amount)
+		h.countRefusalLocked(b, r.Err)
 		r.Owner.err = r.Err
 		close(r.Owner.done)
 	}
@@ -392,11 +408,13 @@
 	}
 	v.Edge, v.Bridge = b.profile.Edge, time.Duration(b.profile.PartitionTolerance)
 	h.refreshFleetLocked(now)
-	v.EntryVMs = h.fleet.size
+	v.EntryVMs, v.RecentEntryVMs, v.Unreachable = h.fleet.size, h.fleet.recentSize, b.storeErr != nil
 	if b.homeGeneration != h.fleet.generation {
 		b.home, _ = tsbudget.Home(b.id, h.fleet.domainVMs)
+		b.order = tsbudget.Order(b.id, h.cfg.Self, h.fleet.domainVMs)
 		b.homeGeneration = h.fleet.generation
 	}
+	v.Order = b.order
 	v.Home = b.home.Incarnation == h.cfg.Self.Incarnation
 	return v
 }
@@ -407,6 +425,9 @@
 	// generation increases with each refresh.
 	generation int
 	size       int
+	// recentSize is the largest size since recentAt, which is at most recentFleetAge ago.
+	recentSize int
+	recentAt   time.Time
 	// domainVMs are the entry VMs of this failure domain, including this one.
 	domainVMs []turmericshed.EntryVM
 }
@@ -423,5 +444,9 @@
 			f.domainVMs = append(f.domainVMs, vm)
 		}
 	}
+	f.recentSize, f.recentAt = h.fleet.recentSize, h.fleet.recentAt
+	if f.size >= f.recentSize || now.Sub(f.recentAt) > recentFleetAge {
+		f.recentSize, f.recentAt = f.size, now
+	}
 	h.fleet = f
 }
