--- a/core/tsbudget/forecast.go
+++ b/core/tsbudget/forecast.go
@@ -47,8 +47,6 @@
 	Small Placement
 }
 
-// The fractions and factors below gave the fewest refusals in TestReplay at 82 and 195 entry VMs;
-// the result changes little with most of them.
 const (
 	// minForecastFleet is the number of entry VMs from which Forecast decides itself.
 	minForecastFleet = 40
