--- a/io/tsrelay/caller.go
+++ b/io/tsrelay/caller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -58,6 +59,11 @@
 	}
 }
 
+// callerBuffer returns the buffer of what is held for the caller.
+func (q *request) callerBuffer() *callerBuffer {
+	return q.relay.buffers.buffer(q.inbound.ID, func() error { return q.rc.SetWriteDeadline(time.Now()) })
+}
+
 // checkPeerOpen returns an error when the peer has closed or reset the connection of
 // the socket, nil while the peer may still send.
 func checkPeerOpen(fd int) error {
--- a/io/tsrouting/pool.go
+++ b/io/tsrouting/pool.go
@@ -63,6 +63,9 @@
 	// Spill decides about requests to other failure domains; nil keeps the router's
 	// fixed penalty.
 	Spill *SpillConfig
+	// OnApplied is called with each load report that the router gets, also from other
+	// entry VMs; may be nil.
+	OnApplied func(now time.Time, r turmericshed.LoadReport)
 }
 
 // Pool is a router that is safe for concurrent use and follows the servers and load
@@ -112,6 +115,9 @@
 	p.router.Report(now, r)
 	p.enableSpillFor(r)
 	p.mu.Unlock()
+	if p.cfg.OnApplied != nil {
+		p.cfg.OnApplied(now, r)
+	}
 	if r.Leaving {
 		p.publishLeaving(r.Server)
 	}
