Entry: bound the memory, connections and heads of callers

Nothing bounded what it held for callers: 200 bodies of the largest legal size that stop 10 bytes short took 337 MB, whole chats of that size 871 MB, bodies far over the limit 267 MB, most of it in the kernel, and each connection without a request kept its descriptor.

Cause: there were two ways to read a request. io/tsintake was used by the gateway alone; entry had io.ReadAll behind a limit of size, no limit on what all bodies take together, none on connections, and the kernel's own buffer sizes.

Change: io/tsintake has a Request, which reads a body within the bounds and prepares a refusal; the relay's code for that moved there, and both programs use it once everything that needs no body is checked. entry gets -memory-mb and -file-descriptors, checked like the others. A chat counts four times, as received, decoded and encoded for the engine, until its generation ends.

Tests of the rig changed in form only: they start machines, so that one can be started again, and gained a second client account.

--- a/io/tscommand/gateway.go
+++ b/io/tscommand/gateway.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -21,10 +20,6 @@
 	// settingsPollInterval is the time between reads of the settings file, which may
 	// change without a signal.
 	settingsPollInterval = 2 * time.Second
-	// memoryLimitShare is the share of the process's memory limit that becomes the Go
-	// runtime's soft limit, near which the garbage collector runs more often. The
-	// remainder is for sockets and stacks.
-	memoryLimitShare = 0.6
 )
 
 // runGateway runs an entry VM on the users' platform until ctx is done, then stops it
@@ -42,9 +37,7 @@
 	if err != nil {
 		return err
 	}
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryLimitShare))
-	}
+	limitHeap(settings.MemoryBytes)
 	logWriter := tsobserve.NewAsyncWriter(out)
 	log := tsobserve.NewLogger(logWriter, o.logs.format, o.logs.level).With("vm", settings.Name)
 	g, err := tsgateway.New(tsgateway.Config{Settings: settings, MetricsPort: o.metricsPort, Spill: &o.spill, Log: log})
--- a/io/tscommand/options_entry.go
+++ b/io/tscommand/options_entry.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net/netip"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"turmericshed"
 	"turmericshed/io/tsentry"
 	"turmericshed/io/tsobserve"
@@ -46,12 +49,48 @@
 	f.DurationVar(&cfg.DrainTimeout, "drain-limit", 60*time.Second, "`duration` allowed for a graceful stop")
 	f.DurationVar(&cfg.DefaultDeadline, "default-deadline", 60*time.Second, "`duration` for requests that name no deadline")
 	f.IntVar(&cfg.MaxConcurrentRequests, "max-running", 256, "`number` of requests running at once")
+	memoryMB := f.Int64("memory-mb", defaultMemoryMB, "`megabytes` of memory that the process may use, 0 for no bound")
+	f.IntVar(&cfg.FileDescriptors, "file-descriptors", 0, "`number` of files that the process may open, 0 for the limit of the system")
 	f.Func("log-format", "log `format`: text (default) or json", logs.setFormat)
 	f.TextVar(&logs.level, "log-level", slog.LevelInfo, "log `level`: debug, info, warn or error")
 	if err := f.parse(args); err != nil {
 		return cfg, logs, err
 	}
-	return cfg, logs, checkEntry(cfg)
+	if err := checkEntry(cfg); err != nil {
+		return cfg, logs, err
+	}
+	return cfg, logs, setLimits(&cfg, *memoryMB)
+}
+
+// Bounds on the limits of an entry VM. The least memory holds one body of the largest size, the
+// least number of descriptors the connections to backend servers and other entry VMs.
+const (
+	bytesPerMegabyte = 1_000_000
+	defaultMemoryMB  = 2048
+	leastMemoryMB    = 64
+	mostMemoryMB     = 1_000_000
+	leastDescriptors = 256
+)
+
+// setLimits sets the memory, and the descriptors to the limit of the system if the settings name
+// none. It returns a SettingError if one of them is out of range.
+func setLimits(cfg *tsentry.Config, memoryMB int64) error {
+	if memoryMB != 0 && (memoryMB < leastMemoryMB || memoryMB > mostMemoryMB) {
+		return &SettingError{Setting: "-memory-mb", Value: fmt.Sprint(memoryMB), Want: fmt.Sprintf("0 or %d to %d", leastMemoryMB, mostMemoryMB)}
+	}
+	cfg.MemoryBytes = memoryMB * bytesPerMegabyte
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return fmt.Errorf("reading the limit of open files: %w", err)
+	}
+	most := int(min(limit.Cur, math.MaxInt32))
+	if cfg.FileDescriptors == 0 {
+		cfg.FileDescriptors = most
+	}
+	if cfg.FileDescriptors < leastDescriptors || cfg.FileDescriptors > most {
+		return &SettingError{Setting: "-file-descriptors", Value: fmt.Sprint(cfg.FileDescriptors), Want: fmt.Sprintf("0 or %d to the limit of the system, %d", leastDescriptors, most)}
+	}
+	return nil
 }
 
 // checkEntry returns a SettingError for the first setting that is missing or out of
--- a/io/tsentry/call.go
+++ b/io/tsentry/call.go
@@ -23,6 +23,7 @@
 // serveCall handles /services/<service>/<path>.
 func (e *Entry) serveCall(w http.ResponseWriter, r *http.Request) {
 	req, err := e.prepare(w, r)
+	defer req.release()
 	if err != nil {
 		e.writeError(w, req, err)
 		return
--- a/io/tsentry/chat.go
+++ b/io/tsentry/chat.go
@@ -142,30 +142,46 @@
 	return h.Sum64()
 }
 
-// serveChat handles POST /v1/chat/completions.
-func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
+// prepareChat prepares a request and decodes its body, which the request no longer holds then.
+func (e *Entry) prepareChat(w http.ResponseWriter, r *http.Request) (request, chatRequest, error) {
 	req, err := e.prepare(w, r)
 	if err != nil {
-		e.writeError(w, req, err)
-		return
+		return req, chatRequest{}, err
 	}
 	chat, err := parseChat(req.body, req.profile)
+	req.body = nil
+	return req, chat, err
+}
+
+// serveChat handles POST /v1/chat/completions.
+func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
+	req, chat, err := e.prepareChat(w, r)
 	if err != nil {
+		req.release()
 		e.writeError(w, req, err)
 		return
 	}
 	a, joined, err := e.generations.joinOrStart(req)
 	if err != nil {
+		req.release()
 		e.writeError(w, req, err)
 		return
 	}
 	defer a.releaseReader()
+	// A generation may outlast its caller, and holds the messages until it ends.
 	switch {
 	case joined:
+		req.release()
 	case req.idempotencyKey != "":
-		go e.generateKeyed(a, req, chat)
+		go func() {
+			defer req.release()
+			e.generateKeyed(a, req, chat)
+		}()
 	default:
-		go e.generate(a, req, chat)
+		go func() {
+			defer req.release()
+			e.generate(a, req, chat)
+		}()
 	}
 	if chat.Stream {
 		e.writeStream(w, r, req, chat, a)
--- a/io/tsentry/config.go
+++ b/io/tsentry/config.go
@@ -37,4 +37,8 @@
 	DefaultDeadline time.Duration
 	// MaxConcurrentRequests bounds the concurrent requests.
 	MaxConcurrentRequests int
+	// MemoryBytes is the memory that the process may use and FileDescriptors the most open files;
+	// 0 means unknown and bounds nothing.
+	MemoryBytes     int64
+	FileDescriptors int
 }
--- a/io/tsentry/entry.go
+++ b/io/tsentry/entry.go
@@ -10,12 +10,12 @@
 	"sync/atomic"
 	"time"
 
-	"turmericshed/io/tspeer"
-
 	"github.com/thejerf/suture/v4"
 
 	"turmericshed"
 	"turmericshed/core/tsboard"
+	"turmericshed/io/tsintake"
+	"turmericshed/io/tspeer"
 )
 
 // notReadyDelay is how long a stopping entry VM still accepts requests after it reports not ready, so that
@@ -47,17 +47,19 @@
 
 // Deps holds the dependencies of an entry VM.
 type Deps struct {
-	Board          *tsboard.Board
-	Store          turmericshed.Store
-	Members        turmericshed.Members
-	Peers          tspeer.Peers
-	Profiles       turmericshed.Profiles
-	Budgets        turmericshed.Budgets
-	Claims         turmericshed.Claims
-	Router         turmericshed.Router
-	Admission      turmericshed.Admission
-	Quarantine     turmericshed.Quarantine
-	Retries        RetryBudget
+	Board      *tsboard.Board
+	Store      turmericshed.Store
+	Members    turmericshed.Members
+	Peers      tspeer.Peers
+	Profiles   turmericshed.Profiles
+	Budgets    turmericshed.Budgets
+	Claims     turmericshed.Claims
+	Router     turmericshed.Router
+	Admission  turmericshed.Admission
+	Quarantine turmericshed.Quarantine
+	Retries    RetryBudget
+	// Intake bounds the memory and connections of callers; nil sets no bounds.
+	Intake         *tsintake.Intake
 	Engine         turmericshed.Engine
 	Service        turmericshed.Service
 	Recorder       turmericshed.Recorder
@@ -192,12 +194,13 @@
 	srv := &http.Server{
 		Handler: e.Handler(), ReadHeaderTimeout: headerReadTimeout,
 		MaxHeaderBytes: maxHeaderBytes, IdleTimeout: 2 * time.Minute,
+		ConnContext: tsintake.WithConn, ConnState: tsintake.TrackState,
 	}
 	controllers, stopControllers := context.WithCancel(context.Background())
 	defer stopControllers()
 	stopped := e.supervise(controllers)
 	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(ln) }()
+	go func() { failed <- srv.Serve(e.deps.Intake.Listener(ln)) }()
 	go e.awaitReady(ctx)
 	e.deps.Log.Info("serving", "addr", ln.Addr().String())
 	select {
--- a/io/tsentry/request.go
+++ b/io/tsentry/request.go
@@ -1,10 +1,10 @@
 package tsentry
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"turmericshed"
+	"turmericshed/io/tsintake"
 )
 
 // HTTP headers of callers' requests and of answers.
@@ -44,12 +45,22 @@
 	body           []byte
 	digest         turmericshed.Digest
 	receivedAt     time.Time
+	// intake reads the body within the bounds of this entry VM, and holds the memory for it; nil for
+	// a request without a handler of its own.
+	intake *tsintake.Request
+}
+
+// release frees the memory reserved for the body.
+func (req request) release() {
+	if req.intake != nil {
+		req.intake.Release()
+	}
 }
 
 // prepare authenticates the caller, finds its profile, reads headers and body and checks the quarantine.
-// On an error it returns the request as far as it was read.
+// On an error it returns the request as far as it was read. The caller must release the request.
 func (e *Entry) prepare(w http.ResponseWriter, r *http.Request) (request, error) {
-	req := request{id: turmericshed.RequestID(turmericshed.NewID("req-")), receivedAt: time.Now()}
+	req := request{id: turmericshed.RequestID(turmericshed.NewID("req-")), receivedAt: time.Now(), intake: e.deps.Intake.NewRequest(w, r)}
 	w.Header().Set(headerRequestID, string(req.id))
 	account, err := e.accounts.authenticate(r.Context(), r.Header.Get("Authorization"))
 	if err != nil {
@@ -62,7 +73,7 @@
 	if err := readHeaders(r, e.cfg.DefaultDeadline, &req); err != nil {
 		return req, err
 	}
-	if err := readBody(w, r, &req); err != nil {
+	if err := readBody(r, &req); err != nil {
 		return req, err
 	}
 	e.deps.Recorder.Record(turmericshed.Event{
@@ -111,24 +122,26 @@
 	return nil
 }
 
-// readBody reads the complete body, within limits of size and time, and sets the request's digest.
-func readBody(w http.ResponseWriter, r *http.Request, req *request) error {
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return turmericshed.NewError(turmericshed.KindTooLarge, "body is over %d bytes", maxBodyBytes)
-		}
+// readBody reads the complete body, within limits of size, time and memory, and sets the request's
+// digest.
+func readBody(r *http.Request, req *request) error {
+	parts, err := req.intake.ReadBody(maxBodyBytes, bodyReadTimeout)
+	switch turmericshed.KindOf(err) {
+	case turmericshed.KindNone:
+	case turmericshed.KindTooLarge:
+		return turmericshed.NewError(turmericshed.KindTooLarge, "body is over %d bytes", maxBodyBytes)
+	case turmericshed.KindOverloaded:
+		return err
+	default:
 		return turmericshed.NewError(turmericshed.KindBadRequest, "body could not be read whole")
 	}
-	_ = rc.SetReadDeadline(time.Time{})
-	req.body = body
 	h := sha256.New()
 	_, _ = io.WriteString(h, r.Method+" "+r.URL.RequestURI()+"\n")
-	_, _ = h.Write(body)
+	for _, part := range parts {
+		_, _ = h.Write(part)
+	}
 	req.digest = turmericshed.Digest(hex.EncodeToString(h.Sum(nil)))
+	req.body = bytes.Join(parts, nil)
 	return nil
 }
 
--- a/io/tsentry/response.go
+++ b/io/tsentry/response.go
@@ -55,6 +55,9 @@
 	if wait := turmericshed.RetryAfterOf(err); wait > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
+	if req.intake != nil {
+		req.intake.Refuse(err)
+	}
 	writeJSON(w, status, body)
 }
 
--- a/io/tsintake/intake.go
+++ b/io/tsintake/intake.go
@@ -1,14 +1,22 @@
 // Package tsintake bounds the memory and the descriptors that callers and servers take up, as
 // core/tsintake decides: it reserves memory for bodies before they are read, interrupts the
-// reading of bodies that are evicted, and closes connections over the limits.
+// reading of bodies that are evicted, and closes connections over the limits. All programs that serve callers read requests
+// through it.
 //
 // # Usage
 //
 //	in := tsintake.New(tsintake.Config{MemoryBytes: settings.MemoryBytes, Metrics: registry, Log: log})
-//	ln = in.Listener(ln)
-//	b := in.NewBody(interrupt)
-//	defer b.Release()
-//	parts, err := b.ReadAll(r, length)
+//	srv := &http.Server{ConnContext: tsintake.WithConn, ConnState: tsintake.TrackState, ...}
+//	err := srv.Serve(in.Listener(ln))
+//
+// and in the handler, once nothing else refuses the request:
+//
+//	q := in.NewRequest(w, r)
+//	defer q.Release()
+//	parts, err := q.ReadBody(maxBytes, timeout)
+//	if err != nil {
+//		q.Refuse(err) // before the answer is written
+//	}
 package tsintake
 
 import (
@@ -35,6 +43,9 @@
 	// process; 0 means unknown and sets no limit.
 	MemoryBytes int64
 	Descriptors int
+	// BodyCopies is how often a process holds the bytes of a body while it serves the request; 0
+	// means once.
+	BodyCopies int
 	// Metrics is the registry for the metrics; may be nil.
 	Metrics prometheus.Registerer
 	Log     *slog.Logger
@@ -64,7 +75,7 @@
 	limits := tsintake.ConnsFor(cfg.MemoryBytes, cfg.Descriptors)
 	in := &Intake{
 		log: cfg.Log, limits: limits,
-		budget: tsintake.NewBudget(tsintake.BudgetFor(cfg.MemoryBytes)), bodies: make(map[tsintake.BodyID]*Body),
+		budget: tsintake.NewBudget(tsintake.BudgetFor(cfg.MemoryBytes / int64(max(cfg.BodyCopies, 1)))), bodies: make(map[tsintake.BodyID]*Body),
 		conns: tsintake.NewConns(limits), open: make(map[tsintake.ConnID]*conn),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "turmericshed_bodies_refused_total", Help: "Bodies that were not held, by reason: full, stalled (evicted for others), too_large, or answer (not held whole).",
--- /dev/null
+++ b/io/tsintake/request.go
@@ -0,0 +1,152 @@
+package tsintake
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"turmericshed"
+	"turmericshed/core/tsintake"
+)
+
+// unreadTimeout bounds the reading of what is left of a body after its request was refused. An
+// early close would reset the connection, and the caller might lose the answer.
+const unreadTimeout = 500 * time.Millisecond
+
+// connKey is the context key of a caller's connection.
+type connKey struct{}
+
+// WithConn returns a context for the requests on the connection c; it is the ConnContext of an HTTP
+// server.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ConnOf returns the connection of the requests with the context; nil if there is none.
+func ConnOf(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
+
+// TrackState records what a connection is used for; it is, or is called by, the ConnState of an
+// HTTP server.
+func TrackState(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		SetState(c, tsintake.Running)
+	case http.StateIdle:
+		SetState(c, tsintake.Idle)
+	}
+}
+
+// Request is a caller's request whose body is read within the bounds.
+type Request struct {
+	in   *Intake
+	w    http.ResponseWriter
+	r    *http.Request
+	rc   *http.ResponseController
+	conn net.Conn
+	// body is the reservation for the body. hasWholeBody is true once the body was read to its end.
+	body         *Body
+	hasWholeBody bool
+}
+
+// NewRequest returns the request that an HTTP server passed to its handler. A nil Intake sets no
+// bounds of memory.
+func (in *Intake) NewRequest(w http.ResponseWriter, r *http.Request) *Request {
+	return &Request{in: in, w: w, r: r, rc: http.NewResponseController(w), conn: ConnOf(r.Context()), hasWholeBody: r.ContentLength == 0}
+}
+
+// ReadBody reads the complete body into memory, so that it can be sent more than once. maxBytes is
+// the most bytes that a body may have, 0 for no limit, and timeout bounds the reading. Errors:
+// KindTooLarge; KindOverloaded if the memory is taken, or is needed by others and the body has
+// stalled; KindCanceled.
+func (q *Request) ReadBody(maxBytes int64, timeout time.Duration) ([][]byte, error) {
+	if maxBytes > 0 && q.r.ContentLength > maxBytes {
+		return nil, q.tooLarge(maxBytes)
+	}
+	if q.hasWholeBody {
+		return nil, nil
+	}
+	if err := q.setReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, turmericshed.WrapError(turmericshed.KindInternal, err, "setting the read deadline failed")
+	}
+	body := io.Reader(q.r.Body)
+	if maxBytes > 0 {
+		body = http.MaxBytesReader(q.w, q.r.Body, maxBytes)
+	}
+	q.setConnState(tsintake.ReadingBody)
+	q.body = q.in.NewBody(func() { _ = q.rc.SetReadDeadline(time.Unix(1, 0)) })
+	parts, err := q.body.ReadAll(body, q.r.ContentLength)
+	if err == nil {
+		err = q.setReadDeadline(time.Time{})
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, q.tooLarge(maxBytes)
+	case turmericshed.KindOf(err) == turmericshed.KindOverloaded:
+		return nil, err
+	case err != nil:
+		return nil, turmericshed.WrapError(turmericshed.KindCanceled, err, "reading the request body failed")
+	}
+	q.setConnState(tsintake.Running)
+	q.hasWholeBody = true
+	return parts, nil
+}
+
+// setReadDeadline sets the read deadline of the connection, if it has one.
+func (q *Request) setReadDeadline(at time.Time) error {
+	if err := q.rc.SetReadDeadline(at); !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	return nil
+}
+
+func (q *Request) tooLarge(maxBytes int64) error {
+	q.in.CountTooLarge()
+	return turmericshed.NewError(turmericshed.KindTooLarge, "the body exceeds %d bytes", maxBytes)
+}
+
+// Refuse prepares the refusal of the request with err, and must be called before it is written. Of
+// a body that is not read to its end the memory is free for others at once, and the rest is read
+// only in a small part and for a short time. A connection on which memory was refused, or whose
+// body is too large, is closed.
+func (q *Request) Refuse(err error) {
+	if !q.HasUnreadBody() {
+		return
+	}
+	q.Release()
+	q.setConnState(tsintake.Refused)
+	if err := q.setReadDeadline(time.Now().Add(unreadTimeout)); err != nil && q.in != nil && q.in.log != nil {
+		q.in.log.Debug("cannot bound the reading of an unneeded body", "error", err.Error())
+	}
+	if kind := turmericshed.KindOf(err); kind == turmericshed.KindTooLarge || kind == turmericshed.KindOverloaded || q.body != nil {
+		q.w.Header().Set("Connection", "close")
+	}
+}
+
+// RefusalTime returns how long the writing of a refusal may have to wait: it may be written only once
+// the rest of the body is read.
+func (q *Request) RefusalTime() time.Duration {
+	if q.HasUnreadBody() {
+		return unreadTimeout
+	}
+	return 0
+}
+
+// HasUnreadBody reports whether the request has a body that is not read to its end.
+func (q *Request) HasUnreadBody() bool { return !q.hasWholeBody }
+
+// Release frees the memory reserved for the body.
+func (q *Request) Release() { q.body.Release() }
+
+// setConnState records what the caller's connection is used for.
+func (q *Request) setConnState(s tsintake.ConnState) {
+	if q.conn != nil {
+		SetState(q.conn, s)
+	}
+}
--- a/io/tsprocess/conntracker.go
+++ b/io/tsprocess/conntracker.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // connTracker tracks every open connection of a process, so that all of them can
@@ -66,6 +67,23 @@
 	return c.Conn.Close()
 }
 
+// SyscallConn returns the raw connection. Error: EINVAL if the connection has none.
+func (c *trackedConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return sc.SyscallConn()
+}
+
+// CloseWrite closes the writing side, if the connection supports it.
+func (c *trackedConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // trackedListener tracks the connections that it accepts.
 type trackedListener struct {
 	net.Listener
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -26,6 +26,7 @@
 	"turmericshed/io/tsentry"
 	"turmericshed/io/tsfleet"
 	"turmericshed/io/tsholder"
+	"turmericshed/io/tsintake"
 	"turmericshed/io/tsobserve"
 	"turmericshed/io/tspeer"
 	"turmericshed/io/tsplatform"
@@ -46,6 +47,9 @@
 	// maxQueuedPerRunning is the queue's capacity in requests for each request
 	// that may run at once.
 	maxQueuedPerRunning = 4
+	// bodyCopies is how often the bytes of a body are in memory at once: as received, as decoded
+	// messages and as the request to a model engine.
+	bodyCopies = 4
 )
 
 // DialFunc opens a connection; see net.Dialer.DialContext.
@@ -302,8 +306,16 @@
 		Board: b.board, Store: b.platform, Members: b.fleet, Peers: b.transport, Profiles: b.profiles,
 		Budgets: b.holder, Claims: b.calls, Router: b.pool, Service: b.service,
 		Engine: b.engine, Quarantine: b.quarantine, Retries: tsrouting.NewRetries(maxRetryFraction),
-		Admission: queue,
-		Recorder:  b.recorder, Log: tsobserve.WithPrefix(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), RequestMetrics: b.metrics, Timeline: b.recorder.Handler(),
+		Admission: queue, Intake: b.newIntake(),
+		Recorder: b.recorder, Log: tsobserve.WithPrefix(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), RequestMetrics: b.metrics, Timeline: b.recorder.Handler(),
 		Controllers: controllers,
 	}
 }
+
+// newIntake returns the bounds of what callers take up.
+func (b *builder) newIntake() *tsintake.Intake {
+	return tsintake.New(tsintake.Config{
+		MemoryBytes: b.cfg.MemoryBytes, Descriptors: b.cfg.FileDescriptors, BodyCopies: bodyCopies,
+		Metrics: b.metrics.Registry(), Log: tsobserve.WithPrefix(b.opts.Log, "intake"),
+	})
+}
--- a/io/tsrelay/answer.go
+++ b/io/tsrelay/answer.go
@@ -58,7 +58,7 @@
 	if marshalErr != nil {
 		q.relay.cfg.Log.Error("cannot encode the body of an error response; sending an empty body", "request", string(q.inbound.ID), "error", marshalErr.Error())
 	}
-	q.refuseBody(kind)
+	q.intake.Refuse(err)
 	h.Set("Content-Type", "application/json")
 	q.status = status
 	q.setWriteDeadline()
@@ -82,11 +82,7 @@
 	if now := time.Now(); at.Before(now) {
 		at = now
 	}
-	if q.hasUnreadBody() {
-		// The answer may be written only once the rest of the body is read.
-		at = at.Add(unreadTimeout)
-	}
-	if err := q.rc.SetWriteDeadline(at.Add(writeGrace)); err != nil {
+	if err := q.rc.SetWriteDeadline(at.Add(q.intake.RefusalTime() + writeGrace)); err != nil {
 		q.relay.cfg.Log.Warn("cannot set the write deadline of an answer", "request", string(q.inbound.ID), "error", err.Error())
 	}
 }
--- a/io/tsrelay/caller.go
+++ b/io/tsrelay/caller.go
@@ -3,24 +3,15 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"turmericshed"
+	"turmericshed/io/tsintake"
 )
 
-// callerConnKey is the context key of a caller's connection.
-type callerConnKey struct{}
-
-// withCallerConn returns a context for the requests on the connection c; it is the
-// ConnContext of the HTTP server.
-func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
-}
-
 // errCallerDisconnected means that the caller closed its end of the connection.
 var errCallerDisconnected = errors.New("the caller closed the connection")
 
@@ -35,7 +26,7 @@
 // withCallerSocket calls f with the socket of the caller's connection. It does nothing
 // when ctx carries no connection or the connection has no file descriptor.
 func withCallerSocket(ctx context.Context, f func(fd int) error) error {
-	c, ok := ctx.Value(callerConnKey{}).(syscall.Conn)
+	c, ok := tsintake.ConnOf(ctx).(syscall.Conn)
 	if !ok {
 		return nil
 	}
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -182,7 +182,7 @@
 	if s.isStopping() || s.linkFull() {
 		w.Header().Set("Connection", "close")
 	}
-	req := &request{relay: s, w: w, r: r, rc: http.NewResponseController(w), arrived: time.Now()}
+	req := &request{relay: s, w: w, r: r, rc: http.NewResponseController(w), arrived: time.Now(), intake: s.cfg.Intake.NewRequest(w, r)}
 	defer req.releaseMemory()
 	err := req.prepare()
 	if err == nil {
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -59,10 +59,8 @@
 	// body holds the parts of the body, bodyBytes is their size.
 	body      [][]byte
 	bodyBytes int
-	// memory is what the intake reserves for the body. hasWholeBody is true once the body was
-	// read to its end.
-	memory       *tsintake.Body
-	hasWholeBody bool
+	// intake reads the body within the bounds of this entry VM.
+	intake *tsintake.Request
 	// answers are the reservations for the answers of the attempts.
 	answers []*tsintake.Body
 	// deadline is arrived plus the time limit of the request.
--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -10,8 +10,7 @@
 	"sync"
 	"time"
 
-	"turmericshed/core/tsintake"
-	intake "turmericshed/io/tsintake"
+	"turmericshed/io/tsintake"
 )
 
 const (
@@ -54,7 +53,7 @@
 	s := &Server{relay: relay, log: log, conns: make(map[net.Conn]connState)}
 	s.http = &http.Server{
 		Handler: relay, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.trackState, ConnContext: withCallerConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnState: s.trackState, ConnContext: tsintake.WithConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return s
 }
@@ -133,12 +132,7 @@
 
 // trackState keeps conns up to date; net/http calls it when a connection changes its state.
 func (s *Server) trackState(c net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateActive:
-		intake.SetState(c, tsintake.Running)
-	case http.StateIdle:
-		intake.SetState(c, tsintake.Idle)
-	}
+	tsintake.TrackState(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
--- a/load/tshostile/callers_test.go
+++ b/load/tshostile/callers_test.go
@@ -25,24 +25,31 @@
 	writeTimeout = 10 * time.Second
 	// stallPeriod is how long the callers that stopped stay connected.
 	stallPeriod = 2 * time.Second
+	// settlePeriod is how long a process runs, or a crowd sends, before the first ordinary request.
+	settlePeriod = 4 * time.Second
 	// idleConnections is well over the descriptors.
 	idleConnections = 700
 )
 
-// crowd is a group of connections to a gateway.
+// crowd is a group of connections to a process.
 type crowd struct {
-	mu    sync.Mutex
-	conns []net.Conn
+	mu       sync.Mutex
+	conns    []net.Conn
+	isClosed bool
 }
 
-// dial opens one connection of the crowd; nil if that fails.
-func (c *crowd) dial(g *gateway) net.Conn {
-	conn, err := net.DialTimeout("tcp", g.callerAddr, writeTimeout)
+// dial opens one connection of the crowd; nil if that fails or the crowd is closed.
+func (c *crowd) dial(addr string) net.Conn {
+	conn, err := net.DialTimeout("tcp", addr, writeTimeout)
 	if err != nil {
 		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isClosed {
+		_ = conn.Close()
+		return nil
+	}
 	c.conns = append(c.conns, conn)
 	return conn
 }
@@ -50,6 +57,7 @@
 func (c *crowd) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.isClosed = true
 	for _, conn := range c.conns {
 		_ = conn.Close()
 	}
@@ -58,11 +66,16 @@
 // send runs one caller for each connection at once and waits until all have written what they
 // send, then for the stall period. A caller writes its pieces until the gateway closes its
 // connection.
-func (c *crowd) send(g *gateway, pieces func(i int) [][]byte) {
+func (c *crowd) send(addr string, pieces func(i int) [][]byte) {
+	c.sendFrom(crowdCallers, addr, pieces)
+}
+
+// sendFrom is send with n callers.
+func (c *crowd) sendFrom(n int, addr string, pieces func(i int) [][]byte) {
 	var all sync.WaitGroup
-	for i := range crowdCallers {
+	for i := range n {
 		all.Go(func() {
-			conn := c.dial(g)
+			conn := c.dial(addr)
 			if conn == nil {
 				return
 			}
@@ -111,7 +124,7 @@
 	var c crowd
 	body := chunked(maxBodyBytes-chunk, chunk)
 	end := []byte("0\r\n\r\n")
-	c.send(g, func(i int) [][]byte {
+	c.send(g.callerAddr, func(i int) [][]byte {
 		pieces := append([][]byte{chunkedHead()}, inPieces(body, 64)...)
 		if i%finishing == 0 {
 			pieces = append(pieces, end)
@@ -127,7 +140,7 @@
 	s := startSampler(g.cmd.Process.Pid, g.callerPort)
 	var c crowd
 	body := bytes.Repeat([]byte("x"), maxBodyBytes)
-	c.send(g, func(int) [][]byte { return [][]byte{lengthHead(maxBodyBytes), body} })
+	c.send(g.callerAddr, func(int) [][]byte { return [][]byte{lengthHead(maxBodyBytes), body} })
 	g.assertBounds(s, c.close)
 }
 
@@ -138,7 +151,7 @@
 	s := startSampler(g.cmd.Process.Pid, g.callerPort)
 	var c crowd
 	body := bytes.Repeat([]byte("x"), maxBodyBytes)
-	c.send(g, func(i int) [][]byte {
+	c.send(g.callerAddr, func(i int) [][]byte {
 		b := body
 		if i%finishing != 0 {
 			b = body[:maxBodyBytes-missingBytes]
@@ -163,7 +176,7 @@
 	s := startSampler(g.cmd.Process.Pid, g.callerPort)
 	var c crowd
 	body := bytes.Repeat([]byte("x"), overLimitBytes)
-	c.send(g, func(int) [][]byte { return append([][]byte{lengthHead(overLimitBytes)}, inPieces(body, 64)...) })
+	c.send(g.callerAddr, func(int) [][]byte { return append([][]byte{lengthHead(overLimitBytes)}, inPieces(body, 64)...) })
 	g.assertBounds(s, c.close)
 }
 
@@ -173,7 +186,7 @@
 	s := startSampler(g.cmd.Process.Pid, g.callerPort)
 	var c crowd
 	body := chunked(overLimitBytes, 64<<10)
-	c.send(g, func(int) [][]byte { return append([][]byte{chunkedHead()}, inPieces(body, 64)...) })
+	c.send(g.callerAddr, func(int) [][]byte { return append([][]byte{chunkedHead()}, inPieces(body, 64)...) })
 	g.assertBounds(s, c.close)
 }
 
@@ -194,7 +207,7 @@
 	s := startSampler(g.cmd.Process.Pid, g.callerPort)
 	var c crowd
 	for range idleConnections {
-		conn := c.dial(g)
+		conn := c.dial(g.callerAddr)
 		if conn == nil {
 			break
 		}
--- a/load/tshostile/rig_test.go
+++ b/load/tshostile/rig_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -33,16 +34,18 @@
 	maxBodyBytes = 4_194_304
 	// ordinaryBodyBytes is the size of a usual body.
 	ordinaryBodyBytes = 100_000
+	// defaultRetrySlack is the retry slack in the settings.
+	defaultRetrySlack = 600
 	// startTimeout bounds the start of a process, answerTimeout the time until an ordinary caller
 	// that repeats refused requests is answered. Both only end a test that hangs.
 	startTimeout  = 60 * time.Second
 	answerTimeout = 60 * time.Second
 )
 
-const settingsFormat = `{"nodeName":"vm-1","zone":"a","region":"r","ip":"127.0.0.1","internalPortRange":[%d],"bootstrap":true,
- "listenAddresses":{"front":"127.0.0.1:0","readiness":%q,"control":%q},"platform":{"address":%q},
+const settingsFormat = `{"nodeName":%q,"zone":%q,"region":"r","ip":"127.0.0.1","internalPortRange":[%d],"bootstrap":%t,
+ "listenAddresses":{"front":"127.0.0.1:0","readiness":"%s","control":"%s"},"platform":{"address":%q},
  "limits":{"memoryMb":%d,"cpuShare":0.2,"cpuCores":2,"linkMbps":0,"fileDescriptors":%d},
- "bounds":{"retryBudgetRatio":0.2,"retryBudgetSlack":600,"budgetWindowS":10,"gracePeriodS":8,"drainTimeoutMs":2000,"configApplyMs":2000,"contactMs":3000}}`
+ "bounds":{"retryBudgetRatio":0.2,"retryBudgetSlack":%d,"budgetWindowS":10,"gracePeriodS":8,"drainTimeoutMs":2000,"configApplyMs":2000,"contactMs":3000}}`
 
 const table = `{"version":3,"routes":[
  {"name":"look","host":"corner.example","prefix":"/look/","kind":"safe","service":"desk","timeoutMs":8000,"maxAttempts":2},
@@ -51,11 +54,14 @@
  {"name":"oddstream","host":"corner.example","prefix":"/oddstream/","kind":"streaming","service":"odd","timeoutMs":8000,"maxAttempts":1}],
  "services":[{"name":"desk","maxConnections":2000},{"name":"odd","maxConnections":2000}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"stall","apiKeys":["k1"],"prepaid":1000000}]}`
+ "tenants":[{"name":"stall","apiKeys":["k1"],"prepaid":1000000},{"name":"other","apiKeys":["k2"],"prepaid":1000000}]}`
 
 // command is the path of the built command.
 var command string
 
+// ordinaryBody is the body of an ordinary request.
+var ordinaryBody = bytes.Repeat([]byte("x"), ordinaryBodyBytes)
+
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
@@ -75,19 +81,74 @@
 	return m.Run()
 }
 
-// gateway is one gateway process with its store and its backend servers.
-type gateway struct {
+// process is a process under test, a gateway or an entry.
+type process struct {
 	t          *testing.T
 	cmd        *exec.Cmd
 	callerAddr string
 	callerPort int
-	servers    []*tsmetastore.Backend
 	exited     chan struct{}
+	// descriptors is the limit in the settings of the process.
+	descriptors int
+}
+
+// gateway is one gateway process.
+type gateway struct {
+	*process
+	ready *net.TCPAddr
 }
 
-// startGateway starts a gateway process and waits until it is ready. The entries of the backend
-// servers of the service desk are those of servers.
-func startGateway(t *testing.T, servers map[string][]byte) *gateway {
+// machine is an entry VM on which gateway processes run one after another.
+type machine struct {
+	t           *testing.T
+	name, zone  string
+	storeAddr   string
+	descriptors int
+	settings    string
+	starts      int
+	// ready, control and peers are the addresses in the settings.
+	ready, control, peers *net.TCPAddr
+}
+
+func newMachine(t *testing.T, name, zone, storeAddr string, descriptors int) *machine {
+	return &machine{
+		t: t, name: name, zone: zone, storeAddr: storeAddr, descriptors: descriptors, settings: filepath.Join(t.TempDir(), "settings.json"),
+		ready: freeAddr(t), control: freeAddr(t), peers: freeAddr(t),
+	}
+}
+
+// writeSettings writes the settings file.
+func (m *machine) writeSettings(retrySlack int) {
+	text := fmt.Sprintf(settingsFormat, m.name, m.zone, m.peers.Port, m.starts == 0, m.ready, m.control, m.storeAddr, memoryMB, m.descriptors, retrySlack)
+	assert.NilError(m.t, os.WriteFile(m.settings, []byte(text), 0o600))
+}
+
+// start starts a gateway process and waits until it serves callers.
+func (m *machine) start() *gateway {
+	m.writeSettings(defaultRetrySlack)
+	m.starts++
+	g := &gateway{startProcess(m.t, exec.Command(command, "gateway", "-config", m.settings), servingAddr), m.ready}
+	g.descriptors = m.descriptors
+	return g
+}
+
+// awaitReady waits until the process says that it is ready.
+func (g *gateway) awaitReady() {
+	for deadline := time.Now().Add(startTimeout); ; time.Sleep(20 * time.Millisecond) {
+		resp, err := http.Get("http://" + g.ready.String() + "/") //nolint:noctx // loopback, in a test.
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		assert.Assert(g.t, time.Now().Before(deadline), "the process did not become ready")
+	}
+}
+
+// startStore starts a stand-in store with the entries of backend servers, and returns it and its
+// address.
+func startStore(t *testing.T, servers map[string][]byte) (*tsmetastore.Store, string) {
 	t.Helper()
 	store := tsmetastore.New()
 	srv := httptest.NewServer(store)
@@ -96,81 +157,90 @@
 		store.Put(users.ServerPrefix+id, entry)
 	}
 	store.Put(users.TableKey, []byte(table))
-	ready, control, peers := freeAddr(t), freeAddr(t), freeAddr(t)
-	file := filepath.Join(t.TempDir(), "settings.json")
-	text := fmt.Sprintf(settingsFormat, peers.Port, ready.String(), control.String(), strings.TrimPrefix(srv.URL, "http://"), memoryMB, fileDescriptors)
-	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
-	g := &gateway{t: t, exited: make(chan struct{}), cmd: exec.Command(command, "gateway", "-config", file)}
+	return store, strings.TrimPrefix(srv.URL, "http://")
+}
+
+// startGateway starts a gateway process with the given limit of descriptors and waits until it is
+// ready. The entries of the backend servers are those of servers.
+func startGateway(t *testing.T, descriptors int, servers map[string][]byte) *gateway {
+	t.Helper()
+	_, storeAddr := startStore(t, servers)
+	g := newMachine(t, "vm-1", "a", storeAddr, descriptors).start()
+	g.awaitReady()
+	return g
+}
+
+// startWithDesk starts a gateway process with one sound backend server.
+func startWithDesk(t *testing.T) *gateway {
+	t.Helper()
+	return startWithDeskAnd(t, fileDescriptors, map[string][]byte{})
+}
+
+// startWithDeskAnd starts a gateway process with one sound backend server and others.
+func startWithDeskAnd(t *testing.T, descriptors int, others map[string][]byte) *gateway {
+	t.Helper()
+	b := &tsmetastore.Backend{ID: "desk-0"}
+	assert.NilError(t, b.Start())
+	t.Cleanup(func() { _ = b.Close() })
+	others[b.ID] = b.Entry("desk", "a", "ready")
+	return startGateway(t, descriptors, others)
+}
+
+// startProcess starts a process and waits until it prints a line in which addrOf finds the address
+// that serves callers.
+func startProcess(t *testing.T, cmd *exec.Cmd, addrOf func(line []byte) string) *process {
+	t.Helper()
+	p := &process{t: t, exited: make(chan struct{}), cmd: cmd}
 	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	assert.NilError(t, err)
-	out, err := g.cmd.StdoutPipe()
+	out, err := cmd.StdoutPipe()
 	assert.NilError(t, err)
-	g.cmd.Stderr = logs
-	assert.NilError(t, g.cmd.Start())
+	cmd.Stderr = logs
+	assert.NilError(t, cmd.Start())
 	addr := make(chan string, 1)
-	go g.follow(out, logs, addr)
+	go p.follow(out, logs, addrOf, addr)
 	t.Cleanup(func() {
-		_ = g.cmd.Process.Kill()
-		<-g.exited
+		_ = cmd.Process.Kill()
+		<-p.exited
 		if t.Failed() {
 			data, _ := os.ReadFile(logs.Name())
 			t.Logf("end of the log: %s", data[max(0, len(data)-3000):])
 		}
 	})
 	select {
-	case g.callerAddr = <-addr:
+	case p.callerAddr = <-addr:
 	case <-time.After(startTimeout):
 		t.Fatal("the process did not start")
 	}
-	tcp, err := net.ResolveTCPAddr("tcp", g.callerAddr)
+	tcp, err := net.ResolveTCPAddr("tcp", p.callerAddr)
 	assert.NilError(t, err)
-	g.callerPort = tcp.Port
-	for deadline := time.Now().Add(startTimeout); ; time.Sleep(20 * time.Millisecond) {
-		resp, err := http.Get("http://" + ready.String() + "/") //nolint:noctx // loopback, in a test.
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return g
-			}
-		}
-		if time.Now().After(deadline) {
-			t.Fatal("the process did not become ready")
-		}
-	}
+	p.callerPort = tcp.Port
+	return p
 }
 
-// startWithDesk starts a gateway process with one sound backend server.
-func startWithDesk(t *testing.T) *gateway {
-	t.Helper()
-	return startWithDeskAnd(t, map[string][]byte{})
-}
-
-// startWithDeskAnd starts a gateway process with one sound backend server and others.
-func startWithDeskAnd(t *testing.T, others map[string][]byte) *gateway {
-	t.Helper()
-	b := &tsmetastore.Backend{ID: "desk-0"}
-	assert.NilError(t, b.Start())
-	t.Cleanup(func() { _ = b.Close() })
-	others[b.ID] = b.Entry("desk", "a", "ready")
-	g := startGateway(t, others)
-	g.servers = []*tsmetastore.Backend{b}
-	return g
+// servingAddr returns the address in a gateway's log line that it serves callers, else "".
+func servingAddr(line []byte) string {
+	var serving struct{ Msg, Addr string }
+	if !bytes.Contains(line, []byte(`"serving"`)) || json.Unmarshal(line, &serving) != nil {
+		return ""
+	}
+	return serving.Addr
 }
 
-// follow copies the log until the process exits, and takes the caller address from it.
-func (g *gateway) follow(out interface{ Read([]byte) (int, error) }, logs *os.File, addr chan<- string) {
+// follow copies the output until the process exits, and takes the caller address from it.
+func (p *process) follow(out io.Reader, logs *os.File, addrOf func(line []byte) string, addr chan<- string) {
 	lines := bufio.NewScanner(out)
 	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
+	for isServing := false; lines.Scan(); {
 		_, _ = fmt.Fprintln(logs, lines.Text())
-		var serving struct{ Msg, Addr string }
-		if bytes.Contains(lines.Bytes(), []byte(`"serving"`)) && json.Unmarshal(lines.Bytes(), &serving) == nil && serving.Addr != "" {
-			addr <- serving.Addr
+		if a := addrOf(lines.Bytes()); !isServing && a != "" {
+			isServing = true
+			addr <- a
 		}
 	}
-	_ = g.cmd.Wait()
+	_ = p.cmd.Wait()
 	_ = logs.Close()
-	close(g.exited)
+	close(p.exited)
 }
 
 func freeAddr(t *testing.T) *net.TCPAddr {
@@ -182,56 +252,75 @@
 }
 
 // isAlive reports whether the process runs.
-func (g *gateway) isAlive() bool {
+func (p *process) isAlive() bool {
 	select {
-	case <-g.exited:
+	case <-p.exited:
 		return false
 	default:
-		return g.cmd.Process.Signal(syscall.Signal(0)) == nil
+		return p.cmd.Process.Signal(syscall.Signal(0)) == nil
+	}
+}
+
+// assertLimits checks that the process lives, and that its memory and descriptors stayed under
+// their bounds.
+func (p *process) assertLimits(s *sampler) {
+	p.t.Helper()
+	s.finish(p.t)
+	p.t.Logf("peak: resident %d kB, receive buffers %d kB, together %d kB; %d descriptors", s.peak.residentBytes>>10, s.peak.receiveBytes>>10, s.peakTotal>>10, s.peak.descriptors)
+	assert.Assert(p.t, p.isAlive(), "the process has ended")
+	assert.Assert(p.t, s.peakTotal <= memoryMB*1_000_000, "%d bytes of memory, the machine has %d MB", s.peakTotal, memoryMB)
+	assert.Assert(p.t, s.peak.descriptors <= p.descriptors, "%d descriptors, the limit is %d", s.peak.descriptors, p.descriptors)
+}
+
+// assertAnswered sends an ordinary request, which repeats until it is answered: a caller whose
+// request is refused as not run, or whose connection is closed, sends it again.
+func (p *process) assertAnswered(when string, send func() error) {
+	p.t.Helper()
+	var err error
+	for deadline := time.Now().Add(answerTimeout); time.Now().Before(deadline) && p.isAlive(); time.Sleep(100 * time.Millisecond) {
+		if err = send(); err == nil {
+			return
+		}
 	}
+	p.t.Fatalf("no answer to an ordinary request %s: %v", when, err)
 }
 
-// assertBounds checks that the process lives, that its memory and descriptors stayed under their
-// bounds, and that an ordinary caller is answered. closeCrowd closes
-// the connections of the crowd.
+// assertBounds checks the limits of the process, and that an ordinary caller is answered. closeCrowd
+// closes the connections of the crowd.
 func (g *gateway) assertBounds(s *sampler, closeCrowd func()) {
 	g.t.Helper()
-	g.assertAnswers("while the crowd is connected")
+	g.assertAnswered("while the crowd is connected", func() error { return g.ordinary("k1") })
 	closeCrowd()
-	g.assertAnswers("after the crowd has left")
-	s.finish(g.t)
-	g.t.Logf("peak: resident %d kB, receive buffers %d kB, together %d kB; %d descriptors", s.peak.residentBytes>>10, s.peak.receiveBytes>>10, s.peakTotal>>10, s.peak.descriptors)
-	assert.Assert(g.t, g.isAlive(), "the process has ended")
-	assert.Assert(g.t, s.peakTotal <= memoryMB*1_000_000, "%d bytes of memory, the machine has %d MB", s.peakTotal, memoryMB)
-	assert.Assert(g.t, s.peak.descriptors <= fileDescriptors, "%d descriptors, the limit is %d", s.peak.descriptors, fileDescriptors)
+	g.assertAnswered("after the crowd has left", func() error { return g.ordinary("k1") })
+	g.assertLimits(s)
 }
 
-// assertAnswers checks that an ordinary request is answered by the backend server. A caller whose
-// request is refused as not run, or whose connection is closed, repeats it.
-func (g *gateway) assertAnswers(when string) {
-	g.t.Helper()
-	body := bytes.Repeat([]byte("x"), ordinaryBodyBytes)
-	var last string
-	for deadline := time.Now().Add(answerTimeout); time.Now().Before(deadline) && g.isAlive(); time.Sleep(100 * time.Millisecond) {
-		req, err := http.NewRequest(http.MethodPost, "http://"+g.callerAddr+"/look/1", bytes.NewReader(body)) //nolint:noctx // loopback, in a test.
-		assert.NilError(g.t, err)
-		id := turmericshed.NewID("a-")
-		req.Host, req.Close = "corner.example", true
-		req.Header.Set("Attempt-Id", id)
-		req.Header.Set("Credential", "k1")
-		req.Header.Set("Deadline-Remaining", "4000")
-		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
-		if err != nil {
-			last = err.Error()
-			continue
-		}
-		var text bytes.Buffer
-		_, err = text.ReadFrom(resp.Body)
-		_ = resp.Body.Close()
-		if err == nil && resp.StatusCode == http.StatusOK && text.String() == "answer to "+id {
-			return
-		}
-		last = fmt.Sprintf("status %d, %q, %v", resp.StatusCode, text.String(), err)
+// ordinary sends one ordinary request with the key of a client account. Error: it was not answered
+// by the backend server.
+func (g *gateway) ordinary(key string) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+g.callerAddr+"/look/1", bytes.NewReader(ordinaryBody)) //nolint:noctx // loopback, in a test.
+	if err != nil {
+		return err
+	}
+	id := turmericshed.NewID("a-")
+	req.Host, req.Close = "corner.example", true
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Credential", key)
+	req.Header.Set("Deadline-Remaining", "4000")
+	status, text, err := roundTrip(req)
+	if err == nil && (status != http.StatusOK || text != "answer to "+id) {
+		err = fmt.Errorf("status %d, %q", status, text)
+	}
+	return err
+}
+
+// roundTrip sends a request on a connection of its own and reads the answer.
+func roundTrip(req *http.Request) (status int, text string, err error) {
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0, "", err
 	}
-	g.t.Fatalf("no answer to an ordinary request %s: %s", when, last)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
 }
--- a/load/tshostile/servers_test.go
+++ b/load/tshostile/servers_test.go
@@ -85,10 +85,10 @@
 // read only the first bytes of their answers.
 func runOddServer(t *testing.T, path string, answer func(c net.Conn, id string)) {
 	s := startOddServer(t, answer)
-	g := startWithDeskAnd(t, map[string][]byte{"odd-0": s.entry()})
+	g := startWithDeskAnd(t, fileDescriptors, map[string][]byte{"odd-0": s.entry()})
 	sampler := startSamplerWith(g.cmd.Process.Pid, g.callerPort, s.port())
 	var c crowd
-	c.send(g, func(int) [][]byte {
+	c.send(g.callerAddr, func(int) [][]byte {
 		return [][]byte{fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: corner.example\r\nAttempt-Id: %s\r\nCredential: k1\r\nDeadline-Remaining: 8000\r\nModel: m\r\n\r\n", path, turmericshed.NewID("a-"))}
 	})
 	g.assertBounds(sampler, c.close)
