Intake: reserve memory for what came of a body, not for its length

What callers saw: beside 300 connections that send heads with bodies announced and nothing of them, and that are opened again every 0.9 s, 0 of 5 ordinary requests of the same client account and 0 of 5 of another one were served; all were refused as overloaded. It costs the crowd 200 bytes a connection.

Cause: an announced length was reserved before its first byte came, and a body stalls after 1 s at the earliest.

Change: a length that doesn't fit is refused before anything is read, as before.

--- a/core/tsintake/budget.go
+++ b/core/tsintake/budget.go
@@ -8,6 +8,7 @@
 // # Usage
 //
 //	b := tsintake.NewBudget(tsintake.BudgetFor(memoryBytes))
+//	if !b.Fits(now, id, length) { ... } // refuse the request, nothing is read
 //	evicted, ok := b.Reserve(now, id, n) // before n bytes are read; stop reading the evicted bodies
 //	b.Received(now, id, n)
 //	b.Complete(id, size)
@@ -96,15 +97,26 @@
 // Held returns the sum of the reservations.
 func (b *Budget) Held() int64 { return b.held }
 
+// find returns the body with the id, or a new one.
+func (b *Budget) find(now time.Time, id BodyID) *body {
+	if c := b.bodies[id]; c != nil {
+		return c
+	}
+	return &body{id: id, progressedAt: now}
+}
+
+// Fits reports whether n more bytes for a body could be reserved now. It changes nothing.
+func (b *Budget) Fits(now time.Time, id BodyID, n int64) bool {
+	_, ok := b.makeRoom(now, b.find(now, id), n)
+	return ok
+}
+
 // Reserve reserves n more bytes for a body, which is new if its id is. Where there is no room it
 // evicts bodies that have stalled, if that makes enough room: the largest first, and of the same
 // size the one that has received least. It returns the evicted bodies, which are released, and
 // whether the bytes are reserved; if not, nothing is evicted and nothing has changed.
 func (b *Budget) Reserve(now time.Time, id BodyID, n int64) (evicted []BodyID, ok bool) {
-	c := b.bodies[id]
-	if c == nil {
-		c = &body{id: id, progressedAt: now}
-	}
+	c := b.find(now, id)
 	victims, ok := b.makeRoom(now, c, n)
 	if !ok {
 		return nil, false
--- a/io/tsintake/intake.go
+++ b/io/tsintake/intake.go
@@ -156,6 +156,27 @@
 	return b
 }
 
+// open checks that a request's body with the announced length fits. Error: KindOverloaded.
+func (b *Body) open(length int64) error {
+	if b == nil {
+		return nil
+	}
+	in := b.in
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.budget.Fits(time.Now(), b.id, max(length, 0)) {
+		return nil
+	}
+	return in.refuse(reasonFull, length)
+}
+
+// refuse counts n bytes that are not reserved and returns the error for it. in.mu must be held.
+func (in *Intake) refuse(reason string, n int64) error {
+	in.refused.WithLabelValues(reason).Inc()
+	err := turmericshed.NewError(turmericshed.KindOverloaded, "no memory for a body of %d bytes: %d bytes are held", n, in.budget.Held())
+	return turmericshed.WithRetryAfter(err, fullRetryAfter)
+}
+
 // errStalled reports that a body was evicted.
 func errStalled() error {
 	return turmericshed.NewError(turmericshed.KindOverloaded, "the body stalled while others needed its memory")
@@ -189,13 +210,10 @@
 	if ok {
 		return nil
 	}
-	reason := reasonFull
 	if b.isAnswer {
-		reason = reasonAnswer
+		return in.refuse(reasonAnswer, n)
 	}
-	in.refused.WithLabelValues(reason).Inc()
-	err := turmericshed.NewError(turmericshed.KindOverloaded, "no memory for a body of %d bytes: %d bytes are held", n, in.budget.Held())
-	return turmericshed.WithRetryAfter(err, fullRetryAfter)
+	return in.refuse(reasonFull, n)
 }
 
 // received records that n bytes were received.
--- a/load/tshostile/rig_test.go
+++ b/load/tshostile/rig_test.go
@@ -36,6 +36,8 @@
 	ordinaryBodyBytes = 100_000
 	// defaultRetrySlack is the retry slack in the settings.
 	defaultRetrySlack = 600
+	// deploymentDescriptors is the limit of most deployments.
+	deploymentDescriptors = 4100
 	// startTimeout bounds the start of a process, answerTimeout the time until an ordinary caller
 	// that repeats refused requests is answered. Both only end a test that hangs.
 	startTimeout  = 60 * time.Second
