Intake: divide memory and connections among client accounts and services

What callers saw: beside 300 connections of one client account with bodies of 200 KB for a service whose server takes 7 s, 0 of 5 ordinary requests of another account and 0 of 5 of the same one were served, to another service with a sound, idle server. All were refused as overloaded.

Cause: complete bodies are never evicted, since their requests may run, and one account could take the whole budget; so could one service of an account. The same holds for connections: one with a running request is not closed, and if all are, a new one is.

Change: each account may hold four times what is free, and each service of an account four times what its account may still take (dynamic thresholds of Choudhury and Hahne). One that is alone gets most, some room stays free for others whatever comes, and nothing has to be taken back. Bodies and running requests are divided by the same code.

--- a/core/tsintake/budget.go
+++ b/core/tsintake/budget.go
@@ -8,6 +8,7 @@
 // # Usage
 //
 //	b := tsintake.NewBudget(tsintake.BudgetFor(memoryBytes))
+//	b.Open(now, id, flow)
 //	if !b.Fits(now, id, length) { ... } // refuse the request, nothing is read
 //	evicted, ok := b.Reserve(now, id, n) // before n bytes are read; stop reading the evicted bodies
 //	b.Received(now, id, n)
@@ -69,7 +70,9 @@
 
 // body is one body that holds a reservation.
 type body struct {
-	id                 BodyID
+	id BodyID
+	// flow is what the reservation counts toward; nil for none.
+	flow               *Flow
 	reserved, received int64
 	// progressedAt is when the body last progressed, which is when received reached markedBytes.
 	progressedAt time.Time
@@ -84,20 +87,26 @@
 type Budget struct {
 	limits BudgetLimits
 	bodies map[BodyID]*body
-	// held, largeHeld and answerHeld are the sums of the reservations of all bodies, of those that
-	// count toward LargeBytes, and of answers.
-	held, largeHeld, answerHeld int64
+	// shares holds the sums of the reservations. largeHeld and answerHeld are the sums of those
+	// that count toward LargeBytes, and of answers.
+	shares                *shares
+	largeHeld, answerHeld int64
 }
 
 // NewBudget returns a budget without reservations.
 func NewBudget(l BudgetLimits) *Budget {
-	return &Budget{limits: l, bodies: make(map[BodyID]*body)}
+	return &Budget{limits: l, bodies: make(map[BodyID]*body), shares: newShares(l.Bytes)}
 }
 
 // Held returns the sum of the reservations.
-func (b *Budget) Held() int64 { return b.held }
+func (b *Budget) Held() int64 { return b.shares.held }
 
-// find returns the body with the id, or a new one.
+// Open adds a body without a reservation that counts toward a flow.
+func (b *Budget) Open(now time.Time, id BodyID, f Flow) {
+	b.bodies[id] = &body{id: id, flow: &f, progressedAt: now}
+}
+
+// find returns the body with the id, or a new one without a flow.
 func (b *Budget) find(now time.Time, id BodyID) *body {
 	if c := b.bodies[id]; c != nil {
 		return c
@@ -111,10 +120,9 @@
 	return ok
 }
 
-// Reserve reserves n more bytes for a body, which is new if its id is. Where there is no room it
-// evicts bodies that have stalled, if that makes enough room: the largest first, and of the same
-// size the one that has received least. It returns the evicted bodies, which are released, and
-// whether the bytes are reserved; if not, nothing is evicted and nothing has changed.
+// Reserve reserves n more bytes for a body, which is new and without a flow if its id is unknown.
+// Where there is no room it evicts other bodies that have stalled, if that makes enough room. It returns the evicted bodies, which are
+// released, and whether the bytes are reserved; if not, nothing is evicted and nothing has changed.
 func (b *Budget) Reserve(now time.Time, id BodyID, n int64) (evicted []BodyID, ok bool) {
 	c := b.find(now, id)
 	victims, ok := b.makeRoom(now, c, n)
@@ -134,7 +142,7 @@
 // reserved. It evicts nothing.
 func (b *Budget) ReserveAnswer(id BodyID, n int64) bool {
 	l := b.limits
-	if l.Bytes > 0 && (b.held+n > l.Bytes || b.largeHeld+n > l.LargeBytes || b.answerHeld+n > l.AnswerBytes) {
+	if l.Bytes > 0 && (b.Held()+n > l.Bytes || b.largeHeld+n > l.LargeBytes || b.answerHeld+n > l.AnswerBytes) {
 		return false
 	}
 	c := b.bodies[id]
@@ -152,41 +160,62 @@
 		return nil, true
 	}
 	size := c.reserved + n
-	excess := b.held + n - b.limits.Bytes
+	total := change{n, n, n}
 	largeExcess := int64(0)
 	if b.isLarge(size) {
 		largeExcess = b.largeHeld - b.largePart(c, c.reserved) + size - b.limits.LargeBytes
 	}
-	if excess <= 0 && largeExcess <= 0 {
+	isAllowed := b.shares.allows(c.flow, total)
+	if isAllowed && largeExcess <= 0 {
 		return nil, true
 	}
-	for _, v := range b.stalled(now, c) {
-		if excess <= 0 && largeExcess <= 0 {
-			break
-		}
-		if excess <= 0 && !b.isLarge(v.reserved) {
+	for _, v := range b.evictable(now, c) {
+		if isAllowed && !b.isLarge(v.reserved) {
 			continue
 		}
 		victims = append(victims, v)
-		excess -= v.reserved
+		total.freed(c.flow, v.flow, v.reserved)
 		largeExcess -= b.largePart(v, v.reserved)
+		isAllowed = b.shares.allows(c.flow, total)
+		if isAllowed && largeExcess <= 0 {
+			return victims, true
+		}
 	}
-	return victims, excess <= 0 && largeExcess <= 0
+	return nil, false
 }
 
-// stalled returns the bodies other than c that have stalled, in the order of eviction.
-func (b *Budget) stalled(now time.Time, c *body) (all []*body) {
+// evictable returns the bodies that may be evicted for c, in the order of eviction: stalled ones,
+// those of the same account first, then the largest and of the same size the one that has received
+// least.
+func (b *Budget) evictable(now time.Time, c *body) (all []*body) {
 	for _, v := range b.bodies {
-		if v != c && !v.isComplete && !v.isAnswer && now.Sub(v.progressedAt) >= b.limits.StallTimeout {
+		if v != c && !v.isComplete && !v.isAnswer && v.reserved > 0 && now.Sub(v.progressedAt) >= b.limits.StallTimeout {
 			all = append(all, v)
 		}
 	}
 	slices.SortFunc(all, func(x, y *body) int {
-		return cmp.Or(cmp.Compare(y.reserved, x.reserved), cmp.Compare(x.received, y.received), cmp.Compare(x.id, y.id))
+		return cmp.Or(compareBool(c.hasAccountOf(y), c.hasAccountOf(x)), cmp.Compare(y.reserved, x.reserved), cmp.Compare(x.received, y.received), cmp.Compare(x.id, y.id))
 	})
 	return all
 }
 
+// compareBool orders false before true.
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// hasAccountOf reports whether both bodies belong to the same client account.
+func (c *body) hasAccountOf(v *body) bool {
+	return c.flow != nil && v.flow != nil && c.flow.Account == v.flow.Account
+}
+
 func (b *Budget) isLarge(size int64) bool { return size > b.limits.UsualBytes }
 
 // largePart returns what a body with the given reservation counts toward LargeBytes.
@@ -198,7 +227,7 @@
 }
 
 func (b *Budget) resize(c *body, size int64) {
-	b.held += size - c.reserved
+	b.shares.add(c.flow, size-c.reserved)
 	b.largeHeld += b.largePart(c, size) - b.largePart(c, c.reserved)
 	if c.isAnswer {
 		b.answerHeld += size - c.reserved
--- a/core/tsintake/conns.go
+++ b/core/tsintake/conns.go
@@ -28,8 +28,8 @@
 	refusedMemoryShare = 0.1
 	// minConns is the least number of connections in any limit.
 	minConns = 16
-	// SocketBufferBytes is the size of each of the kernel's two buffers of a connection to a
-	// caller or a backend server. The kernel doubles it for its own overhead, and does not
+	// SocketBufferBytes is the size of each of the kernel's two buffers of a connection
+	// to a caller or a backend server. The kernel doubles it for its own overhead, and does not
 	// enlarge it, to up to 32 MiB, for a party that sends faster than it is read, or that
 	// reads slowly. It lets a connection carry 10 MB/s at a round trip of 6 ms.
 	SocketBufferBytes = 64 << 10
@@ -97,7 +97,9 @@
 	state     ConnState
 	since     time.Time
 	headBytes int64
-	element   *list.Element
+	// flow is what its running request counts toward; nil while it has none.
+	flow    *Flow
+	element *list.Element
 }
 
 // Conns decides which connections are closed so that the others stay within the limits. It is not
@@ -108,10 +110,14 @@
 	// byState holds the connections of each state, the one that is in it for longest first.
 	byState   [ConnStates]list.List
 	headBytes int64
+	// running holds the number of requests that are read or run.
+	running *shares
 }
 
 // NewConns returns a Conns without connections.
-func NewConns(l ConnLimits) *Conns { return &Conns{limits: l, conns: make(map[ConnID]*callerConn)} }
+func NewConns(l ConnLimits) *Conns {
+	return &Conns{limits: l, conns: make(map[ConnID]*callerConn), running: newShares(int64(l.Total))}
+}
 
 // Count returns the number of connections in a state.
 func (c *Conns) Count(s ConnState) int { return c.byState[s].Len() }
@@ -172,12 +178,58 @@
 	cc.element = c.byState[s].PushBack(cc)
 	c.headBytes -= cc.headBytes
 	cc.headBytes = 0
+	if s == Refused || s == Idle {
+		c.endRequest(cc)
+	}
 	if s == Refused {
 		return c.trim(Refused, c.limits.Refused)
 	}
 	return nil
 }
 
+// Admit counts the request on a connection toward a flow until it ends, and reports whether the flow
+// has a share left; if not, nothing has changed. Connections with a running request are not closed, so
+// that a client account with many of them would keep others from connecting. It returns the
+// connections to close, which are removed: those of the same account whose body is not complete after
+// the stall timeout, the oldest first, if that makes room.
+func (c *Conns) Admit(now time.Time, id ConnID, f Flow) (toClose []ConnID, ok bool) {
+	cc := c.conns[id]
+	if cc == nil || cc.flow != nil {
+		return nil, true
+	}
+	total := change{1, 1, 1}
+	isAllowed := c.running.allows(&f, total)
+	for e := c.byState[ReadingBody].Front(); e != nil && !isAllowed; e = e.Next() {
+		v, ok := e.Value.(*callerConn)
+		if !ok || now.Sub(v.since) < stallTimeout {
+			break
+		}
+		if v.flow == nil || v.flow.Account != f.Account {
+			continue
+		}
+		toClose = append(toClose, v.id)
+		total.freed(&f, v.flow, 1)
+		isAllowed = c.running.allows(&f, total)
+	}
+	if !isAllowed {
+		return nil, false
+	}
+	for _, v := range toClose {
+		c.Close(v)
+	}
+	cc.flow = &f
+	c.running.add(cc.flow, 1)
+	return toClose, true
+}
+
+// endRequest removes the request on a connection from the count.
+func (c *Conns) endRequest(cc *callerConn) {
+	if cc.flow != nil {
+		c.running.add(cc.flow, -1)
+		cc.flow = nil
+	}
+}
+
 // HeadReceived records n bytes of a head that is being read, and returns the connections to close,
 // which are removed: those with the most bytes of a head, while the heads together exceed their
 // limit.
@@ -212,6 +264,7 @@
 	}
 	c.byState[cc.state].Remove(cc.element)
 	c.headBytes -= cc.headBytes
+	c.endRequest(cc)
 	delete(c.conns, id)
 }
 
--- a/core/tsintake/conns_test.go
+++ b/core/tsintake/conns_test.go
@@ -151,3 +151,47 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, len(c.HeadReceived(6, 1000)), 0)
 }
+
+// admitAll admits requests of a flow on all connections without one, and returns how many it admits.
+func admitAll(c *tsintake.Conns, now time.Time, f tsintake.Flow, first, n int) (admitted int) {
+	for id := range n {
+		if _, ok := c.Admit(now, tsintake.ConnID(first+id), f); ok {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// Guards against a client account whose requests occupy all connections, which are not closed while
+// they run.
+func TestRunningRequestsOfAnAccountLeaveConnections(t *testing.T) {
+	c := tsintake.NewConns(tsintake.ConnLimits{Total: 100})
+	for id := range 100 {
+		_, ok := c.Open(start, tsintake.ConnID(id+1))
+		assert.Assert(t, ok)
+		c.SetState(start, tsintake.ConnID(id+1), tsintake.Running)
+	}
+	assert.Equal(t, admitAll(c, start, crowdFlow, 1, 100), 64)
+	assert.Assert(t, admitAll(c, start, otherFlow, 65, 36) > 10)
+	c.SetState(start, 1, tsintake.Idle)
+	c.Close(2)
+	assert.Equal(t, admitAll(c, start, otherFlow, 3, 1), 1, "a request counts once")
+}
+
+// Guards against bodies that never end and keep the share of their client account.
+func TestStalledBodyGivesWayToTheSameAccount(t *testing.T) {
+	c := tsintake.NewConns(tsintake.ConnLimits{Total: 100})
+	for id := range 70 {
+		_, ok := c.Open(start, tsintake.ConnID(id+1))
+		assert.Assert(t, ok)
+	}
+	admitted := admitAll(c, start, crowdFlow, 1, 65)
+	for id := range admitted {
+		c.SetState(start, tsintake.ConnID(id+1), tsintake.ReadingBody)
+	}
+	_, ok := c.Admit(start.Add(10*time.Millisecond), 70, crowdFlow)
+	assert.Assert(t, !ok, "bodies that arrive stay")
+	toClose, ok := c.Admit(start.Add(timeToStall), 70, crowdFlow)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, toClose, []tsintake.ConnID{1})
+}
--- a/io/tsentry/request.go
+++ b/io/tsentry/request.go
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"turmericshed"
+	core "turmericshed/core/tsintake"
 	"turmericshed/io/tsintake"
 )
 
@@ -125,7 +126,8 @@
 // readBody reads the complete body, within limits of size, time and memory, and sets the request's
 // digest.
 func readBody(r *http.Request, req *request) error {
-	parts, err := req.intake.ReadBody(maxBodyBytes, bodyReadTimeout)
+	flow := core.Flow{Account: req.account, Service: string(req.profile.Name)}
+	parts, err := req.intake.ReadBody(flow, maxBodyBytes, bodyReadTimeout)
 	switch turmericshed.KindOf(err) {
 	case turmericshed.KindNone:
 	case turmericshed.KindTooLarge:
--- a/io/tsintake/conn.go
+++ b/io/tsintake/conn.go
@@ -183,6 +183,22 @@
 	in.closeAll(victims, reasonConnections)
 }
 
+// admit counts the running request of a connection toward a flow, and reports whether the flow has
+// a share left. A connection that no listener of this package accepted is not counted.
+func admit(c net.Conn, f tsintake.Flow) bool {
+	cc, ok := c.(*conn)
+	if !ok {
+		return true
+	}
+	in := cc.in
+	in.mu.Lock()
+	toClose, ok := in.conns.Admit(time.Now(), cc.id, f)
+	victims := in.takeOut(toClose)
+	in.mu.Unlock()
+	in.closeAll(victims, reasonShare)
+	return ok
+}
+
 // Read reads from the connection. Bytes of a head count toward the limit of all heads.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/io/tsintake/intake.go
+++ b/io/tsintake/intake.go
@@ -1,6 +1,7 @@
 // Package tsintake bounds the memory and the descriptors that callers and servers take up, as
 // core/tsintake decides: it reserves memory for bodies before they are read, interrupts the
-// reading of bodies that are evicted, and closes connections over the limits. All programs that serve callers read requests
+// reading of bodies that are evicted, refuses requests of client accounts that use more than their
+// share, and closes connections over the limits. All programs that serve callers read requests
 // through it.
 //
 // # Usage
@@ -9,11 +10,11 @@
 //	srv := &http.Server{ConnContext: tsintake.WithConn, ConnState: tsintake.TrackState, ...}
 //	err := srv.Serve(in.Listener(ln))
 //
-// and in the handler, once nothing else refuses the request:
+// and in the handler, once the client account of the request is known:
 //
 //	q := in.NewRequest(w, r)
 //	defer q.Release()
-//	parts, err := q.ReadBody(maxBytes, timeout)
+//	parts, err := q.ReadBody(flow, maxBytes, timeout)
 //	if err != nil {
 //		q.Refuse(err) // before the answer is written
 //	}
@@ -78,7 +79,7 @@
 		budget: tsintake.NewBudget(tsintake.BudgetFor(cfg.MemoryBytes / int64(max(cfg.BodyCopies, 1)))), bodies: make(map[tsintake.BodyID]*Body),
 		conns: tsintake.NewConns(limits), open: make(map[tsintake.ConnID]*conn),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "turmericshed_bodies_refused_total", Help: "Bodies that were not held, by reason: full, stalled (evicted for others), too_large, or answer (not held whole).",
+			Name: "turmericshed_bodies_refused_total", Help: "Bodies that were not held, by reason: full, stalled (evicted for others), too_large, share (the account has too many requests), or answer (not held whole).",
 		}, []string{"reason"}),
 		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "turmericshed_caller_connections_closed_total", Help: "Connections of callers that were closed to stay within the limits, by reason.",
@@ -116,6 +117,7 @@
 	reasonAnswer   = "answer"
 	reasonStalled  = "stalled"
 	reasonTooLarge = "too_large"
+	reasonShare    = "share"
 )
 
 // Body is the memory reserved for one body. A nil *Body sets no bounds.
@@ -125,6 +127,8 @@
 	interrupt func()
 	// isAnswer is true for an answer, which is not evicted.
 	isAnswer bool
+	// flow is what a request's body counts toward; nil for none.
+	flow *tsintake.Flow
 	// isEvicted is true once the reservation was given to others. in.mu must be held.
 	isEvicted bool
 }
@@ -156,7 +160,8 @@
 	return b
 }
 
-// open checks that a request's body with the announced length fits. Error: KindOverloaded.
+// open adds a request's body with the announced length to the budget. Error: KindOverloaded if the
+// length doesn't fit.
 func (b *Body) open(length int64) error {
 	if b == nil {
 		return nil
@@ -164,7 +169,11 @@
 	in := b.in
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.budget.Fits(time.Now(), b.id, max(length, 0)) {
+	now := time.Now()
+	if b.flow != nil {
+		in.budget.Open(now, b.id, *b.flow)
+	}
+	if in.budget.Fits(now, b.id, max(length, 0)) {
 		return nil
 	}
 	return in.refuse(reasonFull, length)
@@ -177,8 +186,8 @@
 	return turmericshed.WithRetryAfter(err, fullRetryAfter)
 }
 
-// errStalled reports that a body was evicted.
-func errStalled() error {
+// errEvicted reports that a body was evicted.
+func errEvicted() error {
 	return turmericshed.NewError(turmericshed.KindOverloaded, "the body stalled while others needed its memory")
 }
 
@@ -192,7 +201,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if b.isEvicted {
-		return errStalled()
+		return errEvicted()
 	}
 	var evicted []tsintake.BodyID
 	var ok bool
@@ -234,7 +243,7 @@
 	b.in.mu.Lock()
 	defer b.in.mu.Unlock()
 	if b.isEvicted {
-		return errStalled()
+		return errEvicted()
 	}
 	b.in.budget.Complete(b.id, size)
 	return nil
@@ -248,7 +257,7 @@
 	b.in.mu.Lock()
 	defer b.in.mu.Unlock()
 	if b.isEvicted {
-		return errStalled()
+		return errEvicted()
 	}
 	return nil
 }
--- a/io/tsintake/request.go
+++ b/io/tsintake/request.go
@@ -61,13 +61,16 @@
 }
 
 // ReadBody reads the complete body into memory, so that it can be sent more than once. maxBytes is
-// the most bytes that a body may have, 0 for no limit, and timeout bounds the reading. Errors:
-// KindTooLarge; KindOverloaded if the memory is taken, or is needed by others and the body has
-// stalled; KindCanceled.
-func (q *Request) ReadBody(maxBytes int64, timeout time.Duration) ([][]byte, error) {
+// the most bytes that a body may have, 0 for no limit, and timeout bounds the reading. The request
+// counts toward its flow. Errors: KindTooLarge; KindOverloaded if the flow has no share left, the
+// memory is taken, or is needed by others and the body has stalled; KindCanceled.
+func (q *Request) ReadBody(f tsintake.Flow, maxBytes int64, timeout time.Duration) ([][]byte, error) {
 	if maxBytes > 0 && q.r.ContentLength > maxBytes {
 		return nil, q.tooLarge(maxBytes)
 	}
+	if !admit(q.conn, f) {
+		return nil, q.in.errShare()
+	}
 	if q.hasWholeBody {
 		return nil, nil
 	}
@@ -79,7 +82,7 @@
 		body = http.MaxBytesReader(q.w, q.r.Body, maxBytes)
 	}
 	q.setConnState(tsintake.ReadingBody)
-	q.body = q.in.NewBody(func() { _ = q.rc.SetReadDeadline(time.Unix(1, 0)) })
+	q.body = q.in.NewBody(func() { _ = q.rc.SetReadDeadline(time.Unix(1, 0)) }).of(f)
 	parts, err := q.body.ReadAll(body, q.r.ContentLength)
 	if err == nil {
 		err = q.setReadDeadline(time.Time{})
@@ -111,10 +114,25 @@
 	return turmericshed.NewError(turmericshed.KindTooLarge, "the body exceeds %d bytes", maxBytes)
 }
 
+// of makes a request's body count toward a flow.
+func (b *Body) of(f tsintake.Flow) *Body {
+	if b != nil {
+		b.flow = &f
+	}
+	return b
+}
+
+// errShare returns the error for a request of a flow that has no share of the connections left.
+func (in *Intake) errShare() error {
+	in.refused.WithLabelValues(reasonShare).Inc()
+	err := turmericshed.NewError(turmericshed.KindOverloaded, "the client account has too many running requests")
+	return turmericshed.WithRetryAfter(err, fullRetryAfter)
+}
+
 // Refuse prepares the refusal of the request with err, and must be called before it is written. Of
 // a body that is not read to its end the memory is free for others at once, and the rest is read
-// only in a small part and for a short time. A connection on which memory was refused, or whose
-// body is too large, is closed.
+// only in a small part and for a short time. A connection on which memory or a share was refused,
+// or whose body is too large, is closed.
 func (q *Request) Refuse(err error) {
 	if !q.HasUnreadBody() {
 		return
--- a/io/tsrelay/body.go
+++ b/io/tsrelay/body.go
@@ -1,5 +1,9 @@
 package tsrelay
 
+import (
+	"turmericshed/core/tsintake"
+)
+
 // readBody reads the complete body into memory, so that it can be sent more than once. Errors: those
 // of [turmericshed/io/tsintake.Request.ReadBody].
 func (q *request) readBody() (err error) {
@@ -7,7 +11,8 @@
 	if timeout <= 0 {
 		timeout = defaultHeaderTimeout
 	}
-	q.body, err = q.intake.ReadBody(q.table.Limits.BodyBytes, timeout+q.timeLimit())
+	flow := tsintake.Flow{Account: q.account.Account, Service: q.service}
+	q.body, err = q.intake.ReadBody(flow, q.table.Limits.BodyBytes, timeout+q.timeLimit())
 	for _, part := range q.body {
 		q.bodyBytes += len(part)
 	}
--- a/load/tshostile/shares_test.go
+++ b/load/tshostile/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -27,6 +28,10 @@
 	// announcePeriod is how long a connection stays open that sends only a head. It is below any
 	// time after which a body counts as stalled.
 	announcePeriod = 900 * time.Millisecond
+	// slowAnswerTime is the time that the slow backend server takes, slowBodyBytes the size of
+	// the requests to it.
+	slowAnswerTime = 7 * time.Second
+	slowBodyBytes  = 200_000
 	// redialInterval is the time between two connections of a caller.
 	redialInterval = 50 * time.Millisecond
 )
@@ -73,6 +78,21 @@
 	}
 }
 
+// askSlowServer sends a whole body to the slow backend server, and waits for the answer.
+func askSlowServer(conn net.Conn, _ *rand.Rand) {
+	h := bytes.Replace(lengthHead(slowBodyBytes), []byte("/look/1"), []byte("/odd/1"), 1)
+	if _, err := conn.Write(append(h, bytes.Repeat([]byte("x"), slowBodyBytes)...)); err == nil {
+		readAnswer(conn)
+	}
+}
+
+// readAnswer reads until the connection ends or writeTimeout has passed.
+func readAnswer(conn net.Conn) {
+	_ = conn.SetReadDeadline(time.Now().Add(writeTimeout))
+	buf := make([]byte, 4<<10)
+	_, _ = io.ReadAtLeast(conn, buf, 1)
+}
+
 // assertServed checks that each of some ordinary requests with a key is answered at once.
 func (g *gateway) assertServed(key string) {
 	g.t.Helper()
@@ -85,7 +105,11 @@
 // steadyCrowd checks that callers of another client account, and of the same one, are answered
 // while a crowd keeps sending.
 func steadyCrowd(t *testing.T, use func(conn net.Conn, rng *rand.Rand)) {
-	g := startWithDeskAnd(t, deploymentDescriptors, map[string][]byte{})
+	slow := startOddServer(t, func(c net.Conn, id string) {
+		time.Sleep(slowAnswerTime)
+		_, _ = c.Write(append(replyHead(http.StatusOK, id, "Content-Length: 2\r\n"), "ok"...))
+	})
+	g := startWithDeskAnd(t, deploymentDescriptors, map[string][]byte{"odd-0": slow.entry()})
 	s := startSampler(g.cmd.Process.Pid, g.callerPort)
 	stop := keepSending(t, g.callerAddr, use)
 	g.assertServed("k2")
@@ -96,6 +120,10 @@
 // Guards against reserving memory for bodies of which nothing has come.
 func TestAnnouncedBodiesThatNeverCome(t *testing.T) { steadyCrowd(t, announce) }
 
+// Guards against requests of one client account that wait for a slow service, and whose bodies
+// keep the memory from other accounts and services.
+func TestBodiesThatWaitForASlowService(t *testing.T) { steadyCrowd(t, askSlowServer) }
+
 // A single request inside the limits is served in a calm period.
 func TestLargestBodyInACalmPeriod(t *testing.T) {
 	g := startWithDeskAnd(t, deploymentDescriptors, map[string][]byte{})
