Intake: slow bodies give way to others of their client account

What callers saw: beside 300 connections of one client account that announce bodies of 20 to 256 KB and send 2 to 6 KB twice a second, 0 of 5 ordinary requests of another account and 1 of 5 of the same one were served.

Cause: a body that receives 4 KiB a second has not stalled, and kept its memory for as long as it took.

Change: where a share is used up, bodies of the same account give way that were read for 250 ms and, at their mean pace, need longer than 2 s to end; the one whose end is farthest goes first. By age alone a steady drip would never go, by size alone a large honest body on a slow link would go before many small drips. Bodies that can't end in their time are not refused while there is room: slow links are legal.

TestBodiesThatDripGiveWay replays three rates in core, none of 150 requests is refused. TestLargeBodyOnASlowLinkOutlastsADrip fails if the order is by size.

--- a/core/tsintake/budget.go
+++ b/core/tsintake/budget.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	b := tsintake.NewBudget(tsintake.BudgetFor(memoryBytes))
-//	b.Open(now, id, flow)
+//	b.Open(now, id, flow, length)
 //	if !b.Fits(now, id, length) { ... } // refuse the request, nothing is read
 //	evicted, ok := b.Reserve(now, id, n) // before n bytes are read; stop reading the evicted bodies
 //	b.Received(now, id, n)
@@ -39,6 +39,12 @@
 	// others. A slow link that a hundred bodies share still carries that much.
 	stallTimeout  = time.Second
 	progressBytes = 4 << 10
+	// slowTimeout is the expected time to its end from which a body gives way to others of its
+	// client account. paceTime is how long a body is read before its pace is judged.
+	slowTimeout = 2 * time.Second
+	paceTime    = 250 * time.Millisecond
+	// maxTimeToEnd is the longest time to the end of a body that is told apart from longer ones.
+	maxTimeToEnd = 24 * time.Hour
 )
 
 // BudgetLimits are the limits of a Budget.
@@ -54,6 +60,9 @@
 	// that is less, has stalled.
 	StallTimeout  time.Duration
 	ProgressBytes int64
+	// A body that is read for PaceTime and, at its pace, needs longer than SlowTimeout to end is
+	// slow.
+	SlowTimeout, PaceTime time.Duration
 }
 
 // BudgetFor returns the limits for a machine with the given memory; without a limit if it is 0.
@@ -61,7 +70,7 @@
 	n := int64(float64(memoryBytes) * bodyMemoryShare)
 	return BudgetLimits{
 		Bytes: n, LargeBytes: int64(float64(n) * largeShare), AnswerBytes: int64(float64(n) * answerShare), UsualBytes: maxUsualBytes,
-		StallTimeout: stallTimeout, ProgressBytes: progressBytes,
+		StallTimeout: stallTimeout, ProgressBytes: progressBytes, SlowTimeout: slowTimeout, PaceTime: paceTime,
 	}
 }
 
@@ -74,6 +83,10 @@
 	// flow is what the reservation counts toward; nil for none.
 	flow               *Flow
 	reserved, received int64
+	// length is the announced length, negative if there is none.
+	length int64
+	// openedAt is when the body began, receivedAt when bytes last came.
+	openedAt, receivedAt time.Time
 	// progressedAt is when the body last progressed, which is when received reached markedBytes.
 	progressedAt time.Time
 	markedBytes  int64
@@ -101,9 +114,16 @@
 // Held returns the sum of the reservations.
 func (b *Budget) Held() int64 { return b.shares.held }
 
-// Open adds a body without a reservation that counts toward a flow.
-func (b *Budget) Open(now time.Time, id BodyID, f Flow) {
-	b.bodies[id] = &body{id: id, flow: &f, progressedAt: now}
+// Open adds a body without a reservation that counts toward a flow. length is its announced length,
+// negative if there is none.
+func (b *Budget) Open(now time.Time, id BodyID, f Flow, length int64) {
+	c := newBody(now, id)
+	c.flow, c.length = &f, length
+	b.bodies[id] = c
+}
+
+func newBody(now time.Time, id BodyID) *body {
+	return &body{id: id, length: -1, openedAt: now, receivedAt: now, progressedAt: now}
 }
 
 // find returns the body with the id, or a new one without a flow.
@@ -111,7 +131,7 @@
 	if c := b.bodies[id]; c != nil {
 		return c
 	}
-	return &body{id: id, progressedAt: now}
+	return newBody(now, id)
 }
 
 // Fits reports whether n more bytes for a body could be reserved now. It changes nothing.
@@ -121,7 +141,8 @@
 }
 
 // Reserve reserves n more bytes for a body, which is new and without a flow if its id is unknown.
-// Where there is no room it evicts other bodies that have stalled, if that makes enough room. It returns the evicted bodies, which are
+// Where there is no room it evicts other bodies, if that makes enough room: first those that have
+// stalled, then slow ones of the same client account. It returns the evicted bodies, which are
 // released, and whether the bytes are reserved; if not, nothing is evicted and nothing has changed.
 func (b *Budget) Reserve(now time.Time, id BodyID, n int64) (evicted []BodyID, ok bool) {
 	c := b.find(now, id)
@@ -186,17 +207,26 @@
 
 // evictable returns the bodies that may be evicted for c, in the order of eviction: stalled ones,
 // those of the same account first, then the largest and of the same size the one that has received
-// least.
-func (b *Budget) evictable(now time.Time, c *body) (all []*body) {
+// least; then slow ones of the same account, those of the same flow first, then the one whose end is
+// farthest.
+func (b *Budget) evictable(now time.Time, c *body) []*body {
+	var stalled, slow []*body
 	for _, v := range b.bodies {
-		if v != c && !v.isComplete && !v.isAnswer && v.reserved > 0 && now.Sub(v.progressedAt) >= b.limits.StallTimeout {
-			all = append(all, v)
+		switch {
+		case v == c || v.isComplete || v.isAnswer || v.reserved == 0:
+		case now.Sub(v.progressedAt) >= b.limits.StallTimeout:
+			stalled = append(stalled, v)
+		case c.hasAccountOf(v) && b.isSlow(now, v):
+			slow = append(slow, v)
 		}
 	}
-	slices.SortFunc(all, func(x, y *body) int {
+	slices.SortFunc(stalled, func(x, y *body) int {
 		return cmp.Or(compareBool(c.hasAccountOf(y), c.hasAccountOf(x)), cmp.Compare(y.reserved, x.reserved), cmp.Compare(x.received, y.received), cmp.Compare(x.id, y.id))
 	})
-	return all
+	slices.SortFunc(slow, func(x, y *body) int {
+		return cmp.Or(compareBool(*y.flow == *c.flow, *x.flow == *c.flow), cmp.Compare(y.timeToEnd(now), x.timeToEnd(now)), cmp.Compare(x.id, y.id))
+	})
+	return append(stalled, slow...)
 }
 
 // compareBool orders false before true.
@@ -216,6 +246,22 @@
 	return c.flow != nil && v.flow != nil && c.flow.Account == v.flow.Account
 }
 
+// isSlow reports whether a body needs longer than the slow timeout to end.
+func (b *Budget) isSlow(now time.Time, v *body) bool {
+	return now.Sub(v.openedAt) >= b.limits.PaceTime && v.timeToEnd(now) > b.limits.SlowTimeout
+}
+
+// timeToEnd returns how long a body still takes at its mean pace so far. One without a length is
+// assumed to be half read.
+func (c *body) timeToEnd(now time.Time) time.Duration {
+	remaining := c.received
+	if c.length >= 0 {
+		remaining = c.length - c.received
+	}
+	seconds := now.Sub(c.openedAt).Seconds() * float64(remaining) / float64(max(c.received, 1))
+	return max(time.Duration(min(seconds, maxTimeToEnd.Seconds())*float64(time.Second)), now.Sub(c.receivedAt))
+}
+
 func (b *Budget) isLarge(size int64) bool { return size > b.limits.UsualBytes }
 
 // largePart returns what a body with the given reservation counts toward LargeBytes.
@@ -242,6 +288,7 @@
 		return
 	}
 	c.received += n
+	c.receivedAt = now
 	if c.received-c.markedBytes >= b.limits.ProgressBytes {
 		c.markedBytes, c.progressedAt = c.received, now
 	}
--- a/core/tsintake/crowd_test.go
+++ b/core/tsintake/crowd_test.go
@@ -59,7 +59,7 @@
 	m.lastID++
 	u := &upload{id: m.lastID, size: size, growth: tsintake.Growth{Length: size}}
 	m.open[u.id] = u
-	m.budget.Open(m.now, u.id, f)
+	m.budget.Open(m.now, u.id, f, size)
 	if !m.budget.Fits(m.now, u.id, size) {
 		m.end(u)
 		u.isRefused = true
@@ -166,6 +166,27 @@
 	assert.Assert(t, m.maxHeld <= smallestMachine/4)
 }
 
+// Guards against a crowd whose bodies arrive steadily but slowly, and that keeps the memory from
+// others, also from callers of its own client account.
+func TestBodiesThatDripGiveWay(t *testing.T) {
+	for _, rate := range []int64{6_000, 10_000, 23_000} {
+		rng := rand.New(rand.NewPCG(1, uint64(rate)))
+		assertNoneRefused(t, []tsintake.Flow{otherFlow, crowdFlow}, func(m *machine, i int, u *upload) *upload {
+			if u == nil || u.isRefused || u.isComplete {
+				if u != nil && !u.isRefused {
+					m.end(u)
+				}
+				return m.begin(crowdFlow, 20<<10+rng.Int64N(236<<10))
+			}
+			// Each caller sends twice a second.
+			if (int64(m.now.Sub(start)/tick)+int64(i))%50 == 0 {
+				m.receive(u, rate/2)
+			}
+			return u
+		})
+	}
+}
+
 // Guards against reserving memory for bodies that are only announced.
 func TestAnnouncementsTakeNoMemoryFromOthers(t *testing.T) {
 	rng := rand.New(rand.NewPCG(2, 2))
@@ -198,3 +219,28 @@
 		return u
 	})
 }
+
+// Guards against evicting an honest body on a slow link before those that drip.
+func TestLargeBodyOnASlowLinkOutlastsADrip(t *testing.T) {
+	m := newMachine()
+	large := m.begin(crowdFlow, largestBody)
+	rng := rand.New(rand.NewPCG(3, 3))
+	step := func(m *machine, i int, u *upload) *upload {
+		if i == 0 {
+			// 1 MB a second: the body takes four seconds.
+			m.receive(large, 10_000)
+		}
+		if u == nil || u.isRefused || u.isComplete {
+			if u != nil && !u.isRefused {
+				m.end(u)
+			}
+			return m.begin(crowdFlow, 20<<10+rng.Int64N(236<<10))
+		}
+		if (int64(m.now.Sub(start)/tick)+int64(i))%50 == 0 {
+			m.receive(u, 4_000)
+		}
+		return u
+	}
+	runCrowd(m, nil, step)
+	assert.Assert(t, large.isComplete && !large.isRefused)
+}
--- a/io/tsintake/intake.go
+++ b/io/tsintake/intake.go
@@ -171,7 +171,7 @@
 	defer in.mu.Unlock()
 	now := time.Now()
 	if b.flow != nil {
-		in.budget.Open(now, b.id, *b.flow)
+		in.budget.Open(now, b.id, *b.flow, length)
 	}
 	if in.budget.Fits(now, b.id, max(length, 0)) {
 		return nil
@@ -188,7 +188,7 @@
 
 // errEvicted reports that a body was evicted.
 func errEvicted() error {
-	return turmericshed.NewError(turmericshed.KindOverloaded, "the body stalled while others needed its memory")
+	return turmericshed.NewError(turmericshed.KindOverloaded, "the body came too slowly while others needed its memory")
 }
 
 // Reserve reserves n more bytes. Error: KindOverloaded if there is no room for them, or if the
--- a/load/tshostile/shares_test.go
+++ b/load/tshostile/shares_test.go
@@ -22,9 +22,13 @@
 	// none again.
 	ordinaryRequests = 5
 	ordinaryInterval = 300 * time.Millisecond
-	// leastDripBytes and mostDripBytes bound the announced bodies.
-	leastDripBytes = 20 << 10
-	mostDripBytes  = 256 << 10
+	// leastDripBytes and mostDripBytes bound the bodies of callers that send slowly, leastPieceBytes and
+	// mostPieceBytes what one of them sends every pieceInterval.
+	leastDripBytes  = 20 << 10
+	mostDripBytes   = 256 << 10
+	leastPieceBytes = 2 << 10
+	mostPieceBytes  = 6 << 10
+	pieceInterval   = 500 * time.Millisecond
 	// announcePeriod is how long a connection stays open that sends only a head. It is below any
 	// time after which a body counts as stalled.
 	announcePeriod = 900 * time.Millisecond
@@ -70,6 +74,23 @@
 	return stop
 }
 
+// drip sends a body piece by piece, and waits for the answer.
+func drip(conn net.Conn, rng *rand.Rand) {
+	size := leastDripBytes + rng.IntN(mostDripBytes-leastDripBytes)
+	if _, err := conn.Write(lengthHead(size)); err != nil {
+		return
+	}
+	for size > 0 {
+		n := min(size, leastPieceBytes+rng.IntN(mostPieceBytes-leastPieceBytes))
+		if _, err := conn.Write(ordinaryBody[:n]); err != nil {
+			return
+		}
+		size -= n
+		time.Sleep(pieceInterval)
+	}
+	readAnswer(conn)
+}
+
 // announce sends the head of a request with a body, and nothing of the body.
 func announce(conn net.Conn, rng *rand.Rand) {
 	size := leastDripBytes + rng.IntN(mostDripBytes-leastDripBytes)
@@ -117,6 +138,10 @@
 	g.assertBounds(s, stop)
 }
 
+// Guards against a crowd whose bodies arrive steadily but slowly, and that keeps the memory for
+// bodies from others.
+func TestBodiesThatDrip(t *testing.T) { steadyCrowd(t, drip) }
+
 // Guards against reserving memory for bodies of which nothing has come.
 func TestAnnouncedBodiesThatNeverCome(t *testing.T) { steadyCrowd(t, announce) }
 
