Intake: bound what callers' bytes take in the kernel

What callers saw: 1,000 connections of one client account that write eight requests of 60 KB at once took 193 MB on a machine of 112: 75 MB resident and 117 MB in receive buffers.

Cause: 24 KiB are counted for a connection, while up to 128 KiB of the next requests wait in the kernel, for connections that are not accepted yet as well. The present tests lower the descriptors to 500, so that their crowd is too small to show it.

Change: the listener has the least buffer, 4 KiB, which a connection takes over before it is accepted. An accepted one gets a hundredth of what is left of 15% of the memory, up to 64 KiB as before: the first ones all of it, and all together a bounded sum. The window is raised with the buffer, since a connection otherwise keeps that of the listener.

Ruled out: a smaller buffer while a request runs, since the kernel doesn't take back a window that it has announced; closing connections by what they hold, since a crowd that writes at one moment is over the limit before it is counted.

TestLargestBodyInACalmPeriod: one body of 4 MiB is served as before.

--- a/core/tsintake/conns.go
+++ b/core/tsintake/conns.go
@@ -28,11 +28,18 @@
 	refusedMemoryShare = 0.1
 	// minConns is the least number of connections in any limit.
 	minConns = 16
-	// SocketBufferBytes is the size of each of the kernel's two buffers of a connection
+	// SocketBufferBytes is the largest size of each of the kernel's two buffers of a connection
 	// to a caller or a backend server. The kernel doubles it for its own overhead, and does not
 	// enlarge it, to up to 32 MiB, for a party that sends faster than it is read, or that
 	// reads slowly. It lets a connection carry 10 MB/s at a round trip of 6 ms.
 	SocketBufferBytes = 64 << 10
+	// LeastSocketBufferBytes is the least size, that of a connection which is not accepted yet.
+	LeastSocketBufferBytes = 4 << 10
+	// bufferMemoryShare is the share of a machine's memory for receive buffers of callers'
+	// connections beyond the least size. Of what is left of it, a new connection gets
+	// one part of bufferParts.
+	bufferMemoryShare = 0.15
+	bufferParts       = 100
 )
 
 // ConnState is what a caller's connection is used for.
@@ -66,6 +73,9 @@
 	Total, Awaiting, Refused int
 	// HeadBytes is the most bytes of heads that are being read on all connections.
 	HeadBytes int64
+	// BufferBytes is the most memory for receive buffers in the kernel, beyond those of the least
+	// size.
+	BufferBytes int64
 }
 
 // ConnsFor returns the limits for a machine with the given memory and descriptors; 0 means that
@@ -76,6 +86,7 @@
 		m := float64(memoryBytes)
 		l.Total = max(int(m*connMemoryShare/connBytes), minConns)
 		l.HeadBytes = int64(m * headMemoryShare)
+		l.BufferBytes = int64(m * bufferMemoryShare)
 		l.Refused = max(int(m*refusedMemoryShare/(2*SocketBufferBytes)), minConns)
 	}
 	if descriptors > 0 {
@@ -97,6 +108,8 @@
 	state     ConnState
 	since     time.Time
 	headBytes int64
+	// bufferBytes is what its receive buffer takes of the limit.
+	bufferBytes int64
 	// flow is what its running request counts toward; nil while it has none.
 	flow    *Flow
 	element *list.Element
@@ -110,6 +123,8 @@
 	// byState holds the connections of each state, the one that is in it for longest first.
 	byState   [ConnStates]list.List
 	headBytes int64
+	// bufferBytes is the sum of what the receive buffers take of the limit.
+	bufferBytes int64
 	// running holds the number of requests that are read or run.
 	running *shares
 }
@@ -230,6 +245,24 @@
 	}
 }
 
+// ReceiveBuffer returns the size in bytes of a new connection's receive buffer in the kernel, and
+// counts it. The fewer bytes are left of the limit, the smaller it is.
+func (c *Conns) ReceiveBuffer(id ConnID) int {
+	cc := c.conns[id]
+	if cc == nil {
+		return LeastSocketBufferBytes
+	}
+	// The kernel doubles the size.
+	part := (c.limits.BufferBytes - c.bufferBytes) / bufferParts / 2
+	size := min(max(part, LeastSocketBufferBytes), SocketBufferBytes)
+	cc.bufferBytes = 2 * (size - LeastSocketBufferBytes)
+	c.bufferBytes += cc.bufferBytes
+	return int(size)
+}
+
+// BufferBytes returns the memory for receive buffers in the kernel, beyond those of the least size.
+func (c *Conns) BufferBytes() int64 { return c.bufferBytes }
+
 // HeadReceived records n bytes of a head that is being read, and returns the connections to close,
 // which are removed: those with the most bytes of a head, while the heads together exceed their
 // limit.
@@ -264,6 +297,7 @@
 	}
 	c.byState[cc.state].Remove(cc.element)
 	c.headBytes -= cc.headBytes
+	c.bufferBytes -= cc.bufferBytes
 	c.endRequest(cc)
 	delete(c.conns, id)
 }
--- a/core/tsintake/conns_test.go
+++ b/core/tsintake/conns_test.go
@@ -195,3 +195,28 @@
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, toClose, []tsintake.ConnID{1})
 }
+
+// Guards against receive buffers in the kernel that together exceed their share of the memory, and
+// against small ones on a machine with few connections.
+func TestReceiveBuffersAreBounded(t *testing.T) {
+	l := tsintake.ConnsFor(smallestMachine, 4100)
+	c := tsintake.NewConns(l)
+	held := int64(0)
+	for id := range l.Total {
+		_, ok := c.Open(start, tsintake.ConnID(id+1))
+		assert.Assert(t, ok)
+		c.SetState(start, tsintake.ConnID(id+1), tsintake.Running)
+		size := c.ReceiveBuffer(tsintake.ConnID(id + 1))
+		if id < 20 {
+			assert.Equal(t, size, tsintake.SocketBufferBytes)
+		}
+		held += 2 * int64(size-tsintake.LeastSocketBufferBytes)
+	}
+	assert.Assert(t, held <= l.BufferBytes, "%d bytes", held)
+	for id := range l.Total {
+		c.Close(tsintake.ConnID(id + 1))
+	}
+	_, ok := c.Open(start, 1)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.ReceiveBuffer(1), tsintake.SocketBufferBytes, "closed connections give theirs back")
+}
--- a/io/tsintake/conn.go
+++ b/io/tsintake/conn.go
@@ -21,11 +21,14 @@
 )
 
 // Listener returns a listener that closes connections over the limits: others than the new one
-// where that is possible. The kernel's receive buffers of its connections are bounded.
+// where that is possible. The kernel's receive buffers of its connections are bounded, those that
+// are not accepted yet included.
 func (in *Intake) Listener(ln net.Listener) net.Listener {
 	if in == nil {
 		return ln
 	}
+	// A connection takes the size over from the listener before it is accepted.
+	in.boundBuffers(ln, tsintake.LeastSocketBufferBytes)
 	return &listener{ln, in}
 }
 
@@ -55,8 +58,10 @@
 	cc := &conn{Conn: c, in: in, id: tsintake.ConnID(in.lastID)}
 	cc.readsHead.Store(true)
 	toClose, ok := in.conns.Open(time.Now(), cc.id)
+	bufferBytes := 0
 	if ok {
 		in.open[cc.id] = cc
+		bufferBytes = in.conns.ReceiveBuffer(cc.id)
 	}
 	victims := in.takeOut(toClose)
 	in.mu.Unlock()
@@ -65,7 +70,7 @@
 		in.noteClosed(1, reasonConnections)
 		return nil, false
 	}
-	in.boundBuffers(cc)
+	in.boundBuffers(cc, bufferBytes)
 	return cc, true
 }
 
@@ -76,7 +81,7 @@
 		if err != nil {
 			return nil, err
 		}
-		in.boundBuffers(c)
+		in.boundBuffers(c, tsintake.SocketBufferBytes)
 		return c, nil
 	}
 }
@@ -84,20 +89,21 @@
 // DialFunc opens a connection.
 type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// boundBuffers sets the sizes of a connection's buffers in the kernel where the machine's memory
-// is known.
-func (in *Intake) boundBuffers(c net.Conn) {
+// boundBuffers sets the sizes of the kernel's buffers of a connection or a listener where the
+// machine's memory is known.
+func (in *Intake) boundBuffers(c any, bytes int) {
 	if in.limits.HeadBytes <= 0 {
 		return
 	}
-	err := setBuffers(c, tsintake.SocketBufferBytes)
+	err := setBuffers(c, bytes)
 	if err != nil && in.log != nil {
-		in.log.Debug("cannot bound the buffers of a connection", "error", err.Error())
+		in.log.Debug("cannot bound the kernel's buffers", "error", err.Error())
 	}
 }
 
-// setBuffers sets the sizes of both buffers; the kernel adds as much for its own overhead.
-func setBuffers(c net.Conn, bytes int) error {
+// setBuffers sets the sizes of both buffers; the kernel adds as much for its own overhead. The
+// window that is announced to the peer grows up to the size.
+func setBuffers(c any, bytes int) error {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return nil
@@ -111,6 +117,8 @@
 		for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
 			setErr = errors.Join(setErr, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, bytes))
 		}
+		// Without it, a connection keeps the window of the listener's buffer.
+		setErr = errors.Join(setErr, unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes))
 	})
 	return errors.Join(err, setErr)
 }
--- a/io/tsintake/intake.go
+++ b/io/tsintake/intake.go
@@ -99,6 +99,13 @@
 		defer in.mu.Unlock()
 		return float64(in.budget.Held())
 	}))
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "turmericshed_caller_receive_buffer_bytes", Help: "Most bytes of callers that may wait in the kernel, beyond the least for each connection.",
+	}, func() float64 {
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		return float64(in.conns.BufferBytes())
+	}))
 	for _, s := range []tsintake.ConnState{tsintake.AwaitingHead, tsintake.ReadingBody, tsintake.Running, tsintake.Refused, tsintake.Idle} {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "turmericshed_caller_connections", Help: "Open connections of callers by state.",
--- a/load/tshostile/shares_test.go
+++ b/load/tshostile/shares_test.go
@@ -149,6 +149,28 @@
 // keep the memory from other accounts and services.
 func TestBodiesThatWaitForASlowService(t *testing.T) { steadyCrowd(t, askSlowServer) }
 
+const (
+	// pipeliningCallers send pipelinedRequests each, without waiting for an answer.
+	pipeliningCallers  = 1000
+	pipelinedRequests  = 8
+	pipelinedBodyBytes = 60_000
+)
+
+// Guards against requests that are sent ahead and wait in the kernel's buffers.
+func TestRequestsSentAhead(t *testing.T) {
+	g := startWithDeskAnd(t, deploymentDescriptors, map[string][]byte{})
+	s := startSampler(g.cmd.Process.Pid, g.callerPort)
+	var c crowd
+	body := bytes.Repeat([]byte("x"), pipelinedBodyBytes)
+	c.sendFrom(pipeliningCallers, g.callerAddr, func(int) (pieces [][]byte) {
+		for range pipelinedRequests {
+			pieces = append(pieces, lengthHead(pipelinedBodyBytes), body)
+		}
+		return pieces
+	})
+	g.assertBounds(s, c.close)
+}
+
 // A single request inside the limits is served in a calm period.
 func TestLargestBodyInACalmPeriod(t *testing.T) {
 	g := startWithDeskAnd(t, deploymentDescriptors, map[string][]byte{})
