Stop: refuse requests whose bodies are not complete at once

What callers saw: a request whose body was not complete when requests were no longer sent to servers could not be served any more, and was held until its connection was cut off at the end of the stop, without an answer. The process exited with status 1: gateway after 9.7 s, with the crowd, entry after 13 s.

Cause: a connection on which a body is read counts as one with a running request, for which a stop waits.

Change: Intake.StopReading ends the bodies that are still read, and later ones, with draining, which promises that nothing ran; another entry VM may serve the request. The relay calls it when it stops sending requests to servers, entry before it shuts its server down.

--- a/io/tsentry/entry.go
+++ b/io/tsentry/entry.go
@@ -257,6 +257,7 @@
 	case <-time.After(min(notReadyDelay, e.cfg.DrainTimeout/4)):
 	case <-ctx.Done():
 	}
+	e.deps.Intake.StopReading(turmericshed.NewError(turmericshed.KindDraining, "this entry VM is stopping"))
 	err := srv.Shutdown(ctx)
 	e.stopGenerations()
 	(&canceler{e}).cancelAll(ctx)
--- a/io/tsentry/request.go
+++ b/io/tsentry/request.go
@@ -132,7 +132,7 @@
 	case turmericshed.KindNone:
 	case turmericshed.KindTooLarge:
 		return turmericshed.NewError(turmericshed.KindTooLarge, "body is over %d bytes", maxBodyBytes)
-	case turmericshed.KindOverloaded:
+	case turmericshed.KindOverloaded, turmericshed.KindDraining:
 		return err
 	default:
 		return turmericshed.NewError(turmericshed.KindBadRequest, "body could not be read whole")
--- a/io/tsintake/intake.go
+++ b/io/tsintake/intake.go
@@ -65,6 +65,8 @@
 	conns  *tsintake.Conns
 	open   map[tsintake.ConnID]*conn
 	lastID uint64
+	// stopped is why no bodies are read any more; nil before that.
+	stopped error
 	// loggedAt is when closed connections were last logged, closedSince how many were closed
 	// since then.
 	loggedAt    time.Time
@@ -136,8 +138,10 @@
 	isAnswer bool
 	// flow is what a request's body counts toward; nil for none.
 	flow *tsintake.Flow
-	// isEvicted is true once the reservation was given to others. in.mu must be held.
-	isEvicted bool
+	// ended is why the body is no longer read, nil while it may be; isComplete is true once it was
+	// read to its end. in.mu must be held.
+	ended      error
+	isComplete bool
 }
 
 // NewBody returns a Body without a reservation. interrupt ends the reading of the body; it must
@@ -168,7 +172,7 @@
 }
 
 // open adds a request's body with the announced length to the budget. Error: KindOverloaded if the
-// length doesn't fit.
+// length doesn't fit; that of StopReading.
 func (b *Body) open(length int64) error {
 	if b == nil {
 		return nil
@@ -176,6 +180,9 @@
 	in := b.in
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if in.stopped != nil {
+		return in.stopped
+	}
 	now := time.Now()
 	if b.flow != nil {
 		in.budget.Open(now, b.id, *b.flow, length)
@@ -207,8 +214,8 @@
 	in := b.in
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if b.isEvicted {
-		return errEvicted()
+	if b.ended != nil {
+		return b.ended
 	}
 	var evicted []tsintake.BodyID
 	var ok bool
@@ -218,9 +225,7 @@
 		evicted, ok = in.budget.Reserve(time.Now(), b.id, n)
 	}
 	for _, id := range evicted {
-		v := in.bodies[id]
-		v.isEvicted = true
-		v.interrupt()
+		in.bodies[id].end(errEvicted())
 		in.refused.WithLabelValues(reasonStalled).Inc()
 	}
 	if ok {
@@ -242,31 +247,52 @@
 	b.in.budget.Received(time.Now(), b.id, int64(n))
 }
 
-// complete records that the body was read to its end. Error: KindOverloaded if it was evicted.
+// complete records that the body was read to its end. Errors: KindOverloaded if it was evicted;
+// that of StopReading.
 func (b *Body) complete(size int64) error {
 	if b == nil {
 		return nil
 	}
 	b.in.mu.Lock()
 	defer b.in.mu.Unlock()
-	if b.isEvicted {
-		return errEvicted()
+	if b.ended != nil {
+		return b.ended
 	}
+	b.isComplete = true
 	b.in.budget.Complete(b.id, size)
 	return nil
 }
 
-// evictedError returns KindOverloaded if the body was evicted, else nil.
-func (b *Body) evictedError() error {
+// endedError returns why the body is no longer read, nil while it may be.
+func (b *Body) endedError() error {
 	if b == nil {
 		return nil
 	}
 	b.in.mu.Lock()
 	defer b.in.mu.Unlock()
-	if b.isEvicted {
-		return errEvicted()
+	return b.ended
+}
+
+// end ends the reading of the body. in.mu must be held.
+func (b *Body) end(err error) {
+	b.ended = err
+	b.interrupt()
+}
+
+// StopReading ends the reading of all bodies that are not complete, and of later ones, with err. A
+// process that stops calls it once requests that are not complete would be refused.
+func (in *Intake) StopReading(err error) {
+	if in == nil {
+		return
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.stopped = err
+	for _, b := range in.bodies {
+		if !b.isAnswer && !b.isComplete && b.ended == nil {
+			b.end(err)
+		}
 	}
-	return nil
 }
 
 // Release frees the reservation. The memory must not be in use any more, except by the garbage
--- a/io/tsintake/intake_test.go
+++ b/io/tsintake/intake_test.go
@@ -111,6 +111,25 @@
 	stalled.Release()
 }
 
+// Guards against a stop that waits for bodies that never end, and against ending complete ones.
+func TestStopEndsBodiesThatAreRead(t *testing.T) {
+	in := newIntake()
+	s := stuckReader{strings.NewReader("first bytes"), make(chan struct{})}
+	ended := make(chan error)
+	stuck := in.NewBody(func() { close(s.interrupt) })
+	go func() {
+		_, err := stuck.ReadAll(s, 1000)
+		ended <- err
+	}()
+	_, err := in.NewBody(func() { t.Error("a complete body was ended") }).ReadAll(strings.NewReader("body"), 4)
+	assert.NilError(t, err)
+	stopping := errors.New("stopping")
+	in.StopReading(stopping)
+	assert.ErrorIs(t, <-ended, stopping)
+	_, err = in.NewBody(func() {}).ReadAll(strings.NewReader("body"), 4)
+	assert.ErrorIs(t, err, stopping)
+}
+
 // Guards against passing on a body that ends early, or is longer than announced, as whole.
 func TestReadAllReportsOtherErrors(t *testing.T) {
 	broken := errors.New("broken")
--- a/io/tsintake/read.go
+++ b/io/tsintake/read.go
@@ -10,7 +10,7 @@
 // ReadAll reads r to its end, into blocks. length is the announced length, negative if there is none.
 // Nothing is read of a body whose announced length doesn't fit, and each block is reserved before it
 // is read. Errors: KindOverloaded where the memory is not reserved, or is needed by others and the
-// body has stalled or is slow; errors of r.
+// body has stalled or is slow; that of StopReading; errors of r.
 func (b *Body) ReadAll(r io.Reader, length int64) (parts [][]byte, err error) {
 	if err := b.open(length); err != nil {
 		return nil, err
@@ -35,8 +35,8 @@
 		case errors.Is(err, io.EOF):
 			return parts, b.complete(size)
 		case err != nil:
-			if evicted := b.evictedError(); evicted != nil {
-				return nil, evicted
+			if ended := b.endedError(); ended != nil {
+				return nil, ended
 			}
 			return nil, err
 		case length >= 0 && size > length:
--- a/io/tsintake/request.go
+++ b/io/tsintake/request.go
@@ -63,7 +63,8 @@
 // ReadBody reads the complete body into memory, so that it can be sent more than once. maxBytes is
 // the most bytes that a body may have, 0 for no limit, and timeout bounds the reading. The request
 // counts toward its flow. Errors: KindTooLarge; KindOverloaded if the flow has no share left, the
-// memory is taken, or is needed by others and the body comes too slowly; KindCanceled.
+// memory is taken, or is needed by others and the body comes too slowly; KindDraining after
+// StopReading; KindCanceled.
 func (q *Request) ReadBody(f tsintake.Flow, maxBytes int64, timeout time.Duration) ([][]byte, error) {
 	if maxBytes > 0 && q.r.ContentLength > maxBytes {
 		return nil, q.tooLarge(maxBytes)
@@ -91,7 +92,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, q.tooLarge(maxBytes)
-	case turmericshed.KindOf(err) == turmericshed.KindOverloaded:
+	case turmericshed.KindOf(err) == turmericshed.KindOverloaded, turmericshed.KindOf(err) == turmericshed.KindDraining:
 		return nil, err
 	case err != nil:
 		return nil, turmericshed.WrapError(turmericshed.KindCanceled, err, "reading the request body failed")
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -168,6 +168,11 @@
 	if stop == nil || now.Before(stop.acceptUntil) && (q.route.Repeatable || !q.deadline.After(stop.cutAt)) {
 		return nil
 	}
+	return errStopping()
+}
+
+// errStopping returns the error for a request that came too late before a stop.
+func errStopping() error {
 	// Another entry VM may serve the request at once.
 	return turmericshed.WithRetryAfter(turmericshed.NewError(turmericshed.KindDraining, "this entry VM is stopping"), 0)
 }
--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -93,6 +93,7 @@
 	s.relay.Stop(began.Add(acceptPeriod), cutAt)
 	s.log.Info("stopping", "timeout_ms", timeout.Milliseconds())
 	time.Sleep(acceptPeriod)
+	s.relay.cfg.Intake.StopReading(errStopping())
 	err := ln.Close()
 	// Serve has closed the listener as well when it returns.
 	if serveErr := <-served; !errors.Is(serveErr, net.ErrClosed) {
