Gateway: bound the connections to the ports for operators

What callers saw: nothing yet; a test of what was not looked at. 700 connections to the readiness or the metrics port that ask once and stay open took 719 descriptors where 500 are allowed, which callers' and servers' connections need.

Cause: these servers close connections without a whole head after 2 s, but idle ones never.

Change: both ports together take at most 64 connections, decided as for callers: an idle one gives way to a new one, so that probes are always answered.

Evidence: TestIdleConnectionsToTheOperatorsPorts, with the real program: 719 descriptors before, 81 now, and readiness is answered beside the crowd.

--- a/core/tsintake/conns.go
+++ b/core/tsintake/conns.go
@@ -99,6 +99,15 @@
 	return l
 }
 
+// AtMost returns the limits for at most n connections; 0 means no other limit.
+func (l ConnLimits) AtMost(n int) ConnLimits {
+	if n > 0 && (l.Total == 0 || n < l.Total) {
+		l.Total = n
+		l.Awaiting = int(float64(n) * awaitingShare)
+	}
+	return l
+}
+
 // ConnID identifies a connection.
 type ConnID uint64
 
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -78,6 +78,8 @@
 	// headerTimeout bounds reading the headers of readiness checks and of
 	// metrics requests.
 	headerTimeout = 2 * time.Second
+	// operatorConns is the most connections to the ports for readiness checks and metrics together.
+	operatorConns = 64
 	// peerStopTimeout bounds the wait for calls from other entry VMs that are in
 	// flight when the peer server stops.
 	peerStopTimeout = 100 * time.Millisecond
@@ -470,17 +472,19 @@
 
 // serveOperatorEndpoints serves readiness checks and metrics until stop is called.
 func (g *Gateway) serveOperatorEndpoints() (stop func()) {
-	readiness := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	// Probes and scrapers use a few connections.
+	intake := tsintake.New(tsintake.Config{MaxConns: operatorConns, Log: tsobserve.WithPrefix(g.log, "operators")})
+	readiness := &http.Server{ReadHeaderTimeout: headerTimeout, ConnState: tsintake.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !g.relay.Ready() || len(g.board.Servers.Read()) == 0 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", g.metrics.Handler())
-	metrics := &http.Server{ReadHeaderTimeout: headerTimeout, Handler: mux}
+	metrics := &http.Server{ReadHeaderTimeout: headerTimeout, ConnState: tsintake.TrackState, Handler: mux}
 	for srv, ln := range map[*http.Server]net.Listener{readiness: g.readyListener, metrics: g.metricsListener} {
 		go func() {
-			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := srv.Serve(intake.Listener(ln)); !errors.Is(err, http.ErrServerClosed) {
 				g.log.Error("listener stopped unexpectedly", "addr", ln.Addr().String(), "error", err.Error())
 			}
 		}()
--- a/io/tsintake/intake.go
+++ b/io/tsintake/intake.go
@@ -44,6 +44,9 @@
 	// process; 0 means unknown and sets no limit.
 	MemoryBytes int64
 	Descriptors int
+	// MaxConns is the most connections, where memory and descriptors allow more; 0 means no other
+	// limit.
+	MaxConns int
 	// BodyCopies is how often a process holds the bytes of a body while it serves the request; 0
 	// means once.
 	BodyCopies int
@@ -75,7 +78,7 @@
 
 // New returns an Intake without bodies and connections.
 func New(cfg Config) *Intake {
-	limits := tsintake.ConnsFor(cfg.MemoryBytes, cfg.Descriptors)
+	limits := tsintake.ConnsFor(cfg.MemoryBytes, cfg.Descriptors).AtMost(cfg.MaxConns)
 	in := &Intake{
 		log: cfg.Log, limits: limits,
 		budget: tsintake.NewBudget(tsintake.BudgetFor(cfg.MemoryBytes / int64(max(cfg.BodyCopies, 1)))), bodies: make(map[tsintake.BodyID]*Body),
--- a/load/tshostile/callers_test.go
+++ b/load/tshostile/callers_test.go
@@ -218,3 +218,28 @@
 	assert.Assert(t, len(c.conns) > 0)
 	g.assertBounds(s, c.close)
 }
+
+// Guards against idle connections to the ports for operators that use up the descriptors.
+func TestIdleConnectionsToTheOperatorsPorts(t *testing.T) {
+	for name, addrOf := range map[string]func(g *gateway) string{
+		"readiness": func(g *gateway) string { return g.ready.String() },
+		"control":   func(g *gateway) string { return g.control.String() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startWithDesk(t)
+			s := startSampler(g.cmd.Process.Pid, g.callerPort)
+			var c crowd
+			for range idleConnections {
+				conn := c.dial(addrOf(g))
+				if conn == nil {
+					break
+				}
+				_, err := conn.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+				_ = err // The gateway may have closed the connection.
+			}
+			time.Sleep(stallPeriod)
+			g.awaitReady()
+			g.assertBounds(s, c.close)
+		})
+	}
+}
--- a/load/tshostile/rig_test.go
+++ b/load/tshostile/rig_test.go
@@ -97,7 +97,8 @@
 // gateway is one gateway process.
 type gateway struct {
 	*process
-	ready *net.TCPAddr
+	// ready and control are the addresses for readiness checks and for metrics.
+	ready, control *net.TCPAddr
 }
 
 // machine is an entry VM on which gateway processes run one after another.
@@ -129,7 +130,7 @@
 func (m *machine) start() *gateway {
 	m.writeSettings(defaultRetrySlack)
 	m.starts++
-	g := &gateway{startProcess(m.t, exec.Command(command, "gateway", "-config", m.settings), servingAddr), m.ready}
+	g := &gateway{startProcess(m.t, exec.Command(command, "gateway", "-config", m.settings), servingAddr), m.ready, m.control}
 	g.descriptors = m.descriptors
 	return g
 }
