--- a/load/tshostile/callers_test.go
+++ b/load/tshostile/callers_test.go
@@ -33,6 +33,9 @@
 
 // crowd is a group of connections to a process.
 type crowd struct {
+	// receiveBuffer is the size of the callers' receive buffers in bytes, 0 for the usual one.
+	receiveBuffer int
+
 	mu       sync.Mutex
 	conns    []net.Conn
 	isClosed bool
@@ -44,6 +47,9 @@
 	if err != nil {
 		return nil
 	}
+	if tcp, ok := conn.(*net.TCPConn); ok && c.receiveBuffer > 0 {
+		_ = tcp.SetReadBuffer(c.receiveBuffer)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isClosed {
--- a/load/tshostile/memory_test.go
+++ b/load/tshostile/memory_test.go
@@ -17,31 +17,31 @@
 
 // usage is what a process holds of its machine.
 type usage struct {
-	residentBytes, receiveBytes int64
-	descriptors                 int
+	residentBytes, socketBytes int64
+	descriptors                int
 }
 
-// total is the memory that counts against the machine's: resident pages and received bytes that
-// wait in the kernel.
-func (u usage) total() int64 { return u.residentBytes + u.receiveBytes }
+// total is the memory that counts against the machine's: resident pages, and bytes that wait in the
+// kernel to be read or to be sent.
+func (u usage) total() int64 { return u.residentBytes + u.socketBytes }
 
 // sampler records the peaks of a process's usage until it is stopped.
 type sampler struct {
 	pid, port int
-	// serverPort is the port of a backend server, 0 for none. The receive buffers of connections
-	// to it count as well.
+	// serverPort is the port of a backend server, 0 for none. The buffers of connections to it
+	// count as well.
 	serverPort int
 	stop       chan struct{}
 	done       chan struct{}
 
 	peak usage
-	// peakTotal is the largest sum of resident and receive bytes at one time.
+	// peakTotal is the largest total at one time.
 	peakTotal int64
 	err       error
 }
 
-// startSampler samples the process until stopped. port is the caller port, whose sockets'
-// receive buffers count.
+// startSampler samples the process until stopped. port is the caller port, whose sockets' buffers
+// count.
 func startSampler(pid, port int) *sampler { return startSamplerWith(pid, port, 0) }
 
 // startSamplerWith is startSampler with the port of a backend server, whose connections count.
@@ -62,18 +62,18 @@
 }
 
 func (s *sampler) sample() {
-	received, err := receiveBytes(s.port, 0)
+	buffered, err := socketBytes(s.port, 0)
 	if err == nil && s.serverPort != 0 {
 		var fromServers int64
-		fromServers, err = receiveBytes(0, s.serverPort)
-		received += fromServers
+		fromServers, err = socketBytes(0, s.serverPort)
+		buffered += fromServers
 	}
 	if err != nil {
 		s.err = err
 	}
-	u := usage{residentBytes: residentBytes(s.pid), receiveBytes: received, descriptors: descriptorCount(s.pid)}
+	u := usage{residentBytes: residentBytes(s.pid), socketBytes: buffered, descriptors: descriptorCount(s.pid)}
 	s.peak.residentBytes = max(s.peak.residentBytes, u.residentBytes)
-	s.peak.receiveBytes = max(s.peak.receiveBytes, u.receiveBytes)
+	s.peak.socketBytes = max(s.peak.socketBytes, u.socketBytes)
 	s.peak.descriptors = max(s.peak.descriptors, u.descriptors)
 	s.peakTotal = max(s.peakTotal, u.total())
 }
@@ -114,11 +114,15 @@
 	diagRequestBytes  = 56
 	diagAnswerBytes   = 72
 	attrHeaderBytes   = 4
+	// The places in the attribute are those of linux/sock_diag.h.
+	skMemInfoReceived = 0
+	skMemInfoQueued   = 5
+	memInfoBytes      = 4
 )
 
-// receiveBytes returns the memory that the kernel holds for received bytes that are not read yet,
-// in all TCP sockets of a local and of a remote port; 0 stands for any.
-func receiveBytes(port, remotePort int) (int64, error) {
+// socketBytes returns the memory that the kernel holds for bytes that are not read yet, or not
+// received by the peer, in all TCP sockets of a local and of a remote port; 0 stands for any.
+func socketBytes(port, remotePort int) (int64, error) {
 	fd, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_RAW|unix.SOCK_CLOEXEC, unix.NETLINK_SOCK_DIAG)
 	if err != nil {
 		return 0, err
@@ -126,7 +130,7 @@
 	defer func() { _ = unix.Close(fd) }()
 	var sum int64
 	for _, family := range []byte{unix.AF_INET, unix.AF_INET6} {
-		n, err := receiveBytesOf(fd, family, port, remotePort)
+		n, err := socketBytesOf(fd, family, port, remotePort)
 		if err != nil {
 			return 0, err
 		}
@@ -135,7 +139,7 @@
 	return sum, nil
 }
 
-func receiveBytesOf(fd int, family byte, port, remotePort int) (sum int64, err error) {
+func socketBytesOf(fd int, family byte, port, remotePort int) (sum int64, err error) {
 	order := binary.NativeEndian
 	req := make([]byte, unix.NLMSG_HDRLEN+diagRequestBytes)
 	order.PutUint32(req, uint32(len(req)))
@@ -167,23 +171,24 @@
 				return 0, unix.EIO
 			}
 			if payload := msg[unix.NLMSG_HDRLEN:size]; len(payload) > diagAnswerBytes {
-				sum += receiveAlloc(payload[diagAnswerBytes:])
+				sum += heldBytes(payload[diagAnswerBytes:])
 			}
 			msg = msg[min((size+3)&^3, len(msg)):]
 		}
 	}
 }
 
-// receiveAlloc returns the receive memory from the attributes of one socket.
-func receiveAlloc(attrs []byte) int64 {
+// heldBytes returns the memory of one socket from its attributes.
+func heldBytes(attrs []byte) int64 {
 	order := binary.NativeEndian
 	for len(attrs) >= attrHeaderBytes {
 		size := int(order.Uint16(attrs))
 		if size < attrHeaderBytes || size > len(attrs) {
 			return 0
 		}
-		if order.Uint16(attrs[2:]) == inetDiagSkMemInfo && size >= attrHeaderBytes+4 {
-			return int64(order.Uint32(attrs[attrHeaderBytes:]))
+		if order.Uint16(attrs[2:]) == inetDiagSkMemInfo && size >= attrHeaderBytes+memInfoBytes*(skMemInfoQueued+1) {
+			info := attrs[attrHeaderBytes:]
+			return int64(order.Uint32(info[memInfoBytes*skMemInfoReceived:])) + int64(order.Uint32(info[memInfoBytes*skMemInfoQueued:]))
 		}
 		attrs = attrs[min((size+3)&^3, len(attrs)):]
 	}
--- a/load/tshostile/rig_test.go
+++ b/load/tshostile/rig_test.go
@@ -269,7 +269,7 @@
 func (p *process) assertLimits(s *sampler) {
 	p.t.Helper()
 	s.finish(p.t)
-	p.t.Logf("peak: resident %d kB, receive buffers %d kB, together %d kB; %d descriptors", s.peak.residentBytes>>10, s.peak.receiveBytes>>10, s.peakTotal>>10, s.peak.descriptors)
+	p.t.Logf("peak: resident %d kB, socket buffers %d kB, together %d kB; %d descriptors", s.peak.residentBytes>>10, s.peak.socketBytes>>10, s.peakTotal>>10, s.peak.descriptors)
 	assert.Assert(p.t, p.isAlive(), "the process has ended")
 	assert.Assert(p.t, s.peakTotal <= memoryMB*1_000_000, "%d bytes of memory, the machine has %d MB", s.peakTotal, memoryMB)
 	assert.Assert(p.t, s.peak.descriptors <= p.descriptors, "%d descriptors, the limit is %d", s.peak.descriptors, p.descriptors)
--- a/load/tshostile/servers_test.go
+++ b/load/tshostile/servers_test.go
@@ -122,6 +122,28 @@
 	})
 }
 
+// manyCallers is the number of callers in a large crowd, usualAnswerBytes the size of an answer that
+// the kernel could hold for each.
+const (
+	manyCallers      = 1000
+	usualAnswerBytes = 200 << 10
+)
+
+// Guards against answers that wait in the kernel for many callers that don't read them.
+func TestAnswersToManyCallersThatDoNotRead(t *testing.T) {
+	body := bytes.Repeat([]byte("x"), usualAnswerBytes)
+	server := startOddServer(t, func(c net.Conn, id string) {
+		_, _ = c.Write(append(replyHead(200, id, fmt.Sprintf("Content-Length: %d\r\n", len(body))), body...))
+	})
+	g := startWithDeskAnd(t, deploymentDescriptors, map[string][]byte{"odd-0": server.entry()})
+	s := startSamplerWith(g.cmd.Process.Pid, g.callerPort, server.port())
+	c := crowd{receiveBuffer: 4 << 10}
+	c.sendFrom(manyCallers, g.callerAddr, func(int) [][]byte {
+		return [][]byte{fmt.Appendf(nil, "GET /odd/1 HTTP/1.1\r\nHost: corner.example\r\nAttempt-Id: %s\r\nCredential: k1\r\nDeadline-Remaining: 8000\r\n\r\n", turmericshed.NewID("a-"))}
+	})
+	g.assertBounds(s, c.close)
+}
+
 // Guards against holding heads that never end.
 func TestEndlessHeadsOfServers(t *testing.T) {
 	line := append(append([]byte("X-Line: "), bytes.Repeat([]byte("x"), 1000)...), "\r\n"...)
