--- a/io/tsmeter/conn.go
+++ b/io/tsmeter/conn.go
@@ -29,11 +29,8 @@
 }
 
 // SyscallConn returns the raw connection. Error: EINVAL if the connection has none.
-func (c *conn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
-
-// rawConn returns the raw connection of a connection or a listener.
-func rawConn(c any) (syscall.RawConn, error) {
-	sc, ok := c.(syscall.Conn)
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, syscall.EINVAL
 	}
--- a/io/tsmeter/meter.go
+++ b/io/tsmeter/meter.go
@@ -16,7 +16,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -157,9 +156,6 @@
 	return l.meter.wrap(l.party, c), nil
 }
 
-// SyscallConn returns the raw listener. Error: EINVAL if the listener has none.
-func (l *listener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
-
 func (m *Meter) wrap(p Party, c net.Conn) net.Conn {
 	m.counters[p].opened.Add(1)
 	return &conn{Conn: c, meter: m, party: p}
