Intake: set the least socket buffers before a listener listens

What callers saw: on a connection that was opened before the process served, and accepted with the least buffers, a body of 90 KB took longer than its deadline of 4 s. TestStalledBodyMakesRoom showed it once its machine was adapted, by a pooled connection.

Cause: the listener got its buffers when the process began to serve, but listens earlier. A connection that came before had the usual window, and the size that was set when it was accepted was smaller. The sender then waits for a window that is never announced, and its probes come every 200 ms. Shown outside the program: a listener with the usual buffers and accepted connections with 4 KiB take 0.8 to 2.1 s for 90 KB, with 8 KiB 1.1 s; with 4 KiB set at the listener 0.3 ms.

Change: tsintake.Listen sets the buffers of the socket before it listens, in both programs, and those of an accepted connection are only ever enlarged. Listeners that are passed in keep theirs, so the wrapped ones need no raw access.

Evidence: TestStalledBodyMakesRoom passes in 1.0 s, where it failed after 20. TestRequestsSentAhead: 87 MB, as before.

--- a/io/tsentry/entry.go
+++ b/io/tsentry/entry.go
@@ -181,8 +181,7 @@
 // ready, drains the running requests, returns its lots and hands over its claims. Errors: KindBadRequest
 // (the address can't be listened on), KindInternal.
 func (e *Entry) Serve(ctx context.Context) error {
-	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", e.cfg.CallerAddr.String())
+	ln, err := tsintake.Listen(ctx, e.cfg.CallerAddr, e.cfg.MemoryBytes)
 	if err != nil {
 		return turmericshed.WrapError(turmericshed.KindBadRequest, err, "caller address %s", e.cfg.CallerAddr)
 	}
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -269,7 +269,11 @@
 		to   *net.Listener
 		addr netip.AddrPort
 	}{{&g.callerListener, g.cfg.Settings.CallerAddr}, {&g.readyListener, g.cfg.Settings.ReadyAddr}, {&g.metricsListener, metrics}, {&g.peerListener, g.cfg.Settings.PeerAddr}} {
-		ln, err := net.Listen("tcp", l.addr.String())
+		memoryBytes := int64(0)
+		if l.to == &g.callerListener {
+			memoryBytes = g.cfg.Settings.MemoryBytes
+		}
+		ln, err := tsintake.Listen(context.Background(), l.addr, memoryBytes)
 		if err != nil {
 			for _, o := range open {
 				err = errors.Join(err, o.Close())
--- a/io/tsintake/conn.go
+++ b/io/tsintake/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,15 +21,26 @@
 	reasonHeadBytes   = "head_bytes"
 )
 
+// Listen listens on an address for callers. Its connections take over the least buffers in the
+// kernel where the machine's memory is known, also while they are not accepted yet: the window of
+// a connection can be raised later, but not lowered without stalls.
+func Listen(ctx context.Context, addr netip.AddrPort, memoryBytes int64) (net.Listener, error) {
+	var lc net.ListenConfig
+	if memoryBytes > 0 {
+		lc.Control = func(_, _ string, raw syscall.RawConn) error {
+			return setBuffers(raw, tsintake.LeastSocketBufferBytes)
+		}
+	}
+	return lc.Listen(ctx, "tcp", addr.String())
+}
+
 // Listener returns a listener that closes connections over the limits: others than the new one
-// where that is possible. The kernel's receive buffers of its connections are bounded, those that
-// are not accepted yet included.
+// where that is possible. The kernel's buffers of a connection from [Listen] are enlarged as far as
+// there is memory for it.
 func (in *Intake) Listener(ln net.Listener) net.Listener {
 	if in == nil {
 		return ln
 	}
-	// A connection takes the size over from the listener before it is accepted.
-	in.boundBuffers(ln, tsintake.LeastSocketBufferBytes)
 	return &listener{ln, in}
 }
 
@@ -70,7 +82,9 @@
 		in.noteClosed(1, reasonConnections)
 		return nil, false
 	}
-	in.boundBuffers(cc, bufferBytes)
+	if bufferBytes > tsintake.LeastSocketBufferBytes {
+		in.boundBuffers(cc, bufferBytes)
+	}
 	return cc, true
 }
 
@@ -89,35 +103,34 @@
 // DialFunc opens a connection.
 type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// boundBuffers sets the sizes of the kernel's buffers of a connection or a listener where the
-// machine's memory is known.
-func (in *Intake) boundBuffers(c any, bytes int) {
+// boundBuffers sets the sizes of the kernel's buffers of a connection where the machine's memory is
+// known.
+func (in *Intake) boundBuffers(c net.Conn, bytes int) {
 	if in.limits.HeadBytes <= 0 {
 		return
 	}
-	err := setBuffers(c, bytes)
-	if err != nil && in.log != nil {
-		in.log.Debug("cannot bound the kernel's buffers", "error", err.Error())
-	}
-}
-
-// setBuffers sets the sizes of both buffers; the kernel adds as much for its own overhead. The
-// window that is announced to the peer grows up to the size.
-func setBuffers(c any, bytes int) error {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return nil
+		return
 	}
 	raw, err := sc.SyscallConn()
-	if err != nil {
-		return err
+	if err == nil {
+		err = setBuffers(raw, bytes)
 	}
+	if err != nil && in.log != nil {
+		in.log.Debug("cannot bound the buffers of a connection", "error", err.Error())
+	}
+}
+
+// setBuffers sets the sizes of both buffers of a socket; the kernel adds as much for its own
+// overhead. The window that is announced to the peer grows up to the size.
+func setBuffers(raw syscall.RawConn, bytes int) error {
 	var setErr error
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
 			setErr = errors.Join(setErr, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, bytes))
 		}
-		// Without it, a connection keeps the window of the listener's buffer.
+		// Without it, an accepted connection keeps the window of the listener's buffer.
 		setErr = errors.Join(setErr, unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes))
 	})
 	return errors.Join(err, setErr)
--- a/io/tsprocess/conntracker.go
+++ b/io/tsprocess/conntracker.go
@@ -68,11 +68,8 @@
 }
 
 // SyscallConn returns the raw connection. Error: EINVAL if the connection has none.
-func (c *trackedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
-
-// rawConn returns the raw connection of a connection or a listener.
-func rawConn(c any) (syscall.RawConn, error) {
-	sc, ok := c.(syscall.Conn)
+func (c *trackedConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, syscall.EINVAL
 	}
@@ -101,6 +98,3 @@
 	}
 	return l.tracker.track(c)
 }
-
-// SyscallConn returns the raw listener. Error: EINVAL if the listener has none.
-func (l trackedListener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -105,11 +105,11 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	callers, err := listen(cfg.CallerAddr)
+	callers, err := listen(cfg.CallerAddr, cfg.MemoryBytes)
 	if err != nil {
 		return nil, err
 	}
-	peers, err := listen(cfg.PeerAddr)
+	peers, err := listen(cfg.PeerAddr, 0)
 	if err != nil {
 		return nil, errors.Join(err, callers.Close())
 	}
@@ -130,8 +130,9 @@
 	return p, nil
 }
 
-func listen(addr netip.AddrPort) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr.String())
+// listen listens on an address, with bounded buffers if memoryBytes is not 0.
+func listen(addr netip.AddrPort, memoryBytes int64) (net.Listener, error) {
+	ln, err := tsintake.Listen(context.Background(), addr, memoryBytes)
 	if err != nil {
 		return nil, turmericshed.WrapError(turmericshed.KindBadRequest, err, "listen on %s", addr)
 	}
