Test: a rig whose process found its port taken tries others

The rig picks free ports for readiness, metrics and peers, closes them and lets the process listen there; a connection of a crowd took one in between. It starts the process again with other ports then, up to three times, as load/tsdrill does, and any other exit at the start fails the test at once. No check changed.

--- a/load/tshostile/entry_test.go
+++ b/load/tshostile/entry_test.go
@@ -51,8 +51,8 @@
 func newEntryRig(t *testing.T) *entryRig {
 	t.Helper()
 	r := &entryRig{t: t}
-	r.platform = startProcess(t, exec.Command(command, "standin", "platform", "-addr", "127.0.0.1:0", "-list-lag", "100ms"), listensAddr).callerAddr
-	startProcess(t, exec.Command(command, "standin", "engine", "-addr", "127.0.0.1:0", "-platform-addr", r.platform, "-failure-domain", "a",
+	r.platform = mustStart(t, exec.Command(command, "standin", "platform", "-addr", "127.0.0.1:0", "-list-lag", "100ms"), listensAddr).callerAddr
+	mustStart(t, exec.Command(command, "standin", "engine", "-addr", "127.0.0.1:0", "-platform-addr", r.platform, "-failure-domain", "a",
 		"-id", "engine-1", "-models", "umbrella-8b", "-slots", "64", "-step-interval", "2ms", "-prefill-tokens-per-second", "100000000"), listensAddr)
 	r.run(entryProfile, "profile", "put", "-file", "-")
 	for i := range r.keys {
@@ -78,7 +78,7 @@
 	cmd := exec.Command(command, "entry", "-name", fmt.Sprint("entry-", r.starts), "-failure-domain", "a", "-caller-addr", "127.0.0.1:0", "-peer-addr", "127.0.0.1:0",
 		"-platform-addr", r.platform, "-drain-limit", "10s")
 	cmd.Env = append(os.Environ(), fmt.Sprint("TURMERICSHED_MEMORY_MB=", memoryMB), fmt.Sprint("TURMERICSHED_FILE_DESCRIPTORS=", fileDescriptors))
-	e := &entry{startProcess(r.t, cmd, listensAddr), r}
+	e := &entry{mustStart(r.t, cmd, listensAddr), r}
 	e.descriptors = fileDescriptors
 	return e
 }
--- a/load/tshostile/rig_test.go
+++ b/load/tshostile/rig_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -42,6 +43,8 @@
 	// that repeats refused requests is answered. Both only end a test that hangs.
 	startTimeout  = 60 * time.Second
 	answerTimeout = 60 * time.Second
+	// startAttempts is how often a process is started whose ports are taken.
+	startAttempts = 3
 )
 
 const settingsFormat = `{"nodeName":%q,"zone":%q,"region":"r","ip":"127.0.0.1","internalPortRange":[%d],"bootstrap":%t,
@@ -114,10 +117,15 @@
 }
 
 func newMachine(t *testing.T, name, zone, storeAddr string, descriptors int) *machine {
-	return &machine{
-		t: t, name: name, zone: zone, storeAddr: storeAddr, descriptors: descriptors, settings: filepath.Join(t.TempDir(), "settings.json"),
-		ready: freeAddr(t), control: freeAddr(t), peers: freeAddr(t),
-	}
+	m := &machine{t: t, name: name, zone: zone, storeAddr: storeAddr, descriptors: descriptors, settings: filepath.Join(t.TempDir(), "settings.json")}
+	m.pickPorts()
+	return m
+}
+
+// pickPorts picks free ports for the process. They are free when it returns, but a connection of
+// another test's may take one before they are used.
+func (m *machine) pickPorts() {
+	m.ready, m.control, m.peers = freeAddr(m.t), freeAddr(m.t), freeAddr(m.t)
 }
 
 // writeSettings writes the settings file.
@@ -126,13 +134,24 @@
 	assert.NilError(m.t, os.WriteFile(m.settings, []byte(text), 0o600))
 }
 
-// start starts a gateway process and waits until it serves callers.
+// start starts a gateway process and waits until it serves callers. It tries again with other ports if
+// one of them was taken.
 func (m *machine) start() *gateway {
-	m.writeSettings(defaultRetrySlack)
-	m.starts++
-	g := &gateway{startProcess(m.t, exec.Command(command, "gateway", "-config", m.settings), servingAddr), m.ready, m.control}
-	g.descriptors = m.descriptors
-	return g
+	for range startAttempts {
+		m.writeSettings(defaultRetrySlack)
+		p, err := startProcess(m.t, exec.Command(command, "gateway", "-config", m.settings), servingAddr)
+		if err == nil {
+			m.starts++
+			p.descriptors = m.descriptors
+			return &gateway{p, m.ready, m.control}
+		}
+		if !strings.Contains(err.Error(), "address already in use") {
+			m.t.Fatal(err)
+		}
+		m.pickPorts()
+	}
+	m.t.Fatal("the ports of the process were taken in each attempt")
+	return nil
 }
 
 // awaitReady waits until the process says that it is ready.
@@ -189,9 +208,17 @@
 	return startGateway(t, descriptors, others)
 }
 
+// mustStart is startProcess for one whose ports are not chosen before.
+func mustStart(t *testing.T, cmd *exec.Cmd, addrOf func(line []byte) string) *process {
+	t.Helper()
+	p, err := startProcess(t, cmd, addrOf)
+	assert.NilError(t, err)
+	return p
+}
+
 // startProcess starts a process and waits until it prints a line in which addrOf finds the address
-// that serves callers.
-func startProcess(t *testing.T, cmd *exec.Cmd, addrOf func(line []byte) string) *process {
+// that serves callers. Error: it exited before; the end of its log.
+func startProcess(t *testing.T, cmd *exec.Cmd, addrOf func(line []byte) string) (*process, error) {
 	t.Helper()
 	p := &process{t: t, exited: make(chan struct{}), cmd: cmd}
 	logs, err := os.Create(filepath.Join(t.TempDir(), "log"))
@@ -212,13 +239,16 @@
 	})
 	select {
 	case p.callerAddr = <-addr:
+	case <-p.exited:
+		data, err := os.ReadFile(logs.Name())
+		return nil, errors.Join(fmt.Errorf("the process exited at its start: %s", data[max(0, len(data)-1000):]), err)
 	case <-time.After(startTimeout):
 		t.Fatal("the process did not start")
 	}
 	tcp, err := net.ResolveTCPAddr("tcp", p.callerAddr)
 	assert.NilError(t, err)
 	p.callerPort = tcp.Port
-	return p
+	return p, nil
 }
 
 // servingAddr returns the address in a gateway's log line that it serves callers, else "".
