Observability: ends without an answer leave a line

A panic is logged as an error with the request's id, connections that end with bytes of an unserved request have a line with the caller's address and the read error, a line of an answer is suppressed only among those of the same status, and a canceled request says whether its connection was closed by the caller, reset, closed here or still open.

--- a/io/tsintake/conn.go
+++ b/io/tsintake/conn.go
@@ -187,6 +187,12 @@
 	once sync.Once
 	// readsHead is true while the bytes that are read belong to the head of a request.
 	readsHead atomic.Bool
+	// logsUnread is true if the requests on the connection are known, see headServed.
+	logsUnread atomic.Bool
+	// headBytes is the number of bytes that were read of a head whose request is not served yet,
+	// and readErr the error of the last such read; in.mu must be held.
+	headBytes int
+	readErr   error
 }
 
 // SetState records what a connection is used for. It does nothing for a connection that no
@@ -220,12 +226,25 @@
 	return ok
 }
 
+// headServed records that the request whose head was read is served.
+func headServed(c net.Conn) {
+	cc, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	cc.in.mu.Lock()
+	defer cc.in.mu.Unlock()
+	cc.headBytes = 0
+}
+
 // Read reads from the connection. Bytes of a head count toward the limit of all heads.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.readsHead.Load() {
+	if (n > 0 || err != nil) && c.readsHead.Load() {
 		in := c.in
 		in.mu.Lock()
+		c.headBytes += n
+		c.readErr = err
 		victims := in.takeOut(in.conns.HeadReceived(c.id, n))
 		in.mu.Unlock()
 		in.closeAll(victims, reasonHeadBytes)
@@ -237,13 +256,30 @@
 func (c *conn) Close() error {
 	c.once.Do(func() {
 		c.in.mu.Lock()
-		defer c.in.mu.Unlock()
+		headBytes, readErr := c.headBytes, c.readErr
 		c.in.conns.Close(c.id)
 		delete(c.in.open, c.id)
+		c.in.mu.Unlock()
+		if headBytes > 0 && c.logsUnread.Load() {
+			c.in.noteUnread(c, headBytes, readErr)
+		}
 	})
 	return c.Conn.Close()
 }
 
+// noteUnread logs that a connection ended before the head of its next request was complete: no line
+// of a request tells of it. Without an error of the caller's connection, this process closed it.
+func (in *Intake) noteUnread(c net.Conn, headBytes int, readErr error) {
+	if in.log == nil {
+		return
+	}
+	attrs := []any{"caller", c.RemoteAddr().String(), "head_bytes", headBytes}
+	if readErr != nil {
+		attrs = append(attrs, "error", readErr.Error())
+	}
+	in.log.Info("connection ended before its request was complete", attrs...)
+}
+
 // CloseWrite closes the writing side, if the connection supports it.
 func (c *conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/io/tsintake/request.go
+++ b/io/tsintake/request.go
@@ -22,6 +22,9 @@
 // WithConn returns a context for the requests on the connection c; it is the ConnContext of an HTTP
 // server.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
+	if cc, ok := c.(*conn); ok {
+		cc.logsUnread.Store(true)
+	}
 	return context.WithValue(ctx, connKey{}, c)
 }
 
@@ -57,7 +60,9 @@
 // NewRequest returns the request that an HTTP server passed to its handler. A nil Intake sets no
 // bounds of memory.
 func (in *Intake) NewRequest(w http.ResponseWriter, r *http.Request) *Request {
-	return &Request{in: in, w: w, r: r, rc: http.NewResponseController(w), conn: ConnOf(r.Context()), hasWholeBody: r.ContentLength == 0}
+	q := &Request{in: in, w: w, r: r, rc: http.NewResponseController(w), conn: ConnOf(r.Context()), hasWholeBody: r.ContentLength == 0}
+	headServed(q.conn)
+	return q
 }
 
 // ReadBody reads the complete body into memory, so that it can be sent more than once. maxBytes is
--- a/io/tsobserve/sampler.go
+++ b/io/tsobserve/sampler.go
@@ -11,15 +11,20 @@
 // which an entry VM logs requests at its usual load.
 const maxLinesPerSecond = 100
 
-// kindKey is the attribute with the kind of an error.
-const kindKey = "kind"
+// kindKey is the attribute with the kind of an error, statusKey the one with the status of an
+// answer: a line of an answer that was cut off is not suppressed because of refusals of the same
+// kind.
+const (
+	kindKey   = "kind"
+	statusKey = "status"
+)
 
 // suppressedKey is the attribute with the number of lines of the same kind that were
 // suppressed since the previous one.
 const suppressedKey = "left_out"
 
 // sampler limits the rate of log lines of each kind; a kind is a message together with
-// the kind of its error. The first lines of each second are written, and the next
+// the kind of its error and the status of the answer. The first lines of each second are written, and the next
 // written line reports how many were suppressed.
 type sampler struct {
 	slog.Handler
@@ -32,7 +37,7 @@
 	kinds map[lineKind]*kindCount
 }
 
-type lineKind struct{ message, kind string }
+type lineKind struct{ message, kind, status string }
 
 type kindCount struct {
 	// second is the Unix time in seconds to which lines applies.
@@ -49,11 +54,13 @@
 func (s sampler) Handle(ctx context.Context, r slog.Record) error {
 	kind := lineKind{message: r.Message}
 	r.Attrs(func(a slog.Attr) bool {
-		if a.Key == kindKey {
+		switch a.Key {
+		case kindKey:
 			kind.kind = a.Value.String()
-			return false
+		case statusKey:
+			kind.status = a.Value.String()
 		}
-		return true
+		return kind.kind == "" || kind.status == ""
 	})
 	isWritten, suppressed := s.counts.count(kind, r.Time)
 	if !isWritten {
--- a/io/tsobserve/sampler_test.go
+++ b/io/tsobserve/sampler_test.go
@@ -34,5 +34,7 @@
 		assert.Equal(t, count(`"left_out":900`), 1)
 		logBurst()
 		assert.Equal(t, count(`"budget_unavailable"`), 200)
+		log.Warn("not answered", "status", 200, "kind", "budget_unavailable")
+		assert.Equal(t, count(`"budget_unavailable"`), 201, "a line with another status is not suppressed")
 	})
 }
--- a/io/tsrelay/caller.go
+++ b/io/tsrelay/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -23,6 +24,22 @@
 	return turmericshed.WrapError(turmericshed.KindCanceled, withCallerSocket(ctx, checkPeerOpen), "the caller disconnected")
 }
 
+// callerConnectionState returns how the connection of a request looks that was canceled: closed or
+// reset by the caller, closed by this process, or open, if a deadline of the socket ended it.
+func callerConnectionState(ctx context.Context) string {
+	err := withCallerSocket(ctx, checkPeerOpen)
+	switch {
+	case err == nil:
+		return "open"
+	case errors.Is(err, errCallerDisconnected):
+		return "closed_by_caller"
+	case errors.Is(err, net.ErrClosed):
+		return "closed_here"
+	default:
+		return "reset"
+	}
+}
+
 // withCallerSocket calls f with the socket of the caller's connection. It does nothing
 // when ctx carries no connection or the connection has no file descriptor.
 func withCallerSocket(ctx context.Context, f func(fd int) error) error {
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -184,6 +184,7 @@
 	}
 	req := &request{relay: s, w: w, r: r, rc: http.NewResponseController(w), arrived: time.Now(), intake: s.cfg.Intake.NewRequest(w, r)}
 	defer req.releaseMemory()
+	defer req.logPanic()
 	err := req.prepare()
 	if err == nil {
 		var cancel context.CancelFunc
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -426,6 +428,20 @@
 	}
 }
 
+// logPanic logs a panic with the request that it ends, and aborts the connection. net/http alone
+// would close the connection without naming the request.
+func (q *request) logPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler { //nolint:errorlint // net/http compares the value itself.
+		q.relay.cfg.Log.Error("request ended by a panic", "request", string(q.inbound.ID), "caller", q.r.RemoteAddr, "route", q.route.Name,
+			"status", q.status, "events", q.events, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // observe records the request's metrics and its log line.
 func (q *request) observe(err error) {
 	elapsed := time.Since(q.arrived)
@@ -463,7 +479,10 @@
 	msg := "answered"
 	if err != nil {
 		msg, level = "not answered", slog.LevelWarn
-		attrs = append(attrs, slog.String("kind", kind.String()), slog.String("outcome", string(q.outcome(err))))
+		attrs = append(attrs, slog.String("kind", kind.String()), slog.String("outcome", string(q.outcome(err))), slog.String("caller", q.r.RemoteAddr))
+		if kind == turmericshed.KindCanceled {
+			attrs = append(attrs, slog.String("connection", callerConnectionState(q.r.Context())))
+		}
 		if f := q.relay.cfg.Freshness; f != nil {
 			attrs = append(attrs, slog.Int64("table_age_ms", f.Age(time.Now(), tsfreshness.Table).Milliseconds()))
 		}
--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -53,7 +53,7 @@
 	s := &Server{relay: relay, log: log, conns: make(map[net.Conn]connState)}
 	s.http = &http.Server{
 		Handler: relay, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.trackState, ConnContext: tsintake.WithConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ConnState: s.trackState, ConnContext: tsintake.WithConn, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelError),
 	}
 	return s
 }
