Intake: refuse at once, and linger before the connection is closed

Cause: a refusal waited up to 0.5 s for the rest of the body. If the body took longer, as on a link of 10 Mbit/s that is full, the connection was then closed while the caller still sent, so that its kernel was reset and could drop the answer. A class: an end of one's own is taken for the end of the exchange, although bytes are still on their way.

Now a refusal is written at once. Only where the whole body has arrived within 10 ms does the connection stay open; otherwise its writing side is closed and what the caller still sends is discarded until it closes, for at most 10 s and 2 s without a byte. Such connections count as refused, so that their number is bounded as before, and go first when others need room.

--- a/io/tsintake/conn.go
+++ b/io/tsintake/conn.go
@@ -21,6 +21,14 @@
 	reasonHeadBytes   = "head_bytes"
 )
 
+const (
+	// lingerTimeout bounds how long the rest of a refused request's body is discarded, and
+	// lingerIdleTimeout how long none of it may arrive. On a saturated link a body takes seconds.
+	lingerTimeout     = 10 * time.Second
+	lingerIdleTimeout = 2 * time.Second
+	lingerBufferBytes = 2 << 10
+)
+
 // Listen listens on an address for callers. Its connections take over the least buffers in the
 // kernel where the machine's memory is known, also while they are not accepted yet: the window of
 // a connection can be raised later, but not lowered without stalls.
@@ -153,7 +161,7 @@
 		return
 	}
 	for _, c := range victims {
-		_ = c.Close()
+		_ = c.closeNow()
 	}
 	in.noteClosed(len(victims), reason)
 }
@@ -185,6 +193,8 @@
 	in   *Intake
 	id   tsintake.ConnID
 	once sync.Once
+	// isRefused is true while the request on the connection is refused and its body is unread.
+	isRefused atomic.Bool
 	// readsHead is true while the bytes that are read belong to the head of a request.
 	readsHead atomic.Bool
 	// logsUnread is true if the requests on the connection are known, see headServed.
@@ -203,6 +213,7 @@
 		return
 	}
 	cc.readsHead.Store(s == tsintake.AwaitingHead || s == tsintake.Idle)
+	cc.isRefused.Store(s == tsintake.Refused)
 	in := cc.in
 	in.mu.Lock()
 	victims := in.takeOut(in.conns.SetState(time.Now(), cc.id, s))
@@ -252,8 +263,42 @@
 	return n, err
 }
 
-// Close closes the connection and removes it from the count.
+// Close closes the connection and removes it from the count. If the caller may still be sending the
+// body of a refused request, the connection is closed in the background once the caller has closed
+// its side: a connection that is closed before is reset, and the caller may lose the refusal.
 func (c *conn) Close() error {
+	if c.isRefused.Swap(false) && c.CloseWrite() == nil {
+		go c.linger()
+		return nil
+	}
+	return c.closeNow()
+}
+
+// linger discards what the caller sends until it closes its side, at most for lingerTimeout, and
+// closes the connection.
+func (c *conn) linger() {
+	end := time.Now().Add(lingerTimeout)
+	var buf [lingerBufferBytes]byte
+	for now := time.Now(); now.Before(end); now = time.Now() {
+		if c.SetReadDeadline(earlier(now.Add(lingerIdleTimeout), end)) != nil {
+			break
+		}
+		if _, err := c.Conn.Read(buf[:]); err != nil {
+			break
+		}
+	}
+	_ = c.closeNow()
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// closeNow closes the connection and removes it from the count.
+func (c *conn) closeNow() error {
 	c.once.Do(func() {
 		c.in.mu.Lock()
 		headBytes, readErr := c.headBytes, c.readErr
--- a/io/tsintake/request.go
+++ b/io/tsintake/request.go
@@ -12,9 +12,13 @@
 	"turmericshed/core/tsintake"
 )
 
-// unreadTimeout bounds the reading of what is left of a body after its request was refused. An
-// early close would reset the connection, and the caller might lose the answer.
-const unreadTimeout = 500 * time.Millisecond
+const (
+	// unreadTimeout is how long a refusal waits for the rest of a body, so that the connection can
+	// carry the next request. A body that takes longer is still on its way.
+	unreadTimeout = 10 * time.Millisecond
+	// maxUnreadBytes bounds what is read of a body for that.
+	maxUnreadBytes = 256 << 10
+)
 
 // connKey is the context key of a caller's connection.
 type connKey struct{}
@@ -136,9 +140,9 @@
 }
 
 // Refuse prepares the refusal of the request with err, and must be called before it is written. Of
-// a body that is not read to its end the memory is free for others at once, and the rest is read
-// only in a small part and for a short time. A connection on which memory or a share was refused,
-// or whose body is too large, is closed.
+// a body that is not read to its end the memory is free for others at once. Unless the rest of it
+// has arrived, the refusal closes the connection, and so does one for want of memory or of a share, or
+// of a body that is too large.
 func (q *Request) Refuse(err error) {
 	if !q.HasUnreadBody() {
 		return
@@ -148,18 +152,21 @@
 	if err := q.setReadDeadline(time.Now().Add(unreadTimeout)); err != nil && q.in != nil && q.in.log != nil {
 		q.in.log.Debug("cannot bound the reading of an unneeded body", "error", err.Error())
 	}
-	if kind := turmericshed.KindOf(err); kind == turmericshed.KindTooLarge || kind == turmericshed.KindOverloaded || q.body != nil {
+	kind := turmericshed.KindOf(err)
+	if kind == turmericshed.KindTooLarge || kind == turmericshed.KindOverloaded || q.body != nil || !q.discardArrived() {
 		q.w.Header().Set("Connection", "close")
 	}
 }
 
-// RefusalTime returns how long the writing of a refusal may have to wait: it may be written only once
-// the rest of the body is read.
-func (q *Request) RefusalTime() time.Duration {
-	if q.HasUnreadBody() {
-		return unreadTimeout
+// discardArrived reads what has arrived of the body, and reports whether that was all.
+func (q *Request) discardArrived() bool {
+	n, err := io.CopyN(io.Discard, q.r.Body, maxUnreadBytes)
+	q.hasWholeBody = n < maxUnreadBytes && errors.Is(err, io.EOF)
+	if !q.hasWholeBody {
+		return false
 	}
-	return 0
+	q.setConnState(tsintake.Running)
+	return q.setReadDeadline(time.Time{}) == nil
 }
 
 // HasUnreadBody reports whether the request has a body that is not read to its end.
--- a/io/tsrelay/answer.go
+++ b/io/tsrelay/answer.go
@@ -82,7 +82,7 @@
 	if now := time.Now(); at.Before(now) {
 		at = now
 	}
-	if err := q.rc.SetWriteDeadline(at.Add(q.intake.RefusalTime() + writeGrace)); err != nil {
+	if err := q.rc.SetWriteDeadline(at.Add(writeGrace)); err != nil {
 		q.relay.cfg.Log.Warn("cannot set the write deadline of an answer", "request", string(q.inbound.ID), "error", err.Error())
 	}
 }
