Relay: keep idle connections while requests may be on their way

Cause: a connection is closed once it was idle for the routing table's timeout, as seen by the entry VM. Callers use a connection until four fifths of it; on a saturated link the request takes seconds more. A lowered timeout even ended connections at once that callers had every reason to use.

Now none is closed while the link was congested in the last 2 s, and a changed timeout counts from its change.

TestIdleConnectionsAreClosedUnderRequestsOnTheirWay fails before with an unexpected EOF in both parts.

--- a/io/tsrelay/send_test.go
+++ b/io/tsrelay/send_test.go
@@ -45,6 +45,8 @@
 	hook func()
 	// dialErr is the error of every dial; nil if connections open.
 	dialErr error
+	// isCongested is true while the link is congested.
+	isCongested atomic.Bool
 }
 
 // reached calls the hook if the request is at hookAt and was there skip times before.
@@ -54,7 +56,7 @@
 	}
 }
 
-func (w *fakeWaits) WasCongested(time.Time) bool { return false }
+func (w *fakeWaits) WasCongested(time.Time) bool { return w.isCongested.Load() }
 func (w *fakeWaits) IsSaturated() bool           { return false }
 
 func (w *fakeWaits) Await(context.Context, turmericshed.AccountID, int) error {
--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -22,6 +22,9 @@
 	maxHeaderBytes = 64 << 10
 	// idleSweepInterval is the time between checks for idle connections to close.
 	idleSweepInterval = 500 * time.Millisecond
+	// linkRecoveryTime is how long after a congestion of the local link requests may still arrive
+	// late.
+	linkRecoveryTime = 2 * time.Second
 	// stopAcceptPeriod is how long a stopping entry VM still accepts connections: the
 	// load balancer probes once a second and removes an entry VM after two failed
 	// probes.
@@ -40,6 +43,9 @@
 	mu sync.Mutex
 	// conns holds the state of each open connection.
 	conns map[net.Conn]connState
+	// idleTimeout is the idle timeout at the last sweep, which is in force since idleTimeoutSince.
+	idleTimeout      time.Duration
+	idleTimeoutSince time.Time
 }
 
 // connState is the state of a connection, and since when it has it.
@@ -143,16 +149,25 @@
 	s.conns[c] = connState{state, time.Now()}
 }
 
-// closeIdle closes the connections that exceed the routing table's idle timeout.
+// closeIdle closes the connections that exceed the routing table's idle timeout. While the local link
+// is congested it closes none: the next request may be on its way. After the timeout was changed,
+// connections that are idle already have the whole new timeout, since callers learn of it no earlier.
 func (s *Server) closeIdle(now time.Time) {
 	t := s.relay.Table()
-	if t == nil || t.Limits.IdleTimeout <= 0 {
+	if t == nil || t.Limits.IdleTimeout <= 0 || s.relay.linkCongested(now.Add(-linkRecoveryTime)) {
 		return
 	}
 	s.mu.Lock()
+	if s.idleTimeout != t.Limits.IdleTimeout {
+		s.idleTimeout, s.idleTimeoutSince = t.Limits.IdleTimeout, now
+	}
 	var expired []net.Conn
 	for c, state := range s.conns {
-		if state.ConnState == http.StateIdle && now.Sub(state.since) >= t.Limits.IdleTimeout {
+		since := state.since
+		if since.Before(s.idleTimeoutSince) {
+			since = s.idleTimeoutSince
+		}
+		if state.ConnState == http.StateIdle && now.Sub(since) >= s.idleTimeout {
 			expired = append(expired, c)
 			delete(s.conns, c)
 		}
