Relay: a stop keeps idle connections while the link is congested

While the link was congested in the last 2 s they stay open until the stop's timeout, so that such a request is refused truly. Its subtest failed before with an unexpected EOF.

--- a/io/tsrelay/idle_test.go
+++ b/io/tsrelay/idle_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -13,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericshed/core/tstable"
+	"turmericshed/io/tsrelay"
 	"turmericshed/platform"
 )
 
@@ -39,8 +42,14 @@
 	return &keptConn{c, bufio.NewReader(c)}
 }
 
-// assertServed sends a request on the connection and checks that it is answered.
+// assertServed sends a request on the connection and checks that it is served.
 func (c *keptConn) assertServed(t *testing.T) {
+	t.Helper()
+	c.assertAnswered(t, http.StatusOK)
+}
+
+// assertAnswered sends a request on the connection and checks the status of the answer.
+func (c *keptConn) assertAnswered(t *testing.T, status int) {
 	t.Helper()
 	_, err := io.WriteString(c, "POST /find/1 HTTP/1.1\r\nHost: corner.example\r\nAttempt-Id: a\r\nCredential: k1\r\nDeadline-Remaining: 4000\r\nToken-Counts: 10,5\r\nContent-Length: 5\r\n\r\nframe")
 	assert.NilError(t, err)
@@ -48,7 +57,7 @@
 	assert.NilError(t, err)
 	_, err = io.Copy(io.Discard, resp.Body)
 	assert.NilError(t, err)
-	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, resp.StatusCode, status)
 }
 
 // assertClosed waits until the connection is closed.
@@ -75,6 +84,24 @@
 		s.waitPoints.isCongested.Store(false)
 		c.assertClosed(t, 5*time.Second)
 	})
+	t.Run("at a stop on a congested link", func(t *testing.T) {
+		const stopTimeout = 4 * time.Second
+		s := newRelayFixture(t, "", 0)
+		ln, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // loopback, in a test.
+		assert.NilError(t, err)
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- tsrelay.NewServer(s.relay, slog.New(slog.DiscardHandler)).Serve(ctx, ln, stopTimeout) }()
+		c := s.connect(ln.Addr().String())
+		c.assertServed(t)
+		s.waitPoints.isCongested.Store(true)
+		stop()
+		// The listener is closed after half of the time.
+		time.Sleep(stopTimeout * 5 / 8)
+		c.assertAnswered(t, http.StatusServiceUnavailable)
+		c.assertClosed(t, time.Second)
+		assert.NilError(t, <-ended)
+	})
 	t.Run("right after the timeout was lowered", func(t *testing.T) {
 		const lowered = 1500 * time.Millisecond
 		s := newRelayFixture(t, "", 0)
--- a/io/tsrelay/server.go
+++ b/io/tsrelay/server.go
@@ -105,12 +105,11 @@
 	if serveErr := <-served; !errors.Is(serveErr, net.ErrClosed) {
 		err = errors.Join(err, serveErr)
 	}
-	active := s.closeInactive()
-	for ; active > 0 && time.Now().Before(cutAt); active = s.closeInactive() {
+	for s.closeInactive() > 0 && time.Now().Before(cutAt) {
 		time.Sleep(drainPollInterval)
 	}
-	if active > 0 {
-		err = errors.Join(err, fmt.Errorf("%d connections with running requests were closed", active))
+	if n := s.countActive(); n > 0 {
+		err = errors.Join(err, fmt.Errorf("%d connections with running requests were closed", n))
 	}
 	err = errors.Join(err, s.http.Close())
 	s.log.Info("stopped serving", "elapsed_ms", time.Since(began).Milliseconds(), "whole", err == nil)
@@ -119,15 +118,17 @@
 
 // closeInactive closes the idle connections, and returns the number of those on which a
 // request is read or runs. A connection without a first request stays open, so that a
-// request which is on its way can be refused.
+// request which is on its way can be refused, and so do all while the local link is congested;
+// the idle ones then count as active.
 func (s *Server) closeInactive() (active int) {
+	isCongested := s.relay.linkCongested(time.Now().Add(-linkRecoveryTime))
 	s.mu.Lock()
 	var idle []net.Conn
 	for c, state := range s.conns {
-		switch state.ConnState {
-		case http.StateActive:
+		switch {
+		case state.ConnState == http.StateActive, state.ConnState == http.StateIdle && isCongested:
 			active++
-		case http.StateIdle:
+		case state.ConnState == http.StateIdle:
 			idle = append(idle, c)
 			delete(s.conns, c)
 		}
@@ -137,6 +138,18 @@
 	return active
 }
 
+// countActive returns the number of connections on which a request is read or runs.
+func (s *Server) countActive() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.conns {
+		if state.ConnState == http.StateActive {
+			n++
+		}
+	}
+	return n
+}
+
 // trackState keeps conns up to date; net/http calls it when a connection changes its state.
 func (s *Server) trackState(c net.Conn, state http.ConnState) {
 	tsintake.TrackState(c, state)
