--- a/core/tsroute/choose.go
+++ b/core/tsroute/choose.go
@@ -188,7 +188,7 @@
 		p.groups[d] = p.groups[d][:0]
 	}
 	for _, s := range p.servers {
-		if !s.acceptsWork(now) || slices.Contains(req.Excluded, s.ID) || !s.reachability.allows(now) || !s.breaker.allows(now, s.inflight) {
+		if !s.acceptsWork(now) || s.isExcluded(req) || !s.reachability.allows(now) || !s.breaker.allows(now, s.inflight) {
 			continue
 		}
 		c := candidate{server: s, load: (r.estimatedLoad(now, s, mean) + 1) / float64(s.Slots)}
@@ -307,7 +307,7 @@
 func (r *Router) fallback(now time.Time, p *pool, req turmericshed.RouteRequest) *server {
 	var best *server
 	for _, s := range p.servers {
-		if !s.acceptsWork(now) || s.breaker.open || s.inflight >= s.Slots || slices.Contains(req.Excluded, s.ID) {
+		if !s.acceptsWork(now) || s.breaker.open || s.inflight >= s.Slots || s.isExcluded(req) {
 			continue
 		}
 		if best == nil || s.inflight < best.inflight {
@@ -318,7 +318,7 @@
 		return best
 	}
 	for _, s := range p.servers {
-		if s.acceptsWork(now) && !slices.Contains(req.Excluded, s.ID) && s.breaker.allowsProbe(now, s.inflight) {
+		if s.acceptsWork(now) && !s.isExcluded(req) && s.breaker.allowsProbe(now, s.inflight) {
 			return s
 		}
 	}
@@ -331,7 +331,7 @@
 	var earliest time.Time
 	for _, s := range p.servers {
 		switch {
-		case s.leaving || slices.Contains(req.Excluded, s.ID):
+		case s.leaving || s.isExcluded(req):
 		case now.Before(s.pausedUntil):
 			if earliest.IsZero() || s.pausedUntil.Before(earliest) {
 				earliest = s.pausedUntil
@@ -355,7 +355,7 @@
 func (r *Router) EarliestReopening(now time.Time, req turmericshed.RouteRequest, closed map[turmericshed.ServerID]time.Time) (earliest time.Time, ok bool) {
 	for _, s := range r.poolFor(req).servers {
 		until, isClosed := closed[s.ID]
-		if !isClosed || !s.acceptsWork(now) || s.breaker.open || slices.Contains(req.Excluded, s.ID) {
+		if !isClosed || !s.acceptsWork(now) || s.breaker.open || s.isExcluded(req) {
 			continue
 		}
 		if !ok || until.Before(earliest) {
--- a/core/tsroute/router_test.go
+++ b/core/tsroute/router_test.go
@@ -57,6 +57,28 @@
 }
 
 func TestCandidates(t *testing.T) {
+	t.Run("only servers of the allowed software versions, also by time to serve and with open breakers", func(t *testing.T) {
+		for _, byServeTime := range []bool{false, true} {
+			list := servers(1, 3)
+			for i := range list {
+				list[i].Software = turmericshed.SoftwareVersion(fmt.Sprint("v", i))
+			}
+			r := tsroute.New(tsroute.Config{FailureDomain: "a", Rand: rand.New(rand.NewPCG(1, 1)), ServeTime: byServeTime})
+			r.SetServers(epoch, list)
+			req := chat
+			req.Estimate, req.PromptTokens = &turmericshed.RouteEstimate{}, 100
+			req.Software = []turmericshed.SoftwareVersion{"v1"}
+			assert.DeepEqual(t, spread(t, r, epoch, req, 4), map[turmericshed.ServerID]int{"s-1": 4})
+			for range 4 {
+				r.Done(epoch, "s-1", req, failed)
+			}
+			s, err := r.Pick(epoch, req)
+			assert.Assert(t, err != nil || s.ID == "s-1", "picked %s", s.ID)
+			req.Software = []turmericshed.SoftwareVersion{"v7"}
+			_, err = r.Pick(epoch, req)
+			assert.Equal(t, turmericshed.KindOf(err), turmericshed.KindNoBackend)
+		}
+	})
 	t.Run("only servers with the model, the kind of work and the service", func(t *testing.T) {
 		list := servers(1, 3)
 		list[0].Models = []turmericshed.Model{"other"}
--- a/core/tsroute/server.go
+++ b/core/tsroute/server.go
@@ -90,6 +90,11 @@
 	return s.Work == r.Work && s.Service == r.Service && (r.Model == "" || slices.Contains(s.Models, r.Model))
 }
 
+// isExcluded reports whether the request must not go to s, which serves its service.
+func (s *server) isExcluded(r turmericshed.RouteRequest) bool {
+	return slices.Contains(r.Excluded, s.ID) || len(r.Software) > 0 && !slices.Contains(r.Software, s.Software)
+}
+
 // ownLoad returns this entry VM's part of the load: requests in flight and
 // recent failures.
 func (s *server) ownLoad(now time.Time) int {
--- a/fleet.go
+++ b/fleet.go
@@ -146,6 +146,8 @@
 	Cost Tokens
 	// Excluded lists the servers that already failed this request.
 	Excluded []ServerID
+	// Software lists the software versions of which the server may be; empty means any.
+	Software []SoftwareVersion
 	// PromptTokens and MaxOutput limit the tokens of a generation, and PrefixTokens is the
 	// part of the prompt that Prefix stands for; 0 for plain services.
 	PromptTokens Tokens
@@ -289,6 +291,32 @@
 	RetryAfter(now time.Time, id ServerID, r AdmitRequest) time.Duration
 }
 
+// StreamBeginning is the version at which a stream began.
+type StreamBeginning struct {
+	// Request is the ID of the caller's attempt that brought the first event.
+	Request  RequestID
+	Service  string
+	Software SoftwareVersion
+	// Until is when the caller's time limit ends, after which the stream is not resumed.
+	Until time.Time
+}
+
+// StreamVersions knows at which software version streams began, so that each goes on there.
+type StreamVersions interface {
+	// Usable returns the software versions of a service at which a new stream may begin; empty
+	// means any.
+	Usable(service string) []SoftwareVersion
+	// Began records that the first event of a stream arrived. isAmbiguous is true if the route has
+	// other services at which the stream could have begun.
+	Began(b StreamBeginning, isAmbiguous bool)
+	// Ended records that a stream was relayed to its end.
+	Ended(id RequestID)
+	// Find returns the beginning of the stream whose first event the attempt with the ID brought,
+	// on a route to the service. It waits at most a few tenths of a second for other entry VMs and
+	// the store. Errors: KindNoBackend if the version can't be determined, KindCanceled.
+	Find(ctx context.Context, service string, id RequestID) (StreamBeginning, error)
+}
+
 // CrashSubject is what a backend server may crash by while it runs a request.
 type CrashSubject struct {
 	// Request identifies the request and its repeats.
--- a/ids.go
+++ b/ids.go
@@ -45,6 +45,9 @@
 	Model string
 	// StreamID identifies one generation at a model engine.
 	StreamID string
+	// SoftwareVersion names a version of a backend server's software, not of the weights that it
+	// serves. Versions have no order.
+	SoftwareVersion string
 	// Digest is the hex SHA-256 of a request body, or identifies a prompt part.
 	Digest string
 )
@@ -74,6 +77,9 @@
 	// Service is the path element under /services/ that a plain service
 	// serves; empty for model engines.
 	Service string `json:"service,omitempty"`
+	// Software is the version of the server's software; empty if unknown, which counts as a version of
+	// its own.
+	Software SoftwareVersion `json:"software,omitempty"`
 	// Slots is the number of requests that run concurrently without queueing.
 	Slots int `json:"slots,omitempty"`
 	// Leaving is true from the first indication that the server is shutting down.
--- a/routing_table.go
+++ b/routing_table.go
@@ -106,6 +106,9 @@
 	TimeLimit time.Duration
 	// LastEvent is the ID of the last event that the caller received; 0 for none.
 	LastEvent uint64
+	// Resumes is the ID of the attempt that brought the first event of the stream that is resumed;
+	// empty if not sent.
+	Resumes RequestID
 }
 
 // PromptPart is a part of a prompt that several requests may share.
--- a/standin/tsmetastore/backend.go
+++ b/standin/tsmetastore/backend.go
@@ -58,6 +58,8 @@
 // or an engine if Events is positive.
 type Backend struct {
 	ID string
+	// Software is the version of the server's software; empty for v1.
+	Software string
 	// Events is the number of events per stream; 0 for a plain service.
 	Events int
 	// Answer is the body of a plain service's answers; empty for a short text with
@@ -260,7 +262,7 @@
 	incarnation := b.incarnation
 	b.mu.Unlock()
 	fields := map[string]any{
-		"service": service, "address": b.Addr(), "zone": domain, "version": "v1", "slots": 8, "state": state,
+		"service": service, "address": b.Addr(), "zone": domain, "version": cmp.Or(b.Software, "v1"), "slots": 8, "state": state,
 		"coldRemainingMs": 0, "sequence": 1, "born": incarnation,
 	}
 	if b.Events > 0 {
