Streams go on at the software version that began them

Cause: an interrupted stream was resumed at any server of its service. What is known of a server was used to choose it and then forgotten; nothing said at which version a stream had begun, and nothing outlived the process.

Now an answer goes on only at servers of the version that sent its first event, and ends early at once when none is left. For a stream that a caller resumes, the version is found in this order:

- the entry VM's own memory, and that of three others, which are selected by rendezvous hashing of the request's id and told within 20 ms while the service has several versions;
- the versions registered in the store, if there is only one.
A version is registered before streams begin at it and until long after its last server has left, so that a process which has just started can know that one version began all streams;
- the beginnings that each entry VM saves in the store while the service has several versions, at most 4 times a second, all together 200 times.

Otherwise it is refused with 503, which is true: it has not run. Weighed and not built: a version encoded in what callers give back (they give back their own attempt id and the last event's id, which must not be changed), and a choice of the version by a hash of the id (it changes with the share of the versions, all at once where a release replaces all servers).

--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -44,6 +44,7 @@
 	"turmericshed/io/tsrelay"
 	"turmericshed/io/tsrouting"
 	"turmericshed/io/tsupstream"
+	"turmericshed/io/tsversion"
 	"turmericshed/platform"
 )
 
@@ -72,6 +73,10 @@
 	// callerBufferFraction is the part of the memory for what is held for callers that
 	// read slowly.
 	callerBufferFraction = 0.125
+	// minVersionRetention and defaultVersionRetention are how long a software version stays registered
+	// after its last server has left: at least, and where the timeouts of streams are unknown.
+	minVersionRetention     = 10 * time.Second
+	defaultVersionRetention = time.Minute
 	// restartBackoff is the supervisor's backoff after repeated controller
 	// failures.
 	restartBackoff = 200 * time.Millisecond
@@ -113,6 +118,7 @@
 	holder     *tsholder.Holder
 	permits    *tspermits.Permits
 	crashWatch *tscrash.Watch
+	versions   *tsversion.Versions
 	pool       *tsrouting.Pool
 	loads      *tsload.Sharer
 	// shedding is the admission control; nil if it is off.
@@ -191,6 +197,11 @@
 		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "crashes"),
 	})
 	g.peerServer.Mount(g.crashWatch.Handler())
+	g.versions = tsversion.New(tsversion.Config{
+		Board: g.board, Members: g.registry, Peers: transport, Store: store, Retention: g.versionRetention, Link: g.meter,
+		Metrics: g.metrics.Registry(), Log: tsobserve.WithPrefix(g.log, "versions"),
+	})
+	g.peerServer.Mount(g.versions.Handler())
 	admission := g.newRouting(transport, events)
 	g.freshness = tsfreshness.New(freshnessBounds(s))
 	feed := tsfeed.New(tsfeed.Config{
@@ -203,7 +214,7 @@
 	g.newMirrors(feed)
 	g.registerAgeGauges()
 	g.relay = tsrelay.New(tsrelay.Config{
-		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, Metrics: g.metrics,
+		Codec: platform.Codec{}, Router: g.pool, Budgets: g.holder, Upstream: g.upstream, Link: g.meter, ServerLimits: g.permits, CrashWatch: g.crashWatch, StreamVersions: g.versions, Metrics: g.metrics,
 		OnFirstByte: g.pool.FirstByte,
 		Log:         tsobserve.WithPrefix(g.log, "relay"), RetryLimits: retryBounds(s), EntryVMs: g.registry.Count,
 		Freshness: g.freshness, Intake: intake, Admission: admission, CallerBufferBytes: int64(float64(s.MemoryBytes) * callerBufferFraction),
@@ -339,6 +350,26 @@
 	return b
 }
 
+// versionRetention returns how long a software version stays registered after its last server has left:
+// twice the longest timeout of a stream, since callers resume streams within a time limit of their own.
+func (g *Gateway) versionRetention() time.Duration {
+	d := minVersionRetention
+	t := g.relay.Table()
+	if t == nil {
+		return defaultVersionRetention
+	}
+	for _, r := range t.Routes {
+		switch {
+		case !r.Stream || !r.Repeatable:
+		case r.Timeout <= 0:
+			d = max(d, defaultVersionRetention)
+		default:
+			d = max(d, 2*r.Timeout)
+		}
+	}
+	return d
+}
+
 // spillConfig returns the settings of spillover between failure domains.
 func (g *Gateway) spillConfig() *tsrouting.SpillConfig {
 	settings := tsspill.Settings{CostPerMegabyte: tsspill.DefaultCostPerMegabyte}
@@ -454,6 +485,7 @@
 	}})
 	controllers := []turmericshed.Controller{g.tableMirror, g.serverMirror, g.roster, g.registry, g.upstream, g.meter, g.permits, g.loads, peerController{g}}
 	controllers = append(controllers, g.crashWatch.Controllers()...)
+	controllers = append(controllers, g.versions.Controllers()...)
 	controllers = append(controllers, g.committer.Controllers()...)
 	controllers = append(controllers, g.holder.Controllers()...)
 	controllers = append(controllers, g.pool.Controllers()...)
--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	q.pickedAt = now
+	q.pickedAt, q.attemptSoftware = now, server.Software
 	q.attemptStarted(now, server.ID)
 	if f := q.relay.cfg.Freshness; f != nil {
 		q.serversAge = f.Age(now, tsfreshness.Servers)
@@ -272,6 +272,7 @@
 		err := q.relayStream(ctx, server.ID, reply, timer)
 		if err == nil {
 			q.reportSurvived(success)
+			q.recordEnd()
 		}
 		return nil, firstByte, err
 	}
--- a/io/tsrelay/relay.go
+++ b/io/tsrelay/relay.go
@@ -91,6 +91,8 @@
 	OnFirstByte func(now time.Time, id turmericshed.ServerID, r turmericshed.RouteRequest)
 	// CrashWatch quarantines requests that crash servers; nil quarantines none.
 	CrashWatch turmericshed.CrashWatch
+	// StreamVersions knows at which software version streams began; nil lets a stream go on at any.
+	StreamVersions turmericshed.StreamVersions
 	// Admission refuses requests that the servers can't serve in time; nil admits
 	// all. One that implements turmericshed.AdmissionFeedback learns from attempts.
 	Admission   turmericshed.Admission
--- a/io/tsrelay/request.go
+++ b/io/tsrelay/request.go
@@ -89,6 +89,8 @@
 	excluded       []turmericshed.ServerID
 	// attemptRoute is what the server of the current attempt was chosen for.
 	attemptRoute turmericshed.RouteRequest
+	// attemptSoftware is the software version of the server of the current attempt.
+	attemptSoftware turmericshed.SoftwareVersion
 	// hasPicked is true if the router picked a server for the current attempt.
 	hasPicked bool
 	// pickedAt is when the last server was picked, from a server list of the age
@@ -118,6 +120,10 @@
 	contentType string
 	server      turmericshed.ServerID
 	firstByte   time.Duration
+	// software is the version that began the stream, at which alone it goes on, if hasSoftware is
+	// true.
+	software    turmericshed.SoftwareVersion
+	hasSoftware bool
 	// events is the number of relayed events, lastEvent the id of the last one.
 	events    int
 	lastEvent uint64
@@ -182,16 +188,21 @@
 // timeLimit returns the time limit of the caller, or the default, bounded by that of the
 // route.
 func (q *request) timeLimit() time.Duration {
-	d := q.inbound.TimeLimit
-	if d <= 0 {
-		d = defaultTimeLimit
-	}
+	d := q.callerTimeLimit()
 	if q.route.Timeout > 0 {
 		d = min(d, q.route.Timeout)
 	}
 	return d
 }
 
+// callerTimeLimit returns the time limit of the caller, or the default.
+func (q *request) callerTimeLimit() time.Duration {
+	if q.inbound.TimeLimit <= 0 {
+		return defaultTimeLimit
+	}
+	return q.inbound.TimeLimit
+}
+
 // errOrStaleTable returns err, which reports that the routing table lacks an entry. If
 // the table was not fresh and may only be out of date, it returns KindNotReady instead,
 // so that the caller retries.
@@ -234,6 +245,9 @@
 	if err := q.checkQuarantine(); err != nil {
 		return err
 	}
+	if err := q.findSoftware(); err != nil {
+		return err
+	}
 	release, err := q.admit()
 	if err != nil {
 		return err
@@ -381,7 +395,7 @@
 		Prefix: q.prefixHash(), BodyBytes: int64(q.bodyBytes), Cost: q.inbound.PromptTokens + q.inbound.MaxOutput, Excluded: q.excluded,
 		PromptTokens: q.inbound.PromptTokens, PrefixTokens: q.prefixTokens(), MaxOutput: q.inbound.MaxOutput,
 		FirstByteWithin: max(time.Until(q.arrived.Add(q.route.LatencyObjective)), 0),
-		MemoryTokens:    q.serviceSpec().MemoryTokens, Estimate: &turmericshed.RouteEstimate{},
+		MemoryTokens:    q.serviceSpec().MemoryTokens, Estimate: &turmericshed.RouteEstimate{}, Software: q.allowedSoftware(),
 	}
 }
 
--- a/io/tsrelay/resume_test.go
+++ b/io/tsrelay/resume_test.go
@@ -46,8 +46,9 @@
 }
 
 // newInterruptedRelay returns a relay with two backend servers. The first attempt is
-// interrupted after two events; resumedAnswer returns the bytes that answer the resumed one.
-func newInterruptedRelay(t *testing.T, resumedAnswer func(id string) string) *tsrelay.Relay {
+// interrupted after two events; resumedAnswer returns the bytes that answer the resumed one. configure
+// changes the relay's configuration and the servers.
+func newInterruptedRelay(t *testing.T, resumedAnswer func(id string) string, configure ...func(cfg *tsrelay.Config, servers []turmericshed.BackendServer)) *tsrelay.Relay {
 	t.Helper()
 	var list []turmericshed.BackendServer
 	for i := range 2 {
@@ -60,13 +61,17 @@
 			Work: turmericshed.WorkService, Service: "pool", Slots: 8,
 		})
 	}
+	cfg := tsrelay.Config{
+		Codec: platform.Codec{}, Log: slog.New(slog.DiscardHandler), Upstream: tsupstream.New(tsupstream.Config{Codec: platform.Codec{}}),
+		RetryLimits: tsrelay.RetryLimits{Ratio: 1, Slack: 100, Window: time.Minute}, EntryVMs: func() int { return 1 },
+	}
+	for _, f := range configure {
+		f(&cfg, list)
+	}
 	board := &tsboard.Board{}
 	board.Servers.Write(list)
-	relay := tsrelay.New(tsrelay.Config{
-		Codec: platform.Codec{}, Router: tsrouting.NewPool(tsrouting.PoolConfig{Board: board}), Log: slog.New(slog.DiscardHandler),
-		Upstream:    tsupstream.New(tsupstream.Config{Codec: platform.Codec{}}),
-		RetryLimits: tsrelay.RetryLimits{Ratio: 1, Slack: 100, Window: time.Minute}, EntryVMs: func() int { return 1 },
-	})
+	cfg.Router = tsrouting.NewPool(tsrouting.PoolConfig{Board: board})
+	relay := tsrelay.New(cfg)
 	table, err := platform.DecodeTable([]byte(streamTable))
 	assert.NilError(t, err)
 	relay.SetTable(tstable.New(table))
@@ -75,9 +80,9 @@
 
 // requestInterruptedStream requests a stream from such a relay and returns the body that
 // the caller received.
-func requestInterruptedStream(t *testing.T, resumedAnswer func(id string) string) (body string, err error) {
+func requestInterruptedStream(t *testing.T, resumedAnswer func(id string) string, configure ...func(cfg *tsrelay.Config, servers []turmericshed.BackendServer)) (body string, err error) {
 	t.Helper()
-	srv := httptest.NewServer(newInterruptedRelay(t, resumedAnswer))
+	srv := httptest.NewServer(newInterruptedRelay(t, resumedAnswer, configure...))
 	t.Cleanup(srv.Close)
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, srv.URL+"/tell/1", strings.NewReader("x"))
 	assert.NilError(t, err)
--- a/io/tsrelay/stream.go
+++ b/io/tsrelay/stream.go
@@ -122,6 +122,7 @@
 		}
 		if !q.committed {
 			q.commit(server, reply.Status, reply.Header)
+			q.recordBeginning()
 		}
 		if _, err := q.w.Write(e.Raw); err != nil {
 			return turmericshed.WrapError(turmericshed.KindCanceled, err, "writing to the caller failed")
