Entry: bound what is held of answers that never end

The program gateway was safe; the program entry was not: its client bounded each answer (8 MiB, 10 MB for a head, 1 MiB for an event), and nothing their sum.

Answers, and events longer than 4 KiB, now reserve memory before they are read, from the bound that all bodies share; a head may have 32 KiB.

--- a/io/tsbackend/client.go
+++ b/io/tsbackend/client.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"turmericshed"
+	"turmericshed/io/tsintake"
 )
 
 const (
@@ -42,6 +43,8 @@
 	maxAnswerBytes = 8 << 20
 	// maxErrorBytes bounds the body of a refusal.
 	maxErrorBytes = 64 << 10
+	// maxHeadBytes bounds the head of an answer, with the informational ones before it.
+	maxHeadBytes = 32 << 10
 )
 
 // ErrLeaving is wrapped by the error of a call that the server refuses because it is shutting down.
@@ -69,17 +72,23 @@
 type Options struct {
 	// Dial opens connections; nil means a net.Dialer with dialTimeout.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Intake bounds the memory for answers of all servers together while they are read; nil sets no
+	// bound.
+	Intake *tsintake.Intake
 }
 
 // client is the HTTP client that Engine and Service share.
-type client struct{ http *http.Client }
+type client struct {
+	http   *http.Client
+	intake *tsintake.Intake
+}
 
 func newClient(o Options) client {
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	t := &http.Transport{DialContext: o.Dial, MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}
-	return client{http: &http.Client{
+	t := &http.Transport{DialContext: o.Dial, MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes, DisableCompression: true}
+	return client{intake: o.Intake, http: &http.Client{
 		Transport:     t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -141,20 +150,27 @@
 	if resp.StatusCode != http.StatusOK {
 		return decodeRefusalError(resp, o)
 	}
-	b, err := readBounded(resp.Body)
+	b, err := c.readBounded(resp.Body)
 	if err == nil {
 		err = json.Unmarshal(b, out)
 	}
 	return turmericshed.WrapError(o.incompleteKind, err, "answer of %s", o.server.ID)
 }
 
-// readBounded reads a body to its end. Errors: KindTooLarge over maxAnswerBytes, and those of r.
-func readBounded(r io.Reader) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
-	if err == nil && len(b) > maxAnswerBytes {
-		return nil, turmericshed.NewError(turmericshed.KindTooLarge, "more than %d bytes", maxAnswerBytes)
+// readBounded reads a body to its end. Errors: KindTooLarge over maxAnswerBytes, or over the memory that
+// is left for answers, and those of r.
+func (c client) readBounded(r io.Reader) ([]byte, error) {
+	memory := c.intake.NewAnswer()
+	defer memory.Release()
+	parts, isWhole, err := memory.ReadPart(r, maxAnswerBytes+1)
+	if err != nil {
+		return nil, err
+	}
+	b := bytes.Join(parts, nil)
+	if !isWhole {
+		return nil, turmericshed.NewError(turmericshed.KindTooLarge, "more than %d bytes, or than there is memory for: %d bytes read", maxAnswerBytes, len(b))
 	}
-	return b, err
+	return b, nil
 }
 
 // decodeRefusalError returns the error for an answer that reports a refusal, such as one with a status
--- a/io/tsbackend/engine.go
+++ b/io/tsbackend/engine.go
@@ -54,7 +54,7 @@
 		defer func() { _ = resp.Body.Close() }()
 		return nil, decodeRefusalError(resp, o)
 	}
-	return newStream(resp.Body, cancel), nil
+	return newStream(resp.Body, e.intake.NewAnswer(), cancel), nil
 }
 
 // Cancel cancels a generation and returns its final usage. For a stream that the engine never received,
--- a/io/tsbackend/service.go
+++ b/io/tsbackend/service.go
@@ -56,7 +56,7 @@
 	if resp.Header.Get(HeaderCallRefused) != "" {
 		return turmericshed.Answer{}, decodeRefusalError(resp, o)
 	}
-	b, err := readBounded(resp.Body)
+	b, err := c.readBounded(resp.Body)
 	if err != nil {
 		return turmericshed.Answer{}, turmericshed.WrapError(o.incompleteKind, err, "answer of %s", o.server.ID)
 	}
--- a/io/tscalls/peers.go
+++ b/io/tscalls/peers.go
@@ -10,6 +10,7 @@
 
 	"turmericshed"
 	"turmericshed/core/tsclaim"
+	"turmericshed/io/tspeer"
 	"turmericshed/io/tspeerapi"
 )
 
@@ -26,7 +27,7 @@
 // client returns a client of the claim service of an entry VM.
 func (c *Calls) client(m turmericshed.EntryVM) tspeerapi.ClaimServiceClient {
 	h, url := c.cfg.Peers.Client(m.PeerAddr)
-	return tspeerapi.NewClaimServiceClient(h, url)
+	return tspeerapi.NewClaimServiceClient(h, url, tspeer.BoundAnswers())
 }
 
 // Commit commits an operation of a peer, batched with other operations of its slot.
--- a/io/tscommit/client.go
+++ b/io/tscommit/client.go
@@ -135,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(ctx, turmericshed.LinkTimeout(c.cfg.Link, attemptTimeout, congestedAttemptTimeout))
 	defer cancel()
 	hc, base := c.cfg.Peers.Client(vm.PeerAddr)
-	resp, err := tspeerapi.NewLedgerServiceClient(hc, base).WriteLedgers(ctx, connect.NewRequest(encodeRequest(r)))
+	resp, err := tspeerapi.NewLedgerServiceClient(hc, base, tspeer.BoundAnswers()).WriteLedgers(ctx, connect.NewRequest(encodeRequest(r)))
 	if err != nil {
 		return tsbudget.Reply{}, callError(err)
 	}
--- a/io/tscrash/share.go
+++ b/io/tscrash/share.go
@@ -14,6 +14,7 @@
 	"turmericshed/core/tspoison"
 	"turmericshed/core/tspreference"
 	"turmericshed/io/tspause"
+	"turmericshed/io/tspeer"
 	"turmericshed/io/tspeerapi"
 )
 
@@ -205,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(ctx, turmericshed.LinkTimeout(w.cfg.Link, callTimeout, congestedCallTimeout))
 	defer cancel()
 	hc, base := w.cfg.Peers.Client(vm.PeerAddr)
-	return f(ctx, tspeerapi.NewCrashServiceClient(hc, base))
+	return f(ctx, tspeerapi.NewCrashServiceClient(hc, base, tspeer.BoundAnswers()))
 }
 
 // notifier sends the evidence that this entry VM has aggregated to every other entry
--- a/io/tsentry/join.go
+++ b/io/tsentry/join.go
@@ -12,6 +12,7 @@
 	"turmericshed"
 	"turmericshed/core/tsdedupe"
 	"turmericshed/core/tsframe"
+	"turmericshed/io/tspeer"
 	"turmericshed/io/tspeerapi"
 )
 
@@ -66,7 +67,7 @@
 
 func (e *Entry) streamClient(addr netip.AddrPort) tspeerapi.StreamServiceClient {
 	client, url := e.deps.Peers.Client(addr)
-	return tspeerapi.NewStreamServiceClient(client, url)
+	return tspeerapi.NewStreamServiceClient(client, url, tspeer.BoundAnswers())
 }
 
 // generateKeyed joins a generation that runs at another entry VM of the failure domain, or resumes it if
--- a/io/tsfeed/source.go
+++ b/io/tsfeed/source.go
@@ -248,7 +248,7 @@
 	if s.cfg.Limits != nil {
 		m.Limits = s.cfg.Limits.ExportLimits()
 	}
-	resp, err := tspeerapi.NewNewsServiceClient(hc, base).Follow(ctx, connect.NewRequest(m))
+	resp, err := tspeerapi.NewNewsServiceClient(hc, base, tspeer.BoundAnswers()).Follow(ctx, connect.NewRequest(m))
 	if err != nil {
 		return turmericshed.Changes{}, err
 	}
--- a/io/tsholder/peer.go
+++ b/io/tsholder/peer.go
@@ -10,6 +10,7 @@
 
 	"turmericshed"
 	"turmericshed/core/tsbudget"
+	"turmericshed/io/tspeer"
 	"turmericshed/io/tspeerapi"
 )
 
@@ -270,7 +271,7 @@
 
 func (h *Holder) client(vm turmericshed.EntryVM) tspeerapi.BudgetServiceClient {
 	c, base := h.cfg.Peers.Client(vm.PeerAddr)
-	return tspeerapi.NewBudgetServiceClient(c, base)
+	return tspeerapi.NewBudgetServiceClient(c, base, tspeer.BoundAnswers())
 }
 
 // repay sends the reports to the lenders. If final is set, every loan is ended. It returns the
--- a/io/tspeer/transport.go
+++ b/io/tspeer/transport.go
@@ -43,8 +43,10 @@
 	pingTimeout       = 5 * time.Second
 	readHeaderTimeout = 5 * time.Second
 	shutdownTimeout   = 5 * time.Second
-	// maxHeaderBytes bounds the headers of one call.
+	// maxHeaderBytes bounds the headers of one call, and those of its answer.
 	maxHeaderBytes = 16 << 10
+	// maxMessageBytes bounds one message in an answer. The largest are snapshots of the routing table.
+	maxMessageBytes = 8 << 20
 )
 
 // DialFunc opens a connection; see net.Dialer.DialContext.
@@ -108,6 +110,10 @@
 	}
 }
 
+// BoundAnswers returns the option of a connect-go client that bounds what is held of an answer,
+// whatever answers at the address of a peer.
+func BoundAnswers() connect.ClientOption { return connect.WithReadMaxBytes(maxMessageBytes) }
+
 // Peers opens calls to other entry VMs.
 type Peers interface {
 	// Client returns the HTTP client and base URL for connect-go clients of
@@ -131,10 +137,11 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	rt := &http.Transport{
-		DialContext:     dial,
-		IdleConnTimeout: idleTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingIdleInterval, PingTimeout: pingTimeout},
-		Protocols:       new(http.Protocols),
+		DialContext:            dial,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingIdleInterval, PingTimeout: pingTimeout},
+		Protocols:              new(http.Protocols),
 	}
 	t := &Transport{client: &http.Client{Transport: rt}, transport: rt, scheme: "http"}
 	if cfg.Clock != nil {
--- a/io/tspermits/draw.go
+++ b/io/tspermits/draw.go
@@ -10,6 +10,7 @@
 
 	"turmericshed"
 	"turmericshed/core/tslimit"
+	"turmericshed/io/tspeer"
 	"turmericshed/io/tspeerapi"
 )
 
@@ -223,7 +224,7 @@
 	defer cancel()
 	began := time.Now()
 	hc, base := p.cfg.Peers.Client(vm.PeerAddr)
-	resp, err := tspeerapi.NewLimitServiceClient(hc, base).Draw(ctx, connect.NewRequest(r))
+	resp, err := tspeerapi.NewLimitServiceClient(hc, base, tspeer.BoundAnswers()).Draw(ctx, connect.NewRequest(r))
 	if err != nil {
 		return nil, turmericshed.WrapError(turmericshed.KindNoBackend, err, "entry VM %s", vm.Name)
 	}
--- a/io/tsprocess/process.go
+++ b/io/tsprocess/process.go
@@ -97,6 +97,8 @@
 	quarantine *tsquarantine.Guard
 	engine     *tsbackend.Engine
 	service    *tsbackend.Service
+	// intake bounds what callers and servers take up.
+	intake *tsintake.Intake
 }
 
 // New opens the listeners and builds the components. Errors: KindBadRequest for a
@@ -199,7 +201,8 @@
 }
 
 func (b *builder) buildBudgetsAndCalls() error {
-	b.service = tsbackend.NewService(tsbackend.Options{Dial: b.opts.Dial})
+	b.intake = b.newIntake()
+	b.service = tsbackend.NewService(tsbackend.Options{Dial: b.opts.Dial, Intake: b.intake})
 	b.holder = tsholder.New(tsholder.Config{
 		Self: b.self, Store: b.platform, Members: b.fleet, Recorder: b.recorder,
 		Peers: b.transport, Profiles: b.profiles,
@@ -279,7 +282,7 @@
 
 // buildRouting builds the engine client and the pool of backend servers.
 func (b *builder) buildRouting() error {
-	b.engine = tsbackend.NewEngine(tsbackend.Options{Dial: b.opts.Dial})
+	b.engine = tsbackend.NewEngine(tsbackend.Options{Dial: b.opts.Dial, Intake: b.intake})
 	b.pool = tsrouting.NewPool(tsrouting.PoolConfig{
 		FailureDomain: b.self.FailureDomain, Region: b.self.Region, Board: b.board, LoadReader: b.engine, Recorder: b.recorder,
 		OnAttempt: b.metrics.Attempt,
@@ -307,13 +310,13 @@
 		Board: b.board, Store: b.platform, Members: b.fleet, Peers: b.transport, Profiles: b.profiles,
 		Budgets: b.holder, Claims: b.calls, Router: b.pool, Service: b.service,
 		Engine: b.engine, Quarantine: b.quarantine, Retries: tsrouting.NewRetries(maxRetryFraction),
-		Admission: queue, Intake: b.newIntake(),
+		Admission: queue, Intake: b.intake,
 		Recorder: b.recorder, Log: tsobserve.WithPrefix(b.opts.Log, "entry"), Metrics: b.metrics.Handler(), RequestMetrics: b.metrics, Timeline: b.recorder.Handler(),
 		Controllers: controllers,
 	}
 }
 
-// newIntake returns the bounds of what callers take up.
+// newIntake returns the bounds of what callers and servers take up.
 func (b *builder) newIntake() *tsintake.Intake {
 	return tsintake.New(tsintake.Config{
 		MemoryBytes: b.cfg.MemoryBytes, Descriptors: b.cfg.FileDescriptors, BodyCopies: bodyCopies,
--- a/io/tsquarantine/guard.go
+++ b/io/tsquarantine/guard.go
@@ -247,7 +247,7 @@
 
 func (g *Guard) peerClient(m turmericshed.EntryVM) tspeerapi.QuarantineServiceClient {
 	h, url := g.cfg.Peers.Client(m.PeerAddr)
-	return tspeerapi.NewQuarantineServiceClient(h, url)
+	return tspeerapi.NewQuarantineServiceClient(h, url, tspeer.BoundAnswers())
 }
 
 // spread sends evidence to the peers of the failure domain and waits for their
--- a/io/tsversion/share.go
+++ b/io/tsversion/share.go
@@ -11,6 +11,7 @@
 	"turmericshed"
 	"turmericshed/core/tspreference"
 	"turmericshed/io/tspause"
+	"turmericshed/io/tspeer"
 	"turmericshed/io/tspeerapi"
 )
 
@@ -144,7 +145,7 @@
 	ctx, cancel := context.WithTimeout(ctx, v.timeout())
 	defer cancel()
 	hc, base := v.cfg.Peers.Client(vm.PeerAddr)
-	return f(ctx, tspeerapi.NewVersionServiceClient(hc, base))
+	return f(ctx, tspeerapi.NewVersionServiceClient(hc, base, tspeer.BoundAnswers()))
 }
 
 // timeout returns the timeout of a call.
