Drill: releases, kills of all entry VMs, resumed streams, endless answers

Checked are: one version in all events of a stream, at least half as many resumed streams that go on as new ones that begin, and an answer to each refused request whose entry VM isn't stopped.

The event text of the stand-in server names its version if it has one.

--- a/load/tsdrill/caller.go
+++ b/load/tsdrill/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -20,6 +21,13 @@
 const (
 	requestTimeout = 6 * time.Second
 	callerSlack    = 2 * time.Second
+	// slowBodyBytes and slowBodyTime are the size of a body that arrives slowly and the time it takes,
+	// as on a saturated link; it is sent in slowBodyPieces.
+	slowBodyBytes  = 64 << 10
+	slowBodyTime   = 800 * time.Millisecond
+	slowBodyPieces = 16
+	// maxResumes bounds how often a caller resumes a stream.
+	maxResumes = 3
 )
 
 // kindOfRequest is what a caller asks for.
@@ -31,15 +39,19 @@
 	askBooking
 	askLookup
 	askNewestRoute
+	askNoRoute
 	kindCount
 )
 
 // request is what a caller saw of a request.
 type request struct {
-	id      string
-	kind    kindOfRequest
-	deadly  bool
-	process *process
+	id     string
+	kind   kindOfRequest
+	deadly bool
+	// resumes is the ID of the attempt that brought the first event of the stream that is resumed, and
+	// received the events of that stream so far; empty for a new request.
+	resumes, received string
+	process           *process
 	// sentAt is when the last byte was written, endedAt when the answer or the
 	// connection ended.
 	sentAt, endedAt time.Time
@@ -93,7 +105,9 @@
 	br := bufio.NewReader(conn)
 	for pause(ctx, c.rng, requestInterval, c.d.until) {
 		kind := kindOfRequest(c.rng.IntN(int(kindCount)))
-		if closes := c.send(conn, br, p, kind, false); closes {
+		q := request{kind: kind, process: p}
+		if closes := c.send(conn, br, &q); closes {
+			c.resume(ctx, q)
 			return true
 		}
 	}
@@ -107,19 +121,57 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	c.send(conn, bufio.NewReader(conn), p, askStream+kindOfRequest(c.rng.IntN(2)), true)
+	c.send(conn, bufio.NewReader(conn), &request{kind: askStream + kindOfRequest(c.rng.IntN(2)), deadly: true, process: p})
+}
+
+// resume resumes an interrupted stream at other entry VMs until it is complete or refused.
+func (c *caller) resume(ctx context.Context, broken request) {
+	for range maxResumes {
+		text := broken.received + wholeEvents(broken.body)
+		if broken.kind != askStream || broken.status != http.StatusOK || broken.err == nil || text == "" || !time.Now().Before(c.d.until) {
+			return
+		}
+		q := request{kind: askStream, resumes: cmp.Or(broken.resumes, broken.id), received: text}
+		conn := c.connectToAny(ctx, &q)
+		if conn == nil {
+			return
+		}
+		c.send(conn, bufio.NewReader(conn), &q)
+		_ = conn.Close()
+		broken = q
+	}
+}
+
+// connectToAny connects to an entry VM that callers are sent to, which it notes in q; nil if none takes
+// the connection within the time limit of a request.
+func (c *caller) connectToAny(ctx context.Context, q *request) net.Conn {
+	dialer := net.Dialer{Timeout: time.Second}
+	for end := time.Now().Add(requestTimeout); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(requestInterval) {
+		if q.process = c.pick(); q.process == nil {
+			continue
+		}
+		if conn, err := dialer.DialContext(ctx, "tcp", q.process.callerAddr); err == nil {
+			return conn
+		}
+	}
+	return nil
+}
+
+// wholeEvents returns the complete events at the beginning of a stream.
+func wholeEvents(body string) string {
+	return body[:strings.LastIndex("\n\n"+body, "\n\n")]
 }
 
 // send sends a request, reads the answer and records both. It reports whether the
 // connection can't be used any more.
-func (c *caller) send(conn net.Conn, br *bufio.Reader, p *process, kind kindOfRequest, deadly bool) (closes bool) {
-	q := request{id: turmericshed.NewID("a-"), kind: kind, deadly: deadly, process: p}
+func (c *caller) send(conn net.Conn, br *bufio.Reader, q *request) (closes bool) {
+	q.id = turmericshed.NewID("a-")
 	defer func() {
 		q.endedAt = time.Now()
-		c.d.record(q)
+		c.d.record(*q)
 	}()
 	_ = conn.SetDeadline(time.Now().Add(requestTimeout + callerSlack))
-	if _, err := io.WriteString(conn, c.text(q)); err != nil {
+	if err := c.write(conn, *q); err != nil {
 		// The entry VM closed the connection before it read the request.
 		q.sentAt = time.Now()
 		q.err = errNotRead
@@ -140,6 +192,21 @@
 	return err != nil || resp.Close
 }
 
+// write writes a request; the body of one without a route slowly.
+func (c *caller) write(conn net.Conn, q request) error {
+	if _, err := io.WriteString(conn, c.text(q)); err != nil || q.kind != askNoRoute {
+		return err
+	}
+	piece := strings.Repeat("x", slowBodyBytes/slowBodyPieces)
+	for range slowBodyPieces {
+		time.Sleep(slowBodyTime / slowBodyPieces)
+		if _, err := io.WriteString(conn, piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 var (
 	errNotRead  = errors.New("the connection was closed before the request was written")
 	errNoAnswer = errors.New("the connection ended without an answer")
@@ -156,8 +223,13 @@
 			parts += deadlyPart + ":30,"
 		}
 		headers = fmt.Sprintf("Model: m\r\nToken-Counts: %d,%d\r\nPrompt-Prefix: %s%s:10\r\n", promptTokens, maxOutputTokens, parts, strings.TrimPrefix(q.id, "a-"))
+		if q.resumes != "" {
+			headers += fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", q.resumes, strings.Count(q.received, "id: "))
+		}
 	case askBooking:
 		path = "/book/1"
+	case askNoRoute:
+		return fmt.Sprintf("POST /none/1 HTTP/1.1\r\nHost: corner.example\r\nAttempt-Id: %s\r\nCredential: %s\r\nContent-Length: %d\r\n\r\n", q.id, apiKey, slowBodyBytes)
 	case askLookup:
 		method, path = http.MethodGet, "/look/1"
 	default:
--- a/load/tsdrill/check.go
+++ b/load/tsdrill/check.go
@@ -22,6 +22,8 @@
 	// and minServedShare the part of their requests.
 	recoveryTime   = settleTime
 	minServedShare = 0.9
+	// minResumed is the number of resumed streams from which their share is checked.
+	minResumed = 12
 	// A request that was sent up to lateSend after SIGTERM may be cut off if its server
 	// is still at work later than lateAtWork after it.
 	lateAtWork = gracePeriod * 5 / 6
@@ -48,6 +50,7 @@
 	defer d.mu.Unlock()
 	d.checkParts()
 	d.checkBudget()
+	d.checkResumed()
 	served, owed := 0, 0
 	for _, q := range d.requests {
 		d.checkAnswer(q)
@@ -57,7 +60,7 @@
 			continue
 		}
 		owed++
-		if q.err == nil && q.status == http.StatusOK {
+		if q.err == nil && (q.status == http.StatusOK || q.kind == askNoRoute && q.status == http.StatusNotFound) {
 			served++
 		}
 	}
@@ -69,7 +72,7 @@
 // checkParts checks that requests with the deadly part stopped reaching servers.
 func (d *drill) checkParts() {
 	var crashes, arrivals []time.Time
-	for _, e := range d.servers.engines {
+	for _, e := range d.servers.allEngines() {
 		crashes, arrivals = append(crashes, e.CrashTimes()...), append(arrivals, e.CrashPartArrivals()...)
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
@@ -108,29 +111,71 @@
 	if strings.Contains(q.body, turmericshed.KindQuarantined.String()) && !q.deadly {
 		d.violateLocked("quarantine: a request without a deadly part was refused: %s", q.id)
 	}
+	if v := softwareVersions(q.received + wholeEvents(q.body)); len(v) > 1 {
+		d.violateLocked("stream: %s, which resumes %q, has events of %q", q.id, q.resumes, v)
+	}
 	if q.err != nil {
 		return
 	}
-	want := "answer to " + q.id
-	if q.kind == askStream || q.kind == askOnce {
-		want = wholeStream
-	}
+	isStream := q.kind == askStream || q.kind == askOnce
 	switch {
-	case q.status == http.StatusOK && q.body != want:
+	case q.kind == askNoRoute && (q.status == http.StatusNotFound || q.status == http.StatusServiceUnavailable):
+	case q.status == http.StatusOK && isStream && !isWholeStream(q.received+q.body):
+		d.violateLocked("stream: %s, which resumes %q, got %q after %q", q.id, q.resumes, q.body, q.received)
+	case q.status == http.StatusOK && !isStream && q.body != "answer to "+q.id:
 		d.violateLocked("answer: %s got %q", q.id, q.body)
 	case q.status == http.StatusNotFound, q.status == http.StatusUnauthorized, q.status == http.StatusPaymentRequired, q.status == http.StatusForbidden:
 		d.violateLocked("desired state: %s got status %d", q.id, q.status)
 	}
 }
 
-// wholeStream is the body of a complete stream.
-var wholeStream = func() string {
-	var b strings.Builder
+// isWholeStream reports whether the text is a complete stream of one software version.
+func isWholeStream(text string) bool {
+	versions := softwareVersions(text)
+	if len(versions) != 1 {
+		return false
+	}
+	var want strings.Builder
 	for n := range streamEvents {
-		_, _ = fmt.Fprintf(&b, "id: %[1]d\ndata: piece %[1]d\n\n", n+1)
+		_, _ = fmt.Fprintf(&want, "id: %[1]d\ndata: piece %[1]d of %[2]s\n\n", n+1, versions[0])
 	}
-	return b.String()
-}()
+	return text == want.String()
+}
+
+// softwareVersions returns the versions that the events of a stream name.
+func softwareVersions(text string) (versions []string) {
+	for _, event := range strings.Split(text, "\n\n") {
+		if _, v, ok := strings.Cut(event, " of "); ok && !slices.Contains(versions, v) {
+			versions = append(versions, v)
+		}
+	}
+	return versions
+}
+
+// checkResumed checks that streams which callers resumed go on at least half as often as new ones
+// begin.
+func (d *drill) checkResumed() {
+	begun, asked := 0, 0
+	for _, q := range d.requests {
+		isServed := q.status == http.StatusOK
+		switch {
+		case q.deadly || q.kind != askStream:
+		case q.resumes != "":
+			d.report.Resumed++
+			if isServed {
+				d.report.WentOn++
+			}
+		case q.endedAt.After(d.plannedUntil):
+			asked++
+			if isServed {
+				begun++
+			}
+		}
+	}
+	if d.report.Resumed >= minResumed && d.report.WentOn*asked*2 < begun*d.report.Resumed {
+		d.violateLocked("resumed: %d of %d streams went on, while %d of %d new ones began", d.report.WentOn, d.report.Resumed, begun, asked)
+	}
+}
 
 // checkPromise checks that requests which may not be repeated ran at most once, and that
 // those refused as not run did not run.
@@ -147,12 +192,18 @@
 // checkCutOff checks that no answer was cut off by planned work in the first phase: a
 // server may be at work late in the grace period only on a request that came early.
 func (d *drill) checkCutOff(q request) {
-	if q.err == nil || q.endedAt.After(d.plannedUntil) || d.servers.runs(q.id) == 0 {
+	if q.err == nil || q.endedAt.After(d.plannedUntil) {
 		return
 	}
 	p := q.process
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if q.kind == askNoRoute && p.stoppedAt.IsZero() {
+		d.violateLocked("refusal: %s got no answer within %s: %v", q.id, q.endedAt.Sub(q.sentAt).Round(time.Millisecond), q.err)
+	}
+	if d.servers.runs(q.id) == 0 {
+		return
+	}
 	if !p.stoppedAt.IsZero() && q.endedAt.Sub(p.stoppedAt) >= lateAtWork && q.sentAt.Sub(p.stoppedAt) <= lateSend {
 		return
 	}
--- a/load/tsdrill/drill.go
+++ b/load/tsdrill/drill.go
@@ -2,12 +2,14 @@
 // stand-in store and backend servers in its own process, and checks the promises on what
 // callers and servers saw.
 //
-// A run has three phases. In the first, entry VMs are stopped, restarted and reloaded, and
-// the routing table changes, in series and overlapping; no answer may be cut off. In the
-// second, requests with prompt parts that crash backend servers come at all entry VMs,
-// beside stops, kills, lost answers, server crashes and an outage of the store. In the
-// third nothing fails, and callers must be served. Half of the callers keep using a
-// stopping entry VM until its process is gone.
+// A run has three phases. In the first, entry VMs are stopped, restarted and reloaded, the
+// routing table changes, and engines are replaced by ones of another software version, in
+// series and overlapping; no answer may be cut off. In the second, requests with prompt
+// parts that crash backend servers come at all entry VMs, beside stops, kills, also of all
+// entry VMs at once, lost answers, answers that never end, server crashes and an outage of
+// the store. In the third nothing fails, and callers must be served. Half of the callers
+// keep using a stopping entry VM until its process is gone. Callers resume interrupted
+// streams, and some send a body slowly to a path without a route.
 //
 // The seed fixes the schedule of failures. Processes, sockets and the time of day are
 // real, so a run does not repeat exactly.
@@ -66,8 +68,15 @@
 	Fails    int    `json:"fails"`
 	Stops    int    `json:"stops"`
 	Kills    int    `json:"kills"`
-	Reloads  int    `json:"reloads"`
-	Changes  int    `json:"changes"`
+	// KillsOfAll counts how often all entry VMs were killed at once, Releases the engines that were
+	// replaced by ones of another software version.
+	KillsOfAll int `json:"kills_of_all"`
+	Releases   int `json:"releases"`
+	// Resumed counts the interrupted streams that callers resumed, WentOn those that went on.
+	Resumed int `json:"resumed"`
+	WentOn  int `json:"went_on"`
+	Reloads int `json:"reloads"`
+	Changes int `json:"changes"`
 	// ServerCrashes counts the crashes of model engines, DeadlyArrivals the requests
 	// with a deadly part that reached one.
 	ServerCrashes  int `json:"server_crashes"`
--- a/load/tsdrill/faults.go
+++ b/load/tsdrill/faults.go
@@ -31,10 +31,17 @@
 	stops.Go(func() {
 		rng := d.newRand(1 << 20)
 		for pause(ctx, rng, changeInterval, d.faultsUntil) {
-			if rng.IntN(2) == 0 {
+			switch rng.IntN(4) {
+			case 0, 1:
 				d.servers.addRoute()
 				d.count(&d.report.Changes)
 				continue
+			case 2:
+				if err := d.servers.release(); err != nil {
+					d.violate("a release failed: %v", err)
+				}
+				d.count(&d.report.Releases)
+				continue
 			}
 			if err := d.vms[rng.IntN(len(d.vms))].reload(); err != nil {
 				d.violate("a reload failed: %v", err)
@@ -105,7 +112,7 @@
 		}
 	})
 	for pause(ctx, rng, faultInterval, d.faultsUntil) {
-		switch all := d.servers.all(); rng.IntN(5) {
+		switch all := d.servers.inService(); rng.IntN(7) {
 		case 0:
 			all[rng.IntN(len(all))].Crash()
 		case 1, 2:
@@ -119,8 +126,26 @@
 		case 3:
 			d.servers.store.SetDown(true)
 			time.AfterFunc(faultDuration, func() { d.servers.store.SetDown(false) })
+		case 4:
+			b := all[rng.IntN(len(all))]
+			b.SetBehaviour(tsmetastore.BehaveEndless)
+			time.AfterFunc(faultDuration, func() { b.SetBehaviour(tsmetastore.BehaveNormal) })
+		case 5:
+			d.restartAll()
+		}
+	}
+}
+
+// restartAll kills the processes of all entry VMs at once, and starts the next ones.
+func (d *drill) restartAll() {
+	var restarts sync.WaitGroup
+	defer restarts.Wait()
+	for _, vm := range d.vms {
+		if p := vm.current(); p != nil && !p.isStopping() {
+			restarts.Go(func() { d.restart(vm, p, true) })
 		}
 	}
+	d.count(&d.report.KillsOfAll)
 }
 
 // count adds one to a number of the report.
--- a/load/tsdrill/servers.go
+++ b/load/tsdrill/servers.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	deskCount       = 3
 	// deadlyPart is the ID of the prompt part that crashes engines.
 	deadlyPart = "dead"
+	// leaveAfter is how long an engine serves after it began to drain.
+	leaveAfter = 3 * time.Second
 	// restartDelay is how long a crashed server is down.
 	restartDelay = 400 * time.Millisecond
 )
@@ -33,10 +36,13 @@
 	storeAddr string
 	store     *tsmetastore.Store
 	listener  net.Listener
-	engines   []*tsmetastore.Backend
 	desks     []*tsmetastore.Backend
 
 	mu sync.Mutex
+	// engines are the engines in service, retired those that a release has replaced.
+	engines, retired []*tsmetastore.Backend
+	// releases is the number of engines that were replaced.
+	releases int
 	// version is the version of the routing table. extraRoutes holds when the store
 	// accepted each route that was added.
 	version     int
@@ -54,25 +60,15 @@
 		srv := &http.Server{Handler: s.store, ReadHeaderTimeout: time.Minute}
 		_ = srv.Serve(s.listener)
 	}()
-	start := func(id, service string, events int, eventPause time.Duration) (*tsmetastore.Backend, error) {
-		put := func(b *tsmetastore.Backend) { s.store.Put(users.ServerPrefix+b.ID, b.Entry(service, "a", "ready")) }
-		b := &tsmetastore.Backend{ID: id, Events: events, Pause: eventPause, CrashPart: deadlyPart, RestartAfter: restartDelay, OnRestart: put}
-		if err := b.Start(); err != nil {
-			return nil, err
-		}
-		put(b)
-		return b, nil
-	}
-	for i := range engineCount {
-		// The streams of some engines last until late in a grace period.
-		b, err := start(fmt.Sprint("engine-", i), "pool", streamEvents, time.Duration(10+30*i)*time.Millisecond)
+	for n := range engineCount {
+		b, err := s.start(engineID(n, 0), "pool", softwareVersion(0), streamEvents, engineEventPause(n))
 		if err != nil {
 			return nil, err
 		}
 		s.engines = append(s.engines, b)
 	}
-	for i := range deskCount {
-		b, err := start(fmt.Sprint("desk-", i), "desk", 0, 0)
+	for n := range deskCount {
+		b, err := s.start(fmt.Sprint("desk-", n), "desk", "", 0, 0)
 		if err != nil {
 			return nil, err
 		}
@@ -82,9 +78,78 @@
 	return s, nil
 }
 
-// all returns all backend servers.
+// start starts a server that is back after a crash, and lists it.
+func (s *servers) start(id, service, software string, events int, eventPause time.Duration) (*tsmetastore.Backend, error) {
+	b := &tsmetastore.Backend{ID: id, Software: software, Events: events, Pause: eventPause, CrashPart: deadlyPart, RestartAfter: restartDelay, OnRestart: func(b *tsmetastore.Backend) {
+		if !s.isRetired(b) {
+			s.list(b, service, "ready")
+		}
+	}}
+	if err := b.Start(); err != nil {
+		return nil, err
+	}
+	s.list(b, service, "ready")
+	return b, nil
+}
+
+// list writes a server's entry to the store.
+func (s *servers) list(b *tsmetastore.Backend, service, state string) {
+	s.store.Put(users.ServerPrefix+b.ID, b.Entry(service, "a", state))
+}
+
+// engineID returns the ID of the nth engine after it was replaced the given number of times.
+func engineID(n, replaced int) string { return fmt.Sprintf("engine-%d-%d", n, replaced) }
+
+// softwareVersion returns the version of engines that were replaced the given number of times.
+func softwareVersion(replaced int) string { return fmt.Sprint("v", replaced+1) }
+
+// engineEventPause returns the time between events. The streams of some engines last until late in a
+// grace period.
+func engineEventPause(n int) time.Duration { return time.Duration(10+30*n) * time.Millisecond }
+
+// isRetired reports whether a release has replaced the engine.
+func (s *servers) isRetired(b *tsmetastore.Backend) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.retired, b)
+}
+
+// release replaces the next engine by one of the next software version. The old one drains, and leaves
+// when its streams have ended.
+func (s *servers) release() error {
+	s.mu.Lock()
+	n, replaced := s.releases%engineCount, s.releases/engineCount+1
+	s.mu.Unlock()
+	b, err := s.start(engineID(n, replaced), "pool", softwareVersion(replaced), streamEvents, engineEventPause(n))
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.engines[n]
+	s.engines[n] = b
+	s.retired = append(s.retired, old)
+	s.releases++
+	s.list(old, "pool", "draining")
+	time.AfterFunc(leaveAfter, func() { s.store.Remove(users.ServerPrefix + old.ID) })
+	return nil
+}
+
+// all returns the backend servers that are in service or were.
 func (s *servers) all() []*tsmetastore.Backend {
-	return append(append([]*tsmetastore.Backend(nil), s.engines...), s.desks...)
+	return slices.Concat(s.inService(), s.allEngines()[engineCount:])
+}
+
+// inService returns the backend servers in service.
+func (s *servers) inService() []*tsmetastore.Backend {
+	return slices.Concat(s.allEngines()[:engineCount], s.desks)
+}
+
+// allEngines returns the engines in service and then the retired ones.
+func (s *servers) allEngines() []*tsmetastore.Backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Concat(s.engines, s.retired)
 }
 
 // close ends the store and the servers.
--- a/standin/tsmetastore/backend.go
+++ b/standin/tsmetastore/backend.go
@@ -49,8 +49,14 @@
 	// BehaveLeaving sends the complete answer with a header that announces
 	// that the server is leaving.
 	BehaveLeaving
+	// BehaveEndless runs the request and sends an answer that does not end: a line of a plain
+	// answer, or an event, until endlessBytes are written or the connection is closed.
+	BehaveEndless
 )
 
+// endlessBytes is how much of an answer a Backend sends that behaves as BehaveEndless.
+const endlessBytes = 32 << 20
+
 // BusyRetryAfter is the Retry-After time that a busy Backend sends.
 const BusyRetryAfter = 3 * time.Second
 
@@ -58,7 +64,7 @@
 // or an engine if Events is positive.
 type Backend struct {
 	ID string
-	// Software is the version of the server's software; empty for v1.
+	// Software is the version of the server's software; empty for v1. If it is set, events name it.
 	Software string
 	// Events is the number of events per stream; 0 for a plain service.
 	Events int
@@ -360,6 +366,9 @@
 	case BehaveCrossed:
 		return write(c, strings.Replace(head("200 OK", "Response-Stamp: s\r\nContent-Length: 5\r\n\r\nother"), id, "another", 1))
 	}
+	if behaviour == BehaveEndless {
+		return b.writeEndless(c, head)
+	}
 	if behaviour == BehaveLeaving {
 		stateHeaders += "Server-Leaving: 1\r\n"
 	}
@@ -382,7 +391,7 @@
 	}
 	for n := lastReceived + 1; n <= b.Events; n++ {
 		time.Sleep(b.Pause)
-		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+		event := b.event(n)
 		if breaks && n >= lastReceived+b.Events/2 {
 			event = event[:len(event)/2]
 			write(c, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
@@ -396,6 +405,28 @@
 	return write(c, "0\r\n\r\n")
 }
 
+// event returns the event with the number n.
+func (b *Backend) event(n int) string {
+	if b.Software != "" {
+		return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, b.Software)
+	}
+	return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+}
+
+// writeEndless sends an answer without an end. It returns false: the connection closes.
+func (b *Backend) writeEndless(c net.Conn, head func(status, extra string) string) bool {
+	contentType := "text/plain"
+	if b.Events > 0 {
+		contentType = "text/event-stream"
+	}
+	piece := strings.Repeat("x", 64<<10)
+	isOpen := write(c, head("200 OK", "Response-Stamp: "+b.ID+"\r\nContent-Type: "+contentType+"\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	for sent := 0; isOpen && sent < endlessBytes; sent += len(piece) {
+		isOpen = write(c, fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece))
+	}
+	return false
+}
+
 // writeUnframed sends an answer that ends with its connection, or crashes on the way as the
 // behaviour requires. It returns false: the connection closes.
 func (b *Backend) writeUnframed(c net.Conn, r *http.Request, head func(status, extra string) string, text string, behaviour Behaviour) bool {
