Versions: no Retry-After where no later attempt knows more

A resumed stream whose version can't be determined was refused with the kind's default Retry-After of 1 s, so that callers waited for nothing. It is sent now, as 0.5 s, only if the store or a holder did not answer. A new stream that repeats the id of an earlier one replaces its beginning.

--- a/core/tsversion/streams.go
+++ b/core/tsversion/streams.go
@@ -36,7 +36,7 @@
 // Begin records a stream that began at this entry VM. isAmbiguous is true if more than the version
 // has to be known of its beginning.
 func (s *Streams) Begin(b turmericshed.StreamBeginning, isAmbiguous bool) {
-	s.Put(b)
+	s.streams.Add(b.Request, b)
 	s.own[b.Request] = &ownStream{StreamBeginning: b, isAmbiguous: isAmbiguous}
 }
 
--- a/io/tsgateway/version_test.go
+++ b/io/tsgateway/version_test.go
@@ -75,8 +75,10 @@
 	software string
 	status   int
 	events   int
-	body     io.ReadCloser
-	r        *bufio.Reader
+	// retryAfter is the answer's Retry-After header.
+	retryAfter string
+	body       io.ReadCloser
+	r          *bufio.Reader
 	// err is why the answer is incomplete.
 	err error
 }
@@ -125,6 +127,7 @@
 		return s
 	}
 	s.status, s.software, s.body, s.r = resp.StatusCode, r.software[resp.Header.Get("Response-Stamp")], resp.Body, bufio.NewReader(resp.Body)
+	s.retryAfter = resp.Header.Get("Retry-After")
 	if s.status == http.StatusOK {
 		s.read(events)
 	}
@@ -202,6 +205,7 @@
 		r.waitForVersions(r.entryVM, 2)
 		for _, s := range r.resume(r.entryVM, []*versionStream{{id: "a-unknown", events: 3}, {id: "", events: 3}}) {
 			assert.Equal(t, s.status, http.StatusServiceUnavailable)
+			assert.Equal(t, s.retryAfter, "", "no later attempt knows more")
 		}
 	})
 	t.Run("whose beginning nobody knows, with one version in service", func(t *testing.T) {
--- a/io/tsversion/find.go
+++ b/io/tsversion/find.go
@@ -8,6 +8,9 @@
 	"turmericshed/core/tsversion"
 )
 
+// unansweredRetryAfter is the Retry-After of a stream whose version somebody who did not answer may know.
+const unansweredRetryAfter = 500 * time.Millisecond
+
 // How the version of a stream was found, the values of the label "by".
 const (
 	foundHere    = "here"
@@ -18,9 +21,10 @@
 )
 
 // Find returns the beginning of a stream: as recorded here or at a holder, otherwise at the only
-// version of the service that is registered, or as saved in the store. The registered versions are read for each stream, since
-// the entry VM that began it may have registered one a moment ago. Errors: KindNoBackend if the version
-// can't be determined, KindCanceled.
+// version of the service that is registered, or as saved in the store. The registered versions are read
+// for each stream, since the entry VM that began it may have registered one a moment ago. Errors:
+// KindNoBackend if the version can't be determined, with a retry-after time only if the store or a holder
+// did not answer; KindCanceled.
 func (v *Versions) Find(ctx context.Context, service string, id turmericshed.RequestID) (turmericshed.StreamBeginning, error) {
 	b, ok := v.get(id)
 	if ok {
@@ -67,7 +71,11 @@
 		return b, turmericshed.NewError(turmericshed.KindCanceled, "canceled while the version of a stream was determined")
 	}
 	v.found.WithLabelValues(foundUnknown).Inc()
-	return b, turmericshed.NewError(turmericshed.KindNoBackend, "the software version that began the stream of attempt %q is unknown; registered: %v, holders that answered: %d", id, registered[service], held.count)
+	err := turmericshed.NewError(turmericshed.KindNoBackend, "the software version that began the stream of attempt %q is unknown; registered: %v, holders that answered: %d of %d", id, registered[service], held.count, held.asked)
+	if registered == nil || held.count < held.asked {
+		return b, turmericshed.WithRetryAfter(err, unansweredRetryAfter)
+	}
+	return b, turmericshed.WithRetryAfter(err, 0)
 }
 
 // get returns the beginning of a stream that is recorded here.
--- a/io/tsversion/share.go
+++ b/io/tsversion/share.go
@@ -157,9 +157,10 @@
 type answers struct {
 	// stream is nil if no holder knew the stream.
 	stream *turmericshed.StreamBeginning
-	// count is the number of holders that answered, versions what they know of the service.
-	count    int
-	versions []turmericshed.SoftwareVersion
+	// asked and count are the numbers of holders that were asked and that answered, versions what they
+	// know of the service.
+	asked, count int
+	versions     []turmericshed.SoftwareVersion
 }
 
 // ask asks the holders of a stream until one knows it, or all have answered or failed.
@@ -184,7 +185,7 @@
 			}
 		}()
 	}
-	var a answers
+	a := answers{asked: len(vms)}
 	for range vms {
 		m := <-replies
 		if m == nil {
