--- a/review/driver-2/engine.go
+++ b/review/driver-2/engine.go
@@ -21,6 +21,8 @@
 	// on it; empty for none. back is how long the server is away then.
 	part string
 	back time.Duration
+	// quiet leaves single runs out of the record.
+	quiet bool
 
 	mu sync.Mutex
 	// ran counts the runs by Attempt-Id; arrivals and crashes are the times of requests with the
@@ -41,13 +43,17 @@
 	version, born := s.version, s.born
 	s.mu.Unlock()
 	e.mu.Lock()
-	e.ran[id]++
+	if !e.quiet {
+		e.ran[id]++
+	}
 	if isDeadly {
 		e.arrivals = append(e.arrivals, time.Now())
 	}
 	e.mu.Unlock()
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	s.w.rec.add("server %s (%s) runs %s after event %d", s.id, version, id, after)
+	if !e.quiet {
+		s.w.rec.add("server %s (%s) runs %s after event %d", s.id, version, id, after)
+	}
 	if _, err := io.WriteString(c, s.head(r, "200 OK", "Response-Stamp: "+s.id+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")); err != nil {
 		return false
 	}
--- a/review/driver-2/world.go
+++ b/review/driver-2/world.go
@@ -86,6 +86,8 @@
 	storeLn  net.Listener
 	machines []*machine
 	done     chan struct{}
+	// memoryMB is the memory of a machine.
+	memoryMB int
 
 	mu      sync.Mutex
 	servers []*server
@@ -93,7 +95,7 @@
 }
 
 func newWorld(rec *record, dir, binary string) (*world, error) {
-	w := &world{rec: rec, dir: dir, binary: binary, store: tsmetastore.New(), done: make(chan struct{})}
+	w := &world{rec: rec, dir: dir, binary: binary, store: tsmetastore.New(), done: make(chan struct{}), memoryMB: machineMemoryMB}
 	var err error
 	if w.storeLn, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
@@ -418,7 +420,7 @@
 		"bootstrap": m.starts == 0, "toleranceCounted": false, "discovery": "platform", "entry": "vip", "heartbeatIntervalMs": beatInterval.Milliseconds(),
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"}, "zones": zones,
 		"listenAddresses": map[string]string{"front": m.front, "readiness": m.ready, "control": m.control},
-		"limits":          map[string]any{"cpuShare": machineCPUShares, "cpuCores": 1, "memoryMb": machineMemoryMB, "fileDescriptors": machineFDs, "linkMbps": machineLinkMbps, "diskMb": 0},
+		"limits":          map[string]any{"cpuShare": machineCPUShares, "cpuCores": 1, "memoryMb": m.w.memoryMB, "fileDescriptors": machineFDs, "linkMbps": machineLinkMbps, "diskMb": 0},
 		"faultTolerance":  map[string]int{"machines": 1, "zones": 1, "regions": 0},
 		"bounds": map[string]any{
 			"seedLagS": 3, "reuseAfterS": 2, "contactMs": contactTimeout.Milliseconds(), "ackTimeoutMs": 4000, "catchUpS": 4, "drainTimeoutMs": 2000,
