--- a/review/driver-2/world.go
+++ b/review/driver-2/world.go
@@ -525,6 +525,22 @@
 	return nil
 }
 
+// powerOff kills the processes of machines at once and starts them again after a while.
+func (w *world) powerOff(list []*machine, dark time.Duration) {
+	var wg sync.WaitGroup
+	for _, m := range list {
+		w.rec.add("trouble: machine %s loses power for %s", m.name, dark)
+		wg.Go(func() {
+			m.kill()
+			time.Sleep(dark)
+			if err := m.start(); err != nil {
+				w.rec.add("machine %s is not back: %v", m.name, err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // pick returns a machine at random.
 func (w *world) pick() *machine { return w.machines[rand.IntN(len(w.machines))] }
 
