--- a/review/driver-2/world.go
+++ b/review/driver-2/world.go
@@ -405,8 +405,10 @@
 }
 
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 256, IdleConnTimeout: 10 * time.Second,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+	return &http.Client{Transport: &http.Transport{
+		DisableCompression: true, MaxIdleConnsPerHost: 256, IdleConnTimeout: 10 * time.Second,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
 }
 
 func (m *machine) writeSettings() error {
