Log what a restored store has forgotten of the ledgers

Nothing told apart how tokens are handed out twice after a restore of the store: lots that are missing, or lots that came back after they were closed.

The ledger writer now logs both states of a ledger whose era rose, and holders record each lot that the holding lacks (lot_forgotten). Eras move into turmericshed.Version, and replies of the ledger writer name theirs.

--- a/core/tsbudget/holder.go
+++ b/core/tsbudget/holder.go
@@ -167,6 +167,21 @@
 	return ok && slices.ContainsFunc(b.lots, func(l *heldLot) bool { return l.ID == id })
 }
 
+// DrawnLots returns the lots of a budget that were drawn from its ledger.
+func (h *Holder) DrawnLots(budget turmericshed.BudgetID) []Lot {
+	b, ok := h.balances[budget]
+	if !ok {
+		return nil
+	}
+	var lots []Lot
+	for _, l := range b.lots {
+		if l.lender == "" {
+			lots = append(lots, l.Lot)
+		}
+	}
+	return lots
+}
+
 // Available returns the amount that is neither used, reserved, lent nor returned, regardless of
 // ceilings.
 func (h *Holder) Available(budget turmericshed.BudgetID) turmericshed.Tokens {
--- a/core/tsbudget/writer.go
+++ b/core/tsbudget/writer.go
@@ -68,6 +68,9 @@
 	Next time.Duration
 	// Lots are all lots of the process.
 	Lots map[turmericshed.BudgetID][]Lot
+	// Era is the store's era in which the lots were read or written; 0 for a store without eras and a
+	// writer of an earlier version.
+	Era uint64
 	// Pools are the amounts that can be drawn from the domain's pools without a write of the
 	// ledger.
 	Pools map[turmericshed.BudgetID]turmericshed.Tokens
--- a/event.go
+++ b/event.go
@@ -66,6 +66,7 @@
 	EventLotReturned        EventName = "lot_returned"
 	EventLotClosed          EventName = "lot_closed"
 	EventLotRefused         EventName = "lot_refused"
+	EventLotForgotten       EventName = "lot_forgotten"
 	EventTokensMoved        EventName = "tokens_moved"
 	EventPrepaidEdited      EventName = "prepaid_edited"
 	EventClaimMade          EventName = "claim_made"
--- a/ids.go
+++ b/ids.go
@@ -13,8 +13,35 @@
 // Version is the store-wide revision of a key's last write. Zero means that
 // the key does not exist. A version is never reused, not even when a key is
 // deleted and created again.
+//
+// A store may come back from an older copy and give revisions out again. Its
+// versions therefore have its era, a number that then rises, above the revision.
 type Version uint64
 
+// eraShift is the number of bits of a Version that hold the revision.
+const eraShift = 44
+
+// MaxRevision is the highest revision that a Version can hold, MaxEra the highest
+// era.
+const (
+	MaxRevision = 1<<eraShift - 1
+	MaxEra      = 1<<(64-eraShift) - 1
+)
+
+// NewVersion returns the version for a revision of an era; 0 for revision 0.
+func NewVersion(era, revision uint64) Version {
+	if revision == 0 {
+		return 0
+	}
+	return Version(era<<eraShift | revision)
+}
+
+// Era returns the store's era when the version was read; 0 for a store without eras.
+func (v Version) Era() uint64 { return uint64(v) >> eraShift }
+
+// Revision returns the store's revision.
+func (v Version) Revision() uint64 { return uint64(v) & MaxRevision }
+
 // Names and identifiers. All are opaque, case-sensitive strings.
 type (
 	// ProfileName is the name by which callers select a profile.
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -379,7 +379,9 @@
 // buildReply returns the reply to a request after its round.
 func (c *Committer) buildReply(p *pendingRequest) tsbudget.Reply {
 	vm := c.holding.VMs[p.VM]
-	r := tsbudget.Reply{CurrentIncarnation: vm.Incarnation, Lots: c.holding.LotsByBudget(p.Incarnation), Errs: p.errsByBudget}
+	r := tsbudget.Reply{
+		CurrentIncarnation: vm.Incarnation, Lots: c.holding.LotsByBudget(p.Incarnation), Errs: p.errsByBudget, Era: c.holdingItem.Version.Era(),
+	}
 	if c.isLeaseMarked {
 		r.Lease = c.lease.id
 	}
--- a/io/tscommit/ledgers.go
+++ b/io/tscommit/ledgers.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
 	"turmericshed"
+	"turmericshed/core/tsbudget"
 )
 
 // cachedLedger is a ledger and its number in the order in which ledger versions
@@ -20,11 +22,29 @@
 // cacheLedger caches a ledger if it is newer than the cached version.
 func (c *Committer) cacheLedger(id turmericshed.BudgetID, item turmericshed.Item) {
 	if item.Version > c.ledgers[id].Version {
+		c.logRestored(id, item)
 		c.ledgerSequence++
 		c.ledgers[id] = cachedLedger{Item: item, sequence: c.ledgerSequence, lastWrite: c.ledgers[id].lastWrite}
 	}
 }
 
+// logRestored logs by how much a ledger differs from the cached one, if the store came back from an
+// older copy since.
+func (c *Committer) logRestored(id turmericshed.BudgetID, item turmericshed.Item) {
+	before := c.ledgers[id].Item
+	if before.Version == 0 || item.Version.Era() == before.Version.Era() {
+		return
+	}
+	was, err := tsbudget.Decode(before)
+	is, nextErr := tsbudget.Decode(item)
+	if err := errors.Join(err, nextErr); err != nil {
+		c.cfg.Log.Error("ledger can't be decoded", "budget", string(id), "error", err.Error())
+		return
+	}
+	c.cfg.Log.Warn("ledger came back from an older copy", "budget", string(id), "revision_before", before.Version.Revision(), "revision", item.Version.Revision(),
+		"spent_before", int64(was.Spent), "spent", int64(is.Spent), "held_before", int64(was.OpenCharge()), "held", int64(is.OpenCharge()))
+}
+
 func (c *Committer) cachedItem(id turmericshed.BudgetID) turmericshed.Item {
 	return c.ledgers[id].Item
 }
--- a/io/tscommit/service.go
+++ b/io/tscommit/service.go
@@ -132,7 +132,7 @@
 
 func encodeReply(r tsbudget.Reply) *tspeerapi.WriteLedgersResponse {
 	m := &tspeerapi.WriteLedgersResponse{
-		Standing: string(r.CurrentIncarnation), Lease: string(r.Lease), Declared: r.Declared, NextMs: r.Next.Milliseconds(),
+		Standing: string(r.CurrentIncarnation), Lease: string(r.Lease), Declared: r.Declared, NextMs: r.Next.Milliseconds(), Era: r.Era,
 		Cursor: &tspeerapi.LedgerCursor{Writer: string(r.Cursor.Writer), At: r.Cursor.At},
 	}
 	for _, i := range r.Ledgers {
@@ -157,7 +157,7 @@
 
 func decodeReply(m *tspeerapi.WriteLedgersResponse, holder turmericshed.Incarnation) tsbudget.Reply {
 	r := tsbudget.Reply{
-		CurrentIncarnation: turmericshed.Incarnation(m.Standing), Lease: turmericshed.LeaseID(m.Lease), Declared: m.Declared,
+		CurrentIncarnation: turmericshed.Incarnation(m.Standing), Lease: turmericshed.LeaseID(m.Lease), Declared: m.Declared, Era: m.Era,
 		Next: time.Duration(m.NextMs) * time.Millisecond,
 		Lots: make(map[turmericshed.BudgetID][]tsbudget.Lot), Errs: make(map[turmericshed.BudgetID]error),
 		Pools:  make(map[turmericshed.BudgetID]turmericshed.Tokens),
--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,8 @@
 	leaseLearnedAt      time.Time
 	leaseSince          time.Time
 	declarationSequence int64
+	// era is the highest era of the store in a reply.
+	era uint64
 	// nextRequestAt is when the ledger writer expects the next request.
 	nextRequestAt time.Time
 	// strayLots are lots that the holding has for this process but that it does not hold: they come
@@ -378,10 +381,30 @@
 		}
 	}
 	if err == nil {
+		x.recordForgottenLotsLocked(reply.Era)
 		x.findStrayLotsLocked()
 	}
 }
 
+// recordForgottenLotsLocked records the lots that the holding lacks since the store came back from an
+// older copy.
+func (x *exchanger) recordForgottenLotsLocked(era uint64) {
+	isRestored := x.era != 0 && era > x.era
+	x.era = max(x.era, era)
+	if !isRestored {
+		return
+	}
+	for id, b := range x.h.budgets {
+		for _, l := range x.h.core.DrawnLots(id) {
+			if !slices.ContainsFunc(x.lots[id], func(o tsbudget.Lot) bool { return o.ID == l.ID }) {
+				x.h.cfg.Recorder.Record(turmericshed.Event{
+					Name: turmericshed.EventLotForgotten, Profile: b.profile.Name, Lot: l.ID, Tokens: l.Charge(), Reason: "the store came back from a copy without it",
+				})
+			}
+		}
+	}
+}
+
 // findStrayLotsLocked finds the lots in the holding that are neither held here nor the outcome of a
 // pending draw.
 func (x *exchanger) findStrayLotsLocked() {
