Enter lots again after the store came back from an older copy

What callers saw: after a restore of the store, a client account got up to a third more tokens than it had prepaid.

Cause: holders go on with the lots in their memory, as they should, but the ledgers of the copy lack the lots drawn since, and have lots open again that were used up and closed. The former were dealt out again, the latter were returned as if nothing of them had been used. The ledger writers and holders remembered both as written and never compared it with the store.

Change: the first write of a ledger in a new era of the store counts all that was held as forfeited. Holders compare their lots with those of the holding in each reply, and enter those that it lacks again, which takes their charges back from the forfeited amount. Ledger writers and holders add what they last knew of the ledger; the latest version that any of them knows decides. The lots of processes that have ended stay charged.

Why it works: nothing is available in the new era that any process in touch knew as drawn, and each lot is entered once, by the only process that spends it.

--- a/core/tsbudget/commit.go
+++ b/core/tsbudget/commit.go
@@ -19,6 +19,7 @@
 	localBudgets  []turmericshed.BudgetID
 	leaseAlive    func(l turmericshed.LeaseID) bool
 	entryVMs      int
+	memory        Memory
 	decode        func(item turmericshed.Item) (Holding, error)
 	// currentItem returns the holding's item that the current attempt replaces.
 	currentItem func() turmericshed.Item
@@ -47,11 +48,16 @@
 	Decode func(item turmericshed.Item) (Holding, error)
 	// EntryVMs is the size of the fleet. It decides the size of pools.
 	EntryVMs int
+	// Memory is used after the store came back from an older copy; nil if the process remembers nothing.
+	Memory Memory
 }
 
 // NewCommit returns the transaction for a configuration.
 func NewCommit(cfg CommitConfig) *Commit {
-	return &Commit{requests: cfg.Requests, ledgerBudgets: cfg.Budgets, localBudgets: cfg.Local, leaseAlive: cfg.LeaseAlive, entryVMs: cfg.EntryVMs, decode: cfg.Decode}
+	if cfg.Memory == nil {
+		cfg.Memory = noMemory{}
+	}
+	return &Commit{memory: cfg.Memory, requests: cfg.Requests, ledgerBudgets: cfg.Budgets, localBudgets: cfg.Local, leaseAlive: cfg.LeaseAlive, entryVMs: cfg.EntryVMs, decode: cfg.Decode}
 }
 
 // Changes returns the transaction's changes: the ledgers in the order of the budgets, then the
@@ -88,7 +94,9 @@
 
 // begin resets the state for a new attempt.
 func (c *Commit) begin() {
-	c.current, c.decodeErr = c.decode(c.currentItem())
+	item := c.currentItem()
+	c.current, c.decodeErr = c.decode(item)
+	c.current.Era = item.Version.Era()
 	c.next = c.current.clone()
 	c.shares = make(map[turmericshed.BudgetID]domainShare)
 	c.errs = make([]map[turmericshed.BudgetID]error, len(c.requests))
@@ -117,10 +125,11 @@
 		return nil, c.decodeErr
 	}
 	changes, owners := c.changesOf(id)
-	if len(changes) == 0 {
+	w := shareWriter{entryVMs: c.entryVMs, era: max(c.current.Era, cur.Version.Era()), memory: c.memory}
+	if len(changes) == 0 && w.memory.Ledger(id, w.era).Version == 0 {
 		return nil, nil
 	}
-	value, after, errs, err := applyToLedger(cur, c.current.share(id), changes, c.entryVMs)
+	value, after, errs, err := w.applyToLedger(cur, c.current.share(id), changes)
 	for n, i := range owners {
 		if err != nil {
 			c.errs[i][id] = err
@@ -131,7 +140,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if value != nil {
+	// A void share is replaced even if the ledger does not count it any more.
+	if value != nil || after.pool.Era != c.current.Pools[id].Era {
 		c.shares[id] = after
 	}
 	return value, nil
@@ -177,6 +187,7 @@
 		return
 	}
 	after, ok := applyLocally(c.current.share(id), changes)
+	ok = ok && !c.current.IsStale(id)
 	if ok {
 		c.shares[id] = after
 		return
--- a/core/tsbudget/domains_test.go
+++ b/core/tsbudget/domains_test.go
@@ -16,7 +16,9 @@
 	t      *testing.T
 	stored map[string]turmericshed.Item
 	rev    turmericshed.Version
-	alive  map[turmericshed.LeaseID]bool
+	// era is the store's era, in which the fixture assigns versions.
+	era   uint64
+	alive map[turmericshed.LeaseID]bool
 	// due makes PlanWrites choose every ledger that lacks some of a domain's usage.
 	due bool
 	// decoded caches the decoded holdings by version.
@@ -70,10 +72,11 @@
 		return 0, turmericshed.WithCurrentItems(turmericshed.NewError(turmericshed.KindConflict, "version"), current...)
 	}
 	d.rev++
+	version := turmericshed.NewVersion(d.era, uint64(d.rev))
 	for _, w := range t.Writes {
-		d.stored[w.Key] = turmericshed.Item{Key: w.Key, Value: w.Value, Version: d.rev}
+		d.stored[w.Key] = turmericshed.Item{Key: w.Key, Value: w.Value, Version: version}
 	}
-	return d.rev, nil
+	return version, nil
 }
 
 // put writes a value without a check of its version.
--- a/core/tsbudget/holder.go
+++ b/core/tsbudget/holder.go
@@ -22,6 +22,8 @@
 	reported Report
 	// retired lots accept no new reservations or loans.
 	retired bool
+	// era is the store's latest era in which the holding had the lot.
+	era uint64
 }
 
 func (l *heldLot) available() turmericshed.Tokens {
@@ -167,15 +169,28 @@
 	return ok && slices.ContainsFunc(b.lots, func(l *heldLot) bool { return l.ID == id })
 }
 
-// DrawnLots returns the lots of a budget that were drawn from its ledger.
-func (h *Holder) DrawnLots(budget turmericshed.BudgetID) []Lot {
+// ConfirmLots records that the holding has the lots in an era of the store.
+func (h *Holder) ConfirmLots(budget turmericshed.BudgetID, lots []Lot, era uint64) {
+	b, ok := h.balances[budget]
+	if !ok {
+		return
+	}
+	for _, l := range b.lots {
+		if l.era < era && indexOfLot(lots, l.ID) >= 0 {
+			l.era = era
+		}
+	}
+}
+
+// ForgottenLots returns the drawn lots that the holding had in earlier eras of the store only.
+func (h *Holder) ForgottenLots(budget turmericshed.BudgetID, era uint64) []Lot {
 	b, ok := h.balances[budget]
 	if !ok {
 		return nil
 	}
 	var lots []Lot
 	for _, l := range b.lots {
-		if l.lender == "" {
+		if l.lender == "" && l.era < era {
 			lots = append(lots, l.Lot)
 		}
 	}
--- a/core/tsbudget/holding.go
+++ b/core/tsbudget/holding.go
@@ -141,6 +141,8 @@
 	// listed.
 	Ceilings map[turmericshed.LotID]turmericshed.Tokens
 	Pools    map[turmericshed.BudgetID]Pool
+	// Era is the store's era in which the document was read or written. It is not part of it.
+	Era uint64
 }
 
 // Pool is the part of a budget that a domain has in addition to its holders' lots.
@@ -154,6 +156,11 @@
 	Requests int64               `json:"requests,omitempty"`
 	// Counted is the part of the ledger's sums that belongs to this holding.
 	Counted HoldingTotals `json:"counted"`
+	// Era is the store's era in which the budget's lots and pool were last written together with the
+	// ledger; 0 if it is not known.
+	Era uint64 `json:"era,omitempty"`
+	// Entered has the sequence number of the last Reentry of each process in this era.
+	Entered map[turmericshed.Incarnation]int64 `json:"entered,omitempty"`
 }
 
 // totals returns the sum of the pool and the domain's lots.
@@ -164,7 +171,21 @@
 // clone returns a copy with maps of its own. The slices of lots are shared; they are never
 // modified in place.
 func (h Holding) clone() Holding {
-	return Holding{VMs: maps.Clone(h.VMs), Lots: maps.Clone(h.Lots), Ceilings: maps.Clone(h.Ceilings), Pools: maps.Clone(h.Pools)}
+	return Holding{VMs: maps.Clone(h.VMs), Lots: maps.Clone(h.Lots), Ceilings: maps.Clone(h.Ceilings), Pools: maps.Clone(h.Pools), Era: h.Era}
+}
+
+// IsStale reports whether the lots and the pool of a budget are from before the store came back from an
+// older copy. Only a write of the ledger tells what has become of them.
+func (h Holding) IsStale(id turmericshed.BudgetID) bool {
+	era := h.Pools[id].Era
+	return era != 0 && era < h.Era
+}
+
+// CurrentLots is like LotsByBudget, without those that are stale.
+func (h Holding) CurrentLots(in turmericshed.Incarnation) map[turmericshed.BudgetID][]Lot {
+	own := h.LotsByBudget(in)
+	maps.DeleteFunc(own, func(id turmericshed.BudgetID, _ []Lot) bool { return h.IsStale(id) })
+	return own
 }
 
 // LotsByBudget returns the lots of one process, by budget.
@@ -215,6 +236,8 @@
 	Draw *DrawRequest
 	// Withdraw, if set, closes the unused lot of an abandoned draw, in case that draw was written.
 	Withdraw turmericshed.LotID
+	// Reentry, if set, has lots that the store has forgotten.
+	Reentry *Reentry
 	// Urgent is true when callers wait for the outcome.
 	Urgent bool
 }
--- a/core/tsbudget/holding_doc.go
+++ b/core/tsbudget/holding_doc.go
@@ -52,7 +52,7 @@
 func DecodeHolding(item turmericshed.Item) (Holding, error) {
 	h := Holding{
 		VMs: make(map[string]HoldingVM), Lots: make(map[turmericshed.BudgetID][]Lot), Ceilings: make(map[turmericshed.LotID]turmericshed.Tokens),
-		Pools: make(map[turmericshed.BudgetID]Pool),
+		Pools: make(map[turmericshed.BudgetID]Pool), Era: item.Version.Era(),
 	}
 	if item.Version == 0 {
 		return h, nil
--- a/core/tsbudget/ledger.go
+++ b/core/tsbudget/ledger.go
@@ -99,6 +99,10 @@
 	Pending *PendingEdit `json:"pending,omitempty"`
 	// Recalled blocks new draws.
 	Recalled bool `json:"recalled,omitempty"`
+	// Era is the store's era in which the ledger was last written; 0 if it is not known.
+	Era uint64 `json:"era,omitempty"`
+	// Restored is set once the store came back from an older copy of the ledger.
+	Restored *Restored `json:"restored,omitempty"`
 }
 
 // Key returns the store's key of a budget.
@@ -189,6 +193,10 @@
 		p := *l.Pending
 		l.Pending = &p
 	}
+	if l.Restored != nil {
+		r := *l.Restored
+		l.Restored = &r
+	}
 	return l
 }
 
@@ -224,11 +232,13 @@
 		"budget %s: spent %d billed %d forfeited %d", next.Budget, next.Spent, next.Billed, next.Forfeited)
 	e := next.InHoldings
 	turmericshed.Assert(e.Used >= 0 && e.Used <= e.Charge && e.Holders >= 0, "sums_of_lots", "budget %s: %+v", next.Budget, e)
-	turmericshed.Assert(next.Spent+open <= next.Limit(), "within_prepaid",
-		"budget %s: spent %d + open lots %d > %d", next.Budget, next.Spent, open, next.Limit())
+	turmericshed.Assert(next.Spent+open <= next.Limit()+next.overdrawn(), "within_prepaid",
+		"budget %s: spent %d + open lots %d > %d, overdrawn %d", next.Budget, next.Spent, open, next.Limit(), next.overdrawn())
 	turmericshed.Assert(len(next.Lots) <= maxOpenLots, "lots_bounded", "budget %s: %d lots", next.Budget, len(next.Lots))
 	if prev != nil {
-		turmericshed.Assert(next.TotalBilled() >= prev.TotalBilled() && next.TotalRequests() >= prev.TotalRequests(),
+		// What was billed of held lots is counted again when their holders enter them.
+		isSameEra := prev.Era == 0 || prev.Era == next.Era
+		turmericshed.Assert(!isSameEra || next.TotalBilled() >= prev.TotalBilled() && next.TotalRequests() >= prev.TotalRequests(),
 			"billed_never_shrinks", "budget %s: billed %d after %d", next.Budget, next.TotalBilled(), prev.TotalBilled())
 		turmericshed.Assert(next.Budget == prev.Budget, "budget_identity", "%s after %s", next.Budget, prev.Budget)
 	}
--- a/core/tsbudget/plan.go
+++ b/core/tsbudget/plan.go
@@ -36,6 +36,7 @@
 			mustCount = mustCount || (r.WriteUsage && len(own) > 0)
 		}
 		own, ok := applyLocally(h.share(id), changes)
+		ok = ok && !h.IsStale(id)
 		uncounted := own.pool.totals(own.lots).Used != own.pool.Counted.Used
 		if !ok || hasTakeover || (due(id) && uncounted) || (mustCount && (uncounted || own.pool.Used > 0)) {
 			ledgers = append(ledgers, id)
@@ -55,7 +56,7 @@
 	urgent := make(map[turmericshed.BudgetID]bool)
 	for _, r := range requests {
 		for _, ch := range r.Changes {
-			if ch.Urgent || ch.Prepaid > 0 || r.WriteUsage || r.Leave {
+			if ch.Urgent || ch.Prepaid > 0 || ch.Reentry != nil || r.WriteUsage || r.Leave {
 				urgent[ch.Budget] = true
 			}
 		}
--- a/core/tsbudget/share.go
+++ b/core/tsbudget/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,11 +15,19 @@
 	pool Pool
 }
 
+// shareWriter writes the ledgers together with one domain's shares.
+type shareWriter struct {
+	entryVMs int
+	// era is the store's era.
+	era    uint64
+	memory Memory
+}
+
 // applyToLedger applies several holders' changes to one ledger, in order, and refills the domain's
 // pool. It returns the ledger's new value, nil if that is unchanged, the domain's share after the
 // changes, and an error for each change. Errors: KindNotFound without a ledger, KindInternal if
 // ledger and holding are inconsistent.
-func applyToLedger(cur turmericshed.Item, own domainShare, changes []Change, entryVMs int) (value []byte, after domainShare, errs []error, err error) {
+func (w shareWriter) applyToLedger(cur turmericshed.Item, own domainShare, changes []Change) (value []byte, after domainShare, errs []error, err error) {
 	var prev *Ledger
 	var next Ledger
 	if cur.Version != 0 {
@@ -34,6 +43,10 @@
 		}
 		next = Ledger{Budget: changes[i].Budget, Profile: changes[i].Profile}
 	}
+	for _, c := range changes {
+		next.Prepaid = max(next.Prepaid, c.Prepaid)
+	}
+	own = w.restore(&next, own, cur.Version.Revision(), changes)
 	others := next.InHoldings.minus(own.pool.Counted)
 	others.RateSquares, others.SquaresEpoch = next.InHoldings.othersSquares(own.pool.Counted, cur.Version)
 	if !others.valid() || own.pool.totals(own.lots).Charge != own.pool.Counted.Charge {
@@ -45,19 +58,30 @@
 	next.chargeLot(Lot{Drawn: pool.Used, Used: pool.Used, Requests: pool.Requests})
 	// The free amount of the pool can be drawn while the changes are applied.
 	next.InHoldings, next.Lots = others, slices.Clone(own.lots)
+	entered := w.enterLots(&next, pool.Entered, changes)
+	if next.isSettling() {
+		next.InHoldings.Charge += max(next.Undrawn()-pool.Free, 0)
+	}
 	errs = make([]error, len(changes))
 	for i, c := range changes {
 		_, errs[i] = c.apply(&next)
+		if next.isSettling() && turmericshed.KindOf(errs[i]) == turmericshed.KindBudgetExhausted {
+			errs[i] = errSettling(next.Budget)
+		}
 	}
 	lots := next.Lots
-	target := poolTarget(next.Undrawn(), sumLots(lots).Rate, others.Rate, entryVMs)
-	pool = Pool{Free: target, Target: target}
-	if isLargeFleet(entryVMs) {
+	target := poolTarget(next.Undrawn(), sumLots(lots).Rate, others.Rate, w.entryVMs)
+	if next.isSettling() {
+		target = max(next.Undrawn(), 0)
+	}
+	pool = Pool{Free: target, Target: target, Era: w.era, Entered: entered}
+	if isLargeFleet(w.entryVMs) {
 		pool.Target *= largePoolOverflowFactor
 	}
 	pool.Counted = pool.totals(lots)
 	pool.Counted.SquaresEpoch = others.SquaresEpoch
 	next.InHoldings, next.Lots = others.plus(pool.Counted), nil
+	next.lowerOverdraft()
 	value, err = seal(prev, &next)
 	if bytes.Equal(value, cur.Value) {
 		value = nil
@@ -65,6 +89,29 @@
 	return value, domainShare{lots: lots, pool: pool}, errs, err
 }
 
+// enterLots enters the lots that the store has forgotten. It returns the sequence numbers of the last
+// reentries, given those before.
+func (w shareWriter) enterLots(l *Ledger, before map[turmericshed.Incarnation]int64, changes []Change) map[turmericshed.Incarnation]int64 {
+	entered := before
+	for _, c := range changes {
+		e := c.Reentry
+		if e == nil || e.Era != w.era || e.Sequence <= entered[e.Holder] {
+			continue
+		}
+		remembered := w.memory.Share(l.Budget, w.era).Lots
+		for _, lot := range e.Lots {
+			was, _ := findLot(remembered, lot.ID)
+			l.enter(lot, was.Charge())
+		}
+		entered = maps.Clone(entered)
+		if entered == nil {
+			entered = make(map[turmericshed.Incarnation]int64)
+		}
+		entered[e.Holder] = e.Sequence
+	}
+	return entered
+}
+
 const (
 	// poolDemandSpan is the time for which a pool covers the domain's demand.
 	// poolFairShareFraction limits the pool to a fraction of the domain's fair share of the
@@ -100,7 +147,7 @@
 func applyLocally(own domainShare, changes []Change) (domainShare, bool) {
 	lots, pool := slices.Clone(own.lots), own.pool
 	for _, c := range changes {
-		if c.Prepaid > 0 || !c.applyToShare(&lots, &pool) {
+		if c.Prepaid > 0 || c.Reentry != nil || !c.applyToShare(&lots, &pool) {
 			return own, false
 		}
 	}
--- a/core/tsbudget/takeover_test.go
+++ b/core/tsbudget/takeover_test.go
@@ -45,6 +45,8 @@
 	made  int
 	// returned counts the takeovers that returned tokens.
 	returned int
+	// writers are the ledger writers that commit requests.
+	writers []*simWriter
 }
 
 // simVM is the current process of an entry VM, or one that is about to take it over.
@@ -59,13 +61,14 @@
 	learned   time.Time
 	sequence  int64
 	draw      *tsbudget.DrawRequest
+	simMemory
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
 	t.Helper()
 	s := &sim{
 		domainFixture: newDomainFixture(t), rng: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0),
-		leaseEnds: map[turmericshed.LeaseID]time.Time{}, vms: map[string]*simVM{},
+		leaseEnds: map[turmericshed.LeaseID]time.Time{}, vms: map[string]*simVM{}, writers: []*simWriter{{}},
 	}
 	for _, name := range []string{"x", "y"} {
 		s.vms[name] = &simVM{name: name}
@@ -133,13 +136,29 @@
 	remembered, err := s.decode(cached)
 	assert.NilError(s.t, err)
 	budgets, local := tsbudget.PlanWrites(remembered, requests, func(turmericshed.BudgetID) bool { return due })
+	w := s.writers[0]
+	if n := len(s.writers); n > 1 {
+		w = s.writers[s.rng.IntN(n)]
+	}
+	isTelling := w.told < s.era
+	if isTelling && !slices.Contains(budgets, "b") && !slices.Contains(local, "b") {
+		budgets = append(budgets, "b")
+	}
 	c := tsbudget.NewCommit(tsbudget.CommitConfig{
 		Requests: requests, Budgets: budgets, Local: local, Decode: s.decode,
 		LeaseAlive: func(l turmericshed.LeaseID) bool { return alive[l] },
+		Memory:     simWriterMemory{s, w, r.HoldingBefore},
 	})
 	b := tsupdate.NewBatch(c.Changes(func(id turmericshed.BudgetID) turmericshed.Item { return s.stored[tsbudget.Key(id)] }, cached))
 	c.Run(b)
 	err = tsupdate.RunBatch(s.t.Context(), faultyStore, b)
+	w.isUnsure = w.isUnsure || b.HasUnanswered()
+	if err == nil {
+		w.remember(s)
+		if isTelling && slices.Contains(budgets, "b") {
+			w.told = s.era
+		}
+	}
 	s.stale = b.Current(len(budgets))
 	errs = make(map[turmericshed.BudgetID]error)
 	for _, id := range append(budgets, local...) {
@@ -200,7 +219,12 @@
 		vm.draw = &tsbudget.DrawRequest{Lot: turmericshed.LotID(fmt.Sprint("lot", s.made)), Holder: in, Want: 300, Min: 1, At: s.now}
 	}
 	ch.Draw = vm.draw
+	if lots := vm.h.ForgottenLots("b", vm.holding.Era()); len(lots) > 0 {
+		s.made++
+		ch.Reentry = &tsbudget.Reentry{Era: vm.holding.Era(), Sequence: int64(s.made), Holder: in, Lots: lots, Known: vm.ledgerBefore}
+	}
 	r := request(vm.process, ch)
+	r.HoldingBefore = vm.holdingBefore
 	var list []tsbudget.LotCeiling
 	if vm.lease != "" && s.rng.IntN(4) > 0 {
 		drawn := map[turmericshed.BudgetID]tsbudget.Lot{}
@@ -228,6 +252,10 @@
 		}
 		vm.draw = nil
 	}
+	vm.remember(s)
+	if holding := s.holding("d"); !holding.IsStale("b") {
+		vm.h.ConfirmLots("b", holding.LotsOf(in, "b"), vm.holding.Era())
+	}
 	if r.Declaration != nil && row.Sequence == vm.sequence {
 		vm.h.Ceilings.ConfirmDeclaration(list)
 	}
--- a/core/tsbudget/writer.go
+++ b/core/tsbudget/writer.go
@@ -25,6 +25,9 @@
 	WriteUsage bool
 	// Cursor is that of the last reply, so that each ledger update is sent once.
 	Cursor Cursor
+	// HoldingBefore is the latest version of the holding that the holder knew in an earlier era of the
+	// store; 0 if it knew none.
+	HoldingBefore turmericshed.Version
 }
 
 // Cursor is a position in the order in which a LedgerWriter received ledgers.
@@ -68,9 +71,8 @@
 	Next time.Duration
 	// Lots are all lots of the process.
 	Lots map[turmericshed.BudgetID][]Lot
-	// Era is the store's era in which the lots were read or written; 0 for a store without eras and a
-	// writer of an earlier version.
-	Era uint64
+	// Holding is the version of the holding; 0 from a writer of an earlier version.
+	Holding turmericshed.Version
 	// Pools are the amounts that can be drawn from the domain's pools without a write of the
 	// ledger.
 	Pools map[turmericshed.BudgetID]turmericshed.Tokens
--- a/core/tsupdate/batch.go
+++ b/core/tsupdate/batch.go
@@ -67,6 +67,9 @@
 // Finished reports whether the batch has a result.
 func (b *Batch) Finished() bool { return b.done }
 
+// HasUnanswered reports whether a transaction got no answer.
+func (b *Batch) HasUnanswered() bool { return b.unanswered > 0 }
+
 // Err returns the error of the whole batch. KindStoreUnknown means that the
 // changes may be in effect already or may still be applied later.
 func (b *Batch) Err() error { return b.err }
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -96,6 +96,8 @@
 	// holding its decoded content.
 	holdingItem turmericshed.Item
 	holding     tsbudget.Holding
+	// isHoldingUnknown is true if the last transaction got no answer, so that a later version may exist.
+	isHoldingUnknown bool
 	// isHoldingLoaded is true once the holding was read.
 	isHoldingLoaded bool
 	// maxBatchLedgers bounds the ledgers in one transaction. It is halved when
@@ -116,6 +118,7 @@
 	ledgers        map[turmericshed.BudgetID]cachedLedger
 	ledgerSequence uint64
 	lastRefresh    time.Time
+	memory         memory
 }
 
 var _ tsbudget.LedgerWriter = (*Committer)(nil)
@@ -138,7 +141,7 @@
 		cfg: cfg, self: self.Incarnation, domain: self.FailureDomain, queue: make(chan *pendingRequest, maxQueuedRequests),
 		holdingItem:     turmericshed.Item{Key: tsbudget.HoldingKey(self.FailureDomain)},
 		maxBatchLedgers: cfg.Store.MaxKeys() - nonLedgerKeys, ledgers: make(map[turmericshed.BudgetID]cachedLedger),
-		granted: make(chan lease, 1),
+		granted: make(chan lease, 1), memory: newMemory(),
 	}
 }
 
@@ -230,6 +233,7 @@
 	ledgers, local := tsbudget.PlanWrites(c.holding, requests, c.isCountDue)
 	ledgers, later := tsbudget.ChooseLedgers(ledgers, requests, c.cfg.Store.MaxKeys()-nonLedgerKeys, func(id turmericshed.BudgetID) time.Time { return c.ledgers[id].lastWrite })
 	transaction{list: list, ledgers: later}.failLedgers(errDeferred)
+	ledgers = c.addUntold(ledgers, local)
 	if len(ledgers) > 0 {
 		c.refresh(ctx, writeRefreshAge)
 	} else {
@@ -304,9 +308,10 @@
 // transact runs one transaction and updates the caches. Errors: that of the
 // transaction; those of single changes are recorded in the requests.
 func (c *Committer) transact(ctx context.Context, t transaction) error {
+	var batch *tsupdate.Batch
 	commit := tsbudget.NewCommit(tsbudget.CommitConfig{
 		Requests: t.requests, Budgets: t.ledgers, Local: t.local, LeaseAlive: t.isLeaseAlive, Decode: c.decodeHolding,
-		EntryVMs: 1 + len(c.cfg.Members.Reachable()),
+		EntryVMs: 1 + len(c.cfg.Members.Reachable()), Memory: c.remember(t.requests, func() bool { return batch.HasUnanswered() }),
 	})
 	changes := commit.Changes(c.cachedItem, c.holdingItem)
 	if c.lease.id != "" && !c.isLeaseMarked {
@@ -319,7 +324,7 @@
 			},
 		})
 	}
-	batch := tsupdate.NewBatch(changes)
+	batch = tsupdate.NewBatch(changes)
 	commit.Run(batch)
 	err := tsupdate.RunBatch(ctx, newPacedTransactor(c.cfg.Store, len(t.ledgers)), batch)
 	if turmericshed.KindOf(err) == turmericshed.KindNotFound {
@@ -347,9 +352,17 @@
 func (c *Committer) cacheItems(batch *tsupdate.Batch, budgets []turmericshed.BudgetID, commit *tsbudget.Commit, err error) {
 	isWritten := err == nil && batch.Pending(len(budgets)) != nil
 	item := batch.Current(len(budgets))
+	if item.Version.Era() > c.holdingItem.Version.Era() {
+		c.memory.holding, c.memory.holdingVersion = c.holding, c.holdingItem.Version
+		if c.isHoldingUnknown || batch.HasUnanswered() {
+			c.memory.holdingVersion = 0
+		}
+	}
+	c.isHoldingUnknown = turmericshed.KindOf(err) == turmericshed.KindStoreUnknown
 	switch {
 	case isWritten:
 		c.holdingItem, c.holding = item, commit.Holding()
+		c.holding.Era = item.Version.Era()
 	case item.Version != c.holdingItem.Version:
 		holding, decodeErr := tsbudget.DecodeHolding(item)
 		if decodeErr != nil {
@@ -360,6 +373,9 @@
 	}
 	for i, id := range budgets {
 		c.cacheLedger(id, batch.Current(i))
+		if isWritten {
+			delete(c.memory.untold, id)
+		}
 		if isWritten {
 			cached := c.ledgers[id]
 			cached.lastWrite = time.Now()
@@ -380,7 +396,7 @@
 func (c *Committer) buildReply(p *pendingRequest) tsbudget.Reply {
 	vm := c.holding.VMs[p.VM]
 	r := tsbudget.Reply{
-		CurrentIncarnation: vm.Incarnation, Lots: c.holding.LotsByBudget(p.Incarnation), Errs: p.errsByBudget, Era: c.holdingItem.Version.Era(),
+		CurrentIncarnation: vm.Incarnation, Lots: c.holding.CurrentLots(p.Incarnation), Errs: p.errsByBudget, Holding: c.holdingItem.Version,
 	}
 	if c.isLeaseMarked {
 		r.Lease = c.lease.id
@@ -405,7 +421,7 @@
 	}
 	r.Pools = make(map[turmericshed.BudgetID]turmericshed.Tokens)
 	for id, pool := range c.holding.Pools {
-		if pool.Free > 0 {
+		if pool.Free > 0 && !c.holding.IsStale(id) {
 			r.Pools[id] = pool.Free
 		}
 	}
--- a/io/tscommit/ledgers.go
+++ b/io/tscommit/ledgers.go
@@ -22,17 +22,17 @@
 // cacheLedger caches a ledger if it is newer than the cached version.
 func (c *Committer) cacheLedger(id turmericshed.BudgetID, item turmericshed.Item) {
 	if item.Version > c.ledgers[id].Version {
-		c.logRestored(id, item)
+		c.noteRestored(id, item)
 		c.ledgerSequence++
 		c.ledgers[id] = cachedLedger{Item: item, sequence: c.ledgerSequence, lastWrite: c.ledgers[id].lastWrite}
 	}
 }
 
-// logRestored logs by how much a ledger differs from the cached one, if the store came back from an
-// older copy since.
-func (c *Committer) logRestored(id turmericshed.BudgetID, item turmericshed.Item) {
+// noteRestored remembers the cached ledger, and logs by how much it differs from the current one, if the
+// store came back from an older copy since.
+func (c *Committer) noteRestored(id turmericshed.BudgetID, item turmericshed.Item) {
 	before := c.ledgers[id].Item
-	if before.Version == 0 || item.Version.Era() == before.Version.Era() {
+	if before.Version.Era() == 0 || item.Version.Era() == before.Version.Era() {
 		return
 	}
 	was, err := tsbudget.Decode(before)
@@ -41,6 +41,7 @@
 		c.cfg.Log.Error("ledger can't be decoded", "budget", string(id), "error", err.Error())
 		return
 	}
+	c.memory.ledgers[id], c.memory.untold[id] = was.State(before.Version, c.memory.ledgers[id]), true
 	c.cfg.Log.Warn("ledger came back from an older copy", "budget", string(id), "revision_before", before.Version.Revision(), "revision", item.Version.Revision(),
 		"spent_before", int64(was.Spent), "spent", int64(is.Spent), "held_before", int64(was.OpenCharge()), "held", int64(is.OpenCharge()))
 }
--- a/io/tscommit/service.go
+++ b/io/tscommit/service.go
@@ -53,7 +53,7 @@
 func encodeRequest(r tsbudget.Request) *tspeerapi.WriteLedgersRequest {
 	m := &tspeerapi.WriteLedgersRequest{
 		EntryVm: r.VM, Incarnation: string(r.Incarnation), Leave: r.Leave, Urgent: r.Urgent, Count: r.WriteUsage,
-		Cursor: &tspeerapi.LedgerCursor{Writer: string(r.Cursor.Writer), At: r.Cursor.At},
+		Cursor: &tspeerapi.LedgerCursor{Writer: string(r.Cursor.Writer), At: r.Cursor.At}, HoldingBefore: uint64(r.HoldingBefore),
 	}
 	for _, ch := range r.Changes {
 		m.Changes = append(m.Changes, encodeChange(ch))
@@ -86,13 +86,35 @@
 			KeepUndrawn: int64(d.KeepUndrawn),
 		}
 	}
+	if e := ch.Reentry; e != nil {
+		m.Reentry = &tspeerapi.LedgerReentry{Era: e.Era, Sequence: e.Sequence, Known: &tspeerapi.LedgerState{
+			Version: uint64(e.Known.Version), Charged: int64(e.Known.Charged), Held: int64(e.Known.Held),
+		}}
+		for _, l := range e.Lots {
+			m.Reentry.Lots = append(m.Reentry.Lots, encodeLot(ch.Budget, l))
+		}
+	}
 	return m
 }
 
+func encodeLot(id turmericshed.BudgetID, l tsbudget.Lot) *tspeerapi.LedgerLot {
+	return &tspeerapi.LedgerLot{
+		Budget: string(id), Lot: string(l.ID), Drawn: int64(l.Drawn), Returned: int64(l.Returned), Used: int64(l.Used),
+		Requests: l.Requests, Rate: l.Rate, AtMs: toMillis(l.At),
+	}
+}
+
+func decodeLot(m *tspeerapi.LedgerLot, holder turmericshed.Incarnation) tsbudget.Lot {
+	return tsbudget.Lot{
+		ID: turmericshed.LotID(m.Lot), Holder: holder, Drawn: turmericshed.Tokens(m.Drawn), Returned: turmericshed.Tokens(m.Returned),
+		Used: turmericshed.Tokens(m.Used), Requests: m.Requests, Rate: m.Rate, At: fromMillis(m.AtMs),
+	}
+}
+
 func decodeRequest(m *tspeerapi.WriteLedgersRequest) tsbudget.Request {
 	r := tsbudget.Request{
 		VM: m.EntryVm, Incarnation: turmericshed.Incarnation(m.Incarnation), Leave: m.Leave, Urgent: m.Urgent, WriteUsage: m.Count,
-		Cursor: tsbudget.Cursor{Writer: turmericshed.Incarnation(m.GetCursor().GetWriter()), At: m.GetCursor().GetAt()},
+		Cursor: tsbudget.Cursor{Writer: turmericshed.Incarnation(m.GetCursor().GetWriter()), At: m.GetCursor().GetAt()}, HoldingBefore: turmericshed.Version(m.HoldingBefore),
 	}
 	for _, ch := range m.Changes {
 		r.Changes = append(r.Changes, decodeChange(ch, r.Incarnation))
@@ -127,12 +149,20 @@
 			Share: d.Share, KeepUndrawn: turmericshed.Tokens(d.KeepUndrawn), Rate: d.Rate, At: fromMillis(d.AtMs),
 		}
 	}
+	if e := m.Reentry; e != nil {
+		ch.Reentry = &tsbudget.Reentry{Era: e.Era, Sequence: e.Sequence, Holder: holder, Known: tsbudget.LedgerState{
+			Version: turmericshed.Version(e.GetKnown().GetVersion()), Charged: turmericshed.Tokens(e.GetKnown().GetCharged()), Held: turmericshed.Tokens(e.GetKnown().GetHeld()),
+		}}
+		for _, l := range e.Lots {
+			ch.Reentry.Lots = append(ch.Reentry.Lots, decodeLot(l, holder))
+		}
+	}
 	return ch
 }
 
 func encodeReply(r tsbudget.Reply) *tspeerapi.WriteLedgersResponse {
 	m := &tspeerapi.WriteLedgersResponse{
-		Standing: string(r.CurrentIncarnation), Lease: string(r.Lease), Declared: r.Declared, NextMs: r.Next.Milliseconds(), Era: r.Era,
+		Standing: string(r.CurrentIncarnation), Lease: string(r.Lease), Declared: r.Declared, NextMs: r.Next.Milliseconds(), Holding: uint64(r.Holding),
 		Cursor: &tspeerapi.LedgerCursor{Writer: string(r.Cursor.Writer), At: r.Cursor.At},
 	}
 	for _, i := range r.Ledgers {
@@ -140,10 +170,7 @@
 	}
 	for id, lots := range r.Lots {
 		for _, l := range lots {
-			m.Lots = append(m.Lots, &tspeerapi.LedgerLot{
-				Budget: string(id), Lot: string(l.ID), Drawn: int64(l.Drawn), Returned: int64(l.Returned), Used: int64(l.Used),
-				Requests: l.Requests, Rate: l.Rate, AtMs: toMillis(l.At),
-			})
+			m.Lots = append(m.Lots, encodeLot(id, l))
 		}
 	}
 	for id, free := range r.Pools {
@@ -157,7 +184,7 @@
 
 func decodeReply(m *tspeerapi.WriteLedgersResponse, holder turmericshed.Incarnation) tsbudget.Reply {
 	r := tsbudget.Reply{
-		CurrentIncarnation: turmericshed.Incarnation(m.Standing), Lease: turmericshed.LeaseID(m.Lease), Declared: m.Declared, Era: m.Era,
+		CurrentIncarnation: turmericshed.Incarnation(m.Standing), Lease: turmericshed.LeaseID(m.Lease), Declared: m.Declared, Holding: turmericshed.Version(m.Holding),
 		Next: time.Duration(m.NextMs) * time.Millisecond,
 		Lots: make(map[turmericshed.BudgetID][]tsbudget.Lot), Errs: make(map[turmericshed.BudgetID]error),
 		Pools:  make(map[turmericshed.BudgetID]turmericshed.Tokens),
@@ -168,10 +195,7 @@
 	}
 	for _, l := range m.Lots {
 		id := turmericshed.BudgetID(l.Budget)
-		r.Lots[id] = append(r.Lots[id], tsbudget.Lot{
-			ID: turmericshed.LotID(l.Lot), Holder: holder, Drawn: turmericshed.Tokens(l.Drawn), Returned: turmericshed.Tokens(l.Returned),
-			Used: turmericshed.Tokens(l.Used), Requests: l.Requests, Rate: l.Rate, At: fromMillis(l.AtMs),
-		})
+		r.Lots[id] = append(r.Lots[id], decodeLot(l, holder))
 	}
 	for _, p := range m.Pools {
 		r.Pools[turmericshed.BudgetID(p.Budget)] = turmericshed.Tokens(p.Free)
--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -50,8 +49,10 @@
 	leaseLearnedAt      time.Time
 	leaseSince          time.Time
 	declarationSequence int64
-	// era is the highest era of the store in a reply.
-	era uint64
+	// holding is the highest version of the holding in a reply, and holdingBefore the highest one in an
+	// earlier era of the store.
+	holding, holdingBefore turmericshed.Version
+	reentrySequence        int64
 	// nextRequestAt is when the ledger writer expects the next request.
 	nextRequestAt time.Time
 	// strayLots are lots that the holding has for this process but that it does not hold: they come
@@ -140,7 +141,7 @@
 			due = append(due, p)
 		}
 	}
-	if len(due) == 0 && !x.ceilingsDue(time.Now()) {
+	if len(due) == 0 && !x.ceilingsDue(time.Now()) && !x.hasForgottenLots() {
 		return nil
 	}
 	return x.write(ctx, due)
@@ -275,7 +276,7 @@
 // request returns a request with the changes of the given ledgers, and with final reports that
 // return the stray lots.
 func (x *exchanger) request(parts []requestPart) tsbudget.Request {
-	r := tsbudget.Request{VM: x.h.cfg.Self.Name, Incarnation: x.h.cfg.Self.Incarnation, Cursor: x.cursor}
+	r := tsbudget.Request{VM: x.h.cfg.Self.Name, Incarnation: x.h.cfg.Self.Incarnation, Cursor: x.cursor, HoldingBefore: x.holdingBefore}
 	x.h.mu.Lock()
 	for _, b := range x.h.budgets {
 		r.Urgent = r.Urgent || b.queue.Len() > 0
@@ -284,6 +285,7 @@
 	for _, p := range parts {
 		r.Changes = append(r.Changes, p.change)
 	}
+	x.addReentries(&r)
 	for id, lots := range x.strayLots {
 		ch := tsbudget.Change{Budget: id}
 		for _, l := range lots {
@@ -381,30 +383,11 @@
 		}
 	}
 	if err == nil {
-		x.recordForgottenLotsLocked(reply.Era)
+		x.confirmLotsLocked(reply.Holding)
 		x.findStrayLotsLocked()
 	}
 }
 
-// recordForgottenLotsLocked records the lots that the holding lacks since the store came back from an
-// older copy.
-func (x *exchanger) recordForgottenLotsLocked(era uint64) {
-	isRestored := x.era != 0 && era > x.era
-	x.era = max(x.era, era)
-	if !isRestored {
-		return
-	}
-	for id, b := range x.h.budgets {
-		for _, l := range x.h.core.DrawnLots(id) {
-			if !slices.ContainsFunc(x.lots[id], func(o tsbudget.Lot) bool { return o.ID == l.ID }) {
-				x.h.cfg.Recorder.Record(turmericshed.Event{
-					Name: turmericshed.EventLotForgotten, Profile: b.profile.Name, Lot: l.ID, Tokens: l.Charge(), Reason: "the store came back from a copy without it",
-				})
-			}
-		}
-	}
-}
-
 // findStrayLotsLocked finds the lots in the holding that are neither held here nor the outcome of a
 // pending draw.
 func (x *exchanger) findStrayLotsLocked() {
--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -119,6 +119,8 @@
 	writeRequested chan struct{}
 	exchanger      *exchanger
 	refusals       *prometheus.CounterVec
+	// forgottenTokens counts the tokens of lots that a restored store had forgotten.
+	forgottenTokens prometheus.Counter
 
 	mu       sync.Mutex
 	core     *tsbudget.Holder
@@ -163,6 +165,12 @@
 	item turmericshed.Item
 	// ledgerVersion is the store's version of the ledger that was last summarized.
 	ledgerVersion turmericshed.Version
+	// state is what the ledger told when it was last read, and stateBefore what it told last before the
+	// store came back from an older copy, which was noticed at restoredAt.
+	state, stateBefore tsbudget.LedgerState
+	restoredAt         time.Time
+	// reclaimable is the amount that other holders may still enter again since then.
+	reclaimable turmericshed.Tokens
 	// starved is true if requests were still waiting after the last round.
 	starved bool
 	// roundsStarted counts the rounds. lastEndedRound is the number of the last round that ended.
@@ -226,7 +234,10 @@
 		cfg.NewID = turmericshed.NewID
 	}
 	h := &Holder{
-		refusals:         newRefusalCounter(),
+		refusals: newRefusalCounter(),
+		forgottenTokens: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "turmericshed_forgotten_tokens_total", Help: "Tokens in lots that were entered again since the store came back from a copy without them.",
+		}),
 		writeRequested:   make(chan struct{}, 1),
 		cfg:              cfg,
 		limiter:          rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), writeBurst),
@@ -296,9 +307,9 @@
 	if ctx.Err() != nil {
 		return nil, none, contextError(ctx)
 	}
-	if b.ledger.Read && b.ledger.Limit >= p.Prepaid && b.ledger.Unspent < n && h.cfg.Writer != nil {
+	if b.ledger.Read && b.ledger.Limit >= p.Prepaid && b.unspent(now) < n && h.cfg.Writer != nil {
 		// Even if the cached ledger is stale, no more than this can be left.
-		err := tsbudget.Exhausted(p.Name, b.ledger.Unspent, n)
+		err := tsbudget.Exhausted(p.Name, b.unspent(now), n)
 		h.countRefusalLocked(b, err)
 		return nil, none, err
 	}
@@ -400,7 +411,7 @@
 	v.Waiting += b.peerDemand
 	v.Needed = max(v.Needed, b.peerDemand)
 	v.Ledger, v.Starved = b.ledger, b.starved
-	v.Ledger.Undrawn = h.drawableAmountLocked(b)
+	v.Ledger.Undrawn, v.Ledger.Unspent = h.drawableAmountLocked(b), b.unspent(now)
 	if h.cfg.Writer != nil && !b.ledger.Read {
 		// The first draw does not have to wait until the ledger is read: the writer limits it to a
 		// share of the undrawn amount.
--- a/io/tsholder/ledger.go
+++ b/io/tsholder/ledger.go
@@ -33,6 +33,7 @@
 // setLedgerLocked stores the content of a ledger.
 func (h *Holder) setLedgerLocked(b *budget, item turmericshed.Item, l tsbudget.Ledger, now time.Time) {
 	b.ledger = tsbudget.Summarize(l, h.cfg.Self.Incarnation, now)
+	b.noteEraLocked(item, l, now)
 	b.lots, b.ledgerVersion = l.Lots, item.Version
 	if l.Recalled {
 		b.closed = true
--- a/io/tsholder/metrics.go
+++ b/io/tsholder/metrics.go
@@ -18,7 +18,7 @@
 	if h.cfg.Metrics == nil {
 		return
 	}
-	h.cfg.Metrics.MustRegister(h.refusals, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	h.cfg.Metrics.MustRegister(h.refusals, h.forgottenTokens, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "turmericshed_tokens_held", Help: "Tokens available to requests at this entry VM, of all budgets.",
 	}, func() float64 { return float64(h.heldTokens()) }))
 }
