Ask all entry VMs for a version if the store does not answer

What callers saw: during a release, streams that they resumed at entry VMs which were cut off together went on at a server of another software version.

Cause: without the store's answer, one holder that answered was enough to take the only version that it knew for the only one. Entry VMs that are cut off together answer each other, and none of them has heard of the release.

Change: an entry VM that the store does not answer asks all others; three of them read the registered versions in the store for it. If none can, every listed entry VM has to answer and to know no other version. Otherwise the stream is refused with 503 and Retry-After 0.5 s, within 0.6 s of calls. Concurrent streams share the calls, but never those that began before they asked.

--- a/io/tsversion/find.go
+++ b/io/tsversion/find.go
@@ -55,9 +55,10 @@
 			}
 		}
 	}
-	if registered == nil && held.count > 0 {
-		// Without the store no version can be registered, and those that were are known to others.
-		if s, ok := v.sole(service, tsversion.Versions{}, held.versions); ok {
+	var others survey
+	if registered == nil {
+		others = v.surveys.Do(service, func() survey { return v.survey(context.WithoutCancel(ctx), service) })
+		if s, ok := v.soleOfSurvey(service, others); ok {
 			v.found.WithLabelValues(foundSole).Inc()
 			return turmericshed.StreamBeginning{Request: id, Service: service, Software: s}, nil
 		}
@@ -71,7 +72,7 @@
 		return b, turmericshed.NewError(turmericshed.KindCanceled, "canceled while the version of a stream was determined")
 	}
 	v.found.WithLabelValues(foundUnknown).Inc()
-	err := turmericshed.NewError(turmericshed.KindNoBackend, "the software version that began the stream of attempt %q is unknown; registered: %v, holders that answered: %d of %d", id, registered[service], held.count, held.asked)
+	err := turmericshed.NewError(turmericshed.KindNoBackend, "the software version that began the stream of attempt %q is unknown; registered: %v, holders that answered: %d of %d, entry VMs without the store: %d of %d", id, registered[service], held.count, held.asked, others.count, others.asked)
 	if registered == nil || held.count < held.asked {
 		return b, turmericshed.WithRetryAfter(err, unansweredRetryAfter)
 	}
--- a/io/tsversion/share.go
+++ b/io/tsversion/share.go
@@ -24,6 +24,9 @@
 	// while the local network link is congested.
 	callTimeout          = 300 * time.Millisecond
 	congestedCallTimeout = time.Second
+	// peerReadTimeout bounds the reading of the registered versions for another entry VM. It leaves
+	// time for the answer.
+	peerReadTimeout = 200 * time.Millisecond
 	// maxStreamsPerCall bounds the beginnings in one call.
 	maxStreamsPerCall = 256
 )
@@ -48,9 +51,18 @@
 }
 
 // Find returns what this entry VM knows of a stream.
-func (s service) Find(_ context.Context, r *connect.Request[tspeerapi.FindStreamRequest]) (*connect.Response[tspeerapi.FindStreamResponse], error) {
+func (s service) Find(ctx context.Context, r *connect.Request[tspeerapi.FindStreamRequest]) (*connect.Response[tspeerapi.FindStreamResponse], error) {
 	now := time.Now()
 	m := &tspeerapi.FindStreamResponse{}
+	if r.Msg.ReadRegistered {
+		readCtx, cancel := context.WithTimeout(ctx, peerReadTimeout)
+		defer cancel()
+		registered := s.v.read(readCtx)
+		m.IsRegisteredRead = registered != nil
+		for _, software := range registered[r.Msg.Service] {
+			m.Registered = append(m.Registered, string(software))
+		}
+	}
 	s.v.mu.Lock()
 	defer s.v.mu.Unlock()
 	if b, ok := s.v.streams.Get(now, turmericshed.RequestID(r.Msg.Request)); ok {
@@ -157,10 +169,8 @@
 type answers struct {
 	// stream is nil if no holder knew the stream.
 	stream *turmericshed.StreamBeginning
-	// asked and count are the numbers of holders that were asked and that answered, versions what they
-	// know of the service.
+	// asked and count are the numbers of holders that were asked and that answered.
 	asked, count int
-	versions     []turmericshed.SoftwareVersion
 }
 
 // ask asks the holders of a stream until one knows it, or all have answered or failed.
@@ -192,9 +202,6 @@
 			continue
 		}
 		a.count++
-		for _, s := range m.Software {
-			a.versions = append(a.versions, turmericshed.SoftwareVersion(s))
-		}
 		if m.Stream != nil {
 			b := decodeBeginning(time.Now(), m.Stream)
 			a.stream = &b
--- a/io/tsversion/versions.go
+++ b/io/tsversion/versions.go
@@ -64,6 +64,7 @@
 	// shareWake and saveWake wake the sharer and the saver.
 	shareWake, saveWake chan struct{}
 	loads               singleflight.Group
+	surveys             nextCalls[string, survey]
 
 	mu      sync.Mutex
 	tracker *tsversion.Tracker
