Register entry VMs again after a restore of the store

What callers saw: after a restore from a copy that is older than the entry VMs, a server got several times the requests that its Server-Limit allows.

Cause: an entry VM remembered that it had registered. None did so again, each listed itself alone, and took the whole limit.

Change: once the era has risen, an entry VM registers again at once. Others that the store has forgotten stay listed for 8 s, so that no limit is shared by too few meanwhile.

--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -169,6 +169,7 @@
 		Dial: g.meter.Dialer(tsmeter.Store, cfg.Dial),
 		OnRestored: func(era uint64) {
 			g.log.Warn("store came back from an older copy; reading everything again", "era", era)
+			g.registry.Restored()
 		},
 	})
 	events := eventLogger{log: tsobserve.WithPrefix(g.log, "event")}
--- /dev/null
+++ b/io/tsgateway/restore_test.go
@@ -0,0 +1,55 @@
+package tsgateway_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericshed/platform"
+	"turmericshed/standin/tsmetastore"
+)
+
+// restoreSoonTimeout is how soon after a restore of the store the system has written its keys again.
+const restoreSoonTimeout = 5 * time.Second
+
+// restoreEmpty restores the store from a copy that is older than the entry VMs. What the operator and the servers
+// wrote is written again.
+func (r *rig) restoreEmpty() {
+	r.store.Restore(tsmetastore.New().Copy(), func(key string) bool {
+		return key == platform.TableKey || strings.HasPrefix(key, platform.ServerPrefix)
+	})
+}
+
+// assertWrittenAgain checks that a key is in the store soon, and that its value contains the words.
+func (r *rig) assertWrittenAgain(key string, words ...string) {
+	r.t.Helper()
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		item, ok := r.store.Get(key)
+		isComplete := ok
+		for _, w := range words {
+			isComplete = isComplete && strings.Contains(string(item.Value), w)
+		}
+		if isComplete {
+			return
+		}
+		assert.Assert(r.t, time.Since(began) < restoreSoonTimeout, "%s: exists %v, value %s, want %v", key, ok, item.Value, words)
+	}
+}
+
+// Guards against keys that a process remembers as written and the store has forgotten.
+func TestKeysAreWrittenAgainAfterARestore(t *testing.T) {
+	t.Run("the directory of entry VMs", func(t *testing.T) {
+		r := newRig(t, 1_000_000)
+		r.start("vm-2")
+		r.eventually("both are listed", func() bool {
+			_, first := r.store.Get("entry_vms/vm-1")
+			_, second := r.store.Get("entry_vms/vm-2")
+			return first && second
+		})
+		r.restoreEmpty()
+		r.assertWrittenAgain("entry_vms/vm-1")
+		r.assertWrittenAgain("entry_vms/vm-2")
+	})
+}
--- a/io/tsregistry/registry.go
+++ b/io/tsregistry/registry.go
@@ -36,6 +36,9 @@
 	// firstListDelay is the time between the write of the local entry and the next read
 	// of the list, so that entry VMs that start together find each other.
 	firstListDelay = 500 * time.Millisecond
+	// restoreGrace is how long entry VMs stay listed that a restored store has forgotten. All of
+	// them register again meanwhile.
+	restoreGrace = 8 * time.Second
 	// retryInterval is the time to the next attempt after the store did not answer.
 	retryInterval = time.Second
 	// storeTimeout bounds one change of the local entry's key.
@@ -63,17 +66,35 @@
 	cfg Config
 	// firstListed is closed once the list has been read for the first time.
 	firstListed chan struct{}
+	// restored wakes Serve after the store came back from an older copy.
+	restored chan struct{}
 
 	mu sync.Mutex
 	// members holds the listed entry VMs by name; nil before the first read. It is
 	// guarded by mu.
 	members map[string]turmericshed.EntryVM
+	// restoredAt is when the store last came back from an older copy.
+	restoredAt time.Time
 }
 
 var _ turmericshed.Members = (*Registry)(nil)
 
 // New returns a registry that has not read the list yet.
-func New(cfg Config) *Registry { return &Registry{cfg: cfg, firstListed: make(chan struct{})} }
+func New(cfg Config) *Registry {
+	return &Registry{cfg: cfg, firstListed: make(chan struct{}), restored: make(chan struct{}, 1)}
+}
+
+// Restored makes the registry register the local entry VM again. It must be called when the store came
+// back from an older copy, which may lack the entry or have that of an earlier process.
+func (r *Registry) Restored() {
+	r.mu.Lock()
+	r.restoredAt = time.Now()
+	r.mu.Unlock()
+	select {
+	case r.restored <- struct{}{}:
+	default:
+	}
+}
 
 // Self returns the local entry VM.
 func (r *Registry) Self() turmericshed.EntryVM { return r.cfg.Self }
@@ -146,7 +167,11 @@
 			r.cfg.Log.Warn("listing the entry VMs failed; retrying", "error", err.Error())
 			pause = retryInterval
 		}
-		if !tspause.For(ctx, pause) {
+		select {
+		case <-time.After(pause):
+		case <-r.restored:
+			registered, interval = false, firstInterval
+		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
@@ -216,6 +241,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if time.Since(r.restoredAt) < restoreGrace {
+		for name, vm := range r.members {
+			if _, isListed := members[name]; !isListed {
+				members[name] = vm
+			}
+		}
+	}
 	if r.members == nil {
 		close(r.firstListed)
 	}
--- a/io/tsregistry/registry_test.go
+++ b/io/tsregistry/registry_test.go
@@ -62,3 +62,36 @@
 		})
 	})
 }
+
+// Guards against entry VMs that take the others for gone, and use limits shared with them alone, because a restored
+// store has forgotten the directory.
+func TestRegistryAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := tsplatform.NewStore(tsplatform.Options{})
+		var registries []*tsregistry.Registry
+		names := []string{"vm-1", "vm-2", "vm-3"}
+		for _, name := range names {
+			r, _ := start(t, store, name)
+			registries = append(registries, r)
+		}
+		time.Sleep(5 * time.Second)
+		for _, name := range names {
+			item, err := store.Get(t.Context(), "entry_vms/"+name)
+			assert.NilError(t, err)
+			_, err = store.CompareAndSwap(t.Context(), turmericshed.Write{Key: item.Key, ExpectedVersion: item.Version, Delete: true})
+			assert.NilError(t, err)
+		}
+		// The last one hears from the store three seconds later.
+		for _, r := range registries[:2] {
+			r.Restored()
+		}
+		time.AfterFunc(3*time.Second, registries[2].Restored)
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			for i, r := range registries[:2] {
+				assert.Equal(t, r.Count(), len(names), "at %s", names[i])
+			}
+		}
+		assert.Equal(t, registries[2].Count(), len(names))
+	})
+}
