Register software versions again after a restore of the store

Cause, as for the directory of entry VMs: a version that was registered in the seconds that the store lost is in no copy, but every entry VM has it as registered, so none registers it again. A process that starts later takes the older version for the only one, and streams of the lost one go on there. Saved beginnings of streams were written again only with the next new stream.

Change: once the era has risen, entry VMs register again what they know to be registered, also versions whose servers have left, and save the beginnings that others still need.

TestKeysAreWrittenAgainAfterARestore: its two parts for software versions and beginnings fail before (not back in 5 s).

--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -170,6 +170,7 @@
 		OnRestored: func(era uint64) {
 			g.log.Warn("store came back from an older copy; reading everything again", "era", era)
 			g.registry.Restored()
+			g.versions.Restored()
 		},
 	})
 	events := eventLogger{log: tsobserve.WithPrefix(g.log, "event")}
--- a/io/tsgateway/restore_test.go
+++ b/io/tsgateway/restore_test.go
@@ -1,6 +1,7 @@
 package tsgateway_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -52,4 +53,31 @@
 		r.assertWrittenAgain("entry_vms/vm-1")
 		r.assertWrittenAgain("entry_vms/vm-2")
 	})
+	t.Run("software versions and the beginnings of streams", func(t *testing.T) {
+		r := newVersionRig(t, "v1", "v2")
+		r.waitForVersions(r.entryVM, 2)
+		streams := r.begin(r.entryVM, streamCount, 2)
+		saved := ""
+		r.eventually("the beginnings are saved", func() bool {
+			for _, item := range r.store.Items("stream_beginnings/") {
+				if strings.Contains(string(item.Value), streams[0].id) {
+					saved = item.Key
+				}
+			}
+			return saved != ""
+		})
+		r.restoreEmpty()
+		r.assertWrittenAgain("software_versions", "v1", "v2")
+		r.assertWrittenAgain(saved, streams[0].id)
+	})
+	t.Run("a version that no server has any more", func(t *testing.T) {
+		r := newVersionRig(t, "v1", "v2")
+		r.waitForVersions(r.entryVM, 2)
+		for i := range 2 {
+			r.store.Remove(fmt.Sprint(platform.ServerPrefix, "engine-v1-", i))
+		}
+		r.waitForVersions(r.entryVM, 1)
+		r.restoreEmpty()
+		r.assertWrittenAgain("software_versions", "v1", "v2")
+	})
 }
--- a/io/tsversion/registrar.go
+++ b/io/tsversion/registrar.go
@@ -37,6 +37,7 @@
 
 // Serve follows the list of servers until ctx ends.
 func (r registrar) Serve(ctx context.Context) error {
+	var restoredRetry <-chan time.Time
 	for {
 		servers, changed := r.v.cfg.Board.Servers.Watch()
 		retryAfter := r.apply(ctx, servers)
@@ -47,6 +48,10 @@
 		select {
 		case <-changed:
 		case <-retry:
+		case <-r.v.restored:
+			restoredRetry = r.v.registerAgain(ctx)
+		case <-restoredRetry:
+			restoredRetry = r.v.registerAgain(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -86,6 +91,23 @@
 	return time.Millisecond
 }
 
+// registerAgain registers all versions that were registered as far as known, since the store came back from an
+// older copy. It returns when to try again after a failure; nil for never.
+func (v *Versions) registerAgain(ctx context.Context) <-chan time.Time {
+	v.mu.Lock()
+	known := v.tracker.Registered()
+	v.mu.Unlock()
+	if len(known) == 0 {
+		return nil
+	}
+	tspause.For(ctx, rand.N(maxRegisterDelay))
+	if err := v.register(ctx, known, nil); err != nil {
+		v.cfg.Log.Warn("cannot register the software versions again; retrying", "error", err.Error())
+		return time.After(storeRetryDelay + rand.N(storeRetryDelay))
+	}
+	return nil
+}
+
 // register adds and removes versions in the store, in one change that keeps what others changed.
 func (v *Versions) register(ctx context.Context, missing, unused tsversion.Versions) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/io/tsversion/save.go
+++ b/io/tsversion/save.go
@@ -93,11 +93,15 @@
 		s.version = version
 		return nil
 	}
-	// A write without an answer may have been applied, and a lease may have lapsed.
+	// A write without an answer may have been applied, and a lease may have lapsed or, with the item, been
+	// forgotten by the store.
 	s.lease = ""
 	if item, ok := turmericshed.CurrentItem(err, s.key); ok {
 		s.version = item.Version
 	}
+	if kind := turmericshed.KindOf(err); kind == turmericshed.KindConflict || kind == turmericshed.KindNotFound {
+		s.v.wakeSaver()
+	}
 	return err
 }
 
--- a/io/tsversion/versions.go
+++ b/io/tsversion/versions.go
@@ -63,8 +63,10 @@
 	found *prometheus.CounterVec
 	// shareWake and saveWake wake the sharer and the saver.
 	shareWake, saveWake chan struct{}
-	loads               singleflight.Group
-	surveys             nextCalls[string, survey]
+	// restored wakes the registrar after the store came back from an older copy.
+	restored chan struct{}
+	loads    singleflight.Group
+	surveys  nextCalls[string, survey]
 
 	mu      sync.Mutex
 	tracker *tsversion.Tracker
@@ -78,7 +80,7 @@
 // New returns a Versions that knows no streams and no registered versions.
 func New(cfg Config) *Versions {
 	v := &Versions{
-		cfg: cfg, shareWake: make(chan struct{}, 1), saveWake: make(chan struct{}, 1), tracker: tsversion.NewTracker(), streams: tsversion.NewStreams(),
+		cfg: cfg, shareWake: make(chan struct{}, 1), saveWake: make(chan struct{}, 1), restored: make(chan struct{}, 1), tracker: tsversion.NewTracker(), streams: tsversion.NewStreams(),
 		found: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "turmericshed_streams_resumed_total", Help: "Streams that callers resumed, by how the version that began them was found: here, holder, sole (the only registered one), saved (in the store) or unknown (refused).",
 		}, []string{"by"}),
@@ -119,12 +121,28 @@
 	v.streams.End(id)
 }
 
+// Restored makes this entry VM write again what the store may have forgotten. It must be called when the store
+// came back from an older copy.
+func (v *Versions) Restored() {
+	v.wake()
+	select {
+	case v.restored <- struct{}{}:
+	default:
+	}
+}
+
 // wake wakes the sharer and the saver.
 func (v *Versions) wake() {
-	for _, c := range []chan struct{}{v.shareWake, v.saveWake} {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
+	v.wakeSaver()
+	select {
+	case v.shareWake <- struct{}{}:
+	default:
+	}
+}
+
+func (v *Versions) wakeSaver() {
+	select {
+	case v.saveWake <- struct{}{}:
+	default:
 	}
 }
--- a/standin/tsmetastore/store.go
+++ b/standin/tsmetastore/store.go
@@ -147,6 +147,13 @@
 	return item, ok
 }
 
+// Items returns the items under a prefix, in key order.
+func (s *Store) Items(prefix string) []Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list(prefix, "")
+}
+
 // SetDown makes every call, including open watches, fail with 503 while down is
 // true.
 func (s *Store) SetDown(down bool) {
