Write quarantines again after a restore of the store

Cause, as for the directory of entry VMs: a quarantine written in the seconds that the store lost was in no copy, and aggregators wrote only later evidence. A process that started then sent the request to servers again.

Change: once the era has risen, aggregators write all quarantines that they have.

TestKeysAreWrittenAgainAfterARestore/quarantines fails before (not back in 5 s). The part for saved beginnings now uses streams that outlast it: with those of a second it failed 2 of 3 times, since a stream that has ended needs no beginning.

--- a/io/tscrash/persist.go
+++ b/io/tscrash/persist.go
@@ -67,6 +67,17 @@
 	return true
 }
 
+// Restored makes an aggregator write again the quarantines that the store may have forgotten. It must be called
+// when the store came back from an older copy.
+func (w *Watch) Restored() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for d := range w.requestChange {
+		w.unsaved[d] = true
+	}
+	wake(w.persistWake)
+}
+
 // persist writes the unsaved evidence to the store and reports whether every write
 // succeeded.
 func (w *Watch) persist(ctx context.Context) bool {
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -171,6 +171,7 @@
 			g.log.Warn("store came back from an older copy; reading everything again", "era", era)
 			g.registry.Restored()
 			g.versions.Restored()
+			g.crashWatch.Restored()
 		},
 	})
 	events := eventLogger{log: tsobserve.WithPrefix(g.log, "event")}
--- a/io/tsgateway/restore_test.go
+++ b/io/tsgateway/restore_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"turmericshed"
 	"turmericshed/platform"
 	"turmericshed/standin/tsmetastore"
 )
@@ -54,9 +56,10 @@
 		r.assertWrittenAgain("entry_vms/vm-2")
 	})
 	t.Run("software versions and the beginnings of streams", func(t *testing.T) {
-		r := newVersionRig(t, "v1", "v2")
+		// The streams last longer than the test.
+		r := newSlowVersionRig(t, 600*time.Millisecond, "v1", "v2")
 		r.waitForVersions(r.entryVM, 2)
-		streams := r.begin(r.entryVM, streamCount, 2)
+		streams := r.begin(r.entryVM, streamCount, 1)
 		saved := ""
 		r.eventually("the beginnings are saved", func() bool {
 			for _, item := range r.store.Items("stream_beginnings/") {
@@ -80,4 +83,19 @@
 		r.restoreEmpty()
 		r.assertWrittenAgain("software_versions", "v1", "v2")
 	})
+	t.Run("quarantines", func(t *testing.T) {
+		r := newCrashRig(t, 3)
+		stored := ""
+		r.eventually("the request is in quarantine", func() bool {
+			r.requestAny(http.MethodGet, "/look/poison", poisonBody)
+			for _, item := range r.store.Items(turmericshed.QuarantinePrefix) {
+				stored = item.Key
+			}
+			return stored != ""
+		})
+		// Later evidence would be written anyway.
+		time.Sleep(3 * time.Second)
+		r.restoreEmpty()
+		r.assertWrittenAgain(stored)
+	})
 }
--- a/io/tsgateway/version_test.go
+++ b/io/tsgateway/version_test.go
@@ -28,12 +28,20 @@
 type versionRig struct {
 	*rig
 	software map[string]string
+	// pause is the time between events.
+	pause time.Duration
 }
 
 // newVersionRig replaces the engines of a rig by two of each software version.
 func newVersionRig(t *testing.T, versions ...string) *versionRig {
 	t.Helper()
-	r := &versionRig{rig: newRig(t, 10_000_000), software: map[string]string{}}
+	return newSlowVersionRig(t, versionEventPause, versions...)
+}
+
+// newSlowVersionRig is newVersionRig with another time between events.
+func newSlowVersionRig(t *testing.T, pause time.Duration, versions ...string) *versionRig {
+	t.Helper()
+	r := &versionRig{rig: newRig(t, 10_000_000), software: map[string]string{}, pause: pause}
 	for _, e := range r.engines {
 		r.store.Remove(platform.ServerPrefix + e.ID)
 	}
@@ -47,7 +55,7 @@
 
 func (r *versionRig) startVersion(id, software string) {
 	r.t.Helper()
-	b := &tsmetastore.Backend{ID: id, Software: software, Events: eventsPerStream, Pause: versionEventPause}
+	b := &tsmetastore.Backend{ID: id, Software: software, Events: eventsPerStream, Pause: r.pause}
 	assert.NilError(r.t, b.Start())
 	r.t.Cleanup(func() { _ = b.Close() })
 	r.software[id] = software
