Drill: restores of the store, and releases beside VMs out of step

The drill with real processes never restored the store, and no entry VM stood still or was cut off.

Not played: entry VMs that are cut off from each other.

--- a/load/tsdrill/caller.go
+++ b/load/tsdrill/caller.go
@@ -48,6 +48,8 @@
 	id     string
 	kind   kindOfRequest
 	deadly bool
+	// isSmall is true for a request of the account with the small budget.
+	isSmall bool
 	// resumes is the ID of the attempt that brought the first event of the stream that is resumed, and
 	// received the events of that stream so far; empty for a new request.
 	resumes, received string
@@ -116,12 +118,18 @@
 
 // sendDeadly sends one request with a deadly part on a connection of its own.
 func (c *caller) sendDeadly(p *process) {
+	c.sendAlone(request{kind: askStream + kindOfRequest(c.rng.IntN(2)), deadly: true, process: p})
+}
+
+// sendAlone sends one request on a connection of its own.
+func (c *caller) sendAlone(q request) {
+	p := q.process
 	conn, err := net.DialTimeout("tcp", p.callerAddr, time.Second)
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	c.send(conn, bufio.NewReader(conn), &request{kind: askStream + kindOfRequest(c.rng.IntN(2)), deadly: true, process: p})
+	c.send(conn, bufio.NewReader(conn), &q)
 }
 
 // resume resumes an interrupted stream at other entry VMs until it is complete or refused.
@@ -214,7 +222,10 @@
 
 // text returns the request in the form in which it is sent.
 func (c *caller) text(q request) string {
-	method, path, headers := http.MethodPost, "", ""
+	method, path, headers, key := http.MethodPost, "", "", apiKey
+	if q.isSmall {
+		key = smallKey
+	}
 	switch q.kind {
 	case askStream, askOnce:
 		path = map[kindOfRequest]string{askStream: "/quote/1", askOnce: "/once/1"}[q.kind]
@@ -240,7 +251,7 @@
 		body = "body of " + q.id
 	}
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: corner.example\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Remaining: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-		method, path, q.id, apiKey, requestTimeout.Milliseconds(), headers, len(body), body)
+		method, path, q.id, key, requestTimeout.Milliseconds(), headers, len(body), body)
 }
 
 // record adds a request to the report and checks its answer.
--- a/load/tsdrill/check.go
+++ b/load/tsdrill/check.go
@@ -56,7 +56,7 @@
 		d.checkAnswer(q)
 		d.checkPromise(q)
 		d.checkCutOff(q)
-		if q.deadly || q.sentAt.Before(d.faultsUntil.Add(recoveryTime)) {
+		if q.deadly || q.isSmall || q.sentAt.Before(d.faultsUntil.Add(recoveryTime)) {
 			continue
 		}
 		owed++
@@ -83,7 +83,8 @@
 	}
 	late := 0
 	for _, at := range arrivals {
-		if at.After(arrivals[freeCrashes-1].Add(contactTimeout)) {
+		// An entry VM that stood still sends what it has at hand when it goes on.
+		if at.After(arrivals[freeCrashes-1].Add(contactTimeout)) && !d.wasAnyOutOfStep(at) {
 			late++
 		}
 	}
@@ -92,16 +93,28 @@
 	}
 }
 
-// checkBudget checks that servers handed out no more tokens than the account prepaid.
+// wasAnyOutOfStep reports whether a process was out of step up to contactTimeout before a time.
+func (d *drill) wasAnyOutOfStep(at time.Time) bool {
+	return slices.ContainsFunc(d.requests, func(q request) bool { return q.process.wasOutOfStep(at, at) })
+}
+
+// checkBudget checks that servers handed out no more tokens than each account prepaid.
 func (d *drill) checkBudget() {
-	used := 0
+	used := map[bool]int{}
 	for _, q := range d.requests {
-		if (q.kind == askStream || q.kind == askOnce) && d.servers.runs(q.id) > 0 {
-			used += promptTokens + strings.Count(q.body, "id: ")*tokensPerEvent
+		if (q.kind != askStream && q.kind != askOnce) || d.servers.runs(q.id) == 0 {
+			continue
 		}
+		if q.resumes == "" {
+			used[q.isSmall] += promptTokens
+		}
+		used[q.isSmall] += strings.Count(q.body, "id: ") * tokensPerEvent
 	}
-	if used > prepaid {
-		d.violateLocked("budget: %d tokens were used, %d are prepaid", used, prepaid)
+	d.report.SmallUsed = used[true]
+	for isSmall, limit := range map[bool]int{false: prepaid, true: smallPrepaid} {
+		if used[isSmall] > limit {
+			d.violateLocked("budget: %d tokens were used, %d are prepaid", used[isSmall], limit)
+		}
 	}
 }
 
@@ -124,6 +137,9 @@
 		d.violateLocked("stream: %s, which resumes %q, got %q after %q", q.id, q.resumes, q.body, q.received)
 	case q.status == http.StatusOK && !isStream && q.body != "answer to "+q.id:
 		d.violateLocked("answer: %s got %q", q.id, q.body)
+	case q.status == http.StatusPaymentRequired && q.isSmall:
+	case q.status == http.StatusNotFound && q.process.wasOutOfStep(q.sentAt.Add(-applyTimeout), q.endedAt):
+		// It may not know of the route yet.
 	case q.status == http.StatusNotFound, q.status == http.StatusUnauthorized, q.status == http.StatusPaymentRequired, q.status == http.StatusForbidden:
 		d.violateLocked("desired state: %s got status %d", q.id, q.status)
 	}
@@ -167,7 +183,7 @@
 func (d *drill) checkResumed() {
 	var begun, resumed served
 	for _, q := range d.requests {
-		if q.deadly || q.kind != askStream {
+		if q.deadly || q.isSmall || q.kind != askStream {
 			continue
 		}
 		if q.resumes != "" {
--- a/load/tsdrill/drill.go
+++ b/load/tsdrill/drill.go
@@ -6,8 +6,9 @@
 // routing table changes, and engines are replaced by ones of another software version, in
 // series and overlapping; no answer may be cut off. In the second, requests with prompt
 // parts that crash backend servers come at all entry VMs, beside stops, kills, also of all
-// entry VMs at once, lost answers, answers that never end, server crashes and an outage of
-// the store. In the third nothing fails, and callers must be served. Half of the callers
+// entry VMs at once, lost answers, answers that never end, server crashes, an outage of the
+// store, a store that comes back from an older copy, and releases beside entry VMs that stand
+// still or are cut off from the store. In the third nothing fails, and callers must be served. Half of the callers
 // keep using a stopping entry VM until its process is gone. Callers resume interrupted
 // streams, and some send a body slowly to a path without a route.
 //
@@ -43,6 +44,8 @@
 	maxDownShare = 0.5
 	// deadlyInterval is the mean time between requests with a deadly part.
 	deadlyInterval = 150 * time.Millisecond
+	// spendInterval is the mean time between requests of the account with the small budget.
+	spendInterval = 12 * time.Millisecond
 	// requestInterval is the mean time between two requests of a caller.
 	requestInterval = 60 * time.Millisecond
 )
@@ -75,8 +78,15 @@
 	// Resumed counts the interrupted streams that callers resumed, WentOn those that went on.
 	Resumed int `json:"resumed"`
 	WentOn  int `json:"went_on"`
-	Reloads int `json:"reloads"`
-	Changes int `json:"changes"`
+	// Restores counts how often the store came back from an older copy, Freezes and Cuts the processes
+	// that stood still or were cut off from the store.
+	Restores int `json:"restores"`
+	Freezes  int `json:"freezes"`
+	Cuts     int `json:"cuts"`
+	// SmallUsed is the number of tokens that the account with the small budget used.
+	SmallUsed int `json:"small_used"`
+	Reloads   int `json:"reloads"`
+	Changes   int `json:"changes"`
 	// ServerCrashes counts the crashes of model engines, DeadlyArrivals the requests
 	// with a deadly part that reached one.
 	ServerCrashes  int `json:"server_crashes"`
@@ -90,6 +100,7 @@
 	Options
 	rng     *rand.Rand
 	servers *servers
+	copier  copier
 	vms     []*entryVM
 	// plannedUntil and faultsUntil are the ends of the first and the second phase.
 	plannedUntil, faultsUntil, until time.Time
@@ -116,7 +127,10 @@
 	defer d.servers.close()
 	defer d.killAll()
 	for i := range o.EntryVMs {
-		vm := newEntryVM(o, i, d.servers.storeAddr)
+		vm, err := newEntryVM(o, i, d.servers.storeAddr)
+		if err != nil {
+			return d.report, err
+		}
 		d.vms = append(d.vms, vm)
 		if err := vm.start(); err != nil {
 			return d.report, err
@@ -136,6 +150,9 @@
 		c := &caller{d: d, rng: d.newRand(uint64(i)), isStubborn: i%2 == 0}
 		tasks.Go(func() { c.run(ctx) })
 	}
+	copying, stopCopying := context.WithCancel(ctx)
+	defer stopCopying()
+	go d.copier.run(copying, d.servers.store)
 	tasks.Go(func() { d.runPlanned(ctx) })
 	tasks.Go(func() { d.runFaults(ctx) })
 	tasks.Wait()
@@ -150,6 +167,7 @@
 func (d *drill) killAll() {
 	for _, vm := range d.vms {
 		vm.kill()
+		_ = vm.link.listener.Close()
 	}
 }
 
--- a/load/tsdrill/faults.go
+++ b/load/tsdrill/faults.go
@@ -56,7 +56,7 @@
 		if p == nil || p.isStopping() || d.downCount() >= int(maxDownShare*float64(len(d.vms))) {
 			continue
 		}
-		isKill := time.Now().After(d.plannedUntil) && rng.IntN(3) == 0
+		isKill := d.hasKills() && time.Now().After(d.plannedUntil) && rng.IntN(3) == 0
 		stops.Go(func() { d.restart(vm, p, isKill) })
 	}
 }
@@ -111,8 +111,17 @@
 			}
 		}
 	})
+	tasks.Go(func() {
+		c := &caller{d: d, rng: d.newRand(1 << 24)}
+		for pause(ctx, c.rng, spendInterval, d.faultsUntil) {
+			if p := c.pick(); p != nil {
+				spending := &caller{d: d, rng: d.newRand(c.rng.Uint64())}
+				tasks.Go(func() { spending.sendAlone(request{kind: askStream, isSmall: true, process: p}) })
+			}
+		}
+	})
 	for pause(ctx, rng, faultInterval, d.faultsUntil) {
-		switch all := d.servers.inService(); rng.IntN(7) {
+		switch all := d.servers.inService(); rng.IntN(10) {
 		case 0:
 			all[rng.IntN(len(all))].Crash()
 		case 1, 2:
@@ -131,11 +140,23 @@
 			b.SetBehaviour(tsmetastore.BehaveEndless)
 			time.AfterFunc(faultDuration, func() { b.SetBehaviour(tsmetastore.BehaveNormal) })
 		case 5:
-			d.restartAll()
+			if d.hasKills() {
+				d.restartAll()
+				continue
+			}
+			d.restoreStore(rng)
+		case 6:
+			d.restoreStore(rng)
+		case 7, 8:
+			tasks.Go(func() { d.putOutOfStep(ctx, d.newRand(rng.Uint64())) })
 		}
 	}
 }
 
+// hasKills reports whether processes are killed. The tokens that they hold are lost, which would hide tokens
+// that are handed out twice, so half of the seeds have restores of the store in place of kills.
+func (d *drill) hasKills() bool { return d.Seed%2 == 1 }
+
 // restartAll kills the processes of all entry VMs at once, and starts the next ones.
 func (d *drill) restartAll() {
 	var restarts sync.WaitGroup
--- a/load/tsdrill/process.go
+++ b/load/tsdrill/process.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -38,7 +39,8 @@
 	name, domain         string
 	settings             string
 	ready, control, peer *net.TCPAddr
-	storeAddr            string
+	// link is the entry VM's way to the store.
+	link *storeLink
 
 	mu sync.Mutex
 	// slack is the retry slack in the settings, which each reload changes.
@@ -59,18 +61,24 @@
 	// servingAt is when the process began to serve, stoppedAt when SIGTERM was sent, killedAt when it was
 	// killed.
 	servingAt, stoppedAt, killedAt time.Time
+	// disturbedAt are the times at which the process was found out of step.
+	disturbedAt []time.Time
 }
 
-func newEntryVM(o Options, i int, storeAddr string) *entryVM {
-	vm := &entryVM{o: o, name: fmt.Sprint("vm-", i), domain: string("abc"[i%3]), storeAddr: storeAddr, slack: 1000}
+func newEntryVM(o Options, i int, storeAddr string) (*entryVM, error) {
+	link, err := newStoreLink(storeAddr)
+	if err != nil {
+		return nil, err
+	}
+	vm := &entryVM{o: o, name: fmt.Sprint("vm-", i), domain: string("abc"[i%3]), link: link, slack: 1000}
 	vm.settings = filepath.Join(o.Dir, vm.name+".json")
-	return vm
+	return vm, nil
 }
 
 // writeSettings writes the settings file with a new retry slack.
 func (vm *entryVM) writeSettings() error {
 	vm.slack++
-	text := fmt.Sprintf(settingsFormat, vm.name, vm.domain, vm.peer.Port, vm.started == 0, vm.ready, vm.control, vm.storeAddr,
+	text := fmt.Sprintf(settingsFormat, vm.name, vm.domain, vm.peer.Port, vm.started == 0, vm.ready, vm.control, vm.link.listener.Addr(),
 		vm.slack, gracePeriod.Seconds(), applyTimeout.Milliseconds(), contactTimeout.Milliseconds())
 	return os.WriteFile(vm.settings, []byte(text), 0o600)
 }
@@ -200,14 +208,25 @@
 }
 
 // isUndisturbed reports whether the process had served for contactTimeout at the first time, and was
-// neither stopped nor killed by the second.
+// neither stopped nor killed by the second, nor out of step.
 func (p *process) isUndisturbed(from, to time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.servingAt.IsZero() && from.Sub(p.servingAt) >= contactTimeout &&
+	return !p.wasOutOfStepLocked(from, to) && !p.servingAt.IsZero() && from.Sub(p.servingAt) >= contactTimeout &&
 		(p.stoppedAt.IsZero() || to.Before(p.stoppedAt)) && (p.killedAt.IsZero() || to.Before(p.killedAt))
 }
 
+// wasOutOfStep reports whether the process was out of step between two times, or up to contactTimeout before.
+func (p *process) wasOutOfStep(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wasOutOfStepLocked(from, to)
+}
+
+func (p *process) wasOutOfStepLocked(from, to time.Time) bool {
+	return slices.ContainsFunc(p.disturbedAt, func(at time.Time) bool { return at.After(from.Add(-contactTimeout)) && at.Before(to) })
+}
+
 // stop stops the process with SIGTERM and waits for its exit. It returns an error if the
 // process must be killed.
 func (p *process) stop() error {
@@ -221,9 +240,17 @@
 	case <-p.exited:
 		return nil
 	case <-time.After(gracePeriod + exitSlack):
-		p.kill()
-		return fmt.Errorf("still running %s after SIGTERM", gracePeriod+exitSlack)
 	}
+	if p.wasOutOfStep(time.Now().Add(-gracePeriod-exitSlack), time.Now()) {
+		// The signal arrives once the process goes on.
+		select {
+		case <-p.exited:
+			return nil
+		case <-time.After(maxOutOfStep):
+		}
+	}
+	p.kill()
+	return fmt.Errorf("still running %s after SIGTERM", gracePeriod+exitSlack)
 }
 
 // kill kills the process and waits for its exit.
--- a/load/tsdrill/servers.go
+++ b/load/tsdrill/servers.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	apiKey = "k1"
-	// prepaid is the client account's budget in tokens.
+	apiKey, smallKey = "k1", "k2"
+	// prepaid is the client account's budget in tokens, smallPrepaid that of an account that uses it up.
 	prepaid         = 100_000_000
+	smallPrepaid    = 80_000
 	promptTokens    = 100
 	maxOutputTokens = 200
 	tokensPerEvent  = 5
@@ -199,7 +200,8 @@
 	}
 	s.store.Put(users.TableKey, fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[{"name":"pool","maxConnections":2000,"engine":{"stride":%d}},{"name":"desk","maxConnections":2000}],
  "limits":{"maxHeaderBytes":4000,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
- "tenants":[{"name":"stall","apiKeys":["%s"],"prepaid":%d}]}`, s.version, strings.Join(routes, ","), tokensPerEvent, apiKey, prepaid))
+ "tenants":[{"name":"stall","apiKeys":["%s"],"prepaid":%d},{"name":"kiosk","apiKeys":["%s"],"prepaid":%d}]}`,
+		s.version, strings.Join(routes, ","), tokensPerEvent, apiKey, prepaid, smallKey, smallPrepaid))
 }
 
 // runs returns how often the servers ran the request with the given id.
