Remember ledgers as read, without the lots of the holding

A holder kept the state of each ledger with its own lots added, which may be from a later transaction than the ledger. The state could then charge too much after a restore, and tokens would be lost. It now keeps the ledger as read, and decodes it only once the era has risen. io/tsholder passes.

--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -165,10 +165,11 @@
 	item turmericshed.Item
 	// ledgerVersion is the store's version of the ledger that was last summarized.
 	ledgerVersion turmericshed.Version
-	// state is what the ledger told when it was last read, and stateBefore what it told last before the
-	// store came back from an older copy, which was noticed at restoredAt.
-	state, stateBefore tsbudget.LedgerState
-	restoredAt         time.Time
+	// lastItem is the ledger as last read, and stateBefore what it told last before the store came back
+	// from an older copy, which was noticed at restoredAt.
+	lastItem    turmericshed.Item
+	stateBefore tsbudget.LedgerState
+	restoredAt  time.Time
 	// reclaimable is the amount that other holders may still enter again since then.
 	reclaimable turmericshed.Tokens
 	// starved is true if requests were still waiting after the last round.
--- a/io/tsholder/reentry.go
+++ b/io/tsholder/reentry.go
@@ -68,13 +68,16 @@
 	}
 }
 
-// noteEraLocked keeps what the ledger told before the store came back from an older copy. It must be called
-// before ledgerVersion changes.
+// noteEraLocked keeps what the ledger told before the store came back from an older copy. item replaces
+// b.lastItem.
 func (b *budget) noteEraLocked(item turmericshed.Item, l tsbudget.Ledger, now time.Time) {
-	if b.ledgerVersion.Era() != 0 && item.Version.Era() > b.ledgerVersion.Era() {
-		b.stateBefore, b.restoredAt = b.state, now
+	if before := b.lastItem.Version; before.Era() != 0 && item.Version.Era() > before.Era() {
+		// The ledger without the lots of the holding, which may be from another time.
+		if was, err := tsbudget.Decode(b.lastItem); err == nil {
+			b.stateBefore, b.restoredAt = was.State(before, b.stateBefore), now
+		}
 	}
-	b.state, b.reclaimable = l.State(item.Version, b.stateBefore), 0
+	b.lastItem, b.reclaimable = item, 0
 	if l.Restored != nil && b.stateBefore.Version != 0 {
 		b.reclaimable = l.Restored.Reclaimable
 	}
