--- a/load/tsdrill/faults.go
+++ b/load/tsdrill/faults.go
@@ -71,8 +71,11 @@
 	return n
 }
 
-// restart ends the process of an entry VM and starts the next one.
+// restart ends the process of an entry VM and starts the next one, unless another task does so.
 func (d *drill) restart(vm *entryVM, p *process, isKill bool) {
+	if !p.claimEnd() {
+		return
+	}
 	if isKill {
 		p.kill()
 		d.count(&d.report.Kills)
--- a/load/tsdrill/process.go
+++ b/load/tsdrill/process.go
@@ -62,7 +62,8 @@
 	// killed.
 	servingAt, stoppedAt, killedAt time.Time
 	// disturbedAt are the times at which the process was found out of step.
-	disturbedAt []time.Time
+	disturbedAt  []time.Time
+	isEndClaimed bool
 }
 
 func newEntryVM(o Options, i int, storeAddr string) (*entryVM, error) {
@@ -207,6 +208,15 @@
 	return !p.stoppedAt.IsZero()
 }
 
+// claimEnd reports whether the caller is the first one, which has to end the process.
+func (p *process) claimEnd() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isFirst := !p.isEndClaimed
+	p.isEndClaimed = true
+	return isFirst
+}
+
 // isUndisturbed reports whether the process had served for contactTimeout at the first time, and was
 // neither stopped nor killed by the second, nor out of step.
 func (p *process) isUndisturbed(from, to time.Time) bool {
