Relay: complete answers of attempts whose timer expired

What callers saw: a stream of which all events had come was aborted, so that it looked incomplete.

Cause: when the process goes on, the silence timer expires at once, also if the answer is complete. With a congested link the attempt was then logged as timed out with the text of an error that is nil.

Change: only a failed attempt can have ended in a timeout. TestTimerExpiresAfterACompleteAnswer covers the condition, which had no function of its own before; the whole path isn't tested.

--- a/io/tsrelay/attempt.go
+++ b/io/tsrelay/attempt.go
@@ -156,7 +156,7 @@
 		res.Err = turmericshed.NewError(turmericshed.KindInternal, "the server answered with status %d", a.status)
 		q.excluded = append(q.excluded, server.ID)
 	}
-	if (timer.expired() || timedOut(res.Err)) && q.relay.linkCongested(now) {
+	if endedInTimeout(res.Err, timer) && q.relay.linkCongested(now) {
 		res.Inconclusive = true
 		q.relay.cfg.Log.Info("attempt timed out while the local link was congested; not counting it against the server", "request", string(q.inbound.ID), "server", string(server.ID),
 			"elapsed_ms", res.Elapsed.Milliseconds(), "error", res.Err.Error())
@@ -228,6 +228,12 @@
 	return turmericshed.KindOf(err) == turmericshed.KindDeadline || errors.As(err, &t) && t.Timeout()
 }
 
+// endedInTimeout reports whether the attempt failed with err because of a time limit. The timer of a process
+// that stood still may expire although the answer is complete.
+func endedInTimeout(err error, timer *silenceTimer) bool {
+	return err != nil && (timer.expired() || timedOut(err))
+}
+
 // exchange sends the request and reads the answer, or relays it if it is a stream; then the
 // returned answer is nil. The duration is the time to the answer's headers, 0 when none
 // arrived.
--- a/io/tsrelay/silence_timer_test.go
+++ b/io/tsrelay/silence_timer_test.go
@@ -80,3 +80,11 @@
 		assertNotExpired(t, timer, 100*time.Millisecond)
 	})
 }
+
+// Guards against a panic where the timer of a process that stood still expires although the answer is complete.
+func TestTimerExpiresAfterACompleteAnswer(t *testing.T) {
+	timer, canceled := newTestTimer(&fakeLink{}, true)
+	assertExpires(t, timer, canceled)
+	assert.Assert(t, !endedInTimeout(nil, timer))
+	assert.Assert(t, endedInTimeout(context.Canceled, timer))
+}
