Remember a failure domain's shares over several restores

Cause: a ledger writer kept only the holding that the last restore had replaced. If nothing was written between two restores, that was the copy, whose pools are void; and an absent holding was not taken for a restore.

Change: the shares of each budget are kept until they are written again.

--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -352,11 +352,9 @@
 func (c *Committer) cacheItems(batch *tsupdate.Batch, budgets []turmericshed.BudgetID, commit *tsbudget.Commit, err error) {
 	isWritten := err == nil && batch.Pending(len(budgets)) != nil
 	item := batch.Current(len(budgets))
-	if item.Version.Era() > c.holdingItem.Version.Era() {
-		c.memory.holding, c.memory.holdingVersion = c.holding, c.holdingItem.Version
-		if c.isHoldingUnknown || batch.HasUnanswered() {
-			c.memory.holdingVersion = 0
-		}
+	// The copy may be older than the holding, which is absent then.
+	if before := c.holdingItem.Version; before.Era() != 0 && item.Version.Era() != before.Era() {
+		c.rememberShares(!c.isHoldingUnknown && !batch.HasUnanswered())
 	}
 	c.isHoldingUnknown = turmericshed.KindOf(err) == turmericshed.KindStoreUnknown
 	switch {
--- a/io/tscommit/memory.go
+++ b/io/tscommit/memory.go
@@ -19,8 +19,9 @@
 	ledgers map[turmericshed.BudgetID]tsbudget.LedgerState
 	// untold are the ledgers that may not include these states yet.
 	untold map[turmericshed.BudgetID]bool
-	// holding is the domain's latest holding in an earlier era, of version holdingVersion.
-	holding        tsbudget.Holding
+	// shares are the domain's latest shares in earlier eras, as of holdingVersion of its holding; 0 if
+	// later versions may exist.
+	shares         map[turmericshed.BudgetID]tsbudget.Share
 	holdingVersion turmericshed.Version
 	// settling is when this process first found a ledger settling.
 	settling map[turmericshed.BudgetID]settlement
@@ -33,7 +34,7 @@
 }
 
 func newMemory() memory {
-	return memory{ledgers: make(map[turmericshed.BudgetID]tsbudget.LedgerState), untold: make(map[turmericshed.BudgetID]bool), settling: make(map[turmericshed.BudgetID]settlement)}
+	return memory{ledgers: make(map[turmericshed.BudgetID]tsbudget.LedgerState), untold: make(map[turmericshed.BudgetID]bool), shares: make(map[turmericshed.BudgetID]tsbudget.Share), settling: make(map[turmericshed.BudgetID]settlement)}
 }
 
 // addUntold adds the ledgers that don't include what this process remembers of them, unless they are
@@ -88,17 +89,37 @@
 // Share returns the latest share of the domain in an era before the given one, unless a holder knew a later
 // version of the holding, or this process may have written one.
 func (m roundMemory) Share(id turmericshed.BudgetID, before uint64) tsbudget.Share {
-	holding, version := m.c.memory.holding, m.c.memory.holdingVersion
+	share, version := m.c.memory.shares[id], m.c.memory.holdingVersion
 	if era := m.c.holdingItem.Version.Era(); era != 0 && era < before {
-		holding, version = m.c.holding, m.c.holdingItem.Version
+		version = m.c.holdingItem.Version
 		if m.c.isHoldingUnknown || m.isUnanswered() {
 			version = 0
 		}
+		// A stale share was not written since the restore before, so the one remembered then still counts.
+		if !m.c.holding.IsStale(id) {
+			share = tsbudget.Share{Lots: m.c.holding.Lots[id], Free: m.c.holding.Pools[id].Free}
+		}
 	}
-	if version.Era() == 0 || version < m.holdingBefore || holding.IsStale(id) {
+	if version.Era() == 0 || version < m.holdingBefore {
 		return tsbudget.Share{}
 	}
-	return tsbudget.Share{Lots: holding.Lots[id], Free: holding.Pools[id].Free}
+	return share
+}
+
+// rememberShares keeps the shares of the cached holding, which an older copy has replaced. isCertain is false
+// if later versions may have existed.
+func (c *Committer) rememberShares(isCertain bool) {
+	if !isCertain {
+		c.memory.holdingVersion = 0
+		clear(c.memory.shares)
+		return
+	}
+	c.memory.holdingVersion = c.holdingItem.Version
+	for id, p := range c.holding.Pools {
+		if !c.holding.IsStale(id) {
+			c.memory.shares[id] = tsbudget.Share{Lots: c.holding.Lots[id], Free: p.Free}
+		}
+	}
 }
 
 // IsSettled reports whether this process has seen the ledger settle for settleTime.
