Lose no tokens that are returned or pooled around a restore

Causes, told apart by a trace of what each reentry reclaimed: - Reports of the first request that found the store restored were acknowledged, though the copy lacked their lots. A lot that had been returned whole was then never entered again. They are repeated now, after the lots were entered. - A transaction that found the store restored counted as unanswered, so that the writer did not trust what it remembered of its failure domain. It was answered. - If only a part of the lots was entered between two restores, the charges of the others before the first one were forgotten. - The writer that created a ledger again did not reclaim its own pool.

--- a/core/tsbudget/restore.go
+++ b/core/tsbudget/restore.go
@@ -224,11 +224,10 @@
 		}
 	}
 	l.beginEra(w.era, revision, revision != 0 && slices.ContainsFunc(known, func(s LedgerState) bool { return s.Version != 0 }))
-	isVoid := l.isVoid(own.pool)
 	for _, s := range known {
 		l.learn(s)
 	}
-	if isVoid {
+	if l.isVoid(own.pool) {
 		own = domainShare{}
 		own.pool.Free = l.reclaim(w.memory.Share(l.Budget, w.era).Free)
 		own.pool.Counted = own.pool.totals(nil)
--- a/core/tsupdate/batch.go
+++ b/core/tsupdate/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"turmericshed"
 )
@@ -39,8 +40,10 @@
 	entries    []*batchEntry
 	attempts   int
 	unanswered int
-	done       bool
-	err        error
+	// lost is the number of those whose answer was lost.
+	lost int
+	done bool
+	err  error
 }
 
 type batchEntry struct {
@@ -67,8 +70,9 @@
 // Finished reports whether the batch has a result.
 func (b *Batch) Finished() bool { return b.done }
 
-// HasUnanswered reports whether a transaction got no answer.
-func (b *Batch) HasUnanswered() bool { return b.unanswered > 0 }
+// HasUnanswered reports whether the answer to a transaction was lost. A transaction that found the store
+// restored was answered: it was applied to the copy, if at all.
+func (b *Batch) HasUnanswered() bool { return b.lost > 0 }
 
 // Err returns the error of the whole batch. KindStoreUnknown means that the
 // changes may be in effect already or may still be applied later.
@@ -137,6 +141,9 @@
 		}
 	case turmericshed.KindStoreUnknown:
 		b.unanswered++
+		if !errors.Is(err, turmericshed.ErrStoreRestored) {
+			b.lost++
+		}
 		if b.unanswered >= maxUnansweredTransactions {
 			b.done, b.err = true, err
 		}
--- a/errors.go
+++ b/errors.go
@@ -141,6 +141,10 @@
 	currentKey
 )
 
+// ErrStoreRestored is wrapped by the error of a transaction that found that the store came back from an older
+// copy: it was applied to that copy, if at all.
+var ErrStoreRestored = errors.New("the store came back from an older copy")
+
 // NewError returns an error of the given kind. The message is sent to the
 // caller, so it must not contain data of other client accounts.
 func NewError(kind Kind, format string, args ...any) error {
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -356,7 +356,7 @@
 	if before := c.holdingItem.Version; before.Era() != 0 && item.Version.Era() != before.Era() {
 		c.rememberShares(!c.isHoldingUnknown && !batch.HasUnanswered())
 	}
-	c.isHoldingUnknown = turmericshed.KindOf(err) == turmericshed.KindStoreUnknown
+	c.isHoldingUnknown = turmericshed.KindOf(err) == turmericshed.KindStoreUnknown && batch.HasUnanswered()
 	switch {
 	case isWritten:
 		c.holdingItem, c.holding = item, commit.Holding()
--- a/io/tscommit/memory.go
+++ b/io/tscommit/memory.go
@@ -95,10 +95,7 @@
 		if m.c.isHoldingUnknown || m.isUnanswered() {
 			version = 0
 		}
-		// A stale share was not written since the restore before, so the one remembered then still counts.
-		if !m.c.holding.IsStale(id) {
-			share = tsbudget.Share{Lots: m.c.holding.Lots[id], Free: m.c.holding.Pools[id].Free}
-		}
+		share = m.c.shareWithRemembered(id)
 	}
 	if version.Era() == 0 || version < m.holdingBefore {
 		return tsbudget.Share{}
@@ -115,11 +112,25 @@
 		return
 	}
 	c.memory.holdingVersion = c.holdingItem.Version
-	for id, p := range c.holding.Pools {
-		if !c.holding.IsStale(id) {
-			c.memory.shares[id] = tsbudget.Share{Lots: c.holding.Lots[id], Free: p.Free}
+	for id := range c.holding.Pools {
+		c.memory.shares[id] = c.shareWithRemembered(id)
+	}
+}
+
+// shareWithRemembered returns the share in the cached holding, with the lots of the share that was remembered at
+// the restore before and that were not entered since. A stale share was not written at all since.
+func (c *Committer) shareWithRemembered(id turmericshed.BudgetID) tsbudget.Share {
+	remembered := c.memory.shares[id]
+	if c.holding.IsStale(id) {
+		return remembered
+	}
+	lots := slices.Clone(c.holding.Lots[id])
+	for _, l := range remembered.Lots {
+		if !slices.ContainsFunc(lots, func(o tsbudget.Lot) bool { return o.ID == l.ID }) {
+			lots = append(lots, l)
 		}
 	}
+	return tsbudget.Share{Lots: lots, Free: c.holding.Pools[id].Free}
 }
 
 // IsSettled reports whether this process has seen the ledger settle for settleTime.
--- a/io/tsholder/exchanger.go
+++ b/io/tsholder/exchanger.go
@@ -366,12 +366,19 @@
 			ledgers[budgetOf(item)] = item
 		}
 	}
+	// A request that finds the store restored has reported on lots that the copy may lack. They are entered
+	// again, and the reports repeated.
+	isRestored := err == nil && x.holding != 0 && reply.Holding.Era() > x.holding.Era()
 	for _, p := range parts {
+		reports := p.change.Reports
+		if isRestored {
+			reports = nil
+		}
 		item, partErr := ledgers[p.b.id], err
 		if partErr == nil {
 			partErr = reply.Errs[p.b.id]
 		}
-		_ = h.recordWriteLocked(p.b, item, partErr, p.change.Reports) // The error is stored in the budget.
+		_ = h.recordWriteLocked(p.b, item, partErr, reports) // The error is stored in the budget.
 		if p.draw != nil {
 			h.recordDrawLocked(p.b, p.draw, item, partErr)
 		}
