Tell other failure domains of written ledgers

What callers saw: after a restore, an account got 750,500 of 700,000 tokens in 1 of 4 runs of TestRestoredStoreAndHoldersThatAreCutOff side by side.

Cause: a failure domain that is cut off may have drawn tokens after the others last read the ledger, up to 0.8 s before. If it tells of it later than 3 s after the restore, the others have drawn them too. The ledger showed it: 750,663 tokens charged, an overdraft.

Change: a ledger writer tells writers of two other failure domains, its witnesses, the state of each ledger that it has written. It does not wait for them. They add it to what they know of the ledger after a restore.

Its parts and bounds are unchanged; its failure domains can now call each other, except those that are cut off.

--- a/core/tsbudget/restore.go
+++ b/core/tsbudget/restore.go
@@ -60,11 +60,11 @@
 	if l.Era < v.Era() {
 		s.Version = turmericshed.NewVersion(l.Era, v.Revision())
 	}
-	return s.later(before)
+	return s.Later(before)
 }
 
-// later returns the later one of two states.
-func (s LedgerState) later(o LedgerState) LedgerState {
+// Later returns the later one of two states.
+func (s LedgerState) Later(o LedgerState) LedgerState {
 	if o.Version > s.Version {
 		return o
 	}
--- a/io/tscommit/committer.go
+++ b/io/tscommit/committer.go
@@ -25,6 +25,7 @@
 	"turmericshed"
 	"turmericshed/core/tsbudget"
 	"turmericshed/core/tsupdate"
+	"turmericshed/io/tspeer"
 )
 
 const (
@@ -80,7 +81,11 @@
 	Members      turmericshed.Members
 	Store        Store
 	StaleLedgers turmericshed.StaleLister
-	Log          *slog.Logger
+	// Peers reaches the witnesses; nil tells none.
+	Peers tspeer.Peers
+	// Link reports whether bytes wait at the local link; nil means that they never do.
+	Link turmericshed.Link
+	Log  *slog.Logger
 }
 
 // Committer implements tsbudget.LedgerWriter with group commits.
@@ -119,6 +124,8 @@
 	ledgerSequence uint64
 	lastRefresh    time.Time
 	memory         memory
+
+	notes *notes
 }
 
 var _ tsbudget.LedgerWriter = (*Committer)(nil)
@@ -141,7 +148,7 @@
 		cfg: cfg, self: self.Incarnation, domain: self.FailureDomain, queue: make(chan *pendingRequest, maxQueuedRequests),
 		holdingItem:     turmericshed.Item{Key: tsbudget.HoldingKey(self.FailureDomain)},
 		maxBatchLedgers: cfg.Store.MaxKeys() - nonLedgerKeys, ledgers: make(map[turmericshed.BudgetID]cachedLedger),
-		granted: make(chan lease, 1), memory: newMemory(),
+		granted: make(chan lease, 1), memory: newMemory(), notes: newNotes(),
 	}
 }
 
@@ -165,7 +172,11 @@
 
 // Controllers returns the loops to run under supervision.
 func (c *Committer) Controllers() []turmericshed.Controller {
-	return []turmericshed.Controller{controller(c.roundLoop), controller(c.orphanLoop)}
+	list := []turmericshed.Controller{controller(c.roundLoop), controller(c.orphanLoop)}
+	if c.cfg.Peers != nil {
+		list = append(list, controller(c.witnessLoop))
+	}
+	return list
 }
 
 type controller func(ctx context.Context) error
@@ -378,6 +389,7 @@
 			cached := c.ledgers[id]
 			cached.lastWrite = time.Now()
 			c.ledgers[id] = cached
+			c.tellWitnesses(id, cached.Item)
 		}
 	}
 }
--- a/io/tscommit/memory.go
+++ b/io/tscommit/memory.go
@@ -43,7 +43,8 @@
 	for id := range c.memory.untold {
 		cached := c.ledgers[id].Item
 		l, err := tsbudget.Decode(cached)
-		if err != nil || l.Knows(c.memory.ledgers[id], cached.Version.Era()) {
+		era := cached.Version.Era()
+		if err != nil || l.Knows(c.memory.ledgers[id].Later(c.notes.get(id, era)), era) {
 			delete(c.memory.untold, id)
 			continue
 		}
@@ -77,13 +78,13 @@
 func (m roundMemory) Ledger(id turmericshed.BudgetID, before uint64) tsbudget.LedgerState {
 	cached := m.c.ledgers[id].Item
 	if cached.Version.Era() == 0 || cached.Version.Era() >= before {
-		return m.c.memory.ledgers[id]
+		return m.c.memory.ledgers[id].Later(m.c.notes.get(id, before))
 	}
 	l, err := tsbudget.Decode(cached)
 	if err != nil {
 		return tsbudget.LedgerState{}
 	}
-	return l.State(cached.Version, m.c.memory.ledgers[id])
+	return l.State(cached.Version, m.c.memory.ledgers[id]).Later(m.c.notes.get(id, before))
 }
 
 // Share returns the latest share of the domain in an era before the given one, unless a holder knew a later
--- a/io/tscommit/service.go
+++ b/io/tscommit/service.go
@@ -15,11 +15,14 @@
 
 // Handler returns the path and the HTTP handler for calls of peers.
 func (c *Committer) Handler() (string, http.Handler) {
-	return tspeerapi.NewLedgerServiceHandler(service{c})
+	return tspeerapi.NewLedgerServiceHandler(service{c, c.notes})
 }
 
 // service implements the RPC service that peers call.
-type service struct{ writer tsbudget.LedgerWriter }
+type service struct {
+	writer tsbudget.LedgerWriter
+	notes  *notes
+}
 
 // WriteLedgers commits a holder's request. Errors: CodeUnknown if it may have been
 // written, CodeUnavailable if it was not.
@@ -87,9 +90,7 @@
 		}
 	}
 	if e := ch.Reentry; e != nil {
-		m.Reentry = &tspeerapi.LedgerReentry{Era: e.Era, Sequence: e.Sequence, Known: &tspeerapi.LedgerState{
-			Version: uint64(e.Known.Version), Charged: int64(e.Known.Charged), Held: int64(e.Known.Held),
-		}}
+		m.Reentry = &tspeerapi.LedgerReentry{Era: e.Era, Sequence: e.Sequence, Known: encodeState(e.Known)}
 		for _, l := range e.Lots {
 			m.Reentry.Lots = append(m.Reentry.Lots, encodeLot(ch.Budget, l))
 		}
@@ -150,9 +151,7 @@
 		}
 	}
 	if e := m.Reentry; e != nil {
-		ch.Reentry = &tsbudget.Reentry{Era: e.Era, Sequence: e.Sequence, Holder: holder, Known: tsbudget.LedgerState{
-			Version: turmericshed.Version(e.GetKnown().GetVersion()), Charged: turmericshed.Tokens(e.GetKnown().GetCharged()), Held: turmericshed.Tokens(e.GetKnown().GetHeld()),
-		}}
+		ch.Reentry = &tsbudget.Reentry{Era: e.Era, Sequence: e.Sequence, Holder: holder, Known: decodeState(e.GetKnown())}
 		for _, l := range e.Lots {
 			ch.Reentry.Lots = append(ch.Reentry.Lots, decodeLot(l, holder))
 		}
--- a/io/tsgateway/gateway.go
+++ b/io/tsgateway/gateway.go
@@ -178,7 +178,7 @@
 	g.registry = tsregistry.New(tsregistry.Config{Self: g.self, Store: store, StaleLister: store, Log: tsobserve.WithPrefix(g.log, "registry")})
 	peering := tspeer.Config{Dial: g.meter.Dialer(tsmeter.EntryVMs, cfg.Dial), HTTP1: true, StopTimeout: peerStopTimeout}
 	transport := tspeer.NewTransport(peering)
-	g.committer = tscommit.New(tscommit.Config{Members: g.registry, Store: store, StaleLedgers: store, Log: tsobserve.WithPrefix(g.log, "ledgers")})
+	g.committer = tscommit.New(tscommit.Config{Members: g.registry, Store: store, StaleLedgers: store, Peers: transport, Link: g.meter, Log: tsobserve.WithPrefix(g.log, "ledgers")})
 	g.peerServer = tspeer.NewServer(peering)
 	g.peerServer.Mount(g.committer.Handler())
 	g.holder = tsholder.New(tsholder.Config{
--- a/io/tsholder/restore_test.go
+++ b/io/tsholder/restore_test.go
@@ -2,19 +2,27 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
 	"turmericshed"
 	"turmericshed/core/tsbudget"
+	"turmericshed/io/tscommit"
 	"turmericshed/io/tsholder"
+	"turmericshed/platform"
 )
 
 // cutWriter is a ledger writer that can't be reached while isCut is true.
@@ -30,13 +38,45 @@
 	return w.LedgerWriter.Commit(ctx, r)
 }
 
+// fleetMembers is the membership of a spender, and its calls to the ledger writers of the others.
+type fleetMembers struct {
+	isolatedMembers
+	f *fleet
+}
+
+func (m fleetMembers) Reachable() (list []turmericshed.EntryVM) {
+	for _, s := range m.f.spenders {
+		if vm := s.vm.Load(); vm != nil && vm.Name != m.vm.Name {
+			list = append(list, *vm)
+		}
+	}
+	return list
+}
+
+func (m fleetMembers) Client(addr netip.AddrPort) (connect.HTTPClient, string) {
+	return m, "http://" + addr.String()
+}
+
+// Do calls the ledger writer of another spender, unless one of the two is cut off.
+func (m fleetMembers) Do(r *http.Request) (*http.Response, error) {
+	own, to := m.f.byAddr(m.vm.PeerAddr), m.f.byAddr(netip.MustParseAddrPort(r.URL.Host))
+	if own.w.Load().isCut.Load() || to.w.Load().isCut.Load() {
+		return nil, errors.New("no route")
+	}
+	rec := httptest.NewRecorder()
+	to.mux.Load().ServeHTTP(rec, r)
+	return rec.Result(), nil
+}
+
 // spender is an entry VM that alone makes up a failure domain, and whose requests never end.
 type spender struct {
 	b      *bench
 	number int
 	starts int
 	h      *tsholder.Holder
-	w      *cutWriter
+	vm     atomic.Pointer[turmericshed.EntryVM]
+	w      atomic.Pointer[cutWriter]
+	mux    atomic.Pointer[http.ServeMux]
 	kill   context.CancelFunc
 	ended  sync.WaitGroup
 }
@@ -57,13 +97,16 @@
 	f := &fleet{bench: newBench(t)}
 	f.setPrepaid(prepaid)
 	for n := range 3 {
-		s := &spender{b: f.bench, number: n}
-		f.spenders = append(f.spenders, s)
+		f.spenders = append(f.spenders, &spender{b: f.bench, number: n})
+	}
+	for _, s := range f.spenders {
 		f.start(s)
 	}
 	return f
 }
 
+func (f *fleet) byAddr(addr netip.AddrPort) *spender { return f.spenders[addr.Port()-1] }
+
 func (f *fleet) setPrepaid(n turmericshed.Tokens) {
 	p := profileOf(0, n)
 	f.profile.Store(&p)
@@ -78,9 +121,19 @@
 	vm := turmericshed.EntryVM{
 		Name: fmt.Sprint("vm-", s.number), Incarnation: turmericshed.Incarnation(fmt.Sprint("in-", s.number, "-", s.starts)),
 		FailureDomain: turmericshed.FailureDomain(fmt.Sprint("d", s.number)),
+		PeerAddr:      netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(s.number+1)),
 	}
-	s.w = &cutWriter{LedgerWriter: f.startCommitter(ctx, vm)}
-	s.h, s.kill = f.startWith(ctx, vm, s.w), cancel
+	m := fleetMembers{isolatedMembers{vm}, f}
+	store := platform.NewStore(f.addr, platform.StoreOptions{})
+	c := tscommit.New(tscommit.Config{Members: m, Store: store, StaleLedgers: store, Peers: m, Log: slog.New(slog.DiscardHandler)})
+	mux := http.NewServeMux()
+	mux.Handle(c.Handler())
+	w := &cutWriter{LedgerWriter: c}
+	s.w.Store(w)
+	s.mux.Store(mux)
+	s.vm.Store(&vm)
+	serve(ctx, c.Controllers())
+	s.h, s.kill = f.startWith(ctx, vm, w), cancel
 	h := s.h
 	s.ended.Go(func() {
 		for ctx.Err() == nil {
@@ -132,7 +185,8 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	used, prepaid := f.used.Load(), int64(f.profile.Load().Prepaid)
-	f.t.Logf("used %d of %d, ledger %+v", used, prepaid, f.storedLedger())
+	l := f.storedLedger()
+	f.t.Logf("used %d of %d, ledger %+v, restored %+v", used, prepaid, l, l.Restored)
 	assert.Assert(f.t, used <= prepaid, "used %d of %d", used, prepaid)
 	assert.Assert(f.t, float64(used) >= least*float64(prepaid), "used %d of %d", used, prepaid)
 }
@@ -194,9 +248,9 @@
 		t.Parallel()
 		f := newFleet(t, 700_000)
 		time.Sleep(time.Second)
-		f.drill(2*time.Second, func() { f.spenders[0].w.isCut.Store(true) })
+		f.drill(2*time.Second, func() { f.spenders[0].w.Load().isCut.Store(true) })
 		time.Sleep(5 * time.Second)
-		f.spenders[0].w.isCut.Store(false)
+		f.spenders[0].w.Load().isCut.Store(false)
 		f.assertPrepaid(0.85)
 	})
 	t.Run("random restores and cuts", func(t *testing.T) {
@@ -207,10 +261,10 @@
 			time.Sleep(time.Duration(rng.IntN(800)) * time.Millisecond)
 			s := f.spenders[rng.IntN(len(f.spenders))]
 			f.drill(time.Duration(300+rng.IntN(2000))*time.Millisecond, func() {
-				s.w.isCut.Store(rng.IntN(2) == 0)
+				s.w.Load().isCut.Store(rng.IntN(2) == 0)
 			})
 			time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
-			s.w.isCut.Store(false)
+			s.w.Load().isCut.Store(false)
 		}
 		f.assertPrepaid(0.3)
 	})
--- a/io/tspeerapi/ledger.connect.go
+++ b/io/tspeerapi/ledger.connect.go
@@ -35,6 +35,9 @@
 	// LedgerServiceWriteLedgersProcedure is the fully-qualified name of the LedgerService's
 	// WriteLedgers RPC.
 	LedgerServiceWriteLedgersProcedure = "/turmericshed.peer.v1.LedgerService/WriteLedgers"
+	// LedgerServiceNoteLedgersProcedure is the fully-qualified name of the LedgerService's NoteLedgers
+	// RPC.
+	LedgerServiceNoteLedgersProcedure = "/turmericshed.peer.v1.LedgerService/NoteLedgers"
 )
 
 // LedgerServiceClient is a client for the turmericshed.peer.v1.LedgerService service.
@@ -42,6 +45,8 @@
 	// WriteLedgers makes a holder's changes together with those of others. Repeated,
 	// here or at another entry VM, it changes nothing more.
 	WriteLedgers(context.Context, *connect.Request[WriteLedgersRequest]) (*connect.Response[WriteLedgersResponse], error)
+	// NoteLedgers tells what was just written, for the case that the store forgets it.
+	NoteLedgers(context.Context, *connect.Request[NoteLedgersRequest]) (*connect.Response[NoteLedgersResponse], error)
 }
 
 // NewLedgerServiceClient constructs a client for the turmericshed.peer.v1.LedgerService service. By
@@ -61,12 +66,19 @@
 			connect.WithSchema(ledgerServiceMethods.ByName("WriteLedgers")),
 			connect.WithClientOptions(opts...),
 		),
+		noteLedgers: connect.NewClient[NoteLedgersRequest, NoteLedgersResponse](
+			httpClient,
+			baseURL+LedgerServiceNoteLedgersProcedure,
+			connect.WithSchema(ledgerServiceMethods.ByName("NoteLedgers")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // ledgerServiceClient implements LedgerServiceClient.
 type ledgerServiceClient struct {
 	writeLedgers *connect.Client[WriteLedgersRequest, WriteLedgersResponse]
+	noteLedgers  *connect.Client[NoteLedgersRequest, NoteLedgersResponse]
 }
 
 // WriteLedgers calls turmericshed.peer.v1.LedgerService.WriteLedgers.
@@ -74,11 +86,18 @@
 	return c.writeLedgers.CallUnary(ctx, req)
 }
 
+// NoteLedgers calls turmericshed.peer.v1.LedgerService.NoteLedgers.
+func (c *ledgerServiceClient) NoteLedgers(ctx context.Context, req *connect.Request[NoteLedgersRequest]) (*connect.Response[NoteLedgersResponse], error) {
+	return c.noteLedgers.CallUnary(ctx, req)
+}
+
 // LedgerServiceHandler is an implementation of the turmericshed.peer.v1.LedgerService service.
 type LedgerServiceHandler interface {
 	// WriteLedgers makes a holder's changes together with those of others. Repeated,
 	// here or at another entry VM, it changes nothing more.
 	WriteLedgers(context.Context, *connect.Request[WriteLedgersRequest]) (*connect.Response[WriteLedgersResponse], error)
+	// NoteLedgers tells what was just written, for the case that the store forgets it.
+	NoteLedgers(context.Context, *connect.Request[NoteLedgersRequest]) (*connect.Response[NoteLedgersResponse], error)
 }
 
 // NewLedgerServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -94,10 +113,18 @@
 		connect.WithSchema(ledgerServiceMethods.ByName("WriteLedgers")),
 		connect.WithHandlerOptions(opts...),
 	)
+	ledgerServiceNoteLedgersHandler := connect.NewUnaryHandler(
+		LedgerServiceNoteLedgersProcedure,
+		svc.NoteLedgers,
+		connect.WithSchema(ledgerServiceMethods.ByName("NoteLedgers")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/turmericshed.peer.v1.LedgerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case LedgerServiceWriteLedgersProcedure:
 			ledgerServiceWriteLedgersHandler.ServeHTTP(w, r)
+		case LedgerServiceNoteLedgersProcedure:
+			ledgerServiceNoteLedgersHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +137,7 @@
 func (UnimplementedLedgerServiceHandler) WriteLedgers(context.Context, *connect.Request[WriteLedgersRequest]) (*connect.Response[WriteLedgersResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("turmericshed.peer.v1.LedgerService.WriteLedgers is not implemented"))
 }
+
+func (UnimplementedLedgerServiceHandler) NoteLedgers(context.Context, *connect.Request[NoteLedgersRequest]) (*connect.Response[NoteLedgersResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("turmericshed.peer.v1.LedgerService.NoteLedgers is not implemented"))
+}
