Test: interrupt only streams that have begun

Cause: under load the entry VM rejected some requests as overloaded. The test took them for interrupted streams, and compared the version of a stream that never began.

Change: the test begins all streams or sends all again. It checks the same.

--- a/io/tsgateway/restore_test.go
+++ b/io/tsgateway/restore_test.go
@@ -59,7 +59,7 @@
 		// The streams last longer than the test.
 		r := newSlowVersionRig(t, 600*time.Millisecond, "v1", "v2")
 		r.waitForVersions(r.entryVM, 2)
-		streams := r.begin(r.entryVM, streamCount, 1)
+		streams := r.beginAll(r.entryVM, streamCount, 1)
 		saved := ""
 		r.eventually("the beginnings are saved", func() bool {
 			for _, item := range r.store.Items("stream_beginnings/") {
--- a/io/tsgateway/version_test.go
+++ b/io/tsgateway/version_test.go
@@ -67,9 +67,10 @@
 	r.t.Helper()
 	r.eventually("streams begin at all versions", func() bool {
 		seen := map[string]bool{}
-		for _, s := range r.begin(vm, streamCount, 0) {
+		streams := r.begin(vm, streamCount, 0)
+		closeAll(streams)
+		for _, s := range streams {
 			seen[s.software] = true
-			_ = s.body.Close()
 		}
 		delete(seen, "")
 		return len(seen) == n
@@ -96,6 +97,29 @@
 	return r.sendAll(vm, make([]*versionStream, n), events)
 }
 
+// beginAll is begin for streams that are all served: an entry VM under load may reject some requests, and then
+// all are sent again, so that the streams begin together.
+func (r *versionRig) beginAll(vm *entryVM, n, events int) (streams []*versionStream) {
+	r.t.Helper()
+	r.eventually("all streams begin", func() bool {
+		streams = r.begin(vm, n, events)
+		for _, s := range streams {
+			if s.status != http.StatusOK || s.err != nil {
+				closeAll(streams)
+				return false
+			}
+		}
+		return true
+	})
+	return streams
+}
+
+func closeAll(streams []*versionStream) {
+	for _, s := range streams {
+		_ = s.body.Close()
+	}
+}
+
 // resume resumes interrupted streams at an entry VM, and reads them to their end.
 func (r *versionRig) resume(vm *entryVM, broken []*versionStream) []*versionStream {
 	return r.sendAll(vm, broken, eventsPerStream)
@@ -183,7 +207,7 @@
 		second := r.start("vm-2")
 		r.waitForVersions(r.entryVM, 2)
 		r.waitForVersions(second, 2)
-		streams := r.begin(r.entryVM, streamCount, 3)
+		streams := r.beginAll(r.entryVM, streamCount, 3)
 		r.kill()
 		assertGoOn(t, streams, r.resume(second, streams), streamCount)
 	})
@@ -192,7 +216,7 @@
 		second := r.start("vm-2")
 		r.waitForVersions(r.entryVM, 2)
 		r.waitForVersions(second, 2)
-		streams := append(r.begin(r.entryVM, streamCount, 4), r.begin(second, streamCount, 4)...)
+		streams := append(r.beginAll(r.entryVM, streamCount, 4), r.beginAll(second, streamCount, 4)...)
 		r.kill()
 		second.kill()
 		assertGoOn(t, streams, r.resume(r.start("vm-1"), streams), streamCount)
@@ -200,7 +224,7 @@
 	t.Run("after the version that began them has left", func(t *testing.T) {
 		r := newVersionRig(t, "v1")
 		r.waitForVersions(r.entryVM, 1)
-		streams := r.begin(r.entryVM, streamCount, 3)
+		streams := r.beginAll(r.entryVM, streamCount, 3)
 		for id := range r.software {
 			r.store.Remove(platform.ServerPrefix + id)
 		}
@@ -219,7 +243,7 @@
 	t.Run("whose beginning nobody knows, with one version in service", func(t *testing.T) {
 		r := newVersionRig(t, "v1")
 		r.waitForVersions(r.entryVM, 1)
-		streams := r.begin(r.entryVM, streamCount, 3)
+		streams := r.beginAll(r.entryVM, streamCount, 3)
 		r.kill()
 		assertGoOn(t, streams, r.resume(r.start("vm-1"), streams), streamCount)
 	})
