Draw again after an outage despite refused requests

Cause: a request that is refused while the store fails schedules a round, and put off the next draw by the same half second, so that the round did not draw. Entry VMs that hold nothing have nothing else to write, so only a scan between the end of the pause and the next request ended this. The logs show it: the last lot_refused 3.1 s after the start, then no request for a draw until 15.1 s.

The pause between such rounds is now apart from that between draws. TestDrawAfterARefusedDraw failed in 3 of 3 runs before (no draw in 4 s) and passes now, 3 of 3.

--- a/io/tsholder/holder.go
+++ b/io/tsholder/holder.go
@@ -49,8 +49,9 @@
 	peerTimeout = time.Second
 	// exhaustedPause is the time between draws from a ledger with nothing left to draw.
 	exhaustedPause = time.Second
-	// outagePause is the same while the store does not answer, and waitingPause while requests wait
-	// for a ledger with nothing left to draw.
+	// outagePause is the time between the rounds that refused requests schedule while the store does not
+	// answer, and waitingPause the time between draws while requests wait for a ledger with nothing left
+	// to draw.
 	outagePause  = 500 * time.Millisecond
 	waitingPause = 300 * time.Millisecond
 	// minReportInterval is the least time between the usage reports that a placement requests while
@@ -179,8 +180,10 @@
 	lastEndedRound int
 	peersMissing   bool
 	nextDraw       time.Time
-	reportedAt     time.Time
-	closed         bool
+	// nextOutageRound is when the next request that is refused because of the store schedules a round.
+	nextOutageRound time.Time
+	reportedAt      time.Time
+	closed          bool
 	// peerDemand is the amount that a peer requested to borrow and that was not available.
 	peerDemand turmericshed.Tokens
 
@@ -317,8 +320,8 @@
 	if b.storeErr != nil && p.Edge == turmericshed.PreferNoSurprise && h.core.Available(b.id) < n {
 		// The store is unavailable. A round retries it from time to time; this request does not
 		// wait for that.
-		if now.After(b.nextDraw) {
-			b.nextDraw = now.Add(outagePause)
+		if now.After(b.nextOutageRound) {
+			b.nextOutageRound = now.Add(outagePause)
 			h.scheduleRoundLocked(b)
 		}
 		h.core.CountRefused(now, b.id, n)
--- a/io/tsholder/restore_test.go
+++ b/io/tsholder/restore_test.go
@@ -269,3 +269,46 @@
 		f.assertPrepaid(0.3)
 	})
 }
+
+// settlingWriter refuses all draws while isSettling is true, as a ledger does that is settling after a restore.
+type settlingWriter struct {
+	tsbudget.LedgerWriter
+	isSettling atomic.Bool
+}
+
+func (w *settlingWriter) Commit(ctx context.Context, r tsbudget.Request) (tsbudget.Reply, error) {
+	if !w.isSettling.Load() {
+		return w.LedgerWriter.Commit(ctx, r)
+	}
+	refused := make(map[turmericshed.BudgetID]error)
+	for i, c := range r.Changes {
+		if c.Draw != nil {
+			r.Changes[i].Draw = nil
+			refused[c.Budget] = turmericshed.NewError(turmericshed.KindStoreUnavailable, "settling")
+		}
+	}
+	reply, err := w.LedgerWriter.Commit(ctx, r)
+	reply.Errs = refused
+	return reply, err
+}
+
+// Guards against requests that are refused long after a ledger has settled, since each one puts off the next draw.
+func TestDrawAfterARefusedDraw(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	vm := turmericshed.EntryVM{Name: "vm-0", Incarnation: "in-0", FailureDomain: domain}
+	w := &settlingWriter{LedgerWriter: b.startCommitter(t.Context(), vm)}
+	h := b.startWith(t.Context(), vm, w)
+	w.isSettling.Store(true)
+	// serveOne sends requests at a high rate until one is served, or for a time.
+	serveOne := func(limit time.Duration) error {
+		err := errors.New("no request was sent")
+		for began := time.Now(); err != nil && time.Since(began) < limit; time.Sleep(time.Millisecond) {
+			_, err = h.Reserve(t.Context(), profileOf(0, 10_000), "r", 100)
+		}
+		return err
+	}
+	assert.Equal(t, turmericshed.KindOf(serveOne(2*time.Second)), turmericshed.KindBudgetUnavailable)
+	w.isSettling.Store(false)
+	assert.NilError(t, serveOne(10*time.Second))
+}
